--- /dev/null
+++ b/crates/consensus/src/election.rs
@@ -0,0 +1,163 @@
+//! Pre-votes, votes and taking the lead.
+
+use crate::{
+    LogIndex, Millis, Term,
+    log::Payload,
+    message::{Body, Message},
+    progress::Progress,
+    raft::{HardState, Raft, Role},
+};
+
+impl Raft {
+    /// Asks whether an election could be won, without raising anyone's term.
+    pub(crate) fn start_pre_vote(&mut self, now: Millis) {
+        if !self.membership.is_voter(self.options.replica) || !self.owns_membership_disk() {
+            return;
+        }
+        self.role = Role::PreCandidate;
+        self.leader = None;
+        self.votes.clear();
+        self.votes.insert(self.options.replica);
+        if self.has_vote_quorum() {
+            self.start_election(now);
+            return;
+        }
+        let body = Body::PreVote {
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+        };
+        self.ask_voters(self.hard_state.term + 1, &body);
+    }
+
+    pub(crate) fn answer_pre_vote(
+        &mut self,
+        message: &Message,
+        last_index: LogIndex,
+        last_term: Term,
+        now: Millis,
+    ) {
+        let granted = message.term > self.hard_state.term
+            && !self.leader_is_alive(now)
+            && self.is_up_to_date(last_index, last_term);
+        let term = if granted { message.term } else { self.hard_state.term };
+        self.reply(message, term, Body::PreVoteReply { granted });
+    }
+
+    pub(crate) fn count_pre_vote(&mut self, message: &Message, granted: bool, now: Millis) {
+        let expected = self.role == Role::PreCandidate && message.term == self.hard_state.term + 1;
+        if expected && granted {
+            self.record_vote(message);
+            if self.has_vote_quorum() {
+                self.start_election(now);
+            }
+        }
+    }
+
+    pub(crate) fn answer_vote(
+        &mut self,
+        message: &Message,
+        last_index: LogIndex,
+        last_term: Term,
+        now: Millis,
+    ) {
+        if message.term > self.hard_state.term && !self.leader_is_alive(now) {
+            self.become_follower(message.term, None, now);
+        }
+        let free = self.hard_state.voted_for.is_none_or(|vote| vote == message.from);
+        let granted = message.term == self.hard_state.term
+            && free
+            && self.role == Role::Follower
+            && self.is_up_to_date(last_index, last_term);
+        if granted {
+            self.set_hard_state(HardState {
+                term: self.hard_state.term,
+                voted_for: Some(message.from),
+            });
+            self.reset_election_deadline(now);
+        }
+        self.reply(message, self.hard_state.term, Body::VoteReply { granted });
+    }
+
+    pub(crate) fn count_vote(&mut self, message: &Message, granted: bool, now: Millis) {
+        let expected = self.role == Role::Candidate && message.term == self.hard_state.term;
+        if expected && granted {
+            self.record_vote(message);
+            if self.has_vote_quorum() {
+                self.become_leader(now);
+            }
+        }
+    }
+
+    fn start_election(&mut self, now: Millis) {
+        self.role = Role::Candidate;
+        self.set_hard_state(HardState {
+            term: self.hard_state.term + 1,
+            voted_for: Some(self.options.replica),
+        });
+        self.votes.clear();
+        self.votes.insert(self.options.replica);
+        self.reset_election_deadline(now);
+        if self.has_vote_quorum() {
+            self.become_leader(now);
+            return;
+        }
+        let body = Body::Vote {
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+        };
+        self.ask_voters(self.hard_state.term, &body);
+    }
+
+    fn become_leader(&mut self, now: Millis) {
+        self.role = Role::Leader;
+        self.leader = Some(self.options.replica);
+        self.votes.clear();
+        let next = self.log.last_index() + 1;
+        self.progress = self
+            .peers()
+            .into_iter()
+            .map(|(replica, _)| (replica, Progress::new(next, now)))
+            .collect();
+        self.next_heartbeat = now;
+        self.append_as_leader(Payload::Noop);
+    }
+
+    fn ask_voters(&mut self, term: Term, body: &Body) {
+        for (replica, disk) in self.peers() {
+            if self.membership.is_voter(replica) {
+                self.send(replica, disk, term, body.clone());
+            }
+        }
+    }
+
+    fn record_vote(&mut self, message: &Message) {
+        if self.membership.is_voter(message.from) {
+            self.votes.insert(message.from);
+        }
+    }
+
+    fn has_vote_quorum(&self) -> bool {
+        self.votes.len() >= self.membership.quorum()
+    }
+
+    /// A leader that is heard from keeps its place: a member that cannot hear it must not depose it.
+    fn leader_is_alive(&self, now: Millis) -> bool {
+        let heard_recently = self
+            .leader_heard
+            .is_some_and(|heard| now < heard + self.options.election_timeout);
+        self.role == Role::Leader || (self.leader.is_some() && heard_recently)
+    }
+
+    fn is_up_to_date(&self, last_index: LogIndex, last_term: Term) -> bool {
+        (last_term, last_index) >= (self.log.last_term(), self.log.last_index())
+    }
+
+    /// A replica whose membership entry names another data folder is not that member any more.
+    fn owns_membership_disk(&self) -> bool {
+        !self.options.check_disk_identity
+            || self
+                .membership
+                .member(self.options.replica)
+                .is_some_and(|member| member.disk == self.options.disk)
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/progress.rs
@@ -0,0 +1,28 @@
+//! What a leader knows of each other member.
+
+use crate::{LogIndex, Millis};
+
+/// Replication progress of one member.
+#[derive(Clone, Debug)]
+pub struct Progress {
+    /// Next entry to send.
+    pub next: LogIndex,
+    /// Last entry known to be synced there.
+    pub matched: LogIndex,
+    /// Whether an append is unanswered; the next heartbeat sends it again.
+    pub waiting: bool,
+    /// When the member last answered.
+    pub last_heard: Millis,
+}
+
+impl Progress {
+    /// Progress of a member of which nothing is known yet.
+    pub fn new(next: LogIndex, now: Millis) -> Self {
+        Self {
+            next,
+            matched: 0,
+            waiting: false,
+            last_heard: now,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/claims.rs
@@ -0,0 +1,113 @@
+//! Claims: the record that lets a request that may not be repeated run at most once.
+//!
+//! A claim is granted to one attempt. It ends as completed, not run, or unknown, and never runs
+//! again under its key until the key expires. "Not run" closes the key too: otherwise a second
+//! arrival could run it after the first caller was told that it did not.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use railtack_core::{AttemptId, IdempotencyKey, TenantName};
+use railtack_rpc::protocol::{ClaimAnswer, ClaimOutcome, ClaimRequest, Outcome, UnixMillis};
+use speedy::{Readable, Writable};
+
+/// A tenant's key.
+pub type ClaimKey = (TenantName, IdempotencyKey);
+
+/// What is known of one key.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct ClaimRecord {
+    /// Hash of the request.
+    pub fingerprint: u128,
+    /// The attempt that holds the claim.
+    pub attempt: AttemptId,
+    /// When the claim was made, on the state's clock.
+    pub claimed_at: UnixMillis,
+    /// How it ended; `None` while it is held.
+    pub outcome: Option<ClaimOutcome>,
+}
+
+/// All claims younger than the retention.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct ClaimTable {
+    records: BTreeMap<ClaimKey, ClaimRecord>,
+    by_age: BTreeSet<(UnixMillis, ClaimKey)>,
+}
+
+impl ClaimTable {
+    /// Claims kept.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no claim is kept.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// The record of a key.
+    pub fn get(&self, key: &ClaimKey) -> Option<&ClaimRecord> {
+        self.records.get(key)
+    }
+
+    /// Grants the claim to the first attempt that asks; a resend by that attempt is granted again.
+    pub fn claim(&mut self, request: ClaimRequest, now: UnixMillis) -> ClaimAnswer {
+        let key = (request.tenant, request.key);
+        if let Some(record) = self.records.get(&key) {
+            return answer_known(record, request.fingerprint, request.attempt);
+        }
+        self.by_age.insert((now, key.clone()));
+        let record = ClaimRecord {
+            fingerprint: request.fingerprint,
+            attempt: request.attempt,
+            claimed_at: now,
+            outcome: None,
+        };
+        self.records.insert(key, record);
+        ClaimAnswer::Granted
+    }
+
+    /// Records how a claim ended. Only its holder may, and only once.
+    pub fn settle(
+        &mut self,
+        key: &ClaimKey,
+        attempt: AttemptId,
+        outcome: ClaimOutcome,
+    ) -> Outcome {
+        let Some(record) = self.records.get_mut(key) else {
+            return Outcome::NotHolder;
+        };
+        if record.attempt != attempt {
+            return Outcome::NotHolder;
+        }
+        match &record.outcome {
+            None => {
+                record.outcome = Some(outcome);
+                Outcome::Settled
+            }
+            Some(known) if *known == outcome => Outcome::Settled,
+            Some(_) => Outcome::NotHolder,
+        }
+    }
+
+    /// Forgets claims made before `oldest_kept`.
+    pub fn expire(&mut self, oldest_kept: UnixMillis) {
+        while let Some((claimed_at, key)) = self.by_age.first().cloned() {
+            if claimed_at >= oldest_kept {
+                return;
+            }
+            self.by_age.pop_first();
+            self.records.remove(&key);
+        }
+    }
+}
+
+fn answer_known(record: &ClaimRecord, fingerprint: u128, attempt: AttemptId) -> ClaimAnswer {
+    if record.fingerprint != fingerprint {
+        return ClaimAnswer::KeyReused;
+    }
+    match &record.outcome {
+        Some(outcome) => ClaimAnswer::Ended(outcome.clone()),
+        None if record.attempt == attempt => ClaimAnswer::Granted,
+        None => ClaimAnswer::InProgress,
+    }
+}
--- /dev/null
+++ b/crates/control/src/configuration.rs
@@ -0,0 +1,144 @@
+//! Applying an operator's change to the configuration: compare-and-set, all or nothing.
+
+use railtack_core::{Revision, TenantName};
+use railtack_rpc::protocol::{Configuration, ConfigurationChange, Versioned};
+use railtack_settings::documents::{Document, DocumentError, Template, Tenant};
+
+/// Why a change was not applied; the configuration is as before.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ChangeRefused {
+    /// The document has another revision than the operator saw.
+    Conflict {
+        /// The present revision; 0 if there is no such document.
+        current: Revision,
+    },
+    /// The document is not valid here.
+    Invalid(DocumentError),
+}
+
+/// Whether the expected revision is compared with the present one. Only the simulator's
+/// deliberately broken build turns the check off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RevisionCheck {
+    /// Refuse a change made on an older revision.
+    Enforced,
+    /// Take every change.
+    Skipped,
+}
+
+/// Checks a change against the whole configuration and applies it.
+pub fn apply_change(
+    configuration: &mut Configuration,
+    change: &ConfigurationChange,
+    check: RevisionCheck,
+) -> Result<Revision, ChangeRefused> {
+    let next = Revision(configuration.revision.0 + 1);
+    match change {
+        ConfigurationChange::Put { expected, document } => {
+            document.validate().map_err(ChangeRefused::Invalid)?;
+            let current = revision_of(configuration, document);
+            if check == RevisionCheck::Enforced && current != *expected {
+                return Err(ChangeRefused::Conflict { current });
+            }
+            validate_references(configuration, document).map_err(ChangeRefused::Invalid)?;
+            store(configuration, document.clone(), next);
+        }
+        ConfigurationChange::SetDrain { engine, drained: true } => {
+            configuration.drained.insert(*engine);
+        }
+        ConfigurationChange::SetDrain { engine, drained: false } => {
+            configuration.drained.remove(engine);
+        }
+    }
+    configuration.revision = next;
+    Ok(next)
+}
+
+/// Applies a change that the control state has accepted, as routers do.
+pub fn apply_accepted(
+    configuration: &mut Configuration,
+    change: ConfigurationChange,
+    revision: Revision,
+) {
+    match change {
+        ConfigurationChange::Put { document, .. } => store(configuration, document, revision),
+        ConfigurationChange::SetDrain { engine, drained: true } => {
+            configuration.drained.insert(engine);
+        }
+        ConfigurationChange::SetDrain { engine, drained: false } => {
+            configuration.drained.remove(&engine);
+        }
+    }
+    configuration.revision = revision;
+}
+
+fn revision_of(configuration: &Configuration, document: &Document) -> Revision {
+    let known = match document {
+        Document::Template(new) => configuration.templates.get(&new.name).map(|old| old.revision),
+        Document::Tenant(new) => configuration.tenants.get(&new.name).map(|old| old.revision),
+        Document::Model(new) => configuration.models.get(&new.name).map(|old| old.revision),
+    };
+    known.unwrap_or_default()
+}
+
+fn store(configuration: &mut Configuration, document: Document, revision: Revision) {
+    match document {
+        Document::Template(document) => {
+            let name = document.name.clone();
+            configuration.templates.insert(name, Versioned { revision, document });
+        }
+        Document::Tenant(document) => {
+            let name = document.name.clone();
+            configuration.tenants.insert(name, Versioned { revision, document });
+        }
+        Document::Model(document) => {
+            let name = document.name.clone();
+            configuration.models.insert(name, Versioned { revision, document });
+        }
+    }
+}
+
+fn validate_references(
+    configuration: &Configuration,
+    document: &Document,
+) -> Result<(), DocumentError> {
+    match document {
+        Document::Template(template) => validate_users(configuration, template),
+        Document::Tenant(tenant) => validate_tenant(configuration, tenant),
+        Document::Model(_) => Ok(()),
+    }
+}
+
+/// A revised template must still fit every tenant that uses it.
+fn validate_users(configuration: &Configuration, template: &Template) -> Result<(), DocumentError> {
+    for tenant in configuration.tenants.values().map(|known| &known.document) {
+        if let Some(service) = tenant.service(&template.name) {
+            tenant.validate_service(service, template)?;
+        }
+    }
+    Ok(())
+}
+
+fn validate_tenant(configuration: &Configuration, tenant: &Tenant) -> Result<(), DocumentError> {
+    for service in &tenant.services {
+        let template = configuration.templates.get(&service.template).ok_or_else(|| {
+            DocumentError::UnknownTemplate {
+                tenant: tenant.name.clone(),
+                template: service.template.clone(),
+            }
+        })?;
+        tenant.validate_service(service, &template.document)?;
+    }
+    let key_taken = configuration
+        .tenants
+        .values()
+        .any(|other| other.document.name != tenant.name && shares_key(&other.document, tenant));
+    if key_taken {
+        return Err(DocumentError::KeyTaken { tenant: TenantName(tenant.name.0.clone()) });
+    }
+    Ok(())
+}
+
+fn shares_key(left: &Tenant, right: &Tenant) -> bool {
+    left.key_hashes.iter().any(|hash| right.key_hashes.contains(hash))
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,21 @@
+//! Replicated control state and the daemon that serves it.
+//!
+//! [`replica::Replica`] joins the pure log, the pure state and the durable store. The daemon drives
+//! it with real time, sockets and files; the simulator drives the same code with virtual ones.
+
+pub mod claims;
+pub mod configuration;
+pub mod errors;
+pub mod metrics;
+pub mod node;
+pub mod peers;
+pub mod replica;
+pub mod rollout;
+pub mod roster;
+pub mod server;
+pub mod state;
+pub mod store;
+
+pub use errors::ControlError;
+pub use replica::{Advance, Replica, ReplicaOptions};
+pub use state::ControlState;
--- /dev/null
+++ b/crates/control/src/metrics.rs
@@ -0,0 +1,50 @@
+//! Counters of a control replica.
+
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::{
+    metrics::{counter::Counter, gauge::Gauge},
+    registry::Registry,
+};
+
+/// Counters and gauges, shared by the replica's thread and its services.
+#[derive(Clone, Debug, Default)]
+pub struct ControlMetrics {
+    /// Commands committed and applied.
+    pub applied: Counter,
+    /// Rounds of work, each with at most one sync of the log.
+    pub rounds: Counter,
+    /// Polls by routers.
+    pub polls: Counter,
+    /// Messages to other replicas that were dropped because the peer was slow or away.
+    pub dropped_messages: Counter,
+    /// 1 while this replica leads.
+    pub is_leader: Gauge,
+    /// Current term.
+    pub term: Gauge<u64, AtomicU64>,
+    /// Commit position.
+    pub commit: Gauge<u64, AtomicU64>,
+    /// Revision of the configuration.
+    pub revision: Gauge<u64, AtomicU64>,
+    /// Claims kept.
+    pub claims: Gauge<u64, AtomicU64>,
+}
+
+impl ControlMetrics {
+    /// Makes the counters visible.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register("control_applied", "Commands applied", self.applied.clone());
+        registry.register("control_rounds", "Rounds of work", self.rounds.clone());
+        registry.register("control_polls", "Polls by routers", self.polls.clone());
+        registry.register(
+            "control_dropped_messages",
+            "Messages to replicas dropped",
+            self.dropped_messages.clone(),
+        );
+        registry.register("control_is_leader", "1 while leading", self.is_leader.clone());
+        registry.register("control_term", "Current term", self.term.clone());
+        registry.register("control_commit", "Commit position", self.commit.clone());
+        registry.register("control_revision", "Configuration revision", self.revision.clone());
+        registry.register("control_claims", "Claims kept", self.claims.clone());
+    }
+}
--- /dev/null
+++ b/crates/control/src/node.rs
@@ -0,0 +1,327 @@
+//! The thread that owns a replica.
+//!
+//! Syncing a file blocks, so the replica runs on a thread of its own. It takes all inputs that are
+//! waiting, then does one round of work: that is how many proposals share one sync.
+
+use std::{
+    collections::BTreeMap,
+    sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel},
+    thread,
+    time::{Duration, Instant},
+};
+
+use error_stack::Report;
+use railtack_consensus::{Message, ProposeError, ReplicaId, Role};
+use railtack_rpc::protocol::{
+    Configuration, MembershipChange, MembershipReply, PollReply, PollRequest, Proposal,
+    ProposeReply, ReplicaIdentity, StatusReply,
+};
+use tokio::sync::oneshot;
+
+use crate::{
+    errors::ControlError,
+    metrics::ControlMetrics,
+    peers::Peers,
+    roster::RouterRoster,
+    replica::{MembershipError, Replica, Ticket},
+    state::IssuedOrder,
+};
+
+/// Longest time between two rounds.
+const TICK: Duration = Duration::from_millis(10);
+/// Inputs taken into one round.
+const ROUND_LIMIT: usize = 1_024;
+/// Inputs that may wait; more are refused.
+const INPUT_QUEUE: usize = 4_096;
+
+/// What the replica's thread is asked to do.
+pub enum Input {
+    /// A message from another replica, and the address of its sender.
+    Deliver(Message, String),
+    /// Commit a change.
+    Propose(Proposal, oneshot::Sender<ProposeReply>),
+    /// Answer a router.
+    Poll(PollRequest, oneshot::Sender<PollReply>),
+    /// Tell the applied configuration.
+    Configuration(oneshot::Sender<Configuration>),
+    /// Tell who this replica is.
+    Identify(oneshot::Sender<ReplicaIdentity>),
+    /// Tell the replica's state.
+    Status(oneshot::Sender<StatusReply>),
+    /// Change the control replicas.
+    ChangeMembership(MembershipChange, oneshot::Sender<MembershipReply>),
+    /// Write a snapshot.
+    Snapshot(oneshot::Sender<u64>),
+    /// Tell orders and configuration if this replica leads; `None` otherwise.
+    Leading(oneshot::Sender<Option<LeaderView>>),
+    /// End the thread.
+    Stop,
+}
+
+/// What a leader needs for bringing engines to the wanted state.
+#[derive(Clone, Debug)]
+pub struct LeaderView {
+    /// Configuration as applied.
+    pub configuration: Configuration,
+    /// The order last recorded for each engine.
+    pub orders: BTreeMap<railtack_core::EngineId, IssuedOrder>,
+}
+
+/// A handle on the replica's thread.
+#[derive(Clone)]
+pub struct NodeHandle {
+    inputs: SyncSender<Input>,
+}
+
+impl NodeHandle {
+    /// Hands a message over; it is dropped if the thread is far behind, as a network may do.
+    pub fn deliver(&self, message: Message, reply_to: String) {
+        let _ = self.inputs.try_send(Input::Deliver(message, reply_to));
+    }
+
+    /// Asks a question and waits for the answer.
+    pub async fn ask<T>(
+        &self,
+        question: impl FnOnce(oneshot::Sender<T>) -> Input,
+    ) -> Result<T, Report<ControlError>> {
+        let (sender, receiver) = oneshot::channel();
+        self.inputs
+            .try_send(question(sender))
+            .map_err(|_| Report::new(ControlError::Stopped))?;
+        receiver
+            .await
+            .map_err(|_| Report::new(ControlError::Stopped))
+    }
+
+    /// Ends the thread after its current round.
+    pub fn stop(&self) {
+        let _ = self.inputs.try_send(Input::Stop);
+    }
+}
+
+/// Starts the thread. The receiver is told how it ended.
+pub fn start(
+    replica: Replica,
+    peers: Peers,
+    metrics: ControlMetrics,
+    started: Instant,
+) -> (NodeHandle, oneshot::Receiver<Result<(), Report<ControlError>>>) {
+    let (inputs, receiver) = sync_channel(INPUT_QUEUE);
+    let (ended_sender, ended) = oneshot::channel();
+    let mut node = Node {
+        replica,
+        peers,
+        metrics,
+        started,
+        waiting: BTreeMap::new(),
+        leader: None,
+        routers: RouterRoster::default(),
+    };
+    thread::spawn(move || {
+        let outcome = node.run(&receiver);
+        let _ = ended_sender.send(outcome);
+    });
+    (NodeHandle { inputs }, ended)
+}
+
+struct Node {
+    replica: Replica,
+    peers: Peers,
+    metrics: ControlMetrics,
+    started: Instant,
+    waiting: BTreeMap<Ticket, oneshot::Sender<ProposeReply>>,
+    leader: Option<ReplicaId>,
+    routers: RouterRoster,
+}
+
+impl Node {
+    fn run(&mut self, inputs: &Receiver<Input>) -> Result<(), Report<ControlError>> {
+        loop {
+            match inputs.recv_timeout(TICK) {
+                Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return Ok(()),
+                Ok(input) => self.handle(input)?,
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+            for input in inputs.try_iter().take(ROUND_LIMIT) {
+                if matches!(input, Input::Stop) {
+                    return Ok(());
+                }
+                self.handle(input)?;
+            }
+            self.round()?;
+        }
+    }
+
+    fn round(&mut self) -> Result<(), Report<ControlError>> {
+        let now = self.now();
+        self.replica.tick(now);
+        let advance = self.replica.advance()?;
+        self.metrics.rounds.inc();
+        self.metrics.applied.inc_by(advance.applied.len() as u64);
+        self.peers
+            .send(advance.messages, self.replica.raft().membership());
+        for applied in advance.applied {
+            self.drop_superseded(applied.ticket);
+            if let Some(waiting) = self.waiting.remove(&applied.ticket) {
+                let _ = waiting.send(ProposeReply::Done(applied.outcome));
+            }
+        }
+        if self.replica.raft().role() != Role::Leader {
+            self.give_up_waiting();
+        }
+        self.observe();
+        Ok(())
+    }
+
+    fn handle(&mut self, input: Input) -> Result<(), Report<ControlError>> {
+        let now = self.now();
+        match input {
+            Input::Deliver(message, reply_to) => {
+                self.peers.learn(message.from, reply_to);
+                self.replica.receive(message, now);
+            }
+            Input::Propose(proposal, answer) => self.propose(&proposal, answer),
+            Input::Poll(request, answer) => {
+                let _ = answer.send(self.poll(&request, now));
+            }
+            Input::Configuration(answer) => {
+                let _ = answer.send(self.replica.state().configuration().clone());
+            }
+            Input::Identify(answer) => {
+                let _ = answer.send(self.identity());
+            }
+            Input::Status(answer) => {
+                let _ = answer.send(self.status());
+            }
+            Input::ChangeMembership(change, answer) => {
+                let _ = answer.send(self.change_membership(&change));
+            }
+            Input::Snapshot(answer) => {
+                self.replica.compact()?;
+                let _ = answer.send(self.replica.raft().log().snapshot().last_index);
+            }
+            Input::Leading(answer) => {
+                let _ = answer.send(self.leader_view());
+            }
+            Input::Stop => {}
+        }
+        Ok(())
+    }
+
+    fn poll(&mut self, request: &PollRequest, now: u64) -> PollReply {
+        self.metrics.polls.inc();
+        self.routers.heard(request, now);
+        PollReply { routers: self.routers.live(now), ..self.replica.poll(request) }
+    }
+
+    fn propose(&mut self, proposal: &Proposal, answer: oneshot::Sender<ProposeReply>) {
+        match self.replica.propose(proposal) {
+            Ok(ticket) => {
+                self.waiting.insert(ticket, answer);
+            }
+            Err(_) => {
+                let leader = self.leader_address();
+                let _ = answer.send(ProposeReply::NotLeader { leader });
+            }
+        }
+    }
+
+    fn change_membership(&mut self, change: &MembershipChange) -> MembershipReply {
+        match self.replica.change_membership(change) {
+            Ok(_) => MembershipReply::Appended,
+            Err(MembershipError::NoSuchMember) => MembershipReply::Invalid,
+            Err(MembershipError::Refused(refusal)) => match refusal {
+                ProposeError::NotLeader { .. } => {
+                    MembershipReply::NotLeader { leader: self.leader_address() }
+                }
+                ProposeError::ChangePending => MembershipReply::ChangePending,
+                ProposeError::LearnerBehind { lag } => MembershipReply::LearnerBehind { lag },
+                ProposeError::TooManyChanges => MembershipReply::Invalid,
+            },
+        }
+    }
+
+    fn identity(&self) -> ReplicaIdentity {
+        let identity = self.replica.identity();
+        ReplicaIdentity {
+            cluster: identity.cluster.clone(),
+            replica: identity.replica,
+            disk: identity.disk,
+        }
+    }
+
+    fn status(&self) -> StatusReply {
+        let raft = self.replica.raft();
+        StatusReply {
+            identity: self.identity(),
+            term: raft.term(),
+            leader: raft.leader(),
+            commit: raft.commit_index(),
+            log_entries: raft.log().len() as u64,
+            revision: self.replica.state().configuration().revision,
+            claims: self.replica.state().claims().len() as u64,
+            members: raft.membership().members.clone(),
+            routers: self.routers.statuses(self.now()),
+        }
+    }
+
+    fn leader_view(&self) -> Option<LeaderView> {
+        let state = self.replica.state();
+        (self.replica.raft().role() == Role::Leader).then(|| LeaderView {
+            configuration: state.configuration().clone(),
+            orders: state.orders().clone(),
+        })
+    }
+
+    fn leader_address(&self) -> Option<String> {
+        let raft = self.replica.raft();
+        let leader = raft.membership().member(raft.leader()?)?;
+        Some(leader.address.clone())
+    }
+
+    /// A proposal whose place was taken by another leader's entry did not commit there, but a
+    /// resend may still find it done by an earlier send; so its proposer is told "unknown".
+    fn drop_superseded(&mut self, applied: Ticket) {
+        let superseded: Vec<Ticket> = self
+            .waiting
+            .range(..applied)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in superseded {
+            self.answer_unknown(ticket);
+        }
+    }
+
+    fn give_up_waiting(&mut self) {
+        let tickets: Vec<Ticket> = self.waiting.keys().copied().collect();
+        for ticket in tickets {
+            self.answer_unknown(ticket);
+        }
+    }
+
+    fn answer_unknown(&mut self, ticket: Ticket) {
+        if let Some(waiting) = self.waiting.remove(&ticket) {
+            let _ = waiting.send(ProposeReply::Unknown);
+        }
+    }
+
+    fn observe(&mut self) {
+        let raft = self.replica.raft();
+        let leads = raft.role() == Role::Leader;
+        self.metrics.is_leader.set(i64::from(leads));
+        self.metrics.term.set(raft.term());
+        self.metrics.commit.set(raft.commit_index());
+        let state = self.replica.state();
+        self.metrics.revision.set(state.configuration().revision.0);
+        self.metrics.claims.set(state.claims().len() as u64);
+        if raft.leader() != self.leader {
+            self.leader = raft.leader();
+            let leader = self.leader.map_or(0, |leader| leader.0);
+            spdlog::info!("leader changed", kv: { leader, term = raft.term() });
+        }
+    }
+
+    fn now(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+}
--- /dev/null
+++ b/crates/control/src/replica.rs
@@ -0,0 +1,375 @@
+//! One control replica: the log, the state and the durable store in the right order.
+
+use error_stack::{Report, ResultExt};
+use railtack_consensus::{
+    DiskId, Entry, LogIndex, Member, Membership, Message, Millis, Payload, ProposeError, Raft,
+    RaftOptions, Recovered, ReplicaId, Snapshot, Term,
+};
+use railtack_rpc::protocol::{
+    ConfigurationUpdate, MembershipChange, Outcome, PollReply, PollRequest, Proposal, VoterAddress,
+};
+use speedy::{Readable, Writable};
+
+use crate::{
+    configuration::RevisionCheck,
+    errors::ControlError,
+    state::ControlState,
+    store::{Folder, Identity, ReplicaStore},
+};
+
+/// Entries in one append message.
+const APPEND_LIMIT: usize = 512;
+
+/// Identity, timing and limits of a replica.
+#[derive(Clone, Debug)]
+pub struct ReplicaOptions {
+    /// Cluster.
+    pub cluster: String,
+    /// This replica.
+    pub replica: ReplicaId,
+    /// Identity given to the data folder if it is new.
+    pub new_disk: DiskId,
+    /// Shortest election timeout, milliseconds.
+    pub election_timeout: Millis,
+    /// Time between heartbeats, milliseconds.
+    pub heartbeat_interval: Millis,
+    /// Entries after which a snapshot replaces the log.
+    pub snapshot_entries: u64,
+    /// How long claims are kept, milliseconds.
+    pub claim_retention_ms: u64,
+    /// Seed of the election timeouts.
+    pub seed: u64,
+    /// Whether data folders are told apart. False only in a deliberately broken build.
+    pub check_disk_identity: bool,
+    /// Whether revisions are compared. Skipped only in a deliberately broken build.
+    pub revision_check: RevisionCheck,
+}
+
+/// Where a proposal stands in the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket {
+    /// Position.
+    pub index: LogIndex,
+    /// Term in which it was appended.
+    pub term: Term,
+}
+
+/// A command that was committed and applied.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Applied {
+    /// Where it stands.
+    pub ticket: Ticket,
+    /// What it did.
+    pub outcome: Outcome,
+}
+
+/// What one round of work brought.
+#[derive(Debug, Default)]
+pub struct Advance {
+    /// Messages to send; everything they rely on is synced.
+    pub messages: Vec<Message>,
+    /// Commands applied in this round, in order.
+    pub applied: Vec<Applied>,
+}
+
+/// A control replica.
+pub struct Replica {
+    options: ReplicaOptions,
+    identity: Identity,
+    raft: Raft,
+    state: ControlState,
+    store: ReplicaStore,
+}
+
+impl Replica {
+    /// Starts a replica from its folder. A new folder makes a replica without members, which
+    /// waits until a leader adds it.
+    pub fn open(
+        folder: &dyn Folder,
+        options: ReplicaOptions,
+        now: Millis,
+    ) -> Result<Self, Report<ControlError>> {
+        let opened = ReplicaStore::open(folder)?;
+        let mut store = opened.store;
+        let identity = match opened.identity {
+            Some(identity) => require_own(identity, &options)?,
+            None => {
+                let identity = new_identity(&options);
+                store.save_identity(identity.clone())?;
+                identity
+            }
+        };
+        Self::start(options, identity, store, opened.recovered, now)
+    }
+
+    /// Makes an empty folder the first and only voter of a new cluster.
+    pub fn initialize(
+        folder: &dyn Folder,
+        options: &ReplicaOptions,
+        address: &str,
+    ) -> Result<(), Report<ControlError>> {
+        let opened = ReplicaStore::open(folder)?;
+        if opened.identity.is_some() {
+            return Err(Report::new(ControlError::AlreadyInitialized));
+        }
+        let mut store = opened.store;
+        let identity = new_identity(options);
+        store.save_identity(identity.clone())?;
+        let member = Member {
+            replica: identity.replica,
+            disk: identity.disk,
+            address: address.to_owned(),
+            voter: true,
+        };
+        let snapshot = Snapshot {
+            last_index: 1,
+            last_term: 0,
+            membership: Membership { members: vec![member] },
+            state: encode_state(&ControlState::new(options.claim_retention_ms))?,
+        };
+        store.compact(&snapshot, &[])
+    }
+
+    fn start(
+        options: ReplicaOptions,
+        identity: Identity,
+        store: ReplicaStore,
+        recovered: Recovered,
+        now: Millis,
+    ) -> Result<Self, Report<ControlError>> {
+        let state = decode_state(&recovered.snapshot, options.claim_retention_ms)?;
+        let raft_options = RaftOptions {
+            replica: identity.replica,
+            disk: identity.disk,
+            election_timeout: options.election_timeout,
+            heartbeat_interval: options.heartbeat_interval,
+            append_limit: APPEND_LIMIT,
+            seed: options.seed,
+            check_disk_identity: options.check_disk_identity,
+        };
+        let raft = Raft::new(raft_options, recovered, now);
+        Ok(Self { options, identity, raft, state, store })
+    }
+
+    /// The replicated log.
+    pub fn raft(&self) -> &Raft {
+        &self.raft
+    }
+
+    /// The replicated state, as far as it is applied here.
+    pub fn state(&self) -> &ControlState {
+        &self.state
+    }
+
+    /// Who this replica is.
+    pub fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// Lets timers fire.
+    pub fn tick(&mut self, now: Millis) {
+        self.raft.tick(now);
+    }
+
+    /// Takes a message from another replica.
+    pub fn receive(&mut self, message: Message, now: Millis) {
+        self.raft.receive(message, now);
+    }
+
+    /// Appends a command if this replica leads.
+    pub fn propose(&mut self, proposal: &Proposal) -> Result<Ticket, ProposeError> {
+        // Encoding into memory cannot fail: speedy writes to a growing buffer.
+        let bytes = proposal.write_to_vec().unwrap_or_default();
+        let index = self.raft.propose(bytes)?;
+        Ok(Ticket { index, term: self.raft.term() })
+    }
+
+    /// Appends a change of the members if this replica leads.
+    pub fn change_membership(
+        &mut self,
+        change: &MembershipChange,
+    ) -> Result<LogIndex, MembershipError> {
+        let next = changed_membership(self.raft.membership(), change)
+            .ok_or(MembershipError::NoSuchMember)?;
+        self.raft
+            .propose_membership(next)
+            .map_err(MembershipError::Refused)
+    }
+
+    /// Persists, applies and compacts what the inputs since the last round brought.
+    ///
+    /// An error means that durable state may be lost; the replica must not go on.
+    pub fn advance(&mut self) -> Result<Advance, Report<ControlError>> {
+        let mut advance = Advance::default();
+        loop {
+            let ready = self.raft.take_ready();
+            let committed = self.raft.take_committed();
+            if ready.is_empty() && committed.is_empty() {
+                break;
+            }
+            if ready.must_sync() {
+                self.store.persist(&ready)?;
+            }
+            if let Some(snapshot) = &ready.snapshot {
+                self.state = decode_state(snapshot, self.options.claim_retention_ms)?;
+            }
+            self.raft.mark_persisted(self.raft.log().last_index());
+            advance.messages.extend(ready.messages);
+            for entry in committed {
+                advance.applied.extend(self.apply(entry)?);
+            }
+        }
+        if self.raft.log().len() as u64 >= self.options.snapshot_entries {
+            self.compact()?;
+        }
+        Ok(advance)
+    }
+
+    /// Replaces the applied part of the log by a snapshot.
+    pub fn compact(&mut self) -> Result<(), Report<ControlError>> {
+        let index = self.applied_index();
+        let state = encode_state(&self.state)?;
+        let Some(snapshot) = self.raft.compact(index, state) else {
+            return Ok(());
+        };
+        let tail = self.raft.log().entries_from(index + 1, usize::MAX);
+        self.store.compact(&snapshot, &tail)
+    }
+
+    /// Answers a router's poll from what this replica has in its log and its state.
+    pub fn poll(&self, request: &PollRequest) -> PollReply {
+        let membership = self.raft.membership();
+        PollReply {
+            replica: self.identity.replica,
+            voter: self.is_voter(),
+            last_configuration_index: self.last_configuration_index(),
+            update: self.update_for(request),
+            voters: membership.voters().map(voter_address).collect(),
+            routers: 0,
+        }
+    }
+
+    fn update_for(&self, request: &PollRequest) -> Option<ConfigurationUpdate> {
+        if !request.want_update {
+            return None;
+        }
+        self.state.update_after(request.applied)
+    }
+
+    fn is_voter(&self) -> bool {
+        let own = self.raft.membership().member(self.identity.replica);
+        own.is_some_and(|member| member.voter && member.disk == self.identity.disk)
+    }
+
+    /// Every entry after the applied ones may commit, so a configuration entry among them counts.
+    fn last_configuration_index(&self) -> LogIndex {
+        let unapplied = self
+            .raft
+            .log()
+            .entries_from(self.applied_index() + 1, usize::MAX);
+        unapplied
+            .iter()
+            .rev()
+            .find(|entry| is_configuration(entry))
+            .map_or(self.state.configuration_index(), |entry| entry.index)
+    }
+
+    fn applied_index(&self) -> LogIndex {
+        self.raft.applied_index()
+    }
+
+    fn apply(&mut self, entry: Entry) -> Result<Option<Applied>, Report<ControlError>> {
+        let Payload::Command(bytes) = entry.payload else {
+            return Ok(None);
+        };
+        let proposal =
+            Proposal::read_from_buffer(&bytes).change_context(ControlError::UnknownRecord)?;
+        let outcome = self
+            .state
+            .apply(entry.index, proposal, self.options.revision_check);
+        let ticket = Ticket { index: entry.index, term: entry.term };
+        Ok(Some(Applied { ticket, outcome }))
+    }
+}
+
+/// Why a change of the members was not appended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MembershipError {
+    /// No such member, or one that is there already.
+    NoSuchMember,
+    /// The log refused it.
+    Refused(ProposeError),
+}
+
+fn changed_membership(current: &Membership, change: &MembershipChange) -> Option<Membership> {
+    let mut next = current.clone();
+    match change {
+        MembershipChange::AddLearner(member) => {
+            if current.member(member.replica).is_some() {
+                return None;
+            }
+            next.members.push(Member { voter: false, ..member.clone() });
+        }
+        MembershipChange::Promote(replica) => {
+            next.members
+                .iter_mut()
+                .find(|member| member.replica == *replica)?
+                .voter = true;
+        }
+        MembershipChange::Remove(replica) => {
+            current.member(*replica)?;
+            next.members.retain(|member| member.replica != *replica);
+            next.voters().next()?;
+        }
+    }
+    Some(next)
+}
+
+fn is_configuration(entry: &Entry) -> bool {
+    match &entry.payload {
+        Payload::Command(bytes) => Proposal::read_from_buffer(bytes)
+            .is_ok_and(|proposal| proposal.command.is_configuration()),
+        _ => false,
+    }
+}
+
+fn voter_address(member: &Member) -> VoterAddress {
+    VoterAddress { replica: member.replica, address: member.address.clone() }
+}
+
+fn new_identity(options: &ReplicaOptions) -> Identity {
+    Identity {
+        cluster: options.cluster.clone(),
+        replica: options.replica,
+        disk: options.new_disk,
+    }
+}
+
+fn require_own(
+    identity: Identity,
+    options: &ReplicaOptions,
+) -> Result<Identity, Report<ControlError>> {
+    if identity.replica == options.replica && identity.cluster == options.cluster {
+        return Ok(identity);
+    }
+    Err(Report::new(ControlError::ForeignData {
+        replica: identity.replica.0,
+        cluster: identity.cluster,
+    }))
+}
+
+fn encode_state(state: &ControlState) -> Result<Vec<u8>, Report<ControlError>> {
+    state
+        .write_to_vec()
+        .change_context(ControlError::UnknownRecord)
+}
+
+fn decode_state(
+    snapshot: &Snapshot,
+    claim_retention_ms: u64,
+) -> Result<ControlState, Report<ControlError>> {
+    if snapshot.state.is_empty() {
+        return Ok(ControlState::new(claim_retention_ms));
+    }
+    ControlState::read_from_buffer(&snapshot.state).change_context(ControlError::UnknownRecord)
+}
--- /dev/null
+++ b/crates/control/src/server.rs
@@ -0,0 +1,316 @@
+//! The daemon: the replica's thread, its services, and the rollout loop.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use error_stack::{Report, ResultExt};
+use futures::StreamExt;
+use hyper::Request;
+use prometheus_client::registry::Registry;
+use railtack_consensus::{DiskId, Message, ReplicaId};
+use railtack_http::{HttpClient, ServeOptions, body, observability};
+use railtack_platform::{EngineStatus, MachineKind, MachineList, OrderReply, OrderRequest};
+use railtack_rpc::{
+    Control,
+    codec::ServerCodec,
+    protocol::{
+        Command, Configuration, EngineOrder, MembershipChange, MembershipReply, PollReply,
+        PollRequest, Proposal, ProposeReply, ReplicaIdentity, StatusReply,
+    },
+    service::{ControlRequest, ControlResponse},
+};
+use railtack_settings::ControlSettings;
+use railtack_storage::FileMedia;
+use tarpc::{
+    context::Context,
+    server::{BaseChannel, Channel},
+};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::{codec::Framed, sync::CancellationToken};
+
+use crate::{
+    configuration::RevisionCheck,
+    errors::ControlError,
+    metrics::ControlMetrics,
+    node::{self, Input, LeaderView, NodeHandle},
+    peers::Peers,
+    replica::{Replica, ReplicaOptions},
+    rollout::{self, RolloutStep},
+    state::IssuedOrder,
+};
+
+/// Time between two looks at the engines.
+const ROLLOUT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for one call to an engine or the platform.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Options of the replica that the settings describe.
+pub fn replica_options(settings: &ControlSettings, new_disk: DiskId) -> ReplicaOptions {
+    let consensus = &settings.consensus;
+    ReplicaOptions {
+        cluster: settings.cluster.clone(),
+        replica: ReplicaId(settings.replica_id),
+        new_disk,
+        election_timeout: consensus.election_timeout_ms,
+        heartbeat_interval: consensus.heartbeat_ms,
+        snapshot_entries: consensus.snapshot_entries,
+        claim_retention_ms: consensus.claim_retention_ms,
+        seed: new_disk.0 ^ u64::from(settings.replica_id),
+        check_disk_identity: true,
+        revision_check: RevisionCheck::Enforced,
+    }
+}
+
+/// Makes the data folder the first replica of a new cluster.
+pub fn initialize(settings: &ControlSettings) -> Result<(), Report<ControlError>> {
+    let folder = FileMedia::open(&settings.data).change_context(ControlError::Storage)?;
+    let options = replica_options(settings, DiskId(rand::random()));
+    Replica::initialize(&folder, &options, &settings.listen.to_string())
+}
+
+/// Runs a replica until `shutdown`, or until it cannot go on.
+pub async fn run(
+    settings: ControlSettings,
+    shutdown: CancellationToken,
+) -> Result<(), Report<ControlError>> {
+    let started = Instant::now();
+    let folder = FileMedia::open(&settings.data).change_context(ControlError::Storage)?;
+    let options = replica_options(&settings, DiskId(rand::random()));
+    let replica = Replica::open(&folder, options, 0)?;
+    let metrics = ControlMetrics::default();
+    let mut registry = Registry::default();
+    metrics.register(&mut registry);
+
+    let listener = listen(settings.listen).await?;
+    let metrics_listener = listen(settings.metrics_listen).await?;
+    let peers = Peers::new(tokio::runtime::Handle::current(), metrics.clone(), settings.listen);
+    let (handle, ended) = node::start(replica, peers, metrics, started);
+    spdlog::info!("started", kv: {
+        replica = settings.replica_id,
+        listen = settings.listen.to_string(),
+    });
+
+    tokio::spawn(accept(listener, handle.clone()));
+    tokio::spawn(serve_metrics(metrics_listener, registry, handle.clone(), shutdown.clone()));
+    tokio::spawn(roll_out(handle.clone(), settings.platform));
+    tokio::select! {
+        outcome = ended => outcome.map_err(|_| Report::new(ControlError::Stopped))?,
+        () = shutdown.cancelled() => {
+            handle.stop();
+            Ok(())
+        }
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Report<ControlError>> {
+    TcpListener::bind(address)
+        .await
+        .change_context(ControlError::Listen { address })
+}
+
+async fn accept(listener: TcpListener, handle: NodeHandle) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => serve_connection(stream, handle.clone()),
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
+fn serve_connection(stream: TcpStream, handle: NodeHandle) {
+    // A failure here only costs latency.
+    let _ = stream.set_nodelay(true);
+    let codec = ServerCodec::<ControlRequest, ControlResponse>::default();
+    let channel = BaseChannel::with_defaults(Framed::new(stream, codec));
+    let requests = channel.execute(ControlService { handle }.serve());
+    tokio::spawn(requests.for_each(|request| async {
+        tokio::spawn(request);
+    }));
+}
+
+async fn serve_metrics(
+    listener: TcpListener,
+    registry: Registry,
+    handle: NodeHandle,
+    shutdown: CancellationToken,
+) {
+    let registry = Arc::new(registry);
+    let handler = move |request: Request<hyper::body::Incoming>| {
+        let registry = Arc::clone(&registry);
+        let handle = handle.clone();
+        async move {
+            let status = handle.ask(Input::Status).await;
+            let ready = status.is_ok_and(|status| status.leader.is_some());
+            observability::answer(request.uri().path(), &registry, ready)
+                .unwrap_or_else(|| body::with_type(404, "text/plain", body::empty()))
+        }
+    };
+    railtack_http::serve(listener, ServeOptions::default(), shutdown, handler).await;
+}
+
+#[derive(Clone)]
+struct ControlService {
+    handle: NodeHandle,
+}
+
+impl Control for ControlService {
+    async fn deliver(self, _: Context, message: Message, reply_to: String) {
+        self.handle.deliver(message, reply_to);
+    }
+
+    async fn poll(self, _: Context, request: PollRequest) -> PollReply {
+        let answer = self.handle.ask(|sender| Input::Poll(request, sender)).await;
+        answer.unwrap_or_else(|_| stopped_poll_reply())
+    }
+
+    async fn propose(self, _: Context, mut proposal: Proposal) -> ProposeReply {
+        proposal.at = unix_millis();
+        let answer = self
+            .handle
+            .ask(|sender| Input::Propose(proposal, sender))
+            .await;
+        answer.unwrap_or(ProposeReply::Unknown)
+    }
+
+    async fn configuration(self, _: Context) -> Configuration {
+        let answer = self.handle.ask(Input::Configuration).await;
+        answer.unwrap_or_default()
+    }
+
+    async fn identify(self, _: Context) -> ReplicaIdentity {
+        let answer = self.handle.ask(Input::Identify).await;
+        answer.unwrap_or_else(|_| unknown_identity())
+    }
+
+    async fn status(self, _: Context) -> StatusReply {
+        let answer = self.handle.ask(Input::Status).await;
+        answer.unwrap_or_else(|_| StatusReply {
+            identity: unknown_identity(),
+            term: 0,
+            leader: None,
+            commit: 0,
+            log_entries: 0,
+            revision: railtack_core::Revision(0),
+            claims: 0,
+            members: Vec::new(),
+            routers: Vec::new(),
+        })
+    }
+
+    async fn change_membership(self, _: Context, change: MembershipChange) -> MembershipReply {
+        let answer = self
+            .handle
+            .ask(|sender| Input::ChangeMembership(change, sender))
+            .await;
+        answer.unwrap_or(MembershipReply::NotLeader { leader: None })
+    }
+
+    async fn snapshot(self, _: Context) -> u64 {
+        let answer = self.handle.ask(Input::Snapshot).await;
+        answer.unwrap_or_default()
+    }
+}
+
+/// A stopping replica vouches for nothing.
+fn stopped_poll_reply() -> PollReply {
+    PollReply {
+        replica: ReplicaId(0),
+        voter: false,
+        last_configuration_index: 0,
+        update: None,
+        voters: Vec::new(),
+        routers: 0,
+    }
+}
+
+fn unknown_identity() -> ReplicaIdentity {
+    ReplicaIdentity { cluster: String::new(), replica: ReplicaId(0), disk: DiskId(0) }
+}
+
+fn unix_millis() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
+
+/// While this replica leads, brings engines to the wanted weights.
+async fn roll_out(handle: NodeHandle, platform: SocketAddr) {
+    let client = HttpClient::new(PLATFORM_TIMEOUT);
+    let mut interval = tokio::time::interval(ROLLOUT_INTERVAL);
+    loop {
+        interval.tick().await;
+        let Ok(view) = handle.ask(Input::Leading).await else {
+            return;
+        };
+        let wanted = view.filter(|view| !view.configuration.models.is_empty());
+        if let Some(view) = wanted {
+            roll_out_once(&handle, &client, platform, &view).await;
+        }
+    }
+}
+
+async fn roll_out_once(
+    handle: &NodeHandle,
+    client: &HttpClient,
+    platform: SocketAddr,
+    view: &LeaderView,
+) {
+    let engines = fetch_engines(client, platform).await;
+    let statuses: Vec<EngineStatus> = engines.iter().map(|(_, status)| status.clone()).collect();
+    let RolloutStep { record, send } =
+        rollout::next_step(&view.configuration, &view.orders, &statuses);
+    for (engine, order) in record {
+        let command = Command::Order { engine, order };
+        let proposal = Proposal { at: unix_millis(), command };
+        // The next look finds the order recorded, or records it again.
+        let _ = handle
+            .ask(|sender| Input::Propose(proposal, sender))
+            .await;
+    }
+    for (engine, issued) in send {
+        let address = engines
+            .iter()
+            .find(|(_, status)| status.engine == engine)
+            .map(|(address, _)| *address);
+        if let Some(address) = address {
+            send_order(client, address, &issued).await;
+        }
+    }
+}
+
+async fn fetch_engines(
+    client: &HttpClient,
+    platform: SocketAddr,
+) -> Vec<(SocketAddr, EngineStatus)> {
+    let list = client
+        .get_json::<MachineList>(platform, "/machines", PLATFORM_TIMEOUT)
+        .await
+        .unwrap_or_default();
+    let mut engines = Vec::new();
+    for machine in list.machines {
+        if !matches!(machine.kind, MachineKind::Engine { .. }) {
+            continue;
+        }
+        let status = client
+            .get_json::<EngineStatus>(machine.address, "/status", PLATFORM_TIMEOUT)
+            .await;
+        engines.extend(status.ok().map(|status| (machine.address, status)));
+    }
+    engines
+}
+
+async fn send_order(client: &HttpClient, address: SocketAddr, issued: &IssuedOrder) {
+    let EngineOrder::Load(target) = &issued.order;
+    let request = OrderRequest {
+        token: issued.token,
+        model: target.name.clone(),
+        weights_version: target.weights_version,
+    };
+    let content = serde_json::to_vec(&request).unwrap_or_default();
+    // An engine that did not take the order is sent it again at the next look.
+    let _ = client
+        .post_json::<OrderReply>(address, "/orders", content, PLATFORM_TIMEOUT)
+        .await;
+}
--- /dev/null
+++ b/crates/control/src/store.rs
@@ -0,0 +1,205 @@
+//! The durable side of a replica: identity, term and vote, entries and snapshot.
+
+use error_stack::{Report, ResultExt};
+use railtack_consensus::{
+    DiskId, Entry, HardState, LogIndex, Ready, Recovered, ReplicaId, Snapshot,
+};
+use railtack_storage::{Media, MemoryMedia, SnapshotStore, WalOptions, WriteAheadLog};
+use speedy::{Readable, Writable};
+
+use crate::errors::ControlError;
+
+/// Where a replica keeps its files; each part opens its own handle on the folder.
+pub trait Folder {
+    /// Opens a handle.
+    fn open(&self) -> Box<dyn Media>;
+}
+
+impl Folder for MemoryMedia {
+    fn open(&self) -> Box<dyn Media> {
+        Box::new(self.clone())
+    }
+}
+
+impl Folder for railtack_storage::FileMedia {
+    fn open(&self) -> Box<dyn Media> {
+        Box::new(self.clone())
+    }
+}
+
+/// Who the folder belongs to.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct Identity {
+    /// Cluster.
+    pub cluster: String,
+    /// Replica.
+    pub replica: ReplicaId,
+    /// This folder.
+    pub disk: DiskId,
+}
+
+#[derive(Readable, Writable)]
+enum Record {
+    Identity(Identity),
+    HardState(HardState),
+    TruncateFrom(LogIndex),
+    Entry(Entry),
+}
+
+/// What a data folder holds at start.
+pub struct OpenedStore {
+    /// The store, ready for appending.
+    pub store: ReplicaStore,
+    /// Owner of the folder; `None` if it is new.
+    pub identity: Option<Identity>,
+    /// The replica's state.
+    pub recovered: Recovered,
+}
+
+/// A replica's durable state.
+pub struct ReplicaStore {
+    log: WriteAheadLog,
+    snapshots: SnapshotStore,
+    identity: Option<Identity>,
+    hard_state: HardState,
+}
+
+impl ReplicaStore {
+    /// Opens a folder and replays what it holds.
+    pub fn open(folder: &dyn Folder) -> Result<OpenedStore, Report<ControlError>> {
+        let snapshots = SnapshotStore::new(folder.open());
+        let snapshot = match snapshots.load().change_context(ControlError::Storage)? {
+            Some(bytes) => decode::<Snapshot>(&bytes)?,
+            None => Snapshot::default(),
+        };
+        let (log, records) = WriteAheadLog::open(folder.open(), WalOptions::default())
+            .change_context(ControlError::Storage)?;
+        let mut replay = Replay::default();
+        for bytes in records {
+            replay.take(decode::<Record>(&bytes)?);
+        }
+        let recovered = Recovered {
+            hard_state: replay.hard_state,
+            entries: contiguous_after(snapshot.last_index, replay.entries),
+            snapshot,
+        };
+        let store = Self {
+            log,
+            snapshots,
+            identity: replay.identity.clone(),
+            hard_state: replay.hard_state,
+        };
+        Ok(OpenedStore { store, identity: replay.identity, recovered })
+    }
+
+    /// Records who owns the folder.
+    pub fn save_identity(&mut self, identity: Identity) -> Result<(), Report<ControlError>> {
+        self.append(&Record::Identity(identity.clone()))?;
+        self.identity = Some(identity);
+        self.sync()
+    }
+
+    /// Persists and syncs everything in `ready` that must be durable before its messages go out.
+    pub fn persist(&mut self, ready: &Ready) -> Result<(), Report<ControlError>> {
+        if let Some(hard_state) = ready.hard_state {
+            self.hard_state = hard_state;
+            self.append(&Record::HardState(hard_state))?;
+        }
+        if let Some(snapshot) = &ready.snapshot {
+            // Entries that conflict with the snapshot must not come back after a restart.
+            self.append(&Record::TruncateFrom(snapshot.last_index + 1))?;
+            self.save_snapshot(snapshot)?;
+        }
+        if let Some(index) = ready.truncate_from {
+            self.append(&Record::TruncateFrom(index))?;
+        }
+        for entry in &ready.entries {
+            self.append(&Record::Entry(entry.clone()))?;
+        }
+        self.sync()
+    }
+
+    /// Replaces the log up to the snapshot by it; `tail` holds the entries that follow.
+    pub fn compact(
+        &mut self,
+        snapshot: &Snapshot,
+        tail: &[Entry],
+    ) -> Result<(), Report<ControlError>> {
+        // The snapshot is durable before the log that it replaces is deleted.
+        self.save_snapshot(snapshot)?;
+        let mut records = Vec::with_capacity(tail.len() + 2);
+        if let Some(identity) = &self.identity {
+            records.push(encode(&Record::Identity(identity.clone()))?);
+        }
+        records.push(encode(&Record::HardState(self.hard_state))?);
+        for entry in tail {
+            records.push(encode(&Record::Entry(entry.clone()))?);
+        }
+        self.log
+            .restart_with(&records)
+            .change_context(ControlError::Storage)
+    }
+
+    fn save_snapshot(&self, snapshot: &Snapshot) -> Result<(), Report<ControlError>> {
+        self.snapshots
+            .save(&encode(snapshot)?)
+            .change_context(ControlError::Storage)
+    }
+
+    fn append(&mut self, record: &Record) -> Result<(), Report<ControlError>> {
+        self.log
+            .append(&encode(record)?)
+            .change_context(ControlError::Storage)
+    }
+
+    fn sync(&mut self) -> Result<(), Report<ControlError>> {
+        self.log.sync().change_context(ControlError::Storage)
+    }
+}
+
+#[derive(Default)]
+struct Replay {
+    identity: Option<Identity>,
+    hard_state: HardState,
+    entries: Vec<Entry>,
+}
+
+impl Replay {
+    fn take(&mut self, record: Record) {
+        match record {
+            Record::Identity(identity) => self.identity = Some(identity),
+            Record::HardState(hard_state) => self.hard_state = hard_state,
+            Record::TruncateFrom(index) => self.entries.retain(|entry| entry.index < index),
+            Record::Entry(entry) => {
+                self.entries.retain(|known| known.index < entry.index);
+                self.entries.push(entry);
+            }
+        }
+    }
+}
+
+/// Drops entries that the snapshot covers, and any that do not follow on from it.
+fn contiguous_after(snapshot_index: LogIndex, entries: Vec<Entry>) -> Vec<Entry> {
+    let mut next = snapshot_index + 1;
+    let mut kept = Vec::new();
+    for entry in entries {
+        if entry.index == next {
+            next += 1;
+            kept.push(entry);
+        }
+    }
+    kept
+}
+
+fn encode<T: Writable<speedy::LittleEndian>>(value: &T) -> Result<Vec<u8>, Report<ControlError>> {
+    value
+        .write_to_vec()
+        .change_context(ControlError::UnknownRecord)
+}
+
+fn decode<T>(bytes: &[u8]) -> Result<T, Report<ControlError>>
+where
+    T: for<'a> Readable<'a, speedy::LittleEndian>,
+{
+    T::read_from_buffer(bytes).change_context(ControlError::UnknownRecord)
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,12 @@
+//! Identifiers, units, prefix hashing and execution outcomes shared by every process.
+
+pub mod execution;
+pub mod identifiers;
+pub mod prefix;
+
+pub use execution::{Execution, RefusalCode};
+pub use identifiers::{
+    AttemptId, EngineIncarnation, EngineId, IdempotencyKey, ModelName, OperationId, RequestId,
+    Revision, RouterId, TemplateName, TenantName, WeightsVersion, ZoneName,
+};
+pub use prefix::{BlockHash, CacheNamespace, PrefixChain};
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators' command line.
--- /dev/null
+++ b/crates/emulator/src/cache.rs
@@ -0,0 +1,163 @@
+//! An engine's prefix cache: blocks of limited number, evicted least recently used first.
+
+use std::collections::{BTreeMap, HashMap};
+
+use railtack_core::BlockHash;
+
+#[derive(Clone, Debug)]
+struct Block {
+    /// Order of last use; unique.
+    stamp: u64,
+    /// Requests that are using the block; it cannot be evicted meanwhile.
+    users: u32,
+    /// When it was last used, microseconds.
+    used_at: u64,
+}
+
+/// Blocks stored and evicted since the changes were last taken.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CacheChanges {
+    /// Newly cached blocks.
+    pub stored: Vec<BlockHash>,
+    /// Evicted blocks.
+    pub removed: Vec<BlockHash>,
+}
+
+/// The cache.
+#[derive(Clone, Debug)]
+pub struct BlockCache {
+    capacity: usize,
+    blocks: HashMap<BlockHash, Block>,
+    evictable: BTreeMap<u64, BlockHash>,
+    next_stamp: u64,
+    changes: CacheChanges,
+    last_eviction_age_us: u64,
+}
+
+impl BlockCache {
+    /// An empty cache of `capacity` blocks.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            blocks: HashMap::new(),
+            evictable: BTreeMap::new(),
+            next_stamp: 0,
+            changes: CacheChanges::default(),
+            last_eviction_age_us: 0,
+        }
+    }
+
+    /// Number of leading blocks that are cached.
+    pub fn matched(&self, chain: &[BlockHash]) -> usize {
+        chain
+            .iter()
+            .take_while(|hash| self.blocks.contains_key(hash))
+            .count()
+    }
+
+    /// Protects blocks from eviction until they are released, and marks them as used.
+    pub fn acquire(&mut self, chain: &[BlockHash], now_us: u64) {
+        self.touch(chain, now_us);
+        for hash in chain {
+            if let Some(block) = self.blocks.get_mut(hash) {
+                block.users += 1;
+                self.evictable.remove(&block.stamp);
+            }
+        }
+    }
+
+    /// Ends the protection given by [`BlockCache::acquire`].
+    pub fn release(&mut self, chain: &[BlockHash], now_us: u64) {
+        for hash in chain {
+            if let Some(block) = self.blocks.get_mut(hash) {
+                block.users = block.users.saturating_sub(1);
+            }
+        }
+        self.touch(chain, now_us);
+    }
+
+    /// Caches the blocks of a chain that are missing, evicting others; returns how many leading
+    /// blocks are cached afterwards. Blocks in use are never evicted, so a full cache may refuse.
+    pub fn store(&mut self, chain: &[BlockHash], now_us: u64) -> usize {
+        for (position, hash) in chain.iter().enumerate() {
+            if self.blocks.contains_key(hash) {
+                continue;
+            }
+            if self.blocks.len() >= self.capacity && !self.evict_one(now_us) {
+                return position;
+            }
+            let stamp = self.take_stamp();
+            self.blocks
+                .insert(*hash, Block { stamp, users: 0, used_at: now_us });
+            self.evictable.insert(stamp, *hash);
+            self.changes.stored.push(*hash);
+        }
+        chain.len()
+    }
+
+    /// Cached blocks.
+    pub fn len(&self) -> usize {
+        self.blocks.len()
+    }
+
+    /// Whether nothing is cached.
+    pub fn is_empty(&self) -> bool {
+        self.blocks.is_empty()
+    }
+
+    /// All cached blocks, in no order.
+    pub fn hashes(&self) -> impl Iterator<Item = &BlockHash> {
+        self.blocks.keys()
+    }
+
+    /// How long ago the block last evicted had been used, microseconds; 0 before any eviction.
+    pub fn last_eviction_age_us(&self) -> u64 {
+        self.last_eviction_age_us
+    }
+
+    /// Drops every block, as loading other weights does.
+    pub fn clear(&mut self) {
+        let removed = self.blocks.drain().map(|(hash, _)| hash);
+        self.changes.removed.extend(removed);
+        self.evictable.clear();
+    }
+
+    /// Takes what changed since the last call.
+    pub fn take_changes(&mut self) -> CacheChanges {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Stamps a chain from its deepest block to its shallowest: a block is useless without those
+    /// before it, so the deepest goes first.
+    fn touch(&mut self, chain: &[BlockHash], now_us: u64) {
+        for hash in chain.iter().rev() {
+            let stamp = self.next_stamp;
+            let Some(block) = self.blocks.get_mut(hash) else {
+                continue;
+            };
+            self.next_stamp += 1;
+            self.evictable.remove(&block.stamp);
+            block.stamp = stamp;
+            block.used_at = now_us;
+            if block.users == 0 {
+                self.evictable.insert(stamp, *hash);
+            }
+        }
+    }
+
+    fn evict_one(&mut self, now_us: u64) -> bool {
+        let Some((_, hash)) = self.evictable.pop_first() else {
+            return false;
+        };
+        if let Some(block) = self.blocks.remove(&hash) {
+            self.last_eviction_age_us = now_us.saturating_sub(block.used_at);
+        }
+        self.changes.removed.push(hash);
+        true
+    }
+
+    fn take_stamp(&mut self) -> u64 {
+        self.next_stamp += 1;
+        self.next_stamp - 1
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/engine.rs
@@ -0,0 +1,336 @@
+//! Continuous batching with a prefix cache, as a pure model.
+//!
+//! The caller steps it: a step takes [`StepOutcome::duration_us`] and its outputs become visible
+//! when that time has passed.
+
+use std::collections::{BTreeMap, HashMap};
+
+use railtack_core::{BlockHash, PrefixChain};
+use railtack_platform::{EngineTotals, LoadReport};
+use railtack_settings::emulator::EngineCosts;
+
+use crate::cache::{BlockCache, CacheChanges};
+
+/// A request to an engine.
+#[derive(Clone, Debug)]
+pub struct NewSequence {
+    /// Names the request within the engine.
+    pub attempt: u128,
+    /// The prompt.
+    pub chain: PrefixChain,
+    /// Answer tokens that were delivered before; they are computed like prompt tokens.
+    pub delivered_tokens: u32,
+    /// Length of the whole answer, the delivered tokens included.
+    pub max_tokens: u32,
+    /// Higher goes first.
+    pub priority: u8,
+    /// Leading blocks offered by the store of kept cache; importing costs less than computing.
+    pub importable_blocks: usize,
+}
+
+/// A token, visible at the end of the step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TokenOutput {
+    /// The request.
+    pub attempt: u128,
+    /// Position in the whole answer.
+    pub index: u32,
+    /// Present with the last token.
+    pub end: Option<SequenceEnd>,
+}
+
+/// What a finished request took.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SequenceEnd {
+    /// Tokens of the whole answer.
+    pub tokens: u32,
+    /// Prompt tokens.
+    pub prompt_tokens: u32,
+    /// Prompt tokens found in the cache.
+    pub cached_tokens: u32,
+}
+
+/// What one step brought.
+#[derive(Clone, Debug, Default)]
+pub struct StepOutcome {
+    /// How long the step takes, microseconds.
+    pub duration_us: u64,
+    /// Tokens computed.
+    pub outputs: Vec<TokenOutput>,
+    /// Requests that were admitted, with the prompt tokens found in the cache.
+    pub admitted: Vec<(u128, u32)>,
+    /// Changes of the cache.
+    pub changes: CacheChanges,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    request: NewSequence,
+    prefill_left: u32,
+    import_left: u32,
+    cached_tokens: u32,
+    acquired_blocks: usize,
+    produced: u32,
+}
+
+impl Running {
+    fn is_decoding(&self) -> bool {
+        self.prefill_left == 0 && self.import_left == 0
+    }
+}
+
+/// Order of the queue: higher priority first, then earlier arrival.
+type QueueKey = (std::cmp::Reverse<u8>, u64);
+
+/// One engine.
+#[derive(Clone, Debug)]
+pub struct EngineModel {
+    costs: EngineCosts,
+    cache: BlockCache,
+    waiting: BTreeMap<QueueKey, NewSequence>,
+    queue_keys: HashMap<u128, QueueKey>,
+    running: Vec<Running>,
+    arrivals: u64,
+    last_step_us: u64,
+    totals: EngineTotals,
+}
+
+impl EngineModel {
+    /// An engine with an empty cache.
+    pub fn new(costs: EngineCosts) -> Self {
+        let cache = BlockCache::new(costs.cache_blocks);
+        Self {
+            costs,
+            cache,
+            waiting: BTreeMap::new(),
+            queue_keys: HashMap::new(),
+            running: Vec::new(),
+            arrivals: 0,
+            last_step_us: 0,
+            totals: EngineTotals::default(),
+        }
+    }
+
+    /// Queues a request.
+    pub fn submit(&mut self, request: NewSequence) {
+        self.totals.requests += 1;
+        self.arrivals += 1;
+        let key = (std::cmp::Reverse(request.priority), self.arrivals);
+        self.queue_keys.insert(request.attempt, key);
+        self.waiting.insert(key, request);
+    }
+
+    /// Drops a request wherever it is; false if it is not here.
+    pub fn cancel(&mut self, attempt: u128, now_us: u64) -> bool {
+        if let Some(key) = self.queue_keys.remove(&attempt) {
+            self.waiting.remove(&key);
+            self.totals.cancelled += 1;
+            return true;
+        }
+        let position = self
+            .running
+            .iter()
+            .position(|running| running.request.attempt == attempt);
+        let Some(position) = position else {
+            return false;
+        };
+        let running = self.running.remove(position);
+        self.release(&running, now_us);
+        self.totals.cancelled += 1;
+        true
+    }
+
+    /// Whether a step would do anything.
+    pub fn has_work(&self) -> bool {
+        !self.waiting.is_empty() || !self.running.is_empty()
+    }
+
+    /// The cache.
+    pub fn cache(&self) -> &BlockCache {
+        &self.cache
+    }
+
+    /// The costs.
+    pub fn costs(&self) -> &EngineCosts {
+        &self.costs
+    }
+
+    /// Totals since start.
+    pub fn totals(&self) -> EngineTotals {
+        self.totals
+    }
+
+    /// Empties the cache, as loading other weights does.
+    pub fn clear_cache(&mut self) -> CacheChanges {
+        self.cache.clear();
+        self.cache.take_changes()
+    }
+
+    /// The present load.
+    pub fn load(&self) -> LoadReport {
+        let (queued, urgent) = self.queued_prefill();
+        LoadReport {
+            running: self.running.len() as u32,
+            waiting: self.waiting.len() as u32,
+            queued_prefill_tokens: queued,
+            urgent_prefill_tokens: urgent,
+            batch_limit: self.costs.batch_limit as u32,
+            step_us: self.last_step_us,
+            eviction_age_ms: self.cache.last_eviction_age_us() / 1_000,
+        }
+    }
+
+    /// Prompt tokens still to be computed: all, and those above the lowest priority.
+    fn queued_prefill(&self) -> (u64, u64) {
+        let running = self
+            .running
+            .iter()
+            .map(|running| (running.request.priority, u64::from(running.prefill_left)));
+        let waiting = self
+            .waiting
+            .values()
+            .map(|request| (request.priority, self.uncached(request)));
+        running
+            .chain(waiting)
+            .fold((0, 0), |(queued, urgent), (priority, tokens)| {
+                let urgent_tokens = if priority > 0 { tokens } else { 0 };
+                (queued + tokens, urgent + urgent_tokens)
+            })
+    }
+
+    /// Computes one step.
+    pub fn step(&mut self, now_us: u64) -> StepOutcome {
+        let mut outcome = StepOutcome::default();
+        self.admit(now_us, &mut outcome);
+        let decoding: Vec<bool> = self.running.iter().map(Running::is_decoding).collect();
+        let decode_count = decoding.iter().filter(|decodes| **decodes).count();
+        let (prefill_tokens, import_tokens) = self.advance_prefill();
+        outcome.duration_us = self.step_duration(decode_count, prefill_tokens, import_tokens);
+        let end_us = now_us + outcome.duration_us;
+        self.produce(&decoding, end_us, &mut outcome);
+        outcome.changes = self.cache.take_changes();
+        self.last_step_us = outcome.duration_us;
+        outcome
+    }
+
+    fn admit(&mut self, now_us: u64, outcome: &mut StepOutcome) {
+        while self.running.len() < self.costs.batch_limit {
+            let Some((_, request)) = self.waiting.pop_first() else {
+                return;
+            };
+            self.queue_keys.remove(&request.attempt);
+            let running = self.begin(request, now_us);
+            outcome
+                .admitted
+                .push((running.request.attempt, running.cached_tokens));
+            self.running.push(running);
+        }
+    }
+
+    fn begin(&mut self, request: NewSequence, now_us: u64) -> Running {
+        let chain = &request.chain;
+        let matched = self.cache.matched(&chain.blocks);
+        self.cache.acquire(&chain.blocks[..matched], now_us);
+        // The last token is always computed: its output is the first token of the answer.
+        let cached_tokens = chain.tokens_at(matched).min(chain.total_tokens.saturating_sub(1));
+        let imported_to = chain
+            .tokens_at(request.importable_blocks.max(matched))
+            .min(chain.total_tokens.saturating_sub(1));
+        let import_left = imported_to.saturating_sub(cached_tokens);
+        let wanted = chain.total_tokens + request.delivered_tokens;
+        self.totals.prompt_tokens += u64::from(chain.total_tokens);
+        self.totals.cached_tokens += u64::from(cached_tokens);
+        Running {
+            prefill_left: wanted - cached_tokens - import_left,
+            import_left,
+            cached_tokens,
+            acquired_blocks: matched,
+            produced: request.delivered_tokens,
+            request,
+        }
+    }
+
+    /// Spends the step's budget on prompts, the most urgent first; returns computed and imported
+    /// tokens.
+    fn advance_prefill(&mut self) -> (u32, u32) {
+        let mut budget = self.costs.step_prefill_tokens;
+        let mut computed = 0;
+        let mut imported = 0;
+        let mut order: Vec<usize> = (0..self.running.len()).collect();
+        order.sort_by_key(|&position| std::cmp::Reverse(self.running[position].request.priority));
+        for position in order {
+            let running = &mut self.running[position];
+            imported += running.import_left;
+            running.import_left = 0;
+            let share = running.prefill_left.min(budget);
+            running.prefill_left -= share;
+            budget -= share;
+            computed += share;
+        }
+        (computed, imported)
+    }
+
+    fn step_duration(&self, decoding: usize, computed: u32, imported: u32) -> u64 {
+        let costs = &self.costs;
+        let prefill = f64::from(computed) * costs.prefill_token_us;
+        let import = f64::from(imported) * costs.import_token_us;
+        costs.step_base_us + costs.step_request_us * decoding as u64 + (prefill + import) as u64
+    }
+
+    /// Requests that were decoding yield a token, and so do those whose prompt was finished.
+    fn produce(&mut self, decoding: &[bool], end_us: u64, outcome: &mut StepOutcome) {
+        let mut finished = Vec::new();
+        for position in 0..self.running.len() {
+            let was_decoding = decoding[position];
+            if !self.running[position].is_decoding() {
+                continue;
+            }
+            if !was_decoding {
+                self.cache_prompt(position, end_us);
+            }
+            let output = next_token(&mut self.running[position]);
+            self.totals.output_tokens += 1;
+            if output.end.is_some() {
+                finished.push(position);
+            }
+            outcome.outputs.push(output);
+        }
+        for position in finished.into_iter().rev() {
+            let running = self.running.remove(position);
+            self.release(&running, end_us);
+        }
+    }
+
+    fn cache_prompt(&mut self, position: usize, end_us: u64) {
+        let running = &mut self.running[position];
+        let blocks: &[BlockHash] = &running.request.chain.blocks;
+        let stored = self.cache.store(blocks, end_us);
+        if stored > running.acquired_blocks {
+            self.cache
+                .acquire(&blocks[running.acquired_blocks..stored], end_us);
+            running.acquired_blocks = stored;
+        }
+    }
+
+    fn release(&mut self, running: &Running, now_us: u64) {
+        let blocks = &running.request.chain.blocks[..running.acquired_blocks];
+        self.cache.release(blocks, now_us);
+    }
+
+    fn uncached(&self, request: &NewSequence) -> u64 {
+        let matched = self.cache.matched(&request.chain.blocks);
+        let cached = request.chain.tokens_at(matched);
+        u64::from(request.chain.total_tokens.saturating_sub(cached))
+    }
+}
+
+fn next_token(running: &mut Running) -> TokenOutput {
+    let index = running.produced;
+    running.produced += 1;
+    let end = (running.produced >= running.request.max_tokens).then_some(SequenceEnd {
+        tokens: running.produced,
+        prompt_tokens: running.request.chain.total_tokens,
+        cached_tokens: running.cached_tokens,
+    });
+    TokenOutput { attempt: running.request.attempt, index, end }
+}
--- /dev/null
+++ b/crates/emulator/src/engine_server.rs
@@ -0,0 +1,491 @@
+//! An engine as a process: the pure model stepped in real time behind HTTP.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use futures::SinkExt;
+use hyper::{Method, Request, Response, Uri, body::Incoming};
+use railtack_core::{CacheNamespace, EngineIncarnation, ModelName, PrefixChain, WeightsVersion};
+use railtack_http::{Body, BodySender, body, read_body, streaming};
+use railtack_platform::{
+    CacheListing, EngineError, EngineEvent, EngineEventKind, EngineRefusal, EngineRequest,
+    EngineStatus, Hex, OrderReply, OrderRequest, StreamEnd, StreamFrame, WeightsGrant,
+    WeightsRequest,
+};
+use railtack_settings::emulator::EngineSettings;
+use serde::Serialize;
+use tokio::sync::Notify;
+
+use crate::{
+    answer::{answer_seed, token_text},
+    engine::{EngineModel, NewSequence, StepOutcome, TokenOutput},
+    event_feed::EventFeed,
+};
+
+/// Largest request body, bytes.
+const BODY_LIMIT: usize = 64 * 1024 * 1024;
+/// Time for a body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Requests that may wait; more are refused.
+const QUEUE_LIMIT: u32 = 1_024;
+/// How long a finished stream can still be resumed.
+const STREAM_KEPT: Duration = Duration::from_secs(30);
+/// Time between looks at whether running answers have ended.
+const IDLE_CHECK: Duration = Duration::from_millis(5);
+/// Bytes of one model's weights. Assumed: 13 billion parameters at two bytes.
+const WEIGHT_BYTES: u64 = 26_000_000_000;
+
+/// One answer, kept from its first token until some time after its last.
+struct Stream {
+    seed: u64,
+    delivered_tokens: u32,
+    produced: u32,
+    end: Option<StreamEnd>,
+    ended_at: Option<Instant>,
+    changed: Arc<Notify>,
+}
+
+struct Shared {
+    model: EngineModel,
+    loaded_model: ModelName,
+    weights_version: WeightsVersion,
+    loading: bool,
+    draining: bool,
+    last_order_token: u64,
+    streams: HashMap<u128, Stream>,
+    feed: EventFeed,
+}
+
+/// A running engine.
+#[derive(Clone)]
+pub struct EngineStandIn {
+    settings: Arc<EngineSettings>,
+    incarnation: EngineIncarnation,
+    started: Instant,
+    shared: Arc<Mutex<Shared>>,
+    work: Arc<Notify>,
+    platform: Option<std::net::SocketAddr>,
+}
+
+impl EngineStandIn {
+    /// A new life of the engine, with an empty cache.
+    pub fn new(settings: EngineSettings, platform: Option<std::net::SocketAddr>) -> Self {
+        let incarnation = EngineIncarnation(rand::random());
+        let reporting = &settings.reporting;
+        let feed = EventFeed::new(
+            incarnation,
+            reporting.event_delay_ms * 1_000,
+            reporting.event_loss,
+            incarnation.0,
+        );
+        let shared = Shared {
+            model: EngineModel::new(settings.costs.clone()),
+            loaded_model: settings.model.clone(),
+            weights_version: settings.weights_version,
+            loading: false,
+            draining: false,
+            last_order_token: 0,
+            streams: HashMap::new(),
+            feed,
+        };
+        Self {
+            settings: Arc::new(settings),
+            incarnation,
+            started: Instant::now(),
+            shared: Arc::new(Mutex::new(shared)),
+            work: Arc::new(Notify::new()),
+            platform,
+        }
+    }
+
+    /// Steps the model for as long as the process lives.
+    pub async fn run(self) {
+        loop {
+            let step = self.begin_step();
+            let Some((outcome, wait)) = step else {
+                self.work.notified().await;
+                continue;
+            };
+            tokio::time::sleep(wait).await;
+            self.finish_step(&outcome);
+        }
+    }
+
+    /// Stops taking requests; answers that are under way go on.
+    pub fn begin_drain(&self) {
+        self.lock().draining = true;
+    }
+
+    /// Answers one HTTP request.
+    pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path().to_owned();
+        let method = request.method().clone();
+        match (method, path.as_str()) {
+            (Method::POST, "/v1/completions") => self.complete(request).await,
+            (Method::GET, "/status") => body::json(200, &self.status()),
+            (Method::GET, "/cache") => body::json(200, &self.listing()),
+            (Method::GET, "/events") => self.events(request.uri()),
+            (Method::POST, "/orders") => self.order(request).await,
+            (Method::POST, "/drain") => {
+                self.begin_drain();
+                body::json(200, &self.status())
+            }
+            (method, path) => match path.strip_prefix("/v1/streams/").and_then(parse_attempt) {
+                Some(attempt) if method == Method::GET => self.resume(attempt, request.uri()),
+                Some(attempt) if method == Method::DELETE => self.cancel(attempt),
+                _ => self.refuse(404, EngineRefusal::UnknownStream),
+            },
+        }
+    }
+
+    fn begin_step(&self) -> Option<(StepOutcome, Duration)> {
+        let mut shared = self.lock();
+        if !shared.model.has_work() {
+            return None;
+        }
+        let outcome = shared.model.step(self.now_us());
+        let wait = Duration::from_micros(outcome.duration_us);
+        Some((outcome, wait))
+    }
+
+    fn finish_step(&self, outcome: &StepOutcome) {
+        let now_us = self.now_us();
+        let mut shared = self.lock();
+        shared.feed.publish(&outcome.changes, now_us);
+        for output in &outcome.outputs {
+            if let Some(stream) = shared.streams.get_mut(&output.attempt) {
+                stream.take(output);
+            }
+        }
+        shared
+            .streams
+            .retain(|_, stream| stream.ended_at.is_none_or(|ended| ended.elapsed() < STREAM_KEPT));
+    }
+
+    async fn complete(self, request: Request<Incoming>) -> Response<Body> {
+        let content = read_body(request.into_body(), BODY_LIMIT, BODY_TIMEOUT).await;
+        let parsed = content
+            .ok()
+            .and_then(|bytes| serde_json::from_slice::<EngineRequest>(&bytes).ok());
+        let Some(request) = parsed else {
+            return self.refuse(400, EngineRefusal::Malformed);
+        };
+        if let Err(refusal) = self.submit(&request) {
+            return self.refuse(409, refusal);
+        }
+        self.work.notify_one();
+        self.stream_from(request.attempt.0, request.delivered_tokens)
+    }
+
+    fn submit(&self, request: &EngineRequest) -> Result<(), EngineRefusal> {
+        let mut shared = self.lock();
+        shared.admits(request, self.incarnation)?;
+        let chain = PrefixChain::from_text(
+            CacheNamespace(request.cache_namespace.0),
+            &request.prompt,
+            self.settings.costs.block_tokens,
+        );
+        let stream = Stream {
+            seed: answer_seed(&request.prompt),
+            delivered_tokens: request.delivered_tokens,
+            produced: request.delivered_tokens,
+            end: None,
+            ended_at: None,
+            changed: Arc::new(Notify::new()),
+        };
+        shared.streams.insert(request.attempt.0, stream);
+        shared.model.submit(NewSequence {
+            attempt: request.attempt.0,
+            chain,
+            delivered_tokens: request.delivered_tokens,
+            max_tokens: request.max_tokens.max(request.delivered_tokens + 1),
+            priority: request.priority,
+            importable_blocks: 0,
+        });
+        Ok(())
+    }
+
+    fn resume(&self, attempt: u128, uri: &Uri) -> Response<Body> {
+        let from = query_number(uri, "from").unwrap_or(0) as u32;
+        let known = self
+            .lock()
+            .streams
+            .get(&attempt)
+            .is_some_and(|stream| from >= stream.delivered_tokens);
+        if !known {
+            return self.refuse(404, EngineRefusal::UnknownStream);
+        }
+        self.stream_from(attempt, from)
+    }
+
+    fn cancel(&self, attempt: u128) -> Response<Body> {
+        let now_us = self.now_us();
+        let mut shared = self.lock();
+        shared.model.cancel(attempt, now_us);
+        if let Some(stream) = shared.streams.remove(&attempt) {
+            stream.changed.notify_waiters();
+        }
+        body::json(200, &serde_json::json!({}))
+    }
+
+    fn stream_from(&self, attempt: u128, from: u32) -> Response<Body> {
+        let (sender, stream_body) = streaming();
+        tokio::spawn(self.clone().write_stream(attempt, from, sender));
+        body::with_type(200, "text/event-stream", stream_body)
+    }
+
+    async fn write_stream(self, attempt: u128, from: u32, mut sender: BodySender) {
+        let mut next = from;
+        loop {
+            let Some((frames, changed, ended)) = self.frames_from(attempt, next) else {
+                return;
+            };
+            // Asked for before the frames are sent, so that no change in between is missed.
+            let notified = changed.notified();
+            tokio::pin!(notified);
+            notified.as_mut().enable();
+            for frame in frames {
+                next = frame.sequence + 1;
+                if sender.send(event_line(&frame)).await.is_err() {
+                    return;
+                }
+            }
+            if ended {
+                return;
+            }
+            if self.has_frames_from(attempt, next) {
+                continue;
+            }
+            notified.await;
+        }
+    }
+
+    fn has_frames_from(&self, attempt: u128, next: u32) -> bool {
+        let shared = self.lock();
+        shared
+            .streams
+            .get(&attempt)
+            .is_none_or(|stream| stream.produced > next || stream.end.is_some())
+    }
+
+    fn frames_from(&self, attempt: u128, next: u32) -> Option<(Vec<StreamFrame>, Arc<Notify>, bool)> {
+        let shared = self.lock();
+        let stream = shared.streams.get(&attempt)?;
+        let mut frames: Vec<StreamFrame> = (next..stream.produced)
+            .map(|sequence| StreamFrame {
+                attempt: Hex(attempt),
+                sequence,
+                text: token_text(stream.seed, sequence),
+                end: None,
+            })
+            .collect();
+        if let Some(end) = stream.end {
+            frames.push(StreamFrame {
+                attempt: Hex(attempt),
+                sequence: stream.produced,
+                text: String::new(),
+                end: Some(end),
+            });
+        }
+        Some((frames, Arc::clone(&stream.changed), stream.end.is_some()))
+    }
+
+    fn status(&self) -> EngineStatus {
+        let shared = self.lock();
+        EngineStatus {
+            engine: self.settings.engine_id,
+            incarnation: self.incarnation,
+            zone: self.settings.zone.clone(),
+            model: shared.loaded_model.clone(),
+            weights_version: shared.weights_version,
+            loading: shared.loading,
+            draining: shared.draining,
+            last_order_token: shared.last_order_token,
+            block_tokens: self.settings.costs.block_tokens,
+            load: shared.model.load(),
+            totals: shared.model.totals(),
+        }
+    }
+
+    fn listing(&self) -> CacheListing {
+        let shared = self.lock();
+        CacheListing {
+            incarnation: self.incarnation,
+            sequence: shared.feed.sequence(),
+            blocks: shared.model.cache().hashes().map(|hash| Hex(hash.0)).collect(),
+        }
+    }
+
+    fn events(&self, uri: &Uri) -> Response<Body> {
+        let after = query_number(uri, "after").unwrap_or(0);
+        let (sender, stream_body) = streaming();
+        tokio::spawn(self.clone().write_events(after, sender));
+        body::with_type(200, "application/x-ndjson", stream_body)
+    }
+
+    /// Sends new events and a load report at every interval, until the reader goes away.
+    async fn write_events(self, mut after: u64, mut sender: BodySender) {
+        let interval = Duration::from_millis(self.settings.reporting.load_interval_ms);
+        loop {
+            let mut events = self.lock().feed.after(after, self.now_us());
+            after = events.last().map_or(after, |event| event.sequence);
+            events.push(self.load_event(after));
+            for event in events {
+                if sender.send(json_line(&event)).await.is_err() {
+                    return;
+                }
+            }
+            if self.is_idle_and_draining() {
+                return;
+            }
+            tokio::time::sleep(interval).await;
+        }
+    }
+
+    /// Readers of events must not hold up a planned stop.
+    fn is_idle_and_draining(&self) -> bool {
+        let shared = self.lock();
+        shared.draining && !shared.model.has_work()
+    }
+
+    fn load_event(&self, sequence: u64) -> EngineEvent {
+        let load = self.lock().model.load();
+        EngineEvent {
+            sequence,
+            incarnation: self.incarnation,
+            event: EngineEventKind::Load(load),
+        }
+    }
+
+    async fn order(self, request: Request<Incoming>) -> Response<Body> {
+        let content = read_body(request.into_body(), BODY_LIMIT, BODY_TIMEOUT).await;
+        let parsed = content
+            .ok()
+            .and_then(|bytes| serde_json::from_slice::<OrderRequest>(&bytes).ok());
+        let Some(order) = parsed else {
+            return self.refuse(400, EngineRefusal::Malformed);
+        };
+        {
+            let mut shared = self.lock();
+            if order.token <= shared.last_order_token {
+                drop(shared);
+                return self.refuse(409, EngineRefusal::StaleToken);
+            }
+            shared.last_order_token = order.token;
+            shared.loading = true;
+        }
+        let token = order.token;
+        tokio::spawn(self.load_weights(order));
+        body::json(200, &OrderReply { token })
+    }
+
+    /// Waits for running answers, then for the weight store, then starts with an empty cache.
+    async fn load_weights(self, order: OrderRequest) {
+        while self.lock().model.has_work() {
+            tokio::time::sleep(IDLE_CHECK).await;
+        }
+        if let Some(platform) = self.platform {
+            self.wait_for_weights(platform).await;
+        }
+        let now_us = self.now_us();
+        let mut shared = self.lock();
+        if shared.last_order_token != order.token {
+            return;
+        }
+        let changes = shared.model.clear_cache();
+        shared.feed.publish(&changes, now_us);
+        shared.loaded_model = order.model;
+        shared.weights_version = order.weights_version;
+        shared.loading = false;
+    }
+
+    async fn wait_for_weights(&self, platform: std::net::SocketAddr) {
+        let client = railtack_http::HttpClient::new(Duration::from_secs(1));
+        let content = serde_json::to_vec(&WeightsRequest { bytes: WEIGHT_BYTES }).unwrap_or_default();
+        let granted = client
+            .post_json::<WeightsGrant>(platform, "/weights", content, Duration::from_secs(2))
+            .await;
+        if let Ok(grant) = granted {
+            tokio::time::sleep(Duration::from_millis(grant.ready_in_ms)).await;
+        }
+    }
+
+    fn refuse(&self, status: u16, error: EngineRefusal) -> Response<Body> {
+        body::json(status, &EngineError { error, incarnation: self.incarnation })
+    }
+
+    fn now_us(&self) -> u64 {
+        self.started.elapsed().as_micros() as u64
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Shared {
+    fn admits(
+        &self,
+        request: &EngineRequest,
+        incarnation: EngineIncarnation,
+    ) -> Result<(), EngineRefusal> {
+        if request.incarnation != incarnation {
+            return Err(EngineRefusal::IncarnationMismatch);
+        }
+        if self.draining {
+            return Err(EngineRefusal::Draining);
+        }
+        let has_weights = request.model == self.loaded_model
+            && request.weights_version == self.weights_version
+            && !self.loading;
+        if !has_weights {
+            return Err(EngineRefusal::WeightsMismatch);
+        }
+        if self.model.load().waiting >= QUEUE_LIMIT {
+            return Err(EngineRefusal::QueueFull);
+        }
+        Ok(())
+    }
+}
+
+impl Stream {
+    fn take(&mut self, output: &TokenOutput) {
+        self.produced = output.index + 1;
+        if let Some(end) = output.end {
+            self.end = Some(StreamEnd {
+                tokens: end.tokens,
+                prompt_tokens: end.prompt_tokens,
+                cached_tokens: end.cached_tokens,
+            });
+            self.ended_at = Some(Instant::now());
+        }
+        self.changed.notify_waiters();
+    }
+}
+
+fn event_line(frame: &StreamFrame) -> Bytes {
+    let text = serde_json::to_string(frame).unwrap_or_default();
+    Bytes::from(format!("data: {text}\n\n"))
+}
+
+fn json_line<T: Serialize>(value: &T) -> Bytes {
+    let mut text = serde_json::to_string(value).unwrap_or_default();
+    text.push('\n');
+    Bytes::from(text)
+}
+
+fn parse_attempt(text: &str) -> Option<u128> {
+    u128::from_str_radix(text, 16).ok()
+}
+
+fn query_number(uri: &Uri, name: &str) -> Option<u64> {
+    let pairs = uri.query()?.split('&');
+    pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .and_then(|(_, value)| value.parse().ok())
+}
--- /dev/null
+++ b/crates/emulator/src/event_feed.rs
@@ -0,0 +1,89 @@
+//! An engine's published events: numbered, late, and with gaps.
+
+use std::collections::VecDeque;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use railtack_core::EngineIncarnation;
+use railtack_platform::{EngineEvent, EngineEventKind, Hex};
+
+use crate::cache::CacheChanges;
+
+/// Events kept for readers that are behind; a reader further behind finds a gap.
+const EVENTS_KEPT: usize = 16_384;
+
+#[derive(Clone, Debug)]
+struct Published {
+    visible_at_us: u64,
+    event: EngineEvent,
+}
+
+/// The recent events of one life of an engine.
+#[derive(Clone, Debug)]
+pub struct EventFeed {
+    incarnation: EngineIncarnation,
+    delay_us: u64,
+    loss: f64,
+    generator: ChaCha8Rng,
+    sequence: u64,
+    events: VecDeque<Published>,
+}
+
+impl EventFeed {
+    /// An empty feed. `loss` is the share of events that are never published.
+    pub fn new(incarnation: EngineIncarnation, delay_us: u64, loss: f64, seed: u64) -> Self {
+        Self {
+            incarnation,
+            delay_us,
+            loss,
+            generator: ChaCha8Rng::seed_from_u64(seed),
+            sequence: 0,
+            events: VecDeque::new(),
+        }
+    }
+
+    /// Sequence of the last cache event, published or lost.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// Publishes changes of the cache.
+    pub fn publish(&mut self, changes: &CacheChanges, now_us: u64) {
+        if !changes.stored.is_empty() {
+            let blocks = changes.stored.iter().map(|hash| Hex(hash.0)).collect();
+            self.push(EngineEventKind::Stored { blocks }, now_us);
+        }
+        if !changes.removed.is_empty() {
+            let blocks = changes.removed.iter().map(|hash| Hex(hash.0)).collect();
+            self.push(EngineEventKind::Removed { blocks }, now_us);
+        }
+    }
+
+    /// Events after `sequence` that are visible by now.
+    pub fn after(&self, sequence: u64, now_us: u64) -> Vec<EngineEvent> {
+        self.events
+            .iter()
+            .filter(|published| published.event.sequence > sequence)
+            .filter(|published| published.visible_at_us <= now_us)
+            .map(|published| published.event.clone())
+            .collect()
+    }
+
+    fn push(&mut self, event: EngineEventKind, now_us: u64) {
+        self.sequence += 1;
+        if self.generator.random_bool(self.loss) {
+            return;
+        }
+        self.events.push_back(Published {
+            visible_at_us: now_us + self.delay_us,
+            event: EngineEvent {
+                sequence: self.sequence,
+                incarnation: self.incarnation,
+                event,
+            },
+        });
+        if self.events.len() > EVENTS_KEPT {
+            self.events.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/lib.rs
@@ -0,0 +1,15 @@
+//! Stand-ins for the platform: model engines, services and the machine list.
+//!
+//! The engine's batching and cache are a pure model in [`engine`], stepped in virtual time by the
+//! simulator and in real time by [`engine_server`].
+
+pub mod answer;
+pub mod cache;
+pub mod engine;
+pub mod engine_server;
+pub mod errors;
+pub mod event_feed;
+pub mod platform_server;
+pub mod service_server;
+
+pub use errors::EmulatorError;
--- /dev/null
+++ b/crates/emulator/src/service_server.rs
@@ -0,0 +1,66 @@
+//! An ordinary service with side effects, which counts every execution by key.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use hyper::{Method, Request, Response, body::Incoming};
+use railtack_http::{Body, body, read_body};
+use railtack_platform::ExecutionCounts;
+use serde_json::json;
+
+/// Largest request body, bytes.
+const BODY_LIMIT: usize = 4 * 1024 * 1024;
+/// Time for a body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Header that names a request that may not be repeated.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// The service's state.
+#[derive(Clone, Debug)]
+pub struct ServiceStandIn {
+    name: String,
+    answer_time: Duration,
+    counts: Arc<Mutex<ExecutionCounts>>,
+}
+
+impl ServiceStandIn {
+    /// A service that takes `answer_time` for each answer.
+    pub fn new(name: String, answer_time: Duration) -> Self {
+        Self { name, answer_time, counts: Arc::default() }
+    }
+
+    /// Answers one request. Every request but a look at the counts is an execution.
+    pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+        if request.method() == Method::GET && request.uri().path() == "/executions" {
+            let counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+            return body::json(200, &*counts);
+        }
+        let path = request.uri().path().to_owned();
+        let key = request
+            .headers()
+            .get(KEY_HEADER)
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned);
+        let Ok(content) = read_body(request.into_body(), BODY_LIMIT, BODY_TIMEOUT).await else {
+            return body::json(400, &json!({ "error": "body" }));
+        };
+        self.count(key.as_deref());
+        tokio::time::sleep(self.answer_time).await;
+        let answer = json!({
+            "service": self.name,
+            "path": path,
+            "key": key,
+            "received_bytes": content.len(),
+        });
+        body::json(200, &answer)
+    }
+
+    fn count(&self, key: Option<&str>) {
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(key) = key {
+            *counts.by_key.entry(key.to_owned()).or_default() += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,12 @@
+//! HTTP plumbing shared by the daemons, over hyper.
+
+pub mod body;
+pub mod client;
+pub mod errors;
+pub mod observability;
+pub mod server;
+
+pub use body::{Body, BodySender, empty, full, json, lines, read_body, streaming};
+pub use client::{HttpClient, send_on_new_connection};
+pub use errors::{HttpError, ReceiveError, SendError};
+pub use server::{ServeOptions, serve};
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,84 @@
+//! Accepting connections, with limits and a drain that cuts off no open request.
+
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use tokio::{net::TcpListener, sync::Semaphore, time::timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::body::Body;
+
+/// Pause after a failed accept, so that a lack of file descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Limits of a listener.
+#[derive(Clone, Copy, Debug)]
+pub struct ServeOptions {
+    /// Open connections; more are closed at once.
+    pub connections: usize,
+    /// Time for the head of a request to arrive.
+    pub head_timeout: Duration,
+    /// Time for open requests to end after shutdown is asked for.
+    pub drain: Duration,
+}
+
+impl Default for ServeOptions {
+    fn default() -> Self {
+        Self {
+            connections: 10_000,
+            head_timeout: Duration::from_secs(10),
+            drain: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Serves until `shutdown`, then waits for open requests; true if all ended in time.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    options: ServeOptions,
+    shutdown: CancellationToken,
+    handler: H,
+) -> bool
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let graceful = GracefulShutdown::new();
+    let permits = Arc::new(Semaphore::new(options.connections));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shutdown.cancelled() => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            continue;
+        };
+        // A failure here only costs latency.
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        let service = service_fn(move |request| {
+            let answer = handler(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(options.head_timeout)
+            .serve_connection(TokioIo::new(stream), service);
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            // The peer may close at any time; there is nobody left to tell.
+            let _ = watched.await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    timeout(options.drain, graceful.shutdown()).await.is_ok()
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fleet on one machine, load, fault injection, simulation and reports.
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The data-plane daemon: callers' HTTP, dispatch and stream relay.
--- /dev/null
+++ b/crates/routing/src/candidates.rs
@@ -0,0 +1,127 @@
+//! Which engines to consider for a request: a handful, however many there are.
+
+use railtack_core::PrefixChain;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    engines::{EngineSlot, EngineTable},
+    index::OverlapScores,
+};
+
+/// Engines ranked by rendezvous hashing for the deepest shared segment.
+const AFFINITY_DEEP: usize = 2;
+/// Engines drawn at random, so that load can move away from the favourites.
+const RANDOM_DRAWS: usize = 2;
+/// Most candidates.
+pub const CANDIDATE_LIMIT: usize = 16;
+
+/// An engine to consider.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// The engine.
+    pub engine: EngineSlot,
+    /// Leading blocks that the index says it holds.
+    pub held_blocks: u32,
+    /// Leading blocks for which rendezvous hashing makes it a favourite: all routers send this
+    /// prefix there unless load keeps them, so it probably holds them even if no event says so.
+    pub favoured_blocks: u32,
+}
+
+/// Candidates of one decision.
+pub type Candidates = SmallVec<[Candidate; CANDIDATE_LIMIT]>;
+
+/// Collects holders, favourites and random draws from `group`.
+///
+/// `boundaries` gives, in blocks, where the segments shared with other requests end, shallowest
+/// first.
+pub fn collect(
+    group: &[EngineSlot],
+    table: &EngineTable,
+    chain: &PrefixChain,
+    boundaries: &[u32],
+    overlaps: &OverlapScores,
+    seed: u64,
+) -> Candidates {
+    let mut candidates = Candidates::new();
+    for (engine, held_blocks) in &overlaps.held {
+        if group.contains(engine) {
+            add(&mut candidates, *engine, *held_blocks, 0);
+        }
+    }
+    add_favourites(&mut candidates, group, table, chain, boundaries);
+    add_random(&mut candidates, group, seed);
+    candidates
+}
+
+fn add_favourites(
+    candidates: &mut Candidates,
+    group: &[EngineSlot],
+    table: &EngineTable,
+    chain: &PrefixChain,
+    boundaries: &[u32],
+) {
+    let shared = boundaries.iter().rev().filter(|blocks| **blocks > 0);
+    for (rank, &blocks) in shared.take(2).enumerate() {
+        let Some(hash) = chain.blocks.get(blocks as usize - 1) else {
+            continue;
+        };
+        let count = if rank == 0 { AFFINITY_DEEP } else { 1 };
+        for engine in top_by_rendezvous(group, table, hash.short(), count) {
+            add(candidates, engine, 0, blocks);
+        }
+    }
+}
+
+/// The `count` engines with the highest hash of prefix and engine, up to two.
+fn top_by_rendezvous(
+    group: &[EngineSlot],
+    table: &EngineTable,
+    prefix: u64,
+    count: usize,
+) -> SmallVec<[EngineSlot; AFFINITY_DEEP]> {
+    let mut best: SmallVec<[(u64, EngineSlot); AFFINITY_DEEP]> = SmallVec::new();
+    for &engine in group {
+        // The engine's own number, not its slot, so that all routers agree.
+        let id = table.view(engine).id;
+        let weight = xxh3_64_with_seed(&id.0.to_le_bytes(), prefix);
+        let place = best.iter().position(|(known, _)| weight > *known);
+        match place {
+            Some(place) => best.insert(place, (weight, engine)),
+            None if best.len() < count => best.push((weight, engine)),
+            None => {}
+        }
+        best.truncate(count);
+    }
+    best.into_iter().map(|(_, engine)| engine).collect()
+}
+
+fn add_random(candidates: &mut Candidates, group: &[EngineSlot], seed: u64) {
+    if group.is_empty() {
+        return;
+    }
+    let mut generator = ChaCha8Rng::seed_from_u64(seed);
+    for _ in 0..RANDOM_DRAWS {
+        let engine = group[generator.random_range(0..group.len())];
+        add(candidates, engine, 0, 0);
+    }
+}
+
+fn add(candidates: &mut Candidates, engine: EngineSlot, held_blocks: u32, favoured_blocks: u32) {
+    let has_room = candidates.len() < CANDIDATE_LIMIT;
+    let known = candidates
+        .iter_mut()
+        .find(|candidate| candidate.engine == engine);
+    match known {
+        Some(candidate) => {
+            candidate.held_blocks = candidate.held_blocks.max(held_blocks);
+            candidate.favoured_blocks = candidate.favoured_blocks.max(favoured_blocks);
+        }
+        None if has_room => {
+            candidates.push(Candidate { engine, held_blocks, favoured_blocks });
+        }
+        None => {}
+    }
+}
--- /dev/null
+++ b/crates/rpc/src/lib.rs
@@ -0,0 +1,9 @@
+//! tarpc services over a length-delimited `speedy` transport.
+
+pub mod codec;
+pub mod connection;
+pub mod protocol;
+pub mod service;
+
+pub use connection::{ConnectionError, ControlConnection, call_deadline};
+pub use service::{Control, ControlClient};
--- /dev/null
+++ b/crates/rpc/src/service.rs
@@ -0,0 +1,31 @@
+//! The control replicas' internal service.
+
+use railtack_consensus::Message;
+use speedy::{Readable, Writable};
+
+use crate::protocol::{
+    Configuration, MembershipChange, MembershipReply, PollReply, PollRequest, Proposal,
+    ProposeReply, ReplicaIdentity, StatusReply,
+};
+
+/// Calls between routers, operators and control replicas.
+#[tarpc::service(derive = [Clone, Readable, Writable])]
+pub trait Control {
+    /// Delivers a message of the replicated log. A replica that is not a member yet learns from
+    /// `reply_to` where its answers go.
+    async fn deliver(message: Message, reply_to: String);
+    /// Tells whether a router's configuration is current and sends what it lacks.
+    async fn poll(request: PollRequest) -> PollReply;
+    /// Commits a change.
+    async fn propose(proposal: Proposal) -> ProposeReply;
+    /// The configuration as this replica has applied it.
+    async fn configuration() -> Configuration;
+    /// Who this replica is.
+    async fn identify() -> ReplicaIdentity;
+    /// State of this replica.
+    async fn status() -> StatusReply;
+    /// Changes the set of control replicas.
+    async fn change_membership(change: MembershipChange) -> MembershipReply;
+    /// Writes a snapshot now; answers with the position it covers.
+    async fn snapshot() -> u64;
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,13 @@
+//! Settings files and operator documents, with their validation.
+
+pub mod control;
+pub mod documents;
+pub mod emulator;
+pub mod load;
+pub mod logging;
+pub mod router;
+
+pub use control::ControlSettings;
+pub use documents::{Document, DocumentError, Template, Tenant};
+pub use load::{SettingsError, Validate, Violation, load_settings, parse_settings};
+pub use router::RouterSettings;
--- /dev/null
+++ b/crates/settings/src/load.rs
@@ -0,0 +1,133 @@
+//! Reading a settings file: typed errors with file, line, key and allowed range.
+
+use std::{fmt::Display, fs, ops::RangeInclusive, path::Path};
+
+use error_stack::{Report, ResultExt};
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+/// Why settings were refused. Nothing is started with refused settings.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("{file}: cannot be read")]
+    Unreadable {
+        /// The file.
+        file: String,
+    },
+    /// The text is not TOML, names an unknown key or has a value of the wrong type.
+    #[error("{file}:{line}: {reason}")]
+    Malformed {
+        /// The file.
+        file: String,
+        /// Line, counted from 1.
+        line: usize,
+        /// The parser's reason, which names the key.
+        reason: String,
+    },
+    /// A value is outside what is allowed.
+    #[error("{file}:{line}: {violation}")]
+    Violated {
+        /// The file.
+        file: String,
+        /// Line, counted from 1; 1 if the key is not in the file.
+        line: usize,
+        /// Key, value and allowed range.
+        violation: Violation,
+    },
+}
+
+/// A value outside what is allowed.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{key} = {value} is not allowed; allowed: {allowed}")]
+pub struct Violation {
+    /// Dotted key.
+    pub key: String,
+    /// The value found.
+    pub value: String,
+    /// What is allowed, for a person to read.
+    pub allowed: String,
+}
+
+impl Violation {
+    /// A violation of `key`.
+    pub fn new(key: &str, value: impl Display, allowed: impl Display) -> Self {
+        Self {
+            key: key.to_owned(),
+            value: value.to_string(),
+            allowed: allowed.to_string(),
+        }
+    }
+}
+
+/// Settings that can tell whether their values make sense.
+pub trait Validate {
+    /// The first value that is not allowed.
+    fn validate(&self) -> Result<(), Violation>;
+}
+
+/// Requires `value` to lie in `range`.
+pub fn require_range<T>(key: &str, value: T, range: RangeInclusive<T>) -> Result<(), Violation>
+where
+    T: PartialOrd + Display,
+{
+    if range.contains(&value) {
+        return Ok(());
+    }
+    let allowed = format!("{} to {}", range.start(), range.end());
+    Err(Violation::new(key, value, allowed))
+}
+
+/// Reads and validates a settings file.
+pub fn load_settings<T>(file: &Path) -> Result<T, Report<SettingsError>>
+where
+    T: DeserializeOwned + Validate,
+{
+    let name = file.display().to_string();
+    let text = fs::read_to_string(file)
+        .change_context_lazy(|| SettingsError::Unreadable { file: name.clone() })?;
+    parse_settings(&name, &text)
+}
+
+/// Parses and validates settings; `name` stands for the file in errors.
+pub fn parse_settings<T>(name: &str, text: &str) -> Result<T, Report<SettingsError>>
+where
+    T: DeserializeOwned + Validate,
+{
+    let settings: T = toml::from_str(text).map_err(|error| malformed(name, text, &error))?;
+    settings.validate().map_err(|violation| {
+        Report::new(SettingsError::Violated {
+            file: name.to_owned(),
+            line: line_of_key(text, &violation.key),
+            violation,
+        })
+    })?;
+    Ok(settings)
+}
+
+fn malformed(name: &str, text: &str, error: &toml::de::Error) -> Report<SettingsError> {
+    let offset = error.span().map_or(0, |span| span.start);
+    let line = text[..offset.min(text.len())].matches('\n').count() + 1;
+    Report::new(SettingsError::Malformed {
+        file: name.to_owned(),
+        line,
+        reason: error.message().to_owned(),
+    })
+}
+
+/// Line on which a dotted key is set, counted from 1; 1 if it is left to its default.
+fn line_of_key(text: &str, dotted_key: &str) -> usize {
+    let (section, key) = dotted_key.rsplit_once('.').unwrap_or(("", dotted_key));
+    let mut current = String::new();
+    for (position, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if let Some(header) = line.strip_prefix('[') {
+            current = header.trim_matches(['[', ']']).to_owned();
+        }
+        let name = line.split('=').next().unwrap_or_default().trim();
+        if current == section && name == key {
+            return position + 1;
+        }
+    }
+    1
+}
--- /dev/null
+++ b/crates/storage/src/media.rs
@@ -0,0 +1,95 @@
+//! The few file operations that durable state needs, over a real folder or a simulated one.
+
+use std::{
+    fs::{self, File, OpenOptions},
+    io::{self, Write},
+    path::PathBuf,
+};
+
+/// A file that is only appended to.
+pub trait SegmentFile: Send {
+    /// Appends bytes; they may be lost until [`SegmentFile::sync`] returns.
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()>;
+    /// Makes all appended bytes durable.
+    fn sync(&mut self) -> io::Result<()>;
+}
+
+/// A folder that holds durable state.
+pub trait Media: Send {
+    /// Makes an empty file and opens it for appending.
+    fn create(&self, name: &str) -> io::Result<Box<dyn SegmentFile>>;
+    /// Reads a whole file.
+    fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+    /// Names of all files, sorted.
+    fn list(&self) -> io::Result<Vec<String>>;
+    /// Gives a file another name, replacing what was there.
+    fn rename(&self, from: &str, to: &str) -> io::Result<()>;
+    /// Deletes a file.
+    fn remove(&self, name: &str) -> io::Result<()>;
+    /// Makes creations, renames and deletions durable.
+    fn sync_folder(&self) -> io::Result<()>;
+}
+
+/// A real folder.
+#[derive(Clone, Debug)]
+pub struct FileMedia {
+    folder: PathBuf,
+}
+
+impl FileMedia {
+    /// Opens the folder, making it if it is not there.
+    pub fn open(folder: impl Into<PathBuf>) -> io::Result<Self> {
+        let folder = folder.into();
+        fs::create_dir_all(&folder)?;
+        Ok(Self { folder })
+    }
+}
+
+impl Media for FileMedia {
+    fn create(&self, name: &str) -> io::Result<Box<dyn SegmentFile>> {
+        let mut options = OpenOptions::new();
+        let file = options
+            .create(true)
+            .truncate(true)
+            .write(true)
+            .open(self.folder.join(name))?;
+        Ok(Box::new(RealFile(file)))
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        fs::read(self.folder.join(name))
+    }
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.folder)? {
+            names.push(entry?.file_name().to_string_lossy().into_owned());
+        }
+        names.sort();
+        Ok(names)
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        fs::rename(self.folder.join(from), self.folder.join(to))
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        fs::remove_file(self.folder.join(name))
+    }
+
+    fn sync_folder(&self) -> io::Result<()> {
+        File::open(&self.folder)?.sync_all()
+    }
+}
+
+struct RealFile(File);
+
+impl SegmentFile for RealFile {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.0.write_all(bytes)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.0.sync_data()
+    }
+}
--- /dev/null
+++ b/crates/storage/src/memory.rs
@@ -0,0 +1,177 @@
+//! A simulated folder that loses what was not synced, for the simulator and the tests.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use crate::media::{Media, SegmentFile};
+
+#[derive(Clone, Debug, Default)]
+struct MemoryFile {
+    content: Vec<u8>,
+    synced: usize,
+}
+
+#[derive(Debug, Default)]
+struct Folder {
+    files: BTreeMap<String, MemoryFile>,
+    /// The file names that survive a crash, each with the file it names.
+    durable_names: BTreeMap<String, String>,
+    fail_syncs: bool,
+    ignore_syncs: bool,
+    sync_count: u64,
+}
+
+/// A folder in memory. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryMedia {
+    folder: Arc<Mutex<Folder>>,
+}
+
+impl MemoryMedia {
+    /// Loses unsynced bytes, keeping at most `torn_bytes` of each unsynced tail.
+    pub fn crash(&self, torn_bytes: usize) {
+        let mut folder = self.lock();
+        let surviving = std::mem::take(&mut folder.durable_names);
+        let mut files = std::mem::take(&mut folder.files);
+        for name in surviving.keys() {
+            let Some(mut file) = files.remove(name) else {
+                continue;
+            };
+            let kept = file.content.len().min(file.synced + torn_bytes);
+            file.content.truncate(kept);
+            file.synced = kept;
+            folder.files.insert(name.clone(), file);
+        }
+        folder.durable_names = surviving;
+    }
+
+    /// Loses everything, as a replaced disk does.
+    pub fn wipe(&self) {
+        let mut folder = self.lock();
+        folder.files.clear();
+        folder.durable_names.clear();
+    }
+
+    /// Makes every later sync fail, as a full or broken disk does.
+    pub fn fail_syncs(&self, fail: bool) {
+        self.lock().fail_syncs = fail;
+    }
+
+    /// Makes every later sync return at once without effect: a deliberately broken build.
+    pub fn ignore_syncs(&self, ignore: bool) {
+        self.lock().ignore_syncs = ignore;
+    }
+
+    /// Syncs performed so far.
+    pub fn sync_count(&self) -> u64 {
+        self.lock().sync_count
+    }
+
+    /// Overwrites one byte of a file, as decaying media do. Out of range has no effect.
+    pub fn damage(&self, name: &str, offset: usize) {
+        let mut folder = self.lock();
+        let byte = folder
+            .files
+            .get_mut(name)
+            .and_then(|file| file.content.get_mut(offset));
+        if let Some(byte) = byte {
+            *byte ^= 0xff;
+        }
+    }
+
+    /// Cuts a file to `length` bytes.
+    pub fn cut(&self, name: &str, length: usize) {
+        if let Some(file) = self.lock().files.get_mut(name) {
+            file.content.truncate(length);
+            file.synced = file.synced.min(length);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Folder> {
+        self.folder.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Media for MemoryMedia {
+    fn create(&self, name: &str) -> io::Result<Box<dyn SegmentFile>> {
+        let mut folder = self.lock();
+        folder.files.insert(name.to_owned(), MemoryFile::default());
+        Ok(Box::new(OpenMemoryFile {
+            media: self.clone(),
+            name: name.to_owned(),
+        }))
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        let folder = self.lock();
+        let file = folder.files.get(name);
+        file.map(|file| file.content.clone())
+            .ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        Ok(self.lock().files.keys().cloned().collect())
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        let mut folder = self.lock();
+        let file = folder
+            .files
+            .remove(from)
+            .ok_or(io::Error::from(io::ErrorKind::NotFound))?;
+        folder.files.insert(to.to_owned(), file);
+        Ok(())
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        self.lock().files.remove(name);
+        Ok(())
+    }
+
+    fn sync_folder(&self) -> io::Result<()> {
+        let mut folder = self.lock();
+        if folder.fail_syncs {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        if !folder.ignore_syncs {
+            let names = folder.files.keys().map(|name| (name.clone(), name.clone()));
+            folder.durable_names = names.collect();
+        }
+        Ok(())
+    }
+}
+
+struct OpenMemoryFile {
+    media: MemoryMedia,
+    name: String,
+}
+
+impl SegmentFile for OpenMemoryFile {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let mut folder = self.media.lock();
+        let file = folder
+            .files
+            .get_mut(&self.name)
+            .ok_or(io::Error::from(io::ErrorKind::NotFound))?;
+        file.content.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        let mut folder = self.media.lock();
+        if folder.fail_syncs {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        folder.sync_count += 1;
+        if folder.ignore_syncs {
+            return Ok(());
+        }
+        if let Some(file) = folder.files.get_mut(&self.name) {
+            file.synced = file.content.len();
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/storage/src/record.rs
@@ -0,0 +1,37 @@
+//! Framing of one record: magic, length, checksum, payload.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// First bytes of every record. Recovery looks for them to tell a torn tail from damage.
+const MAGIC: [u8; 4] = *b"RTW1";
+/// Bytes before the payload: magic, payload length (u32), checksum (u64).
+pub(crate) const HEADER_BYTES: usize = 16;
+/// Largest payload. Snapshots are kept in files of their own, so records stay far below it.
+pub(crate) const PAYLOAD_LIMIT: usize = 64 * 1024 * 1024;
+
+/// Appends the framed record to `buffer`.
+pub(crate) fn encode(payload: &[u8], buffer: &mut Vec<u8>) {
+    buffer.extend_from_slice(&MAGIC);
+    buffer.extend_from_slice(&(payload.len() as u32).to_le_bytes());
+    buffer.extend_from_slice(&xxh3_64(payload).to_le_bytes());
+    buffer.extend_from_slice(payload);
+}
+
+/// The payload of the whole record at the start of `bytes`, if there is one.
+pub(crate) fn decode(bytes: &[u8]) -> Option<&[u8]> {
+    let header = bytes.get(..HEADER_BYTES)?;
+    if header[..4] != MAGIC {
+        return None;
+    }
+    let length = u32::from_le_bytes(header[4..8].try_into().ok()?) as usize;
+    let checksum = u64::from_le_bytes(header[8..16].try_into().ok()?);
+    let payload = bytes.get(HEADER_BYTES..HEADER_BYTES.checked_add(length)?)?;
+    (xxh3_64(payload) == checksum).then_some(payload)
+}
+
+/// Whether a whole record begins anywhere after the first byte.
+pub(crate) fn whole_record_follows(bytes: &[u8]) -> bool {
+    (1..bytes.len())
+        .filter(|&offset| bytes[offset..].starts_with(&MAGIC))
+        .any(|offset| decode(&bytes[offset..]).is_some())
+}
--- /dev/null
+++ b/crates/storage/tests/recovery.rs
@@ -0,0 +1,129 @@
+//! Recovery of the log at every truncation point, after torn writes and after damage.
+
+use quickcheck::{TestResult, quickcheck};
+use railtack_storage::{
+    Media, MemoryMedia, SnapshotStore, StorageError, WalOptions, WriteAheadLog,
+};
+
+const SMALL_SEGMENTS: WalOptions = WalOptions { segment_bytes: 200 };
+
+fn open(media: &MemoryMedia) -> (WriteAheadLog, Vec<Vec<u8>>) {
+    WriteAheadLog::open(Box::new(media.clone()), SMALL_SEGMENTS).expect("the log opens")
+}
+
+fn write_all(media: &MemoryMedia, records: &[Vec<u8>]) {
+    let (mut log, _) = open(media);
+    for record in records {
+        log.append(record).expect("append");
+        log.sync().expect("sync");
+    }
+}
+
+quickcheck! {
+    fn synced_records_survive_a_crash(records: Vec<Vec<u8>>, torn_bytes: u8) -> bool {
+        let media = MemoryMedia::default();
+        write_all(&media, &records);
+        media.crash(usize::from(torn_bytes));
+        open(&media).1 == records
+    }
+
+    fn unsynced_records_are_a_prefix_after_a_crash(
+        synced: Vec<Vec<u8>>,
+        unsynced: Vec<Vec<u8>>,
+        torn_bytes: u16
+    ) -> bool {
+        let media = MemoryMedia::default();
+        write_all(&media, &synced);
+        let (mut log, _) = open(&media);
+        for record in &unsynced {
+            log.append(record).expect("append");
+        }
+        media.crash(usize::from(torn_bytes));
+        let all: Vec<_> = synced.iter().chain(&unsynced).cloned().collect();
+        let recovered = open(&media).1;
+        recovered.len() >= synced.len() && all.starts_with(&recovered)
+    }
+
+    fn arbitrary_bytes_never_panic(content: Vec<u8>) -> bool {
+        let media = MemoryMedia::default();
+        let mut file = media.create("wal-0000000000000001").expect("create");
+        file.append(&content).expect("append");
+        let _ = WriteAheadLog::open(Box::new(media), SMALL_SEGMENTS);
+        true
+    }
+
+    fn a_restart_after_compaction_holds_only_the_new_records(
+        old: Vec<Vec<u8>>,
+        new: Vec<Vec<u8>>
+    ) -> TestResult {
+        let media = MemoryMedia::default();
+        write_all(&media, &old);
+        let (mut log, _) = open(&media);
+        log.restart_with(&new).expect("compaction");
+        drop(log);
+        media.crash(0);
+        TestResult::from_bool(open(&media).1 == new)
+    }
+}
+
+/// Cuts the only segment at every byte: what is left is always a prefix of the records.
+#[test]
+fn every_truncation_point_leaves_a_prefix() {
+    let records: Vec<Vec<u8>> = (0..6_u8).map(|size| vec![size; usize::from(size) * 3]).collect();
+    let full_length = {
+        let media = MemoryMedia::default();
+        write_all(&media, &records);
+        media.read("wal-0000000000000001").expect("segment").len()
+    };
+    for length in 0..=full_length {
+        let media = MemoryMedia::default();
+        write_all(&media, &records);
+        media.cut("wal-0000000000000001", length);
+        let recovered = open(&media).1;
+        assert!(records.starts_with(&recovered), "cut at byte {length}");
+    }
+}
+
+/// Flips every byte of an acknowledged segment that a later one follows: opening refuses.
+#[test]
+fn damage_before_later_records_is_refused() {
+    let records: Vec<Vec<u8>> = (0..12_u8).map(|fill| vec![fill; 40]).collect();
+    let length = {
+        let media = MemoryMedia::default();
+        write_all(&media, &records);
+        media.read("wal-0000000000000001").expect("segment").len()
+    };
+    for offset in 0..length {
+        let media = MemoryMedia::default();
+        write_all(&media, &records);
+        media.damage("wal-0000000000000001", offset);
+        let error = WriteAheadLog::open(Box::new(media), SMALL_SEGMENTS)
+            .err()
+            .unwrap_or_else(|| panic!("damage at byte {offset} was accepted"));
+        let refused = matches!(error.current_context(), StorageError::DamagedMiddle { .. });
+        assert!(refused, "damage at byte {offset}: {error:?}");
+    }
+}
+
+#[test]
+fn a_failed_sync_poisons_the_log() {
+    let media = MemoryMedia::default();
+    let (mut log, _) = open(&media);
+    media.fail_syncs(true);
+    log.append(b"record").expect("append");
+    assert!(log.sync().is_err());
+    media.fail_syncs(false);
+    let error = log.append(b"next").expect_err("a poisoned log refuses work");
+    assert_eq!(error.current_context(), &StorageError::Poisoned);
+}
+
+#[test]
+fn a_crash_while_saving_a_snapshot_leaves_a_whole_one() {
+    let media = MemoryMedia::default();
+    let store = SnapshotStore::new(Box::new(media.clone()));
+    store.save(b"first").expect("save");
+    media.fail_syncs(true);
+    assert!(store.save(b"second").is_err());
+    media.crash(3);
+    assert_eq!(store.load().expect("load"), Some(b"first".to_vec()));
+}
