--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -39,7 +39,11 @@
         let granted = message.term > self.hard_state.term
             && !self.leader_is_alive(now)
             && self.is_up_to_date(last_index, last_term);
-        let term = if granted { message.term } else { self.hard_state.term };
+        let term = if granted {
+            message.term
+        } else {
+            self.hard_state.term
+        };
         self.reply(message, term, Body::PreVoteReply { granted });
     }
 
@@ -63,7 +67,10 @@
         if message.term > self.hard_state.term && !self.leader_is_alive(now) {
             self.become_follower(message.term, None, now);
         }
-        let free = self.hard_state.voted_for.is_none_or(|vote| vote == message.from);
+        let free = self
+            .hard_state
+            .voted_for
+            .is_none_or(|vote| vote == message.from);
         let granted = message.term == self.hard_state.term
             && free
             && self.role == Role::Follower
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -87,7 +87,12 @@
     /// Up to `limit` entries from `index` on.
     pub fn entries_from(&self, index: LogIndex, limit: usize) -> Vec<Entry> {
         let offset = index.saturating_sub(self.snapshot.last_index + 1) as usize;
-        self.entries.iter().skip(offset).take(limit).cloned().collect()
+        self.entries
+            .iter()
+            .skip(offset)
+            .take(limit)
+            .cloned()
+            .collect()
     }
 
     /// Adds an entry that follows the last one.
@@ -108,7 +113,8 @@
     pub fn install(&mut self, snapshot: Snapshot) {
         let agrees = self.term_at(snapshot.last_index) == Some(snapshot.last_term);
         if agrees {
-            self.entries.retain(|entry| entry.index > snapshot.last_index);
+            self.entries
+                .retain(|entry| entry.index > snapshot.last_index);
         } else {
             self.entries.clear();
         }
@@ -117,10 +123,14 @@
 
     /// The last membership in the log and the index of the entry that holds it.
     pub fn membership(&self) -> (Membership, LogIndex) {
-        let in_log = self.entries.iter().rev().find_map(|entry| match &entry.payload {
-            Payload::Membership(membership) => Some((membership.clone(), entry.index)),
-            _ => None,
-        });
+        let in_log = self
+            .entries
+            .iter()
+            .rev()
+            .find_map(|entry| match &entry.payload {
+                Payload::Membership(membership) => Some((membership.clone(), entry.index)),
+                _ => None,
+            });
         in_log.unwrap_or_else(|| (self.snapshot.membership.clone(), self.snapshot.last_index))
     }
 
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -194,6 +194,11 @@
         &self.membership
     }
 
+    /// Position of the entry that holds the membership in force.
+    pub fn membership_index(&self) -> LogIndex {
+        self.membership_index
+    }
+
     /// Lets timers fire.
     pub fn tick(&mut self, now: Millis) {
         if self.role == Role::Leader {
@@ -213,11 +218,17 @@
             self.become_follower(message.term, None, now);
         }
         match message.body {
-            Body::PreVote { last_index, last_term } => {
+            Body::PreVote {
+                last_index,
+                last_term,
+            } => {
                 self.answer_pre_vote(&message, last_index, last_term, now);
             }
             Body::PreVoteReply { granted } => self.count_pre_vote(&message, granted, now),
-            Body::Vote { last_index, last_term } => {
+            Body::Vote {
+                last_index,
+                last_term,
+            } => {
                 self.answer_vote(&message, last_index, last_term, now);
             }
             Body::VoteReply { granted } => self.count_vote(&message, granted, now),
@@ -304,7 +315,9 @@
         if self.role == Role::Leader {
             return Ok(());
         }
-        Err(ProposeError::NotLeader { leader: self.leader })
+        Err(ProposeError::NotLeader {
+            leader: self.leader,
+        })
     }
 
     fn require_caught_up(&self, next: &Membership) -> Result<(), ProposeError> {
@@ -312,7 +325,10 @@
             if self.membership.is_voter(member.replica) || member.replica == self.options.replica {
                 continue;
             }
-            let matched = self.progress.get(&member.replica).map_or(0, |known| known.matched);
+            let matched = self
+                .progress
+                .get(&member.replica)
+                .map_or(0, |known| known.matched);
             let lag = self.commit.saturating_sub(matched);
             if matched == 0 || lag > LEARNER_LAG_LIMIT {
                 return Err(ProposeError::LearnerBehind { lag });
@@ -347,14 +363,12 @@
         }
     }
 
-    pub(crate) fn become_follower(
-        &mut self,
-        term: Term,
-        leader: Option<ReplicaId>,
-        now: Millis,
-    ) {
+    pub(crate) fn become_follower(&mut self, term: Term, leader: Option<ReplicaId>, now: Millis) {
         if term > self.hard_state.term {
-            self.set_hard_state(HardState { term, voted_for: None });
+            self.set_hard_state(HardState {
+                term,
+                voted_for: None,
+            });
         }
         self.role = Role::Follower;
         self.leader = leader;
@@ -369,7 +383,9 @@
     }
 
     pub(crate) fn reset_election_deadline(&mut self, now: Millis) {
-        let spread = self.generator.random_range(0..self.options.election_timeout.max(1));
+        let spread = self
+            .generator
+            .random_range(0..self.options.election_timeout.max(1));
         self.election_deadline = now + self.options.election_timeout + spread;
     }
 
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -54,7 +54,14 @@
     pub(crate) fn follow(&mut self, message: Message, now: Millis) {
         if message.term < self.hard_state.term {
             let index = self.log.last_index();
-            self.reply(&message, self.hard_state.term, Body::AppendReply { success: false, index });
+            self.reply(
+                &message,
+                self.hard_state.term,
+                Body::AppendReply {
+                    success: false,
+                    index,
+                },
+            );
             return;
         }
         if self.role != Role::Follower || self.leader != Some(message.from) {
@@ -63,9 +70,12 @@
         self.leader_heard = Some(now);
         self.reset_election_deadline(now);
         let reply = match &message.body {
-            Body::Append { previous_index, previous_term, entries, commit } => {
-                self.accept_entries(*previous_index, *previous_term, entries, *commit)
-            }
+            Body::Append {
+                previous_index,
+                previous_term,
+                entries,
+                commit,
+            } => self.accept_entries(*previous_index, *previous_term, entries, *commit),
             Body::InstallSnapshot { snapshot } => self.accept_snapshot(snapshot),
             _ => return,
         };
@@ -83,14 +93,20 @@
         let covered = previous_index < snapshot_index;
         if !covered && self.log.term_at(previous_index) != Some(previous_term) {
             let index = self.retry_index(previous_index);
-            return Body::AppendReply { success: false, index };
+            return Body::AppendReply {
+                success: false,
+                index,
+            };
         }
         for entry in entries {
             self.accept_entry(entry);
         }
         let matched = previous_index + entries.len() as u64;
         self.commit = self.commit.max(commit.min(matched));
-        Body::AppendReply { success: true, index: matched.max(snapshot_index) }
+        Body::AppendReply {
+            success: true,
+            index: matched.max(snapshot_index),
+        }
     }
 
     fn accept_entry(&mut self, entry: &Entry) {
@@ -131,7 +147,10 @@
             self.ready.entries = self.log.entries_from(index + 1, usize::MAX);
             self.refresh_membership();
         }
-        Body::AppendReply { success: true, index }
+        Body::AppendReply {
+            success: true,
+            index,
+        }
     }
 
     pub(crate) fn handle_append_reply(
@@ -180,7 +199,9 @@
         if replica == self.options.replica {
             return self.persisted;
         }
-        self.progress.get(&replica).map_or(0, |progress| progress.matched)
+        self.progress
+            .get(&replica)
+            .map_or(0, |progress| progress.matched)
     }
 
     fn leave_if_removed(&mut self) {
@@ -202,10 +223,14 @@
             Some(previous_term) => Body::Append {
                 previous_index,
                 previous_term,
-                entries: self.log.entries_from(previous_index + 1, self.options.append_limit),
+                entries: self
+                    .log
+                    .entries_from(previous_index + 1, self.options.append_limit),
                 commit: self.commit,
             },
-            None => Body::InstallSnapshot { snapshot: self.log.snapshot().clone() },
+            None => Body::InstallSnapshot {
+                snapshot: self.log.snapshot().clone(),
+            },
         };
         self.send(replica, disk, self.hard_state.term, body);
     }
@@ -222,7 +247,10 @@
     fn drop_entries_from(&mut self, index: LogIndex) {
         self.log.truncate_from(index);
         self.ready.entries.retain(|entry| entry.index < index);
-        let earliest = self.ready.truncate_from.map_or(index, |known| known.min(index));
+        let earliest = self
+            .ready
+            .truncate_from
+            .map_or(index, |known| known.min(index));
         self.ready.truncate_from = Some(earliest);
         self.persisted = self.persisted.min(index - 1);
         self.refresh_membership();
--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -10,6 +10,10 @@
 use railtack_rpc::protocol::{ClaimAnswer, ClaimOutcome, ClaimRequest, Outcome, UnixMillis};
 use speedy::{Readable, Writable};
 
+/// Age from which a claim that was never settled counts as ended without a known outcome. No
+/// router holds a request that may not be repeated for longer, so its holder is gone.
+pub const HOLD_LIMIT_MS: UnixMillis = 600_000;
+
 /// A tenant's key.
 pub type ClaimKey = (TenantName, IdempotencyKey);
 
@@ -51,9 +55,9 @@
 
     /// Grants the claim to the first attempt that asks; a resend by that attempt is granted again.
     pub fn claim(&mut self, request: ClaimRequest, now: UnixMillis) -> ClaimAnswer {
-        let key = (request.tenant, request.key);
+        let key = (request.tenant.clone(), request.key.clone());
         if let Some(record) = self.records.get(&key) {
-            return answer_known(record, request.fingerprint, request.attempt);
+            return answer_known(record, &request, now);
         }
         self.by_age.insert((now, key.clone()));
         let record = ClaimRecord {
@@ -67,12 +71,7 @@
     }
 
     /// Records how a claim ended. Only its holder may, and only once.
-    pub fn settle(
-        &mut self,
-        key: &ClaimKey,
-        attempt: AttemptId,
-        outcome: ClaimOutcome,
-    ) -> Outcome {
+    pub fn settle(&mut self, key: &ClaimKey, attempt: AttemptId, outcome: ClaimOutcome) -> Outcome {
         let Some(record) = self.records.get_mut(key) else {
             return Outcome::NotHolder;
         };
@@ -101,13 +100,16 @@
     }
 }
 
-fn answer_known(record: &ClaimRecord, fingerprint: u128, attempt: AttemptId) -> ClaimAnswer {
-    if record.fingerprint != fingerprint {
+fn answer_known(record: &ClaimRecord, request: &ClaimRequest, now: UnixMillis) -> ClaimAnswer {
+    if record.fingerprint != request.fingerprint {
         return ClaimAnswer::KeyReused;
     }
     match &record.outcome {
         Some(outcome) => ClaimAnswer::Ended(outcome.clone()),
-        None if record.attempt == attempt => ClaimAnswer::Granted,
+        None if record.attempt == request.attempt => ClaimAnswer::Granted,
+        None if now > record.claimed_at + HOLD_LIMIT_MS => {
+            ClaimAnswer::Ended(ClaimOutcome::Unknown)
+        }
         None => ClaimAnswer::InProgress,
     }
 }
--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -43,10 +43,16 @@
             validate_references(configuration, document).map_err(ChangeRefused::Invalid)?;
             store(configuration, document.clone(), next);
         }
-        ConfigurationChange::SetDrain { engine, drained: true } => {
+        ConfigurationChange::SetDrain {
+            engine,
+            drained: true,
+        } => {
             configuration.drained.insert(*engine);
         }
-        ConfigurationChange::SetDrain { engine, drained: false } => {
+        ConfigurationChange::SetDrain {
+            engine,
+            drained: false,
+        } => {
             configuration.drained.remove(engine);
         }
     }
@@ -62,10 +68,16 @@
 ) {
     match change {
         ConfigurationChange::Put { document, .. } => store(configuration, document, revision),
-        ConfigurationChange::SetDrain { engine, drained: true } => {
+        ConfigurationChange::SetDrain {
+            engine,
+            drained: true,
+        } => {
             configuration.drained.insert(engine);
         }
-        ConfigurationChange::SetDrain { engine, drained: false } => {
+        ConfigurationChange::SetDrain {
+            engine,
+            drained: false,
+        } => {
             configuration.drained.remove(&engine);
         }
     }
@@ -74,7 +86,10 @@
 
 fn revision_of(configuration: &Configuration, document: &Document) -> Revision {
     let known = match document {
-        Document::Template(new) => configuration.templates.get(&new.name).map(|old| old.revision),
+        Document::Template(new) => configuration
+            .templates
+            .get(&new.name)
+            .map(|old| old.revision),
         Document::Tenant(new) => configuration.tenants.get(&new.name).map(|old| old.revision),
         Document::Model(new) => configuration.models.get(&new.name).map(|old| old.revision),
     };
@@ -85,15 +100,21 @@
     match document {
         Document::Template(document) => {
             let name = document.name.clone();
-            configuration.templates.insert(name, Versioned { revision, document });
+            configuration
+                .templates
+                .insert(name, Versioned { revision, document });
         }
         Document::Tenant(document) => {
             let name = document.name.clone();
-            configuration.tenants.insert(name, Versioned { revision, document });
+            configuration
+                .tenants
+                .insert(name, Versioned { revision, document });
         }
         Document::Model(document) => {
             let name = document.name.clone();
-            configuration.models.insert(name, Versioned { revision, document });
+            configuration
+                .models
+                .insert(name, Versioned { revision, document });
         }
     }
 }
@@ -121,12 +142,13 @@
 
 fn validate_tenant(configuration: &Configuration, tenant: &Tenant) -> Result<(), DocumentError> {
     for service in &tenant.services {
-        let template = configuration.templates.get(&service.template).ok_or_else(|| {
-            DocumentError::UnknownTemplate {
+        let template = configuration
+            .templates
+            .get(&service.template)
+            .ok_or_else(|| DocumentError::UnknownTemplate {
                 tenant: tenant.name.clone(),
                 template: service.template.clone(),
-            }
-        })?;
+            })?;
         tenant.validate_service(service, &template.document)?;
     }
     let key_taken = configuration
@@ -134,11 +156,15 @@
         .values()
         .any(|other| other.document.name != tenant.name && shares_key(&other.document, tenant));
     if key_taken {
-        return Err(DocumentError::KeyTaken { tenant: TenantName(tenant.name.0.clone()) });
+        return Err(DocumentError::KeyTaken {
+            tenant: TenantName(tenant.name.0.clone()),
+        });
     }
     Ok(())
 }
 
 fn shares_key(left: &Tenant, right: &Tenant) -> bool {
-    left.key_hashes.iter().any(|hash| right.key_hashes.contains(hash))
+    left.key_hashes
+        .iter()
+        .any(|hash| right.key_hashes.contains(hash))
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,7 @@
 //! it with real time, sockets and files; the simulator drives the same code with virtual ones.
 
 pub mod claims;
+pub mod cli;
 pub mod configuration;
 pub mod errors;
 pub mod metrics;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -41,10 +41,18 @@
             "Messages to replicas dropped",
             self.dropped_messages.clone(),
         );
-        registry.register("control_is_leader", "1 while leading", self.is_leader.clone());
+        registry.register(
+            "control_is_leader",
+            "1 while leading",
+            self.is_leader.clone(),
+        );
         registry.register("control_term", "Current term", self.term.clone());
         registry.register("control_commit", "Commit position", self.commit.clone());
-        registry.register("control_revision", "Configuration revision", self.revision.clone());
+        registry.register(
+            "control_revision",
+            "Configuration revision",
+            self.revision.clone(),
+        );
         registry.register("control_claims", "Claims kept", self.claims.clone());
     }
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -22,8 +22,8 @@
     errors::ControlError,
     metrics::ControlMetrics,
     peers::Peers,
-    roster::RouterRoster,
     replica::{MembershipError, Replica, Ticket},
+    roster::RouterRoster,
     state::IssuedOrder,
 };
 
@@ -105,7 +105,10 @@
     peers: Peers,
     metrics: ControlMetrics,
     started: Instant,
-) -> (NodeHandle, oneshot::Receiver<Result<(), Report<ControlError>>>) {
+) -> (
+    NodeHandle,
+    oneshot::Receiver<Result<(), Report<ControlError>>>,
+) {
     let (inputs, receiver) = sync_channel(INPUT_QUEUE);
     let (ended_sender, ended) = oneshot::channel();
     let mut node = Node {
@@ -211,7 +214,10 @@
     fn poll(&mut self, request: &PollRequest, now: u64) -> PollReply {
         self.metrics.polls.inc();
         self.routers.heard(request, now);
-        PollReply { routers: self.routers.live(now), ..self.replica.poll(request) }
+        PollReply {
+            routers: self.routers.live(now),
+            ..self.replica.poll(request)
+        }
     }
 
     fn propose(&mut self, proposal: &Proposal, answer: oneshot::Sender<ProposeReply>) {
@@ -231,9 +237,9 @@
             Ok(_) => MembershipReply::Appended,
             Err(MembershipError::NoSuchMember) => MembershipReply::Invalid,
             Err(MembershipError::Refused(refusal)) => match refusal {
-                ProposeError::NotLeader { .. } => {
-                    MembershipReply::NotLeader { leader: self.leader_address() }
-                }
+                ProposeError::NotLeader { .. } => MembershipReply::NotLeader {
+                    leader: self.leader_address(),
+                },
                 ProposeError::ChangePending => MembershipReply::ChangePending,
                 ProposeError::LearnerBehind { lag } => MembershipReply::LearnerBehind { lag },
                 ProposeError::TooManyChanges => MembershipReply::Invalid,
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -55,7 +55,9 @@
     /// Queues messages in order; those for replicas without a known address are dropped.
     pub fn send(&mut self, messages: Vec<Message>, membership: &Membership) {
         for message in messages {
-            let address = membership.member(message.to).map(|member| member.address.clone());
+            let address = membership
+                .member(message.to)
+                .map(|member| member.address.clone());
             let known = address.or_else(|| self.heard_from.get(&message.to).cloned());
             match known {
                 Some(address) => self.queue(address, message),
@@ -89,11 +91,7 @@
     }
 }
 
-fn connect(
-    runtime: &Handle,
-    address: SocketAddr,
-    own_address: String,
-) -> mpsc::Sender<Message> {
+fn connect(runtime: &Handle, address: SocketAddr, own_address: String) -> mpsc::Sender<Message> {
     let (sender, mut receiver) = mpsc::channel::<Message>(PEER_QUEUE);
     runtime.spawn(async move {
         let connection = ControlConnection::new(address, CONNECT_TIMEOUT);
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -124,7 +124,9 @@
         let snapshot = Snapshot {
             last_index: 1,
             last_term: 0,
-            membership: Membership { members: vec![member] },
+            membership: Membership {
+                members: vec![member],
+            },
             state: encode_state(&ControlState::new(options.claim_retention_ms))?,
         };
         store.compact(&snapshot, &[])
@@ -148,7 +150,13 @@
             check_disk_identity: options.check_disk_identity,
         };
         let raft = Raft::new(raft_options, recovered, now);
-        Ok(Self { options, identity, raft, state, store })
+        Ok(Self {
+            options,
+            identity,
+            raft,
+            state,
+            store,
+        })
     }
 
     /// The replicated log.
@@ -181,7 +189,10 @@
         // Encoding into memory cannot fail: speedy writes to a growing buffer.
         let bytes = proposal.write_to_vec().unwrap_or_default();
         let index = self.raft.propose(bytes)?;
-        Ok(Ticket { index, term: self.raft.term() })
+        Ok(Ticket {
+            index,
+            term: self.raft.term(),
+        })
     }
 
     /// Appends a change of the members if this replica leads.
@@ -244,6 +255,7 @@
             voter: self.is_voter(),
             last_configuration_index: self.last_configuration_index(),
             update: self.update_for(request),
+            membership_index: self.raft.membership_index(),
             voters: membership.voters().map(voter_address).collect(),
             routers: 0,
         }
@@ -287,7 +299,10 @@
         let outcome = self
             .state
             .apply(entry.index, proposal, self.options.revision_check);
-        let ticket = Ticket { index: entry.index, term: entry.term };
+        let ticket = Ticket {
+            index: entry.index,
+            term: entry.term,
+        };
         Ok(Some(Applied { ticket, outcome }))
     }
 }
@@ -308,7 +323,10 @@
             if current.member(member.replica).is_some() {
                 return None;
             }
-            next.members.push(Member { voter: false, ..member.clone() });
+            next.members.push(Member {
+                voter: false,
+                ..member.clone()
+            });
         }
         MembershipChange::Promote(replica) => {
             next.members
@@ -334,7 +352,10 @@
 }
 
 fn voter_address(member: &Member) -> VoterAddress {
-    VoterAddress { replica: member.replica, address: member.address.clone() }
+    VoterAddress {
+        replica: member.replica,
+        address: member.address.clone(),
+    }
 }
 
 fn new_identity(options: &ReplicaOptions) -> Identity {
--- a/crates/control/src/rollout.rs
+++ b/crates/control/src/rollout.rs
@@ -69,5 +69,6 @@
         }
     }
     let chosen = waiting.into_iter().take(free);
-    step.record.extend(chosen.map(|engine| (engine, wanted.clone())));
+    step.record
+        .extend(chosen.map(|engine| (engine, wanted.clone())));
 }
--- a/crates/control/src/roster.rs
+++ b/crates/control/src/roster.rs
@@ -24,7 +24,10 @@
 impl RouterRoster {
     /// Notes a poll.
     pub fn heard(&mut self, request: &PollRequest, now: Millis) {
-        let heard = Heard { at: now, applied: request.applied };
+        let heard = Heard {
+            at: now,
+            applied: request.applied,
+        };
         self.routers.insert(request.router, heard);
         self.routers
             .retain(|_, heard| now < heard.at + SILENCE_LIMIT_MS);
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -86,7 +86,11 @@
 
     let listener = listen(settings.listen).await?;
     let metrics_listener = listen(settings.metrics_listen).await?;
-    let peers = Peers::new(tokio::runtime::Handle::current(), metrics.clone(), settings.listen);
+    let peers = Peers::new(
+        tokio::runtime::Handle::current(),
+        metrics.clone(),
+        settings.listen,
+    );
     let (handle, ended) = node::start(replica, peers, metrics, started);
     spdlog::info!("started", kv: {
         replica = settings.replica_id,
@@ -94,7 +98,12 @@
     });
 
     tokio::spawn(accept(listener, handle.clone()));
-    tokio::spawn(serve_metrics(metrics_listener, registry, handle.clone(), shutdown.clone()));
+    tokio::spawn(serve_metrics(
+        metrics_listener,
+        registry,
+        handle.clone(),
+        shutdown.clone(),
+    ));
     tokio::spawn(roll_out(handle.clone(), settings.platform));
     tokio::select! {
         outcome = ended => outcome.map_err(|_| Report::new(ControlError::Stopped))?,
@@ -221,13 +230,18 @@
         voter: false,
         last_configuration_index: 0,
         update: None,
+        membership_index: 0,
         voters: Vec::new(),
         routers: 0,
     }
 }
 
 fn unknown_identity() -> ReplicaIdentity {
-    ReplicaIdentity { cluster: String::new(), replica: ReplicaId(0), disk: DiskId(0) }
+    ReplicaIdentity {
+        cluster: String::new(),
+        replica: ReplicaId(0),
+        disk: DiskId(0),
+    }
 }
 
 fn unix_millis() -> u64 {
@@ -263,11 +277,12 @@
         rollout::next_step(&view.configuration, &view.orders, &statuses);
     for (engine, order) in record {
         let command = Command::Order { engine, order };
-        let proposal = Proposal { at: unix_millis(), command };
+        let proposal = Proposal {
+            at: unix_millis(),
+            command,
+        };
         // The next look finds the order recorded, or records it again.
-        let _ = handle
-            .ask(|sender| Input::Propose(proposal, sender))
-            .await;
+        let _ = handle.ask(|sender| Input::Propose(proposal, sender)).await;
     }
     for (engine, issued) in send {
         let address = engines
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -59,7 +59,10 @@
 impl ControlState {
     /// An empty state.
     pub fn new(claim_retention_ms: u64) -> Self {
-        Self { claim_retention_ms, ..Self::default() }
+        Self {
+            claim_retention_ms,
+            ..Self::default()
+        }
     }
 
     /// All configuration.
@@ -91,11 +94,20 @@
                 self.configure(index, operation, change, check)
             }
             Command::Claim(request) => Outcome::Claim(self.claims.claim(request, self.clock)),
-            Command::Settle { tenant, key, attempt, outcome } => {
-                self.claims.settle(&(tenant, key), attempt, outcome)
-            }
+            Command::Settle {
+                tenant,
+                key,
+                attempt,
+                outcome,
+            } => self.claims.settle(&(tenant, key), attempt, outcome),
             Command::Order { engine, order } => {
-                self.orders.insert(engine, IssuedOrder { token: index, order });
+                self.orders.insert(
+                    engine,
+                    IssuedOrder {
+                        token: index,
+                        order,
+                    },
+                );
                 Outcome::Ordered { token: index }
             }
             Command::Barrier => Outcome::Current,
@@ -137,13 +149,20 @@
         }
         let outcome = match apply_change(&mut self.configuration, &change, check) {
             Ok(revision) => {
-                self.remember_change(AcceptedChange { index, revision, change: change.clone() });
+                self.remember_change(AcceptedChange {
+                    index,
+                    revision,
+                    change: change.clone(),
+                });
                 Outcome::Accepted { revision }
             }
             Err(ChangeRefused::Conflict { current }) => Outcome::Conflict { current },
             Err(ChangeRefused::Invalid(error)) => Outcome::Rejected(error),
         };
-        let record = RecordedOperation { change, outcome: outcome.clone() };
+        let record = RecordedOperation {
+            change,
+            outcome: outcome.clone(),
+        };
         self.remember_operation(index, operation, record);
         outcome
     }
@@ -171,8 +190,13 @@
     }
 
     fn advance_clock(&mut self, at: UnixMillis) {
-        let limit = if self.clock == 0 { at } else { self.clock + CLOCK_STEP_LIMIT_MS };
+        let limit = if self.clock == 0 {
+            at
+        } else {
+            self.clock + CLOCK_STEP_LIMIT_MS
+        };
         self.clock = self.clock.max(at.min(limit));
-        self.claims.expire(self.clock.saturating_sub(self.claim_retention_ms));
+        self.claims
+            .expire(self.clock.saturating_sub(self.claim_retention_ms));
     }
 }
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -89,7 +89,11 @@
             identity: replay.identity.clone(),
             hard_state: replay.hard_state,
         };
-        Ok(OpenedStore { store, identity: replay.identity, recovered })
+        Ok(OpenedStore {
+            store,
+            identity: replay.identity,
+            recovered,
+        })
     }
 
     /// Records who owns the folder.
--- a/crates/core/src/execution.rs
+++ b/crates/core/src/execution.rs
@@ -19,7 +19,18 @@
 
 /// Stable code of a refusal; callers may match on it.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Readable, Writable,
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Readable,
+    Writable,
 )]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalCode {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,7 +6,7 @@
 
 pub use execution::{Execution, RefusalCode};
 pub use identifiers::{
-    AttemptId, EngineIncarnation, EngineId, IdempotencyKey, ModelName, OperationId, RequestId,
+    AttemptId, EngineId, EngineIncarnation, IdempotencyKey, ModelName, OperationId, RequestId,
     Revision, RouterId, TemplateName, TenantName, WeightsVersion, ZoneName,
 };
 pub use prefix::{BlockHash, CacheNamespace, PrefixChain};
--- a/crates/core/src/prefix.rs
+++ b/crates/core/src/prefix.rs
@@ -12,9 +12,7 @@
 pub const BYTES_PER_TOKEN: usize = 4;
 
 /// Identity of one cached block: all text up to and including it, within one namespace.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
 pub struct BlockHash(pub u128);
 
 impl BlockHash {
--- /dev/null
+++ b/crates/ctl/src/arguments.rs
@@ -0,0 +1,174 @@
+//! The command line's shape.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use clap::{Arg, ArgAction, Command, value_parser};
+
+/// The whole command line.
+pub fn command() -> Command {
+    Command::new("railtackctl")
+        .about("Operates railtack")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg(
+            Arg::new("control")
+                .long("control")
+                .value_name("ADDRESS,...")
+                .value_delimiter(',')
+                .value_parser(value_parser!(SocketAddr))
+                .required(true)
+                .help("Internal addresses of control replicas"),
+        )
+        .arg(
+            Arg::new("output")
+                .long("output")
+                .value_parser(["table", "json"])
+                .default_value("table")
+                .help("How to print"),
+        )
+        .subcommand(documents("template", "Templates"))
+        .subcommand(documents("tenant", "Tenants"))
+        .subcommand(documents("model", "Weights wanted for each model"))
+        .subcommand(Command::new("status").about("State of the control replicas and routers"))
+        .subcommand(members())
+        .subcommand(
+            Command::new("engines")
+                .about("Engines, as the platform lists them")
+                .arg(platform()),
+        )
+        .subcommand(drain())
+        .subcommand(explain())
+        .subcommand(Command::new("snapshot").about("Make every control replica write a snapshot"))
+}
+
+fn documents(name: &'static str, about: &'static str) -> Command {
+    let changing = |verb: &'static str, about: &'static str| {
+        Command::new(verb)
+            .about(about)
+            .arg(file())
+            .arg(operation_id())
+            .arg(
+                Arg::new("expect-revision")
+                    .long("expect-revision")
+                    .value_name("REVISION")
+                    .value_parser(value_parser!(u64))
+                    .help("Change only if the document has this revision"),
+            )
+    };
+    Command::new(name)
+        .about(about)
+        .subcommand_required(true)
+        .subcommand(changing("submit", "Store a new document"))
+        .subcommand(changing("revise", "Replace a document"))
+        .subcommand(
+            Command::new("show")
+                .about("Print a document")
+                .arg(document_name()),
+        )
+        .subcommand(Command::new("list").about("List documents"))
+        .subcommand(
+            Command::new("diff")
+                .about("Compare a file with the stored document")
+                .arg(file()),
+        )
+}
+
+fn members() -> Command {
+    let replica = || {
+        Arg::new("replica")
+            .value_name("REPLICA")
+            .required(true)
+            .value_parser(value_parser!(u32))
+            .help("The replica's number")
+    };
+    Command::new("members")
+        .about("Control replicas")
+        .subcommand_required(true)
+        .subcommand(Command::new("list").about("List the members"))
+        .subcommand(
+            Command::new("add")
+                .about("Add a running replica as a learner and make it a voter once caught up")
+                .arg(
+                    Arg::new("address")
+                        .value_name("ADDRESS")
+                        .required(true)
+                        .value_parser(value_parser!(SocketAddr))
+                        .help("The replica's internal address"),
+                ),
+        )
+        .subcommand(
+            Command::new("remove")
+                .about("Remove a replica")
+                .arg(replica()),
+        )
+}
+
+fn drain() -> Command {
+    Command::new("drain")
+        .about("Give an engine no new work")
+        .arg(
+            Arg::new("engine")
+                .value_name("ENGINE")
+                .required(true)
+                .value_parser(value_parser!(u32))
+                .help("The engine's number"),
+        )
+        .arg(
+            Arg::new("undo")
+                .long("undo")
+                .action(ArgAction::SetTrue)
+                .help("Give it work again"),
+        )
+        .arg(operation_id())
+}
+
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Why a request went to its engine")
+        .arg(
+            Arg::new("request")
+                .value_name("REQUEST_ID")
+                .required(true)
+                .help("Value of the answer's x-request-id header"),
+        )
+        .arg(
+            Arg::new("router")
+                .long("router")
+                .value_name("ADDRESS,...")
+                .value_delimiter(',')
+                .value_parser(value_parser!(SocketAddr))
+                .required(true)
+                .help("Operators' addresses of the routers to ask"),
+        )
+}
+
+fn platform() -> Arg {
+    Arg::new("platform")
+        .long("platform")
+        .value_name("ADDRESS")
+        .value_parser(value_parser!(SocketAddr))
+        .required(true)
+        .help("The platform's list of machines")
+}
+
+fn file() -> Arg {
+    Arg::new("file")
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("Document (TOML)")
+}
+
+fn document_name() -> Arg {
+    Arg::new("name")
+        .value_name("NAME")
+        .required(true)
+        .help("The document's name")
+}
+
+fn operation_id() -> Arg {
+    Arg::new("operation-id")
+        .long("operation-id")
+        .value_name("ID")
+        .help("Names the change, so that a resend returns the first outcome; drawn and printed if absent")
+}
--- /dev/null
+++ b/crates/ctl/src/cli.rs
@@ -0,0 +1,68 @@
+//! Command line of `railtackctl`.
+
+use std::{ffi::OsString, net::SocketAddr, process::ExitCode};
+
+use clap::ArgMatches;
+use error_stack::{Report, ResultExt};
+
+use crate::{
+    arguments,
+    client::ControlClient,
+    commands::{self, DocumentKind},
+    errors::CtlError,
+    output::OutputFormat,
+};
+
+/// Runs the program with the given arguments, the first of which is its name.
+pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let matches = arguments::command().get_matches_from(arguments);
+    match start(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            let error = report.current_context();
+            eprintln!("railtackctl: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+fn start(matches: &ArgMatches) -> Result<(), Report<CtlError>> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .change_context(CtlError::Runtime)?;
+    runtime.block_on(dispatch(matches))
+}
+
+async fn dispatch(matches: &ArgMatches) -> Result<(), Report<CtlError>> {
+    let addresses = matches
+        .get_many::<SocketAddr>("control")
+        .unwrap_or_default();
+    let client = ControlClient::new(addresses.copied());
+    let is_json = matches
+        .get_one::<String>("output")
+        .is_some_and(|format| format == "json");
+    let format = if is_json {
+        OutputFormat::Json
+    } else {
+        OutputFormat::Table
+    };
+    match matches.subcommand() {
+        Some(("template", matches)) => {
+            commands::documents(&client, format, DocumentKind::Template, matches).await
+        }
+        Some(("tenant", matches)) => {
+            commands::documents(&client, format, DocumentKind::Tenant, matches).await
+        }
+        Some(("model", matches)) => {
+            commands::documents(&client, format, DocumentKind::Model, matches).await
+        }
+        Some(("status", _)) => commands::status(&client, format).await,
+        Some(("members", matches)) => commands::members(&client, format, matches).await,
+        Some(("engines", matches)) => commands::engines(&client, format, matches).await,
+        Some(("drain", matches)) => commands::drain(&client, matches).await,
+        Some(("explain", matches)) => commands::explain(format, matches).await,
+        Some(("snapshot", _)) => commands::snapshot(&client, format).await,
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/client.rs
@@ -0,0 +1,183 @@
+//! Calls to the control replicas, wherever the leader is.
+
+use std::{net::SocketAddr, time::Duration};
+
+use error_stack::Report;
+use railtack_core::OperationId;
+use railtack_rpc::{
+    ConnectionError, ControlConnection, call_deadline,
+    protocol::{
+        Command, Configuration, ConfigurationChange, MembershipChange, MembershipReply, Outcome,
+        Proposal, ProposeReply, ReplicaIdentity, StatusReply,
+    },
+};
+use tokio::time::{Instant, sleep};
+
+use crate::errors::CtlError;
+
+/// Time for connecting to a replica.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for a change, over all replicas.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause before the next replica is tried.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Connections to the control replicas.
+pub struct ControlClient {
+    connections: Vec<ControlConnection>,
+}
+
+impl ControlClient {
+    /// Connections that are made when needed.
+    pub fn new(addresses: impl IntoIterator<Item = SocketAddr>) -> Self {
+        let connections = addresses
+            .into_iter()
+            .map(|address| ControlConnection::new(address, CONNECT_TIMEOUT));
+        Self {
+            connections: connections.collect(),
+        }
+    }
+
+    /// Commits an operator's change.
+    pub async fn configure(
+        &self,
+        operation: &OperationId,
+        change: ConfigurationChange,
+    ) -> Result<Outcome, Report<CtlError>> {
+        let command = Command::Configure {
+            operation: operation.clone(),
+            change,
+        };
+        self.propose(command, operation.as_str()).await
+    }
+
+    /// The configuration, no older than this call.
+    pub async fn configuration(&self) -> Result<Configuration, Report<CtlError>> {
+        // The barrier is applied by the leader, which then has everything accepted before it.
+        self.propose(Command::Barrier, "").await?;
+        let mut newest = None;
+        for connection in &self.connections {
+            let configuration = connection
+                .call(
+                    |client| async move { client.configuration(call_deadline(CALL_TIMEOUT)).await },
+                )
+                .await;
+            let known: Option<&Configuration> = newest.as_ref();
+            match configuration {
+                Ok(found) if known.is_none_or(|known| found.revision > known.revision) => {
+                    newest = Some(found);
+                }
+                _ => {}
+            }
+        }
+        newest.ok_or_else(|| Report::new(CtlError::Unavailable))
+    }
+
+    /// State of each replica that answers.
+    pub async fn statuses(&self) -> Vec<(SocketAddr, Option<StatusReply>)> {
+        let mut statuses = Vec::new();
+        for connection in &self.connections {
+            let status = connection
+                .call(|client| async move { client.status(call_deadline(CALL_TIMEOUT)).await })
+                .await;
+            statuses.push((connection.address(), status.ok()));
+        }
+        statuses
+    }
+
+    /// Makes each replica write a snapshot; answers with the positions covered.
+    pub async fn snapshots(&self) -> Vec<(SocketAddr, Option<u64>)> {
+        let mut positions = Vec::new();
+        for connection in &self.connections {
+            let position = connection
+                .call(|client| async move { client.snapshot(call_deadline(CALL_TIMEOUT)).await })
+                .await;
+            positions.push((connection.address(), position.ok()));
+        }
+        positions
+    }
+
+    /// Who runs at an address.
+    pub async fn identify(address: SocketAddr) -> Result<ReplicaIdentity, Report<CtlError>> {
+        let connection = ControlConnection::new(address, CONNECT_TIMEOUT);
+        let identity = connection
+            .call(|client| async move { client.identify(call_deadline(CALL_TIMEOUT)).await })
+            .await;
+        identity.map_err(|report| report.change_context(CtlError::Unavailable))
+    }
+
+    /// Changes the control replicas, waiting while an earlier change is under way.
+    pub async fn change_membership(
+        &self,
+        change: &MembershipChange,
+    ) -> Result<(), Report<CtlError>> {
+        let deadline = Instant::now() + CHANGE_TIMEOUT;
+        let mut reason = "no leader";
+        while Instant::now() < deadline {
+            for connection in &self.connections {
+                let change = change.clone();
+                let reply = connection
+                    .call(|client| async move {
+                        client
+                            .change_membership(call_deadline(CALL_TIMEOUT), change)
+                            .await
+                    })
+                    .await;
+                match reply {
+                    Ok(MembershipReply::Appended) => return Ok(()),
+                    Ok(MembershipReply::Invalid) => {
+                        let reason = "no such member, or already one";
+                        return Err(Report::new(CtlError::MembershipRefused { reason }));
+                    }
+                    Ok(MembershipReply::ChangePending) => reason = "an earlier change is pending",
+                    Ok(MembershipReply::LearnerBehind { .. }) => reason = "the learner is behind",
+                    Ok(MembershipReply::NotLeader { .. }) | Err(_) => {}
+                }
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+        Err(Report::new(CtlError::MembershipRefused { reason }))
+    }
+
+    async fn propose(
+        &self,
+        command: Command,
+        operation: &str,
+    ) -> Result<Outcome, Report<CtlError>> {
+        let deadline = Instant::now() + CHANGE_TIMEOUT;
+        let mut maybe_changed = false;
+        while Instant::now() < deadline {
+            for connection in &self.connections {
+                let proposal = Proposal {
+                    at: 0,
+                    command: command.clone(),
+                };
+                let reply = connection
+                    .call(|client| async move {
+                        client.propose(call_deadline(CALL_TIMEOUT), proposal).await
+                    })
+                    .await;
+                match reply {
+                    Ok(ProposeReply::Done(outcome)) => return Ok(outcome),
+                    Ok(ProposeReply::NotLeader { .. }) => {}
+                    Ok(ProposeReply::Unknown) => maybe_changed = true,
+                    Err(report) => {
+                        let reached = report.current_context();
+                        maybe_changed |= matches!(reached, ConnectionError::NoAnswer { .. });
+                    }
+                }
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+        let error = if maybe_changed {
+            CtlError::Unknown {
+                operation: operation.to_owned(),
+            }
+        } else {
+            CtlError::Unavailable
+        };
+        Err(Report::new(error))
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/commands.rs
@@ -0,0 +1,495 @@
+//! What each command does.
+
+use std::{fs, net::SocketAddr, path::Path, time::Duration};
+
+use clap::ArgMatches;
+use error_stack::{Report, ResultExt};
+use railtack_consensus::{Member, ReplicaId};
+use railtack_core::{EngineId, OperationId, Revision};
+use railtack_http::HttpClient;
+use railtack_platform::{EngineStatus, MachineKind, MachineList};
+use railtack_router::decisions::DecisionRecord;
+use railtack_rpc::protocol::{Configuration, ConfigurationChange, MembershipChange, Outcome};
+use railtack_settings::documents::Document;
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{
+    client::ControlClient,
+    errors::CtlError,
+    output::{OutputFormat, Table, print_json},
+};
+
+/// Time for one call to the platform, an engine or a router.
+const HTTP_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The kinds of document that have the same commands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DocumentKind {
+    /// Templates.
+    Template,
+    /// Tenants.
+    Tenant,
+    /// Weights wanted for a model.
+    Model,
+}
+
+/// A stored document, for printing.
+#[derive(Clone, Debug, Serialize)]
+pub struct StoredDocument {
+    name: String,
+    revision: Revision,
+    document: Document,
+}
+
+/// Runs a command on documents.
+pub async fn documents(
+    client: &ControlClient,
+    format: OutputFormat,
+    kind: DocumentKind,
+    matches: &ArgMatches,
+) -> Result<(), Report<CtlError>> {
+    match matches.subcommand() {
+        Some(("submit", matches)) => put(client, kind, matches, Some(Revision(0))).await,
+        Some(("revise", matches)) => put(client, kind, matches, None).await,
+        Some(("show", matches)) => show(client, kind, matches).await,
+        Some(("list", _)) => list(client, format, kind).await,
+        Some(("diff", matches)) => diff(client, kind, matches).await,
+        _ => Ok(()),
+    }
+}
+
+async fn put(
+    client: &ControlClient,
+    kind: DocumentKind,
+    matches: &ArgMatches,
+    default_expected: Option<Revision>,
+) -> Result<(), Report<CtlError>> {
+    let document = read_document(kind, matches)?;
+    let named = matches.get_one::<u64>("expect-revision").copied();
+    let expected = match named.map(Revision).or(default_expected) {
+        Some(expected) => expected,
+        None => present_revision(client, &document).await?,
+    };
+    let operation = operation_id(matches);
+    let change = ConfigurationChange::Put { expected, document };
+    let outcome = client.configure(&operation, change).await?;
+    let revision = accepted(outcome)?;
+    println!("accepted at revision {revision} (operation {operation})");
+    Ok(())
+}
+
+async fn present_revision(
+    client: &ControlClient,
+    document: &Document,
+) -> Result<Revision, Report<CtlError>> {
+    let name = name_of(document);
+    let kind = kind_of(document);
+    let configuration = client.configuration().await?;
+    let stored = stored(&configuration, kind).into_iter();
+    let known = stored.into_iter().find(|stored| stored.name == name);
+    known
+        .map(|stored| stored.revision)
+        .ok_or_else(|| Report::new(CtlError::NotFound { name }))
+}
+
+async fn show(
+    client: &ControlClient,
+    kind: DocumentKind,
+    matches: &ArgMatches,
+) -> Result<(), Report<CtlError>> {
+    let name = matches
+        .get_one::<String>("name")
+        .cloned()
+        .unwrap_or_default();
+    let configuration = client.configuration().await?;
+    let found = stored(&configuration, kind)
+        .into_iter()
+        .find(|stored| stored.name == name)
+        .ok_or_else(|| Report::new(CtlError::NotFound { name }))?;
+    print_json(&found);
+    Ok(())
+}
+
+async fn list(
+    client: &ControlClient,
+    format: OutputFormat,
+    kind: DocumentKind,
+) -> Result<(), Report<CtlError>> {
+    let configuration = client.configuration().await?;
+    let mut table = Table::new(["name", "revision"]);
+    for stored in stored(&configuration, kind) {
+        table.row([stored.name, stored.revision.to_string()]);
+    }
+    table.print(format);
+    Ok(())
+}
+
+async fn diff(
+    client: &ControlClient,
+    kind: DocumentKind,
+    matches: &ArgMatches,
+) -> Result<(), Report<CtlError>> {
+    let document = read_document(kind, matches)?;
+    let name = name_of(&document);
+    let configuration = client.configuration().await?;
+    let known = stored(&configuration, kind)
+        .into_iter()
+        .find(|stored| stored.name == name);
+    let old = known
+        .map(|stored| pretty(&stored.document))
+        .unwrap_or_default();
+    let new = pretty(&document);
+    for line in old
+        .lines()
+        .filter(|line| !new.lines().any(|other| other == *line))
+    {
+        println!("- {line}");
+    }
+    for line in new
+        .lines()
+        .filter(|line| !old.lines().any(|other| other == *line))
+    {
+        println!("+ {line}");
+    }
+    Ok(())
+}
+
+/// Prints the state of the control replicas and routers.
+pub async fn status(client: &ControlClient, format: OutputFormat) -> Result<(), Report<CtlError>> {
+    let statuses = client.statuses().await;
+    let mut table = Table::new([
+        "address", "replica", "term", "leader", "commit", "log", "revision", "claims", "routers",
+    ]);
+    let mut answered = 0;
+    for (address, status) in statuses {
+        let Some(status) = status else {
+            table.row([address.to_string(), "unreachable".to_owned()]);
+            continue;
+        };
+        answered += 1;
+        let leader = status
+            .leader
+            .map_or("none".to_owned(), |leader| leader.to_string());
+        table.row([
+            address.to_string(),
+            status.identity.replica.to_string(),
+            status.term.to_string(),
+            leader,
+            status.commit.to_string(),
+            status.log_entries.to_string(),
+            status.revision.to_string(),
+            status.claims.to_string(),
+            status.routers.len().to_string(),
+        ]);
+    }
+    table.print(format);
+    if answered == 0 {
+        return Err(Report::new(CtlError::Unavailable));
+    }
+    Ok(())
+}
+
+/// Runs a command on the control replicas.
+pub async fn members(
+    client: &ControlClient,
+    format: OutputFormat,
+    matches: &ArgMatches,
+) -> Result<(), Report<CtlError>> {
+    match matches.subcommand() {
+        Some(("add", matches)) => {
+            let address = matches.get_one::<SocketAddr>("address").copied();
+            add_member(client, address).await
+        }
+        Some(("remove", matches)) => {
+            let replica = matches
+                .get_one::<u32>("replica")
+                .copied()
+                .unwrap_or_default();
+            let change = MembershipChange::Remove(ReplicaId(replica));
+            client.change_membership(&change).await?;
+            println!("replica {replica} is being removed");
+            Ok(())
+        }
+        _ => list_members(client, format).await,
+    }
+}
+
+/// Adds a replica as a learner first: a voter that lacks entries could not replace a second loss.
+async fn add_member(
+    client: &ControlClient,
+    address: Option<SocketAddr>,
+) -> Result<(), Report<CtlError>> {
+    let Some(address) = address else {
+        return Ok(());
+    };
+    let identity = ControlClient::identify(address).await?;
+    let member = Member {
+        replica: identity.replica,
+        disk: identity.disk,
+        address: address.to_string(),
+        voter: false,
+    };
+    let add = MembershipChange::AddLearner(member);
+    client.change_membership(&add).await?;
+    let promote = MembershipChange::Promote(identity.replica);
+    client.change_membership(&promote).await?;
+    println!("replica {} at {address} is a voter", identity.replica);
+    Ok(())
+}
+
+async fn list_members(
+    client: &ControlClient,
+    format: OutputFormat,
+) -> Result<(), Report<CtlError>> {
+    let statuses = client.statuses().await;
+    let newest = statuses
+        .into_iter()
+        .filter_map(|(_, status)| status)
+        .max_by_key(|status| (status.term, status.commit))
+        .ok_or_else(|| Report::new(CtlError::Unavailable))?;
+    let mut table = Table::new(["replica", "address", "role", "disk"]);
+    for member in newest.members {
+        let role = if member.voter { "voter" } else { "learner" };
+        table.row([
+            member.replica.to_string(),
+            member.address,
+            role.to_owned(),
+            format!("{:016x}", member.disk.0),
+        ]);
+    }
+    table.print(format);
+    Ok(())
+}
+
+/// Prints the engines.
+pub async fn engines(
+    client: &ControlClient,
+    format: OutputFormat,
+    matches: &ArgMatches,
+) -> Result<(), Report<CtlError>> {
+    let Some(platform) = matches.get_one::<SocketAddr>("platform").copied() else {
+        return Ok(());
+    };
+    let http = HttpClient::new(HTTP_TIMEOUT);
+    let list: MachineList = http
+        .get_json(platform, "/machines", HTTP_TIMEOUT)
+        .await
+        .change_context(CtlError::Unavailable)?;
+    let drained = client.configuration().await?.drained;
+    let mut table = Table::new([
+        "engine", "address", "zone", "model", "weights", "state", "running", "waiting",
+    ]);
+    for machine in list.machines {
+        let MachineKind::Engine { engine, model } = machine.kind else {
+            continue;
+        };
+        let status = http
+            .get_json::<EngineStatus>(machine.address, "/status", HTTP_TIMEOUT)
+            .await
+            .ok();
+        let state = engine_state(machine.leaving, drained.contains(&engine), status.as_ref());
+        let of = |field: fn(&EngineStatus) -> u32| {
+            status
+                .as_ref()
+                .map_or("-".to_owned(), |status| field(status).to_string())
+        };
+        table.row([
+            engine.to_string(),
+            machine.address.to_string(),
+            machine.zone.to_string(),
+            model.to_string(),
+            of(|status| status.weights_version.0),
+            state.to_owned(),
+            of(|status| status.load.running),
+            of(|status| status.load.waiting),
+        ]);
+    }
+    table.print(format);
+    Ok(())
+}
+
+fn engine_state(leaving: bool, drained: bool, status: Option<&EngineStatus>) -> &'static str {
+    match status {
+        None => "unreachable",
+        Some(status) if status.draining => "draining",
+        Some(status) if status.loading => "loading",
+        Some(_) if drained => "drained",
+        Some(_) if leaving => "leaving",
+        Some(_) => "live",
+    }
+}
+
+/// Takes an engine out of service, or back in.
+pub async fn drain(client: &ControlClient, matches: &ArgMatches) -> Result<(), Report<CtlError>> {
+    let engine = matches
+        .get_one::<u32>("engine")
+        .copied()
+        .unwrap_or_default();
+    let drained = !matches.get_flag("undo");
+    let operation = operation_id(matches);
+    let change = ConfigurationChange::SetDrain {
+        engine: EngineId(engine),
+        drained,
+    };
+    let outcome = client.configure(&operation, change).await?;
+    let revision = accepted(outcome)?;
+    println!("accepted at revision {revision} (operation {operation})");
+    Ok(())
+}
+
+/// Prints why a request went to its engine.
+pub async fn explain(format: OutputFormat, matches: &ArgMatches) -> Result<(), Report<CtlError>> {
+    let request = matches
+        .get_one::<String>("request")
+        .cloned()
+        .unwrap_or_default();
+    let routers = matches.get_many::<SocketAddr>("router").unwrap_or_default();
+    let http = HttpClient::new(HTTP_TIMEOUT);
+    for router in routers.copied() {
+        let path = format!("/explain/{request}");
+        let found = http
+            .get_json::<Vec<DecisionRecord>>(router, &path, HTTP_TIMEOUT)
+            .await;
+        if let Ok(records) = found {
+            print_decisions(format, &records);
+            return Ok(());
+        }
+    }
+    Err(Report::new(CtlError::NotFound { name: request }))
+}
+
+fn print_decisions(format: OutputFormat, records: &[DecisionRecord]) {
+    if format == OutputFormat::Json {
+        print_json(&records);
+        return;
+    }
+    let mut table = Table::new([
+        "attempt",
+        "engine",
+        "chosen",
+        "held",
+        "uncached",
+        "expected_ms",
+        "running",
+        "waiting",
+    ]);
+    for record in records {
+        for candidate in &record.candidates {
+            let chosen = candidate.engine == record.engine;
+            table.row([
+                record.attempt.to_string(),
+                candidate.engine.to_string(),
+                if chosen { "yes" } else { "" }.to_owned(),
+                candidate.held_tokens.to_string(),
+                candidate.uncached_tokens.to_string(),
+                (candidate.first_token_us / 1_000).to_string(),
+                candidate.running.to_string(),
+                candidate.waiting.to_string(),
+            ]);
+        }
+    }
+    table.print(format);
+}
+
+/// Makes the control replicas write snapshots.
+pub async fn snapshot(
+    client: &ControlClient,
+    format: OutputFormat,
+) -> Result<(), Report<CtlError>> {
+    let mut table = Table::new(["address", "position"]);
+    for (address, position) in client.snapshots().await {
+        let position = position.map_or("unreachable".to_owned(), |known| known.to_string());
+        table.row([address.to_string(), position]);
+    }
+    table.print(format);
+    Ok(())
+}
+
+fn accepted(outcome: Outcome) -> Result<Revision, Report<CtlError>> {
+    match outcome {
+        Outcome::Accepted { revision } => Ok(revision),
+        Outcome::Conflict { current } => Err(Report::new(CtlError::Conflict { current })),
+        Outcome::Rejected(error) => Err(Report::new(CtlError::Rejected(error))),
+        _ => Err(Report::new(CtlError::OperationReused)),
+    }
+}
+
+fn operation_id(matches: &ArgMatches) -> OperationId {
+    let given = matches.get_one::<String>("operation-id").cloned();
+    OperationId(given.unwrap_or_else(|| format!("{:032x}", rand::random::<u128>())))
+}
+
+fn read_document(kind: DocumentKind, matches: &ArgMatches) -> Result<Document, Report<CtlError>> {
+    let file = matches
+        .get_one::<std::path::PathBuf>("file")
+        .cloned()
+        .unwrap_or_default();
+    match kind {
+        DocumentKind::Template => parse_file(&file).map(Document::Template),
+        DocumentKind::Tenant => parse_file(&file).map(Document::Tenant),
+        DocumentKind::Model => parse_file(&file).map(Document::Model),
+    }
+}
+
+fn parse_file<T: DeserializeOwned>(file: &Path) -> Result<T, Report<CtlError>> {
+    let name = file.display().to_string();
+    let bad_file = |reason: String| CtlError::BadFile {
+        file: name.clone(),
+        reason,
+    };
+    let text = fs::read_to_string(file).map_err(|error| {
+        let reason = bad_file(error.to_string());
+        Report::new(error).change_context(reason)
+    })?;
+    toml::from_str(&text).map_err(|error| Report::new(bad_file(error.to_string())))
+}
+
+fn stored(configuration: &Configuration, kind: DocumentKind) -> Vec<StoredDocument> {
+    match kind {
+        DocumentKind::Template => configuration
+            .templates
+            .values()
+            .map(|known| {
+                stored_document(known.revision, Document::Template(known.document.clone()))
+            })
+            .collect(),
+        DocumentKind::Tenant => configuration
+            .tenants
+            .values()
+            .map(|known| stored_document(known.revision, Document::Tenant(known.document.clone())))
+            .collect(),
+        DocumentKind::Model => configuration
+            .models
+            .values()
+            .map(|known| stored_document(known.revision, Document::Model(known.document.clone())))
+            .collect(),
+    }
+}
+
+fn stored_document(revision: Revision, document: Document) -> StoredDocument {
+    StoredDocument {
+        name: name_of(&document),
+        revision,
+        document,
+    }
+}
+
+fn name_of(document: &Document) -> String {
+    match document {
+        Document::Template(template) => template.name.0.clone(),
+        Document::Tenant(tenant) => tenant.name.0.clone(),
+        Document::Model(target) => target.name.0.clone(),
+    }
+}
+
+fn kind_of(document: &Document) -> DocumentKind {
+    match document {
+        Document::Template(_) => DocumentKind::Template,
+        Document::Tenant(_) => DocumentKind::Tenant,
+        Document::Model(_) => DocumentKind::Model,
+    }
+}
+
+fn pretty(document: &Document) -> String {
+    serde_json::to_string_pretty(document).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,7 @@
+//! `railtackctl`: operates railtack.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    railtack_ctl::cli::run(std::env::args_os())
+}
--- /dev/null
+++ b/crates/ctl/src/output.rs
@@ -0,0 +1,85 @@
+//! Printing: tables for people, JSON for programs.
+
+use serde::Serialize;
+use serde_json::Value;
+
+/// How results are printed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OutputFormat {
+    /// Aligned columns.
+    Table,
+    /// One JSON document.
+    Json,
+}
+
+/// Rows with a heading.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Table {
+    headings: Vec<&'static str>,
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// A table without rows.
+    pub fn new(headings: impl IntoIterator<Item = &'static str>) -> Self {
+        Self {
+            headings: headings.into_iter().collect(),
+            rows: Vec::new(),
+        }
+    }
+
+    /// Adds a row.
+    pub fn row(&mut self, cells: impl IntoIterator<Item = String>) {
+        self.rows.push(cells.into_iter().collect());
+    }
+
+    /// Prints the table in the wanted format.
+    pub fn print(&self, format: OutputFormat) {
+        match format {
+            OutputFormat::Table => print!("{}", self.text()),
+            OutputFormat::Json => print_json(&self.objects()),
+        }
+    }
+
+    /// The table as aligned text.
+    pub fn text(&self) -> String {
+        let mut widths: Vec<usize> = self.headings.iter().map(|heading| heading.len()).collect();
+        for row in &self.rows {
+            for (width, cell) in widths.iter_mut().zip(row) {
+                *width = (*width).max(cell.len());
+            }
+        }
+        let headings = self.headings.iter().map(|heading| heading.to_uppercase());
+        let mut text = line(headings, &widths);
+        for row in &self.rows {
+            text.push_str(&line(row.iter().cloned(), &widths));
+        }
+        text
+    }
+
+    fn objects(&self) -> Value {
+        let objects = self.rows.iter().map(|row| {
+            let fields = self.headings.iter().zip(row);
+            let fields = fields.map(|(heading, cell)| (heading.to_string(), cell.clone().into()));
+            Value::Object(fields.collect())
+        });
+        objects.collect()
+    }
+}
+
+/// Prints a value as JSON.
+pub fn print_json<T: Serialize>(value: &T) {
+    // Printing our own types cannot fail: they have string keys only.
+    println!(
+        "{}",
+        serde_json::to_string_pretty(value).unwrap_or_default()
+    );
+}
+
+fn line(cells: impl Iterator<Item = String>, widths: &[usize]) -> String {
+    let padded: Vec<String> = cells
+        .zip(widths)
+        .map(|(cell, &width)| format!("{cell:<width$}"))
+        .collect();
+    format!("{}\n", padded.join("  ").trim_end())
+}
--- a/crates/emulator/src/cache.rs
+++ b/crates/emulator/src/cache.rs
@@ -87,8 +87,14 @@
                 return position;
             }
             let stamp = self.take_stamp();
-            self.blocks
-                .insert(*hash, Block { stamp, users: 0, used_at: now_us });
+            self.blocks.insert(
+                *hash,
+                Block {
+                    stamp,
+                    users: 0,
+                    used_at: now_us,
+                },
+            );
             self.evictable.insert(stamp, *hash);
             self.changes.stored.push(*hash);
         }
--- /dev/null
+++ b/crates/emulator/src/cli.rs
@@ -0,0 +1,129 @@
+//! Command line of `railtack-emulator`.
+
+use std::{ffi::OsString, net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
+
+use crate::{
+    EmulatorError, engine_server::EngineStandIn, platform_server::PlatformStandIn,
+    service_server::ServiceStandIn,
+};
+use clap::{Arg, ArgAction, Command, value_parser};
+use error_stack::{Report, ResultExt};
+use railtack_http::{ServeOptions, serve};
+use railtack_settings::{
+    emulator::{EmulatorRole, EmulatorSettings},
+    load_settings, logging,
+};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+};
+use tokio_util::sync::CancellationToken;
+
+fn command() -> Command {
+    Command::new("railtack-emulator")
+        .about("A stand-in for an engine, a service or the platform")
+        .version(env!("CARGO_PKG_VERSION"))
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Settings file (TOML)"),
+        )
+        .arg(
+            Arg::new("platform")
+                .long("platform")
+                .value_name("ADDRESS")
+                .value_parser(value_parser!(SocketAddr))
+                .help("The platform, from whose weight store an engine reads"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings and exit"),
+        )
+}
+
+/// Runs the program with the given arguments, the first of which is its name.
+pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
+    logging::initialize();
+    match start(arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(arguments: impl IntoIterator<Item = OsString>) -> Result<(), Report<EmulatorError>> {
+    let matches = command().get_matches_from(arguments);
+    let file = matches
+        .get_one::<PathBuf>("settings")
+        .cloned()
+        .unwrap_or_default();
+    let settings: EmulatorSettings =
+        load_settings(&file).change_context(EmulatorError::Settings)?;
+    if matches.get_flag("check") {
+        return Ok(());
+    }
+    let platform = matches.get_one::<SocketAddr>("platform").copied();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .change_context(EmulatorError::Runtime)?;
+    runtime.block_on(serve_role(settings, platform))
+}
+
+async fn serve_role(
+    settings: EmulatorSettings,
+    platform: Option<SocketAddr>,
+) -> Result<(), Report<EmulatorError>> {
+    let address = settings.listen;
+    let listener = TcpListener::bind(address)
+        .await
+        .change_context(EmulatorError::Listen { address })?;
+    let shutdown = CancellationToken::new();
+    let options = ServeOptions::default();
+    match settings.role {
+        EmulatorRole::Engine(engine) => {
+            let engine = EngineStandIn::new(engine, platform);
+            tokio::spawn(engine.clone().run());
+            tokio::spawn(stop_on_signal(shutdown.clone(), Some(engine.clone())));
+            let handler = move |request| engine.clone().handle(request);
+            serve(listener, options, shutdown, handler).await;
+        }
+        EmulatorRole::Service { service, answer_ms } => {
+            let service = ServiceStandIn::new(service, Duration::from_millis(answer_ms));
+            tokio::spawn(stop_on_signal(shutdown.clone(), None));
+            let handler = move |request| service.clone().handle(request);
+            serve(listener, options, shutdown, handler).await;
+        }
+        EmulatorRole::Platform {
+            lag_ms,
+            weight_bytes_per_second,
+        } => {
+            let platform =
+                PlatformStandIn::new(Duration::from_millis(lag_ms), weight_bytes_per_second);
+            tokio::spawn(stop_on_signal(shutdown.clone(), None));
+            let handler = move |request| platform.clone().handle(request);
+            serve(listener, options, shutdown, handler).await;
+        }
+    }
+    Ok(())
+}
+
+/// A planned stop: an engine refuses new work at once and ends what it has.
+async fn stop_on_signal(shutdown: CancellationToken, engine: Option<EngineStandIn>) {
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
+        return;
+    };
+    terminate.recv().await;
+    if let Some(engine) = engine {
+        engine.begin_drain();
+    }
+    shutdown.cancel();
+}
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -232,7 +232,9 @@
         let matched = self.cache.matched(&chain.blocks);
         self.cache.acquire(&chain.blocks[..matched], now_us);
         // The last token is always computed: its output is the first token of the answer.
-        let cached_tokens = chain.tokens_at(matched).min(chain.total_tokens.saturating_sub(1));
+        let cached_tokens = chain
+            .tokens_at(matched)
+            .min(chain.total_tokens.saturating_sub(1));
         let imported_to = chain
             .tokens_at(request.importable_blocks.max(matched))
             .min(chain.total_tokens.saturating_sub(1));
@@ -332,5 +334,9 @@
         prompt_tokens: running.request.chain.total_tokens,
         cached_tokens: running.cached_tokens,
     });
-    TokenOutput { attempt: running.request.attempt, index, end }
+    TokenOutput {
+        attempt: running.request.attempt,
+        index,
+        end,
+    }
 }
--- a/crates/emulator/src/engine_server.rs
+++ b/crates/emulator/src/engine_server.rs
@@ -161,9 +161,11 @@
                 stream.take(output);
             }
         }
-        shared
-            .streams
-            .retain(|_, stream| stream.ended_at.is_none_or(|ended| ended.elapsed() < STREAM_KEPT));
+        shared.streams.retain(|_, stream| {
+            stream
+                .ended_at
+                .is_none_or(|ended| ended.elapsed() < STREAM_KEPT)
+        });
     }
 
     async fn complete(self, request: Request<Incoming>) -> Response<Body> {
@@ -272,7 +274,11 @@
             .is_none_or(|stream| stream.produced > next || stream.end.is_some())
     }
 
-    fn frames_from(&self, attempt: u128, next: u32) -> Option<(Vec<StreamFrame>, Arc<Notify>, bool)> {
+    fn frames_from(
+        &self,
+        attempt: u128,
+        next: u32,
+    ) -> Option<(Vec<StreamFrame>, Arc<Notify>, bool)> {
         let shared = self.lock();
         let stream = shared.streams.get(&attempt)?;
         let mut frames: Vec<StreamFrame> = (next..stream.produced)
@@ -316,7 +322,12 @@
         CacheListing {
             incarnation: self.incarnation,
             sequence: shared.feed.sequence(),
-            blocks: shared.model.cache().hashes().map(|hash| Hex(hash.0)).collect(),
+            blocks: shared
+                .model
+                .cache()
+                .hashes()
+                .map(|hash| Hex(hash.0))
+                .collect(),
         }
     }
 
@@ -405,7 +416,10 @@
 
     async fn wait_for_weights(&self, platform: std::net::SocketAddr) {
         let client = railtack_http::HttpClient::new(Duration::from_secs(1));
-        let content = serde_json::to_vec(&WeightsRequest { bytes: WEIGHT_BYTES }).unwrap_or_default();
+        let content = serde_json::to_vec(&WeightsRequest {
+            bytes: WEIGHT_BYTES,
+        })
+        .unwrap_or_default();
         let granted = client
             .post_json::<WeightsGrant>(platform, "/weights", content, Duration::from_secs(2))
             .await;
@@ -415,7 +429,13 @@
     }
 
     fn refuse(&self, status: u16, error: EngineRefusal) -> Response<Body> {
-        body::json(status, &EngineError { error, incarnation: self.incarnation })
+        body::json(
+            status,
+            &EngineError {
+                error,
+                incarnation: self.incarnation,
+            },
+        )
     }
 
     fn now_us(&self) -> u64 {
--- a/crates/emulator/src/event_feed.rs
+++ b/crates/emulator/src/event_feed.rs
@@ -2,10 +2,10 @@
 
 use std::collections::VecDeque;
 
-use rand::{RngExt, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 use railtack_core::EngineIncarnation;
 use railtack_platform::{EngineEvent, EngineEventKind, Hex};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 use crate::cache::CacheChanges;
 
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod answer;
 pub mod cache;
+pub mod cli;
 pub mod engine;
 pub mod engine_server;
 pub mod errors;
--- a/crates/emulator/src/platform_server.rs
+++ b/crates/emulator/src/platform_server.rs
@@ -41,7 +41,11 @@
             shown: VecDeque::new(),
             weights_free_at: Instant::now(),
         };
-        Self { lag, weight_rate, shared: Arc::new(Mutex::new(shared)) }
+        Self {
+            lag,
+            weight_rate,
+            shared: Arc::new(Mutex::new(shared)),
+        }
     }
 
     /// Answers one request.
@@ -91,7 +95,9 @@
         let seconds = wanted.bytes as f64 / self.weight_rate as f64;
         shared.weights_free_at = shared.weights_free_at.max(now) + Duration::from_secs_f64(seconds);
         let ready_in = shared.weights_free_at - now;
-        WeightsGrant { ready_in_ms: ready_in.as_millis() as u64 }
+        WeightsGrant {
+            ready_in_ms: ready_in.as_millis() as u64,
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Shared> {
--- a/crates/emulator/src/service_server.rs
+++ b/crates/emulator/src/service_server.rs
@@ -28,7 +28,11 @@
 impl ServiceStandIn {
     /// A service that takes `answer_time` for each answer.
     pub fn new(name: String, answer_time: Duration) -> Self {
-        Self { name, answer_time, counts: Arc::default() }
+        Self {
+            name,
+            answer_time,
+            counts: Arc::default(),
+        }
     }
 
     /// Answers one request. Every request but a look at the counts is an execution.
--- /dev/null
+++ b/crates/router/src/admin.rs
@@ -0,0 +1,42 @@
+//! The operators' side of a router: metrics, health, explanations.
+
+use std::sync::Arc;
+
+use hyper::{Request, Response, body::Incoming};
+use prometheus_client::registry::Registry;
+use railtack_http::{Body, body, observability};
+use serde_json::json;
+
+use crate::state::{RouterState, lock};
+
+/// Answers one request on the operators' listener.
+pub fn handle(
+    state: &RouterState,
+    registry: &Arc<Registry>,
+    request: &Request<Incoming>,
+) -> Response<Body> {
+    let path = request.uri().path();
+    if let Some(response) = observability::answer(path, registry, is_ready(state)) {
+        return response;
+    }
+    if let Some(id) = path.strip_prefix("/explain/") {
+        let records = lock(&state.decisions).about(id);
+        let status = if records.is_empty() { 404 } else { 200 };
+        return body::json(status, &records);
+    }
+    if path == "/configuration" {
+        let resolved = state.resolved.load();
+        let revision = resolved.configuration.revision;
+        let content = json!({
+            "revision": revision,
+            "applied": resolved.applied,
+            "confirmed": state.is_confirmed(),
+        });
+        return body::json(200, &content);
+    }
+    body::json(404, &json!({ "error": "unknown_path" }))
+}
+
+fn is_ready(state: &RouterState) -> bool {
+    state.require_serving().is_ok()
+}
--- /dev/null
+++ b/crates/router/src/answers.rs
@@ -0,0 +1,250 @@
+//! What callers see: whole answers, server-sent events, and explicit ends.
+
+use bytes::Bytes;
+use futures::SinkExt;
+use hyper::{Response, header::HeaderValue};
+use railtack_core::RequestId;
+use railtack_http::{Body, body, streaming};
+use railtack_platform::StreamEnd;
+use serde::Serialize;
+use tokio::sync::mpsc;
+
+use crate::refusal::Refusal;
+
+/// Header that names the request, for `railtackctl explain`.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Last event of a whole answer. A stream without it was cut.
+const DONE: &str = "data: [DONE]\n\n";
+
+/// The published shape in which a caller asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shape {
+    /// `/v1/completions`.
+    Completion,
+    /// `/v1/chat/completions`.
+    Chat,
+}
+
+/// One step of an answer, in order. The last is `Ended` or `Failed`.
+#[derive(Clone, Debug)]
+pub enum AnswerEvent {
+    /// Text of one token.
+    Token(String),
+    /// The answer is whole.
+    Ended(StreamEnd),
+    /// There will be no more.
+    Failed(Refusal),
+}
+
+/// The steps of an answer as they come.
+pub type AnswerEvents = mpsc::Receiver<AnswerEvent>;
+
+#[derive(Serialize)]
+struct Answer<'a> {
+    id: String,
+    object: &'static str,
+    model: &'a str,
+    choices: [Choice<'a>; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<Usage>,
+}
+
+#[derive(Serialize)]
+struct Choice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<Message<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<Message<'a>>,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Serialize)]
+struct Message<'a> {
+    role: &'static str,
+    content: &'a str,
+}
+
+#[derive(Clone, Copy, Serialize)]
+struct Usage {
+    prompt_tokens: u32,
+    completion_tokens: u32,
+    total_tokens: u32,
+    prompt_tokens_details: PromptDetails,
+}
+
+#[derive(Clone, Copy, Serialize)]
+struct PromptDetails {
+    cached_tokens: u32,
+}
+
+impl From<StreamEnd> for Usage {
+    fn from(end: StreamEnd) -> Self {
+        Self {
+            prompt_tokens: end.prompt_tokens,
+            completion_tokens: end.tokens,
+            total_tokens: end.prompt_tokens + end.tokens,
+            prompt_tokens_details: PromptDetails {
+                cached_tokens: end.cached_tokens,
+            },
+        }
+    }
+}
+
+/// How the answer to one request is written.
+#[derive(Clone, Debug)]
+pub struct AnswerWriter {
+    /// The request.
+    pub request: RequestId,
+    /// The published shape.
+    pub shape: Shape,
+    /// The model's name.
+    pub model: String,
+}
+
+impl AnswerWriter {
+    /// Waits for the first event, so that a refusal still has its own status, then answers.
+    pub async fn respond(self, mut events: AnswerEvents, stream: bool) -> Response<Body> {
+        let request = self.request;
+        let response = match events.recv().await {
+            Some(AnswerEvent::Failed(refusal)) => refusal.response(),
+            Some(first) if stream => self.stream(first, events),
+            Some(first) => self.collect(first, events).await,
+            None => abandoned().response(),
+        };
+        with_request_id(response, request)
+    }
+
+    fn stream(self, first: AnswerEvent, mut events: AnswerEvents) -> Response<Body> {
+        let (mut sender, stream_body) = streaming();
+        tokio::spawn(async move {
+            let mut next = Some(first);
+            while let Some(event) = next {
+                let is_last = !matches!(event, AnswerEvent::Token(_));
+                // A failed send means that the caller is gone; dropping `events` stops the work.
+                if sender.send(self.event_bytes(&event)).await.is_err() || is_last {
+                    return;
+                }
+                next = events.recv().await;
+            }
+            let bytes = self.event_bytes(&AnswerEvent::Failed(abandoned()));
+            let _ = sender.send(bytes).await;
+        });
+        body::with_type(200, "text/event-stream", stream_body)
+    }
+
+    async fn collect(self, first: AnswerEvent, mut events: AnswerEvents) -> Response<Body> {
+        let mut text = String::new();
+        let mut next = Some(first);
+        loop {
+            match next {
+                Some(AnswerEvent::Token(token)) => text.push_str(&token),
+                Some(AnswerEvent::Ended(end)) => return self.whole(&text, end),
+                Some(AnswerEvent::Failed(refusal)) => return refusal.response(),
+                None => return abandoned().response(),
+            }
+            next = events.recv().await;
+        }
+    }
+
+    fn whole(&self, text: &str, end: StreamEnd) -> Response<Body> {
+        let choice = match self.shape {
+            Shape::Completion => choice_with_text(text, Some("length")),
+            Shape::Chat => Choice {
+                message: Some(assistant(text)),
+                ..choice_without_text(Some("length"))
+            },
+        };
+        body::json(200, &self.answer(choice, Some(end), false))
+    }
+
+    fn event_bytes(&self, event: &AnswerEvent) -> Bytes {
+        match event {
+            AnswerEvent::Token(token) => {
+                let choice = self.chunk_choice(token, None);
+                data_line(&self.answer(choice, None, true))
+            }
+            AnswerEvent::Ended(end) => {
+                let choice = self.chunk_choice("", Some("length"));
+                let mut bytes = data_line(&self.answer(choice, Some(*end), true)).to_vec();
+                bytes.extend_from_slice(DONE.as_bytes());
+                Bytes::from(bytes)
+            }
+            AnswerEvent::Failed(refusal) => data_line(&refusal.body()),
+        }
+    }
+
+    fn chunk_choice<'a>(&self, text: &'a str, finish: Option<&'static str>) -> Choice<'a> {
+        match self.shape {
+            Shape::Completion => choice_with_text(text, finish),
+            Shape::Chat => Choice {
+                delta: Some(assistant(text)),
+                ..choice_without_text(finish)
+            },
+        }
+    }
+
+    fn answer<'a>(
+        &'a self,
+        choice: Choice<'a>,
+        end: Option<StreamEnd>,
+        is_chunk: bool,
+    ) -> Answer<'a> {
+        Answer {
+            id: format!("{:032x}", self.request.0),
+            object: match (self.shape, is_chunk) {
+                (Shape::Completion, _) => "text_completion",
+                (Shape::Chat, true) => "chat.completion.chunk",
+                (Shape::Chat, false) => "chat.completion",
+            },
+            model: &self.model,
+            choices: [choice],
+            usage: end.map(Usage::from),
+        }
+    }
+}
+
+/// Names the request in the response's head.
+pub fn with_request_id(mut response: Response<Body>, request: RequestId) -> Response<Body> {
+    if let Ok(value) = HeaderValue::from_str(&format!("{:032x}", request.0)) {
+        response.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+    response
+}
+
+/// The task that ran the request ended without saying how.
+fn abandoned() -> Refusal {
+    let code = railtack_core::RefusalCode::BackendFailed;
+    Refusal::unknown(code, "the request was abandoned")
+}
+
+fn choice_with_text<'a>(text: &'a str, finish_reason: Option<&'static str>) -> Choice<'a> {
+    Choice {
+        text: Some(text),
+        ..choice_without_text(finish_reason)
+    }
+}
+
+fn choice_without_text<'a>(finish_reason: Option<&'static str>) -> Choice<'a> {
+    Choice {
+        index: 0,
+        text: None,
+        delta: None,
+        message: None,
+        finish_reason,
+    }
+}
+
+fn assistant(content: &str) -> Message<'_> {
+    Message {
+        role: "assistant",
+        content,
+    }
+}
+
+fn data_line<T: Serialize>(value: &T) -> Bytes {
+    let text = serde_json::to_string(value).unwrap_or_default();
+    Bytes::from(format!("data: {text}\n\n"))
+}
--- /dev/null
+++ b/crates/router/src/completions.rs
@@ -0,0 +1,174 @@
+//! Model requests: from the caller's body to a running dispatch.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use hyper::Response;
+use railtack_core::{CacheNamespace, PrefixChain, RefusalCode, RequestId, prefix::BYTES_PER_TOKEN};
+use railtack_http::Body;
+use railtack_routing::{
+    AdmissionRefusal, Decision, ModelKey, RequestShape, admission::AdmissionRequest,
+};
+use railtack_settings::documents::Target;
+use tokio::{sync::mpsc, time::Instant};
+
+use crate::{
+    answers::{AnswerWriter, Shape},
+    api::CompletionBody,
+    dispatch::{self, Job},
+    prompt,
+    refusal::Refusal,
+    resolved::{Resolved, ResolvedService},
+    state::{RouterState, lock},
+};
+
+/// Steps of an answer that may wait for a slow caller before the engine's stream waits too.
+const ANSWER_BUFFER: usize = 64;
+/// Smallest pause told to a refused caller, milliseconds.
+const SHORTEST_PAUSE_MS: u64 = 100;
+
+/// Runs one model request.
+pub async fn complete(
+    state: Arc<RouterState>,
+    bearer: Option<String>,
+    body: CompletionBody,
+    shape: Shape,
+) -> Response<Body> {
+    let request = RequestId(rand::random());
+    let stream = body.stream;
+    match prepare(&state, bearer.as_deref(), body, request) {
+        Ok(job) => {
+            let writer = AnswerWriter {
+                request,
+                shape,
+                model: job.key.model.0.clone(),
+            };
+            let (sender, events) = mpsc::channel(ANSWER_BUFFER);
+            tokio::spawn(dispatch::run(state, job, sender));
+            writer.respond(events, stream).await
+        }
+        Err(refusal) => {
+            state.metrics.refused(refusal.code);
+            refusal.response()
+        }
+    }
+}
+
+fn prepare(
+    state: &RouterState,
+    bearer: Option<&str>,
+    body: CompletionBody,
+    request: RequestId,
+) -> Result<Job, Refusal> {
+    state.require_serving()?;
+    let resolved = state.resolved.load();
+    let tenant = resolved.authenticate(bearer)?;
+    let service = resolved.service(tenant, &body.template)?;
+    let job = build_job(state, &resolved, service, body, request)?;
+    admit(state, &service, job)
+}
+
+fn build_job(
+    state: &RouterState,
+    resolved: &Resolved,
+    service: ResolvedService<'_>,
+    body: CompletionBody,
+    request: RequestId,
+) -> Result<Job, Refusal> {
+    let template = service.template;
+    let Target::Model { model, adapter } = &template.target else {
+        let detail = "this template is served under /services";
+        return Err(Refusal::not_run(RefusalCode::UnknownRoute, detail));
+    };
+    let prompt = prompt::build(template, service.service, &body.parameters, &body.prompt)?;
+    let key = ModelKey {
+        model: model.clone(),
+        weights_version: resolved.weights_version(model),
+    };
+    let namespace = CacheNamespace::derive(
+        &service.tenant.name,
+        model,
+        key.weights_version,
+        adapter.as_deref(),
+    );
+    let block_tokens = state.block_tokens.load(Ordering::Relaxed).max(1);
+    let chain = PrefixChain::from_text(namespace, &prompt.text, block_tokens);
+    let boundaries = prompt.boundaries(block_tokens as usize * BYTES_PER_TOKEN);
+    let limits = &state.settings.limits;
+    let deadline_ms = body.deadline_ms.unwrap_or(limits.default_deadline_ms);
+    let deadline_ms = deadline_ms.min(limits.longest_deadline_ms);
+    Ok(Job {
+        request,
+        tenant: service.tenant.name.clone(),
+        template: template.name.clone(),
+        key,
+        namespace,
+        prompt: prompt.text,
+        chain,
+        boundaries,
+        priority: template.priority,
+        max_tokens: body.max_tokens.clamp(1, template.max_output_tokens),
+        received: Instant::now(),
+        deadline: Instant::now() + Duration::from_millis(deadline_ms),
+        first_decision: None,
+    })
+}
+
+/// Chooses an engine and asks whether the request may run there in time.
+fn admit(state: &RouterState, service: &ResolvedService<'_>, mut job: Job) -> Result<Job, Refusal> {
+    let now = state.now_us();
+    let decision = choose_first(state, &job, now)?;
+    let deadline_us = job.deadline.duration_since(job.received).as_micros() as u64;
+    let tokens = u64::from(job.chain.total_tokens) + u64::from(job.max_tokens);
+    let request = AdmissionRequest {
+        tenant: &job.tenant,
+        limits: &service.tenant.limits,
+        weight: service.tenant.weight,
+        tokens,
+        priority: job.priority,
+        first_token_us: decision.chosen.first_token_us,
+        deadline_us,
+    };
+    lock(&state.admission)
+        .admit(request, now)
+        .map_err(refused_admission)?;
+    lock(&state.retry_budgets)
+        .entry(job.tenant.clone())
+        .or_default()
+        .earn();
+    job.first_decision = Some(decision);
+    Ok(job)
+}
+
+fn choose_first(state: &RouterState, job: &Job, now: u64) -> Result<Decision, Refusal> {
+    let shape = RequestShape {
+        key: &job.key,
+        chain: &job.chain,
+        boundaries: &job.boundaries,
+        priority: job.priority,
+        excluded: &[],
+    };
+    let decision = lock(&state.scheduler).choose(shape, now, rand::random());
+    decision.ok_or_else(|| {
+        let detail = format!(
+            "no engine runs {} {}",
+            job.key.model, job.key.weights_version
+        );
+        Refusal::not_run(RefusalCode::NoBackend, detail).retry_after_ms(1_000)
+    })
+}
+
+fn refused_admission(refusal: AdmissionRefusal) -> Refusal {
+    let pause_ms = (refusal.retry_after_us() / 1_000).max(SHORTEST_PAUSE_MS);
+    let code = match refusal {
+        AdmissionRefusal::RateLimit { .. } | AdmissionRefusal::ConcurrencyLimit { .. } => {
+            RefusalCode::TenantLimit
+        }
+        AdmissionRefusal::FairShare { .. } | AdmissionRefusal::TooLate { .. } => {
+            RefusalCode::Overloaded
+        }
+    };
+    Refusal::not_run(code, refusal.to_string()).retry_after_ms(pause_ms)
+}
--- /dev/null
+++ b/crates/router/src/control_link.rs
@@ -0,0 +1,232 @@
+//! Talking to the control replicas: polls for configuration, proposals for claims.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use railtack_consensus::ReplicaId;
+use railtack_rpc::{
+    ControlConnection, call_deadline,
+    protocol::{Command, Outcome, PollReply, PollRequest, Proposal, ProposeReply, VoterAddress},
+};
+use railtack_settings::router::ControlAddress;
+use tokio::time::{Instant, sleep};
+
+use crate::state::{RouterState, lock};
+
+/// Time for connecting to a replica.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for one poll.
+const POLL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Pause before asking again when a replica has told of an entry that was not sent yet.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(20);
+/// Time for one proposal to one replica.
+const PROPOSE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Pause before the next replica is tried.
+const PROPOSE_PAUSE: Duration = Duration::from_millis(30);
+
+/// How a proposal ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Proposed {
+    /// It is committed and applied.
+    Done(Outcome),
+    /// No replica took it: it has had no effect and will have none.
+    NotProposed,
+    /// It may be committed now or later.
+    Unknown,
+}
+
+type Connections = BTreeMap<ReplicaId, Arc<ControlConnection>>;
+
+/// Connections to the control replicas.
+pub struct ControlLink {
+    connections: Mutex<Connections>,
+    leader: Mutex<Option<SocketAddr>>,
+}
+
+impl ControlLink {
+    /// Connections to the replicas that the settings name.
+    pub fn new(replicas: &[ControlAddress]) -> Self {
+        let connections = replicas.iter().map(|known| {
+            let connection = ControlConnection::new(known.address, CONNECT_TIMEOUT);
+            (ReplicaId(known.replica_id), Arc::new(connection))
+        });
+        Self {
+            connections: Mutex::new(connections.collect()),
+            leader: Mutex::new(None),
+        }
+    }
+
+    /// Follows a change of the voters.
+    fn set_voters(&self, voters: &[VoterAddress]) {
+        let mut connections = lock(&self.connections);
+        connections.retain(|replica, _| voters.iter().any(|voter| voter.replica == *replica));
+        for voter in voters {
+            let Ok(address) = voter.address.parse::<SocketAddr>() else {
+                continue;
+            };
+            let known = connections
+                .get(&voter.replica)
+                .is_some_and(|connection| connection.address() == address);
+            if !known {
+                let connection = ControlConnection::new(address, CONNECT_TIMEOUT);
+                connections.insert(voter.replica, Arc::new(connection));
+            }
+        }
+    }
+
+    fn connections(&self) -> Vec<(ReplicaId, Arc<ControlConnection>)> {
+        let connections = lock(&self.connections);
+        connections
+            .iter()
+            .map(|(replica, connection)| (*replica, Arc::clone(connection)))
+            .collect()
+    }
+
+    /// Commits a command, asking replica after replica until `limit` has passed.
+    ///
+    /// The same command may reach the log twice; every command is safe to repeat.
+    pub async fn propose(&self, command: Command, limit: Duration) -> Proposed {
+        let deadline = Instant::now() + limit;
+        let mut maybe_proposed = false;
+        let mut position = 0;
+        while Instant::now() < deadline {
+            let Some(connection) = self.proposal_target(position) else {
+                break;
+            };
+            position += 1;
+            let proposal = Proposal {
+                at: 0,
+                command: command.clone(),
+            };
+            let answer = connection
+                .call(|client| async move {
+                    client
+                        .propose(call_deadline(PROPOSE_TIMEOUT), proposal)
+                        .await
+                })
+                .await;
+            match answer {
+                Ok(ProposeReply::Done(outcome)) => {
+                    *lock(&self.leader) = Some(connection.address());
+                    return Proposed::Done(outcome);
+                }
+                Ok(ProposeReply::NotLeader { leader }) => {
+                    *lock(&self.leader) = leader.and_then(|address| address.parse().ok());
+                }
+                Ok(ProposeReply::Unknown) => {
+                    maybe_proposed = true;
+                    lock(&self.leader).take();
+                }
+                Err(report) => {
+                    let unreachable = matches!(
+                        report.current_context(),
+                        railtack_rpc::ConnectionError::Unreachable { .. }
+                    );
+                    maybe_proposed |= !unreachable;
+                    lock(&self.leader).take();
+                }
+            }
+            sleep(PROPOSE_PAUSE).await;
+        }
+        if maybe_proposed {
+            Proposed::Unknown
+        } else {
+            Proposed::NotProposed
+        }
+    }
+
+    /// The leader if known, otherwise one replica after another.
+    fn proposal_target(&self, position: usize) -> Option<Arc<ControlConnection>> {
+        let connections = self.connections();
+        let leader = *lock(&self.leader);
+        let led = connections
+            .iter()
+            .find(|(_, connection)| Some(connection.address()) == leader);
+        let (_, connection) =
+            led.or_else(|| connections.get(position % connections.len().max(1)))?;
+        Some(Arc::clone(connection))
+    }
+}
+
+/// Polls all replicas at every interval for as long as the router runs.
+///
+/// The first round starts at once, so that a restarted router serves as soon as a majority has
+/// answered. Routers restarted together spread over the replicas by their number.
+pub async fn keep_current(state: Arc<RouterState>) {
+    let interval = Duration::from_millis(state.settings.lease.confirm_interval_ms);
+    let mut round = state.settings.router_id.0 as usize;
+    loop {
+        let behind = poll_all(&state, round).await;
+        round += 1;
+        sleep(if behind { CATCH_UP_PAUSE } else { interval }).await;
+    }
+}
+
+/// One round; true if a replica has told of an entry that is not applied here yet.
+async fn poll_all(state: &Arc<RouterState>, round: usize) -> bool {
+    let connections = state.control.connections();
+    let count = connections.len().max(1);
+    let polls = connections
+        .into_iter()
+        .enumerate()
+        .map(|(position, (_, connection))| {
+            let want_update = position == round % count;
+            let state = Arc::clone(state);
+            tokio::spawn(async move { poll_one(&state, &connection, want_update).await })
+        });
+    let mut last_told = 0;
+    for poll in polls.collect::<Vec<_>>() {
+        if let Ok(Some(told)) = poll.await {
+            last_told = last_told.max(told);
+        }
+    }
+    let applied = state.resolved.load().applied;
+    state.metrics.applied.set(applied);
+    last_told > applied || !state.is_confirmed()
+}
+
+async fn poll_one(
+    state: &RouterState,
+    connection: &ControlConnection,
+    want_update: bool,
+) -> Option<u64> {
+    let asked_at = state.now_ms();
+    let request = PollRequest {
+        router: state.settings.router_id,
+        applied: state.resolved.load().applied,
+        want_update,
+    };
+    let reply = connection
+        .call(|client| async move { client.poll(call_deadline(POLL_TIMEOUT), request).await })
+        .await
+        .ok()?;
+    let told = reply.last_configuration_index;
+    take_reply(state, reply, asked_at);
+    Some(told)
+}
+
+fn take_reply(state: &RouterState, reply: PollReply, asked_at: u64) {
+    if let Some(update) = reply.update {
+        // Updates of several replicas may cross; `updated` takes none that would move back.
+        state
+            .resolved
+            .rcu(|known| match known.updated(update.clone()) {
+                Some(newer) => Arc::new(newer),
+                None => Arc::clone(known),
+            });
+    }
+    if !reply.voter {
+        return;
+    }
+    lock(&state.admission).set_routers(reply.routers);
+    let mut lease = lock(&state.lease);
+    let voters = reply.voters.iter().map(|voter| voter.replica);
+    if !reply.voters.is_empty() && lease.set_voters(reply.membership_index, voters) {
+        state.control.set_voters(&reply.voters);
+    }
+    lease.vouched(reply.replica, asked_at, reply.last_configuration_index);
+}
--- /dev/null
+++ b/crates/router/src/dispatch.rs
@@ -0,0 +1,443 @@
+//! Running a model request: attempts, relay of frames, resumption and continuation.
+//!
+//! Every attempt has an id of its own, and every frame carries its attempt and its position in the
+//! answer. So a late or crossed frame is recognised and dropped, a lost connection is resumed
+//! where it broke, and a dead engine's answer is continued elsewhere from the tokens already
+//! delivered. An answer ends only by an engine's explicit end; anything else is an explicit error.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures::StreamExt;
+use http_body_util::Full;
+use hyper::{Request, Response, body::Incoming};
+use railtack_core::{
+    AttemptId, CacheNamespace, Execution, PrefixChain, RefusalCode, RequestId, TemplateName,
+    TenantName,
+};
+use railtack_http::{SendError, lines, read_body};
+use railtack_platform::{EngineError, EngineRefusal, EngineRequest, Hex, StreamEnd, StreamFrame};
+use railtack_routing::{Decision, EngineSlot, ModelKey, RequestShape};
+use railtack_settings::documents::Priority;
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep, timeout_at},
+};
+
+use crate::{
+    answers::AnswerEvent,
+    decisions::{CandidateRecord, DecisionRecord},
+    engine_link::refresh_status,
+    refusal::Refusal,
+    state::{RouterState, lock},
+};
+
+/// Attempts of one request.
+const ATTEMPT_LIMIT: u32 = 4;
+/// Tries to resume a stream on the engine where it broke.
+const RESUME_TRIES: u32 = 2;
+/// Pause before a stream is resumed.
+const RESUME_PAUSE: Duration = Duration::from_millis(30);
+/// Time for an engine's refusal to arrive.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest refusal of an engine, bytes.
+const REFUSAL_LIMIT: usize = 16 * 1024;
+/// Engine priority of interactive work; batch work has 0.
+const URGENT: u8 = 1;
+
+/// A request that was admitted.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The request.
+    pub request: RequestId,
+    /// The tenant.
+    pub tenant: TenantName,
+    /// The template.
+    pub template: TemplateName,
+    /// What the engine must have loaded.
+    pub key: ModelKey,
+    /// Root of the cache namespace.
+    pub namespace: CacheNamespace,
+    /// The prompt.
+    pub prompt: String,
+    /// Its block hashes.
+    pub chain: PrefixChain,
+    /// Where its segments end, blocks.
+    pub boundaries: Vec<u32>,
+    /// Class of the work.
+    pub priority: Priority,
+    /// Length of the answer, tokens.
+    pub max_tokens: u32,
+    /// When it was received.
+    pub received: Instant,
+    /// When the caller gives up.
+    pub deadline: Instant,
+    /// The choice on which it was admitted.
+    pub first_decision: Option<Decision>,
+}
+
+/// How one attempt ended.
+enum AttemptEnd {
+    /// The answer is whole.
+    Whole(StreamEnd),
+    /// The engine refused; nothing ran there.
+    Refused,
+    /// Nothing was sent.
+    NotSent,
+    /// The engine was lost while it may have been running.
+    Lost,
+    /// The caller is gone.
+    CallerGone,
+    /// The deadline passed.
+    TooLate,
+}
+
+/// Runs a job and reports its answer step by step. Dropping the receiver cancels it.
+pub async fn run(state: Arc<RouterState>, job: Job, events: mpsc::Sender<AnswerEvent>) {
+    state.metrics.open_requests.inc();
+    let mut run = Run {
+        state: &state,
+        job: &job,
+        events: &events,
+        delivered: 0,
+        excluded: Vec::new(),
+        may_have_run: false,
+    };
+    let last = run.attempts().await;
+    lock(&state.admission).release(&job.tenant);
+    state.metrics.open_requests.dec();
+    if let Some(event) = last {
+        run.count_end(&event);
+        let _ = events.send(event).await;
+    }
+}
+
+struct Run<'a> {
+    state: &'a RouterState,
+    job: &'a Job,
+    events: &'a mpsc::Sender<AnswerEvent>,
+    /// Tokens handed to the caller.
+    delivered: u32,
+    excluded: Vec<EngineSlot>,
+    may_have_run: bool,
+}
+
+/// One dispatch to one engine.
+struct Attempt {
+    id: AttemptId,
+    engine: EngineSlot,
+    address: SocketAddr,
+    uncached_tokens: u64,
+    /// Whether its first token has not come yet.
+    waits_for_token: bool,
+}
+
+impl Run<'_> {
+    /// Attempts until one brings the whole answer; `None` if the caller is gone.
+    async fn attempts(&mut self) -> Option<AnswerEvent> {
+        let mut decision = self.job.first_decision.clone();
+        for number in 1..=ATTEMPT_LIMIT {
+            let Some(chosen) = decision.take().or_else(|| self.choose()) else {
+                break;
+            };
+            self.record(&chosen, number);
+            match self.attempt(&chosen).await {
+                AttemptEnd::Whole(end) => return Some(AnswerEvent::Ended(end)),
+                AttemptEnd::CallerGone => return None,
+                AttemptEnd::TooLate => {
+                    return Some(self.failed(RefusalCode::DeadlineExceeded, "the deadline passed"));
+                }
+                AttemptEnd::Refused | AttemptEnd::NotSent => {}
+                AttemptEnd::Lost => {
+                    self.may_have_run = true;
+                    if !self.spend_retry() {
+                        break;
+                    }
+                }
+            }
+            self.excluded.push(chosen.chosen.engine);
+            self.state.metrics.retries.inc();
+        }
+        Some(self.failed(
+            RefusalCode::BackendFailed,
+            "no engine could serve the request",
+        ))
+    }
+
+    fn choose(&self) -> Option<Decision> {
+        let shape = RequestShape {
+            key: &self.job.key,
+            chain: &self.job.chain,
+            boundaries: &self.job.boundaries,
+            priority: self.job.priority,
+            excluded: &self.excluded,
+        };
+        lock(&self.state.scheduler).choose(shape, self.state.now_us(), rand::random())
+    }
+
+    /// Repeats that cost an engine work come out of the tenant's budget.
+    fn spend_retry(&self) -> bool {
+        let mut budgets = lock(&self.state.retry_budgets);
+        budgets.entry(self.job.tenant.clone()).or_default().spend()
+    }
+
+    async fn attempt(&mut self, decision: &Decision) -> AttemptEnd {
+        let engine = decision.chosen.engine;
+        let Some((request, address)) = self.engine_request(engine) else {
+            return AttemptEnd::NotSent;
+        };
+        let mut attempt = Attempt {
+            id: AttemptId(request.attempt.0),
+            engine,
+            address,
+            uncached_tokens: u64::from(decision.chosen.uncached_tokens),
+            waits_for_token: true,
+        };
+        self.begin(&attempt);
+        let end = self.exchange(&mut attempt, &request).await;
+        self.finish(&attempt, &end);
+        if matches!(end, AttemptEnd::CallerGone | AttemptEnd::TooLate) {
+            self.cancel(&attempt).await;
+        }
+        end
+    }
+
+    fn engine_request(&self, engine: EngineSlot) -> Option<(EngineRequest, SocketAddr)> {
+        let (id, incarnation) = {
+            let scheduler = lock(&self.state.scheduler);
+            let view = scheduler.engines.view(engine);
+            (view.id, view.incarnation)
+        };
+        let address = *lock(&self.state.engine_addresses).get(&id)?;
+        let request = EngineRequest {
+            attempt: Hex(rand::random()),
+            incarnation,
+            model: self.job.key.model.clone(),
+            weights_version: self.job.key.weights_version,
+            cache_namespace: Hex(self.job.namespace.0),
+            prompt: self.job.prompt.clone(),
+            delivered_tokens: self.delivered,
+            max_tokens: self.job.max_tokens,
+            priority: self.priority(),
+        };
+        Some((request, address))
+    }
+
+    async fn exchange(&mut self, attempt: &mut Attempt, request: &EngineRequest) -> AttemptEnd {
+        let content = serde_json::to_vec(request).unwrap_or_default();
+        let uri = format!("http://{}/v1/completions", attempt.address);
+        let Ok(request) = Request::post(uri).body(Full::new(Bytes::from(content))) else {
+            return AttemptEnd::NotSent;
+        };
+        let sent = self.within_deadline(self.state.client.send(request)).await;
+        let response = match sent {
+            None => return AttemptEnd::TooLate,
+            Some(Err(SendError::NotSent)) => return AttemptEnd::NotSent,
+            Some(Err(SendError::MaybeSent)) => return self.resume(attempt).await,
+            Some(Ok(response)) => response,
+        };
+        if response.status() != 200 {
+            return self.refused(attempt, response).await;
+        }
+        match self.relay(attempt, response).await {
+            AttemptEnd::Lost => self.resume(attempt).await,
+            end => end,
+        }
+    }
+
+    /// Asks the same engine for the rest; it keeps a stream for a while after a connection broke.
+    async fn resume(&mut self, attempt: &mut Attempt) -> AttemptEnd {
+        for _ in 0..RESUME_TRIES {
+            sleep(RESUME_PAUSE).await;
+            let uri = format!(
+                "http://{}/v1/streams/{:032x}?from={}",
+                attempt.address, attempt.id.0, self.delivered
+            );
+            let Ok(request) = Request::get(uri).body(Full::default()) else {
+                return AttemptEnd::Lost;
+            };
+            let response = match self.within_deadline(self.state.client.send(request)).await {
+                None => return AttemptEnd::TooLate,
+                Some(Ok(response)) if response.status() == 200 => response,
+                Some(Ok(_)) => return AttemptEnd::Lost,
+                Some(Err(_)) => continue,
+            };
+            self.state.metrics.resumed.inc();
+            match self.relay(attempt, response).await {
+                AttemptEnd::Lost => {}
+                end => return end,
+            }
+        }
+        AttemptEnd::Lost
+    }
+
+    /// Hands frames to the caller in order, each once.
+    async fn relay(&mut self, attempt: &mut Attempt, response: Response<Incoming>) -> AttemptEnd {
+        let mut frames = lines(response.into_body());
+        loop {
+            let next = tokio::select! {
+                next = timeout_at(self.job.deadline, frames.next()) => next,
+                () = self.events.closed() => return AttemptEnd::CallerGone,
+            };
+            let line = match next {
+                Err(_) => return AttemptEnd::TooLate,
+                Ok(Some(Ok(line))) => line,
+                Ok(_) => return AttemptEnd::Lost,
+            };
+            let Some(text) = line.strip_prefix("data: ") else {
+                continue;
+            };
+            let Ok(frame) = serde_json::from_str::<StreamFrame>(text) else {
+                return AttemptEnd::Lost;
+            };
+            if frame.attempt.0 != attempt.id.0 || frame.sequence < self.delivered {
+                self.state.metrics.dropped_frames.inc();
+                continue;
+            }
+            if frame.sequence > self.delivered {
+                // A hole in the answer: ask again from where the caller is.
+                return AttemptEnd::Lost;
+            }
+            if let Some(end) = frame.end {
+                return AttemptEnd::Whole(end);
+            }
+            self.note_first_token(attempt);
+            if self
+                .events
+                .send(AnswerEvent::Token(frame.text))
+                .await
+                .is_err()
+            {
+                return AttemptEnd::CallerGone;
+            }
+            self.delivered += 1;
+        }
+    }
+
+    async fn refused(&self, attempt: &Attempt, response: Response<Incoming>) -> AttemptEnd {
+        let content = read_body(response.into_body(), REFUSAL_LIMIT, REFUSAL_TIMEOUT).await;
+        let error = content
+            .ok()
+            .and_then(|bytes| serde_json::from_slice::<EngineError>(&bytes).ok());
+        let is_stale = error.is_none_or(|error| error.error != EngineRefusal::QueueFull);
+        if is_stale {
+            // The view of this engine is out of date: look again before the next choice.
+            refresh_status(self.state, attempt.address).await;
+        }
+        AttemptEnd::Refused
+    }
+
+    /// Stops an attempt whose answer nobody waits for.
+    async fn cancel(&self, attempt: &Attempt) {
+        let uri = format!(
+            "http://{}/v1/streams/{:032x}",
+            attempt.address, attempt.id.0
+        );
+        if let Ok(request) = Request::delete(uri).body(Full::default()) {
+            // An engine that is gone needs no cancelling.
+            let _ = self.state.client.send(request).await;
+        }
+    }
+
+    async fn within_deadline<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        timeout_at(self.job.deadline, work).await.ok()
+    }
+
+    fn begin(&self, attempt: &Attempt) {
+        let mut scheduler = lock(&self.state.scheduler);
+        let view = scheduler.engines.view_mut(attempt.engine);
+        view.breaker.begin();
+        view.sent(attempt.uncached_tokens, self.is_urgent());
+    }
+
+    fn note_first_token(&self, attempt: &mut Attempt) {
+        if !attempt.waits_for_token {
+            return;
+        }
+        attempt.waits_for_token = false;
+        if self.delivered == 0 {
+            let waited = self.job.received.elapsed();
+            self.state.metrics.first_token.observe(waited.as_secs_f64());
+        }
+        let mut scheduler = lock(&self.state.scheduler);
+        let view = scheduler.engines.view_mut(attempt.engine);
+        view.prefilled(attempt.uncached_tokens, self.is_urgent());
+        view.breaker.succeed();
+    }
+
+    fn finish(&self, attempt: &Attempt, end: &AttemptEnd) {
+        let now = self.state.now_us();
+        let mut scheduler = lock(&self.state.scheduler);
+        let view = scheduler.engines.view_mut(attempt.engine);
+        view.closed();
+        if attempt.waits_for_token {
+            view.prefilled(attempt.uncached_tokens, self.is_urgent());
+        }
+        if matches!(end, AttemptEnd::Lost | AttemptEnd::NotSent) {
+            view.breaker.fail(now);
+        }
+    }
+
+    fn count_end(&self, event: &AnswerEvent) {
+        let metrics = &self.state.metrics;
+        match event {
+            AnswerEvent::Ended(end) => {
+                metrics.completed.inc();
+                metrics.prompt_tokens.inc_by(u64::from(end.prompt_tokens));
+                metrics.cached_tokens.inc_by(u64::from(end.cached_tokens));
+            }
+            AnswerEvent::Failed(refusal) => metrics.refused(refusal.code),
+            AnswerEvent::Token(_) => {}
+        }
+    }
+
+    fn failed(&self, code: RefusalCode, detail: &str) -> AnswerEvent {
+        let ran = self.may_have_run || self.delivered > 0 || code == RefusalCode::DeadlineExceeded;
+        let execution = if ran {
+            Execution::Unknown
+        } else {
+            Execution::NotRun
+        };
+        let refusal = Refusal {
+            execution,
+            ..Refusal::not_run(code, detail)
+        };
+        AnswerEvent::Failed(refusal.retry_after_ms(1_000))
+    }
+
+    fn record(&self, decision: &Decision, number: u32) {
+        if number > 1 && self.delivered > 0 {
+            self.state.metrics.continued.inc();
+        }
+        let scheduler = lock(&self.state.scheduler);
+        let candidates = decision.considered.iter().map(|score| {
+            let view = scheduler.engines.view(score.engine);
+            CandidateRecord {
+                engine: view.id,
+                held_tokens: score.held_tokens,
+                uncached_tokens: score.uncached_tokens,
+                first_token_us: score.first_token_us,
+                running: view.load.running,
+                waiting: view.load.waiting,
+            }
+        });
+        let record = DecisionRecord {
+            request: format!("{:032x}", self.job.request.0),
+            tenant: self.job.tenant.clone(),
+            template: self.job.template.clone(),
+            attempt: number,
+            engine: scheduler.engines.view(decision.chosen.engine).id,
+            prompt_tokens: self.job.chain.total_tokens,
+            candidates: candidates.collect(),
+        };
+        lock(&self.state.decisions).add(record);
+    }
+
+    fn is_urgent(&self) -> bool {
+        self.job.priority == Priority::Interactive
+    }
+
+    fn priority(&self) -> u8 {
+        if self.is_urgent() { URGENT } else { 0 }
+    }
+}
--- /dev/null
+++ b/crates/router/src/engine_link.rs
@@ -0,0 +1,279 @@
+//! Following the platform's list of machines, and the engines' states and cache events.
+
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::{Arc, Mutex, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures::StreamExt;
+use http_body_util::Full;
+use hyper::Request;
+use railtack_core::{BlockHash, EngineId, EngineIncarnation};
+use railtack_http::lines;
+use railtack_platform::{
+    CacheListing, EngineEvent, EngineEventKind, EngineStatus, Hex, MachineKind, MachineList,
+};
+use railtack_routing::engines::{CacheKnowledge, EngineDescription, EngineSlot, ModelKey};
+use tokio::time::{sleep, timeout};
+
+use crate::state::{RouterState, ServiceBackends, lock};
+
+/// Time between two looks at the platform's list.
+const LIST_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause before an engine is tried again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
+/// Silence after which an event stream counts as broken. Engines report load several times a
+/// second.
+const EVENT_SILENCE: Duration = Duration::from_secs(3);
+
+/// Follows the list for as long as the router runs.
+pub async fn follow_platform(state: Arc<RouterState>) {
+    let followed = Arc::new(Mutex::new(HashSet::new()));
+    loop {
+        let list = state
+            .client
+            .get_json::<MachineList>(state.settings.platform, "/machines", CALL_TIMEOUT)
+            .await;
+        // A list that cannot be had changes nothing: engines are also heard directly.
+        if let Ok(list) = list {
+            take_list(&state, &list, &followed);
+        }
+        sleep(LIST_INTERVAL).await;
+    }
+}
+
+type Followed = Arc<Mutex<HashSet<(EngineId, SocketAddr)>>>;
+
+fn take_list(state: &Arc<RouterState>, list: &MachineList, followed: &Followed) {
+    let mut services: HashMap<String, Vec<SocketAddr>> = HashMap::new();
+    let mut leaving = HashSet::new();
+    for machine in &list.machines {
+        match &machine.kind {
+            MachineKind::Engine { engine, .. } => {
+                if machine.leaving {
+                    leaving.insert(*engine);
+                }
+                lock(&state.engine_addresses).insert(*engine, machine.address);
+                if lock(followed).insert((*engine, machine.address)) {
+                    let task = follow_engine(
+                        Arc::clone(state),
+                        *engine,
+                        machine.address,
+                        Arc::clone(followed),
+                    );
+                    tokio::spawn(task);
+                }
+            }
+            MachineKind::Service { service } if !machine.leaving => {
+                services
+                    .entry(service.clone())
+                    .or_default()
+                    .push(machine.address);
+            }
+            MachineKind::Service { .. } => {}
+        }
+    }
+    withdraw(state, list, &leaving);
+    let mut known = lock(&state.services);
+    known.retain(|name, _| services.contains_key(name));
+    for (name, live) in services {
+        let next = known.get(&name).map_or(0, |backends| backends.next);
+        known.insert(name, ServiceBackends { live, next });
+    }
+}
+
+/// Takes engines that are leaving, or no longer listed, out of service.
+fn withdraw(state: &RouterState, list: &MachineList, leaving: &HashSet<EngineId>) {
+    let listed: HashSet<EngineId> = list
+        .machines
+        .iter()
+        .filter_map(|machine| match machine.kind {
+            MachineKind::Engine { engine, .. } => Some(engine),
+            MachineKind::Service { .. } => None,
+        })
+        .collect();
+    let mut scheduler = lock(&state.scheduler);
+    let withdrawn: Vec<EngineId> = scheduler
+        .engines
+        .views()
+        .iter()
+        .map(|view| view.id)
+        .filter(|engine| leaving.contains(engine) || !listed.contains(engine))
+        .collect();
+    for engine in withdrawn {
+        if let Some(slot) = scheduler.engines.slot(engine) {
+            scheduler.engines.view_mut(slot).listed = false;
+        }
+    }
+    for engine in listed.difference(leaving) {
+        if let Some(slot) = scheduler.engines.slot(*engine) {
+            scheduler.engines.view_mut(slot).listed = true;
+        }
+    }
+}
+
+/// Follows one engine until it is no longer listed at this address.
+async fn follow_engine(
+    state: Arc<RouterState>,
+    engine: EngineId,
+    address: SocketAddr,
+    followed: Followed,
+) {
+    tokio::spawn(watch_status(Arc::clone(&state), engine, address));
+    while is_current(&state, engine, address) {
+        if let Some(slot) = refresh_status(&state, address).await {
+            follow_events(&state, address, slot).await;
+        }
+        sleep(RECONNECT_PAUSE).await;
+    }
+    lock(&followed).remove(&(engine, address));
+}
+
+/// Looks at the engine's own word regularly: a draining engine says so before the list does.
+async fn watch_status(state: Arc<RouterState>, engine: EngineId, address: SocketAddr) {
+    while is_current(&state, engine, address) {
+        sleep(LIST_INTERVAL).await;
+        if refresh_status(&state, address).await.is_none() {
+            mark_unreachable(&state, engine);
+        }
+    }
+}
+
+fn is_current(state: &RouterState, engine: EngineId, address: SocketAddr) -> bool {
+    lock(&state.engine_addresses).get(&engine) == Some(&address)
+}
+
+fn mark_unreachable(state: &RouterState, engine: EngineId) {
+    let mut scheduler = lock(&state.scheduler);
+    if let Some(slot) = scheduler.engines.slot(engine) {
+        scheduler.engines.view_mut(slot).available = false;
+    }
+}
+
+/// Fetches an engine's state and takes it in.
+pub async fn refresh_status(state: &RouterState, address: SocketAddr) -> Option<EngineSlot> {
+    let status = state
+        .client
+        .get_json::<EngineStatus>(address, "/status", CALL_TIMEOUT)
+        .await
+        .ok()?;
+    Some(take_status(state, status))
+}
+
+fn take_status(state: &RouterState, status: EngineStatus) -> EngineSlot {
+    state
+        .block_tokens
+        .store(status.block_tokens, Ordering::Relaxed);
+    let drained = state
+        .resolved
+        .load()
+        .configuration
+        .drained
+        .contains(&status.engine);
+    let now = state.now_us();
+    let mut scheduler = lock(&state.scheduler);
+    let (slot, knowledge) = scheduler.engines.update(EngineDescription {
+        id: status.engine,
+        incarnation: status.incarnation,
+        zone: status.zone,
+        key: ModelKey {
+            model: status.model,
+            weights_version: status.weights_version,
+        },
+        available: !status.draining && !status.loading && !drained,
+    });
+    if knowledge == CacheKnowledge::Void {
+        scheduler.index.forget(slot);
+    }
+    scheduler.engines.report(slot, status.load, now);
+    slot
+}
+
+/// Reads an engine's events until the stream breaks. Begins with a full listing, because nothing
+/// is known of what happened before.
+async fn follow_events(state: &RouterState, address: SocketAddr, slot: EngineSlot) {
+    let Some((incarnation, mut sequence)) = resynchronise(state, address, slot).await else {
+        return;
+    };
+    let uri = format!("http://{address}/events?after={sequence}");
+    let Ok(request) = Request::get(uri).body(Full::<Bytes>::default()) else {
+        return;
+    };
+    let Ok(Ok(response)) = timeout(CALL_TIMEOUT, state.client.send(request)).await else {
+        return;
+    };
+    let mut events = lines(response.into_body());
+    while let Ok(Some(Ok(line))) = timeout(EVENT_SILENCE, events.next()).await {
+        let Ok(event) = serde_json::from_str::<EngineEvent>(&line) else {
+            return;
+        };
+        if event.incarnation != incarnation {
+            return;
+        }
+        let is_cache_event = !matches!(event.event, EngineEventKind::Load(_));
+        if is_cache_event && event.sequence <= sequence {
+            // Late: the last listing reflects it.
+            continue;
+        }
+        if is_cache_event && event.sequence != sequence + 1 {
+            state.metrics.event_gaps.inc();
+            lock(&state.scheduler).engines.view_mut(slot).suspect = true;
+            match resynchronise(state, address, slot).await {
+                Some((same, resumed_at)) if same == incarnation => sequence = resumed_at,
+                _ => return,
+            }
+            continue;
+        }
+        if is_cache_event {
+            sequence = event.sequence;
+        }
+        take_event(state, slot, event);
+    }
+}
+
+/// Replaces the view of an engine's cache by the engine's own listing.
+async fn resynchronise(
+    state: &RouterState,
+    address: SocketAddr,
+    slot: EngineSlot,
+) -> Option<(EngineIncarnation, u64)> {
+    let listing = state
+        .client
+        .get_json::<CacheListing>(address, "/cache", CALL_TIMEOUT)
+        .await
+        .ok()?;
+    let mut scheduler = lock(&state.scheduler);
+    if scheduler.engines.view(slot).incarnation != listing.incarnation {
+        return None;
+    }
+    scheduler.index.forget(slot);
+    scheduler.index.stored(slot, hashes(&listing.blocks));
+    scheduler.engines.view_mut(slot).suspect = false;
+    Some((listing.incarnation, listing.sequence))
+}
+
+fn take_event(state: &RouterState, slot: EngineSlot, event: EngineEvent) {
+    let now = state.now_us();
+    let mut scheduler = lock(&state.scheduler);
+    if scheduler.engines.view(slot).incarnation != event.incarnation {
+        return;
+    }
+    match event.event {
+        EngineEventKind::Stored { blocks } => scheduler.index.stored(slot, hashes(&blocks)),
+        EngineEventKind::Removed { blocks } => scheduler.index.removed(slot, hashes(&blocks)),
+        EngineEventKind::Load(load) => scheduler.engines.report(slot, load, now),
+    }
+    state
+        .metrics
+        .indexed_blocks
+        .set(scheduler.index.len() as u64);
+}
+
+fn hashes(blocks: &[Hex]) -> impl Iterator<Item = BlockHash> {
+    blocks.iter().map(|block| BlockHash(block.0))
+}
--- /dev/null
+++ b/crates/router/src/lease.rs
@@ -0,0 +1,98 @@
+//! The configuration lease: until when a router may trust that its configuration is current.
+//!
+//! A voter vouches by telling the last configuration entry of its log. Take the latest moments at
+//! which a majority of voters was asked and had nothing beyond what the router has applied. A
+//! change accepted before the earliest of those moments was synced by a majority, which shares a
+//! voter with the one that vouched, and that voter would have told of it. So whatever was accepted
+//! before that moment is in force here, and the lease counts from it. No leader is needed.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use railtack_consensus::{LogIndex, Millis, ReplicaId};
+
+#[derive(Clone, Copy, Debug)]
+struct Vouch {
+    asked_at: Millis,
+    last_configuration_index: LogIndex,
+}
+
+/// Tracks vouches. Pure: times are passed in, on one monotonic clock.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    duration: Millis,
+    membership_index: LogIndex,
+    voters: BTreeSet<ReplicaId>,
+    vouches: BTreeMap<ReplicaId, Vouch>,
+}
+
+impl Lease {
+    /// A lease that is not confirmed yet.
+    pub fn new(duration: Millis, voters: impl IntoIterator<Item = ReplicaId>) -> Self {
+        Self {
+            duration,
+            membership_index: 0,
+            voters: voters.into_iter().collect(),
+            vouches: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in the voters that a replica knows of; false if a later membership is known here.
+    ///
+    /// Replicas that were removed may never learn of it and still name old voters. The latest
+    /// membership heard of wins: as long as no voter of a majority knows a later one, none was
+    /// committed, because consecutive memberships share a voter in any two majorities.
+    pub fn set_voters(
+        &mut self,
+        membership_index: LogIndex,
+        voters: impl IntoIterator<Item = ReplicaId>,
+    ) -> bool {
+        if membership_index < self.membership_index {
+            return false;
+        }
+        self.membership_index = membership_index;
+        self.voters = voters.into_iter().collect();
+        self.vouches
+            .retain(|replica, _| self.voters.contains(replica));
+        true
+    }
+
+    /// Notes a voter's answer to a question sent at `asked_at`.
+    pub fn vouched(
+        &mut self,
+        replica: ReplicaId,
+        asked_at: Millis,
+        last_configuration_index: LogIndex,
+    ) {
+        let newer = self
+            .vouches
+            .get(&replica)
+            .is_none_or(|known| known.asked_at <= asked_at);
+        if self.voters.contains(&replica) && newer {
+            let vouch = Vouch {
+                asked_at,
+                last_configuration_index,
+            };
+            self.vouches.insert(replica, vouch);
+        }
+    }
+
+    /// When the lease ends if everything up to `applied` is in force; `None` if a majority does
+    /// not vouch for that.
+    pub fn valid_until(&self, applied: LogIndex) -> Option<Millis> {
+        let mut moments: Vec<Millis> = self
+            .vouches
+            .values()
+            .filter(|vouch| vouch.last_configuration_index <= applied)
+            .map(|vouch| vouch.asked_at)
+            .collect();
+        moments.sort_unstable_by(|left, right| right.cmp(left));
+        let quorum = self.voters.len() / 2 + 1;
+        let confirmed_at = moments.get(quorum - 1)?;
+        Some(confirmed_at + self.duration)
+    }
+
+    /// Whether configuration up to `applied` may be used now.
+    pub fn is_valid(&self, applied: LogIndex, now: Millis) -> bool {
+        self.valid_until(applied).is_some_and(|until| now < until)
+    }
+}
--- /dev/null
+++ b/crates/router/src/metrics.rs
@@ -0,0 +1,152 @@
+//! Counters of a router.
+
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+use railtack_core::RefusalCode;
+
+/// Labels of a refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RefusalLabels {
+    /// Stable code.
+    pub code: String,
+}
+
+/// Counters, gauges and histograms.
+#[derive(Clone, Debug)]
+pub struct RouterMetrics {
+    /// Requests received.
+    pub requests: Counter,
+    /// Answers ended whole.
+    pub completed: Counter,
+    /// Refusals by code.
+    pub refusals: Family<RefusalLabels, Counter>,
+    /// Attempts after the first.
+    pub retries: Counter,
+    /// Streams resumed on the same engine.
+    pub resumed: Counter,
+    /// Streams continued on another engine.
+    pub continued: Counter,
+    /// Frames dropped because they were late, repeated or another attempt's.
+    pub dropped_frames: Counter,
+    /// Prompt tokens of ended answers.
+    pub prompt_tokens: Counter,
+    /// Prompt tokens that the engines found in their caches.
+    pub cached_tokens: Counter,
+    /// Time to first token, seconds.
+    pub first_token: Histogram,
+    /// Gaps in engines' event streams.
+    pub event_gaps: Counter,
+    /// Configuration position applied.
+    pub applied: Gauge<u64, AtomicU64>,
+    /// Open requests.
+    pub open_requests: Gauge,
+    /// Blocks in the view of the caches.
+    pub indexed_blocks: Gauge<u64, AtomicU64>,
+}
+
+impl Default for RouterMetrics {
+    fn default() -> Self {
+        Self {
+            requests: Counter::default(),
+            completed: Counter::default(),
+            refusals: Family::default(),
+            retries: Counter::default(),
+            resumed: Counter::default(),
+            continued: Counter::default(),
+            dropped_frames: Counter::default(),
+            prompt_tokens: Counter::default(),
+            cached_tokens: Counter::default(),
+            first_token: Histogram::new(exponential_buckets(0.001, 2.0, 16)),
+            event_gaps: Counter::default(),
+            applied: Gauge::default(),
+            open_requests: Gauge::default(),
+            indexed_blocks: Gauge::default(),
+        }
+    }
+}
+
+impl RouterMetrics {
+    /// Counts a refusal.
+    pub fn refused(&self, code: RefusalCode) {
+        let labels = RefusalLabels {
+            code: code.as_str().to_owned(),
+        };
+        self.refusals.get_or_create(&labels).inc();
+    }
+
+    /// Makes everything visible.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "router_requests",
+            "Requests received",
+            self.requests.clone(),
+        );
+        registry.register(
+            "router_completed",
+            "Answers ended whole",
+            self.completed.clone(),
+        );
+        registry.register("router_refusals", "Refusals by code", self.refusals.clone());
+        registry.register(
+            "router_retries",
+            "Attempts after the first",
+            self.retries.clone(),
+        );
+        registry.register("router_resumed", "Streams resumed", self.resumed.clone());
+        registry.register(
+            "router_continued",
+            "Streams continued",
+            self.continued.clone(),
+        );
+        registry.register(
+            "router_dropped_frames",
+            "Frames dropped",
+            self.dropped_frames.clone(),
+        );
+        registry.register(
+            "router_prompt_tokens",
+            "Prompt tokens",
+            self.prompt_tokens.clone(),
+        );
+        registry.register(
+            "router_cached_tokens",
+            "Cached tokens",
+            self.cached_tokens.clone(),
+        );
+        registry.register(
+            "router_first_token_seconds",
+            "Time to first token",
+            self.first_token.clone(),
+        );
+        registry.register(
+            "router_event_gaps",
+            "Gaps in events",
+            self.event_gaps.clone(),
+        );
+        registry.register(
+            "router_applied",
+            "Configuration applied",
+            self.applied.clone(),
+        );
+        registry.register(
+            "router_open_requests",
+            "Open requests",
+            self.open_requests.clone(),
+        );
+        registry.register(
+            "router_indexed_blocks",
+            "Blocks known",
+            self.indexed_blocks.clone(),
+        );
+    }
+}
--- /dev/null
+++ b/crates/router/src/prompt.rs
@@ -0,0 +1,90 @@
+//! From template, tenant values and request parameters to the prompt.
+
+use std::collections::BTreeMap;
+
+use railtack_core::{RefusalCode, prefix::tokens_of};
+use railtack_settings::documents::{ParameterScope, Service, Template, render};
+
+use crate::refusal::Refusal;
+
+/// A rendered prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Prompt {
+    /// The whole text.
+    pub text: String,
+    /// Where each segment ends, bytes; the question follows the last.
+    pub segment_ends: Vec<usize>,
+}
+
+impl Prompt {
+    /// Segment ends in whole blocks of `block_bytes`.
+    pub fn boundaries(&self, block_bytes: usize) -> Vec<u32> {
+        let mut blocks: Vec<u32> = self
+            .segment_ends
+            .iter()
+            .map(|end| (end / block_bytes) as u32)
+            .collect();
+        blocks.dedup();
+        blocks
+    }
+}
+
+/// Checks the request's parameters against the template and renders the prompt.
+pub fn build(
+    template: &Template,
+    service: &Service,
+    parameters: &BTreeMap<String, String>,
+    question: &str,
+) -> Result<Prompt, Refusal> {
+    check_parameters(template, parameters)?;
+    let value = |name: &str| {
+        let value = parameters.get(name).or_else(|| service.values.get(name));
+        value.map(String::as_str)
+    };
+    let mut text = String::new();
+    let mut segment_ends = Vec::with_capacity(template.segments.len());
+    for segment in &template.segments {
+        text.push_str(&render(segment, value));
+        segment_ends.push(text.len());
+    }
+    text.push_str(question);
+    if tokens_of(&text) > template.max_prompt_tokens {
+        let limit = template.max_prompt_tokens;
+        return Err(Refusal::not_run(
+            RefusalCode::OversizedRequest,
+            format!("the prompt exceeds {limit} tokens"),
+        ));
+    }
+    Ok(Prompt { text, segment_ends })
+}
+
+fn check_parameters(
+    template: &Template,
+    parameters: &BTreeMap<String, String>,
+) -> Result<(), Refusal> {
+    for (name, value) in parameters {
+        let known = template
+            .parameter(name)
+            .filter(|parameter| parameter.scope == ParameterScope::Request);
+        let Some(parameter) = known else {
+            return Err(Refusal::not_run(
+                RefusalCode::UnexpectedParameter,
+                name.as_str(),
+            ));
+        };
+        if value.len() > parameter.max_bytes as usize {
+            let detail = format!("{name} exceeds {} bytes", parameter.max_bytes);
+            return Err(Refusal::not_run(RefusalCode::OversizedParameter, detail));
+        }
+    }
+    let missing = template.parameters.iter().find(|parameter| {
+        parameter.scope == ParameterScope::Request && !parameters.contains_key(&parameter.name)
+    });
+    match missing {
+        Some(parameter) => {
+            let name = parameter.name.as_str();
+            Err(Refusal::not_run(RefusalCode::MissingParameter, name))
+        }
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/router/src/server.rs
@@ -0,0 +1,209 @@
+//! The daemon: listeners, routes and the planned stop.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use hyper::{
+    Method, Request, Response,
+    body::Incoming,
+    header::{AUTHORIZATION, CONTENT_TYPE, HeaderMap},
+};
+use prometheus_client::registry::Registry;
+use railtack_core::{RefusalCode, TemplateName};
+use railtack_http::{Body, ReceiveError, ServeOptions, read_body, serve};
+use railtack_settings::RouterSettings;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    admin,
+    answers::Shape,
+    api::{ChatBody, CompletionBody},
+    completions, control_link, engine_link,
+    errors::RouterError,
+    refusal::Refusal,
+    services::{self, KEY_HEADER, ServiceRequest},
+    state::RouterState,
+};
+
+/// Prefix of the paths of ordinary services: `/services/TEMPLATE/PATH`.
+const SERVICES_PREFIX: &str = "/services/";
+
+/// A router with open listeners.
+pub struct Router {
+    state: Arc<RouterState>,
+    listener: TcpListener,
+    admin_listener: TcpListener,
+}
+
+impl Router {
+    /// Opens the listeners.
+    pub async fn bind(settings: RouterSettings) -> Result<Self, Report<RouterError>> {
+        let listener = listen(settings.listen).await?;
+        let admin_listener = listen(settings.admin_listen).await?;
+        let state = Arc::new(RouterState::new(settings));
+        Ok(Self {
+            state,
+            listener,
+            admin_listener,
+        })
+    }
+
+    /// Where callers connect.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.listener.local_addr().ok()
+    }
+
+    /// Where operators connect.
+    pub fn admin_address(&self) -> Option<SocketAddr> {
+        self.admin_listener.local_addr().ok()
+    }
+
+    /// Serves until `shutdown`, then lets open requests end; true if all did.
+    pub async fn run(self, shutdown: CancellationToken) -> bool {
+        let state = self.state;
+        let limits = &state.settings.limits;
+        let options = ServeOptions {
+            connections: limits.connections,
+            head_timeout: Duration::from_millis(limits.receive_timeout_ms),
+            drain: Duration::from_millis(state.settings.drain_ms),
+        };
+        tokio::spawn(control_link::keep_current(Arc::clone(&state)));
+        tokio::spawn(engine_link::follow_platform(Arc::clone(&state)));
+        tokio::spawn(serve_admin(Arc::clone(&state), self.admin_listener));
+        tokio::spawn(stop_when(Arc::clone(&state), shutdown.clone()));
+        let handler = move |request| handle(Arc::clone(&state), request);
+        serve(self.listener, options, shutdown, handler).await
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Report<RouterError>> {
+    TcpListener::bind(address)
+        .await
+        .change_context(RouterError::Listen { address })
+}
+
+async fn stop_when(state: Arc<RouterState>, shutdown: CancellationToken) {
+    shutdown.cancelled().await;
+    state.begin_stop();
+}
+
+async fn serve_admin(state: Arc<RouterState>, listener: TcpListener) {
+    let mut registry = Registry::default();
+    state.metrics.register(&mut registry);
+    let registry = Arc::new(registry);
+    let handler = move |request: Request<Incoming>| {
+        let state = Arc::clone(&state);
+        let registry = Arc::clone(&registry);
+        async move { admin::handle(&state, &registry, &request) }
+    };
+    serve(
+        listener,
+        ServeOptions::default(),
+        CancellationToken::new(),
+        handler,
+    )
+    .await;
+}
+
+async fn handle(state: Arc<RouterState>, request: Request<Incoming>) -> Response<Body> {
+    state.metrics.requests.inc();
+    match route(Arc::clone(&state), request).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            state.metrics.refused(refusal.code);
+            refusal.response()
+        }
+    }
+}
+
+async fn route(
+    state: Arc<RouterState>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Refusal> {
+    let path = request.uri().path().to_owned();
+    let is_post = request.method() == Method::POST;
+    match path.as_str() {
+        "/v1/completions" if is_post => {
+            let (bearer, body) = read_json::<CompletionBody>(&state, request).await?;
+            Ok(completions::complete(state, bearer, body, Shape::Completion).await)
+        }
+        "/v1/chat/completions" if is_post => {
+            let (bearer, body) = read_json::<ChatBody>(&state, request).await?;
+            Ok(completions::complete(state, bearer, body.into(), Shape::Chat).await)
+        }
+        "/healthz" => Ok(railtack_http::body::with_type(
+            200,
+            "text/plain",
+            railtack_http::full("ok\n"),
+        )),
+        path if path.starts_with(SERVICES_PREFIX) => {
+            let request = read_service_request(&state, request).await?;
+            Ok(services::serve(state, request).await)
+        }
+        path => Err(Refusal::not_run(RefusalCode::UnknownRoute, path)),
+    }
+}
+
+async fn read_json<T: DeserializeOwned>(
+    state: &RouterState,
+    request: Request<Incoming>,
+) -> Result<(Option<String>, T), Refusal> {
+    let bearer = bearer(request.headers());
+    let content = receive(state, request).await?;
+    let body = serde_json::from_slice(&content)
+        .map_err(|error| Refusal::not_run(RefusalCode::MalformedRequest, error.to_string()))?;
+    Ok((bearer, body))
+}
+
+async fn read_service_request(
+    state: &RouterState,
+    request: Request<Incoming>,
+) -> Result<ServiceRequest, Refusal> {
+    let target = request
+        .uri()
+        .path_and_query()
+        .map_or("", |path| path.as_str());
+    let rest = target.trim_start_matches(SERVICES_PREFIX);
+    let (template, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let template = TemplateName(template.to_owned());
+    let path = format!("/{path}");
+    let headers = request.headers();
+    let key = headers
+        .get(KEY_HEADER)
+        .map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned());
+    let content_type = headers.get(CONTENT_TYPE).cloned();
+    let bearer = bearer(headers);
+    let method = request.method().clone();
+    let content = receive(state, request).await?;
+    Ok(ServiceRequest {
+        bearer,
+        template,
+        method,
+        path,
+        content_type,
+        key,
+        content,
+    })
+}
+
+async fn receive(state: &RouterState, request: Request<Incoming>) -> Result<Bytes, Refusal> {
+    let limits = &state.settings.limits;
+    let time = Duration::from_millis(limits.receive_timeout_ms);
+    let received = read_body(request.into_body(), limits.body_bytes, time).await;
+    received.map_err(|error| {
+        let code = match error {
+            ReceiveError::TooLarge { .. } => RefusalCode::OversizedRequest,
+            ReceiveError::TooSlow => RefusalCode::SlowRequest,
+            ReceiveError::Broken => RefusalCode::MalformedRequest,
+        };
+        Refusal::not_run(code, error.to_string())
+    })
+}
+
+fn bearer(headers: &HeaderMap) -> Option<String> {
+    let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    value.strip_prefix("Bearer ").map(str::to_owned)
+}
--- /dev/null
+++ b/crates/router/src/services.rs
@@ -0,0 +1,318 @@
+//! Ordinary services: register lookups, notice renderers, terminal answers.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Method, Request, Response,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderValue},
+};
+use railtack_core::{IdempotencyKey, RefusalCode, TemplateName, TenantName};
+use railtack_http::{Body, SendError, body, read_body, send_on_new_connection};
+use railtack_rpc::protocol::{ClaimOutcome, StoredAnswer};
+use railtack_settings::documents::Target;
+use tokio::time::timeout;
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::{
+    claims::{self, Claimed, HeldClaim},
+    refusal::Refusal,
+    state::{RouterState, lock},
+};
+
+/// Header that names a request which may not be repeated.
+pub const KEY_HEADER: &str = "idempotency-key";
+/// Header that tells a service whose request it is.
+const TENANT_HEADER: &str = "x-railtack-tenant";
+/// Longest key, bytes.
+const KEY_LIMIT: usize = 255;
+/// Attempts at a request that may be repeated.
+const REPEATABLE_ATTEMPTS: u32 = 3;
+/// Time for connecting to a back end.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest exchange with a service. Well below the age at which an unsettled claim counts as lost.
+const LONGEST_EXCHANGE: Duration = Duration::from_secs(300);
+/// Largest answer that is kept for later arrivals, bytes.
+const STORED_ANSWER_LIMIT: usize = 64 * 1024;
+/// Largest answer of a service, bytes.
+const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
+
+/// A request to an ordinary service, read as a whole.
+#[derive(Clone, Debug)]
+pub struct ServiceRequest {
+    /// Bearer key.
+    pub bearer: Option<String>,
+    /// The template that names the service.
+    pub template: TemplateName,
+    /// Method.
+    pub method: Method,
+    /// Path at the service, with the query.
+    pub path: String,
+    /// Content type.
+    pub content_type: Option<HeaderValue>,
+    /// The caller's name for the request.
+    pub key: Option<String>,
+    /// Body.
+    pub content: Bytes,
+}
+
+/// What is sent to the back end.
+struct Forwarded<'a> {
+    request: &'a ServiceRequest,
+    tenant: TenantName,
+    service: String,
+    limit: Duration,
+}
+
+/// Runs one request.
+pub async fn serve(state: Arc<RouterState>, request: ServiceRequest) -> Response<Body> {
+    match run(&state, &request).await {
+        Ok(answer) => response(answer),
+        Err(refusal) => {
+            state.metrics.refused(refusal.code);
+            refusal.response()
+        }
+    }
+}
+
+async fn run(state: &Arc<RouterState>, request: &ServiceRequest) -> Result<StoredAnswer, Refusal> {
+    let key = checked_key(request)?;
+    // Before anything is known of the key, "not run" would be a guess about its other arrivals.
+    state
+        .require_serving()
+        .map_err(|refusal| without_proof(refusal, key.as_ref()))?;
+    let resolved = state.resolved.load_full();
+    let tenant = resolved.authenticate(request.bearer.as_deref())?;
+    let service = resolved.service(tenant, &request.template)?;
+    let Target::Service { service: name } = &service.template.target else {
+        let detail = "this template is served under /v1";
+        return Err(Refusal::not_run(RefusalCode::UnknownRoute, detail));
+    };
+    let forwarded = Forwarded {
+        request,
+        tenant: tenant.name.clone(),
+        service: name.clone(),
+        limit: Duration::from_millis(state.settings.limits.default_deadline_ms)
+            .min(LONGEST_EXCHANGE),
+    };
+    match (service.template.repeatable, key) {
+        (true, None) => run_repeatable(state, &forwarded).await,
+        (true, Some(key)) | (false, Some(key)) => run_once(state, &forwarded, key).await,
+        (false, None) => Err(Refusal::not_run(
+            RefusalCode::MissingIdempotencyKey,
+            "this service may not be repeated: name the request by an Idempotency-Key header",
+        )),
+    }
+}
+
+fn checked_key(request: &ServiceRequest) -> Result<Option<IdempotencyKey>, Refusal> {
+    let Some(key) = &request.key else {
+        return Ok(None);
+    };
+    if key.is_empty() || key.len() > KEY_LIMIT {
+        let detail = format!("an Idempotency-Key has 1 to {KEY_LIMIT} bytes");
+        return Err(Refusal::not_run(RefusalCode::MalformedRequest, detail));
+    }
+    Ok(Some(IdempotencyKey(key.clone())))
+}
+
+fn without_proof(refusal: Refusal, key: Option<&IdempotencyKey>) -> Refusal {
+    match key {
+        Some(_) => Refusal {
+            execution: railtack_core::Execution::Unknown,
+            ..refusal
+        },
+        None => refusal,
+    }
+}
+
+async fn run_repeatable(
+    state: &RouterState,
+    forwarded: &Forwarded<'_>,
+) -> Result<StoredAnswer, Refusal> {
+    let mut may_have_run = false;
+    for _ in 0..REPEATABLE_ATTEMPTS {
+        let Some(address) = next_backend(state, &forwarded.service) else {
+            break;
+        };
+        match forward(address, forwarded).await {
+            Ok(answer) => return Ok(answer),
+            Err(SendError::NotSent) => {}
+            Err(SendError::MaybeSent) => may_have_run = true,
+        }
+    }
+    Err(if may_have_run {
+        Refusal::unknown(RefusalCode::BackendFailed, "the service failed")
+    } else {
+        no_backend(&forwarded.service)
+    })
+}
+
+async fn run_once(
+    state: &Arc<RouterState>,
+    forwarded: &Forwarded<'_>,
+    key: IdempotencyKey,
+) -> Result<StoredAnswer, Refusal> {
+    let fingerprint = fingerprint(forwarded);
+    let held = match claims::claim(state, &forwarded.tenant, &key, fingerprint).await? {
+        Claimed::Answered(stored) => return Ok(stored),
+        Claimed::Held(held) => held,
+    };
+    // A caller that goes away must not leave the claim open: the rest runs to its end regardless.
+    let state = Arc::clone(state);
+    let request = forwarded.request.clone();
+    let tenant = forwarded.tenant.clone();
+    let service = forwarded.service.clone();
+    let limit = forwarded.limit;
+    let task = tokio::spawn(async move {
+        let forwarded = Forwarded {
+            request: &request,
+            tenant,
+            service,
+            limit,
+        };
+        run_held(state, &forwarded, held).await
+    });
+    task.await.unwrap_or_else(|_| {
+        Err(Refusal::unknown(
+            RefusalCode::BackendFailed,
+            "the request was abandoned",
+        ))
+    })
+}
+
+/// Sends a claimed request exactly once.
+async fn run_held(
+    state: Arc<RouterState>,
+    forwarded: &Forwarded<'_>,
+    held: HeldClaim,
+) -> Result<StoredAnswer, Refusal> {
+    let Some(address) = next_backend(&state, &forwarded.service) else {
+        let refusal = no_backend(&forwarded.service);
+        return Err(held.close_not_run(state, refusal).await);
+    };
+    match forward(address, forwarded).await {
+        Ok(answer) => {
+            held.settle_now(&state, ClaimOutcome::Completed(storable(&answer)))
+                .await;
+            Ok(answer)
+        }
+        Err(SendError::NotSent) => {
+            let refusal = no_backend(&forwarded.service);
+            Err(held.close_not_run(state, refusal).await)
+        }
+        Err(SendError::MaybeSent) => {
+            held.settle_later(state, ClaimOutcome::Unknown);
+            Err(Refusal::unknown(
+                RefusalCode::OutcomeUnknown,
+                "the service was lost after the request was sent",
+            ))
+        }
+    }
+}
+
+async fn forward(
+    address: SocketAddr,
+    forwarded: &Forwarded<'_>,
+) -> Result<StoredAnswer, SendError> {
+    let request = outgoing(forwarded)?;
+    let exchange = async {
+        let response = send_on_new_connection(address, request, CONNECT_TIMEOUT).await?;
+        read_answer(response, forwarded.limit).await
+    };
+    timeout(forwarded.limit, exchange)
+        .await
+        .unwrap_or(Err(SendError::MaybeSent))
+}
+
+fn outgoing(forwarded: &Forwarded<'_>) -> Result<Request<Full<Bytes>>, SendError> {
+    let request = forwarded.request;
+    let mut builder = Request::builder()
+        .method(request.method.clone())
+        .uri(request.path.as_str())
+        .header(TENANT_HEADER, forwarded.tenant.as_str());
+    if let Some(content_type) = &request.content_type {
+        builder = builder.header(CONTENT_TYPE, content_type);
+    }
+    if let Some(key) = &request.key {
+        builder = builder.header(KEY_HEADER, key);
+    }
+    builder
+        .body(Full::new(request.content.clone()))
+        .map_err(|_| SendError::NotSent)
+}
+
+async fn read_answer(
+    response: Response<Incoming>,
+    limit: Duration,
+) -> Result<StoredAnswer, SendError> {
+    let status = response.status().as_u16();
+    let content_type = response
+        .headers()
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("application/octet-stream")
+        .to_owned();
+    let content = read_body(response.into_body(), ANSWER_LIMIT, limit)
+        .await
+        .map_err(|_| SendError::MaybeSent)?;
+    Ok(StoredAnswer {
+        status,
+        content_type,
+        body: Some(content.to_vec()),
+    })
+}
+
+fn storable(answer: &StoredAnswer) -> StoredAnswer {
+    let body = answer
+        .body
+        .clone()
+        .filter(|content| content.len() <= STORED_ANSWER_LIMIT);
+    StoredAnswer {
+        body,
+        ..answer.clone()
+    }
+}
+
+fn response(answer: StoredAnswer) -> Response<Body> {
+    let mut response = Response::new(body::full(answer.body.unwrap_or_default()));
+    if let Ok(status) = hyper::StatusCode::from_u16(answer.status) {
+        *response.status_mut() = status;
+    }
+    if let Ok(content_type) = HeaderValue::from_str(&answer.content_type) {
+        response.headers_mut().insert(CONTENT_TYPE, content_type);
+    }
+    response
+}
+
+fn next_backend(state: &RouterState, service: &str) -> Option<SocketAddr> {
+    let mut services = lock(&state.services);
+    let backends = services.get_mut(service)?;
+    if backends.live.is_empty() {
+        return None;
+    }
+    backends.next = (backends.next + 1) % backends.live.len();
+    Some(backends.live[backends.next])
+}
+
+fn no_backend(service: &str) -> Refusal {
+    let detail = format!("no back end of {service} could be reached");
+    Refusal::not_run(RefusalCode::NoBackend, detail).retry_after_ms(1_000)
+}
+
+fn fingerprint(forwarded: &Forwarded<'_>) -> u128 {
+    let request = forwarded.request;
+    let mut bytes = Vec::with_capacity(request.content.len() + 64);
+    for part in [
+        request.template.as_str().as_bytes(),
+        request.method.as_str().as_bytes(),
+        request.path.as_bytes(),
+        &request.content,
+    ] {
+        bytes.extend_from_slice(&(part.len() as u64).to_le_bytes());
+        bytes.extend_from_slice(part);
+    }
+    xxh3_128(&bytes)
+}
--- /dev/null
+++ b/crates/router/src/state.rs
@@ -0,0 +1,143 @@
+//! What the router's tasks share.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwap;
+use railtack_consensus::{Millis, ReplicaId};
+use railtack_core::{EngineId, RefusalCode, TenantName};
+use railtack_http::HttpClient;
+use railtack_routing::{Admission, Micros, RetryBudget, Scheduler, SchedulerOptions};
+use railtack_settings::{RouterSettings, router::WhenUnconfirmed};
+
+use crate::{
+    control_link::ControlLink, decisions::DecisionLog, lease::Lease, metrics::RouterMetrics,
+    refusal::Refusal, resolved::Resolved,
+};
+
+/// Time for connecting to an engine.
+const ENGINE_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// One ordinary service's back ends.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceBackends {
+    /// Those that may get new work.
+    pub live: Vec<SocketAddr>,
+    /// Where the next request goes, modulo their number.
+    pub next: usize,
+}
+
+/// State of the router.
+pub struct RouterState {
+    /// Settings.
+    pub settings: RouterSettings,
+    /// Configuration in force.
+    pub resolved: ArcSwap<Resolved>,
+    /// Whether it is confirmed.
+    pub lease: Mutex<Lease>,
+    /// Engines, caches and choices.
+    pub scheduler: Mutex<Scheduler>,
+    /// Addresses of engines.
+    pub engine_addresses: Mutex<HashMap<EngineId, SocketAddr>>,
+    /// Back ends of ordinary services by name.
+    pub services: Mutex<HashMap<String, ServiceBackends>>,
+    /// Limits and shares.
+    pub admission: Mutex<Admission>,
+    /// Retries that each tenant may still make.
+    pub retry_budgets: Mutex<HashMap<TenantName, RetryBudget>>,
+    /// Recent decisions.
+    pub decisions: Mutex<DecisionLog>,
+    /// Counters.
+    pub metrics: RouterMetrics,
+    /// Connections to engines.
+    pub client: HttpClient,
+    /// Connections to control replicas.
+    pub control: ControlLink,
+    /// Tokens in an engine's cache block, as the engines report it.
+    pub block_tokens: std::sync::atomic::AtomicU32,
+    stopping: AtomicBool,
+    started: Instant,
+}
+
+/// Locks a mutex; a panic elsewhere while it was held does not stop the router.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl RouterState {
+    /// State of a router that knows nothing yet.
+    pub fn new(settings: RouterSettings) -> Self {
+        let voters = settings
+            .control
+            .iter()
+            .map(|known| ReplicaId(known.replica_id));
+        let options = SchedulerOptions {
+            zone: settings.zone.clone(),
+            ..SchedulerOptions::default()
+        };
+        Self {
+            lease: Mutex::new(Lease::new(settings.lease.duration_ms, voters)),
+            resolved: ArcSwap::default(),
+            scheduler: Mutex::new(Scheduler::new(options)),
+            engine_addresses: Mutex::default(),
+            services: Mutex::default(),
+            admission: Mutex::default(),
+            retry_budgets: Mutex::default(),
+            decisions: Mutex::default(),
+            metrics: RouterMetrics::default(),
+            client: HttpClient::new(ENGINE_CONNECT_TIMEOUT),
+            control: ControlLink::new(&settings.control),
+            block_tokens: std::sync::atomic::AtomicU32::new(16),
+            stopping: AtomicBool::new(false),
+            started: Instant::now(),
+            settings,
+        }
+    }
+
+    /// Microseconds since the router started.
+    pub fn now_us(&self) -> Micros {
+        self.started.elapsed().as_micros() as Micros
+    }
+
+    /// Milliseconds since the router started.
+    pub fn now_ms(&self) -> Millis {
+        self.started.elapsed().as_millis() as Millis
+    }
+
+    /// Whether new requests may rely on the configuration.
+    pub fn is_confirmed(&self) -> bool {
+        let applied = self.resolved.load().applied;
+        lock(&self.lease).is_valid(applied, self.now_ms())
+    }
+
+    /// Refuses new requests while stopping, or while the configuration is not confirmed.
+    pub fn require_serving(&self) -> Result<(), Refusal> {
+        if self.stopping.load(Ordering::Relaxed) {
+            let refusal = Refusal::not_run(RefusalCode::ShuttingDown, "this router is stopping");
+            return Err(refusal.retry_after_ms(0));
+        }
+        let has_configuration = self.resolved.load().applied > 0;
+        let serves_unconfirmed =
+            self.settings.lease.when_unconfirmed == WhenUnconfirmed::Serve && has_configuration;
+        if serves_unconfirmed || self.is_confirmed() {
+            return Ok(());
+        }
+        let refusal = Refusal::not_run(
+            RefusalCode::ConfigurationUnconfirmed,
+            "a majority of control replicas cannot be reached",
+        );
+        Err(refusal.retry_after_ms(self.settings.lease.confirm_interval_ms))
+    }
+
+    /// Begins a planned stop.
+    pub fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+}
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -104,7 +104,10 @@
 
 impl Default for Admission {
     fn default() -> Self {
-        Self { tenants: HashMap::new(), routers: 1 }
+        Self {
+            tenants: HashMap::new(),
+            routers: 1,
+        }
     }
 }
 
@@ -166,7 +169,9 @@
         if lead_seconds <= FAIR_LEAD_SECONDS * room {
             return Ok(());
         }
-        Err(AdmissionRefusal::FairShare { retry_after_us: SHORTEST_PAUSE_US * 5 })
+        Err(AdmissionRefusal::FairShare {
+            retry_after_us: SHORTEST_PAUSE_US * 5,
+        })
     }
 
     /// Rate and weight of all tenants that use the fleet now, the asking one included.
@@ -218,7 +223,9 @@
         self.bucket_at = now;
         let concurrency = (request.limits.concurrent_requests / routers).max(1);
         if self.open_requests >= concurrency {
-            return Err(AdmissionRefusal::ConcurrencyLimit { retry_after_us: SHORTEST_PAUSE_US });
+            return Err(AdmissionRefusal::ConcurrencyLimit {
+                retry_after_us: SHORTEST_PAUSE_US,
+            });
         }
         // A request larger than the bucket passes when the bucket is full, and leaves a debt.
         let needed = (request.tokens as f64).min(burst);
--- a/crates/routing/src/candidates.rs
+++ b/crates/routing/src/candidates.rs
@@ -120,7 +120,11 @@
             candidate.favoured_blocks = candidate.favoured_blocks.max(favoured_blocks);
         }
         None if has_room => {
-            candidates.push(Candidate { engine, held_blocks, favoured_blocks });
+            candidates.push(Candidate {
+                engine,
+                held_blocks,
+                favoured_blocks,
+            });
         }
         None => {}
     }
--- a/crates/routing/src/engines.rs
+++ b/crates/routing/src/engines.rs
@@ -31,8 +31,10 @@
     pub zone: ZoneName,
     /// What it has loaded.
     pub key: ModelKey,
-    /// Whether it may get new work.
+    /// Whether the engine itself takes new work.
     pub available: bool,
+    /// Whether the platform lists it as live.
+    pub listed: bool,
     /// The last load report.
     pub load: LoadReport,
     /// When the report was taken in.
@@ -94,7 +96,11 @@
         let same_life = view.incarnation == description.incarnation;
         let same_weights = view.key == description.key;
         if !same_life {
-            *view = EngineView::new(description.clone());
+            let listed = view.listed;
+            *view = EngineView {
+                listed,
+                ..EngineView::new(description.clone())
+            };
         }
         view.available = description.available;
         view.key = description.key;
@@ -102,7 +108,14 @@
             self.regroup();
         }
         let kept = same_life && same_weights;
-        (slot, if kept { CacheKnowledge::Kept } else { CacheKnowledge::Void })
+        (
+            slot,
+            if kept {
+                CacheKnowledge::Kept
+            } else {
+                CacheKnowledge::Void
+            },
+        )
     }
 
     /// Takes in a load report.
@@ -166,6 +179,7 @@
             zone: description.zone,
             key: description.key,
             available: description.available,
+            listed: true,
             load: LoadReport::default(),
             reported_at: 0,
             outstanding_tokens: 0,
@@ -191,8 +205,9 @@
     pub fn prefilled(&mut self, uncached_tokens: u64, urgent: bool) {
         self.outstanding_tokens = self.outstanding_tokens.saturating_sub(uncached_tokens);
         if urgent {
-            self.outstanding_urgent_tokens =
-                self.outstanding_urgent_tokens.saturating_sub(uncached_tokens);
+            self.outstanding_urgent_tokens = self
+                .outstanding_urgent_tokens
+                .saturating_sub(uncached_tokens);
         }
     }
 
--- a/crates/routing/src/index.rs
+++ b/crates/routing/src/index.rs
@@ -45,7 +45,11 @@
 impl PrefixIndex {
     /// An empty view that holds at most `capacity` blocks.
     pub fn new(capacity: usize) -> Self {
-        Self { holders: HashMap::default(), capacity, refused: 0 }
+        Self {
+            holders: HashMap::default(),
+            capacity,
+            refused: 0,
+        }
     }
 
     /// Notes that an engine holds blocks.
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -15,7 +15,9 @@
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self { saved: SAVINGS_LIMIT }
+        Self {
+            saved: SAVINGS_LIMIT,
+        }
     }
 }
 
--- a/crates/routing/src/scheduler.rs
+++ b/crates/routing/src/scheduler.rs
@@ -74,7 +74,11 @@
     /// A scheduler that knows no engine.
     pub fn new(options: SchedulerOptions) -> Self {
         let index = PrefixIndex::new(options.index_capacity);
-        Self { options, engines: EngineTable::default(), index }
+        Self {
+            options,
+            engines: EngineTable::default(),
+            index,
+        }
     }
 
     /// Chooses an engine; `None` if none may serve the request.
@@ -131,12 +135,19 @@
             .copied()
             .filter(|engine| self.may_serve(request, *engine, now))
             .take(CANDIDATE_LIMIT)
-            .map(|engine| Candidate { engine, held_blocks: 0, favoured_blocks: 0 })
+            .map(|engine| Candidate {
+                engine,
+                held_blocks: 0,
+                favoured_blocks: 0,
+            })
             .collect()
     }
 
     fn may_serve(&self, request: &RequestShape<'_>, engine: EngineSlot, now: Micros) -> bool {
         let view = self.engines.view(engine);
-        view.available && view.breaker.allows(now) && !request.excluded.contains(&engine)
+        view.available
+            && view.listed
+            && view.breaker.allows(now)
+            && !request.excluded.contains(&engine)
     }
 }
--- a/crates/routing/src/scoring.rs
+++ b/crates/routing/src/scoring.rs
@@ -3,7 +3,11 @@
 use railtack_core::PrefixChain;
 use railtack_settings::documents::Priority;
 
-use crate::{Micros, candidates::Candidate, engines::{EngineSlot, EngineView}};
+use crate::{
+    Micros,
+    candidates::Candidate,
+    engines::{EngineSlot, EngineView},
+};
 
 /// Costs of the engines as the router estimates them, and how the two aims are weighed.
 #[derive(Clone, Debug, PartialEq)]
@@ -81,7 +85,11 @@
     let uncached = (f64::from(chain.total_tokens) - expected).max(1.0);
     let compute_us = uncached * weights.prefill_token_us;
     let queue_us = queue_us(weights, view, priority);
-    let zone_us = if same_zone { 0.0 } else { weights.other_zone_us };
+    let zone_us = if same_zone {
+        0.0
+    } else {
+        weights.other_zone_us
+    };
     let first_token_us = queue_us + compute_us + zone_us;
     let (latency, compute) = match priority {
         Priority::Interactive => (weights.interactive_latency, weights.interactive_compute),
@@ -103,7 +111,9 @@
 fn queue_us(weights: &ScoreWeights, view: &EngineView, priority: Priority) -> f64 {
     let load = &view.load;
     let queued_tokens = match priority {
-        Priority::Interactive => load.urgent_prefill_tokens.max(view.outstanding_urgent_tokens),
+        Priority::Interactive => load
+            .urgent_prefill_tokens
+            .max(view.outstanding_urgent_tokens),
         Priority::Batch => load.queued_prefill_tokens.max(view.outstanding_tokens),
     };
     let present = load.running + load.waiting + view.sent_since_report;
--- a/crates/rpc/src/codec.rs
+++ b/crates/rpc/src/codec.rs
@@ -68,13 +68,19 @@
 
 impl<Req, Resp> Default for ClientCodec<Req, Resp> {
     fn default() -> Self {
-        Self { frames: frames(), types: PhantomData }
+        Self {
+            frames: frames(),
+            types: PhantomData,
+        }
     }
 }
 
 impl<Req, Resp> Default for ServerCodec<Req, Resp> {
     fn default() -> Self {
-        Self { frames: frames(), types: PhantomData }
+        Self {
+            frames: frames(),
+            types: PhantomData,
+        }
     }
 }
 
@@ -118,7 +124,10 @@
         let message = frame
             .message
             .map_err(|detail| ServerError::new(io::ErrorKind::Other, detail));
-        Ok(Some(Response { request_id: frame.id, message }))
+        Ok(Some(Response {
+            request_id: frame.id,
+            message,
+        }))
     }
 }
 
@@ -128,7 +137,11 @@
 {
     type Error = CodecError;
 
-    fn encode(&mut self, response: Response<Resp>, buffer: &mut BytesMut) -> Result<(), CodecError> {
+    fn encode(
+        &mut self,
+        response: Response<Resp>,
+        buffer: &mut BytesMut,
+    ) -> Result<(), CodecError> {
         let frame = ServerFrame {
             id: response.request_id,
             message: response.message.map_err(|error| error.detail),
@@ -149,10 +162,18 @@
             return Ok(None);
         };
         let message = match ClientFrame::<Req>::read_from_buffer(&bytes)? {
-            ClientFrame::Request { id, remaining_us, message } => {
+            ClientFrame::Request {
+                id,
+                remaining_us,
+                message,
+            } => {
                 let mut context = context::current();
                 context.deadline = deadline(remaining_us);
-                ClientMessage::Request(Request { context, id, message })
+                ClientMessage::Request(Request {
+                    context,
+                    id,
+                    message,
+                })
             }
             ClientFrame::Cancel { id } => ClientMessage::Cancel {
                 trace_context: tarpc::trace::Context::default(),
--- a/crates/rpc/src/connection.rs
+++ b/crates/rpc/src/connection.rs
@@ -54,7 +54,11 @@
 impl ControlConnection {
     /// A connection that is made at the first call.
     pub fn new(address: SocketAddr, connect_timeout: Duration) -> Self {
-        Self { address, connect_timeout, client: Mutex::new(None) }
+        Self {
+            address,
+            connect_timeout,
+            client: Mutex::new(None),
+        }
     }
 
     /// The replica's address.
@@ -75,7 +79,9 @@
         if outcome.is_err() {
             self.client.lock().await.take();
         }
-        outcome.change_context(ConnectionError::NoAnswer { address: self.address })
+        outcome.change_context(ConnectionError::NoAnswer {
+            address: self.address,
+        })
     }
 
     async fn client(&self) -> Result<ControlClient, Report<ConnectionError>> {
@@ -89,7 +95,9 @@
     }
 
     async fn dial(&self) -> Result<ControlClient, Report<ConnectionError>> {
-        let unreachable = ConnectionError::Unreachable { address: self.address };
+        let unreachable = ConnectionError::Unreachable {
+            address: self.address,
+        };
         let stream = timeout(self.connect_timeout, TcpStream::connect(self.address))
             .await
             .change_context(unreachable)?
--- a/crates/rpc/src/protocol.rs
+++ b/crates/rpc/src/protocol.rs
@@ -246,7 +246,9 @@
     pub last_configuration_index: LogIndex,
     /// What the router is missing.
     pub update: Option<ConfigurationUpdate>,
-    /// Voters in force, for counting majorities.
+    /// Position of the log entry that holds the membership below.
+    pub membership_index: LogIndex,
+    /// Voters in force at this replica, for counting majorities.
     pub voters: Vec<VoterAddress>,
     /// Routers that this replica has heard from lately.
     pub routers: u32,
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -67,7 +67,11 @@
             consensus.election_timeout_ms,
             consensus.heartbeat_ms * 3..=60_000,
         )?;
-        require_range("consensus.snapshot_entries", consensus.snapshot_entries, 10..=1_000_000)?;
+        require_range(
+            "consensus.snapshot_entries",
+            consensus.snapshot_entries,
+            10..=1_000_000,
+        )?;
         require_range(
             "consensus.claim_retention_ms",
             consensus.claim_retention_ms,
--- a/crates/settings/src/documents.rs
+++ b/crates/settings/src/documents.rs
@@ -89,8 +89,19 @@
 
 /// Which work goes first under load.
 #[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-    Readable, Writable,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Readable,
+    Writable,
 )]
 #[serde(rename_all = "snake_case")]
 pub enum Priority {
@@ -309,7 +320,9 @@
 
     /// The declared parameter of this name.
     pub fn parameter(&self, name: &str) -> Option<&Parameter> {
-        self.parameters.iter().find(|parameter| parameter.name == name)
+        self.parameters
+            .iter()
+            .find(|parameter| parameter.name == name)
     }
 
     fn validate_parameters(&self) -> Result<(), DocumentError> {
@@ -317,7 +330,9 @@
         for parameter in &self.parameters {
             require_name(&parameter.name)?;
             if !names.insert(&parameter.name) {
-                return Err(DocumentError::Duplicate { name: parameter.name.clone() });
+                return Err(DocumentError::Duplicate {
+                    name: parameter.name.clone(),
+                });
             }
         }
         Ok(())
@@ -327,7 +342,9 @@
         require_length("segments", segment)?;
         let unknown = placeholders(segment).find(|name| self.parameter(name).is_none());
         match unknown {
-            Some(name) => Err(DocumentError::UnknownPlaceholder { placeholder: name.to_owned() }),
+            Some(name) => Err(DocumentError::UnknownPlaceholder {
+                placeholder: name.to_owned(),
+            }),
             None => Ok(()),
         }
     }
@@ -345,7 +362,9 @@
         let mut templates = BTreeSet::new();
         for service in &self.services {
             if !templates.insert(&service.template) {
-                return Err(DocumentError::Duplicate { name: service.template.0.clone() });
+                return Err(DocumentError::Duplicate {
+                    name: service.template.0.clone(),
+                });
             }
         }
         Ok(())
@@ -353,7 +372,9 @@
 
     /// The tenant's use of a template.
     pub fn service(&self, template: &TemplateName) -> Option<&Service> {
-        self.services.iter().find(|service| service.template == *template)
+        self.services
+            .iter()
+            .find(|service| service.template == *template)
     }
 
     /// Checks one service against the template it is made from.
@@ -417,14 +438,19 @@
     if !name.is_empty() && name.len() <= NAME_BYTES && name.chars().all(allowed) {
         return Ok(());
     }
-    Err(DocumentError::InvalidName { name: name.chars().take(NAME_BYTES).collect() })
+    Err(DocumentError::InvalidName {
+        name: name.chars().take(NAME_BYTES).collect(),
+    })
 }
 
 fn require_length(field: &str, text: &str) -> Result<(), DocumentError> {
     if text.len() <= TEXT_BYTES {
         return Ok(());
     }
-    Err(DocumentError::TooLong { field: field.to_owned(), limit: TEXT_BYTES as u64 })
+    Err(DocumentError::TooLong {
+        field: field.to_owned(),
+        limit: TEXT_BYTES as u64,
+    })
 }
 
 fn require_tokens(field: &str, value: u32) -> Result<(), DocumentError> {
@@ -440,7 +466,12 @@
     if (lowest..=highest).contains(&value) {
         return Ok(());
     }
-    Err(DocumentError::OutOfRange { field: field.to_owned(), value, lowest, highest })
+    Err(DocumentError::OutOfRange {
+        field: field.to_owned(),
+        value,
+        lowest,
+        highest,
+    })
 }
 
 fn is_key_hash(hash: &str) -> bool {
--- a/crates/settings/src/emulator.rs
+++ b/crates/settings/src/emulator.rs
@@ -113,22 +113,38 @@
 
 impl Default for ReportingSettings {
     fn default() -> Self {
-        Self { event_delay_ms: 200, event_loss: 0.0, load_interval_ms: 250 }
+        Self {
+            event_delay_ms: 200,
+            event_loss: 0.0,
+            load_interval_ms: 250,
+        }
     }
 }
 
 impl Validate for EngineCosts {
     fn validate(&self) -> Result<(), Violation> {
         require_range("role.costs.block_tokens", self.block_tokens, 1..=4_096)?;
-        require_range("role.costs.cache_blocks", self.cache_blocks, 16..=16_777_216)?;
+        require_range(
+            "role.costs.cache_blocks",
+            self.cache_blocks,
+            16..=16_777_216,
+        )?;
         require_range("role.costs.batch_limit", self.batch_limit, 1..=4_096)?;
         require_range(
             "role.costs.step_prefill_tokens",
             self.step_prefill_tokens,
             self.block_tokens..=1_048_576,
         )?;
-        require_range("role.costs.prefill_token_us", self.prefill_token_us, 0.0..=1e6)?;
-        require_range("role.costs.import_token_us", self.import_token_us, 0.0..=1e6)
+        require_range(
+            "role.costs.prefill_token_us",
+            self.prefill_token_us,
+            0.0..=1e6,
+        )?;
+        require_range(
+            "role.costs.import_token_us",
+            self.import_token_us,
+            0.0..=1e6,
+        )
     }
 }
 
@@ -148,7 +164,10 @@
             EmulatorRole::Service { answer_ms, .. } => {
                 require_range("role.answer_ms", *answer_ms, 0..=600_000)
             }
-            EmulatorRole::Platform { lag_ms, weight_bytes_per_second } => {
+            EmulatorRole::Platform {
+                lag_ms,
+                weight_bytes_per_second,
+            } => {
                 require_range("role.lag_ms", *lag_ms, 0..=600_000)?;
                 require_range(
                     "role.weight_bytes_per_second",
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -114,20 +114,40 @@
 impl Validate for RouterSettings {
     fn validate(&self) -> Result<(), Violation> {
         if self.control.is_empty() {
-            return Err(Violation::new("control", "[]", "at least one control replica"));
+            return Err(Violation::new(
+                "control",
+                "[]",
+                "at least one control replica",
+            ));
         }
         let limits = &self.limits;
-        require_range("limits.body_bytes", limits.body_bytes, 1024..=256 * 1024 * 1024)?;
-        require_range("limits.receive_timeout_ms", limits.receive_timeout_ms, 10..=600_000)?;
+        require_range(
+            "limits.body_bytes",
+            limits.body_bytes,
+            1024..=256 * 1024 * 1024,
+        )?;
+        require_range(
+            "limits.receive_timeout_ms",
+            limits.receive_timeout_ms,
+            10..=600_000,
+        )?;
         require_range("limits.connections", limits.connections, 1..=1_000_000)?;
-        require_range("limits.longest_deadline_ms", limits.longest_deadline_ms, 1..=86_400_000)?;
+        require_range(
+            "limits.longest_deadline_ms",
+            limits.longest_deadline_ms,
+            1..=86_400_000,
+        )?;
         require_range(
             "limits.default_deadline_ms",
             limits.default_deadline_ms,
             1..=limits.longest_deadline_ms,
         )?;
         let lease = &self.lease;
-        require_range("lease.duration_ms", lease.duration_ms, 100..=LONGEST_LEASE_MS)?;
+        require_range(
+            "lease.duration_ms",
+            lease.duration_ms,
+            100..=LONGEST_LEASE_MS,
+        )?;
         require_range(
             "lease.confirm_interval_ms",
             lease.confirm_interval_ms,
--- a/crates/storage/src/snapshot.rs
+++ b/crates/storage/src/snapshot.rs
@@ -29,7 +29,9 @@
             .read(SNAPSHOT_NAME)
             .change_context(failed("read"))?;
         let payload = record::decode(&bytes).ok_or_else(|| {
-            Report::new(StorageError::DamagedSnapshot { file: SNAPSHOT_NAME.to_owned() })
+            Report::new(StorageError::DamagedSnapshot {
+                file: SNAPSHOT_NAME.to_owned(),
+            })
         })?;
         Ok(Some(payload.to_vec()))
     }
@@ -52,5 +54,8 @@
 }
 
 fn failed(operation: &'static str) -> StorageError {
-    StorageError::Io { operation, file: SNAPSHOT_NAME.to_owned() }
+    StorageError::Io {
+        operation,
+        file: SNAPSHOT_NAME.to_owned(),
+    }
 }
--- a/crates/storage/src/wal.rs
+++ b/crates/storage/src/wal.rs
@@ -19,7 +19,9 @@
 
 impl Default for WalOptions {
     fn default() -> Self {
-        Self { segment_bytes: 8 * 1024 * 1024 }
+        Self {
+            segment_bytes: 8 * 1024 * 1024,
+        }
     }
 }
 
@@ -189,7 +191,10 @@
         let fields = payload.strip_prefix(HEADER_TAG)?;
         let previous_number = u64::from_le_bytes(fields.get(..8)?.try_into().ok()?);
         let previous_size = u64::from_le_bytes(fields.get(8..16)?.try_into().ok()?);
-        Some(Self { previous_number, previous_size })
+        Some(Self {
+            previous_number,
+            previous_size,
+        })
     }
 }
 
@@ -205,7 +210,10 @@
 
 impl SegmentContent {
     fn successor_header(&self) -> SegmentHeader {
-        SegmentHeader { previous_number: self.number, previous_size: self.whole_size }
+        SegmentHeader {
+            previous_number: self.number,
+            previous_size: self.whole_size,
+        }
     }
 }
 
@@ -247,7 +255,10 @@
 }
 
 fn damaged(file: &str, offset: u64) -> Report<StorageError> {
-    Report::new(StorageError::DamagedMiddle { file: file.to_owned(), offset })
+    Report::new(StorageError::DamagedMiddle {
+        file: file.to_owned(),
+        offset,
+    })
 }
 
 fn create_segment(
@@ -281,5 +292,8 @@
 }
 
 fn io_error(operation: &'static str, file: &str) -> StorageError {
-    StorageError::Io { operation, file: file.to_owned() }
+    StorageError::Io {
+        operation,
+        file: file.to_owned(),
+    }
 }
--- a/crates/storage/tests/recovery.rs
+++ b/crates/storage/tests/recovery.rs
@@ -69,7 +69,9 @@
 /// Cuts the only segment at every byte: what is left is always a prefix of the records.
 #[test]
 fn every_truncation_point_leaves_a_prefix() {
-    let records: Vec<Vec<u8>> = (0..6_u8).map(|size| vec![size; usize::from(size) * 3]).collect();
+    let records: Vec<Vec<u8>> = (0..6_u8)
+        .map(|size| vec![size; usize::from(size) * 3])
+        .collect();
     let full_length = {
         let media = MemoryMedia::default();
         write_all(&media, &records);
@@ -113,7 +115,9 @@
     log.append(b"record").expect("append");
     assert!(log.sync().is_err());
     media.fail_syncs(false);
-    let error = log.append(b"next").expect_err("a poisoned log refuses work");
+    let error = log
+        .append(b"next")
+        .expect_err("a poisoned log refuses work");
     assert_eq!(error.current_context(), &StorageError::Poisoned);
 }
 
