Add the lab: a fleet of real processes, load that checks every answer, demo and up

Cause: nothing had shown the whole path from a caller to an engine and back. Change: railtack-lab starts routers, control replicas, engines, services and the platform as processes over loopback, submits documents through railtackctl, sends mixed requests and compares every answer with the only right one. 'members add' can be repeated after an interruption. Refusals of keyed requests before the claim say 'unknown', since another arrival of the key may have run. Ruled out: wrong, lost and broken answers each make the run fail, so a pass is no accident of counting.

--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -223,32 +223,46 @@
         return Ok(());
     };
     let identity = ControlClient::identify(address).await?;
+    let known = newest_members(client).await?;
+    let known = known
+        .iter()
+        .find(|member| member.replica == identity.replica && member.disk == identity.disk);
     let member = Member {
         replica: identity.replica,
         disk: identity.disk,
         address: address.to_string(),
         voter: false,
     };
-    let add = MembershipChange::AddLearner(member);
-    client.change_membership(&add).await?;
-    let promote = MembershipChange::Promote(identity.replica);
-    client.change_membership(&promote).await?;
+    // Each step is skipped if an earlier, interrupted command has done it.
+    if known.is_none() {
+        let add = MembershipChange::AddLearner(member);
+        client.change_membership(&add).await?;
+    }
+    if known.is_none_or(|member| !member.voter) {
+        let promote = MembershipChange::Promote(identity.replica);
+        client.change_membership(&promote).await?;
+    }
     println!("replica {} at {address} is a voter", identity.replica);
     Ok(())
 }
 
-async fn list_members(
-    client: &ControlClient,
-    format: OutputFormat,
-) -> Result<(), Report<CtlError>> {
+/// Members as the replica that is furthest ahead knows them.
+async fn newest_members(client: &ControlClient) -> Result<Vec<Member>, Report<CtlError>> {
     let statuses = client.statuses().await;
     let newest = statuses
         .into_iter()
         .filter_map(|(_, status)| status)
         .max_by_key(|status| (status.term, status.commit))
         .ok_or_else(|| Report::new(CtlError::Unavailable))?;
+    Ok(newest.members)
+}
+
+async fn list_members(
+    client: &ControlClient,
+    format: OutputFormat,
+) -> Result<(), Report<CtlError>> {
     let mut table = Table::new(["replica", "address", "role", "disk"]);
-    for member in newest.members {
+    for member in newest_members(client).await? {
         let role = if member.voter { "voter" } else { "learner" };
         table.row([
             member.replica.to_string(),
--- /dev/null
+++ b/crates/lab/src/demo.rs
@@ -0,0 +1,379 @@
+//! The demonstration: a fleet, mixed load, and a check of every answer.
+
+use std::{collections::HashSet, path::PathBuf, sync::Arc, time::Duration};
+
+use error_stack::{Report, ResultExt};
+use futures::{StreamExt, stream};
+use railtack_core::{BlockHash, RefusalCode};
+use railtack_http::HttpClient;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::time::Instant;
+
+use crate::{
+    LabError,
+    fleet::{Fleet, FleetKind, FleetShape},
+    load::{
+        Caller, Finding, LoadDocuments, ModelQuestion, Summary, caller::AskShape,
+        documents::LONG_TEMPLATE,
+    },
+};
+
+/// Requests of the demonstration.
+const REQUESTS: usize = 300;
+/// Requests open at once.
+const CONCURRENCY: usize = 16;
+/// Tenants.
+const TENANTS: usize = 2;
+/// Time for connecting to a router.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What fleet to start, and where.
+#[derive(Clone, Debug)]
+pub struct FleetOptions {
+    /// Whose fleet.
+    pub kind: FleetKind,
+    /// Seed.
+    pub seed: u64,
+    /// Folder; a new temporary one if absent.
+    pub folder: Option<PathBuf>,
+}
+
+impl FleetOptions {
+    /// The folder to use.
+    pub fn folder(&self) -> PathBuf {
+        let temporary =
+            || std::env::temp_dir().join(format!("railtack-lab-{}", std::process::id()));
+        self.folder.clone().unwrap_or_else(temporary)
+    }
+}
+
+/// A fleet with its documents in force.
+pub struct PreparedFleet {
+    /// The fleet.
+    pub fleet: Fleet,
+    /// What was submitted.
+    pub documents: LoadDocuments,
+}
+
+/// Starts a fleet and submits the documents through the operators' interface.
+pub async fn prepare(
+    shape: FleetShape,
+    options: &FleetOptions,
+    random: &mut ChaCha8Rng,
+) -> Result<PreparedFleet, Report<LabError>> {
+    let folder = options.folder();
+    let documents = LoadDocuments::draw(&shape, TENANTS, random);
+    let fleet = Fleet::start(shape, &folder).await?;
+    for [kind, verb, file] in documents.write(&folder)? {
+        fleet.operate(&[&kind, &verb, &file]).await?;
+    }
+    fleet.wait_for_routers().await?;
+    wait_for_engines(&fleet, &documents).await?;
+    Ok(PreparedFleet { fleet, documents })
+}
+
+/// Waits until every router serves a model: it has heard of engines and of the documents.
+async fn wait_for_engines(
+    fleet: &Fleet,
+    documents: &LoadDocuments,
+) -> Result<(), Report<LabError>> {
+    let limit = Duration::from_secs(20);
+    let started = Instant::now();
+    let client = HttpClient::new(CONNECT_TIMEOUT);
+    let caller = Caller::new(client, &documents.tenants[0].key);
+    let mut random = ChaCha8Rng::seed_from_u64(0);
+    let question = documents.question(0, &mut random);
+    for place in &fleet.places.routers {
+        while !is_answered(&caller, place.listen, &question).await {
+            if started.elapsed() > limit {
+                return Err(Report::new(LabError::NotReady {
+                    name: format!("router-{}", place.router),
+                    limit_ms: limit.as_millis() as u64,
+                }));
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    Ok(())
+}
+
+async fn is_answered(
+    caller: &Caller,
+    router: std::net::SocketAddr,
+    question: &ModelQuestion,
+) -> bool {
+    let finding = caller.ask(router, question, AskShape::Stream).await;
+    matches!(finding, Finding::Whole { .. })
+}
+
+/// One request of the mixed load.
+#[derive(Clone, Debug)]
+enum MixedRequest {
+    Model(usize, Box<ModelQuestion>, AskShape),
+    Lookup(usize, u64),
+    Once(usize, u64),
+    WrongKey(Box<ModelQuestion>),
+    UnknownTemplate(usize),
+}
+
+impl MixedRequest {
+    fn draw(documents: &LoadDocuments, random: &mut ChaCha8Rng) -> Self {
+        let tenant = random.random_range(0..documents.tenants.len());
+        match random.random_range(0..100) {
+            0..80 => {
+                let shape = if random.random_bool(0.75) {
+                    AskShape::Stream
+                } else {
+                    AskShape::Whole
+                };
+                let question = documents.question(tenant, random);
+                Self::Model(tenant, Box::new(question), shape)
+            }
+            80..88 => Self::Lookup(tenant, random.random()),
+            88..96 => Self::Once(tenant, random.random()),
+            96..98 => Self::WrongKey(Box::new(documents.question(tenant, random))),
+            _ => Self::UnknownTemplate(tenant),
+        }
+    }
+
+    /// The refusal that is right for this request.
+    fn expected_refusal(&self) -> Option<RefusalCode> {
+        match self {
+            Self::WrongKey(_) => Some(RefusalCode::Unauthorized),
+            Self::UnknownTemplate(_) => Some(RefusalCode::UnknownTemplate),
+            _ => None,
+        }
+    }
+}
+
+/// Runs the demonstration.
+pub async fn run(options: FleetOptions) -> Result<(), Report<LabError>> {
+    let started = Instant::now();
+    let mut random = ChaCha8Rng::seed_from_u64(options.seed);
+    let shape = FleetShape::demonstration(options.kind);
+    println!(
+        "starting {} routers, {} control replicas, {} engines, {} services in {} (seed {})",
+        shape.routers,
+        shape.control,
+        shape.engines,
+        shape.services.len(),
+        shape.zones.join(", "),
+        options.seed,
+    );
+    let prepared = prepare(shape, &options, &mut random).await?;
+    println!(
+        "fleet is ready after {:.1} s; templates and {TENANTS} tenants submitted",
+        started.elapsed().as_secs_f64()
+    );
+    let before = EngineWork::read(&prepared.fleet).await;
+    let requests: Vec<MixedRequest> = (0..REQUESTS)
+        .map(|_| MixedRequest::draw(&prepared.documents, &mut random))
+        .collect();
+    let blocks = distinct_blocks(&prepared.documents, &requests);
+    let (summary, unexpected) = put_load(&prepared, requests).await;
+    let work = EngineWork::read(&prepared.fleet).await.since(before);
+    let executions = prepared.fleet.executions().await?;
+    let repeated = executions
+        .by_key
+        .values()
+        .filter(|count| **count > 1)
+        .count();
+    println!("{summary}");
+    work.print(blocks);
+    println!("keys executed twice    {repeated}");
+    println!("unexpected refusals    {unexpected}");
+    println!("took {:.1} s", started.elapsed().as_secs_f64());
+    let wrong = summary.wrong.len() as u64;
+    let violations =
+        wrong + summary.lost + summary.broken + summary.unreachable + repeated as u64 + unexpected;
+    finish(prepared.fleet, &options, violations)
+}
+
+fn finish(fleet: Fleet, options: &FleetOptions, violations: u64) -> Result<(), Report<LabError>> {
+    let folder = fleet.folder.clone();
+    drop(fleet);
+    if violations > 0 {
+        eprintln!("logs are in {}", folder.display());
+        return Err(Report::new(LabError::Violations { violations }));
+    }
+    if options.folder.is_none() {
+        // What is left of a temporary folder does no harm.
+        let _ = std::fs::remove_dir_all(folder);
+    }
+    Ok(())
+}
+
+async fn put_load(prepared: &PreparedFleet, requests: Vec<MixedRequest>) -> (Summary, u64) {
+    let client = HttpClient::new(CONNECT_TIMEOUT);
+    let callers = prepared
+        .documents
+        .tenants
+        .iter()
+        .map(|tenant| Caller::new(client.clone(), &tenant.key))
+        .collect::<Vec<_>>();
+    let callers = Arc::new(callers);
+    let stranger = Caller::new(client, "nobody's key");
+    let routers = &prepared.fleet.places.routers;
+    let documents = &prepared.documents;
+    let total = requests.len();
+    let mut findings = stream::iter(requests.into_iter().enumerate())
+        .map(|(number, request)| {
+            let router = routers[number % routers.len()].listen;
+            let callers = Arc::clone(&callers);
+            let stranger = stranger.clone();
+            async move {
+                let finding = send(&callers, &stranger, documents, router, &request).await;
+                (request.expected_refusal(), finding)
+            }
+        })
+        .buffer_unordered(CONCURRENCY);
+    let mut summary = Summary::default();
+    let mut unexpected = 0;
+    while let Some((expected, finding)) = findings.next().await {
+        summary.add(&finding);
+        let refused = match finding {
+            Finding::Refused { code, .. } => Some(code),
+            _ => None,
+        };
+        unexpected += u64::from(refused != expected);
+        if summary.total().is_multiple_of(100) {
+            println!("{} of {total} requests answered", summary.total());
+        }
+    }
+    (summary, unexpected)
+}
+
+async fn send(
+    callers: &[Caller],
+    stranger: &Caller,
+    documents: &LoadDocuments,
+    router: std::net::SocketAddr,
+    request: &MixedRequest,
+) -> Finding {
+    let (lookup, once) = documents.service_names();
+    match request {
+        MixedRequest::Model(tenant, question, shape) => {
+            callers[*tenant].ask(router, question, *shape).await
+        }
+        MixedRequest::Lookup(tenant, number) => {
+            let path = format!("parcel/{number:x}");
+            callers[*tenant].call(router, lookup, &path, None).await
+        }
+        MixedRequest::Once(tenant, number) => {
+            let key = format!("{number:016x}");
+            let path = format!("notice/{number:x}");
+            callers[*tenant].call(router, once, &path, Some(&key)).await
+        }
+        MixedRequest::WrongKey(question) => stranger.ask(router, question, AskShape::Whole).await,
+        MixedRequest::UnknownTemplate(tenant) => {
+            let question = ModelQuestion {
+                template: "no-such-template",
+                file: None,
+                question: String::new(),
+                max_tokens: 1,
+                prompt: String::new(),
+            };
+            callers[*tenant]
+                .ask(router, &question, AskShape::Whole)
+                .await
+        }
+    }
+}
+
+/// Blocks that the prompts have in all, each counted once, and the tokens after the last blocks.
+#[derive(Clone, Copy, Debug, Default)]
+struct DistinctPrompts {
+    block_tokens: u64,
+    tail_tokens: u64,
+}
+
+fn distinct_blocks(documents: &LoadDocuments, requests: &[MixedRequest]) -> DistinctPrompts {
+    let mut seen: HashSet<BlockHash> = HashSet::new();
+    let mut distinct = DistinctPrompts::default();
+    for request in requests {
+        let MixedRequest::Model(tenant, question, _) = request else {
+            continue;
+        };
+        let chain = documents.chain(*tenant, &question.prompt);
+        let new = chain.blocks.iter().filter(|block| seen.insert(**block));
+        distinct.block_tokens += new.count() as u64 * u64::from(chain.block_tokens);
+        let covered = chain.tokens_at(chain.blocks.len());
+        distinct.tail_tokens += u64::from(chain.total_tokens - covered);
+    }
+    distinct
+}
+
+/// Work done by all engines.
+#[derive(Clone, Copy, Debug, Default)]
+struct EngineWork {
+    prompt_tokens: u64,
+    cached_tokens: u64,
+}
+
+impl EngineWork {
+    async fn read(fleet: &Fleet) -> Self {
+        let statuses = fleet.engine_statuses().await;
+        Self {
+            prompt_tokens: statuses.iter().map(|s| s.totals.prompt_tokens).sum(),
+            cached_tokens: statuses.iter().map(|s| s.totals.cached_tokens).sum(),
+        }
+    }
+
+    fn since(self, before: Self) -> Self {
+        Self {
+            prompt_tokens: self.prompt_tokens - before.prompt_tokens,
+            cached_tokens: self.cached_tokens - before.cached_tokens,
+        }
+    }
+
+    /// Prints hit rate and waste. What must be computed at least once is no waste.
+    fn print(self, distinct: DistinctPrompts) {
+        let computed = self.prompt_tokens - self.cached_tokens;
+        let needed = distinct.block_tokens + distinct.tail_tokens;
+        let wasted = computed.saturating_sub(needed);
+        let share = |part: u64| part as f64 / self.prompt_tokens.max(1) as f64;
+        println!("prompt tokens          {}", self.prompt_tokens);
+        println!("prefix hit rate        {:.3}", share(self.cached_tokens));
+        println!(
+            "wasted recomputation   {wasted} tokens, {:.3} of all prompt tokens",
+            share(wasted)
+        );
+    }
+}
+
+/// Starts a fleet and keeps it until interrupted.
+pub async fn up(options: FleetOptions) -> Result<(), Report<LabError>> {
+    let mut random = ChaCha8Rng::seed_from_u64(options.seed);
+    let shape = FleetShape::demonstration(options.kind);
+    let prepared = prepare(shape, &options, &mut random).await?;
+    print_directions(&prepared);
+    tokio::signal::ctrl_c()
+        .await
+        .change_context(LabError::Runtime)?;
+    println!("stopping");
+    finish(prepared.fleet, &options, 0)
+}
+
+fn print_directions(prepared: &PreparedFleet) {
+    let places = &prepared.fleet.places;
+    let (lookup, once) = prepared.documents.service_names();
+    for place in &places.routers {
+        println!(
+            "router {}: http://{} (operators: http://{})",
+            place.router, place.listen, place.admin
+        );
+    }
+    println!("control replicas: {}", places.control_list());
+    println!("platform: http://{}", places.platform);
+    for tenant in &prepared.documents.tenants {
+        println!("bearer key of {}: {}", tenant.name, tenant.key);
+    }
+    println!("model templates: {LONG_TEMPLATE} (parameter file), counter-answer");
+    println!("service templates: {lookup}, and {once}, which needs an Idempotency-Key");
+    println!(
+        "settings, logs and data: {}",
+        prepared.fleet.folder.display()
+    );
+    println!("interrupt with Ctrl-C");
+}
--- /dev/null
+++ b/crates/lab/src/fleet/mod.rs
@@ -0,0 +1,10 @@
+//! A fleet of real processes over loopback.
+
+pub mod process;
+pub mod running;
+pub mod settings;
+pub mod shape;
+
+pub use process::{Fault, LabProcess};
+pub use running::Fleet;
+pub use shape::{FleetKind, FleetShape};
--- /dev/null
+++ b/crates/lab/src/fleet/running.rs
@@ -0,0 +1,333 @@
+//! Starting a fleet, and what can be done to it while it runs.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::Stdio,
+    time::Duration,
+};
+
+use error_stack::{Report, ResultExt};
+use railtack_core::{EngineId, ModelName, ZoneName};
+use railtack_http::HttpClient;
+use railtack_platform::{EngineStatus, ExecutionCounts, Machine, MachineKind};
+use serde_json::Value;
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    LabError,
+    fleet::{
+        FleetShape, LabProcess,
+        process::{self, Program},
+        settings::{Places, SettingsWriter},
+    },
+};
+
+/// Time for a process to come up.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Pause between two looks at a starting process.
+const READY_PAUSE: Duration = Duration::from_millis(10);
+/// Time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Tries of an operator's command while the fleet starts.
+const OPERATOR_TRIES: u32 = 40;
+/// Pause between them.
+const OPERATOR_PAUSE: Duration = Duration::from_millis(100);
+
+/// A running fleet. Dropping it kills its processes.
+pub struct Fleet {
+    /// Sizes.
+    pub shape: FleetShape,
+    /// Addresses.
+    pub places: Places,
+    /// Where settings, logs and data are.
+    pub folder: PathBuf,
+    /// Control replicas, in the order of the places.
+    pub control: Vec<LabProcess>,
+    /// Routers, in the order of the places.
+    pub routers: Vec<LabProcess>,
+    /// Engines, in the order of the places.
+    pub engines: Vec<LabProcess>,
+    /// Services, in the order of the places.
+    pub services: Vec<LabProcess>,
+    /// The platform.
+    pub platform: LabProcess,
+    client: HttpClient,
+}
+
+impl Fleet {
+    /// Starts every process of a fleet and waits until all routers are ready.
+    pub async fn start(shape: FleetShape, folder: &Path) -> Result<Self, Report<LabError>> {
+        fs::create_dir_all(folder).change_context_lazy(|| LabError::File {
+            path: folder.to_owned(),
+        })?;
+        let places = Places::draw(&shape)?;
+        let writer = SettingsWriter {
+            folder,
+            shape: &shape,
+            places: &places,
+        };
+        let platform = start_one("platform", Program::Emulator, &writer.platform()?, folder)?;
+        let mut engines = Vec::new();
+        for place in &places.engines {
+            let file = writer.engine(place)?;
+            let arguments = vec![
+                "--settings".to_owned(),
+                file.display().to_string(),
+                "--platform".to_owned(),
+                places.platform.to_string(),
+            ];
+            let name = format!("engine-{}", place.engine);
+            engines.push(LabProcess::start(
+                &name,
+                Program::Emulator,
+                &arguments,
+                folder,
+            )?);
+        }
+        let mut services = Vec::new();
+        for place in &places.services {
+            let name = format!("service-{}", place.number);
+            let file = writer.service(place)?;
+            services.push(start_one(&name, Program::Emulator, &file, folder)?);
+        }
+        let mut control = Vec::new();
+        for place in &places.control {
+            let file = writer.control(place)?;
+            if control.is_empty() {
+                initialize_control(&file).await?;
+            }
+            let name = format!("control-{}", place.replica);
+            control.push(start_one(&name, Program::Control, &file, folder)?);
+        }
+        let mut routers = Vec::new();
+        for place in &places.routers {
+            let name = format!("router-{}", place.router);
+            let file = writer.router(place)?;
+            routers.push(start_one(&name, Program::Router, &file, folder)?);
+        }
+        let fleet = Self {
+            shape,
+            places,
+            folder: folder.to_owned(),
+            control,
+            routers,
+            engines,
+            services,
+            platform,
+            client: HttpClient::new(CALL_TIMEOUT),
+        };
+        fleet.join_up().await?;
+        Ok(fleet)
+    }
+
+    async fn join_up(&self) -> Result<(), Report<LabError>> {
+        self.wait_until_up("platform", self.places.platform, "/machines")
+            .await?;
+        self.publish_machines(&[]).await?;
+        for place in self.places.control.iter().skip(1) {
+            let address = place.listen.to_string();
+            self.operate_until_done(&["members", "add", &address])
+                .await?;
+        }
+        for place in &self.places.engines {
+            let name = format!("engine-{}", place.engine);
+            self.wait_until_up(&name, place.listen, "/status").await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until every router is ready to serve.
+    pub async fn wait_for_routers(&self) -> Result<(), Report<LabError>> {
+        for place in &self.places.routers {
+            let name = format!("router-{}", place.router);
+            self.wait_until_up(&name, place.admin, "/readyz").await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until an address answers a path with success; returns how long it took.
+    pub async fn wait_until_up(
+        &self,
+        name: &str,
+        address: SocketAddr,
+        path: &str,
+    ) -> Result<Duration, Report<LabError>> {
+        let started = Instant::now();
+        while started.elapsed() < READY_TIMEOUT {
+            if self.is_up(address, path).await {
+                return Ok(started.elapsed());
+            }
+            sleep(READY_PAUSE).await;
+        }
+        Err(Report::new(LabError::NotReady {
+            name: name.to_owned(),
+            limit_ms: READY_TIMEOUT.as_millis() as u64,
+        }))
+    }
+
+    async fn is_up(&self, address: SocketAddr, path: &str) -> bool {
+        let uri = format!("http://{address}{path}");
+        let Ok(request) = hyper::Request::get(uri).body(http_body_util::Full::default()) else {
+            return false;
+        };
+        let answer = tokio::time::timeout(CALL_TIMEOUT, self.client.send(request)).await;
+        matches!(answer, Ok(Ok(response)) if response.status() == 200)
+    }
+
+    /// Publishes the list of machines, some of them leaving.
+    pub async fn publish_machines(&self, leaving: &[EngineId]) -> Result<(), Report<LabError>> {
+        let machines = self.machines(leaving);
+        let content = serde_json::to_vec(&machines).unwrap_or_default();
+        let request = hyper::Request::put(format!("http://{}/machines", self.places.platform))
+            .body(http_body_util::Full::from(content))
+            .change_context(LabError::Runtime)?;
+        self.client
+            .send(request)
+            .await
+            .change_context_lazy(|| LabError::NoAnswer {
+                name: "platform".to_owned(),
+            })?;
+        Ok(())
+    }
+
+    fn machines(&self, leaving: &[EngineId]) -> Vec<Machine> {
+        let engines = self.places.engines.iter().map(|place| Machine {
+            kind: MachineKind::Engine {
+                engine: EngineId(place.engine),
+                model: ModelName::from(self.shape.model),
+            },
+            address: place.listen,
+            zone: ZoneName::from(self.shape.zone(place.engine - 1)),
+            leaving: leaving.contains(&EngineId(place.engine)),
+        });
+        let services = self.places.services.iter().map(|place| Machine {
+            kind: MachineKind::Service {
+                service: place.service.to_owned(),
+            },
+            address: place.listen,
+            zone: ZoneName::from(self.shape.zone(place.number)),
+            leaving: false,
+        });
+        engines.chain(services).collect()
+    }
+
+    /// Runs `railtackctl` against this fleet; its output if it succeeded.
+    pub async fn operate(&self, arguments: &[&str]) -> Result<String, Report<LabError>> {
+        let failed = |code| LabError::Operator {
+            command: arguments.join(" "),
+            code,
+        };
+        let output = process::command(Program::Ctl)
+            .change_context_lazy(|| failed(-1))?
+            .arg("--control")
+            .arg(self.places.control_list())
+            .args(arguments)
+            .stdin(Stdio::null())
+            .output()
+            .await
+            .change_context_lazy(|| failed(-1))?;
+        if output.status.success() {
+            return Ok(String::from_utf8_lossy(&output.stdout).into_owned());
+        }
+        Err(Report::new(failed(output.status.code().unwrap_or(-1))))
+    }
+
+    /// Runs an operator's command until it succeeds, while the fleet comes up.
+    async fn operate_until_done(&self, arguments: &[&str]) -> Result<(), Report<LabError>> {
+        let mut last = self.operate(arguments).await;
+        for _ in 0..OPERATOR_TRIES {
+            if last.is_ok() {
+                break;
+            }
+            sleep(OPERATOR_PAUSE).await;
+            last = self.operate(arguments).await;
+        }
+        last.map(|_| ())
+    }
+
+    /// State of every engine that answers.
+    pub async fn engine_statuses(&self) -> Vec<EngineStatus> {
+        let mut statuses = Vec::new();
+        for place in &self.places.engines {
+            let status = self
+                .client
+                .get_json::<EngineStatus>(place.listen, "/status", CALL_TIMEOUT)
+                .await;
+            statuses.extend(status);
+        }
+        statuses
+    }
+
+    /// Executions of each key over all services.
+    pub async fn executions(&self) -> Result<ExecutionCounts, Report<LabError>> {
+        let mut total = ExecutionCounts::default();
+        for place in &self.places.services {
+            let counts = self
+                .client
+                .get_json::<ExecutionCounts>(place.listen, "/executions", CALL_TIMEOUT)
+                .await
+                .change_context_lazy(|| LabError::NoAnswer {
+                    name: format!("service-{}", place.number),
+                })?;
+            for (key, count) in counts.by_key {
+                *total.by_key.entry(key).or_default() += count;
+            }
+        }
+        Ok(total)
+    }
+
+    /// The revision that a router has in force, if it answers.
+    pub async fn router_revision(&self, admin: SocketAddr) -> Option<u64> {
+        let content = self
+            .client
+            .get_json::<Value>(admin, "/configuration", CALL_TIMEOUT)
+            .await
+            .ok()?;
+        content.get("revision")?.as_u64()
+    }
+
+    /// Position in `control` of the present leader.
+    pub async fn leader(&self) -> Option<usize> {
+        let output = self.operate(&["--output", "json", "status"]).await.ok()?;
+        let status: Value = serde_json::from_str(&output).ok()?;
+        let leader = status
+            .as_array()?
+            .iter()
+            .find_map(|replica| replica.get("leader")?.as_str()?.parse::<u64>().ok())?;
+        self.places
+            .control
+            .iter()
+            .position(|place| u64::from(place.replica) == leader)
+    }
+}
+
+fn start_one(
+    name: &str,
+    program: Program,
+    settings: &Path,
+    folder: &Path,
+) -> Result<LabProcess, Report<LabError>> {
+    let arguments = ["--settings".to_owned(), settings.display().to_string()];
+    LabProcess::start(name, program, &arguments, folder)
+}
+
+async fn initialize_control(settings: &Path) -> Result<(), Report<LabError>> {
+    let failed = |code| LabError::Operator {
+        command: "initialize".to_owned(),
+        code,
+    };
+    let status = process::command(Program::Control)
+        .change_context_lazy(|| failed(-1))?
+        .arg("--settings")
+        .arg(settings)
+        .arg("initialize")
+        .status()
+        .await
+        .change_context_lazy(|| failed(-1))?;
+    if status.success() {
+        return Ok(());
+    }
+    Err(Report::new(failed(status.code().unwrap_or(-1))))
+}
--- /dev/null
+++ b/crates/lab/src/fleet/settings.rs
@@ -0,0 +1,227 @@
+//! Settings files of a fleet's processes.
+
+use std::{
+    fmt::Write as _,
+    fs,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+};
+
+use error_stack::{Report, ResultExt};
+
+use crate::{LabError, fleet::FleetShape};
+
+/// Addresses of one control replica.
+#[derive(Clone, Debug)]
+pub struct ControlPlace {
+    /// Number.
+    pub replica: u32,
+    /// Internal address.
+    pub listen: SocketAddr,
+    /// Metrics address.
+    pub metrics: SocketAddr,
+}
+
+/// Addresses of one router.
+#[derive(Clone, Debug)]
+pub struct RouterPlace {
+    /// Number.
+    pub router: u32,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where operators connect.
+    pub admin: SocketAddr,
+}
+
+/// Address of one engine.
+#[derive(Clone, Debug)]
+pub struct EnginePlace {
+    /// Number.
+    pub engine: u32,
+    /// Address.
+    pub listen: SocketAddr,
+}
+
+/// Address of one replica of a service.
+#[derive(Clone, Debug)]
+pub struct ServicePlace {
+    /// Service.
+    pub service: &'static str,
+    /// Number over all services.
+    pub number: u32,
+    /// Address.
+    pub listen: SocketAddr,
+}
+
+/// Every address of a fleet.
+#[derive(Clone, Debug)]
+pub struct Places {
+    /// The platform.
+    pub platform: SocketAddr,
+    /// Control replicas.
+    pub control: Vec<ControlPlace>,
+    /// Routers.
+    pub routers: Vec<RouterPlace>,
+    /// Engines.
+    pub engines: Vec<EnginePlace>,
+    /// Services.
+    pub services: Vec<ServicePlace>,
+}
+
+impl Places {
+    /// Takes free ports. All are held open until the last is drawn, so that none is drawn twice.
+    pub fn draw(shape: &FleetShape) -> Result<Self, Report<LabError>> {
+        let mut ports = PortDraw::default();
+        let platform = ports.next()?;
+        let mut control = Vec::new();
+        for replica in 1..=shape.control {
+            control.push(ControlPlace {
+                replica,
+                listen: ports.next()?,
+                metrics: ports.next()?,
+            });
+        }
+        let mut routers = Vec::new();
+        for router in 1..=shape.routers {
+            routers.push(RouterPlace {
+                router,
+                listen: ports.next()?,
+                admin: ports.next()?,
+            });
+        }
+        let mut engines = Vec::new();
+        for engine in 1..=shape.engines {
+            engines.push(EnginePlace {
+                engine,
+                listen: ports.next()?,
+            });
+        }
+        let mut services = Vec::new();
+        for service in &shape.services {
+            for _ in 0..shape.service_replicas {
+                services.push(ServicePlace {
+                    service,
+                    number: services.len() as u32,
+                    listen: ports.next()?,
+                });
+            }
+        }
+        Ok(Self {
+            platform,
+            control,
+            routers,
+            engines,
+            services,
+        })
+    }
+
+    /// Internal addresses of the control replicas, as `railtackctl --control` takes them.
+    pub fn control_list(&self) -> String {
+        let addresses = self.control.iter().map(|place| place.listen.to_string());
+        addresses.collect::<Vec<_>>().join(",")
+    }
+}
+
+#[derive(Default)]
+struct PortDraw {
+    held: Vec<TcpListener>,
+}
+
+impl PortDraw {
+    fn next(&mut self) -> Result<SocketAddr, Report<LabError>> {
+        let listener =
+            TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).change_context(LabError::Port)?;
+        let address = listener.local_addr().change_context(LabError::Port)?;
+        self.held.push(listener);
+        Ok(address)
+    }
+}
+
+/// Writes settings files into a folder.
+pub struct SettingsWriter<'a> {
+    /// The folder.
+    pub folder: &'a Path,
+    /// The fleet.
+    pub shape: &'a FleetShape,
+    /// Its addresses.
+    pub places: &'a Places,
+}
+
+impl SettingsWriter<'_> {
+    /// Settings of a control replica.
+    pub fn control(&self, place: &ControlPlace) -> Result<PathBuf, Report<LabError>> {
+        let data = self.folder.join(format!("control-{}", place.replica));
+        let text = format!(
+            "replica_id = {}\ncluster = \"lab\"\nzone = \"{}\"\nlisten = \"{}\"\n\
+             metrics_listen = \"{}\"\ndata = \"{}\"\nplatform = \"{}\"\n",
+            place.replica,
+            self.shape.zone(place.replica - 1),
+            place.listen,
+            place.metrics,
+            data.display(),
+            self.places.platform,
+        );
+        self.write(&format!("control-{}.toml", place.replica), &text)
+    }
+
+    /// Settings of a router.
+    pub fn router(&self, place: &RouterPlace) -> Result<PathBuf, Report<LabError>> {
+        let mut text = format!(
+            "router_id = {}\nzone = \"{}\"\nlisten = \"{}\"\nadmin_listen = \"{}\"\n\
+             platform = \"{}\"\n",
+            place.router,
+            self.shape.zone(place.router - 1),
+            place.listen,
+            place.admin,
+            self.places.platform,
+        );
+        for control in &self.places.control {
+            // Writing to a string cannot fail.
+            let _ = write!(
+                text,
+                "[[control]]\nreplica_id = {}\naddress = \"{}\"\n",
+                control.replica, control.listen
+            );
+        }
+        self.write(&format!("router-{}.toml", place.router), &text)
+    }
+
+    /// Settings of an engine.
+    pub fn engine(&self, place: &EnginePlace) -> Result<PathBuf, Report<LabError>> {
+        let text = format!(
+            "listen = \"{}\"\n[role]\nkind = \"engine\"\nengine_id = {}\nzone = \"{}\"\n\
+             model = \"{}\"\nweights_version = 1\n[role.costs]\ncache_blocks = {}\n",
+            place.listen,
+            place.engine,
+            self.shape.zone(place.engine - 1),
+            self.shape.model,
+            self.shape.cache_blocks,
+        );
+        self.write(&format!("engine-{}.toml", place.engine), &text)
+    }
+
+    /// Settings of a service.
+    pub fn service(&self, place: &ServicePlace) -> Result<PathBuf, Report<LabError>> {
+        let text = format!(
+            "listen = \"{}\"\n[role]\nkind = \"service\"\nservice = \"{}\"\nanswer_ms = 5\n",
+            place.listen, place.service,
+        );
+        self.write(&format!("service-{}.toml", place.number), &text)
+    }
+
+    /// Settings of the platform.
+    pub fn platform(&self) -> Result<PathBuf, Report<LabError>> {
+        let text = format!(
+            "listen = \"{}\"\n[role]\nkind = \"platform\"\nlag_ms = {}\n\
+             weight_bytes_per_second = 1000000000\n",
+            self.places.platform, self.shape.platform_lag_ms,
+        );
+        self.write("platform.toml", &text)
+    }
+
+    fn write(&self, name: &str, text: &str) -> Result<PathBuf, Report<LabError>> {
+        let path = self.folder.join(name);
+        fs::write(&path, text).change_context_lazy(|| LabError::File { path: path.clone() })?;
+        Ok(path)
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,11 @@
-//! Fleet on one machine, load, fault injection, simulation and reports.
+//! A whole fleet on one machine: load, faults, simulation, experiments and reports.
+//!
+//! A development tool, never deployed. Only the lab and the tests start processes.
+
+pub mod cli;
+pub mod demo;
+pub mod errors;
+pub mod fleet;
+pub mod load;
+
+pub use errors::LabError;
--- /dev/null
+++ b/crates/lab/src/load/caller.rs
@@ -0,0 +1,250 @@
+//! A caller that checks what it gets.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use futures::StreamExt;
+use http_body_util::Full;
+use hyper::{Request, Response, body::Incoming};
+use railtack_core::{Execution, RefusalCode};
+use railtack_emulator::answer::whole_answer;
+use railtack_http::{HttpClient, lines, read_body};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::time::{Instant, timeout};
+
+use crate::load::documents::ModelQuestion;
+
+/// Largest answer read as a whole, bytes.
+const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
+/// Time after which a caller gives up; nothing may take this long.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// How a request ended, as its caller saw it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Finding {
+    /// The whole answer to its own request.
+    Whole {
+        /// Time to the first token of a streamed answer, or to a whole one, microseconds.
+        first_token_us: u64,
+    },
+    /// A typed refusal.
+    Refused {
+        /// Code.
+        code: RefusalCode,
+        /// Whether it ran, as far as the router says.
+        execution: Execution,
+    },
+    /// The router could not be reached; nothing was promised.
+    Unreachable,
+    /// The connection to the router broke in the middle, and the caller can tell.
+    Broken,
+    /// An answer that looks whole and is not, or is somebody else's.
+    Wrong {
+        /// What came.
+        got: String,
+    },
+    /// No end came.
+    Lost,
+}
+
+#[derive(Deserialize)]
+struct RefusalBody {
+    error: RefusalFields,
+}
+
+#[derive(Deserialize)]
+struct RefusalFields {
+    code: RefusalCode,
+    execution: Execution,
+}
+
+/// The shape in which a model is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AskShape {
+    /// `/v1/completions`, streamed.
+    Stream,
+    /// `/v1/completions`, whole.
+    Whole,
+}
+
+/// Sends requests as one tenant.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: HttpClient,
+    key: String,
+}
+
+impl Caller {
+    /// A caller with a bearer key.
+    pub fn new(client: HttpClient, key: &str) -> Self {
+        Self {
+            client,
+            key: key.to_owned(),
+        }
+    }
+
+    /// Asks a model and compares the answer with the only right one.
+    pub async fn ask(
+        &self,
+        router: SocketAddr,
+        question: &ModelQuestion,
+        shape: AskShape,
+    ) -> Finding {
+        let mut body = json!({
+            "template": question.template,
+            "prompt": question.question,
+            "max_tokens": question.max_tokens,
+            "stream": shape == AskShape::Stream,
+        });
+        if let Some(file) = &question.file {
+            body["parameters"] = json!({ "file": file });
+        }
+        let expected = whole_answer(&question.prompt, question.max_tokens);
+        let started = Instant::now();
+        let exchange = async {
+            let response = match self.post(router, "/v1/completions", &body, None).await {
+                Ok(response) => response,
+                Err(finding) => return finding,
+            };
+            if response.status() != 200 {
+                return refusal(response).await;
+            }
+            match shape {
+                AskShape::Stream => read_stream(response, &expected, started).await,
+                AskShape::Whole => read_whole(response, &expected, started).await,
+            }
+        };
+        timeout(PATIENCE, exchange).await.unwrap_or(Finding::Lost)
+    }
+
+    /// Calls an ordinary service.
+    pub async fn call(
+        &self,
+        router: SocketAddr,
+        service: &str,
+        path: &str,
+        key: Option<&str>,
+    ) -> Finding {
+        let started = Instant::now();
+        let route = format!("/services/{service}/{path}");
+        let exchange = async {
+            let response = match self.post(router, &route, &json!({}), key).await {
+                Ok(response) => response,
+                Err(finding) => return finding,
+            };
+            if response.status() != 200 {
+                return refusal(response).await;
+            }
+            let first_token_us = started.elapsed().as_micros() as u64;
+            let Some(answer) = read_json(response).await else {
+                return Finding::Broken;
+            };
+            let is_own = answer["path"] == format!("/{path}") && answer["key"].as_str() == key;
+            if is_own {
+                Finding::Whole { first_token_us }
+            } else {
+                Finding::Wrong {
+                    got: answer.to_string(),
+                }
+            }
+        };
+        timeout(PATIENCE, exchange).await.unwrap_or(Finding::Lost)
+    }
+
+    async fn post(
+        &self,
+        router: SocketAddr,
+        path: &str,
+        body: &Value,
+        key: Option<&str>,
+    ) -> Result<Response<Incoming>, Finding> {
+        let mut builder = Request::post(format!("http://{router}{path}"))
+            .header("authorization", format!("Bearer {}", self.key));
+        if let Some(key) = key {
+            builder = builder.header("idempotency-key", key);
+        }
+        let content = Bytes::from(body.to_string());
+        let request = builder
+            .body(Full::new(content))
+            .map_err(|_| Finding::Unreachable)?;
+        self.client
+            .send(request)
+            .await
+            .map_err(|error| match error {
+                railtack_http::SendError::NotSent => Finding::Unreachable,
+                railtack_http::SendError::MaybeSent => Finding::Broken,
+            })
+    }
+}
+
+async fn refusal(response: Response<Incoming>) -> Finding {
+    let Some(content) = read_json(response).await else {
+        return Finding::Broken;
+    };
+    match serde_json::from_value::<RefusalBody>(content.clone()) {
+        Ok(refusal) => refused(refusal),
+        Err(_) => Finding::Wrong {
+            got: content.to_string(),
+        },
+    }
+}
+
+fn refused(refusal: RefusalBody) -> Finding {
+    Finding::Refused {
+        code: refusal.error.code,
+        execution: refusal.error.execution,
+    }
+}
+
+async fn read_json(response: Response<Incoming>) -> Option<Value> {
+    let content = read_body(response.into_body(), ANSWER_LIMIT, PATIENCE).await;
+    serde_json::from_slice(&content.ok()?).ok()
+}
+
+async fn read_whole(response: Response<Incoming>, expected: &str, started: Instant) -> Finding {
+    let first_token_us = started.elapsed().as_micros() as u64;
+    let Some(answer) = read_json(response).await else {
+        return Finding::Broken;
+    };
+    let text = answer["choices"][0]["text"].as_str().unwrap_or_default();
+    compare(text, expected, first_token_us)
+}
+
+async fn read_stream(response: Response<Incoming>, expected: &str, started: Instant) -> Finding {
+    let mut text = String::new();
+    let mut first_token_us = None;
+    let mut lines = lines(response.into_body());
+    while let Some(line) = lines.next().await {
+        let Ok(line) = line else {
+            return Finding::Broken;
+        };
+        let Some(data) = line.strip_prefix("data: ") else {
+            continue;
+        };
+        if data == "[DONE]" {
+            return compare(&text, expected, first_token_us.unwrap_or_default());
+        }
+        if let Ok(refusal) = serde_json::from_str::<RefusalBody>(data) {
+            return refused(refusal);
+        }
+        let event: Value = serde_json::from_str(data).unwrap_or_default();
+        let piece = event["choices"][0]["text"].as_str().unwrap_or_default();
+        if !piece.is_empty() && first_token_us.is_none() {
+            first_token_us = Some(started.elapsed().as_micros() as u64);
+        }
+        text.push_str(piece);
+    }
+    // No end came, so the caller knows that the answer was cut.
+    Finding::Broken
+}
+
+fn compare(text: &str, expected: &str, first_token_us: u64) -> Finding {
+    if text == expected {
+        Finding::Whole { first_token_us }
+    } else {
+        Finding::Wrong {
+            got: text.chars().take(80).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/load/summary.rs
@@ -0,0 +1,106 @@
+//! What many callers found.
+
+use std::{collections::BTreeMap, fmt};
+
+use hdrhistogram::Histogram;
+use railtack_core::{Execution, RefusalCode};
+
+use crate::load::caller::Finding;
+
+/// Largest time recorded, microseconds.
+const LONGEST_US: u64 = 120_000_000;
+
+/// Counts of findings and times to first token.
+#[derive(Clone, Debug)]
+pub struct Summary {
+    /// Whole answers.
+    pub whole: u64,
+    /// Refusals by code and what they say of execution.
+    pub refusals: BTreeMap<(RefusalCode, &'static str), u64>,
+    /// Connections that broke in a way that the caller can tell.
+    pub broken: u64,
+    /// Routers that could not be reached.
+    pub unreachable: u64,
+    /// Answers that were wrong without the caller being able to tell.
+    pub wrong: Vec<String>,
+    /// Requests without any end.
+    pub lost: u64,
+    times: Histogram<u64>,
+}
+
+impl Default for Summary {
+    fn default() -> Self {
+        // The bounds are constant and valid.
+        let times = Histogram::new_with_bounds(1, LONGEST_US, 3);
+        Self {
+            whole: 0,
+            refusals: BTreeMap::new(),
+            broken: 0,
+            unreachable: 0,
+            wrong: Vec::new(),
+            lost: 0,
+            times: times.unwrap_or_else(|_| unreachable!("constant bounds are valid")),
+        }
+    }
+}
+
+impl Summary {
+    /// Counts one finding.
+    pub fn add(&mut self, finding: &Finding) {
+        match finding {
+            Finding::Whole { first_token_us } => {
+                self.whole += 1;
+                self.times.saturating_record((*first_token_us).max(1));
+            }
+            Finding::Refused { code, execution } => {
+                let ran = execution_text(*execution);
+                *self.refusals.entry((*code, ran)).or_default() += 1;
+            }
+            Finding::Unreachable => self.unreachable += 1,
+            Finding::Broken => self.broken += 1,
+            Finding::Wrong { got } => self.wrong.push(got.clone()),
+            Finding::Lost => self.lost += 1,
+        }
+    }
+
+    /// Everything counted.
+    pub fn total(&self) -> u64 {
+        let refused: u64 = self.refusals.values().sum();
+        let wrong = self.wrong.len() as u64;
+        self.whole + refused + self.unreachable + self.broken + wrong + self.lost
+    }
+
+    /// A quantile of the time to first token, milliseconds.
+    pub fn first_token_ms(&self, quantile: f64) -> f64 {
+        self.times.value_at_quantile(quantile) as f64 / 1_000.0
+    }
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(formatter, "requests               {}", self.total())?;
+        writeln!(formatter, "whole answers          {}", self.whole)?;
+        writeln!(
+            formatter,
+            "time to first token    p50 {:.1} ms, p95 {:.1} ms, p99 {:.1} ms",
+            self.first_token_ms(0.5),
+            self.first_token_ms(0.95),
+            self.first_token_ms(0.99),
+        )?;
+        for ((code, execution), count) in &self.refusals {
+            writeln!(formatter, "refused {code} ({execution})   {count}")?;
+        }
+        writeln!(formatter, "unreachable            {}", self.unreachable)?;
+        writeln!(formatter, "broken                 {}", self.broken)?;
+        writeln!(formatter, "wrong                  {}", self.wrong.len())?;
+        write!(formatter, "lost                   {}", self.lost)
+    }
+}
+
+fn execution_text(execution: Execution) -> &'static str {
+    match execution {
+        Execution::NotRun => "not_run",
+        Execution::Unknown => "unknown",
+        Execution::Completed => "completed",
+    }
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,7 @@
+//! `railtack-lab`: a whole fleet on one machine.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    railtack_lab::cli::run(std::env::args_os())
+}
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -177,7 +177,9 @@
     let content_type = headers.get(CONTENT_TYPE).cloned();
     let bearer = bearer(headers);
     let method = request.method().clone();
-    let content = receive(state, request).await?;
+    let content = receive(state, request)
+        .await
+        .map_err(|refusal| services::without_proof(refusal, key.as_ref()))?;
     Ok(ServiceRequest {
         bearer,
         template,
--- a/crates/router/src/services.rs
+++ b/crates/router/src/services.rs
@@ -85,10 +85,15 @@
         .map_err(|refusal| without_proof(refusal, key.as_ref()))?;
     let resolved = state.resolved.load_full();
     let tenant = resolved.authenticate(request.bearer.as_deref())?;
-    let service = resolved.service(tenant, &request.template)?;
+    let service = resolved
+        .service(tenant, &request.template)
+        .map_err(|refusal| without_proof(refusal, key.as_ref()))?;
     let Target::Service { service: name } = &service.template.target else {
-        let detail = "this template is served under /v1";
-        return Err(Refusal::not_run(RefusalCode::UnknownRoute, detail));
+        let refusal = Refusal::not_run(
+            RefusalCode::UnknownRoute,
+            "this template is served under /v1",
+        );
+        return Err(without_proof(refusal, key.as_ref()));
     };
     let forwarded = Forwarded {
         request,
@@ -118,7 +123,8 @@
     Ok(Some(IdempotencyKey(key.clone())))
 }
 
-fn without_proof(refusal: Refusal, key: Option<&IdempotencyKey>) -> Refusal {
+/// A refusal of a request with a key, before anything is known of the key's other arrivals.
+pub fn without_proof<K>(refusal: Refusal, key: Option<&K>) -> Refusal {
     match key {
         Some(_) => Refusal {
             execution: railtack_core::Execution::Unknown,
