Make the decisions about streams, keyed requests and proposals pure

Change: Relay, Attempts, KeyedRun, ProposalRun, PendingProposals and the engine's Gate take inputs and return steps; the daemons carry the steps out. A rollout now counts engines that are silent and may be loading, and always leaves one that answers in service. While replicas change over to new weights, tenants move with the share of replicas that have them, where before every request was refused until the first replica had loaded. Ruled out: running the daemons themselves under virtual time; sockets and the system's random numbers would have to be replaced underneath them. Conclusion: the simulator can run the same code as the daemons.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod metrics;
 pub mod node;
 pub mod peers;
+pub mod pending;
 pub mod replica;
 pub mod rollout;
 pub mod roster;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -22,7 +22,8 @@
     errors::ControlError,
     metrics::ControlMetrics,
     peers::Peers,
-    replica::{MembershipError, Replica, Ticket},
+    pending::PendingProposals,
+    replica::{MembershipError, Replica},
     roster::RouterRoster,
     state::IssuedOrder,
 };
@@ -116,7 +117,7 @@
         peers,
         metrics,
         started,
-        waiting: BTreeMap::new(),
+        pending: PendingProposals::default(),
         leader: None,
         routers: RouterRoster::default(),
     };
@@ -132,7 +133,7 @@
     peers: Peers,
     metrics: ControlMetrics,
     started: Instant,
-    waiting: BTreeMap<Ticket, oneshot::Sender<ProposeReply>>,
+    pending: PendingProposals<oneshot::Sender<ProposeReply>>,
     leader: Option<ReplicaId>,
     routers: RouterRoster,
 }
@@ -164,13 +165,10 @@
         self.peers
             .send(advance.messages, self.replica.raft().membership());
         for applied in advance.applied {
-            self.drop_superseded(applied.ticket);
-            if let Some(waiting) = self.waiting.remove(&applied.ticket) {
-                let _ = waiting.send(ProposeReply::Done(applied.outcome));
-            }
+            answer_all(self.pending.applied(applied));
         }
         if self.replica.raft().role() != Role::Leader {
-            self.give_up_waiting();
+            answer_all(self.pending.give_up());
         }
         self.observe();
         Ok(())
@@ -223,7 +221,7 @@
     fn propose(&mut self, proposal: &Proposal, answer: oneshot::Sender<ProposeReply>) {
         match self.replica.propose(proposal) {
             Ok(ticket) => {
-                self.waiting.insert(ticket, answer);
+                self.pending.insert(ticket, answer);
             }
             Err(_) => {
                 let leader = self.leader_address();
@@ -285,32 +283,6 @@
         Some(leader.address.clone())
     }
 
-    /// A proposal whose place was taken by another leader's entry did not commit there, but a
-    /// resend may still find it done by an earlier send; so its proposer is told "unknown".
-    fn drop_superseded(&mut self, applied: Ticket) {
-        let superseded: Vec<Ticket> = self
-            .waiting
-            .range(..applied)
-            .map(|(ticket, _)| *ticket)
-            .collect();
-        for ticket in superseded {
-            self.answer_unknown(ticket);
-        }
-    }
-
-    fn give_up_waiting(&mut self) {
-        let tickets: Vec<Ticket> = self.waiting.keys().copied().collect();
-        for ticket in tickets {
-            self.answer_unknown(ticket);
-        }
-    }
-
-    fn answer_unknown(&mut self, ticket: Ticket) {
-        if let Some(waiting) = self.waiting.remove(&ticket) {
-            let _ = waiting.send(ProposeReply::Unknown);
-        }
-    }
-
     fn observe(&mut self) {
         let raft = self.replica.raft();
         let leads = raft.role() == Role::Leader;
@@ -331,3 +303,10 @@
         self.started.elapsed().as_millis() as u64
     }
 }
+
+fn answer_all(answers: Vec<(oneshot::Sender<ProposeReply>, ProposeReply)>) {
+    for (proposer, reply) in answers {
+        // A proposer that is gone needs no answer.
+        let _ = proposer.send(reply);
+    }
+}
--- /dev/null
+++ b/crates/control/src/pending.rs
@@ -0,0 +1,55 @@
+//! Proposals whose outcome somebody waits for.
+//!
+//! Pure: the daemon and the simulator use it between a replica and its callers.
+
+use std::collections::BTreeMap;
+
+use railtack_rpc::protocol::ProposeReply;
+
+use crate::replica::{Applied, Ticket};
+
+/// Waiting proposers by the place of their proposal in the log.
+#[derive(Debug)]
+pub struct PendingProposals<T> {
+    waiting: BTreeMap<Ticket, T>,
+}
+
+impl<T> Default for PendingProposals<T> {
+    fn default() -> Self {
+        Self {
+            waiting: BTreeMap::new(),
+        }
+    }
+}
+
+impl<T> PendingProposals<T> {
+    /// Notes who waits for a proposal.
+    pub fn insert(&mut self, ticket: Ticket, proposer: T) {
+        self.waiting.insert(ticket, proposer);
+    }
+
+    /// Answers the proposers that an applied command concerns.
+    ///
+    /// A proposal whose place was taken by another leader's entry did not commit there, but a
+    /// resend may still find it done by an earlier send; so its proposer is told "unknown".
+    pub fn applied(&mut self, applied: Applied) -> Vec<(T, ProposeReply)> {
+        let later = self.waiting.split_off(&applied.ticket);
+        let superseded = std::mem::replace(&mut self.waiting, later);
+        let mut answers: Vec<_> = superseded
+            .into_values()
+            .map(|proposer| (proposer, ProposeReply::Unknown))
+            .collect();
+        if let Some(proposer) = self.waiting.remove(&applied.ticket) {
+            answers.push((proposer, ProposeReply::Done(applied.outcome)));
+        }
+        answers
+    }
+
+    /// Tells everyone "unknown", because this replica does not lead any more.
+    pub fn give_up(&mut self) -> Vec<(T, ProposeReply)> {
+        std::mem::take(&mut self.waiting)
+            .into_values()
+            .map(|proposer| (proposer, ProposeReply::Unknown))
+            .collect()
+    }
+}
--- a/crates/control/src/rollout.rs
+++ b/crates/control/src/rollout.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use railtack_core::EngineId;
+use railtack_core::{EngineId, ModelName};
 use railtack_platform::EngineStatus;
 use railtack_rpc::protocol::{Configuration, EngineOrder};
 use railtack_settings::documents::ModelTarget;
@@ -24,18 +24,28 @@
     pub send: Vec<(EngineId, IssuedOrder)>,
 }
 
+/// What is known of the engines when a step is planned.
+#[derive(Clone, Copy, Debug)]
+pub struct EnginesSeen<'a> {
+    /// State of each engine that answered.
+    pub statuses: &'a [EngineStatus],
+    /// Every engine that the platform lists, with the model it was started with.
+    pub listed: &'a [(EngineId, ModelName)],
+}
+
 /// Compares wanted and reported weights.
 ///
-/// With two or more replicas of a model at least one keeps serving: those that load, and those
-/// with an order under way, count against a limit below the number of replicas.
+/// With two or more replicas of a model at least one that answers keeps serving: engines that
+/// load, engines with an order under way, and engines that may have one but do not answer all
+/// count against a limit below the number of replicas.
 pub fn next_step(
     configuration: &Configuration,
     orders: &BTreeMap<EngineId, IssuedOrder>,
-    engines: &[EngineStatus],
+    seen: EnginesSeen<'_>,
 ) -> RolloutStep {
     let mut step = RolloutStep::default();
     for target in configuration.models.values().map(|known| &known.document) {
-        plan_model(target, orders, engines, &mut step);
+        plan_model(target, orders, seen, &mut step);
     }
     step
 }
@@ -43,32 +53,58 @@
 fn plan_model(
     target: &ModelTarget,
     orders: &BTreeMap<EngineId, IssuedOrder>,
-    engines: &[EngineStatus],
+    seen: EnginesSeen<'_>,
     step: &mut RolloutStep,
 ) {
-    let replicas: Vec<&EngineStatus> = engines
+    let replicas: Vec<&EngineStatus> = seen
+        .statuses
         .iter()
         .filter(|engine| engine.model == target.name && !engine.draining)
         .collect();
     let wanted = EngineOrder::Load(target.clone());
-    let mut free = replicas.len().div_ceil(REPLICAS_PER_LOAD);
+    let mut under_way = silent_with_order(target, orders, seen);
     let mut waiting = Vec::new();
-    for engine in replicas {
+    for engine in &replicas {
         let recorded = orders
             .get(&engine.engine)
             .filter(|issued| issued.order == wanted);
         let is_current = engine.weights_version == target.weights_version;
         match recorded {
-            _ if engine.loading => free = free.saturating_sub(1),
+            _ if engine.loading => under_way += 1,
             _ if is_current => {}
             Some(issued) if issued.token > engine.last_order_token => {
                 step.send.push((engine.engine, issued.clone()));
-                free = free.saturating_sub(1);
+                under_way += 1;
             }
             _ => waiting.push(engine.engine),
         }
     }
+    let serving = replicas.iter().filter(|engine| !engine.loading).count();
+    let listed = seen
+        .listed
+        .iter()
+        .filter(|(_, model)| *model == target.name);
+    let spared = usize::from(listed.count() > 1);
+    let free = replicas
+        .len()
+        .div_ceil(REPLICAS_PER_LOAD)
+        .min(serving.saturating_sub(spared))
+        .saturating_sub(under_way);
     let chosen = waiting.into_iter().take(free);
     step.record
         .extend(chosen.map(|engine| (engine, wanted.clone())));
 }
+
+/// Listed engines that do not answer and may be loading by an order recorded before.
+fn silent_with_order(
+    target: &ModelTarget,
+    orders: &BTreeMap<EngineId, IssuedOrder>,
+    seen: EnginesSeen<'_>,
+) -> usize {
+    let answered = |engine: &EngineId| seen.statuses.iter().any(|known| known.engine == *engine);
+    seen.listed
+        .iter()
+        .filter(|(engine, model)| *model == target.name && !answered(engine))
+        .filter(|(engine, _)| orders.contains_key(engine))
+        .count()
+}
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -11,6 +11,7 @@
 use hyper::Request;
 use prometheus_client::registry::Registry;
 use railtack_consensus::{DiskId, Message, ReplicaId};
+use railtack_core::{EngineId, ModelName};
 use railtack_http::{HttpClient, ServeOptions, body, observability};
 use railtack_platform::{EngineStatus, MachineKind, MachineList, OrderReply, OrderRequest};
 use railtack_rpc::{
@@ -38,7 +39,7 @@
     node::{self, Input, LeaderView, NodeHandle},
     peers::Peers,
     replica::{Replica, ReplicaOptions},
-    rollout::{self, RolloutStep},
+    rollout::{self, EnginesSeen, RolloutStep},
     state::IssuedOrder,
 };
 
@@ -271,10 +272,13 @@
     platform: SocketAddr,
     view: &LeaderView,
 ) {
-    let engines = fetch_engines(client, platform).await;
+    let (listed, engines) = fetch_engines(client, platform).await;
     let statuses: Vec<EngineStatus> = engines.iter().map(|(_, status)| status.clone()).collect();
-    let RolloutStep { record, send } =
-        rollout::next_step(&view.configuration, &view.orders, &statuses);
+    let seen = EnginesSeen {
+        statuses: &statuses,
+        listed: &listed,
+    };
+    let RolloutStep { record, send } = rollout::next_step(&view.configuration, &view.orders, seen);
     for (engine, order) in record {
         let command = Command::Order { engine, order };
         let proposal = Proposal {
@@ -295,25 +299,28 @@
     }
 }
 
+/// The engines that the platform lists, and the state of those that answer.
 async fn fetch_engines(
     client: &HttpClient,
     platform: SocketAddr,
-) -> Vec<(SocketAddr, EngineStatus)> {
+) -> (Vec<(EngineId, ModelName)>, Vec<(SocketAddr, EngineStatus)>) {
     let list = client
         .get_json::<MachineList>(platform, "/machines", PLATFORM_TIMEOUT)
         .await
         .unwrap_or_default();
+    let mut listed = Vec::new();
     let mut engines = Vec::new();
     for machine in list.machines {
-        if !matches!(machine.kind, MachineKind::Engine { .. }) {
+        let MachineKind::Engine { engine, model } = machine.kind else {
             continue;
-        }
+        };
+        listed.push((engine, model));
         let status = client
             .get_json::<EngineStatus>(machine.address, "/status", PLATFORM_TIMEOUT)
             .await;
         engines.extend(status.ok().map(|status| (machine.address, status)));
     }
-    engines
+    (listed, engines)
 }
 
 async fn send_order(client: &HttpClient, address: SocketAddr, issued: &IssuedOrder) {
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -282,8 +282,7 @@
     /// Requests that were decoding yield a token, and so do those whose prompt was finished.
     fn produce(&mut self, decoding: &[bool], end_us: u64, outcome: &mut StepOutcome) {
         let mut finished = Vec::new();
-        for position in 0..self.running.len() {
-            let was_decoding = decoding[position];
+        for (position, &was_decoding) in decoding.iter().enumerate() {
             if !self.running[position].is_decoding() {
                 continue;
             }
--- a/crates/emulator/src/engine_server.rs
+++ b/crates/emulator/src/engine_server.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use futures::SinkExt;
 use hyper::{Method, Request, Response, Uri, body::Incoming};
-use railtack_core::{CacheNamespace, EngineIncarnation, ModelName, PrefixChain, WeightsVersion};
+use railtack_core::{CacheNamespace, EngineIncarnation, PrefixChain};
 use railtack_http::{Body, BodySender, body, read_body, streaming};
 use railtack_platform::{
     CacheListing, EngineError, EngineEvent, EngineEventKind, EngineRefusal, EngineRequest,
@@ -24,6 +24,7 @@
     answer::{answer_seed, token_text},
     engine::{EngineModel, NewSequence, StepOutcome, TokenOutput},
     event_feed::EventFeed,
+    gate::{Gate, GateChecks},
 };
 
 /// Largest request body, bytes.
@@ -51,11 +52,7 @@
 
 struct Shared {
     model: EngineModel,
-    loaded_model: ModelName,
-    weights_version: WeightsVersion,
-    loading: bool,
-    draining: bool,
-    last_order_token: u64,
+    gate: Gate,
     streams: HashMap<u128, Stream>,
     feed: EventFeed,
 }
@@ -84,11 +81,12 @@
         );
         let shared = Shared {
             model: EngineModel::new(settings.costs.clone()),
-            loaded_model: settings.model.clone(),
-            weights_version: settings.weights_version,
-            loading: false,
-            draining: false,
-            last_order_token: 0,
+            gate: Gate::new(
+                incarnation,
+                settings.model.clone(),
+                settings.weights_version,
+                GateChecks::default(),
+            ),
             streams: HashMap::new(),
             feed,
         };
@@ -117,7 +115,7 @@
 
     /// Stops taking requests; answers that are under way go on.
     pub fn begin_drain(&self) {
-        self.lock().draining = true;
+        self.lock().gate.draining = true;
     }
 
     /// Answers one HTTP request.
@@ -185,7 +183,7 @@
 
     fn submit(&self, request: &EngineRequest) -> Result<(), EngineRefusal> {
         let mut shared = self.lock();
-        shared.admits(request, self.incarnation)?;
+        shared.admits(request)?;
         let chain = PrefixChain::from_text(
             CacheNamespace(request.cache_namespace.0),
             &request.prompt,
@@ -306,11 +304,11 @@
             engine: self.settings.engine_id,
             incarnation: self.incarnation,
             zone: self.settings.zone.clone(),
-            model: shared.loaded_model.clone(),
-            weights_version: shared.weights_version,
-            loading: shared.loading,
-            draining: shared.draining,
-            last_order_token: shared.last_order_token,
+            model: shared.gate.model.clone(),
+            weights_version: shared.gate.weights_version,
+            loading: shared.gate.loading,
+            draining: shared.gate.draining,
+            last_order_token: shared.gate.last_order_token,
             block_tokens: self.settings.costs.block_tokens,
             load: shared.model.load(),
             totals: shared.model.totals(),
@@ -360,7 +358,7 @@
     /// Readers of events must not hold up a planned stop.
     fn is_idle_and_draining(&self) -> bool {
         let shared = self.lock();
-        shared.draining && !shared.model.has_work()
+        shared.gate.draining && !shared.model.has_work()
     }
 
     fn load_event(&self, sequence: u64) -> EngineEvent {
@@ -380,14 +378,9 @@
         let Some(order) = parsed else {
             return self.refuse(400, EngineRefusal::Malformed);
         };
-        {
-            let mut shared = self.lock();
-            if order.token <= shared.last_order_token {
-                drop(shared);
-                return self.refuse(409, EngineRefusal::StaleToken);
-            }
-            shared.last_order_token = order.token;
-            shared.loading = true;
+        let taken = self.lock().gate.take_order(&order);
+        if let Err(refusal) = taken {
+            return self.refuse(409, refusal);
         }
         let token = order.token;
         tokio::spawn(self.load_weights(order));
@@ -404,14 +397,12 @@
         }
         let now_us = self.now_us();
         let mut shared = self.lock();
-        if shared.last_order_token != order.token {
+        if !shared.gate.is_current(&order) {
             return;
         }
         let changes = shared.model.clear_cache();
         shared.feed.publish(&changes, now_us);
-        shared.loaded_model = order.model;
-        shared.weights_version = order.weights_version;
-        shared.loading = false;
+        shared.gate.loaded(order);
     }
 
     async fn wait_for_weights(&self, platform: std::net::SocketAddr) {
@@ -448,23 +439,9 @@
 }
 
 impl Shared {
-    fn admits(
-        &self,
-        request: &EngineRequest,
-        incarnation: EngineIncarnation,
-    ) -> Result<(), EngineRefusal> {
-        if request.incarnation != incarnation {
-            return Err(EngineRefusal::IncarnationMismatch);
-        }
-        if self.draining {
-            return Err(EngineRefusal::Draining);
-        }
-        let has_weights = request.model == self.loaded_model
-            && request.weights_version == self.weights_version
-            && !self.loading;
-        if !has_weights {
-            return Err(EngineRefusal::WeightsMismatch);
-        }
+    fn admits(&self, request: &EngineRequest) -> Result<(), EngineRefusal> {
+        self.gate
+            .admit(request.incarnation, &request.model, request.weights_version)?;
         if self.model.load().waiting >= QUEUE_LIMIT {
             return Err(EngineRefusal::QueueFull);
         }
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine_server;
 pub mod errors;
 pub mod event_feed;
+pub mod gate;
 pub mod platform_server;
 pub mod service_server;
 
--- a/crates/router/src/completions.rs
+++ b/crates/router/src/completions.rs
@@ -6,13 +6,17 @@
 };
 
 use hyper::Response;
-use railtack_core::{CacheNamespace, PrefixChain, RefusalCode, RequestId, prefix::BYTES_PER_TOKEN};
+use railtack_core::{
+    CacheNamespace, ModelName, PrefixChain, RefusalCode, RequestId, TenantName, WeightsVersion,
+    prefix::BYTES_PER_TOKEN,
+};
 use railtack_http::Body;
 use railtack_routing::{
     AdmissionRefusal, Decision, ModelKey, RequestShape, admission::AdmissionRequest,
 };
 use railtack_settings::documents::Target;
 use tokio::{sync::mpsc, time::Instant};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     answers::{AnswerWriter, Shape},
@@ -83,9 +87,10 @@
         return Err(Refusal::not_run(RefusalCode::UnknownRoute, detail));
     };
     let prompt = prompt::build(template, service.service, &body.parameters, &body.prompt)?;
+    let target = resolved.weights_version(model);
     let key = ModelKey {
         model: model.clone(),
-        weights_version: resolved.weights_version(model),
+        weights_version: serving_version(state, model, target, &service.tenant.name),
     };
     let namespace = CacheNamespace::derive(
         &service.tenant.name,
@@ -116,6 +121,19 @@
     })
 }
 
+/// The weights that a tenant's requests use; the same at every router while replicas change over.
+fn serving_version(
+    state: &RouterState,
+    model: &ModelName,
+    target: WeightsVersion,
+    tenant: &TenantName,
+) -> WeightsVersion {
+    let point = xxh3_64(tenant.as_str().as_bytes()) as f64 / u64::MAX as f64;
+    lock(&state.scheduler)
+        .engines
+        .serving_version(model, target, point)
+}
+
 /// Chooses an engine and asks whether the request may run there in time.
 fn admit(state: &RouterState, service: &ResolvedService<'_>, mut job: Job) -> Result<Job, Refusal> {
     let now = state.now_us();
--- a/crates/router/src/control_link.rs
+++ b/crates/router/src/control_link.rs
@@ -10,12 +10,15 @@
 use railtack_consensus::ReplicaId;
 use railtack_rpc::{
     ControlConnection, call_deadline,
-    protocol::{Command, Outcome, PollReply, PollRequest, Proposal, ProposeReply, VoterAddress},
+    protocol::{Command, PollReply, PollRequest, Proposal, ProposeReply, VoterAddress},
 };
 use railtack_settings::router::ControlAddress;
 use tokio::time::{Instant, sleep};
 
-use crate::state::{RouterState, lock};
+use crate::{
+    proposal::{ProposalAnswer, ProposalRun, Proposed},
+    state::{RouterState, lock},
+};
 
 /// Time for connecting to a replica.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -28,17 +31,6 @@
 /// Pause before the next replica is tried.
 const PROPOSE_PAUSE: Duration = Duration::from_millis(30);
 
-/// How a proposal ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Proposed {
-    /// It is committed and applied.
-    Done(Outcome),
-    /// No replica took it: it has had no effect and will have none.
-    NotProposed,
-    /// It may be committed now or later.
-    Unknown,
-}
-
 type Connections = BTreeMap<ReplicaId, Arc<ControlConnection>>;
 
 /// Connections to the control replicas.
@@ -91,52 +83,32 @@
     /// The same command may reach the log twice; every command is safe to repeat.
     pub async fn propose(&self, command: Command, limit: Duration) -> Proposed {
         let deadline = Instant::now() + limit;
-        let mut maybe_proposed = false;
+        let mut run = ProposalRun::default();
         let mut position = 0;
         while Instant::now() < deadline {
             let Some(connection) = self.proposal_target(position) else {
                 break;
             };
             position += 1;
-            let proposal = Proposal {
-                at: 0,
-                command: command.clone(),
-            };
-            let answer = connection
-                .call(|client| async move {
-                    client
-                        .propose(call_deadline(PROPOSE_TIMEOUT), proposal)
-                        .await
-                })
-                .await;
-            match answer {
-                Ok(ProposeReply::Done(outcome)) => {
-                    *lock(&self.leader) = Some(connection.address());
-                    return Proposed::Done(outcome);
-                }
-                Ok(ProposeReply::NotLeader { leader }) => {
-                    *lock(&self.leader) = leader.and_then(|address| address.parse().ok());
-                }
-                Ok(ProposeReply::Unknown) => {
-                    maybe_proposed = true;
-                    lock(&self.leader).take();
-                }
-                Err(report) => {
-                    let unreachable = matches!(
-                        report.current_context(),
-                        railtack_rpc::ConnectionError::Unreachable { .. }
-                    );
-                    maybe_proposed |= !unreachable;
-                    lock(&self.leader).take();
-                }
+            let answer = send_proposal(&connection, &command).await;
+            self.follow_leader(&connection, &answer);
+            if let Some(proposed) = run.answered(answer) {
+                return proposed;
             }
             sleep(PROPOSE_PAUSE).await;
         }
-        if maybe_proposed {
-            Proposed::Unknown
-        } else {
-            Proposed::NotProposed
-        }
+        run.expired()
+    }
+
+    fn follow_leader(&self, connection: &ControlConnection, answer: &ProposalAnswer) {
+        let leader = match answer {
+            ProposalAnswer::Reply(ProposeReply::Done(_)) => Some(connection.address()),
+            ProposalAnswer::Reply(ProposeReply::NotLeader { leader }) => leader
+                .as_deref()
+                .and_then(|address| address.parse::<SocketAddr>().ok()),
+            _ => None,
+        };
+        *lock(&self.leader) = leader;
     }
 
     /// The leader if known, otherwise one replica after another.
@@ -152,6 +124,28 @@
     }
 }
 
+async fn send_proposal(connection: &ControlConnection, command: &Command) -> ProposalAnswer {
+    // The replica that takes the proposal puts the time in.
+    let proposal = Proposal {
+        at: 0,
+        command: command.clone(),
+    };
+    let answer = connection
+        .call(|client| async move {
+            client
+                .propose(call_deadline(PROPOSE_TIMEOUT), proposal)
+                .await
+        })
+        .await;
+    match answer {
+        Ok(reply) => ProposalAnswer::Reply(reply),
+        Err(report) => match report.current_context() {
+            railtack_rpc::ConnectionError::Unreachable { .. } => ProposalAnswer::Unreachable,
+            railtack_rpc::ConnectionError::NoAnswer { .. } => ProposalAnswer::NoAnswer,
+        },
+    }
+}
+
 /// Polls all replicas at every interval for as long as the router runs.
 ///
 /// The first round starts at once, so that a restarted router serves as soon as a majority has
@@ -210,7 +204,7 @@
 }
 
 fn take_reply(state: &RouterState, reply: PollReply, asked_at: u64) {
-    if let Some(update) = reply.update {
+    if let Some(update) = &reply.update {
         // Updates of several replicas may cross; `updated` takes none that would move back.
         state
             .resolved
@@ -219,14 +213,10 @@
                 None => Arc::clone(known),
             });
     }
-    if !reply.voter {
-        return;
+    if reply.voter {
+        lock(&state.admission).set_routers(reply.routers);
     }
-    lock(&state.admission).set_routers(reply.routers);
-    let mut lease = lock(&state.lease);
-    let voters = reply.voters.iter().map(|voter| voter.replica);
-    if !reply.voters.is_empty() && lease.set_voters(reply.membership_index, voters) {
+    if lock(&state.lease).take_reply(&reply, asked_at) {
         state.control.set_voters(&reply.voters);
     }
-    lease.vouched(reply.replica, asked_at, reply.last_configuration_index);
 }
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -11,12 +11,9 @@
 use futures::StreamExt;
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming};
-use railtack_core::{
-    AttemptId, CacheNamespace, Execution, PrefixChain, RefusalCode, RequestId, TemplateName,
-    TenantName,
-};
+use railtack_core::{AttemptId, CacheNamespace, PrefixChain, RequestId, TemplateName, TenantName};
 use railtack_http::{SendError, lines, read_body};
-use railtack_platform::{EngineError, EngineRefusal, EngineRequest, Hex, StreamEnd, StreamFrame};
+use railtack_platform::{EngineError, EngineRefusal, EngineRequest, Hex, StreamFrame};
 use railtack_routing::{Decision, EngineSlot, ModelKey, RequestShape};
 use railtack_settings::documents::Priority;
 use tokio::{
@@ -26,14 +23,13 @@
 
 use crate::{
     answers::AnswerEvent,
+    attempts::{AfterAttempt, AttemptEnd, Attempts},
     decisions::{CandidateRecord, DecisionRecord},
     engine_link::refresh_status,
-    refusal::Refusal,
+    relay::{FrameStep, Relay},
     state::{RouterState, lock},
 };
 
-/// Attempts of one request.
-const ATTEMPT_LIMIT: u32 = 4;
 /// Tries to resume a stream on the engine where it broke.
 const RESUME_TRIES: u32 = 2;
 /// Pause before a stream is resumed.
@@ -76,22 +72,6 @@
     pub first_decision: Option<Decision>,
 }
 
-/// How one attempt ended.
-enum AttemptEnd {
-    /// The answer is whole.
-    Whole(StreamEnd),
-    /// The engine refused; nothing ran there.
-    Refused,
-    /// Nothing was sent.
-    NotSent,
-    /// The engine was lost while it may have been running.
-    Lost,
-    /// The caller is gone.
-    CallerGone,
-    /// The deadline passed.
-    TooLate,
-}
-
 /// Runs a job and reports its answer step by step. Dropping the receiver cancels it.
 pub async fn run(state: Arc<RouterState>, job: Job, events: mpsc::Sender<AnswerEvent>) {
     state.metrics.open_requests.inc();
@@ -99,11 +79,11 @@
         state: &state,
         job: &job,
         events: &events,
-        delivered: 0,
+        relay: Relay::default(),
+        attempts: Attempts::default(),
         excluded: Vec::new(),
-        may_have_run: false,
     };
-    let last = run.attempts().await;
+    let last = run.run_attempts().await;
     lock(&state.admission).release(&job.tenant);
     state.metrics.open_requests.dec();
     if let Some(event) = last {
@@ -116,10 +96,9 @@
     state: &'a RouterState,
     job: &'a Job,
     events: &'a mpsc::Sender<AnswerEvent>,
-    /// Tokens handed to the caller.
-    delivered: u32,
+    relay: Relay,
+    attempts: Attempts,
     excluded: Vec<EngineSlot>,
-    may_have_run: bool,
 }
 
 /// One dispatch to one engine.
@@ -134,34 +113,22 @@
 
 impl Run<'_> {
     /// Attempts until one brings the whole answer; `None` if the caller is gone.
-    async fn attempts(&mut self) -> Option<AnswerEvent> {
+    async fn run_attempts(&mut self) -> Option<AnswerEvent> {
         let mut decision = self.job.first_decision.clone();
-        for number in 1..=ATTEMPT_LIMIT {
+        loop {
             let Some(chosen) = decision.take().or_else(|| self.choose()) else {
-                break;
+                return last_event(self.attempts.no_engine());
             };
-            self.record(&chosen, number);
-            match self.attempt(&chosen).await {
-                AttemptEnd::Whole(end) => return Some(AnswerEvent::Ended(end)),
-                AttemptEnd::CallerGone => return None,
-                AttemptEnd::TooLate => {
-                    return Some(self.failed(RefusalCode::DeadlineExceeded, "the deadline passed"));
-                }
-                AttemptEnd::Refused | AttemptEnd::NotSent => {}
-                AttemptEnd::Lost => {
-                    self.may_have_run = true;
-                    if !self.spend_retry() {
-                        break;
-                    }
-                }
+            self.record(&chosen);
+            let end = self.attempt(&chosen).await;
+            let (state, tenant) = (self.state, &self.job.tenant);
+            let after = self.attempts.ended(end, || spend_retry(state, tenant));
+            if after != AfterAttempt::Again {
+                return last_event(after);
             }
             self.excluded.push(chosen.chosen.engine);
             self.state.metrics.retries.inc();
         }
-        Some(self.failed(
-            RefusalCode::BackendFailed,
-            "no engine could serve the request",
-        ))
     }
 
     fn choose(&self) -> Option<Decision> {
@@ -175,12 +142,6 @@
         lock(&self.state.scheduler).choose(shape, self.state.now_us(), rand::random())
     }
 
-    /// Repeats that cost an engine work come out of the tenant's budget.
-    fn spend_retry(&self) -> bool {
-        let mut budgets = lock(&self.state.retry_budgets);
-        budgets.entry(self.job.tenant.clone()).or_default().spend()
-    }
-
     async fn attempt(&mut self, decision: &Decision) -> AttemptEnd {
         let engine = decision.chosen.engine;
         let Some((request, address)) = self.engine_request(engine) else {
@@ -193,6 +154,7 @@
             uncached_tokens: u64::from(decision.chosen.uncached_tokens),
             waits_for_token: true,
         };
+        self.relay.begin(attempt.id);
         self.begin(&attempt);
         let end = self.exchange(&mut attempt, &request).await;
         self.finish(&attempt, &end);
@@ -216,7 +178,7 @@
             weights_version: self.job.key.weights_version,
             cache_namespace: Hex(self.job.namespace.0),
             prompt: self.job.prompt.clone(),
-            delivered_tokens: self.delivered,
+            delivered_tokens: self.relay.delivered(),
             max_tokens: self.job.max_tokens,
             priority: self.priority(),
         };
@@ -251,7 +213,9 @@
             sleep(RESUME_PAUSE).await;
             let uri = format!(
                 "http://{}/v1/streams/{:032x}?from={}",
-                attempt.address, attempt.id.0, self.delivered
+                attempt.address,
+                attempt.id.0,
+                self.relay.delivered()
             );
             let Ok(request) = Request::get(uri).body(Full::default()) else {
                 return AttemptEnd::Lost;
@@ -290,27 +254,19 @@
             let Ok(frame) = serde_json::from_str::<StreamFrame>(text) else {
                 return AttemptEnd::Lost;
             };
-            if frame.attempt.0 != attempt.id.0 || frame.sequence < self.delivered {
-                self.state.metrics.dropped_frames.inc();
-                continue;
-            }
-            if frame.sequence > self.delivered {
-                // A hole in the answer: ask again from where the caller is.
-                return AttemptEnd::Lost;
-            }
-            if let Some(end) = frame.end {
-                return AttemptEnd::Whole(end);
-            }
-            self.note_first_token(attempt);
-            if self
-                .events
-                .send(AnswerEvent::Token(frame.text))
-                .await
-                .is_err()
-            {
-                return AttemptEnd::CallerGone;
-            }
-            self.delivered += 1;
+            match self.relay.take(frame) {
+                FrameStep::Drop => self.state.metrics.dropped_frames.inc(),
+                FrameStep::Gap => return AttemptEnd::Lost,
+                FrameStep::Whole(end) => return AttemptEnd::Whole(end),
+                FrameStep::Deliver(text) => {
+                    self.note_first_token(attempt);
+                    let token = AnswerEvent::Token(text);
+                    if self.events.send(token).await.is_err() {
+                        return AttemptEnd::CallerGone;
+                    }
+                    continue;
+                }
+            };
         }
     }
 
@@ -355,7 +311,7 @@
             return;
         }
         attempt.waits_for_token = false;
-        if self.delivered == 0 {
+        if self.relay.delivered() == 1 {
             let waited = self.job.received.elapsed();
             self.state.metrics.first_token.observe(waited.as_secs_f64());
         }
@@ -391,22 +347,8 @@
         }
     }
 
-    fn failed(&self, code: RefusalCode, detail: &str) -> AnswerEvent {
-        let ran = self.may_have_run || self.delivered > 0 || code == RefusalCode::DeadlineExceeded;
-        let execution = if ran {
-            Execution::Unknown
-        } else {
-            Execution::NotRun
-        };
-        let refusal = Refusal {
-            execution,
-            ..Refusal::not_run(code, detail)
-        };
-        AnswerEvent::Failed(refusal.retry_after_ms(1_000))
-    }
-
-    fn record(&self, decision: &Decision, number: u32) {
-        if number > 1 && self.delivered > 0 {
+    fn record(&self, decision: &Decision) {
+        if self.relay.delivered() > 0 {
             self.state.metrics.continued.inc();
         }
         let scheduler = lock(&self.state.scheduler);
@@ -425,7 +367,7 @@
             request: format!("{:032x}", self.job.request.0),
             tenant: self.job.tenant.clone(),
             template: self.job.template.clone(),
-            attempt: number,
+            attempt: self.attempts.made() + 1,
             engine: scheduler.engines.view(decision.chosen.engine).id,
             prompt_tokens: self.job.chain.total_tokens,
             candidates: candidates.collect(),
@@ -441,3 +383,18 @@
         if self.is_urgent() { URGENT } else { 0 }
     }
 }
+
+/// The event that ends an answer; `None` if nobody waits for it.
+fn last_event(after: AfterAttempt) -> Option<AnswerEvent> {
+    match after {
+        AfterAttempt::Whole(end) => Some(AnswerEvent::Ended(end)),
+        AfterAttempt::Fail(refusal) => Some(AnswerEvent::Failed(refusal)),
+        AfterAttempt::Again | AfterAttempt::Abandon => None,
+    }
+}
+
+/// Repeats that cost an engine work come out of the tenant's budget.
+fn spend_retry(state: &RouterState, tenant: &TenantName) -> bool {
+    let mut budgets = lock(&state.retry_budgets);
+    budgets.entry(tenant.clone()).or_default().spend()
+}
--- a/crates/router/src/lease.rs
+++ b/crates/router/src/lease.rs
@@ -9,6 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use railtack_consensus::{LogIndex, Millis, ReplicaId};
+use railtack_rpc::protocol::PollReply;
 
 #[derive(Clone, Copy, Debug)]
 struct Vouch {
@@ -36,6 +37,19 @@
         }
     }
 
+    /// Takes in a replica's answer to a poll sent at `asked_at`; true if the voters may have
+    /// changed. Only voters vouch.
+    pub fn take_reply(&mut self, reply: &PollReply, asked_at: Millis) -> bool {
+        if !reply.voter {
+            return false;
+        }
+        let voters = reply.voters.iter().map(|voter| voter.replica);
+        let takes_voters =
+            !reply.voters.is_empty() && self.set_voters(reply.membership_index, voters);
+        self.vouched(reply.replica, asked_at, reply.last_configuration_index);
+        takes_voters
+    }
+
     /// Takes in the voters that a replica knows of; false if a later membership is known here.
     ///
     /// Replicas that were removed may never learn of it and still name old voters. The latest
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,14 +1,14 @@
 //! The data-plane daemon: callers' HTTP, dispatch and stream relay.
 //!
 //! A request passes these modules in order: [`server`] accepts it, [`api`] and [`prompt`] check and
-//! render it, [`completions`] or [`services`] admit it, [`dispatch`] or [`claims`] run it, and
+//! render it, [`completions`] or [`services`] admit it, [`dispatch`] or [`keyed`] run it, and
 //! [`answers`] writes what the caller sees. [`control_link`] and [`engine_link`] keep the router's
 //! view of configuration and engines current.
 
 pub mod admin;
 pub mod answers;
 pub mod api;
-pub mod claims;
+pub mod attempts;
 pub mod cli;
 pub mod completions;
 pub mod control_link;
@@ -16,10 +16,13 @@
 pub mod dispatch;
 pub mod engine_link;
 pub mod errors;
+pub mod keyed;
 pub mod lease;
 pub mod metrics;
 pub mod prompt;
+pub mod proposal;
 pub mod refusal;
+pub mod relay;
 pub mod resolved;
 pub mod server;
 pub mod services;
--- /dev/null
+++ b/crates/router/src/relay.rs
@@ -0,0 +1,77 @@
+//! Which frames of an answer reach the caller: each token once, in order, up to the explicit end.
+//!
+//! Pure: the daemon and the simulator feed it frames and closed connections.
+
+use railtack_core::AttemptId;
+use railtack_platform::{StreamEnd, StreamFrame};
+
+/// Whether an answer ends only by an explicit mark.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EndMarker {
+    /// A stream without the mark was cut.
+    #[default]
+    Required,
+    /// A closed connection counts as an end. Only in a deliberately broken build.
+    Ignored,
+}
+
+/// What to do with a frame.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FrameStep {
+    /// Hand the text to the caller.
+    Deliver(String),
+    /// Late, repeated or of another attempt: drop it.
+    Drop,
+    /// Frames are missing before it: ask again from where the caller is.
+    Gap,
+    /// The answer is whole.
+    Whole(StreamEnd),
+}
+
+/// Progress of one answer over all its attempts.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Relay {
+    delivered: u32,
+    attempt: AttemptId,
+    end_marker: EndMarker,
+}
+
+impl Relay {
+    /// An answer of which nothing was delivered.
+    pub fn new(end_marker: EndMarker) -> Self {
+        Self {
+            end_marker,
+            ..Self::default()
+        }
+    }
+
+    /// Begins an attempt; frames of earlier attempts are dropped from now on.
+    pub fn begin(&mut self, attempt: AttemptId) {
+        self.attempt = attempt;
+    }
+
+    /// Tokens handed to the caller.
+    pub fn delivered(&self) -> u32 {
+        self.delivered
+    }
+
+    /// Takes a frame. Invariant: `delivered` tokens went out, in order, without a hole.
+    pub fn take(&mut self, frame: StreamFrame) -> FrameStep {
+        if frame.attempt.0 != self.attempt.0 || frame.sequence < self.delivered {
+            return FrameStep::Drop;
+        }
+        if frame.sequence > self.delivered {
+            return FrameStep::Gap;
+        }
+        if let Some(end) = frame.end {
+            return FrameStep::Whole(end);
+        }
+        self.delivered += 1;
+        FrameStep::Deliver(frame.text)
+    }
+
+    /// Whether a connection that closed without an end mark still makes the answer whole.
+    pub fn is_whole_when_closed(&self) -> bool {
+        self.end_marker == EndMarker::Ignored
+    }
+}
--- a/crates/router/src/services.rs
+++ b/crates/router/src/services.rs
@@ -9,15 +9,15 @@
     body::Incoming,
     header::{CONTENT_TYPE, HeaderValue},
 };
-use railtack_core::{IdempotencyKey, RefusalCode, TemplateName, TenantName};
+use railtack_core::{AttemptId, IdempotencyKey, RefusalCode, TemplateName, TenantName};
 use railtack_http::{Body, SendError, body, read_body, send_on_new_connection};
-use railtack_rpc::protocol::{ClaimOutcome, StoredAnswer};
+use railtack_rpc::protocol::StoredAnswer;
 use railtack_settings::documents::Target;
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_128;
 
 use crate::{
-    claims::{self, Claimed, HeldClaim},
+    keyed::{self, KeyedRun, KeyedStep},
     refusal::Refusal,
     state::{RouterState, lock},
 };
@@ -34,8 +34,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest exchange with a service. Well below the age at which an unsettled claim counts as lost.
 const LONGEST_EXCHANGE: Duration = Duration::from_secs(300);
-/// Largest answer that is kept for later arrivals, bytes.
-const STORED_ANSWER_LIMIT: usize = 64 * 1024;
 /// Largest answer of a service, bytes.
 const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
 
@@ -161,11 +159,12 @@
     forwarded: &Forwarded<'_>,
     key: IdempotencyKey,
 ) -> Result<StoredAnswer, Refusal> {
-    let fingerprint = fingerprint(forwarded);
-    let held = match claims::claim(state, &forwarded.tenant, &key, fingerprint).await? {
-        Claimed::Answered(stored) => return Ok(stored),
-        Claimed::Held(held) => held,
-    };
+    let (run, first) = KeyedRun::begin(
+        forwarded.tenant.clone(),
+        key,
+        fingerprint(forwarded),
+        AttemptId(rand::random()),
+    );
     // A caller that goes away must not leave the claim open: the rest runs to its end regardless.
     let state = Arc::clone(state);
     let request = forwarded.request.clone();
@@ -179,7 +178,7 @@
             service,
             limit,
         };
-        run_held(state, &forwarded, held).await
+        carry_out(state, &forwarded, run, first).await
     });
     task.await.unwrap_or_else(|_| {
         Err(Refusal::unknown(
@@ -189,36 +188,40 @@
     })
 }
 
-/// Sends a claimed request exactly once.
-async fn run_held(
+/// Carries out the steps of one arrival of a key.
+async fn carry_out(
     state: Arc<RouterState>,
     forwarded: &Forwarded<'_>,
-    held: HeldClaim,
+    mut run: KeyedRun,
+    first: KeyedStep,
 ) -> Result<StoredAnswer, Refusal> {
-    let Some(address) = next_backend(&state, &forwarded.service) else {
-        let refusal = no_backend(&forwarded.service);
-        return Err(held.close_not_run(state, refusal).await);
-    };
-    match forward(address, forwarded).await {
-        Ok(answer) => {
-            held.settle_now(&state, ClaimOutcome::Completed(storable(&answer)))
-                .await;
-            Ok(answer)
-        }
-        Err(SendError::NotSent) => {
-            let refusal = no_backend(&forwarded.service);
-            Err(held.close_not_run(state, refusal).await)
-        }
-        Err(SendError::MaybeSent) => {
-            held.settle_later(state, ClaimOutcome::Unknown);
-            Err(Refusal::unknown(
-                RefusalCode::OutcomeUnknown,
-                "the service was lost after the request was sent",
-            ))
-        }
+    let mut step = first;
+    loop {
+        step = match step {
+            KeyedStep::Propose(command) => {
+                run.proposed(state.control.propose(command, keyed::CLAIM_TIMEOUT).await)
+            }
+            KeyedStep::Send => run.sent(send_once(&state, forwarded).await),
+            KeyedStep::Answer { answer, later } => {
+                if let Some(command) = later {
+                    tokio::spawn(async move {
+                        state.control.propose(command, keyed::SETTLE_TIMEOUT).await
+                    });
+                }
+                return answer;
+            }
+        };
     }
 }
 
+async fn send_once(
+    state: &RouterState,
+    forwarded: &Forwarded<'_>,
+) -> Result<StoredAnswer, SendError> {
+    let address = next_backend(state, &forwarded.service).ok_or(SendError::NotSent)?;
+    forward(address, forwarded).await
+}
+
 async fn forward(
     address: SocketAddr,
     forwarded: &Forwarded<'_>,
@@ -271,17 +274,6 @@
     })
 }
 
-fn storable(answer: &StoredAnswer) -> StoredAnswer {
-    let body = answer
-        .body
-        .clone()
-        .filter(|content| content.len() <= STORED_ANSWER_LIMIT);
-    StoredAnswer {
-        body,
-        ..answer.clone()
-    }
-}
-
 fn response(answer: StoredAnswer) -> Response<Body> {
     let mut response = Response::new(body::full(answer.body.unwrap_or_default()));
     if let Ok(status) = hyper::StatusCode::from_u16(answer.status) {
--- a/crates/routing/src/engines.rs
+++ b/crates/routing/src/engines.rs
@@ -146,6 +146,39 @@
         self.groups.get(key).map_or(&[], Vec::as_slice)
     }
 
+    /// The weights that a tenant's requests use while replicas change over to `target`.
+    ///
+    /// Tenants move in the order of `point` (0 to 1, fixed for each tenant) as the share of
+    /// replicas with the new weights grows, so that neither set of replicas is swamped.
+    pub fn serving_version(
+        &self,
+        model: &ModelName,
+        target: WeightsVersion,
+        point: f64,
+    ) -> WeightsVersion {
+        let mut with_target = 0;
+        let mut total = 0;
+        let mut newest_other = None;
+        for (key, slots) in self.groups.iter().filter(|(key, _)| key.model == *model) {
+            let usable = slots.iter().filter(|slot| self.is_usable(**slot)).count();
+            total += usable;
+            if key.weights_version == target {
+                with_target += usable;
+            } else if usable > 0 {
+                newest_other = newest_other.max(Some(key.weights_version));
+            }
+        }
+        match newest_other {
+            Some(other) if point * total as f64 >= f64::from(with_target as u32) => other,
+            _ => target,
+        }
+    }
+
+    fn is_usable(&self, slot: EngineSlot) -> bool {
+        let view = self.view(slot);
+        view.available && view.listed
+    }
+
     /// All engines.
     pub fn views(&self) -> &[EngineView] {
         &self.views
--- a/crates/routing/src/index.rs
+++ b/crates/routing/src/index.rs
@@ -97,7 +97,9 @@
         }
         self.add_holders(blocks, deepest - 1, &mut scores);
         self.add_holders(blocks, 0, &mut scores);
-        scores.held.sort_by(|left, right| right.1.cmp(&left.1));
+        scores
+            .held
+            .sort_by_key(|(_, depth)| std::cmp::Reverse(*depth));
         scores
     }
 
