--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -167,13 +167,17 @@
             return;
         };
         progress.last_heard = now;
-        progress.waiting = false;
         if success {
+            progress.waiting = false;
             progress.matched = progress.matched.max(index);
             progress.next = progress.next.max(progress.matched + 1);
             self.advance_commit();
         } else {
-            progress.next = (index + 1).clamp(progress.matched + 1, progress.next.max(1));
+            let earlier = (index + 1).clamp(progress.matched + 1, progress.next.max(1));
+            // A member that refuses the same place again, as one that lost synced entries does,
+            // is asked at the next heartbeat and not at once.
+            progress.waiting = earlier == progress.next;
+            progress.next = earlier;
         }
     }
 
--- a/crates/control/src/cli.rs
+++ b/crates/control/src/cli.rs
@@ -39,7 +39,7 @@
     match start(arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            eprintln!("{report:?}");
+            eprintln!("error: {report:#}");
             ExitCode::FAILURE
         }
     }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -271,7 +271,7 @@
 
     fn leader_view(&self) -> Option<LeaderView> {
         let state = self.replica.state();
-        (self.replica.raft().role() == Role::Leader).then(|| LeaderView {
+        self.replica.leads_with_current_state().then(|| LeaderView {
             configuration: state.configuration().clone(),
             orders: state.orders().clone(),
         })
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -3,7 +3,7 @@
 use error_stack::{Report, ResultExt};
 use railtack_consensus::{
     DiskId, Entry, LogIndex, Member, Membership, Message, Millis, Payload, ProposeError, Raft,
-    RaftOptions, Recovered, ReplicaId, Snapshot, Term,
+    RaftOptions, Recovered, ReplicaId, Role, Snapshot, Term,
 };
 use railtack_rpc::protocol::{
     ConfigurationUpdate, MembershipChange, Outcome, PollReply, PollRequest, Proposal, VoterAddress,
@@ -59,6 +59,8 @@
 pub struct Applied {
     /// Where it stands.
     pub ticket: Ticket,
+    /// The proposal as it stands in the log.
+    pub encoded: Vec<u8>,
     /// What it did.
     pub outcome: Outcome,
 }
@@ -107,26 +109,33 @@
         folder: &dyn Folder,
         options: &ReplicaOptions,
         address: &str,
+    ) -> Result<(), Report<ControlError>> {
+        let member = Member {
+            replica: options.replica,
+            disk: options.new_disk,
+            address: address.to_owned(),
+            voter: true,
+        };
+        Self::initialize_as(folder, options, vec![member])
+    }
+
+    /// Makes an empty folder one of the first members of a new cluster. All of them must be
+    /// initialized with the same members.
+    pub fn initialize_as(
+        folder: &dyn Folder,
+        options: &ReplicaOptions,
+        members: Vec<Member>,
     ) -> Result<(), Report<ControlError>> {
         let opened = ReplicaStore::open(folder)?;
         if opened.identity.is_some() {
             return Err(Report::new(ControlError::AlreadyInitialized));
         }
         let mut store = opened.store;
-        let identity = new_identity(options);
-        store.save_identity(identity.clone())?;
-        let member = Member {
-            replica: identity.replica,
-            disk: identity.disk,
-            address: address.to_owned(),
-            voter: true,
-        };
+        store.save_identity(new_identity(options))?;
         let snapshot = Snapshot {
             last_index: 1,
             last_term: 0,
-            membership: Membership {
-                members: vec![member],
-            },
+            membership: Membership { members },
             state: encode_state(&ControlState::new(options.claim_retention_ms))?,
         };
         store.compact(&snapshot, &[])
@@ -169,6 +178,13 @@
         &self.state
     }
 
+    /// Whether this replica leads and has applied everything that earlier leaders may have
+    /// committed. Decisions that count on the state wait for this.
+    pub fn leads_with_current_state(&self) -> bool {
+        let applied_term = self.raft.log().term_at(self.applied_index());
+        self.raft.role() == Role::Leader && applied_term == Some(self.raft.term())
+    }
+
     /// Who this replica is.
     pub fn identity(&self) -> &Identity {
         &self.identity
@@ -303,7 +319,11 @@
             index: entry.index,
             term: entry.term,
         };
-        Ok(Some(Applied { ticket, outcome }))
+        Ok(Some(Applied {
+            ticket,
+            encoded: bytes,
+            outcome,
+        }))
     }
 }
 
--- a/crates/control/src/rollout.rs
+++ b/crates/control/src/rollout.rs
@@ -65,18 +65,24 @@
     let mut under_way = silent_with_order(target, orders, seen);
     let mut waiting = Vec::new();
     for engine in &replicas {
-        let recorded = orders
+        let is_current = engine.weights_version == target.weights_version && !engine.loading;
+        // An order that the engine has not taken may still be on its way to it.
+        let on_its_way = orders
             .get(&engine.engine)
-            .filter(|issued| issued.order == wanted);
-        let is_current = engine.weights_version == target.weights_version;
-        match recorded {
-            _ if engine.loading => under_way += 1,
-            _ if is_current => {}
-            Some(issued) if issued.token > engine.last_order_token => {
+            .filter(|issued| issued.token > engine.last_order_token);
+        match on_its_way {
+            Some(issued) if issued.order == wanted => {
                 step.send.push((engine.engine, issued.clone()));
+                under_way += usize::from(!is_current);
+            }
+            Some(_) => {
+                // A newer order to the same engine voids the one on its way.
+                step.record.push((engine.engine, wanted.clone()));
                 under_way += 1;
             }
-            _ => waiting.push(engine.engine),
+            None if engine.loading => under_way += 1,
+            None if is_current => {}
+            None => waiting.push(engine.engine),
         }
     }
     let serving = replicas.iter().filter(|engine| !engine.loading).count();
--- a/crates/emulator/src/engine_server.rs
+++ b/crates/emulator/src/engine_server.rs
@@ -378,12 +378,18 @@
         let Some(order) = parsed else {
             return self.refuse(400, EngineRefusal::Malformed);
         };
-        let taken = self.lock().gate.take_order(&order);
+        let (taken, must_load) = {
+            let mut shared = self.lock();
+            let taken = shared.gate.take_order(&order);
+            (taken, shared.gate.loading)
+        };
         if let Err(refusal) = taken {
             return self.refuse(409, refusal);
         }
         let token = order.token;
-        tokio::spawn(self.load_weights(order));
+        if must_load {
+            tokio::spawn(self.load_weights(order));
+        }
         body::json(200, &OrderReply { token })
     }
 
--- a/crates/emulator/src/gate.rs
+++ b/crates/emulator/src/gate.rs
@@ -80,14 +80,16 @@
         Ok(())
     }
 
-    /// Takes an order whose token is above every token before; requests are refused until
-    /// [`Gate::loaded`].
+    /// Takes an order whose token is above every token before. Requests are refused until
+    /// [`Gate::loaded`], unless the weights are in place already.
     pub fn take_order(&mut self, order: &OrderRequest) -> Result<(), EngineRefusal> {
         if self.checks.fencing && order.token <= self.last_order_token {
             return Err(EngineRefusal::StaleToken);
         }
         self.last_order_token = order.token;
-        self.loading = true;
+        let has_weights =
+            order.model == self.model && order.weights_version == self.weights_version;
+        self.loading |= !has_weights;
         Ok(())
     }
 
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,11 +1,15 @@
 //! Command line of `railtack-lab`.
 
-use std::{ffi::OsString, path::PathBuf, process::ExitCode};
+use std::{ffi::OsString, ops::Range, path::PathBuf, process::ExitCode};
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use error_stack::{Report, ResultExt};
 
-use crate::{LabError, demo, fleet::FleetKind};
+use crate::{
+    LabError, demo,
+    fleet::FleetKind,
+    simulate::{self, Mutant, Scenario, command::SimulateOptions},
+};
 
 fn command() -> Command {
     Command::new("railtack-lab")
@@ -17,6 +21,7 @@
             "Start a fleet, put load on it, and check every answer",
         ))
         .subcommand(fleet_command("up", "Start a fleet and keep it running"))
+        .subcommand(simulate_command())
         .subcommand(
             Command::new("process")
                 .about("Run one program of a fleet")
@@ -52,6 +57,65 @@
         )
 }
 
+fn simulate_command() -> Command {
+    Command::new("simulate")
+        .about("Run the system in virtual time under faults and check its promises")
+        .arg(
+            Arg::new("seeds")
+                .long("seeds")
+                .value_name("FIRST..END")
+                .value_parser(parse_range)
+                .default_value("0..100")
+                .help("Seeds to run; the end is not included"),
+        )
+        .arg(
+            Arg::new("scenario")
+                .long("scenario")
+                .value_parser(value_parser!(Scenario))
+                .help("What to simulate; everything if absent"),
+        )
+        .arg(
+            Arg::new("mutant")
+                .long("mutant")
+                .value_parser(value_parser!(Mutant))
+                .help("Leave one mechanism out"),
+        )
+        .arg(
+            Arg::new("mutants")
+                .long("mutants")
+                .action(ArgAction::SetTrue)
+                .help("Leave each mechanism out in turn; fail if one is not missed"),
+        )
+}
+
+/// Why a range of seeds was refused.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("expected FIRST..END with FIRST below END")]
+pub struct RangeError;
+
+fn parse_range(text: &str) -> Result<Range<u64>, RangeError> {
+    let (first, end) = text.split_once("..").ok_or(RangeError)?;
+    let first = first.parse().map_err(|_| RangeError)?;
+    let end = end.parse().map_err(|_| RangeError)?;
+    if first < end {
+        Ok(first..end)
+    } else {
+        Err(RangeError)
+    }
+}
+
+fn simulate_options(matches: &ArgMatches) -> SimulateOptions {
+    SimulateOptions {
+        seeds: matches
+            .get_one::<Range<u64>>("seeds")
+            .cloned()
+            .unwrap_or_default(),
+        scenario: matches.get_one::<Scenario>("scenario").copied(),
+        mutant: matches.get_one::<Mutant>("mutant").copied(),
+        all_mutants: matches.get_flag("mutants"),
+    }
+}
+
 fn seed() -> Arg {
     Arg::new("seed")
         .long("seed")
@@ -69,7 +133,7 @@
     match dispatch(&matches) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            eprintln!("{report:?}");
+            eprintln!("error: {report:#}");
             ExitCode::FAILURE
         }
     }
@@ -97,6 +161,7 @@
     match matches.subcommand() {
         Some(("demo", matches)) => asynchronous(demo::run(fleet_options(matches))),
         Some(("up", matches)) => asynchronous(demo::up(fleet_options(matches))),
+        Some(("simulate", matches)) => simulate::command::run(&simulate_options(matches)),
         _ => Ok(()),
     }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod errors;
 pub mod fleet;
 pub mod load;
+pub mod simulate;
 
 pub use errors::LabError;
--- /dev/null
+++ b/crates/lab/src/simulate/control/administration.rs
@@ -0,0 +1,99 @@
+//! The administrator: replaces a control replica whose disk was lost, one step at a time.
+
+use railtack_consensus::{DiskId, Member, Membership, ReplicaId};
+use railtack_rpc::protocol::MembershipChange;
+
+use crate::simulate::control::{
+    replicas::address,
+    world::{Broken, Event, World},
+};
+
+/// Time between two looks.
+const LOOK_INTERVAL: u64 = 200;
+
+/// A replacement that is under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Replacement {
+    /// The replica whose disk was lost.
+    pub lost: u32,
+    /// The disk that was lost.
+    pub lost_disk: DiskId,
+    /// The new replica.
+    pub added: u32,
+    /// Whether the new replica is added before the lost one is removed.
+    pub add_first: bool,
+}
+
+/// What the administrator is doing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Administration {
+    /// The open replacement.
+    pub open: Option<Replacement>,
+}
+
+impl World {
+    /// Does the next step of an open replacement at the present leader.
+    pub fn administer(&mut self) -> Result<(), Broken> {
+        self.schedule.after(LOOK_INTERVAL, Event::Administer);
+        let Some(open) = self.administration.open else {
+            return Ok(());
+        };
+        let Some(leader) = self.leaders().first().copied() else {
+            return Ok(());
+        };
+        let added_disk = self.disk_of(open.added);
+        let Some(process) = self
+            .replicas
+            .get_mut(&leader)
+            .and_then(|machine| machine.process.as_mut())
+        else {
+            return Ok(());
+        };
+        let raft = process.replica.raft();
+        let is_settled = raft.membership_index() <= raft.commit_index();
+        let change = next_change(raft.membership(), open, added_disk);
+        let has_voter = raft.membership().is_voter(ReplicaId(open.added));
+        match change {
+            None if is_settled && has_voter => self.administration.open = None,
+            None => {}
+            Some(change) => {
+                // A refused step is tried again at the next look.
+                let _ = process.replica.change_membership(&change);
+            }
+        }
+        self.advance(leader)
+    }
+
+    fn disk_of(&self, number: u32) -> Option<DiskId> {
+        let process = self.replicas.get(&number)?.process.as_ref()?;
+        Some(process.replica.identity().disk)
+    }
+}
+
+fn next_change(
+    membership: &Membership,
+    open: Replacement,
+    added_disk: Option<DiskId>,
+) -> Option<MembershipChange> {
+    let removal = membership
+        .member(ReplicaId(open.lost))
+        .filter(|member| member.disk == open.lost_disk)
+        .map(|member| MembershipChange::Remove(member.replica));
+    let addition = match membership.member(ReplicaId(open.added)) {
+        Some(member) if member.voter => None,
+        Some(member) => Some(MembershipChange::Promote(member.replica)),
+        None => added_disk.map(|disk| {
+            MembershipChange::AddLearner(Member {
+                replica: ReplicaId(open.added),
+                disk,
+                address: address(open.added),
+                voter: false,
+            })
+        }),
+    };
+    if open.add_first {
+        addition.or(removal)
+    } else {
+        removal.or(addition)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/simulate/control/engines.rs
@@ -0,0 +1,225 @@
+//! Engines and the rollout of weights by whoever leads.
+
+use railtack_control::rollout::{self, EnginesSeen, RolloutStep};
+use railtack_core::{EngineId, EngineIncarnation, ModelName, WeightsVersion, ZoneName};
+use railtack_emulator::gate::{Gate, GateChecks};
+use railtack_platform::{EngineStatus, EngineTotals, LoadReport, OrderRequest};
+use railtack_rpc::protocol::{Command, EngineOrder, Proposal};
+use rand::RngExt;
+
+use crate::simulate::{
+    Mutant, Promise,
+    control::{
+        operators::MODEL,
+        world::{Broken, ENGINES, Event, World},
+    },
+    network::Place,
+};
+
+/// Time between two looks at the engines, as in the daemon.
+const ROLLOUT_INTERVAL: u64 = 500;
+
+/// An engine, as far as orders concern it.
+pub struct SimEngine {
+    /// Counts its processes.
+    pub life: u32,
+    /// Whether its process runs.
+    pub up: bool,
+    /// What it lets in.
+    pub gate: Gate,
+    /// Highest token taken in this life.
+    highest_token: u64,
+}
+
+impl World {
+    /// Starts the engines.
+    pub fn start_engines(&mut self) {
+        for number in 1..=ENGINES {
+            let gate = self.new_gate(number, 1);
+            let engine = SimEngine {
+                life: 1,
+                up: true,
+                gate,
+                highest_token: 0,
+            };
+            self.engines.insert(number, engine);
+        }
+    }
+
+    fn new_gate(&self, number: u32, life: u32) -> Gate {
+        let checks = GateChecks {
+            fencing: !self.is_mutant(Mutant::NoFencing),
+            ..GateChecks::default()
+        };
+        Gate::new(
+            EngineIncarnation(u64::from(number) << 32 | u64::from(life)),
+            ModelName::from(MODEL),
+            WeightsVersion(1),
+            checks,
+        )
+    }
+
+    /// An engine's process ends and starts anew, with the weights of its settings.
+    pub fn restart_engine(&mut self, number: u32) {
+        let Some(life) = self.engines.get(&number).map(|engine| engine.life + 1) else {
+            return;
+        };
+        let gate = self.new_gate(number, life);
+        let engine = SimEngine {
+            life,
+            up: true,
+            gate,
+            highest_token: 0,
+        };
+        self.engines.insert(number, engine);
+    }
+
+    /// A replica that believes it leads looks at the engines.
+    pub fn roll_out(&mut self, number: u32, life: u32) -> Result<(), Broken> {
+        let Some(machine) = self.replicas.get(&number) else {
+            return Ok(());
+        };
+        if machine.life != life || machine.process.is_none() {
+            return Ok(());
+        }
+        let event = Event::Rollout {
+            replica: number,
+            life,
+        };
+        self.schedule.after(ROLLOUT_INTERVAL, event);
+        let statuses = self.statuses_seen_by(number);
+        let listed: Vec<(EngineId, ModelName)> = (1..=ENGINES)
+            .map(|engine| (EngineId(engine), ModelName::from(MODEL)))
+            .collect();
+        let Some(process) = self
+            .replicas
+            .get_mut(&number)
+            .and_then(|machine| machine.process.as_mut())
+        else {
+            return Ok(());
+        };
+        let raft = process.replica.raft();
+        // The daemon waits for each order to be recorded before it looks again.
+        let waits = raft.log().last_index() > raft.applied_index();
+        if waits || !process.replica.leads_with_current_state() {
+            return Ok(());
+        }
+        let state = process.replica.state();
+        let seen = EnginesSeen {
+            statuses: &statuses,
+            listed: &listed,
+        };
+        let RolloutStep { record, send } =
+            rollout::next_step(state.configuration(), state.orders(), seen);
+        for (engine, order) in record {
+            let proposal = Proposal {
+                at: 0,
+                command: Command::Order { engine, order },
+            };
+            // A replica that does not lead any more records nothing; the next leader looks anew.
+            let _ = process.replica.propose(&proposal);
+        }
+        for (engine, issued) in send {
+            let EngineOrder::Load(target) = issued.order;
+            let order = OrderRequest {
+                token: issued.token,
+                model: target.name,
+                weights_version: target.weights_version,
+            };
+            let place = Place::Engine(engine.0);
+            if let Some(delay) = self.network.once(Place::Replica(number), place) {
+                let event = Event::Order {
+                    engine: engine.0,
+                    order,
+                };
+                self.schedule.after(delay, event);
+            }
+        }
+        self.advance(number)
+    }
+
+    fn statuses_seen_by(&self, replica: u32) -> Vec<EngineStatus> {
+        let from = Place::Replica(replica);
+        let reachable = self.engines.iter().filter(|(number, engine)| {
+            let place = Place::Engine(**number);
+            engine.up
+                && !self.is_frozen(place)
+                && !self.network.is_cut(from, place)
+                && !self.network.is_cut(place, from)
+        });
+        reachable
+            .map(|(number, engine)| status(*number, engine))
+            .collect()
+    }
+
+    /// An order arrives at an engine.
+    pub fn take_order(&mut self, number: u32, order: OrderRequest) -> Result<(), Broken> {
+        let now = self.schedule.now();
+        let load_time = self.random.random_range(300..2_000);
+        let Some(engine) = self.engines.get_mut(&number).filter(|engine| engine.up) else {
+            return Ok(());
+        };
+        let token = order.token;
+        if engine.gate.take_order(&order).is_err() {
+            return Ok(());
+        }
+        self.trace
+            .note(now, || format!("engine {number} takes order {token}"));
+        if token <= engine.highest_token {
+            let detail = format!(
+                "engine {number} took order {token} after {}",
+                engine.highest_token
+            );
+            return Err((Promise::Fenced, detail));
+        }
+        engine.highest_token = token;
+        let event = Event::Loaded {
+            engine: number,
+            life: engine.life,
+            order,
+        };
+        self.schedule.after(load_time, event);
+        Ok(())
+    }
+
+    /// An engine has its weights.
+    pub fn loaded(&mut self, number: u32, life: u32, order: OrderRequest) {
+        let Some(engine) = self.engines.get_mut(&number) else {
+            return;
+        };
+        if engine.life == life && engine.gate.is_current(&order) {
+            engine.gate.loaded(order);
+            self.activity.completed += 1;
+        }
+    }
+
+    /// With every engine up, at least one must be in service.
+    pub fn check_engines(&self) -> Result<(), Broken> {
+        let all_load = !self.engines.is_empty()
+            && self
+                .engines
+                .values()
+                .all(|engine| engine.up && engine.gate.loading);
+        if all_load {
+            let detail = "every engine loads weights at the same time".to_owned();
+            return Err((Promise::Rollout, detail));
+        }
+        Ok(())
+    }
+}
+
+fn status(number: u32, engine: &SimEngine) -> EngineStatus {
+    EngineStatus {
+        engine: EngineId(number),
+        incarnation: engine.gate.incarnation,
+        zone: ZoneName::default(),
+        model: engine.gate.model.clone(),
+        weights_version: engine.gate.weights_version,
+        loading: engine.gate.loading,
+        draining: false,
+        last_order_token: engine.gate.last_order_token,
+        block_tokens: 16,
+        load: LoadReport::default(),
+        totals: EngineTotals::default(),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/simulate/control/mod.rs
@@ -0,0 +1,12 @@
+//! Control replicas, routers, operators and engines in virtual time.
+
+mod administration;
+mod checks;
+mod engines;
+mod faults;
+mod operators;
+mod replicas;
+mod routers;
+mod world;
+
+pub use world::run;
--- /dev/null
+++ b/crates/lab/src/simulate/control/replicas.rs
@@ -0,0 +1,375 @@
+//! Control replicas: processes over simulated folders.
+
+use railtack_consensus::{DiskId, LogIndex, Member, Message, Millis, ReplicaId, Role};
+use railtack_control::{
+    configuration::RevisionCheck,
+    pending::PendingProposals,
+    replica::{Replica, ReplicaOptions},
+};
+use railtack_rpc::protocol::ProposeReply;
+use railtack_storage::MemoryMedia;
+use rand::RngExt;
+
+use crate::simulate::{
+    Mutant, Promise,
+    control::world::{Broken, Clock, Event, REPLICAS, Reply, Request, World},
+    network::Place,
+};
+
+/// Time between a replica's ticks.
+const TICK: u64 = 10;
+/// Shortest election timeout.
+const ELECTION_TIMEOUT: Millis = 300;
+/// Time between heartbeats.
+const HEARTBEAT: Millis = 60;
+/// Entries after which a snapshot is made; small, so that snapshots are met often.
+const SNAPSHOT_ENTRIES: u64 = 60;
+/// Retention of claims; longer than any run.
+const CLAIM_RETENTION: Millis = 86_400_000;
+/// Time at which all clocks start.
+const EPOCH: u64 = 1_700_000_000_000;
+
+/// A running replica.
+pub struct ReplicaProcess {
+    /// The replica.
+    pub replica: Replica,
+    /// Who waits for its proposals.
+    pub pending: PendingProposals<(Place, u64)>,
+}
+
+/// A replica's machine.
+pub struct SimReplica {
+    /// Its folder.
+    pub media: MemoryMedia,
+    /// The process, while it runs.
+    pub process: Option<ReplicaProcess>,
+    /// Counts the processes.
+    pub life: u32,
+    /// Its clock.
+    pub clock: Clock,
+    /// Whether it is gone for good.
+    pub retired: bool,
+}
+
+impl World {
+    /// Starts the first replicas, already members of one cluster.
+    pub fn start_replicas(&mut self) {
+        for number in 1..=REPLICAS {
+            self.add_machine(number);
+        }
+        let mut members = Vec::new();
+        for number in 1..=REPLICAS {
+            let options = self.options(number);
+            members.push(Member {
+                replica: ReplicaId(number),
+                disk: options.new_disk,
+                address: address(number),
+                voter: true,
+            });
+        }
+        for number in 1..=REPLICAS {
+            let options = self.options(number);
+            let media = self.replicas[&number].media.clone();
+            // A folder that was just made cannot fail to be written.
+            let _ = Replica::initialize_as(&media, &options, members.clone());
+            let _ = self.start_replica(number);
+            // Left out from here on, so that only what the cluster agrees on can be lost.
+            media.ignore_syncs(self.is_mutant(Mutant::NoClaimSync));
+        }
+    }
+
+    /// Adds a machine with an empty folder.
+    pub fn add_machine(&mut self, number: u32) {
+        let media = MemoryMedia::default();
+        let clock = Clock::draw(&mut self.random);
+        let machine = SimReplica {
+            media,
+            process: None,
+            life: 0,
+            clock,
+            retired: false,
+        };
+        self.replicas.insert(number, machine);
+    }
+
+    fn options(&self, number: u32) -> ReplicaOptions {
+        let life = self.replicas.get(&number).map_or(0, |known| known.life);
+        let revision_check = if self.is_mutant(Mutant::NoRevisionCheck) {
+            RevisionCheck::Skipped
+        } else {
+            RevisionCheck::Enforced
+        };
+        ReplicaOptions {
+            cluster: "simulated".to_owned(),
+            replica: ReplicaId(number),
+            new_disk: DiskId(u64::from(number) << 32 | u64::from(life)),
+            election_timeout: ELECTION_TIMEOUT,
+            heartbeat_interval: HEARTBEAT,
+            snapshot_entries: SNAPSHOT_ENTRIES,
+            claim_retention_ms: CLAIM_RETENTION,
+            seed: u64::from(number) << 32 | u64::from(life),
+            check_disk_identity: !self.is_mutant(Mutant::StaleVote),
+            revision_check,
+        }
+    }
+
+    /// Starts a replica's process from what its folder holds.
+    pub fn start_replica(&mut self, number: u32) -> Result<(), Broken> {
+        let options = self.options(number);
+        let now = self.schedule.now();
+        let Some(machine) = self.replicas.get_mut(&number) else {
+            return Ok(());
+        };
+        if machine.process.is_some() || machine.retired {
+            return Ok(());
+        }
+        machine.life += 1;
+        let life = machine.life;
+        machine.media.fail_syncs(false);
+        let local = machine.clock.read(now);
+        let opened = Replica::open(&machine.media, options, local);
+        let replica = match opened {
+            Ok(replica) => replica,
+            Err(report) => {
+                // What was synced must be readable after any crash.
+                let detail = format!("replica {number} cannot start: {report}");
+                return Err((Promise::OneHistory, detail));
+            }
+        };
+        machine.process = Some(ReplicaProcess {
+            replica,
+            pending: PendingProposals::default(),
+        });
+        self.trace
+            .note(now, || format!("replica {number} starts, life {life}"));
+        self.schedule.after(
+            1,
+            Event::Tick {
+                replica: number,
+                life,
+            },
+        );
+        if !self.engines.is_empty() || self.scenario == crate::simulate::Scenario::Rollout {
+            let event = Event::Rollout {
+                replica: number,
+                life,
+            };
+            self.schedule.after(500, event);
+        }
+        Ok(())
+    }
+
+    /// Ends a replica's process; unsynced bytes are lost but for a torn tail.
+    pub fn crash_replica(&mut self, number: u32) {
+        let torn = self.random.random_range(0..40);
+        let now = self.schedule.now();
+        if let Some(machine) = self.replicas.get_mut(&number)
+            && machine.process.take().is_some()
+        {
+            machine.media.crash(torn);
+            self.frozen.remove(&Place::Replica(number));
+            self.trace.note(now, || format!("replica {number} crashes"));
+        }
+    }
+
+    /// Handles a timer.
+    pub fn tick(&mut self, number: u32, life: u32) -> Result<(), Broken> {
+        let now = self.schedule.now();
+        let Some(machine) = self.replicas.get_mut(&number) else {
+            return Ok(());
+        };
+        if machine.life != life {
+            return Ok(());
+        }
+        let local = machine.clock.read(now);
+        let Some(process) = machine.process.as_mut() else {
+            return Ok(());
+        };
+        process.replica.tick(local);
+        self.schedule.after(
+            TICK,
+            Event::Tick {
+                replica: number,
+                life,
+            },
+        );
+        self.advance(number)
+    }
+
+    /// Takes a message from another replica.
+    pub fn deliver(&mut self, message: Message) -> Result<(), Broken> {
+        let now = self.schedule.now();
+        let number = message.to.0;
+        let Some(machine) = self.replicas.get_mut(&number) else {
+            return Ok(());
+        };
+        let local = machine.clock.read(now);
+        let Some(process) = machine.process.as_mut() else {
+            return Ok(());
+        };
+        process.replica.receive(message, local);
+        self.advance(number)
+    }
+
+    /// Takes a call of a router or an operator.
+    pub fn take_call(
+        &mut self,
+        number: u32,
+        from: Place,
+        call: u64,
+        request: Request,
+    ) -> Result<(), Broken> {
+        let now = self.schedule.now();
+        let Some(machine) = self.replicas.get_mut(&number) else {
+            return Ok(());
+        };
+        let at = EPOCH + machine.clock.read(now);
+        let Some(process) = machine.process.as_mut() else {
+            self.reply(number, from, call, Reply::Refused);
+            return Ok(());
+        };
+        match request {
+            Request::Poll(request) => {
+                let reply = process.replica.poll(&request);
+                self.reply(number, from, call, Reply::Polled(Box::new(reply)));
+                Ok(())
+            }
+            Request::Propose(mut proposal) => {
+                proposal.at = at;
+                match process.replica.propose(&proposal) {
+                    Ok(ticket) => process.pending.insert(ticket, (from, call)),
+                    Err(_) => {
+                        let reply = Reply::Proposed(ProposeReply::NotLeader { leader: None });
+                        self.reply(number, from, call, reply);
+                    }
+                }
+                self.advance(number)
+            }
+        }
+    }
+
+    fn reply(&mut self, number: u32, to: Place, call: u64, reply: Reply) {
+        if let Some(delay) = self.network.once(Place::Replica(number), to) {
+            let event = Event::Reply {
+                place: to,
+                call,
+                reply,
+            };
+            self.schedule.after(delay, event);
+        }
+    }
+
+    /// Persists, sends and applies, as the daemon's thread does after each round of inputs.
+    pub fn advance(&mut self, number: u32) -> Result<(), Broken> {
+        let now = self.schedule.now();
+        let Some(process) = self
+            .replicas
+            .get_mut(&number)
+            .and_then(|machine| machine.process.as_mut())
+        else {
+            return Ok(());
+        };
+        let advance = match process.replica.advance() {
+            Ok(advance) => advance,
+            Err(_) => {
+                // A replica that cannot sync stops instead of acknowledging.
+                self.trace
+                    .note(now, || format!("replica {number} stops: storage"));
+                self.crash_replica(number);
+                let pause = self.random.random_range(500..3_000);
+                let event = Event::Restart(Place::Replica(number));
+                self.schedule.after(pause, event);
+                return Ok(());
+            }
+        };
+        let mut answers = Vec::new();
+        for applied in advance.applied {
+            self.checks.applied(number, &applied)?;
+            answers.extend(process.pending.applied(applied));
+        }
+        if process.replica.raft().role() != Role::Leader {
+            answers.extend(process.pending.give_up());
+        }
+        for ((place, call), reply) in answers {
+            self.reply(number, place, call, Reply::Proposed(reply));
+        }
+        for message in advance.messages {
+            let from = Place::Replica(number);
+            let to = Place::Replica(message.to.0);
+            for delay in self.network.datagram(from, to) {
+                let event = Event::Raft(Box::new(message.clone()));
+                self.schedule.after(delay, event);
+            }
+        }
+        Ok(())
+    }
+
+    /// Replicas that lead in the highest term among leaders.
+    pub fn leaders(&self) -> Vec<u32> {
+        let leading = self.replicas.iter().filter_map(|(number, machine)| {
+            let raft = machine.process.as_ref()?.replica.raft();
+            (raft.role() == Role::Leader).then_some((raft.term(), *number))
+        });
+        let leading: Vec<(u64, u32)> = leading.collect();
+        let newest = leading.iter().map(|(term, _)| *term).max();
+        leading
+            .into_iter()
+            .filter(|(term, _)| Some(*term) == newest)
+            .map(|(_, number)| number)
+            .collect()
+    }
+
+    /// Notes where every replica stands.
+    pub fn trace_replicas(&mut self) {
+        let now = self.schedule.now();
+        for (number, machine) in &self.replicas {
+            self.trace.note(now, || match &machine.process {
+                None => format!("replica {number} is down"),
+                Some(process) => {
+                    let raft = process.replica.raft();
+                    let members = raft.membership().members.iter().map(|member| {
+                        let kind = if member.voter { "voter" } else { "learner" };
+                        format!("{} {kind} disk {:x}", member.replica, member.disk.0)
+                    });
+                    format!(
+                        "replica {number} disk {:x}: {:?}, term {}, log to {}, commit {}, members [{}]",
+                        process.replica.identity().disk.0,
+                        raft.role(),
+                        raft.term(),
+                        raft.log().last_index(),
+                        raft.commit_index(),
+                        members.collect::<Vec<_>>().join(", "),
+                    )
+                }
+            });
+        }
+    }
+
+    /// Replicas that have applied equally much must have the same state.
+    pub fn check_replicas_agree(&self) -> Result<(), Broken> {
+        let mut known: Vec<(LogIndex, u32)> = Vec::new();
+        for (number, machine) in &self.replicas {
+            let Some(process) = &machine.process else {
+                continue;
+            };
+            let applied = process.replica.raft().applied_index();
+            let twin = known.iter().find(|(index, _)| *index == applied);
+            if let Some((_, other)) = twin {
+                let theirs = self.replicas[other].process.as_ref();
+                let same =
+                    theirs.is_some_and(|theirs| theirs.replica.state() == process.replica.state());
+                if !same {
+                    let detail = format!("replicas {other} and {number} differ at {applied}");
+                    return Err((Promise::OneHistory, detail));
+                }
+            }
+            known.push((applied, *number));
+        }
+        Ok(())
+    }
+}
+
+/// Address of a replica, as its membership entry tells it.
+pub fn address(number: u32) -> String {
+    format!("127.0.0.{number}:1")
+}
--- /dev/null
+++ b/crates/lab/src/simulate/network.rs
@@ -0,0 +1,98 @@
+//! A network that delays, loses, repeats and reorders, with one-way cuts.
+
+use std::collections::BTreeSet;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+/// An end of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Place {
+    /// A control replica.
+    Replica(u32),
+    /// A router.
+    Router(u32),
+    /// An operator.
+    Operator(u32),
+    /// An engine.
+    Engine(u32),
+}
+
+/// How badly the network behaves.
+#[derive(Clone, Copy, Debug)]
+pub struct NetworkOptions {
+    /// Longest ordinary delay, milliseconds.
+    pub delay: u64,
+    /// Share of messages that are delayed for much longer.
+    pub late: f64,
+    /// Longest such delay, milliseconds.
+    pub late_delay: u64,
+    /// Share of messages lost.
+    pub loss: f64,
+    /// Share of messages repeated.
+    pub repeat: f64,
+}
+
+/// The network.
+#[derive(Debug)]
+pub struct Network {
+    options: NetworkOptions,
+    cuts: BTreeSet<(Place, Place)>,
+    random: ChaCha8Rng,
+}
+
+impl Network {
+    /// A whole network.
+    pub fn new(options: NetworkOptions, random: ChaCha8Rng) -> Self {
+        Self {
+            options,
+            cuts: BTreeSet::new(),
+            random,
+        }
+    }
+
+    /// Ends every loss and delay but the ordinary ones, and mends all cuts.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.options.late = 0.0;
+        self.options.loss = 0.0;
+    }
+
+    /// Cuts one direction.
+    pub fn cut(&mut self, from: Place, to: Place) {
+        self.cuts.insert((from, to));
+    }
+
+    /// Mends both directions.
+    pub fn mend(&mut self, one: Place, other: Place) {
+        self.cuts.remove(&(one, other));
+        self.cuts.remove(&(other, one));
+    }
+
+    /// Whether nothing gets through in this direction.
+    pub fn is_cut(&self, from: Place, to: Place) -> bool {
+        self.cuts.contains(&(from, to))
+    }
+
+    /// Delays after which copies of a message arrive; none if it is lost.
+    pub fn datagram(&mut self, from: Place, to: Place) -> Vec<u64> {
+        let mut arrivals: Vec<u64> = self.once(from, to).into_iter().collect();
+        if !arrivals.is_empty() && self.random.random_bool(self.options.repeat) {
+            arrivals.push(self.delay());
+        }
+        arrivals
+    }
+
+    /// Delay after which a call or answer on a connection arrives, if it does; never repeated.
+    pub fn once(&mut self, from: Place, to: Place) -> Option<u64> {
+        let lost = self.is_cut(from, to) || self.random.random_bool(self.options.loss);
+        (!lost).then(|| self.delay())
+    }
+
+    fn delay(&mut self) -> u64 {
+        if self.random.random_bool(self.options.late) {
+            return self.random.random_range(0..=self.options.late_delay);
+        }
+        self.random.random_range(1..=self.options.delay)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/simulate/streams/engines.rs
@@ -0,0 +1,432 @@
+//! Engines: the emulator's model and gate, with the origin of every cached block noted.
+
+use std::collections::BTreeMap;
+
+use railtack_core::{
+    BlockHash, CacheNamespace, EngineIncarnation, ModelName, PrefixChain, WeightsVersion,
+};
+use railtack_emulator::{
+    answer::{answer_seed, token_text},
+    engine::{EngineModel, NewSequence, StepOutcome},
+    gate::{Gate, GateChecks},
+};
+use railtack_platform::{Hex, OrderRequest, StreamEnd, StreamFrame};
+use railtack_settings::emulator::EngineCosts;
+use rand::RngExt;
+
+use crate::simulate::{
+    Mutant, Promise,
+    streams::{
+        requests::{BLOCK_TOKENS, Origin, origins},
+        world::{Broken, Channel, Event, KnownEngine, World},
+    },
+};
+
+/// The model that all engines run.
+pub const MODEL: &str = "model";
+/// Blocks in an engine's cache; few, so that blocks are evicted.
+const CACHE_BLOCKS: usize = 120;
+/// Time that loading takes, milliseconds.
+const LOAD_TIME: u64 = 300;
+/// Time between looks at whether running answers have ended.
+const IDLE_CHECK: u64 = 10;
+
+/// A request as it is sent to an engine.
+#[derive(Clone, Debug)]
+pub struct Dispatch {
+    /// The router's request.
+    pub request: u64,
+    /// The connection.
+    pub channel: Channel,
+    /// The attempt.
+    pub attempt: u128,
+    /// The life that was chosen.
+    pub incarnation: EngineIncarnation,
+    /// The weights that were chosen.
+    pub weights_version: WeightsVersion,
+    /// Root of the cache namespace.
+    pub namespace: CacheNamespace,
+    /// Whose prompt it is.
+    pub tenant: u32,
+    /// The prompt.
+    pub prompt: String,
+    /// Tokens delivered by earlier attempts.
+    pub delivered: u32,
+    /// Length of the whole answer.
+    pub max_tokens: u32,
+}
+
+/// An answer at an engine.
+#[derive(Debug)]
+struct SimStream {
+    request: u64,
+    channel: Channel,
+    seed: u64,
+    first: u32,
+    produced: u32,
+    end: Option<StreamEnd>,
+    /// When the last frame sent so far arrives; frames of one connection keep their order.
+    last_arrival: u64,
+    origins: Vec<(BlockHash, Origin)>,
+}
+
+/// An engine.
+pub struct SimEngine {
+    /// Counts its processes.
+    pub life: u32,
+    /// What it lets in.
+    pub gate: Gate,
+    model: EngineModel,
+    streams: BTreeMap<u128, SimStream>,
+    step: Option<StepOutcome>,
+    /// Whose text each cached block stands for.
+    cached: BTreeMap<BlockHash, Origin>,
+}
+
+impl World {
+    /// Starts an engine with an empty cache.
+    pub fn start_engine(&mut self, number: u32, life: u32) {
+        let costs = EngineCosts {
+            cache_blocks: CACHE_BLOCKS,
+            ..EngineCosts::default()
+        };
+        let checks = GateChecks {
+            incarnation: !self.is_mutant(Mutant::NoIncarnationCheck),
+            ..GateChecks::default()
+        };
+        let gate = Gate::new(
+            EngineIncarnation(u64::from(number) << 32 | u64::from(life)),
+            ModelName::from(MODEL),
+            WeightsVersion(1),
+            checks,
+        );
+        let engine = SimEngine {
+            life,
+            gate,
+            model: EngineModel::new(costs),
+            streams: BTreeMap::new(),
+            step: None,
+            cached: BTreeMap::new(),
+        };
+        self.engines.insert(number, engine);
+    }
+
+    /// An engine dies: its connections break, some of them late.
+    pub fn lose_streams(&mut self, number: u32) {
+        let Some(engine) = self.engines.get_mut(&number) else {
+            return;
+        };
+        for stream in std::mem::take(&mut engine.streams).into_values() {
+            let event = Event::Closed {
+                request: stream.request,
+                channel: stream.channel,
+            };
+            let delay = self.random.random_range(1..300);
+            self.schedule.after(delay, event);
+        }
+    }
+
+    /// The router hears an engine's state now and then.
+    pub fn hear_status(&mut self, engine: u32) {
+        let pause = self.random.random_range(100..900);
+        if self.goes_on() || !self.requests.is_empty() {
+            self.schedule.after(pause, Event::Status { engine });
+        }
+        let gate = &self.engines[&engine].gate;
+        let known = KnownEngine {
+            incarnation: gate.incarnation,
+            weights_version: gate.weights_version,
+        };
+        self.known.insert(engine, known);
+    }
+
+    /// A dispatch arrives.
+    pub fn dispatched(&mut self, number: u32, dispatch: Dispatch) -> Result<(), Broken> {
+        let Some(engine) = self.engines.get_mut(&number) else {
+            return Ok(());
+        };
+        let model = ModelName::from(MODEL);
+        let admitted = engine
+            .gate
+            .admit(dispatch.incarnation, &model, dispatch.weights_version);
+        if admitted.is_err() {
+            self.answer_refused(dispatch.request, dispatch.channel);
+            return Ok(());
+        }
+        if dispatch.incarnation != engine.gate.incarnation {
+            let detail = format!("engine {number} took a request meant for a dead life");
+            return Err((Promise::CacheSafety, detail));
+        }
+        let chain = PrefixChain::from_text(dispatch.namespace, &dispatch.prompt, BLOCK_TOKENS);
+        let stream = SimStream {
+            request: dispatch.request,
+            channel: dispatch.channel,
+            seed: answer_seed(&dispatch.prompt),
+            first: dispatch.delivered,
+            produced: dispatch.delivered,
+            end: None,
+            last_arrival: 0,
+            origins: origins(
+                &chain,
+                dispatch.tenant,
+                dispatch.weights_version,
+                &dispatch.prompt,
+            ),
+        };
+        engine.streams.insert(dispatch.attempt, stream);
+        engine.model.submit(NewSequence {
+            attempt: dispatch.attempt,
+            chain,
+            delivered_tokens: dispatch.delivered,
+            max_tokens: dispatch.max_tokens.max(dispatch.delivered + 1),
+            priority: 0,
+            importable_blocks: 0,
+        });
+        self.step(number)
+    }
+
+    fn answer_refused(&mut self, request: u64, channel: Channel) {
+        let delay = self.random.random_range(1..10);
+        self.schedule
+            .after(delay, Event::Refused { request, channel });
+    }
+
+    /// A resumption arrives: the frames from there on are sent over the new connection.
+    pub fn resumed(
+        &mut self,
+        number: u32,
+        attempt: u128,
+        from: u32,
+        channel: Channel,
+        request: u64,
+    ) {
+        let stream = self
+            .engines
+            .get_mut(&number)
+            .and_then(|engine| engine.streams.get_mut(&attempt))
+            .filter(|stream| from >= stream.first);
+        let Some(stream) = stream else {
+            self.answer_refused(request, channel);
+            return;
+        };
+        stream.channel = channel;
+        stream.last_arrival = 0;
+        let produced = stream.produced;
+        let has_end = stream.end.is_some();
+        for index in from..produced {
+            self.send_frame(number, attempt, index, false);
+        }
+        if has_end {
+            self.send_frame(number, attempt, produced, true);
+        }
+    }
+
+    /// Begins a step if the engine has work and is not in one.
+    pub fn step(&mut self, number: u32) -> Result<(), Broken> {
+        let now = self.schedule.now();
+        let Some(engine) = self.engines.get_mut(&number) else {
+            return Ok(());
+        };
+        if engine.step.is_some() || !engine.model.has_work() {
+            return Ok(());
+        }
+        let outcome = engine.model.step(now * 1_000);
+        engine.check_admitted(number, &outcome)?;
+        engine.note_changes(&outcome);
+        let duration = outcome.duration_us.div_ceil(1_000);
+        let life = engine.life;
+        engine.step = Some(outcome);
+        self.schedule.after(
+            duration,
+            Event::StepEnd {
+                engine: number,
+                life,
+            },
+        );
+        Ok(())
+    }
+
+    /// A step ends: its tokens are sent.
+    pub fn step_ended(&mut self, number: u32, life: u32) {
+        let Some(engine) = self.engines.get_mut(&number) else {
+            return;
+        };
+        if engine.life != life {
+            return;
+        }
+        let Some(outcome) = engine.step.take() else {
+            return;
+        };
+        for output in outcome.outputs {
+            let Some(stream) = self
+                .engines
+                .get_mut(&number)
+                .and_then(|engine| engine.streams.get_mut(&output.attempt))
+            else {
+                continue;
+            };
+            stream.produced = output.index + 1;
+            self.send_frame(number, output.attempt, output.index, false);
+            if let Some(end) = output.end {
+                let end = StreamEnd {
+                    tokens: end.tokens,
+                    prompt_tokens: end.prompt_tokens,
+                    cached_tokens: end.cached_tokens,
+                };
+                if let Some(stream) = self
+                    .engines
+                    .get_mut(&number)
+                    .and_then(|engine| engine.streams.get_mut(&output.attempt))
+                {
+                    stream.end = Some(end);
+                }
+                self.send_frame(number, output.attempt, output.index + 1, true);
+            }
+        }
+    }
+
+    /// Sends one frame; sometimes its connection breaks, or the frame comes twice, early, or over
+    /// the connection of another request.
+    fn send_frame(&mut self, number: u32, attempt: u128, index: u32, is_end: bool) {
+        let now = self.schedule.now();
+        let breaks = self.random.random_bool(self.cut_share);
+        let delay = self.random.random_range(1..15);
+        let strange = self.random.random_bool(0.02);
+        let strange_delay = self.random.random_range(1..400);
+        let Some(stream) = self
+            .engines
+            .get_mut(&number)
+            .and_then(|engine| engine.streams.get_mut(&attempt))
+        else {
+            return;
+        };
+        let (request, channel) = (stream.request, stream.channel);
+        let end = stream.end.filter(|_| is_end);
+        let text = if is_end {
+            String::new()
+        } else {
+            token_text(stream.seed, index)
+        };
+        let frame = StreamFrame {
+            attempt: Hex(attempt),
+            sequence: index,
+            text,
+            end,
+        };
+        let arrival = stream.last_arrival.max(now + delay);
+        stream.last_arrival = arrival;
+        if breaks {
+            self.schedule
+                .at(arrival, Event::Closed { request, channel });
+            return;
+        }
+        if strange {
+            let victim = self.any_request();
+            let event = Event::Frame {
+                request: victim.unwrap_or(request),
+                channel,
+                frame: frame.clone(),
+            };
+            self.schedule.after(strange_delay, event);
+        }
+        let event = Event::Frame {
+            request,
+            channel,
+            frame,
+        };
+        self.schedule.at(arrival, event);
+        if is_end {
+            self.schedule
+                .at(arrival, Event::Closed { request, channel });
+        }
+    }
+
+    fn any_request(&mut self) -> Option<u64> {
+        let open: Vec<u64> = self.requests.keys().copied().collect();
+        if open.is_empty() {
+            return None;
+        }
+        Some(open[self.random.random_range(0..open.len())])
+    }
+
+    /// An order arrives.
+    pub fn take_order(&mut self, number: u32, order: OrderRequest) {
+        let Some(engine) = self.engines.get_mut(&number) else {
+            return;
+        };
+        if engine.gate.take_order(&order).is_err() || !engine.gate.loading {
+            return;
+        }
+        let event = Event::LoadWhenIdle {
+            engine: number,
+            life: engine.life,
+            order,
+        };
+        self.schedule.after(LOAD_TIME, event);
+    }
+
+    /// An engine loads once its running answers have ended.
+    pub fn load_when_idle(&mut self, number: u32, life: u32, order: OrderRequest) {
+        let Some(engine) = self.engines.get_mut(&number) else {
+            return;
+        };
+        if engine.life != life || !engine.gate.is_current(&order) {
+            return;
+        }
+        if engine.model.has_work() {
+            let event = Event::LoadWhenIdle {
+                engine: number,
+                life,
+                order,
+            };
+            self.schedule.after(IDLE_CHECK, event);
+            return;
+        }
+        engine.model.clear_cache();
+        engine.cached.clear();
+        engine.gate.loaded(order);
+    }
+
+    /// Cancels an attempt whose answer nobody waits for.
+    pub fn cancel(&mut self, number: u32, attempt: u128) {
+        let now = self.schedule.now();
+        if let Some(engine) = self.engines.get_mut(&number) {
+            engine.model.cancel(attempt, now * 1_000);
+            engine.streams.remove(&attempt);
+        }
+    }
+}
+
+impl SimEngine {
+    /// Every cached token must stem from the same tenant, text and weights.
+    fn check_admitted(&self, number: u32, outcome: &StepOutcome) -> Result<(), Broken> {
+        for (attempt, cached_tokens) in &outcome.admitted {
+            let Some(stream) = self.streams.get(attempt) else {
+                continue;
+            };
+            let blocks = cached_tokens.div_ceil(BLOCK_TOKENS) as usize;
+            for (hash, origin) in stream.origins.iter().take(blocks) {
+                if self.cached.get(hash) != Some(origin) {
+                    let detail = format!("engine {number} reused a block of another origin");
+                    return Err((Promise::CacheSafety, detail));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn note_changes(&mut self, outcome: &StepOutcome) {
+        for hash in &outcome.changes.removed {
+            self.cached.remove(hash);
+        }
+        for hash in &outcome.changes.stored {
+            let origin = self.streams.values().find_map(|stream| {
+                let known = stream.origins.iter().find(|(known, _)| known == hash);
+                known.map(|(_, origin)| *origin)
+            });
+            if let Some(origin) = origin {
+                self.cached.insert(*hash, origin);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/simulate/streams/world.rs
@@ -0,0 +1,281 @@
+//! The world: engines, requests and what can happen to them.
+
+use std::collections::BTreeMap;
+
+use railtack_core::{EngineIncarnation, WeightsVersion};
+use railtack_platform::{OrderRequest, StreamFrame};
+use railtack_routing::RetryBudget;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::simulate::{
+    Activity, Mutant, Promise, SeedOutcome, Violation,
+    schedule::Schedule,
+    streams::{
+        engines::{Dispatch, SimEngine},
+        requests::{SimRequest, Texts},
+    },
+    trace::Trace,
+};
+
+/// Engines.
+pub const ENGINES: u32 = 3;
+/// End of faults and arrivals, milliseconds.
+const FAULTS_END: u64 = 15_000;
+/// End of the run.
+const RUN_END: u64 = 60_000;
+
+/// One connection over which frames of an answer come.
+pub type Channel = u64;
+
+/// What can happen.
+#[derive(Debug)]
+pub enum Event {
+    /// A caller asks.
+    Arrival,
+    /// A dispatch reaches its engine.
+    Dispatched { engine: u32, dispatch: Dispatch },
+    /// A resumption reaches its engine.
+    Resumed {
+        engine: u32,
+        attempt: u128,
+        from: u32,
+        channel: Channel,
+        request: u64,
+    },
+    /// An engine refused, or does not know the stream.
+    Refused { request: u64, channel: Channel },
+    /// A frame reaches the router.
+    Frame {
+        request: u64,
+        channel: Channel,
+        frame: StreamFrame,
+    },
+    /// A connection is closed.
+    Closed { request: u64, channel: Channel },
+    /// A router resumes a stream after a pause.
+    Resume { request: u64, channel: Channel },
+    /// A caller's deadline.
+    Deadline { request: u64 },
+    /// An engine's step ends.
+    StepEnd { engine: u32, life: u32 },
+    /// The router hears an engine's state.
+    Status { engine: u32 },
+    /// An order reaches an engine.
+    Order { engine: u32, order: OrderRequest },
+    /// An engine looks whether it may load.
+    LoadWhenIdle {
+        engine: u32,
+        life: u32,
+        order: OrderRequest,
+    },
+    /// Something breaks.
+    Fault,
+    /// Another version of the weights is wanted.
+    Rollout,
+}
+
+/// What the router knows of an engine; it lags.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KnownEngine {
+    /// Its life.
+    pub incarnation: EngineIncarnation,
+    /// Its weights.
+    pub weights_version: WeightsVersion,
+}
+
+/// Events after which a run counts as stuck.
+const EVENT_LIMIT: u64 = 2_000_000;
+
+/// A broken promise and what was seen.
+pub type Broken = (Promise, String);
+
+/// Everything.
+pub struct World {
+    pub mutant: Option<Mutant>,
+    pub schedule: Schedule<Event>,
+    pub random: ChaCha8Rng,
+    pub engines: BTreeMap<u32, SimEngine>,
+    pub known: BTreeMap<u32, KnownEngine>,
+    pub requests: BTreeMap<u64, SimRequest>,
+    pub budget: RetryBudget,
+    pub texts: Texts,
+    pub activity: Activity,
+    pub trace: Trace,
+    pub cut_share: f64,
+    next_number: u64,
+    last_token: u64,
+}
+
+/// Runs one seed.
+pub fn run(mutant: Option<Mutant>, seed: u64, keep_trace: bool) -> SeedOutcome {
+    let mut world = World::new(mutant, seed, keep_trace);
+    let broken = world.run_to_end();
+    let violation = broken.err().map(|(promise, detail)| Violation {
+        at_ms: world.schedule.now(),
+        promise,
+        detail,
+    });
+    SeedOutcome {
+        violation,
+        activity: world.activity,
+        trace: world.trace.into_steps(),
+    }
+}
+
+impl World {
+    fn new(mutant: Option<Mutant>, seed: u64, keep_trace: bool) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let texts = Texts::draw(&mut random);
+        let cut_share = random.random_range(0.0..0.02);
+        let mut world = Self {
+            mutant,
+            schedule: Schedule::default(),
+            random,
+            engines: BTreeMap::new(),
+            known: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            budget: RetryBudget::default(),
+            texts,
+            activity: Activity::default(),
+            trace: Trace::new(keep_trace),
+            cut_share,
+            next_number: 0,
+            last_token: 0,
+        };
+        for engine in 1..=ENGINES {
+            world.start_engine(engine, 1);
+            world.schedule.after(0, Event::Status { engine });
+        }
+        world.schedule.after(10, Event::Arrival);
+        world.schedule.after(1_000, Event::Fault);
+        world.schedule.after(3_000, Event::Rollout);
+        world
+    }
+
+    fn run_to_end(&mut self) -> Result<(), Broken> {
+        let mut events: u64 = 0;
+        while let Some(event) = self.schedule.next(RUN_END) {
+            events += 1;
+            if events > EVENT_LIMIT {
+                let detail = format!("more than {EVENT_LIMIT} events");
+                return Err((Promise::Recovery, detail));
+            }
+            self.handle(event)?;
+        }
+        if let Some(request) = self.requests.keys().next() {
+            let detail = format!("request {request} never ended");
+            return Err((Promise::WholeAnswer, detail));
+        }
+        Ok(())
+    }
+
+    fn handle(&mut self, event: Event) -> Result<(), Broken> {
+        match event {
+            Event::Arrival => self.arrive(),
+            Event::Dispatched { engine, dispatch } => self.dispatched(engine, dispatch),
+            Event::Resumed {
+                engine,
+                attempt,
+                from,
+                channel,
+                request,
+            } => {
+                self.resumed(engine, attempt, from, channel, request);
+                Ok(())
+            }
+            Event::Refused { request, channel } => self.refused(request, channel),
+            Event::Frame {
+                request,
+                channel,
+                frame,
+            } => self.take_frame(request, channel, frame),
+            Event::Closed { request, channel } => self.closed(request, channel),
+            Event::Resume { request, channel } => {
+                self.resume(request, channel);
+                Ok(())
+            }
+            Event::Deadline { request } => self.deadline(request),
+            Event::StepEnd { engine, life } => {
+                self.step_ended(engine, life);
+                self.step(engine)
+            }
+            Event::Status { engine } => {
+                self.hear_status(engine);
+                Ok(())
+            }
+            Event::Order { engine, order } => {
+                self.take_order(engine, order);
+                Ok(())
+            }
+            Event::LoadWhenIdle {
+                engine,
+                life,
+                order,
+            } => {
+                self.load_when_idle(engine, life, order);
+                Ok(())
+            }
+            Event::Fault => {
+                self.inject_fault();
+                Ok(())
+            }
+            Event::Rollout => {
+                self.roll_out();
+                Ok(())
+            }
+        }
+    }
+
+    /// Whether faults and arrivals go on.
+    pub fn goes_on(&self) -> bool {
+        self.schedule.now() < FAULTS_END
+    }
+
+    /// A number never used before in this run.
+    pub fn number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    /// Whether a part of the system is left out on purpose.
+    pub fn is_mutant(&self, mutant: Mutant) -> bool {
+        self.mutant == Some(mutant)
+    }
+
+    /// An engine crashes and comes back empty.
+    fn inject_fault(&mut self) {
+        if !self.goes_on() {
+            return;
+        }
+        let pause = self.random.random_range(200..2_000);
+        self.schedule.after(pause, Event::Fault);
+        self.activity.faults += 1;
+        let engine = self.random.random_range(1..=ENGINES);
+        let life = self.engines[&engine].life + 1;
+        let now = self.schedule.now();
+        self.trace.note(now, || format!("engine {engine} crashes"));
+        self.lose_streams(engine);
+        self.start_engine(engine, life);
+    }
+
+    /// Orders every engine, one after another, to other weights.
+    fn roll_out(&mut self) {
+        if !self.goes_on() {
+            return;
+        }
+        let pause = self.random.random_range(2_000..6_000);
+        self.schedule.after(pause, Event::Rollout);
+        let weights_version = WeightsVersion(self.random.random_range(1..4));
+        for engine in 1..=ENGINES {
+            self.last_token += 1;
+            let order = OrderRequest {
+                token: self.last_token,
+                model: super::engines::MODEL.into(),
+                weights_version,
+            };
+            let delay = self.random.random_range(1..1_500);
+            self.schedule.after(delay, Event::Order { engine, order });
+        }
+    }
+}
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -26,7 +26,7 @@
     attempts::{AfterAttempt, AttemptEnd, Attempts},
     decisions::{CandidateRecord, DecisionRecord},
     engine_link::refresh_status,
-    relay::{FrameStep, Relay},
+    relay::{EndMarker, FrameStep, Relay},
     state::{RouterState, lock},
 };
 
@@ -79,7 +79,7 @@
         state: &state,
         job: &job,
         events: &events,
-        relay: Relay::default(),
+        relay: Relay::new(job.max_tokens, EndMarker::Required),
         attempts: Attempts::default(),
         excluded: Vec::new(),
     };
@@ -207,6 +207,15 @@
         }
     }
 
+    /// Relays frames until the answer, or at least this connection, ends.
+    async fn relay(&mut self, attempt: &mut Attempt, response: Response<Incoming>) -> AttemptEnd {
+        let end = self.relay_frames(attempt, response).await;
+        if end == AttemptEnd::Lost && self.relay.is_whole_when_closed() {
+            return AttemptEnd::Whole(self.relay.presumed_end(self.job.chain.total_tokens));
+        }
+        end
+    }
+
     /// Asks the same engine for the rest; it keeps a stream for a while after a connection broke.
     async fn resume(&mut self, attempt: &mut Attempt) -> AttemptEnd {
         for _ in 0..RESUME_TRIES {
@@ -236,7 +245,11 @@
     }
 
     /// Hands frames to the caller in order, each once.
-    async fn relay(&mut self, attempt: &mut Attempt, response: Response<Incoming>) -> AttemptEnd {
+    async fn relay_frames(
+        &mut self,
+        attempt: &mut Attempt,
+        response: Response<Incoming>,
+    ) -> AttemptEnd {
         let mut frames = lines(response.into_body());
         loop {
             let next = tokio::select! {
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -29,19 +29,22 @@
 }
 
 /// Progress of one answer over all its attempts.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Relay {
     delivered: u32,
+    max_tokens: u32,
     attempt: AttemptId,
     end_marker: EndMarker,
 }
 
 impl Relay {
-    /// An answer of which nothing was delivered.
-    pub fn new(end_marker: EndMarker) -> Self {
+    /// An answer of `max_tokens` tokens of which nothing was delivered.
+    pub fn new(max_tokens: u32, end_marker: EndMarker) -> Self {
         Self {
+            delivered: 0,
+            max_tokens,
+            attempt: AttemptId::default(),
             end_marker,
-            ..Self::default()
         }
     }
 
@@ -70,8 +73,18 @@
         FrameStep::Deliver(frame.text)
     }
 
-    /// Whether a connection that closed without an end mark still makes the answer whole.
+    /// Whether the answer is whole although its connection closed without an end mark: every
+    /// token that it may have was delivered. Asking for more would make it too long.
     pub fn is_whole_when_closed(&self) -> bool {
-        self.end_marker == EndMarker::Ignored
+        self.delivered >= self.max_tokens || self.end_marker == EndMarker::Ignored
+    }
+
+    /// The end of an answer whose engine could not tell it any more.
+    pub fn presumed_end(&self, prompt_tokens: u32) -> StreamEnd {
+        StreamEnd {
+            tokens: self.delivered,
+            prompt_tokens,
+            cached_tokens: 0,
+        }
     }
 }
