--- a/crates/control/src/cli.rs
+++ b/crates/control/src/cli.rs
@@ -5,7 +5,7 @@
 use crate::{ControlError, server};
 use clap::{Arg, ArgAction, Command, value_parser};
 use error_stack::{Report, ResultExt};
-use railtack_settings::{ControlSettings, load_settings, logging};
+use railtack_settings::{ControlSettings, load_settings, logging, overrides};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
@@ -21,6 +21,7 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("Settings file (TOML)"),
         )
+        .arg(overrides::argument())
         .arg(
             Arg::new("check")
                 .long("check")
@@ -51,7 +52,8 @@
         .get_one::<PathBuf>("settings")
         .cloned()
         .unwrap_or_default();
-    let settings: ControlSettings = load_settings(&file).change_context(ControlError::Settings)?;
+    let settings: ControlSettings =
+        load_settings(&file, &overrides::given(&matches)).change_context(ControlError::Settings)?;
     if matches.get_flag("check") {
         return Ok(());
     }
--- a/crates/emulator/src/cache.rs
+++ b/crates/emulator/src/cache.rs
@@ -1,6 +1,6 @@
 //! An engine's prefix cache: blocks of limited number, evicted least recently used first.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, hash_map::Entry};
 
 use railtack_core::BlockHash;
 
@@ -30,7 +30,10 @@
     blocks: HashMap<BlockHash, Block>,
     evictable: BTreeMap<u64, BlockHash>,
     next_stamp: u64,
-    changes: CacheChanges,
+    /// Blocks changed since changes were taken, in order of their first change.
+    changed: Vec<BlockHash>,
+    /// Whether each of them was cached before.
+    was_cached: HashMap<BlockHash, bool>,
     last_eviction_age_us: u64,
 }
 
@@ -42,7 +45,8 @@
             blocks: HashMap::new(),
             evictable: BTreeMap::new(),
             next_stamp: 0,
-            changes: CacheChanges::default(),
+            changed: Vec::new(),
+            was_cached: HashMap::new(),
             last_eviction_age_us: 0,
         }
     }
@@ -77,28 +81,46 @@
     }
 
     /// Caches the blocks of a chain that are missing, evicting others; returns how many leading
-    /// blocks are cached afterwards. Blocks in use are never evicted, so a full cache may refuse.
+    /// blocks are cached afterwards. Blocks in use, and the chain's own, are never evicted, so a
+    /// full cache may refuse.
     pub fn store(&mut self, chain: &[BlockHash], now_us: u64) -> usize {
-        for (position, hash) in chain.iter().enumerate() {
-            if self.blocks.contains_key(hash) {
-                continue;
-            }
-            if self.blocks.len() >= self.capacity && !self.evict_one(now_us) {
-                return position;
+        let mut stored = 0;
+        for hash in chain {
+            if !self.hold(*hash, now_us) {
+                break;
             }
-            let stamp = self.take_stamp();
-            self.blocks.insert(
-                *hash,
-                Block {
-                    stamp,
-                    users: 0,
-                    used_at: now_us,
-                },
-            );
-            self.evictable.insert(stamp, *hash);
-            self.changes.stored.push(*hash);
+            stored += 1;
+        }
+        self.release(&chain[..stored], now_us);
+        stored
+    }
+
+    /// Makes sure that a block is cached and cannot be evicted; false if there is no place for it.
+    fn hold(&mut self, hash: BlockHash, now_us: u64) -> bool {
+        if let Some(block) = self.blocks.get_mut(&hash) {
+            block.users += 1;
+            self.evictable.remove(&block.stamp);
+            return true;
+        }
+        if self.blocks.len() >= self.capacity && !self.evict_one(now_us) {
+            return false;
+        }
+        self.note_change(hash, false);
+        let block = Block {
+            stamp: self.take_stamp(),
+            users: 1,
+            used_at: now_us,
+        };
+        self.blocks.insert(hash, block);
+        true
+    }
+
+    /// Notes, at the first change of a block since changes were taken, whether it was cached.
+    fn note_change(&mut self, hash: BlockHash, was_cached: bool) {
+        if let Entry::Vacant(entry) = self.was_cached.entry(hash) {
+            entry.insert(was_cached);
+            self.changed.push(hash);
         }
-        chain.len()
     }
 
     /// Cached blocks.
@@ -123,14 +145,26 @@
 
     /// Drops every block, as loading other weights does.
     pub fn clear(&mut self) {
-        let removed = self.blocks.drain().map(|(hash, _)| hash);
-        self.changes.removed.extend(removed);
+        let dropped: Vec<BlockHash> = self.blocks.drain().map(|(hash, _)| hash).collect();
         self.evictable.clear();
+        for hash in dropped {
+            self.note_change(hash, true);
+        }
     }
 
     /// Takes what changed since the last call.
     pub fn take_changes(&mut self) -> CacheChanges {
-        std::mem::take(&mut self.changes)
+        let mut changes = CacheChanges::default();
+        let was_cached = std::mem::take(&mut self.was_cached);
+        for hash in std::mem::take(&mut self.changed) {
+            let is_cached = self.blocks.contains_key(&hash);
+            match (was_cached[&hash], is_cached) {
+                (false, true) => changes.stored.push(hash),
+                (true, false) => changes.removed.push(hash),
+                _ => {}
+            }
+        }
+        changes
     }
 
     /// Stamps a chain from its deepest block to its shallowest: a block is useless without those
@@ -158,7 +192,7 @@
         if let Some(block) = self.blocks.remove(&hash) {
             self.last_eviction_age_us = now_us.saturating_sub(block.used_at);
         }
-        self.changes.removed.push(hash);
+        self.note_change(hash, true);
         true
     }
 
--- a/crates/emulator/src/cli.rs
+++ b/crates/emulator/src/cli.rs
@@ -11,7 +11,7 @@
 use railtack_http::{ServeOptions, serve};
 use railtack_settings::{
     emulator::{EmulatorRole, EmulatorSettings},
-    load_settings, logging,
+    load_settings, logging, overrides,
 };
 use tokio::{
     net::TcpListener,
@@ -38,6 +38,7 @@
                 .value_parser(value_parser!(SocketAddr))
                 .help("The platform, from whose weight store an engine reads"),
         )
+        .arg(overrides::argument())
         .arg(
             Arg::new("check")
                 .long("check")
@@ -64,8 +65,8 @@
         .get_one::<PathBuf>("settings")
         .cloned()
         .unwrap_or_default();
-    let settings: EmulatorSettings =
-        load_settings(&file).change_context(EmulatorError::Settings)?;
+    let settings: EmulatorSettings = load_settings(&file, &overrides::given(&matches))
+        .change_context(EmulatorError::Settings)?;
     if matches.get_flag("check") {
         return Ok(());
     }
--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -4,6 +4,7 @@
     fs::{self, File},
     path::{Path, PathBuf},
     process::Stdio,
+    sync::OnceLock,
     time::Duration,
 };
 
@@ -148,9 +149,19 @@
     }
 }
 
-/// A command that runs a program of this binary.
+static LAB_BINARY: OnceLock<PathBuf> = OnceLock::new();
+
+/// Names the lab's binary, for tests, whose own binary is another. Only the first call counts.
+pub fn use_lab_binary(path: &Path) {
+    LAB_BINARY.get_or_init(|| path.to_owned());
+}
+
+/// A command that runs a program of the lab's binary.
 pub fn command(program: Program) -> std::io::Result<Command> {
-    let mut command = Command::new(std::env::current_exe()?);
+    let mut command = match LAB_BINARY.get() {
+        Some(path) => Command::new(path),
+        None => Command::new(std::env::current_exe()?),
+    };
     command.arg("process").arg(program.name());
     Ok(command)
 }
--- /dev/null
+++ b/crates/routing/tests/decisions.rs
@@ -0,0 +1,210 @@
+//! The prefix index, candidates and the choice of an engine.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use quickcheck::quickcheck;
+use railtack_core::{
+    BlockHash, CacheNamespace, EngineId, EngineIncarnation, ModelName, PrefixChain, WeightsVersion,
+};
+use railtack_platform::LoadReport;
+use railtack_routing::{
+    EngineSlot, ModelKey, PrefixIndex, RequestShape, Scheduler, SchedulerOptions,
+    engines::{CacheKnowledge, EngineDescription},
+};
+use railtack_settings::documents::Priority;
+
+const BLOCK_TOKENS: u32 = 16;
+
+fn key(version: u32) -> ModelKey {
+    ModelKey {
+        model: ModelName::from("model"),
+        weights_version: WeightsVersion(version),
+    }
+}
+
+fn describe(id: u32, life: u64, version: u32) -> EngineDescription {
+    EngineDescription {
+        id: EngineId(id),
+        incarnation: EngineIncarnation(life),
+        zone: "zone".into(),
+        key: key(version),
+        available: true,
+    }
+}
+
+fn chain(text: &str) -> PrefixChain {
+    let namespace =
+        CacheNamespace::derive(&"tenant".into(), &"model".into(), WeightsVersion(1), None);
+    PrefixChain::from_text(namespace, text, BLOCK_TOKENS)
+}
+
+fn scheduler(engines: u32) -> Scheduler {
+    let mut scheduler = Scheduler::new(SchedulerOptions {
+        zone: "zone".into(),
+        ..SchedulerOptions::default()
+    });
+    for id in 0..engines {
+        scheduler.engines.update(describe(id, 1, 1));
+    }
+    scheduler
+}
+
+fn choose(
+    scheduler: &Scheduler,
+    chain: &PrefixChain,
+    excluded: &[EngineSlot],
+) -> Option<EngineSlot> {
+    let key = key(1);
+    let boundaries = [chain.blocks.len() as u32];
+    let shape = RequestShape {
+        key: &key,
+        chain,
+        boundaries: &boundaries,
+        priority: Priority::Interactive,
+        excluded,
+    };
+    scheduler
+        .choose(shape, 0, 7)
+        .map(|decision| decision.chosen.engine)
+}
+
+#[test]
+fn the_holder_of_a_prefix_is_chosen() {
+    let mut scheduler = scheduler(40);
+    let chain = chain(&"a long opening ".repeat(200));
+    let holder = EngineSlot(17);
+    scheduler.index.stored(holder, chain.blocks.iter().copied());
+    assert_eq!(choose(&scheduler, &chain, &[]), Some(holder));
+}
+
+#[test]
+fn a_holder_with_a_long_queue_is_passed_over() {
+    let mut scheduler = scheduler(40);
+    let chain = chain(&"a long opening ".repeat(200));
+    let holder = EngineSlot(17);
+    scheduler.index.stored(holder, chain.blocks.iter().copied());
+    let busy = LoadReport {
+        queued_prefill_tokens: 100_000,
+        urgent_prefill_tokens: 100_000,
+        batch_limit: 32,
+        ..LoadReport::default()
+    };
+    scheduler.engines.report(holder, busy, 0);
+    assert_ne!(choose(&scheduler, &chain, &[]), Some(holder));
+}
+
+#[test]
+fn engines_that_left_are_never_chosen() {
+    let mut scheduler = scheduler(3);
+    let chain = chain("short");
+    scheduler.engines.view_mut(EngineSlot(0)).available = false;
+    scheduler.engines.view_mut(EngineSlot(1)).listed = false;
+    assert_eq!(choose(&scheduler, &chain, &[]), Some(EngineSlot(2)));
+    assert_eq!(choose(&scheduler, &chain, &[EngineSlot(2)]), None);
+}
+
+#[test]
+fn a_new_life_or_new_weights_void_what_was_known() {
+    let mut scheduler = scheduler(1);
+    let (_, same) = scheduler.engines.update(describe(0, 1, 1));
+    let (_, life) = scheduler.engines.update(describe(0, 2, 1));
+    let (_, weights) = scheduler.engines.update(describe(0, 2, 2));
+    assert_eq!(same, CacheKnowledge::Kept);
+    assert_eq!(life, CacheKnowledge::Void);
+    assert_eq!(weights, CacheKnowledge::Void);
+    assert!(scheduler.engines.group(&key(1)).is_empty());
+    assert_eq!(scheduler.engines.group(&key(2)), [EngineSlot(0)]);
+}
+
+#[test]
+fn all_routers_agree_on_the_favourites_of_a_prefix_they_know_nothing_of() {
+    let chain = chain(&"a long opening ".repeat(50));
+    let mut one = scheduler(50);
+    let other = scheduler(50);
+    let chosen = choose(&one, &chain, &[]).expect("an engine");
+    assert_eq!(choose(&other, &chain, &[]), Some(chosen));
+    one.engines.view_mut(chosen).available = false;
+    assert_ne!(choose(&one, &chain, &[]), Some(chosen));
+}
+
+#[test]
+fn tenants_move_to_new_weights_with_the_share_of_replicas() {
+    let mut scheduler = scheduler(4);
+    let model = ModelName::from("model");
+    let version = |scheduler: &Scheduler, point: f64| {
+        let target = WeightsVersion(2);
+        scheduler.engines.serving_version(&model, target, point).0
+    };
+    assert_eq!(
+        version(&scheduler, 0.0),
+        1,
+        "no replica has the new weights yet"
+    );
+    scheduler.engines.update(describe(0, 1, 2));
+    assert_eq!(version(&scheduler, 0.2), 2);
+    assert_eq!(version(&scheduler, 0.3), 1);
+    for id in 1..4 {
+        scheduler.engines.update(describe(id, 1, 2));
+    }
+    assert_eq!(version(&scheduler, 0.99), 2);
+}
+
+/// What an engine holds, as a set of leading blocks for each chain.
+fn check_overlaps(
+    holdings: &BTreeMap<u16, usize>,
+    chain: &PrefixChain,
+    index: &PrefixIndex,
+) -> bool {
+    let scores = index.overlaps(chain);
+    let deepest = holdings.values().copied().max().unwrap_or(0);
+    let found = scores
+        .held
+        .iter()
+        .map(|(_, depth)| *depth as usize)
+        .max()
+        .unwrap_or(0);
+    let exact = scores
+        .held
+        .iter()
+        .all(|(engine, depth)| holdings.get(&engine.0) == Some(&(*depth as usize)));
+    found == deepest && exact
+}
+
+quickcheck! {
+    fn the_index_finds_the_deepest_holder(depths: Vec<(u16, u8)>) -> bool {
+        let chain = chain(&"words of an opening ".repeat(40));
+        let mut index = PrefixIndex::new(1_000_000);
+        let mut holdings = BTreeMap::new();
+        for (engine, depth) in depths.into_iter().take(20) {
+            let depth = usize::from(depth) % (chain.blocks.len() + 1);
+            if depth > 0 && holdings.insert(engine, depth).is_none() {
+                index.stored(EngineSlot(engine), chain.blocks[..depth].iter().copied());
+            } else if depth > 0 {
+                let known = holdings[&engine];
+                index.forget(EngineSlot(engine));
+                index.stored(EngineSlot(engine), chain.blocks[..depth].iter().copied());
+                let _ = known;
+            }
+        }
+        check_overlaps(&holdings, &chain, &index)
+    }
+
+    fn forgetting_an_engine_leaves_the_others(blocks: Vec<(u16, u64)>, gone: u16) -> bool {
+        let mut index = PrefixIndex::new(1_000_000);
+        let mut kept = BTreeSet::new();
+        for (engine, block) in &blocks {
+            index.stored(EngineSlot(*engine), [BlockHash(u128::from(*block))]);
+            if *engine != gone {
+                kept.insert(*block);
+            }
+        }
+        index.forget(EngineSlot(gone));
+        index.len() == kept.len()
+    }
+
+    fn a_full_index_refuses_instead_of_growing(blocks: Vec<u64>) -> bool {
+        let mut index = PrefixIndex::new(5);
+        index.stored(EngineSlot(0), blocks.iter().map(|block| BlockHash(u128::from(*block))));
+        index.len() <= 5
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod emulator;
 pub mod load;
 pub mod logging;
+pub mod overrides;
 pub mod router;
 
 pub use control::ControlSettings;
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -5,6 +5,9 @@
 use error_stack::{Report, ResultExt};
 use serde::de::DeserializeOwned;
 use thiserror::Error;
+use toml::Table;
+
+use crate::overrides::Override;
 
 /// Why settings were refused. Nothing is started with refused settings.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -78,15 +81,26 @@
     Err(Violation::new(key, value, allowed))
 }
 
-/// Reads and validates a settings file.
-pub fn load_settings<T>(file: &Path) -> Result<T, Report<SettingsError>>
+/// Reads and validates a settings file, with values of the command line in place of its own.
+pub fn load_settings<T>(file: &Path, overrides: &[Override]) -> Result<T, Report<SettingsError>>
 where
     T: DeserializeOwned + Validate,
 {
     let name = file.display().to_string();
     let text = fs::read_to_string(file)
         .change_context_lazy(|| SettingsError::Unreadable { file: name.clone() })?;
-    parse_settings(&name, &text)
+    if overrides.is_empty() {
+        return parse_settings(&name, &text);
+    }
+    let mut table: Table =
+        toml::from_str(&text).map_err(|error| malformed(&name, &text, &error))?;
+    for change in overrides {
+        change.apply(&mut table);
+    }
+    // Lines are those of the settings as they are in force.
+    let effective = toml::to_string(&table)
+        .change_context_lazy(|| SettingsError::Unreadable { file: name.clone() })?;
+    parse_settings(&format!("{name} with --set"), &effective)
 }
 
 /// Parses and validates settings; `name` stands for the file in errors.
--- /dev/null
+++ b/crates/settings/tests/settings.rs
@@ -0,0 +1,142 @@
+//! Settings files: the examples load, and what is wrong is refused with its place.
+
+use std::{fs, path::PathBuf};
+
+use railtack_settings::{
+    ControlSettings, RouterSettings, SettingsError, Template, Tenant,
+    documents::ModelTarget,
+    emulator::EmulatorSettings,
+    overrides::{Override, OverrideError},
+    parse_settings,
+};
+use serde::de::DeserializeOwned;
+
+fn example(name: &str) -> String {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+        .join("../../examples")
+        .join(name);
+    fs::read_to_string(&path).expect("the example is there")
+}
+
+fn document<T: DeserializeOwned>(name: &str) -> T {
+    toml::from_str(&example(name)).expect("the example is a document")
+}
+
+#[test]
+fn examples_of_settings_load() {
+    parse_settings::<RouterSettings>("router.toml", &example("router.toml")).expect("router");
+    parse_settings::<ControlSettings>("control.toml", &example("control.toml")).expect("control");
+    for name in ["engine.toml", "service.toml", "platform.toml"] {
+        parse_settings::<EmulatorSettings>(name, &example(name)).expect(name);
+    }
+}
+
+#[test]
+fn examples_of_documents_are_valid_together() {
+    let template: Template = document("template.toml");
+    let service: Template = document("service-template.toml");
+    let tenant: Tenant = document("tenant.toml");
+    let _: ModelTarget = document("model.toml");
+    template.validate().expect("template");
+    service.validate().expect("service template");
+    tenant.validate().expect("tenant");
+    for (used, known) in tenant.services.iter().zip([&template, &service]) {
+        tenant.validate_service(used, known).expect("service");
+    }
+}
+
+/// Settings with one line changed, and the refusal that names it.
+struct Wrong {
+    find: &'static str,
+    replace: &'static str,
+    line: usize,
+    says: &'static str,
+}
+
+const WRONG: [Wrong; 7] = [
+    Wrong {
+        find: "router_id = 1",
+        replace: "router_number = 1",
+        line: 4,
+        says: "unknown field `router_number`",
+    },
+    Wrong {
+        find: "listen = \"127.0.0.1:8080\"",
+        replace: "listen = \"127.0.0.1\"",
+        line: 8,
+        says: "invalid socket address",
+    },
+    Wrong {
+        find: "body_bytes = 4194304",
+        replace: "body_bytes = 12",
+        line: 32,
+        says: "limits.body_bytes = 12 is not allowed; allowed: 1024 to 268435456",
+    },
+    Wrong {
+        find: "default_deadline_ms = 120000",
+        replace: "default_deadline_ms = 99999999",
+        line: 35,
+        says: "limits.default_deadline_ms = 99999999",
+    },
+    Wrong {
+        find: "duration_ms = 5000",
+        replace: "duration_ms = 60000",
+        line: 40,
+        says: "lease.duration_ms = 60000 is not allowed; allowed: 100 to 6500",
+    },
+    Wrong {
+        find: "confirm_interval_ms = 500",
+        replace: "confirm_interval_ms = 4000",
+        line: 41,
+        says: "allowed: 10 to 2500",
+    },
+    Wrong {
+        find: "when_unconfirmed = \"refuse\"",
+        replace: "when_unconfirmed = \"hope\"",
+        line: 43,
+        says: "unknown variant `hope`",
+    },
+];
+
+#[test]
+fn wrong_settings_are_refused_with_line_key_and_range() {
+    let right = example("router.toml");
+    for wrong in WRONG {
+        let text = right.replace(wrong.find, wrong.replace);
+        assert_ne!(text, right, "{} is in the example", wrong.find);
+        let report = parse_settings::<RouterSettings>("router.toml", &text)
+            .expect_err("the settings are wrong");
+        let message = report.current_context().to_string();
+        assert!(message.contains(wrong.says), "{message}");
+        let line = match report.current_context() {
+            SettingsError::Malformed { line, .. } | SettingsError::Violated { line, .. } => *line,
+            SettingsError::Unreadable { .. } => 0,
+        };
+        assert_eq!(line, wrong.line, "{message}");
+    }
+}
+
+#[test]
+fn overrides_take_the_place_of_values() {
+    let mut table: toml::Table = toml::from_str(&example("router.toml")).expect("TOML");
+    for text in [
+        "zone=hala-b",
+        "limits.body_bytes=2048",
+        "lease.duration_ms=900",
+    ] {
+        let change: Override = text.parse().expect("an override");
+        change.apply(&mut table);
+    }
+    let text = toml::to_string(&table).expect("TOML");
+    let settings = parse_settings::<RouterSettings>("router.toml", &text).expect("settings");
+    assert_eq!(settings.zone.as_str(), "hala-b");
+    assert_eq!(settings.limits.body_bytes, 2048);
+    assert_eq!(settings.lease.duration_ms, 900);
+}
+
+#[test]
+fn overrides_without_a_key_are_refused() {
+    for text in ["", "zone", "=hala-b"] {
+        assert_eq!(text.parse::<Override>(), Err(OverrideError::NoKey));
+    }
+}
