Break real processes under load: twelve cases of railtack-lab fault

Cause: promises on restart, failover, planned stops and leaving had no run with real processes. Change: railtack-lab fault; a router gives up an engine of which nothing is heard (a frozen process keeps connections open); a stopping server lingers 500 ms, refusing and closing connections, before it closes idle ones; /readyz also waits for back ends. Ruled out: for the two requests cut off in a rolling restart, the drain itself: all processes stopped cleanly; both were broken connections, reused just as the server closed them.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,7 +2,13 @@
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
@@ -15,6 +21,9 @@
 /// Pause after a failed accept, so that a lack of file descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Default of [`ServeOptions::linger`].
+pub const LINGER: Duration = Duration::from_millis(500);
+
 /// Limits of a listener.
 #[derive(Clone, Copy, Debug)]
 pub struct ServeOptions {
@@ -22,7 +31,11 @@
     pub connections: usize,
     /// Time for the head of a request to arrive.
     pub head_timeout: Duration,
-    /// Time for open requests to end after shutdown is asked for.
+    /// Time after shutdown is asked for in which connections and requests are still taken, so
+    /// that the handler can refuse them and callers learn to go elsewhere. Closing idle
+    /// connections at once would cut off a request that is just being written to one.
+    pub linger: Duration,
+    /// Time for open requests to end after that.
     pub drain: Duration,
 }
 
@@ -31,6 +44,7 @@
         Self {
             connections: 10_000,
             head_timeout: Duration::from_secs(10),
+            linger: LINGER,
             drain: Duration::from_secs(30),
         }
     }
@@ -49,10 +63,12 @@
 {
     let graceful = GracefulShutdown::new();
     let permits = Arc::new(Semaphore::new(options.connections));
+    let lingered = linger(&shutdown, options.linger);
+    tokio::pin!(lingered);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = shutdown.cancelled() => break,
+            () = &mut lingered => break,
         };
         let Ok((stream, _)) = accepted else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -64,9 +80,11 @@
         // A failure here only costs latency.
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
+        let shutdown = shutdown.clone();
         let service = service_fn(move |request| {
             let answer = handler(request);
-            async move { Ok::<_, Infallible>(answer.await) }
+            let shutdown = shutdown.clone();
+            async move { Ok::<_, Infallible>(closing_if(&shutdown, answer.await)) }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -82,3 +100,17 @@
     drop(listener);
     timeout(options.drain, graceful.shutdown()).await.is_ok()
 }
+
+async fn linger(shutdown: &CancellationToken, time: Duration) {
+    shutdown.cancelled().await;
+    tokio::time::sleep(time).await;
+}
+
+/// Tells the peer of a stopping server not to use the connection again.
+fn closing_if(shutdown: &CancellationToken, mut response: Response<Body>) -> Response<Body> {
+    if shutdown.is_cancelled() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     LabError, demo,
+    fault::{self, FaultCase},
     fleet::FleetKind,
     simulate::{self, Mutant, Scenario, command::SimulateOptions},
 };
@@ -22,6 +23,17 @@
         ))
         .subcommand(fleet_command("up", "Start a fleet and keep it running"))
         .subcommand(simulate_command())
+        .subcommand(
+            fleet_command(
+                "fault",
+                "Break real processes under load and check what is promised",
+            )
+            .arg(
+                Arg::new("case")
+                    .value_parser(value_parser!(FaultCase))
+                    .help("Which run; all, one after another, if absent"),
+            ),
+        )
         .subcommand(
             Command::new("process")
                 .about("Run one program of a fleet")
@@ -161,6 +173,10 @@
     match matches.subcommand() {
         Some(("demo", matches)) => asynchronous(demo::run(fleet_options(matches))),
         Some(("up", matches)) => asynchronous(demo::up(fleet_options(matches))),
+        Some(("fault", matches)) => {
+            let case = matches.get_one::<FaultCase>("case").copied();
+            asynchronous(fault::command::run(case, fleet_options(matches)))
+        }
         Some(("simulate", matches)) => simulate::command::run(&simulate_options(matches)),
         _ => Ok(()),
     }
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -4,8 +4,10 @@
 
 use error_stack::{Report, ResultExt};
 use futures::{StreamExt, stream};
-use railtack_core::{BlockHash, RefusalCode};
+use railtack_core::{BlockHash, EngineId, OperationId, RefusalCode};
+use railtack_ctl::client::ControlClient;
 use railtack_http::HttpClient;
+use railtack_rpc::protocol::{ConfigurationChange, Outcome};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
@@ -56,6 +58,51 @@
     pub documents: LoadDocuments,
 }
 
+impl PreparedFleet {
+    /// Makes many small changes of configuration over one connection; how many were accepted.
+    pub async fn change_many(&self, count: u64) -> Result<u64, Report<LabError>> {
+        let addresses = self.fleet.places.control.iter().map(|place| place.listen);
+        let client = ControlClient::new(addresses);
+        let mut accepted = 0;
+        for number in 0..count {
+            let engine = EngineId(1_000_000 + number as u32 / 2);
+            let drained = number.is_multiple_of(2);
+            let change = ConfigurationChange::SetDrain { engine, drained };
+            let operation = OperationId(format!("many-{number}"));
+            let outcome = client
+                .configure(&operation, change)
+                .await
+                .change_context(LabError::Runtime)?;
+            accepted += u64::from(matches!(outcome, Outcome::Accepted { .. }));
+        }
+        Ok(accepted)
+    }
+
+    /// Voters of the control cluster whose folder is the one that a replica has now.
+    pub async fn voters_with_known_disk(&self, replica: u32) -> Result<usize, Report<LabError>> {
+        let addresses = self.fleet.places.control.iter().map(|place| place.listen);
+        let client = ControlClient::new(addresses);
+        let statuses: Vec<_> = client
+            .statuses()
+            .await
+            .into_iter()
+            .filter_map(|(_, status)| status)
+            .collect();
+        let present = statuses
+            .iter()
+            .find(|status| status.identity.replica.0 == replica)
+            .map(|status| status.identity.disk);
+        let newest = statuses
+            .iter()
+            .max_by_key(|status| (status.term, status.commit));
+        let members = newest.map_or(&[][..], |status| &status.members);
+        let matching = members
+            .iter()
+            .filter(|member| member.voter && Some(member.disk) == present);
+        Ok(matching.count())
+    }
+}
+
 /// Starts a fleet and submits the documents through the operators' interface.
 pub async fn prepare(
     shape: FleetShape,
--- /dev/null
+++ b/crates/lab/src/fault/background.rs
@@ -0,0 +1,171 @@
+//! Load that runs while faults are injected.
+
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use railtack_core::Execution;
+use railtack_http::HttpClient;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
+
+use crate::{
+    demo::PreparedFleet,
+    load::{Caller, Finding, ModelQuestion, Summary, caller::AskShape},
+};
+
+/// Pause of a caller after a router could not be reached or refused.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// Time for connecting to a router.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Questions drawn ahead; callers take them in turn.
+const QUESTIONS: usize = 600;
+
+/// What a load found.
+#[derive(Clone, Debug, Default)]
+pub struct LoadReport {
+    /// All findings.
+    pub summary: Summary,
+    /// Moments of whole answers, in order of arrival.
+    pub answered_at: Vec<Instant>,
+}
+
+impl LoadReport {
+    /// Longest time without a whole answer after a moment, seconds.
+    pub fn longest_gap_after(&self, moment: Instant) -> f64 {
+        let mut previous = moment;
+        let mut longest = Duration::ZERO;
+        for at in self.answered_at.iter().filter(|at| **at >= moment) {
+            longest = longest.max(*at - previous);
+            previous = *at;
+        }
+        longest.as_secs_f64()
+    }
+
+    /// Answers that were lost, wrong, or cut where the caller was promised none would be.
+    pub fn bad(&self) -> f64 {
+        (self.summary.wrong.len() as u64 + self.summary.lost) as f64
+    }
+
+    /// Requests that were cut off: begun and broken, or ended by an error.
+    pub fn cut_off(&self) -> f64 {
+        let unknown: u64 = self
+            .summary
+            .refusals
+            .iter()
+            .filter(|((_, execution), _)| *execution != "not_run")
+            .map(|(_, count)| *count)
+            .sum();
+        (self.summary.broken + unknown) as f64
+    }
+}
+
+/// Callers that ask models until stopped. A caller whose router refuses before anything ran, or
+/// cannot be reached, asks the next router, as a client with several addresses does.
+pub struct BackgroundLoad {
+    stop: Arc<AtomicBool>,
+    report: Arc<Mutex<LoadReport>>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+struct Shared {
+    stop: Arc<AtomicBool>,
+    report: Arc<Mutex<LoadReport>>,
+    questions: Vec<(usize, ModelQuestion)>,
+    next: AtomicUsize,
+    routers: Vec<std::net::SocketAddr>,
+    callers: Vec<Caller>,
+}
+
+impl BackgroundLoad {
+    /// Starts `concurrency` callers.
+    pub fn start(prepared: &PreparedFleet, concurrency: usize, seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let tenants = prepared.documents.tenants.len();
+        let questions = (0..QUESTIONS).map(|_| {
+            let tenant = random.random_range(0..tenants);
+            (tenant, prepared.documents.question(tenant, &mut random))
+        });
+        let client = HttpClient::new(CONNECT_TIMEOUT);
+        let shared = Arc::new(Shared {
+            stop: Arc::new(AtomicBool::new(false)),
+            report: Arc::default(),
+            questions: questions.collect(),
+            next: AtomicUsize::new(0),
+            routers: prepared
+                .fleet
+                .places
+                .routers
+                .iter()
+                .map(|place| place.listen)
+                .collect(),
+            callers: prepared
+                .documents
+                .tenants
+                .iter()
+                .map(|tenant| Caller::new(client.clone(), &tenant.key))
+                .collect(),
+        });
+        let callers = (0..concurrency)
+            .map(|number| tokio::spawn(call_until_stopped(Arc::clone(&shared), number)))
+            .collect();
+        Self {
+            stop: Arc::clone(&shared.stop),
+            report: Arc::clone(&shared.report),
+            callers,
+        }
+    }
+
+    /// Lets open requests end and tells what was found.
+    pub async fn finish(self) -> LoadReport {
+        self.stop.store(true, Ordering::Relaxed);
+        for caller in self.callers {
+            // A caller that panicked has counted nothing; the totals show it.
+            let _ = caller.await;
+        }
+        let report = self.report.lock().unwrap_or_else(PoisonError::into_inner);
+        report.clone()
+    }
+}
+
+async fn call_until_stopped(shared: Arc<Shared>, number: usize) {
+    let mut router = number;
+    while !shared.stop.load(Ordering::Relaxed) {
+        let position = shared.next.fetch_add(1, Ordering::Relaxed) % shared.questions.len();
+        let (tenant, question) = &shared.questions[position];
+        let shape = if position.is_multiple_of(4) {
+            AskShape::Whole
+        } else {
+            AskShape::Stream
+        };
+        let address = shared.routers[router % shared.routers.len()];
+        let finding = shared.callers[*tenant].ask(address, question, shape).await;
+        let moves_on = matches!(
+            finding,
+            Finding::Unreachable
+                | Finding::Refused {
+                    execution: Execution::NotRun,
+                    ..
+                }
+        );
+        {
+            let mut report = shared.report.lock().unwrap_or_else(PoisonError::into_inner);
+            if matches!(finding, Finding::Whole { .. }) {
+                report.answered_at.push(Instant::now());
+            }
+            report.summary.add(&finding);
+        }
+        if moves_on {
+            router += 1;
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fault/command.rs
@@ -0,0 +1,69 @@
+//! `railtack-lab fault`.
+
+use error_stack::Report;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    LabError,
+    demo::{self, FleetOptions, PreparedFleet},
+    fault::{FaultCase, Finding, control, engines, keys, routers},
+    fleet::FleetShape,
+};
+
+/// Runs one case, or all, each on a fleet of its own.
+pub async fn run(case: Option<FaultCase>, options: FleetOptions) -> Result<(), Report<LabError>> {
+    let cases = case.map_or(FaultCase::ALL.to_vec(), |case| vec![case]);
+    let mut violations = 0;
+    for case in cases {
+        println!("{}", case.name());
+        let findings = run_case(case, &options).await?;
+        for finding in &findings {
+            println!("  {finding}");
+        }
+        violations += findings.iter().filter(|finding| !finding.holds()).count() as u64;
+    }
+    if violations > 0 {
+        return Err(Report::new(LabError::Violations { violations }));
+    }
+    Ok(())
+}
+
+async fn run_case(
+    case: FaultCase,
+    options: &FleetOptions,
+) -> Result<Vec<Finding>, Report<LabError>> {
+    let mut random = ChaCha8Rng::seed_from_u64(options.seed);
+    let shape = FleetShape::demonstration(options.kind);
+    let folder = options.folder().join(case.name());
+    let options = FleetOptions {
+        folder: Some(folder.clone()),
+        ..options.clone()
+    };
+    let mut prepared = demo::prepare(shape, &options, &mut random).await?;
+    let findings = dispatch(case, &mut prepared).await?;
+    drop(prepared);
+    // What is left of a temporary folder does no harm.
+    let _ = std::fs::remove_dir_all(folder);
+    Ok(findings)
+}
+
+async fn dispatch(
+    case: FaultCase,
+    prepared: &mut PreparedFleet,
+) -> Result<Vec<Finding>, Report<LabError>> {
+    match case {
+        FaultCase::RouterRestart => routers::restart(prepared).await,
+        FaultCase::Herd => routers::herd(prepared).await,
+        FaultCase::Freeze => control::freeze(prepared).await,
+        FaultCase::QuorumLoss => control::quorum_loss(prepared).await,
+        FaultCase::Failover => control::failover(prepared).await,
+        FaultCase::LostFolder => control::lost_folder(prepared).await,
+        FaultCase::Keys => keys::run(prepared).await,
+        FaultCase::RollingRestart => routers::rolling_restart(prepared).await,
+        FaultCase::EngineCrash => engines::crash(prepared).await,
+        FaultCase::EngineFreeze => engines::freeze(prepared).await,
+        FaultCase::Leaving => engines::leave(prepared).await,
+        FaultCase::Weights => engines::change_weights(prepared).await,
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fault/routers.rs
@@ -0,0 +1,125 @@
+//! Routers: restart, herd restart, planned stops.
+
+use std::time::Duration;
+
+use error_stack::Report;
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    LabError,
+    demo::PreparedFleet,
+    fault::{Finding, background::BackgroundLoad},
+    fleet::Fault,
+};
+
+/// Callers of the background load.
+const CALLERS: usize = 8;
+/// Time for a planned stop.
+const STOP_TIMEOUT: Duration = Duration::from_secs(40);
+
+/// Kills and restarts one router under load, several times.
+pub async fn restart(prepared: &mut PreparedFleet) -> Result<Vec<Finding>, Report<LabError>> {
+    let load = BackgroundLoad::start(prepared, CALLERS, 1);
+    let mut slowest = Duration::ZERO;
+    for round in 0..5 {
+        sleep(Duration::from_millis(500)).await;
+        let position = round % prepared.fleet.routers.len();
+        prepared.fleet.routers[position]
+            .inflict(Fault::Kill)
+            .await?;
+        prepared.fleet.routers[position].restart()?;
+        let admin = prepared.fleet.places.routers[position].admin;
+        let took = prepared
+            .fleet
+            .wait_until_up("router", admin, "/readyz")
+            .await?;
+        slowest = slowest.max(took);
+    }
+    let report = load.finish().await;
+    Ok(vec![
+        Finding::at_most("slowest restart until ready, s", slowest.as_secs_f64(), 1.0),
+        Finding::at_most("wrong or lost answers", report.bad(), 0.0),
+        Finding::report("whole answers", report.summary.whole as f64),
+    ])
+}
+
+/// Kills and restarts all routers at once.
+pub async fn herd(prepared: &mut PreparedFleet) -> Result<Vec<Finding>, Report<LabError>> {
+    let mut slowest = Duration::ZERO;
+    let mut older = 0;
+    for _ in 0..3 {
+        let load = BackgroundLoad::start(prepared, CALLERS, 2);
+        sleep(Duration::from_secs(1)).await;
+        let before = newest_revision(prepared).await;
+        for router in &mut prepared.fleet.routers {
+            router.inflict(Fault::Kill).await?;
+        }
+        let started = Instant::now();
+        for router in &mut prepared.fleet.routers {
+            router.restart()?;
+        }
+        prepared.fleet.wait_for_routers().await?;
+        slowest = slowest.max(started.elapsed());
+        for place in &prepared.fleet.places.routers {
+            let revision = prepared.fleet.router_revision(place.admin).await;
+            older += u64::from(revision.unwrap_or_default() < before);
+        }
+        load.finish().await;
+    }
+    Ok(vec![
+        Finding::at_most(
+            "slowest herd restart until all are ready, s",
+            slowest.as_secs_f64(),
+            3.0,
+        ),
+        Finding::at_most("routers with older configuration", older as f64, 0.0),
+    ])
+}
+
+async fn newest_revision(prepared: &PreparedFleet) -> u64 {
+    let mut newest = 0;
+    for place in &prepared.fleet.places.routers {
+        let revision = prepared.fleet.router_revision(place.admin).await;
+        newest = newest.max(revision.unwrap_or_default());
+    }
+    newest
+}
+
+/// Restarts routers and engines one by one by planned stops under load.
+pub async fn rolling_restart(
+    prepared: &mut PreparedFleet,
+) -> Result<Vec<Finding>, Report<LabError>> {
+    let load = BackgroundLoad::start(prepared, CALLERS, 3);
+    sleep(Duration::from_millis(500)).await;
+    let mut unclean = 0;
+    for position in 0..prepared.fleet.routers.len() {
+        let router = &mut prepared.fleet.routers[position];
+        router.inflict(Fault::Terminate).await?;
+        unclean += u64::from(router.wait(STOP_TIMEOUT).await != Some(0));
+        router.restart()?;
+        let admin = prepared.fleet.places.routers[position].admin;
+        prepared
+            .fleet
+            .wait_until_up("router", admin, "/readyz")
+            .await?;
+    }
+    for position in 0..prepared.fleet.engines.len() {
+        let engine = &mut prepared.fleet.engines[position];
+        engine.inflict(Fault::Terminate).await?;
+        unclean += u64::from(engine.wait(STOP_TIMEOUT).await != Some(0));
+        engine.restart()?;
+        let address = prepared.fleet.places.engines[position].listen;
+        prepared
+            .fleet
+            .wait_until_up("engine", address, "/status")
+            .await?;
+    }
+    let report = load.finish().await;
+    Ok(vec![
+        Finding::at_most("requests cut off", report.cut_off(), 0.0),
+        Finding::report("connections broken", report.summary.broken as f64),
+        Finding::at_most("wrong or lost answers", report.bad(), 0.0),
+        Finding::at_most("processes that did not stop cleanly", unclean as f64, 0.0),
+        Finding::report("whole answers", report.summary.whole as f64),
+    ])
+}
--- a/crates/lab/src/fleet/running.rs
+++ b/crates/lab/src/fleet/running.rs
@@ -20,7 +20,7 @@
     fleet::{
         FleetShape, LabProcess,
         process::{self, Program},
-        settings::{Places, SettingsWriter},
+        settings::{ControlPlace, Places, SettingsWriter},
     },
 };
 
@@ -53,6 +53,8 @@
     pub services: Vec<LabProcess>,
     /// The platform.
     pub platform: LabProcess,
+    /// Machines that are listed and do not exist.
+    pub phantoms: Vec<Machine>,
     client: HttpClient,
 }
 
@@ -116,6 +118,7 @@
             engines,
             services,
             platform,
+            phantoms: Vec::new(),
             client: HttpClient::new(CALL_TIMEOUT),
         };
         fleet.join_up().await?;
@@ -167,7 +170,8 @@
         }))
     }
 
-    async fn is_up(&self, address: SocketAddr, path: &str) -> bool {
+    /// Whether an address answers a path with success.
+    pub async fn is_up(&self, address: SocketAddr, path: &str) -> bool {
         let uri = format!("http://{address}{path}");
         let Ok(request) = hyper::Request::get(uri).body(http_body_util::Full::default()) else {
             return false;
@@ -176,6 +180,27 @@
         matches!(answer, Ok(Ok(response)) if response.status() == 200)
     }
 
+    /// Starts one more control replica and makes it a voter; returns how long that took.
+    pub async fn add_control(&mut self) -> Result<Duration, Report<LabError>> {
+        let started = Instant::now();
+        let number = self.places.control.iter().map(|place| place.replica).max();
+        let place = ControlPlace::draw(number.unwrap_or_default() + 1)?;
+        let writer = SettingsWriter {
+            folder: &self.folder,
+            shape: &self.shape,
+            places: &self.places,
+        };
+        let file = writer.control(&place)?;
+        let name = format!("control-{}", place.replica);
+        let process = start_one(&name, Program::Control, &file, &self.folder)?;
+        self.control.push(process);
+        let address = place.listen.to_string();
+        self.places.control.push(place);
+        self.operate_until_done(&["members", "add", &address])
+            .await?;
+        Ok(started.elapsed())
+    }
+
     /// Publishes the list of machines, some of them leaving.
     pub async fn publish_machines(&self, leaving: &[EngineId]) -> Result<(), Report<LabError>> {
         let machines = self.machines(leaving);
@@ -210,7 +235,8 @@
             zone: ZoneName::from(self.shape.zone(place.number)),
             leaving: false,
         });
-        engines.chain(services).collect()
+        let phantoms = self.phantoms.iter().cloned();
+        engines.chain(services).chain(phantoms).collect()
     }
 
     /// Runs `railtackctl` against this fleet; its output if it succeeded.
--- a/crates/lab/src/fleet/settings.rs
+++ b/crates/lab/src/fleet/settings.rs
@@ -22,6 +22,18 @@
     pub metrics: SocketAddr,
 }
 
+impl ControlPlace {
+    /// Takes free ports for one more replica.
+    pub fn draw(replica: u32) -> Result<Self, Report<LabError>> {
+        let mut ports = PortDraw::default();
+        Ok(Self {
+            replica,
+            listen: ports.next()?,
+            metrics: ports.next()?,
+        })
+    }
+}
+
 /// Addresses of one router.
 #[derive(Clone, Debug)]
 pub struct RouterPlace {
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -38,5 +38,5 @@
 }
 
 fn is_ready(state: &RouterState) -> bool {
-    state.require_serving().is_ok()
+    state.require_serving().is_ok() && state.knows_back_ends()
 }
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -18,7 +18,7 @@
 use railtack_settings::documents::Priority;
 use tokio::{
     sync::mpsc,
-    time::{Instant, sleep, timeout_at},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
 use crate::{
@@ -34,6 +34,12 @@
 const RESUME_TRIES: u32 = 2;
 /// Pause before a stream is resumed.
 const RESUME_PAUSE: Duration = Duration::from_millis(30);
+/// Silence after which an engine counts as lost; its state is asked for twice a second.
+const ENGINE_SILENCE_US: u64 = 2_500_000;
+/// Time between looks at whether an engine is silent.
+const SILENCE_CHECK: Duration = Duration::from_millis(250);
+/// Time for cancelling an attempt.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for an engine's refusal to arrive.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest refusal of an engine, bytes.
@@ -158,8 +164,12 @@
         self.begin(&attempt);
         let end = self.exchange(&mut attempt, &request).await;
         self.finish(&attempt, &end);
-        if matches!(end, AttemptEnd::CallerGone | AttemptEnd::TooLate) {
-            self.cancel(&attempt).await;
+        let may_still_run = matches!(
+            end,
+            AttemptEnd::CallerGone | AttemptEnd::TooLate | AttemptEnd::Lost
+        );
+        if may_still_run {
+            self.cancel(&attempt);
         }
         end
     }
@@ -185,7 +195,22 @@
         Some((request, address))
     }
 
+    /// One exchange with an engine, given up when nothing is heard of the engine any more: a
+    /// frozen process keeps its connections open in silence.
     async fn exchange(&mut self, attempt: &mut Attempt, request: &EngineRequest) -> AttemptEnd {
+        let state = self.state;
+        let engine = attempt.engine;
+        tokio::select! {
+            end = self.exchange_frames(attempt, request) => end,
+            () = engine_is_silent(state, engine) => AttemptEnd::Lost,
+        }
+    }
+
+    async fn exchange_frames(
+        &mut self,
+        attempt: &mut Attempt,
+        request: &EngineRequest,
+    ) -> AttemptEnd {
         let content = serde_json::to_vec(request).unwrap_or_default();
         let uri = format!("http://{}/v1/completions", attempt.address);
         let Ok(request) = Request::post(uri).body(Full::new(Bytes::from(content))) else {
@@ -296,16 +321,20 @@
         AttemptEnd::Refused
     }
 
-    /// Stops an attempt whose answer nobody waits for.
-    async fn cancel(&self, attempt: &Attempt) {
+    /// Stops an attempt whose answer nobody waits for, without waiting for the engine.
+    fn cancel(&self, attempt: &Attempt) {
         let uri = format!(
             "http://{}/v1/streams/{:032x}",
             attempt.address, attempt.id.0
         );
-        if let Ok(request) = Request::delete(uri).body(Full::default()) {
+        let Ok(request) = Request::delete(uri).body(Full::default()) else {
+            return;
+        };
+        let client = self.state.client.clone();
+        tokio::spawn(async move {
             // An engine that is gone needs no cancelling.
-            let _ = self.state.client.send(request).await;
-        }
+            let _ = timeout(CANCEL_TIMEOUT, client.send(request)).await;
+        });
     }
 
     async fn within_deadline<T>(&self, work: impl Future<Output = T>) -> Option<T> {
@@ -411,3 +440,14 @@
     let mut budgets = lock(&state.retry_budgets);
     budgets.entry(tenant.clone()).or_default().spend()
 }
+
+/// Ends when nothing was heard of an engine for too long.
+async fn engine_is_silent(state: &RouterState, engine: EngineSlot) {
+    loop {
+        sleep(SILENCE_CHECK).await;
+        let heard_at = lock(&state.scheduler).engines.view(engine).heard_at;
+        if state.now_us().saturating_sub(heard_at) > ENGINE_SILENCE_US {
+            return;
+        }
+    }
+}
--- a/crates/router/src/engine_link.rs
+++ b/crates/router/src/engine_link.rs
@@ -42,6 +42,7 @@
         // A list that cannot be had changes nothing: engines are also heard directly.
         if let Ok(list) = list {
             take_list(&state, &list, &followed);
+            state.list_taken.store(true, Ordering::Relaxed);
         }
         sleep(LIST_INTERVAL).await;
     }
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -68,6 +68,7 @@
         let options = ServeOptions {
             connections: limits.connections,
             head_timeout: Duration::from_millis(limits.receive_timeout_ms),
+            linger: railtack_http::server::LINGER,
             drain: Duration::from_millis(state.settings.drain_ms),
         };
         tokio::spawn(control_link::keep_current(Arc::clone(&state)));
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -62,6 +62,8 @@
     pub control: ControlLink,
     /// Tokens in an engine's cache block, as the engines report it.
     pub block_tokens: std::sync::atomic::AtomicU32,
+    /// Whether the platform's list was had at least once.
+    pub list_taken: AtomicBool,
     stopping: AtomicBool,
     started: Instant,
 }
@@ -95,6 +97,7 @@
             client: HttpClient::new(ENGINE_CONNECT_TIMEOUT),
             control: ControlLink::new(&settings.control),
             block_tokens: std::sync::atomic::AtomicU32::new(16),
+            list_taken: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             started: Instant::now(),
             settings,
@@ -136,6 +139,14 @@
         Err(refusal.retry_after_ms(self.settings.lease.confirm_interval_ms))
     }
 
+    /// Whether back ends are known: the list was had, and an engine answers if any is listed.
+    pub fn knows_back_ends(&self) -> bool {
+        let lists_engines = !lock(&self.engine_addresses).is_empty();
+        let scheduler = lock(&self.scheduler);
+        let answers = scheduler.engines.views().iter().any(|view| view.available);
+        self.list_taken.load(Ordering::Relaxed) && (answers || !lists_engines)
+    }
+
     /// Begins a planned stop.
     pub fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
--- a/crates/routing/src/engines.rs
+++ b/crates/routing/src/engines.rs
@@ -39,6 +39,8 @@
     pub load: LoadReport,
     /// When the report was taken in.
     pub reported_at: Micros,
+    /// When anything was last heard of the engine.
+    pub heard_at: Micros,
     /// Prompt tokens that this router has sent since and that have yielded no first token.
     pub outstanding_tokens: u64,
     /// The part of them above the lowest priority.
@@ -123,6 +125,7 @@
         let view = &mut self.views[usize::from(slot.0)];
         view.load = load;
         view.reported_at = now;
+        view.heard_at = now;
         view.sent_since_report = 0;
     }
 
@@ -215,6 +218,7 @@
             listed: true,
             load: LoadReport::default(),
             reported_at: 0,
+            heard_at: 0,
             outstanding_tokens: 0,
             outstanding_urgent_tokens: 0,
             open_requests: 0,
