Test bad input against a small fleet of real processes

Cause: refusals were typed in the code and shown nowhere. Change: a table of fifteen wrong requests, a slow client and wrong operator documents, each with its code, status and exit code; the fleet serves on after them.

--- /dev/null
+++ b/crates/lab/tests/fleet.rs
@@ -0,0 +1,276 @@
+//! A small fleet of real processes: bad input is refused with a typed error, and it serves on.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    path::Path,
+    time::Duration,
+};
+
+use railtack_http::HttpClient;
+use railtack_lab::{
+    demo::{self, FleetOptions, PreparedFleet},
+    fleet::{FleetKind, FleetShape, process},
+    load::{Caller, Finding, caller::AskShape},
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+
+/// A request that must be refused.
+struct BadInput {
+    name: &'static str,
+    path: &'static str,
+    bearer: Option<String>,
+    body: Vec<u8>,
+    status: u16,
+    code: &'static str,
+}
+
+fn bad_inputs(prepared: &PreparedFleet) -> Vec<BadInput> {
+    let key = Some(prepared.documents.tenants[0].key.clone());
+    let completion = |body: Value| body.to_string().into_bytes();
+    let case = |name, status, code, body: Vec<u8>| BadInput {
+        name,
+        path: "/v1/completions",
+        bearer: key.clone(),
+        body,
+        status,
+        code,
+    };
+    let short = |extra: Value| {
+        let mut body = json!({ "template": "counter-answer", "prompt": "q" });
+        if let (Some(body), Value::Object(extra)) = (body.as_object_mut(), extra) {
+            body.extend(extra);
+        }
+        completion(body)
+    };
+    vec![
+        case(
+            "malformed JSON",
+            400,
+            "malformed_request",
+            b"{\"template\":".to_vec(),
+        ),
+        case("not UTF-8", 400, "malformed_request", vec![0xff, 0xfe]),
+        case(
+            "an unknown field",
+            400,
+            "malformed_request",
+            short(json!({ "tempelate": 1 })),
+        ),
+        case(
+            "an unknown template",
+            404,
+            "unknown_template",
+            completion(json!({ "template": "x", "prompt": "q" })),
+        ),
+        case(
+            "another tenant's template",
+            404,
+            "unknown_template",
+            completion(json!({ "template": "private-to-tenant-2", "prompt": "q" })),
+        ),
+        case(
+            "a missing parameter",
+            400,
+            "missing_parameter",
+            completion(json!({ "template": "long-report", "prompt": "q" })),
+        ),
+        case(
+            "an extra parameter",
+            400,
+            "unexpected_parameter",
+            short(json!({ "parameters": { "colour": "red" } })),
+        ),
+        case(
+            "a tenant's parameter",
+            400,
+            "unexpected_parameter",
+            short(json!({ "parameters": { "context": "mine" } })),
+        ),
+        case(
+            "an oversized parameter",
+            400,
+            "oversized_parameter",
+            completion(
+                json!({ "template": "long-report", "prompt": "q", "parameters": { "file": "x".repeat(70_000) } }),
+            ),
+        ),
+        case(
+            "an oversized body",
+            413,
+            "oversized_request",
+            vec![b' '; 5 * 1024 * 1024],
+        ),
+        BadInput {
+            bearer: Some("wrong".to_owned()),
+            ..case("a wrong key", 401, "unauthorized", short(json!({})))
+        },
+        BadInput {
+            bearer: None,
+            ..case("no key", 401, "unauthorized", short(json!({})))
+        },
+        BadInput {
+            path: "/v2/completions",
+            ..case("an unknown path", 404, "unknown_route", short(json!({})))
+        },
+        BadInput {
+            path: "/services/notice-renderer/x",
+            ..case(
+                "no Idempotency-Key",
+                400,
+                "missing_idempotency_key",
+                Vec::new(),
+            )
+        },
+        BadInput {
+            path: "/services/nothing/x",
+            ..case("an unknown service", 404, "unknown_template", Vec::new())
+        },
+    ]
+}
+
+async fn send(router: SocketAddr, input: &BadInput) -> (u16, Value) {
+    let mut builder = hyper::Request::post(format!("http://{router}{}", input.path));
+    if let Some(bearer) = &input.bearer {
+        builder = builder.header("authorization", format!("Bearer {bearer}"));
+    }
+    let request = builder
+        .body(http_body_util::Full::from(input.body.clone()))
+        .expect("a request");
+    let client = HttpClient::new(Duration::from_secs(2));
+    let response = client.send(request).await.expect("an answer");
+    let status = response.status().as_u16();
+    let content = railtack_http::read_body(response.into_body(), 1 << 20, Duration::from_secs(5))
+        .await
+        .expect("a body");
+    (status, serde_json::from_slice(&content).expect("JSON"))
+}
+
+async fn serves(prepared: &PreparedFleet) -> bool {
+    let caller = Caller::new(
+        HttpClient::new(Duration::from_secs(2)),
+        &prepared.documents.tenants[0].key,
+    );
+    let mut random = ChaCha8Rng::seed_from_u64(3);
+    let question = prepared.documents.question(0, &mut random);
+    let router = prepared.fleet.places.routers[0].listen;
+    let finding = caller.ask(router, &question, AskShape::Stream).await;
+    matches!(finding, Finding::Whole { .. })
+}
+
+/// Gives `tenant-2` a template that `tenant-1` does not have.
+async fn add_private_template(prepared: &PreparedFleet, folder: &Path) {
+    let template = folder.join("private.toml");
+    std::fs::write(
+        &template,
+        "name = \"private-to-tenant-2\"\n[target.model]\nmodel = \"valuation\"\n",
+    )
+    .expect("a file");
+    let template = template.display().to_string();
+    prepared
+        .fleet
+        .operate(&["template", "submit", &template])
+        .await
+        .expect("accepted");
+    let tenant = folder.join("tenant-tenant-2.toml");
+    let mut text = std::fs::read_to_string(&tenant).expect("the submitted document");
+    text.push_str("[[services]]\ntemplate = \"private-to-tenant-2\"\n");
+    std::fs::write(&tenant, text).expect("a file");
+    let tenant = tenant.display().to_string();
+    prepared
+        .fleet
+        .operate(&["tenant", "revise", &tenant])
+        .await
+        .expect("accepted");
+}
+
+/// A caller that sends half a request and then waits: it is refused in time and holds up nobody.
+fn slow_client(router: SocketAddr) -> String {
+    let mut stream = TcpStream::connect(router).expect("a connection");
+    stream
+        .write_all(b"POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\n{")
+        .expect("half a request");
+    stream
+        .set_read_timeout(Some(Duration::from_secs(30)))
+        .expect("a timeout");
+    let mut answer = vec![0; 4096];
+    let length = stream.read(&mut answer).expect("an answer");
+    String::from_utf8_lossy(&answer[..length]).into_owned()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bad_input_is_refused_and_the_fleet_serves_on() {
+    process::use_lab_binary(Path::new(env!("CARGO_BIN_EXE_railtack-lab")));
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut shape = FleetShape::demonstration(FleetKind::Brasov);
+    shape.engines = 2;
+    shape.routers = 1;
+    let options = FleetOptions {
+        kind: FleetKind::Brasov,
+        seed: 11,
+        folder: Some(folder.path().to_owned()),
+    };
+    let mut random = ChaCha8Rng::seed_from_u64(options.seed);
+    let prepared = demo::prepare(shape, &options, &mut random)
+        .await
+        .expect("a fleet");
+    add_private_template(&prepared, folder.path()).await;
+    let router = prepared.fleet.places.routers[0].listen;
+    for input in bad_inputs(&prepared) {
+        let (status, body) = send(router, &input).await;
+        assert_eq!(status, input.status, "{}: {body}", input.name);
+        assert_eq!(body["error"]["code"], input.code, "{}: {body}", input.name);
+        assert_eq!(body["error"]["execution"], "not_run", "{}", input.name);
+    }
+    let slow = tokio::task::spawn_blocking(move || slow_client(router));
+    assert!(serves(&prepared).await);
+    let answer = slow.await.expect("the slow client");
+    assert!(answer.contains("slow_request"), "{answer}");
+    assert!(serves(&prepared).await);
+    operators_errors(&prepared, folder.path()).await;
+    assert!(serves(&prepared).await);
+}
+
+/// Bad documents and races of operators change nothing and have their own exit codes.
+async fn operators_errors(prepared: &PreparedFleet, folder: &Path) {
+    let exit_code = async |arguments: &[&str]| match prepared.fleet.operate(arguments).await {
+        Ok(_) => 0,
+        Err(report) => match report.current_context() {
+            railtack_lab::LabError::Operator { code, .. } => *code,
+            _ => -1,
+        },
+    };
+    let file = folder.join("bad.toml");
+    let path = file.display().to_string();
+    let write = |text: &str| std::fs::write(&file, text).expect("a file");
+    write("name = \"bad\"\nsegments = [\"{{nobody}}\"]\n[target.model]\nmodel = \"valuation\"\n");
+    assert_eq!(exit_code(&["template", "submit", &path]).await, 4);
+    write("name = \"bad\"\ncolour = 1\n");
+    assert_eq!(exit_code(&["template", "submit", &path]).await, 1);
+    write("name = \"counter-answer\"\n[target.model]\nmodel = \"valuation\"\n");
+    assert_eq!(
+        exit_code(&["template", "submit", &path]).await,
+        3,
+        "it exists"
+    );
+    assert_eq!(
+        exit_code(&["template", "revise", &path, "--expect-revision", "1"]).await,
+        3
+    );
+    assert_eq!(exit_code(&["template", "show", "no-such"]).await, 7);
+    write("name = \"valuation\"\nweights_version = 1\n");
+    let repeated = ["model", "revise", &path, "--operation-id", "the-same"];
+    assert_eq!(exit_code(&repeated).await, 0);
+    assert_eq!(
+        exit_code(&[
+            "explain",
+            "00",
+            "--router",
+            &prepared.fleet.places.routers[0].admin.to_string()
+        ])
+        .await,
+        7
+    );
+}
