Compare policies on one workload in virtual time

Cause: no figure backed the routing. Change: railtack-lab experiment draws each fleet's requests, runs five policies over the emulator's engines and the daemon's scheduler, and reports medians, JSON and plots. A router learns from a first token that the engine holds the prompt. An engine's load report no longer walks the blocks of every waiting request. Ruled out: nothing yet.

--- a/crates/emulator/src/cache.rs
+++ b/crates/emulator/src/cache.rs
@@ -59,6 +59,12 @@
             .count()
     }
 
+    /// The same by bisection: evictions take the deepest blocks first, so what is cached of a
+    /// chain is its beginning.
+    pub fn matched_by_bisection(&self, chain: &[BlockHash]) -> usize {
+        chain.partition_point(|hash| self.blocks.contains_key(hash))
+    }
+
     /// Protects blocks from eviction until they are released, and marks them as used.
     pub fn acquire(&mut self, chain: &[BlockHash], now_us: u64) {
         self.touch(chain, now_us);
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -82,12 +82,45 @@
 /// Order of the queue: higher priority first, then earlier arrival.
 type QueueKey = (std::cmp::Reverse<u8>, u64);
 
+/// A request that waits for a place in the batch.
+#[derive(Clone, Debug)]
+struct Waiting {
+    request: NewSequence,
+    /// Prompt tokens that were not cached when it arrived; what the load report counts.
+    uncached_tokens: u64,
+}
+
+/// Prompt tokens still to be computed.
+#[derive(Clone, Copy, Debug, Default)]
+struct QueuedTokens {
+    all: u64,
+    /// Those above the lowest priority.
+    urgent: u64,
+}
+
+impl QueuedTokens {
+    fn add(&mut self, priority: u8, tokens: u64) {
+        self.all += tokens;
+        if priority > 0 {
+            self.urgent += tokens;
+        }
+    }
+
+    fn remove(&mut self, priority: u8, tokens: u64) {
+        self.all -= tokens;
+        if priority > 0 {
+            self.urgent -= tokens;
+        }
+    }
+}
+
 /// One engine.
 #[derive(Clone, Debug)]
 pub struct EngineModel {
     costs: EngineCosts,
     cache: BlockCache,
-    waiting: BTreeMap<QueueKey, NewSequence>,
+    waiting: BTreeMap<QueueKey, Waiting>,
+    waiting_tokens: QueuedTokens,
     queue_keys: HashMap<u128, QueueKey>,
     running: Vec<Running>,
     arrivals: u64,
@@ -103,6 +136,7 @@
             costs,
             cache,
             waiting: BTreeMap::new(),
+            waiting_tokens: QueuedTokens::default(),
             queue_keys: HashMap::new(),
             running: Vec::new(),
             arrivals: 0,
@@ -117,13 +151,22 @@
         self.arrivals += 1;
         let key = (std::cmp::Reverse(request.priority), self.arrivals);
         self.queue_keys.insert(request.attempt, key);
-        self.waiting.insert(key, request);
+        let uncached_tokens = self.uncached(&request);
+        self.waiting_tokens.add(request.priority, uncached_tokens);
+        let waiting = Waiting {
+            request,
+            uncached_tokens,
+        };
+        self.waiting.insert(key, waiting);
     }
 
     /// Drops a request wherever it is; false if it is not here.
     pub fn cancel(&mut self, attempt: u128, now_us: u64) -> bool {
         if let Some(key) = self.queue_keys.remove(&attempt) {
-            self.waiting.remove(&key);
+            if let Some(waiting) = self.waiting.remove(&key) {
+                self.waiting_tokens
+                    .remove(waiting.request.priority, waiting.uncached_tokens);
+            }
             self.totals.cancelled += 1;
             return true;
         }
@@ -168,34 +211,24 @@
 
     /// The present load.
     pub fn load(&self) -> LoadReport {
-        let (queued, urgent) = self.queued_prefill();
+        let queued = self.queued_prefill();
         LoadReport {
             running: self.running.len() as u32,
             waiting: self.waiting.len() as u32,
-            queued_prefill_tokens: queued,
-            urgent_prefill_tokens: urgent,
+            queued_prefill_tokens: queued.all,
+            urgent_prefill_tokens: queued.urgent,
             batch_limit: self.costs.batch_limit as u32,
             step_us: self.last_step_us,
             eviction_age_ms: self.cache.last_eviction_age_us() / 1_000,
         }
     }
 
-    /// Prompt tokens still to be computed: all, and those above the lowest priority.
-    fn queued_prefill(&self) -> (u64, u64) {
-        let running = self
-            .running
-            .iter()
-            .map(|running| (running.request.priority, u64::from(running.prefill_left)));
-        let waiting = self
-            .waiting
-            .values()
-            .map(|request| (request.priority, self.uncached(request)));
-        running
-            .chain(waiting)
-            .fold((0, 0), |(queued, urgent), (priority, tokens)| {
-                let urgent_tokens = if priority > 0 { tokens } else { 0 };
-                (queued + tokens, urgent + urgent_tokens)
-            })
+    fn queued_prefill(&self) -> QueuedTokens {
+        let mut queued = self.waiting_tokens;
+        for running in &self.running {
+            queued.add(running.request.priority, u64::from(running.prefill_left));
+        }
+        queued
     }
 
     /// Computes one step.
@@ -215,9 +248,12 @@
 
     fn admit(&mut self, now_us: u64, outcome: &mut StepOutcome) {
         while self.running.len() < self.costs.batch_limit {
-            let Some((_, request)) = self.waiting.pop_first() else {
+            let Some((_, waiting)) = self.waiting.pop_first() else {
                 return;
             };
+            let request = waiting.request;
+            self.waiting_tokens
+                .remove(request.priority, waiting.uncached_tokens);
             self.queue_keys.remove(&request.attempt);
             let running = self.begin(request, now_us);
             outcome
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -7,6 +7,10 @@
 
 use crate::{
     LabError, demo,
+    experiment::{
+        self,
+        command::{ExperimentOptions, Variation},
+    },
     fault::{self, FaultCase},
     fleet::FleetKind,
     simulate::{self, Mutant, Scenario, command::SimulateOptions},
@@ -34,6 +38,7 @@
                     .help("Which run; all, one after another, if absent"),
             ),
         )
+        .subcommand(experiment_command())
         .subcommand(
             Command::new("process")
                 .about("Run one program of a fleet")
@@ -100,6 +105,50 @@
         )
 }
 
+fn experiment_command() -> Command {
+    Command::new("experiment")
+        .about("Compare routing policies on one workload in virtual time")
+        .arg(
+            Arg::new("fleet")
+                .long("fleet")
+                .value_parser(value_parser!(FleetKind))
+                .help("Whose workload; both if absent"),
+        )
+        .arg(
+            Arg::new("variation")
+                .long("variation")
+                .value_parser(value_parser!(Variation))
+                .help("What is varied; everything if absent"),
+        )
+        .arg(
+            Arg::new("seeds")
+                .long("seeds")
+                .value_name("FIRST..END")
+                .value_parser(parse_range)
+                .default_value("0..10")
+                .help("Seeds to run; the end is not included"),
+        )
+        .arg(
+            Arg::new("output")
+                .long("output")
+                .value_name("FOLDER")
+                .value_parser(value_parser!(PathBuf))
+                .help("Where JSON and plots go"),
+        )
+}
+
+fn experiment_options(matches: &ArgMatches) -> ExperimentOptions {
+    ExperimentOptions {
+        kind: matches.get_one::<FleetKind>("fleet").copied(),
+        variation: matches.get_one::<Variation>("variation").copied(),
+        seeds: matches
+            .get_one::<Range<u64>>("seeds")
+            .cloned()
+            .unwrap_or_default(),
+        output: matches.get_one::<PathBuf>("output").cloned(),
+    }
+}
+
 /// Why a range of seeds was refused.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("expected FIRST..END with FIRST below END")]
@@ -177,6 +226,7 @@
             let case = matches.get_one::<FaultCase>("case").copied();
             asynchronous(fault::command::run(case, fleet_options(matches)))
         }
+        Some(("experiment", matches)) => experiment::command::compare(&experiment_options(matches)),
         Some(("simulate", matches)) => simulate::command::run(&simulate_options(matches)),
         _ => Ok(()),
     }
--- /dev/null
+++ b/crates/lab/src/experiment/fleet.rs
@@ -0,0 +1,598 @@
+//! Engines and routers in virtual time.
+
+use railtack_core::{BlockHash, PrefixChain};
+use railtack_emulator::engine::{EngineModel, NewSequence, StepOutcome};
+use railtack_routing::EngineSlot;
+use railtack_settings::{documents::Priority, emulator::EngineCosts};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    experiment::{
+        measures::{Measures, Recorder},
+        policy::Policy,
+        router::{Asked, Choice, ExactEngine, VirtualRouter},
+        trace::TraceRequest,
+    },
+    simulate::schedule::Schedule,
+};
+
+/// Routers.
+const ROUTERS: u32 = 4;
+/// Time between load reports, microseconds.
+const REPORT_INTERVAL: u64 = 250_000;
+/// Time from an engine to a router, microseconds.
+const NETWORK_DELAY: u64 = 1_000;
+/// Time for fetching an engine's listing after a gap, microseconds.
+const RESYNC_DELAY: u64 = 50_000;
+/// Time until routers notice a crash by broken connections, microseconds.
+const CRASH_NOTICE: u64 = 20_000;
+/// Time until a crashed engine is back, microseconds.
+const RESTART_TIME: u64 = 5_000_000;
+/// Dispatches of one request.
+const ATTEMPTS: usize = 4;
+
+/// What goes wrong in a run, and for how long caches are filled before anything is counted.
+#[derive(Clone, Debug)]
+pub struct Conditions {
+    /// Engines.
+    pub engines: u32,
+    /// Blocks in each engine's cache.
+    pub cache_blocks: usize,
+    /// Delay of cache events, microseconds.
+    pub event_delay_us: u64,
+    /// Share of cache events lost.
+    pub event_loss: f64,
+    /// When a third of the engines crash, seconds.
+    pub crash_at: Option<f64>,
+    /// When all routers restart with an empty view, seconds.
+    pub herd_at: Option<f64>,
+    /// When every engine loses its cache, seconds.
+    pub evict_at: Option<f64>,
+    /// Time before anything is counted, seconds.
+    pub warm_up: f64,
+    /// Length of the workload, seconds.
+    pub seconds: f64,
+}
+
+impl Conditions {
+    /// An ordinary day.
+    pub fn ordinary(engines: u32, seconds: f64) -> Self {
+        Self {
+            engines,
+            cache_blocks: 8_192,
+            event_delay_us: 200_000,
+            event_loss: 0.0,
+            crash_at: None,
+            herd_at: None,
+            evict_at: None,
+            warm_up: seconds / 4.0,
+            seconds,
+        }
+    }
+}
+
+enum Event {
+    Arrival(usize),
+    Dispatched {
+        engine: u32,
+        life: u64,
+        open: usize,
+    },
+    StepEnd {
+        engine: u32,
+        life: u64,
+        outcome: Box<StepOutcome>,
+    },
+    CacheChanged {
+        engine: u32,
+        life: u64,
+        sequence: u64,
+        stored: Vec<BlockHash>,
+        removed: Vec<BlockHash>,
+    },
+    Resync {
+        router: usize,
+        engine: u32,
+        life: u64,
+    },
+    Report {
+        engine: u32,
+    },
+    Crash,
+    NoticeCrash {
+        engine: u32,
+        lost: Vec<usize>,
+    },
+    Restart {
+        engine: u32,
+    },
+    Herd,
+    Evict,
+}
+
+struct VirtualEngine {
+    model: EngineModel,
+    life: u64,
+    up: bool,
+    stepping: bool,
+    sequence: u64,
+}
+
+struct Open {
+    request: usize,
+    router: usize,
+    chain: PrefixChain,
+    boundaries: Vec<u32>,
+    choice: Option<Choice>,
+    excluded: Vec<EngineSlot>,
+    delivered: u32,
+    has_first_token: bool,
+    done: bool,
+}
+
+struct VirtualFleet<'a> {
+    requests: &'a [TraceRequest],
+    conditions: &'a Conditions,
+    schedule: Schedule<Event>,
+    engines: Vec<VirtualEngine>,
+    routers: Vec<VirtualRouter>,
+    policy: Policy,
+    open: Vec<Open>,
+    recorder: Recorder,
+    random: ChaCha8Rng,
+}
+
+/// What a run found, and the recorder for looking at parts of it.
+pub struct RunResult {
+    /// The figures.
+    pub measures: Measures,
+    /// All counts.
+    pub recorder: Recorder,
+}
+
+/// Runs one workload under one policy.
+pub fn run(
+    requests: &[TraceRequest],
+    conditions: &Conditions,
+    policy: Policy,
+    seed: u64,
+) -> RunResult {
+    let mut fleet = VirtualFleet::new(requests, conditions, policy, seed);
+    // Answers that take longer than this after the last arrival are not in time anyway.
+    let end = ((conditions.seconds + 120.0) * 1e6) as u64;
+    while let Some(event) = fleet.schedule.next(end) {
+        fleet.handle(event);
+    }
+    let measured = conditions.seconds - conditions.warm_up;
+    RunResult {
+        measures: fleet.recorder.measures(measured),
+        recorder: fleet.recorder,
+    }
+}
+
+impl<'a> VirtualFleet<'a> {
+    fn new(
+        requests: &'a [TraceRequest],
+        conditions: &'a Conditions,
+        policy: Policy,
+        seed: u64,
+    ) -> Self {
+        let mut schedule = Schedule::default();
+        let engines = (0..conditions.engines).map(|engine| {
+            // Reports of different engines do not come at the same moment.
+            let offset = REPORT_INTERVAL * u64::from(engine) / u64::from(conditions.engines);
+            schedule.after(offset, Event::Report { engine });
+            VirtualEngine {
+                model: EngineModel::new(costs(conditions)),
+                life: 1,
+                up: true,
+                stepping: false,
+                sequence: 0,
+            }
+        });
+        let engines = engines.collect();
+        if let Some(first) = requests.first() {
+            schedule.at(first.arrival_us, Event::Arrival(0));
+        }
+        let moment = |seconds: f64| (seconds * 1e6) as u64;
+        if let Some(at) = conditions.crash_at {
+            schedule.at(moment(at), Event::Crash);
+        }
+        if let Some(at) = conditions.herd_at {
+            schedule.at(moment(at), Event::Herd);
+        }
+        if let Some(at) = conditions.evict_at {
+            schedule.at(moment(at), Event::Evict);
+        }
+        let routers = (0..ROUTERS)
+            .map(|_| VirtualRouter::new(policy, conditions.engines, ROUTERS))
+            .collect();
+        Self {
+            requests,
+            conditions,
+            schedule,
+            engines,
+            routers,
+            policy,
+            open: Vec::new(),
+            recorder: Recorder::new(moment(conditions.warm_up)),
+            random: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival(position) => self.arrive(position),
+            Event::Dispatched { engine, life, open } => self.dispatched(engine, life, open),
+            Event::StepEnd {
+                engine,
+                life,
+                outcome,
+            } => self.step_ended(engine, life, &outcome),
+            Event::CacheChanged {
+                engine,
+                life,
+                sequence,
+                stored,
+                removed,
+            } => self.hear_event(engine, life, sequence, &stored, &removed),
+            Event::Resync {
+                router,
+                engine,
+                life,
+            } => self.resync(router, engine, life),
+            Event::Report { engine } => self.report(engine),
+            Event::Crash => self.crash(),
+            Event::NoticeCrash { engine, lost } => self.notice_crash(engine, lost),
+            Event::Restart { engine } => self.restart(engine),
+            Event::Herd => self.herd(),
+            Event::Evict => self.evict(),
+        }
+    }
+
+    fn arrive(&mut self, position: usize) {
+        if let Some(next) = self.requests.get(position + 1) {
+            self.schedule
+                .at(next.arrival_us, Event::Arrival(position + 1));
+        }
+        let request = &self.requests[position];
+        let (chain, boundaries) = request.chain();
+        let tokens = chain.total_tokens + request.output_tokens;
+        self.recorder.arrived(request, tokens);
+        let router = position % self.routers.len();
+        self.open.push(Open {
+            request: position,
+            router,
+            chain,
+            boundaries,
+            choice: None,
+            excluded: Vec::new(),
+            delivered: 0,
+            has_first_token: false,
+            done: false,
+        });
+        let open = self.open.len() - 1;
+        self.routers[router].budget.earn();
+        self.dispatch(open, true);
+    }
+
+    fn dispatch(&mut self, open: usize, is_first: bool) {
+        let now = self.schedule.now();
+        let seed = self.random.random();
+        let state = &self.open[open];
+        let request = &self.requests[state.request];
+        let engines = &self.engines;
+        let exact = |chain: &PrefixChain| exact_engines(engines, chain);
+        let router = &mut self.routers[state.router];
+        let asked = Asked {
+            class: request.class,
+            chain: &state.chain,
+            boundaries: &state.boundaries,
+            excluded: &state.excluded,
+        };
+        let chosen = router.choose(asked, exact, now, seed);
+        let Some((choice, score)) = chosen else {
+            self.recorder.refused(request);
+            self.open[open].done = true;
+            return;
+        };
+        let tokens = state.chain.total_tokens + request.output_tokens;
+        if is_first && router.admit(request, tokens, &score, now).is_err() {
+            self.recorder.refused(request);
+            self.open[open].done = true;
+            return;
+        }
+        let urgent = request.class == Priority::Interactive;
+        router
+            .engines()
+            .view_mut(choice.engine)
+            .sent(choice.uncached_tokens, urgent);
+        self.recorder.dispatched(request, is_first);
+        self.open[open].choice = Some(choice);
+        let engine = u32::from(choice.engine.0);
+        let life = self.engines[engine as usize].life;
+        self.schedule
+            .after(NETWORK_DELAY, Event::Dispatched { engine, life, open });
+    }
+
+    fn dispatched(&mut self, number: u32, life: u64, open: usize) {
+        let engine = &mut self.engines[number as usize];
+        if !engine.up || engine.life != life {
+            let lost = vec![open];
+            self.schedule.after(
+                NETWORK_DELAY,
+                Event::NoticeCrash {
+                    engine: number,
+                    lost,
+                },
+            );
+            return;
+        }
+        let state = &self.open[open];
+        let request = &self.requests[state.request];
+        engine.model.submit(NewSequence {
+            attempt: open as u128,
+            chain: state.chain.clone(),
+            delivered_tokens: state.delivered,
+            max_tokens: request.output_tokens.max(state.delivered + 1),
+            priority: u8::from(request.class == Priority::Interactive),
+            importable_blocks: 0,
+        });
+        self.step(number);
+    }
+
+    fn step(&mut self, number: u32) {
+        let now = self.schedule.now();
+        let engine = &mut self.engines[number as usize];
+        if !engine.up || engine.stepping || !engine.model.has_work() {
+            return;
+        }
+        engine.stepping = true;
+        let outcome = engine.model.step(now);
+        let life = engine.life;
+        for (attempt, cached_tokens) in &outcome.admitted {
+            let state = &self.open[*attempt as usize];
+            let request = &self.requests[state.request];
+            self.recorder.began(request, &state.chain, *cached_tokens);
+        }
+        let event = Event::StepEnd {
+            engine: number,
+            life,
+            outcome: Box::new(outcome),
+        };
+        let Event::StepEnd { outcome, .. } = &event else {
+            return;
+        };
+        self.schedule.after(outcome.duration_us, event);
+    }
+
+    fn step_ended(&mut self, number: u32, life: u64, outcome: &StepOutcome) {
+        let now = self.schedule.now();
+        let engine = &mut self.engines[number as usize];
+        if engine.life != life {
+            return;
+        }
+        engine.stepping = false;
+        if !outcome.changes.stored.is_empty() || !outcome.changes.removed.is_empty() {
+            engine.sequence += 1;
+            let event = Event::CacheChanged {
+                engine: number,
+                life,
+                sequence: engine.sequence,
+                stored: outcome.changes.stored.clone(),
+                removed: outcome.changes.removed.clone(),
+            };
+            if !self.random.random_bool(self.conditions.event_loss) {
+                self.schedule.after(self.conditions.event_delay_us, event);
+            }
+        }
+        for output in &outcome.outputs {
+            let open = output.attempt as usize;
+            self.token(open, output.index, now + NETWORK_DELAY);
+            if output.end.is_some() {
+                self.finish(open, now + NETWORK_DELAY);
+            }
+        }
+        self.step(number);
+    }
+
+    fn token(&mut self, open: usize, index: u32, at_us: u64) {
+        let state = &mut self.open[open];
+        state.delivered = index + 1;
+        if state.has_first_token {
+            return;
+        }
+        state.has_first_token = true;
+        let request = &self.requests[state.request];
+        self.recorder.first_token(request, at_us);
+        let Some(choice) = state.choice else {
+            return;
+        };
+        let urgent = request.class == Priority::Interactive;
+        let router = &mut self.routers[state.router];
+        router
+            .engines()
+            .view_mut(choice.engine)
+            .prefilled(choice.uncached_tokens, urgent);
+        if self.policy == Policy::Railtack {
+            router.scheduler.learn_cached(choice.engine, &state.chain);
+        }
+    }
+
+    fn finish(&mut self, open: usize, at_us: u64) {
+        let state = &mut self.open[open];
+        state.done = true;
+        let request = &self.requests[state.request];
+        let tokens = state.chain.total_tokens + request.output_tokens;
+        self.recorder.finished(request, tokens, at_us);
+        if let Some(choice) = state.choice {
+            let router = &mut self.routers[state.router];
+            router.engines().view_mut(choice.engine).closed();
+        }
+    }
+
+    fn hear_event(
+        &mut self,
+        engine: u32,
+        life: u64,
+        sequence: u64,
+        stored: &[BlockHash],
+        removed: &[BlockHash],
+    ) {
+        if self.engines[engine as usize].life != life || self.policy != Policy::Railtack {
+            return;
+        }
+        for router in 0..self.routers.len() {
+            let follows = self.routers[router].hear_event(engine, sequence, stored, removed);
+            if !follows {
+                let event = Event::Resync {
+                    router,
+                    engine,
+                    life,
+                };
+                self.schedule.after(RESYNC_DELAY, event);
+            }
+        }
+    }
+
+    fn resync(&mut self, router: usize, number: u32, life: u64) {
+        let engine = &self.engines[number as usize];
+        if engine.life != life || !engine.up {
+            return;
+        }
+        let blocks: Vec<BlockHash> = engine.model.cache().hashes().copied().collect();
+        self.routers[router].resynchronise(number, engine.sequence, &blocks);
+    }
+
+    fn report(&mut self, number: u32) {
+        let now = self.schedule.now();
+        let last = self.requests.last().map_or(0, |request| request.arrival_us);
+        if now > last + 60_000_000 {
+            return;
+        }
+        self.schedule
+            .after(REPORT_INTERVAL, Event::Report { engine: number });
+        let engine = &self.engines[number as usize];
+        if !engine.up {
+            return;
+        }
+        let load = engine.model.load();
+        for router in &mut self.routers {
+            router
+                .engines()
+                .report(EngineSlot(number as u16), load, now);
+        }
+    }
+
+    fn crash(&mut self) {
+        let count = self.conditions.engines / 3;
+        for number in 0..count {
+            let engine = &mut self.engines[number as usize];
+            engine.up = false;
+            engine.life += 1;
+            engine.stepping = false;
+            engine.sequence = 0;
+            engine.model = EngineModel::new(costs(self.conditions));
+            let slot = EngineSlot(number as u16);
+            let lost = self.open.iter().enumerate().filter(|(_, open)| {
+                !open.done && open.choice.is_some_and(|choice| choice.engine == slot)
+            });
+            let lost = lost.map(|(position, _)| position).collect();
+            let event = Event::NoticeCrash {
+                engine: number,
+                lost,
+            };
+            self.schedule.after(CRASH_NOTICE, event);
+            self.schedule
+                .after(RESTART_TIME, Event::Restart { engine: number });
+        }
+    }
+
+    /// Broken connections: answers are continued elsewhere, as far as the budget goes.
+    fn notice_crash(&mut self, number: u32, lost: Vec<usize>) {
+        let engine = &self.engines[number as usize];
+        let (life, up) = (engine.life, engine.up);
+        for router in &mut self.routers {
+            router.hear_status(number, life, up);
+        }
+        for open in lost {
+            let state = &mut self.open[open];
+            if state.done {
+                continue;
+            }
+            state.excluded.push(EngineSlot(number as u16));
+            let has_attempts = state.excluded.len() < ATTEMPTS;
+            let router = &mut self.routers[state.router];
+            if has_attempts && router.budget.spend() {
+                self.dispatch(open, false);
+            } else {
+                state.done = true;
+                let request = &self.requests[state.request];
+                self.recorder.refused(request);
+            }
+        }
+    }
+
+    fn restart(&mut self, number: u32) {
+        let engine = &mut self.engines[number as usize];
+        engine.up = true;
+        let life = engine.life;
+        for router in &mut self.routers {
+            router.hear_status(number, life, true);
+        }
+    }
+
+    fn herd(&mut self) {
+        for number in 0..self.routers.len() {
+            self.routers[number] =
+                VirtualRouter::new(self.policy, self.conditions.engines, ROUTERS);
+            for engine in 0..self.conditions.engines {
+                let state = &self.engines[engine as usize];
+                self.routers[number].hear_status(engine, state.life, state.up);
+                let event = Event::Resync {
+                    router: number,
+                    engine,
+                    life: state.life,
+                };
+                if self.policy == Policy::Railtack {
+                    // Listings are fetched one after another.
+                    let delay = RESYNC_DELAY * u64::from(engine + 1);
+                    self.schedule.after(delay, event);
+                }
+            }
+        }
+    }
+
+    fn evict(&mut self) {
+        for number in 0..self.conditions.engines {
+            let engine = &mut self.engines[number as usize];
+            let changes = engine.model.clear_cache();
+            engine.sequence += 1;
+            let event = Event::CacheChanged {
+                engine: number,
+                life: engine.life,
+                sequence: engine.sequence,
+                stored: changes.stored,
+                removed: changes.removed,
+            };
+            self.schedule.after(self.conditions.event_delay_us, event);
+        }
+    }
+}
+
+fn costs(conditions: &Conditions) -> EngineCosts {
+    EngineCosts {
+        cache_blocks: conditions.cache_blocks,
+        ..EngineCosts::default()
+    }
+}
+
+fn exact_engines(engines: &[VirtualEngine], chain: &PrefixChain) -> Vec<ExactEngine> {
+    let exact = engines.iter().map(|engine| ExactEngine {
+        held_blocks: engine.model.cache().matched_by_bisection(&chain.blocks) as u32,
+        load: engine.model.load(),
+        up: engine.up,
+    });
+    exact.collect()
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cli;
 pub mod demo;
 pub mod errors;
+pub mod experiment;
 pub mod fault;
 pub mod fleet;
 pub mod load;
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -11,7 +11,9 @@
 use futures::StreamExt;
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming};
-use railtack_core::{AttemptId, CacheNamespace, PrefixChain, RequestId, TemplateName, TenantName};
+use railtack_core::{
+    AttemptId, CacheNamespace, EngineIncarnation, PrefixChain, RequestId, TemplateName, TenantName,
+};
 use railtack_http::{SendError, lines, read_body};
 use railtack_platform::{EngineError, EngineRefusal, EngineRequest, Hex, StreamFrame};
 use railtack_routing::{Decision, EngineSlot, ModelKey, RequestShape};
@@ -111,6 +113,7 @@
 struct Attempt {
     id: AttemptId,
     engine: EngineSlot,
+    incarnation: EngineIncarnation,
     address: SocketAddr,
     uncached_tokens: u64,
     /// Whether its first token has not come yet.
@@ -156,6 +159,7 @@
         let mut attempt = Attempt {
             id: AttemptId(request.attempt.0),
             engine,
+            incarnation: request.incarnation,
             address,
             uncached_tokens: u64::from(decision.chosen.uncached_tokens),
             waits_for_token: true,
@@ -361,6 +365,9 @@
         let view = scheduler.engines.view_mut(attempt.engine);
         view.prefilled(attempt.uncached_tokens, self.is_urgent());
         view.breaker.succeed();
+        if view.incarnation == attempt.incarnation {
+            scheduler.learn_cached(attempt.engine, &self.job.chain);
+        }
     }
 
     fn finish(&self, attempt: &Attempt, end: &AttemptEnd) {
--- a/crates/routing/src/scheduler.rs
+++ b/crates/routing/src/scheduler.rs
@@ -109,6 +109,12 @@
         Some(Decision { chosen, considered })
     }
 
+    /// Notes that an engine has computed a prompt, so it holds it: known from the answer's first
+    /// token, long before the engine's own events come.
+    pub fn learn_cached(&mut self, engine: EngineSlot, chain: &PrefixChain) {
+        self.index.stored(engine, chain.blocks.iter().copied());
+    }
+
     fn score(&self, request: &RequestShape<'_>, candidate: Candidate) -> CandidateScore {
         let view = self.engines.view(candidate.engine);
         let same_zone = view.zone == self.options.zone;
