Expect a prompt to be cached where it is sent, and trust favourites

Cause: a second request for a document came while the first was still being computed; no event had told of it, and it was computed a second time elsewhere. Change: the index notes a prompt when it is dispatched and takes it back if it yields no token; the favourite of rendezvous hashing is trusted by 0.6 in place of 0.1. Ruled out: late load reports as the cause of the repeated work; the hit rate rose with the load view unchanged.

--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -116,6 +116,8 @@
     incarnation: EngineIncarnation,
     address: SocketAddr,
     uncached_tokens: u64,
+    /// Leading blocks that the engine was known to hold before.
+    held_blocks: u32,
     /// Whether its first token has not come yet.
     waits_for_token: bool,
 }
@@ -162,6 +164,7 @@
             incarnation: request.incarnation,
             address,
             uncached_tokens: u64::from(decision.chosen.uncached_tokens),
+            held_blocks: decision.chosen.held_tokens / self.job.chain.block_tokens.max(1),
             waits_for_token: true,
         };
         self.relay.begin(attempt.id);
@@ -350,6 +353,9 @@
         let view = scheduler.engines.view_mut(attempt.engine);
         view.breaker.begin();
         view.sent(attempt.uncached_tokens, self.is_urgent());
+        if view.incarnation == attempt.incarnation {
+            scheduler.expect_cached(attempt.engine, &self.job.chain);
+        }
     }
 
     fn note_first_token(&self, attempt: &mut Attempt) {
@@ -365,9 +371,6 @@
         let view = scheduler.engines.view_mut(attempt.engine);
         view.prefilled(attempt.uncached_tokens, self.is_urgent());
         view.breaker.succeed();
-        if view.incarnation == attempt.incarnation {
-            scheduler.learn_cached(attempt.engine, &self.job.chain);
-        }
     }
 
     fn finish(&self, attempt: &Attempt, end: &AttemptEnd) {
@@ -375,12 +378,13 @@
         let mut scheduler = lock(&self.state.scheduler);
         let view = scheduler.engines.view_mut(attempt.engine);
         view.closed();
-        if attempt.waits_for_token {
-            view.prefilled(attempt.uncached_tokens, self.is_urgent());
-        }
         if matches!(end, AttemptEnd::Lost | AttemptEnd::NotSent) {
             view.breaker.fail(now);
         }
+        if attempt.waits_for_token {
+            view.prefilled(attempt.uncached_tokens, self.is_urgent());
+            scheduler.withdraw_expectation(attempt.engine, &self.job.chain, attempt.held_blocks);
+        }
     }
 
     fn count_end(&self, event: &AnswerEvent) {
--- a/crates/routing/src/scheduler.rs
+++ b/crates/routing/src/scheduler.rs
@@ -109,12 +109,24 @@
         Some(Decision { chosen, considered })
     }
 
-    /// Notes that an engine has computed a prompt, so it holds it: known from the answer's first
-    /// token, long before the engine's own events come.
-    pub fn learn_cached(&mut self, engine: EngineSlot, chain: &PrefixChain) {
+    /// Notes that a prompt was sent to an engine: it will hold it long before its own events say
+    /// so, and requests with the same beginning should follow it there.
+    pub fn expect_cached(&mut self, engine: EngineSlot, chain: &PrefixChain) {
         self.index.stored(engine, chain.blocks.iter().copied());
     }
 
+    /// Takes back what [`Scheduler::expect_cached`] noted, for a prompt that was not computed.
+    pub fn withdraw_expectation(
+        &mut self,
+        engine: EngineSlot,
+        chain: &PrefixChain,
+        held_blocks: u32,
+    ) {
+        let held = (held_blocks as usize).min(chain.blocks.len());
+        self.index
+            .removed(engine, chain.blocks[held..].iter().copied());
+    }
+
     fn score(&self, request: &RequestShape<'_>, candidate: Candidate) -> CandidateScore {
         let view = self.engines.view(candidate.engine);
         let same_zone = view.zone == self.options.zone;
--- a/crates/routing/src/scoring.rs
+++ b/crates/routing/src/scoring.rs
@@ -41,7 +41,7 @@
             interactive_compute: 0.5,
             batch_latency: 0.25,
             batch_compute: 1.0,
-            favourite_trust: 0.1,
+            favourite_trust: 0.6,
             favourite_trust_blind: 0.7,
             other_zone_us: 2_500.0,
             batch_place_us: 60_000.0,
