--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -13,6 +13,7 @@
     },
     fault::{self, FaultCase},
     fleet::FleetKind,
+    scale::{self, Slope},
     simulate::{self, Mutant, Scenario, command::SimulateOptions},
 };
 
@@ -39,6 +40,15 @@
             ),
         )
         .subcommand(experiment_command())
+        .subcommand(
+            Command::new("scale")
+                .about("Measure how costs grow with size, for docs/CAPACITY.md")
+                .arg(
+                    Arg::new("slope")
+                        .value_parser(value_parser!(Slope))
+                        .help("Which slope; all if absent"),
+                ),
+        )
         .subcommand(
             Command::new("process")
                 .about("Run one program of a fleet")
@@ -226,6 +236,10 @@
             let case = matches.get_one::<FaultCase>("case").copied();
             asynchronous(fault::command::run(case, fleet_options(matches)))
         }
+        Some(("scale", matches)) => {
+            let slope = matches.get_one::<Slope>("slope").copied();
+            asynchronous(scale::command::run(slope))
+        }
         Some(("experiment", matches)) => experiment::command::compare(&experiment_options(matches)),
         Some(("simulate", matches)) => simulate::command::run(&simulate_options(matches)),
         _ => Ok(()),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fault;
 pub mod fleet;
 pub mod load;
+pub mod scale;
 pub mod simulate;
 
 pub use errors::LabError;
--- a/crates/routing/src/candidates.rs
+++ b/crates/routing/src/candidates.rs
@@ -4,10 +4,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use smallvec::SmallVec;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    engines::{EngineSlot, EngineTable},
+    engines::{EngineSlot, Member},
     index::OverlapScores,
 };
 
@@ -33,13 +32,14 @@
 /// Candidates of one decision.
 pub type Candidates = SmallVec<[Candidate; CANDIDATE_LIMIT]>;
 
-/// Collects holders, favourites and random draws from `group`.
+/// Collects holders, favourites and random draws from `group`. `belongs` tells whether an engine is
+/// in the group.
 ///
 /// `boundaries` gives, in blocks, where the segments shared with other requests end, shallowest
 /// first.
 pub fn collect(
-    group: &[EngineSlot],
-    table: &EngineTable,
+    group: &[Member],
+    belongs: impl Fn(EngineSlot) -> bool,
     chain: &PrefixChain,
     boundaries: &[u32],
     overlaps: &OverlapScores,
@@ -47,19 +47,18 @@
 ) -> Candidates {
     let mut candidates = Candidates::new();
     for (engine, held_blocks) in &overlaps.held {
-        if group.contains(engine) {
+        if belongs(*engine) {
             add(&mut candidates, *engine, *held_blocks, 0);
         }
     }
-    add_favourites(&mut candidates, group, table, chain, boundaries);
+    add_favourites(&mut candidates, group, chain, boundaries);
     add_random(&mut candidates, group, seed);
     candidates
 }
 
 fn add_favourites(
     candidates: &mut Candidates,
-    group: &[EngineSlot],
-    table: &EngineTable,
+    group: &[Member],
     chain: &PrefixChain,
     boundaries: &[u32],
 ) {
@@ -69,7 +68,7 @@
             continue;
         };
         let count = if rank == 0 { AFFINITY_DEEP } else { 1 };
-        for engine in top_by_rendezvous(group, table, hash.short(), count) {
+        for engine in top_by_rendezvous(group, hash.short(), count) {
             add(candidates, engine, 0, blocks);
         }
     }
@@ -77,16 +76,13 @@
 
 /// The `count` engines with the highest hash of prefix and engine, up to two.
 fn top_by_rendezvous(
-    group: &[EngineSlot],
-    table: &EngineTable,
+    group: &[Member],
     prefix: u64,
     count: usize,
 ) -> SmallVec<[EngineSlot; AFFINITY_DEEP]> {
     let mut best: SmallVec<[(u64, EngineSlot); AFFINITY_DEEP]> = SmallVec::new();
-    for &engine in group {
-        // The engine's own number, not its slot, so that all routers agree.
-        let id = table.view(engine).id;
-        let weight = xxh3_64_with_seed(&id.0.to_le_bytes(), prefix);
+    for member in group {
+        let (engine, weight) = (member.slot, mix(member.seed ^ prefix));
         let place = best.iter().position(|(known, _)| weight > *known);
         match place {
             Some(place) => best.insert(place, (weight, engine)),
@@ -98,13 +94,21 @@
     best.into_iter().map(|(_, engine)| engine).collect()
 }
 
-fn add_random(candidates: &mut Candidates, group: &[EngineSlot], seed: u64) {
+/// Spreads the bits of a value over the whole result (the finalizer of SplitMix64). Every engine
+/// of a group is weighed in every decision, so this must be cheap.
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+fn add_random(candidates: &mut Candidates, group: &[Member], seed: u64) {
     if group.is_empty() {
         return;
     }
     let mut generator = ChaCha8Rng::seed_from_u64(seed);
     for _ in 0..RANDOM_DRAWS {
-        let engine = group[generator.random_range(0..group.len())];
+        let engine = group[generator.random_range(0..group.len())].slot;
         add(candidates, engine, 0, 0);
     }
 }
--- a/crates/routing/src/engines.rs
+++ b/crates/routing/src/engines.rs
@@ -4,6 +4,7 @@
 
 use railtack_core::{EngineId, EngineIncarnation, ModelName, WeightsVersion, ZoneName};
 use railtack_platform::LoadReport;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{Micros, breaker::CircuitBreaker};
 
@@ -60,7 +61,16 @@
 pub struct EngineTable {
     views: Vec<EngineView>,
     slots: HashMap<EngineId, EngineSlot>,
-    groups: HashMap<ModelKey, Vec<EngineSlot>>,
+    groups: HashMap<ModelKey, Vec<Member>>,
+}
+
+/// An engine in a group, with what rendezvous hashing needs of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// The engine.
+    pub slot: EngineSlot,
+    /// Hash of the engine's own number, not its slot, so that all routers agree.
+    pub seed: u64,
 }
 
 /// What an engine says about itself.
@@ -145,7 +155,7 @@
     }
 
     /// Engines that have a model's weights loaded.
-    pub fn group(&self, key: &ModelKey) -> &[EngineSlot] {
+    pub fn group(&self, key: &ModelKey) -> &[Member] {
         self.groups.get(key).map_or(&[], Vec::as_slice)
     }
 
@@ -163,7 +173,10 @@
         let mut total = 0;
         let mut newest_other = None;
         for (key, slots) in self.groups.iter().filter(|(key, _)| key.model == *model) {
-            let usable = slots.iter().filter(|slot| self.is_usable(**slot)).count();
+            let usable = slots
+                .iter()
+                .filter(|member| self.is_usable(member.slot))
+                .count();
             total += usable;
             if key.weights_version == target {
                 with_target += usable;
@@ -202,7 +215,10 @@
             self.groups
                 .entry(view.key.clone())
                 .or_default()
-                .push(EngineSlot(position as u16));
+                .push(Member {
+                    slot: EngineSlot(position as u16),
+                    seed: xxh3_64(&view.id.0.to_le_bytes()),
+                });
         }
     }
 }
--- a/crates/routing/src/scheduler.rs
+++ b/crates/routing/src/scheduler.rs
@@ -7,7 +7,7 @@
 use crate::{
     Micros,
     candidates::{self, CANDIDATE_LIMIT, Candidate},
-    engines::{EngineSlot, EngineTable, ModelKey},
+    engines::{EngineSlot, EngineTable, Member, ModelKey},
     index::PrefixIndex,
     scoring::{self, CandidateScore, ScoreWeights},
 };
@@ -87,7 +87,7 @@
         let group = self.engines.group(request.key);
         let mut candidates = candidates::collect(
             group,
-            &self.engines,
+            |engine| self.engines.view(engine).key == *request.key,
             request.chain,
             request.boundaries,
             &overlaps,
@@ -145,12 +145,12 @@
     fn any_available(
         &self,
         request: &RequestShape<'_>,
-        group: &[EngineSlot],
+        group: &[Member],
         now: Micros,
     ) -> SmallVec<[Candidate; CANDIDATE_LIMIT]> {
         group
             .iter()
-            .copied()
+            .map(|member| member.slot)
             .filter(|engine| self.may_serve(request, *engine, now))
             .take(CANDIDATE_LIMIT)
             .map(|engine| Candidate {
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -113,7 +113,9 @@
     assert_eq!(life, CacheKnowledge::Void);
     assert_eq!(weights, CacheKnowledge::Void);
     assert!(scheduler.engines.group(&key(1)).is_empty());
-    assert_eq!(scheduler.engines.group(&key(2)), [EngineSlot(0)]);
+    let group = scheduler.engines.group(&key(2));
+    let slots: Vec<EngineSlot> = group.iter().map(|member| member.slot).collect();
+    assert_eq!(slots, [EngineSlot(0)]);
 }
 
 #[test]
