Replay traces against stated outcomes

Change: railtack-lab replay and draw-trace; ten drawn traces with conditions and outcomes, replayed by the tests. Conclusion: a change for the worse is noticed; recorded traffic was not at hand.

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -10,6 +10,7 @@
     experiment::{
         self,
         command::{ExperimentOptions, Variation},
+        replay, trace,
     },
     fault::{self, FaultCase},
     fleet::FleetKind,
@@ -40,6 +41,35 @@
             ),
         )
         .subcommand(experiment_command())
+        .subcommand(
+            Command::new("replay")
+                .about("Replay a trace in virtual time and check stated outcomes")
+                .arg(path_argument("trace", "TRACE", "Requests, one JSON object a line").index(1))
+                .arg(
+                    path_argument("expect", "OUTCOMES", "Conditions and outcomes (TOML)")
+                        .long("expect"),
+                ),
+        )
+        .subcommand(
+            Command::new("draw-trace")
+                .about("Write a drawn workload as a trace")
+                .arg(
+                    Arg::new("fleet")
+                        .long("fleet")
+                        .value_parser(value_parser!(FleetKind))
+                        .default_value("brasov"),
+                )
+                .arg(
+                    Arg::new("variation")
+                        .long("variation")
+                        .value_parser(value_parser!(Variation))
+                        .default_value("ordinary"),
+                )
+                .arg(seed())
+                .arg(number_argument("rate", "30", "Requests per second"))
+                .arg(number_argument("seconds", "15", "Length"))
+                .arg(path_argument("output", "TRACE", "Where to write").long("output")),
+        )
         .subcommand(
             Command::new("scale")
                 .about("Measure how costs grow with size, for docs/CAPACITY.md")
@@ -115,6 +145,42 @@
         )
 }
 
+fn path_argument(name: &'static str, value: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .value_name(value)
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help(help)
+}
+
+fn number_argument(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_parser(value_parser!(f64))
+        .default_value(default)
+        .help(help)
+}
+
+fn path_of(matches: &ArgMatches, name: &str) -> PathBuf {
+    matches
+        .get_one::<PathBuf>(name)
+        .cloned()
+        .unwrap_or_default()
+}
+
+fn draw_trace(matches: &ArgMatches) -> Result<(), Report<LabError>> {
+    let number = |name| matches.get_one::<f64>(name).copied().unwrap_or_default();
+    let kind = matches.get_one::<FleetKind>("fleet").copied();
+    let variation = matches.get_one::<Variation>("variation").copied();
+    let (workload, _) = variation.unwrap_or(Variation::Ordinary).setup(
+        kind.unwrap_or(FleetKind::Brasov),
+        number("rate"),
+        number("seconds"),
+    );
+    let seed = matches.get_one::<u64>("seed").copied().unwrap_or_default();
+    trace::write(&path_of(matches, "output"), &workload.draw(seed))
+}
+
 fn experiment_command() -> Command {
     Command::new("experiment")
         .about("Compare routing policies on one workload in virtual time")
@@ -240,6 +306,10 @@
             let slope = matches.get_one::<Slope>("slope").copied();
             asynchronous(scale::command::run(slope))
         }
+        Some(("replay", matches)) => {
+            replay::command(&path_of(matches, "trace"), &path_of(matches, "expect"))
+        }
+        Some(("draw-trace", matches)) => draw_trace(matches),
         Some(("experiment", matches)) => experiment::command::compare(&experiment_options(matches)),
         Some(("simulate", matches)) => simulate::command::run(&simulate_options(matches)),
         _ => Ok(()),
--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -7,6 +7,7 @@
 pub mod fleet;
 pub mod measures;
 pub mod policy;
+pub mod replay;
 pub mod report;
 pub mod router;
 pub mod trace;
--- /dev/null
+++ b/crates/lab/src/experiment/replay.rs
@@ -0,0 +1,188 @@
+//! Replay of a recorded trace against stated outcomes.
+
+use std::{fmt, fs, path::Path};
+
+use error_stack::{Report, ResultExt};
+use serde::Deserialize;
+
+use crate::{
+    LabError,
+    experiment::{Conditions, Measures, Policy, run, trace},
+};
+
+/// Seed of what a replay draws itself: random candidates and lost events.
+const REPLAY_SEED: u64 = 1;
+
+/// A fleet, what goes wrong, and what must come of it.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Expectation {
+    /// The fleet and what goes wrong.
+    pub conditions: StatedConditions,
+    /// What must come of it.
+    pub outcomes: StatedOutcomes,
+}
+
+/// The fleet and what goes wrong. Times are in seconds.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StatedConditions {
+    /// Engines.
+    pub engines: u32,
+    /// Length of the trace.
+    pub seconds: f64,
+    /// Time before anything is counted.
+    #[serde(default)]
+    pub warm_up: f64,
+    /// Blocks in each engine's cache.
+    pub cache_blocks: usize,
+    /// Delay of cache events.
+    #[serde(default)]
+    pub event_delay: f64,
+    /// Share of cache events lost.
+    #[serde(default)]
+    pub event_loss: f64,
+    /// When a third of the engines crash, as when a zone is lost.
+    pub crash_at: Option<f64>,
+    /// When all routers restart.
+    pub herd_at: Option<f64>,
+    /// When every engine loses its cache.
+    pub evict_at: Option<f64>,
+}
+
+/// Bounds; one that is absent is not checked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct StatedOutcomes {
+    /// Lowest prefix hit rate.
+    pub hit_rate_at_least: Option<f64>,
+    /// Lowest prefix hit rate as a share of the oracle's on the same trace.
+    pub hit_rate_of_oracle_at_least: Option<f64>,
+    /// Highest share of prompt tokens computed again.
+    pub waste_at_most: Option<f64>,
+    /// Highest 99th percentile of the interactive time to first token, milliseconds.
+    pub interactive_p99_ms_at_most: Option<f64>,
+    /// Highest share of requests refused.
+    pub refused_at_most: Option<f64>,
+    /// Most dispatches for each admitted request.
+    pub amplification_at_most: Option<f64>,
+}
+
+/// One bound and what was measured.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Checked {
+    /// What is bounded.
+    pub name: &'static str,
+    /// What was measured.
+    pub measured: f64,
+    /// The bound.
+    pub bound: f64,
+    /// Whether the bound is a lower one.
+    pub is_lower: bool,
+}
+
+impl Checked {
+    /// Whether the bound holds.
+    pub fn holds(&self) -> bool {
+        if self.is_lower {
+            self.measured >= self.bound
+        } else {
+            self.measured <= self.bound
+        }
+    }
+}
+
+impl fmt::Display for Checked {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let relation = if self.is_lower { ">=" } else { "<=" };
+        let verdict = if self.holds() { "holds" } else { "BROKEN" };
+        write!(
+            formatter,
+            "{:<28} {:>9.3} {relation} {:<9} {verdict}",
+            self.name, self.measured, self.bound
+        )
+    }
+}
+
+impl StatedConditions {
+    fn conditions(&self) -> Conditions {
+        Conditions {
+            engines: self.engines,
+            cache_blocks: self.cache_blocks,
+            event_delay_us: (self.event_delay * 1e6) as u64,
+            event_loss: self.event_loss,
+            crash_at: self.crash_at,
+            herd_at: self.herd_at,
+            evict_at: self.evict_at,
+            warm_up: self.warm_up,
+            seconds: self.seconds,
+        }
+    }
+}
+
+impl StatedOutcomes {
+    fn check(&self, measures: &Measures, oracle: &Measures) -> Vec<Checked> {
+        let of_oracle = measures.hit_rate / oracle.hit_rate.max(1e-9);
+        let bounds = [
+            ("hit rate", measures.hit_rate, self.hit_rate_at_least, true),
+            (
+                "hit rate of the oracle's",
+                of_oracle,
+                self.hit_rate_of_oracle_at_least,
+                true,
+            ),
+            ("waste", measures.waste, self.waste_at_most, false),
+            (
+                "interactive p99, ms",
+                measures.interactive_p99,
+                self.interactive_p99_ms_at_most,
+                false,
+            ),
+            ("refused", measures.refused, self.refused_at_most, false),
+            (
+                "dispatches a request",
+                measures.amplification,
+                self.amplification_at_most,
+                false,
+            ),
+        ];
+        let stated = bounds
+            .into_iter()
+            .filter_map(|(name, measured, bound, is_lower)| {
+                bound.map(|bound| Checked {
+                    name,
+                    measured,
+                    bound,
+                    is_lower,
+                })
+            });
+        stated.collect()
+    }
+}
+
+/// Replays a trace and checks every stated outcome.
+pub fn replay(trace: &Path, expectation: &Path) -> Result<Vec<Checked>, Report<LabError>> {
+    let failed = || LabError::File {
+        path: expectation.to_owned(),
+    };
+    let text = fs::read_to_string(expectation).change_context_lazy(failed)?;
+    let expectation: Expectation = toml::from_str(&text).change_context_lazy(failed)?;
+    let requests = trace::read(trace)?;
+    let conditions = expectation.conditions.conditions();
+    let measures = run(&requests, &conditions, Policy::Railtack, REPLAY_SEED).measures;
+    let oracle = run(&requests, &conditions, Policy::Oracle, REPLAY_SEED).measures;
+    Ok(expectation.outcomes.check(&measures, &oracle))
+}
+
+/// Replays a trace, prints the outcomes, and fails if one is broken.
+pub fn command(trace: &Path, expectation: &Path) -> Result<(), Report<LabError>> {
+    let checked = replay(trace, expectation)?;
+    for outcome in &checked {
+        println!("{outcome}");
+    }
+    let violations = checked.iter().filter(|outcome| !outcome.holds()).count() as u64;
+    if violations > 0 {
+        return Err(Report::new(LabError::Violations { violations }));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/tests/replay.rs
@@ -0,0 +1,25 @@
+//! Every committed trace, replayed against its stated outcomes.
+
+use std::{fs, path::PathBuf};
+
+use railtack_lab::experiment::replay::replay;
+
+#[test]
+fn committed_traces_have_their_stated_outcomes() {
+    let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../traces");
+    let mut replayed = 0;
+    for entry in fs::read_dir(folder).expect("the traces") {
+        let trace = entry.expect("an entry").path();
+        if trace.extension().is_none_or(|extension| extension != "jsonl") {
+            continue;
+        }
+        let checked = replay(&trace, &trace.with_extension("toml")).expect("a replay");
+        assert!(!checked.is_empty(), "{} states nothing", trace.display());
+        for outcome in &checked {
+            println!("{}: {outcome}", trace.display());
+            assert!(outcome.holds(), "{}: {outcome}", trace.display());
+        }
+        replayed += 1;
+    }
+    assert_eq!(replayed, 10, "two fleets, five traces each");
+}
