--- a/crates/routing/src/candidates.rs
+++ b/crates/routing/src/candidates.rs
@@ -74,22 +74,26 @@
     }
 }
 
-/// The `count` engines with the highest hash of prefix and engine, up to two.
+/// The `count` engines with the highest hash of prefix and engine, best first.
 fn top_by_rendezvous(
     group: &[Member],
     prefix: u64,
     count: usize,
 ) -> SmallVec<[EngineSlot; AFFINITY_DEEP]> {
-    let mut best: SmallVec<[(u64, EngineSlot); AFFINITY_DEEP]> = SmallVec::new();
+    let mut best: SmallVec<[(u64, EngineSlot); AFFINITY_DEEP + 1]> = SmallVec::new();
+    // Nearly every engine of a large group fails this one comparison.
+    let mut floor = None;
     for member in group {
-        let (engine, weight) = (member.slot, mix(member.seed ^ prefix));
-        let place = best.iter().position(|(known, _)| weight > *known);
-        match place {
-            Some(place) => best.insert(place, (weight, engine)),
-            None if best.len() < count => best.push((weight, engine)),
-            None => {}
+        let weight = mix(member.seed ^ prefix);
+        if Some(weight) <= floor {
+            continue;
         }
+        let place = best.partition_point(|(known, _)| *known > weight);
+        best.insert(place, (weight, member.slot));
         best.truncate(count);
+        if best.len() == count {
+            floor = best.last().map(|(lowest, _)| *lowest);
+        }
     }
     best.into_iter().map(|(_, engine)| engine).collect()
 }
