Share the daemons' command line and planned stop; split two large files

Change: settings::daemon and http::signals; ctl's documents and the experiment's disturbances are modules of their own. Ruled out: nothing. Conclusion: less to read twice.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -8,7 +8,8 @@
 use crate::{
     arguments,
     client::ControlClient,
-    commands::{self, DocumentKind},
+    commands,
+    documents::{self, DocumentKind},
     errors::CtlError,
     output::OutputFormat,
 };
@@ -49,13 +50,13 @@
     };
     match matches.subcommand() {
         Some(("template", matches)) => {
-            commands::documents(&client, format, DocumentKind::Template, matches).await
+            documents::documents(&client, format, DocumentKind::Template, matches).await
         }
         Some(("tenant", matches)) => {
-            commands::documents(&client, format, DocumentKind::Tenant, matches).await
+            documents::documents(&client, format, DocumentKind::Tenant, matches).await
         }
         Some(("model", matches)) => {
-            commands::documents(&client, format, DocumentKind::Model, matches).await
+            documents::documents(&client, format, DocumentKind::Model, matches).await
         }
         Some(("status", _)) => commands::status(&client, format).await,
         Some(("members", matches)) => commands::members(&client, format, matches).await,
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cli;
 pub mod client;
 pub mod commands;
+pub mod documents;
 pub mod errors;
 pub mod output;
 
--- a/crates/emulator/src/cli.rs
+++ b/crates/emulator/src/cli.rs
@@ -1,50 +1,35 @@
 //! Command line of `railtack-emulator`.
 
-use std::{ffi::OsString, net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
+use std::{ffi::OsString, net::SocketAddr, process::ExitCode, time::Duration};
 
 use crate::{
     EmulatorError, engine_server::EngineStandIn, platform_server::PlatformStandIn,
     service_server::ServiceStandIn,
 };
-use clap::{Arg, ArgAction, Command, value_parser};
+use clap::{Arg, Command, value_parser};
 use error_stack::{Report, ResultExt};
-use railtack_http::{ServeOptions, serve};
+use railtack_http::{ServeOptions, serve, signals::cancel_on_terminate};
 use railtack_settings::{
+    daemon,
     emulator::{EmulatorRole, EmulatorSettings},
-    load_settings, logging, overrides,
-};
-use tokio::{
-    net::TcpListener,
-    signal::unix::{SignalKind, signal},
+    logging,
 };
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 fn command() -> Command {
-    Command::new("railtack-emulator")
-        .about("A stand-in for an engine, a service or the platform")
-        .version(env!("CARGO_PKG_VERSION"))
-        .arg(
-            Arg::new("settings")
-                .long("settings")
-                .value_name("FILE")
-                .required(true)
-                .value_parser(value_parser!(PathBuf))
-                .help("Settings file (TOML)"),
-        )
-        .arg(
-            Arg::new("platform")
-                .long("platform")
-                .value_name("ADDRESS")
-                .value_parser(value_parser!(SocketAddr))
-                .help("The platform, from whose weight store an engine reads"),
-        )
-        .arg(overrides::argument())
-        .arg(
-            Arg::new("check")
-                .long("check")
-                .action(ArgAction::SetTrue)
-                .help("Check the settings and exit"),
-        )
+    daemon::command(
+        "railtack-emulator",
+        "A stand-in for an engine, a service or the platform",
+        env!("CARGO_PKG_VERSION"),
+    )
+    .arg(
+        Arg::new("platform")
+            .long("platform")
+            .value_name("ADDRESS")
+            .value_parser(value_parser!(SocketAddr))
+            .help("The platform, from whose weight store an engine reads"),
+    )
 }
 
 /// Runs the program with the given arguments, the first of which is its name.
@@ -61,13 +46,9 @@
 
 fn start(arguments: impl IntoIterator<Item = OsString>) -> Result<(), Report<EmulatorError>> {
     let matches = command().get_matches_from(arguments);
-    let file = matches
-        .get_one::<PathBuf>("settings")
-        .cloned()
-        .unwrap_or_default();
-    let settings: EmulatorSettings = load_settings(&file, &overrides::given(&matches))
-        .change_context(EmulatorError::Settings)?;
-    if matches.get_flag("check") {
+    let settings: EmulatorSettings =
+        daemon::settings(&matches).change_context(EmulatorError::Settings)?;
+    if daemon::is_check(&matches) {
         return Ok(());
     }
     let platform = matches.get_one::<SocketAddr>("platform").copied();
@@ -88,18 +69,18 @@
         .await
         .change_context(EmulatorError::Listen { address })?;
     let shutdown = CancellationToken::new();
+    tokio::spawn(cancel_on_terminate(shutdown.clone()));
     let options = ServeOptions::default();
     match settings.role {
         EmulatorRole::Engine(engine) => {
             let engine = EngineStandIn::new(engine, platform);
             tokio::spawn(engine.clone().run());
-            tokio::spawn(stop_on_signal(shutdown.clone(), Some(engine.clone())));
+            tokio::spawn(drain_when_stopping(shutdown.clone(), engine.clone()));
             let handler = move |request| engine.clone().handle(request);
             serve(listener, options, shutdown, handler).await;
         }
         EmulatorRole::Service { service, answer_ms } => {
             let service = ServiceStandIn::new(service, Duration::from_millis(answer_ms));
-            tokio::spawn(stop_on_signal(shutdown.clone(), None));
             let handler = move |request| service.clone().handle(request);
             serve(listener, options, shutdown, handler).await;
         }
@@ -109,7 +90,6 @@
         } => {
             let platform =
                 PlatformStandIn::new(Duration::from_millis(lag_ms), weight_bytes_per_second);
-            tokio::spawn(stop_on_signal(shutdown.clone(), None));
             let handler = move |request| platform.clone().handle(request);
             serve(listener, options, shutdown, handler).await;
         }
@@ -118,13 +98,7 @@
 }
 
 /// A planned stop: an engine refuses new work at once and ends what it has.
-async fn stop_on_signal(shutdown: CancellationToken, engine: Option<EngineStandIn>) {
-    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
-        return;
-    };
-    terminate.recv().await;
-    if let Some(engine) = engine {
-        engine.begin_drain();
-    }
-    shutdown.cancel();
+async fn drain_when_stopping(shutdown: CancellationToken, engine: EngineStandIn) {
+    shutdown.cancelled().await;
+    engine.begin_drain();
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod errors;
 pub mod observability;
 pub mod server;
+pub mod signals;
 
 pub use body::{Body, BodySender, empty, full, json, lines, read_body, streaming};
 pub use client::{HttpClient, send_on_new_connection};
--- /dev/null
+++ b/crates/lab/src/experiment/disturbances.rs
@@ -0,0 +1,170 @@
+//! Events from the engines, and what goes wrong: crashes, herd restarts, mass evictions.
+
+use railtack_core::BlockHash;
+use railtack_emulator::engine::EngineModel;
+use railtack_routing::EngineSlot;
+
+use crate::experiment::{
+    fleet::{Event, REPORT_INTERVAL, ROUTERS, VirtualFleet, costs},
+    policy::Policy,
+    router::VirtualRouter,
+};
+
+/// Time for fetching an engine's listing after a gap, microseconds.
+const RESYNC_DELAY: u64 = 50_000;
+/// Time until routers notice a crash by broken connections, microseconds.
+const CRASH_NOTICE: u64 = 20_000;
+/// Time until a crashed engine is back, microseconds.
+const RESTART_TIME: u64 = 5_000_000;
+/// Dispatches of one request.
+const ATTEMPTS: usize = 4;
+
+impl VirtualFleet<'_> {
+    pub(super) fn hear_event(
+        &mut self,
+        engine: u32,
+        life: u64,
+        sequence: u64,
+        stored: &[BlockHash],
+        removed: &[BlockHash],
+    ) {
+        if self.engines[engine as usize].life != life || self.policy != Policy::Railtack {
+            return;
+        }
+        for router in 0..self.routers.len() {
+            let follows = self.routers[router].hear_event(engine, sequence, stored, removed);
+            if !follows {
+                let event = Event::Resync {
+                    router,
+                    engine,
+                    life,
+                };
+                self.schedule.after(RESYNC_DELAY, event);
+            }
+        }
+    }
+
+    pub(super) fn resync(&mut self, router: usize, number: u32, life: u64) {
+        let engine = &self.engines[number as usize];
+        if engine.life != life || !engine.up {
+            return;
+        }
+        let blocks: Vec<BlockHash> = engine.model.cache().hashes().copied().collect();
+        self.routers[router].resynchronise(number, engine.sequence, &blocks);
+    }
+
+    pub(super) fn report(&mut self, number: u32) {
+        let now = self.schedule.now();
+        let last = self.requests.last().map_or(0, |request| request.arrival_us);
+        if now > last + 60_000_000 {
+            return;
+        }
+        self.schedule
+            .after(REPORT_INTERVAL, Event::Report { engine: number });
+        let engine = &self.engines[number as usize];
+        if !engine.up {
+            return;
+        }
+        let load = engine.model.load();
+        for router in &mut self.routers {
+            router
+                .engines()
+                .report(EngineSlot(number as u16), load, now);
+        }
+    }
+
+    pub(super) fn crash(&mut self) {
+        let count = self.conditions.engines / 3;
+        for number in 0..count {
+            let engine = &mut self.engines[number as usize];
+            engine.up = false;
+            engine.life += 1;
+            engine.stepping = false;
+            engine.sequence = 0;
+            engine.model = EngineModel::new(costs(self.conditions));
+            let slot = EngineSlot(number as u16);
+            let lost = self.open.iter().enumerate().filter(|(_, open)| {
+                !open.done && open.choice.is_some_and(|choice| choice.engine == slot)
+            });
+            let lost = lost.map(|(position, _)| position).collect();
+            let event = Event::NoticeCrash {
+                engine: number,
+                lost,
+            };
+            self.schedule.after(CRASH_NOTICE, event);
+            self.schedule
+                .after(RESTART_TIME, Event::Restart { engine: number });
+        }
+    }
+
+    /// Broken connections: answers are continued elsewhere, as far as the budget goes.
+    pub(super) fn notice_crash(&mut self, number: u32, lost: Vec<usize>) {
+        let engine = &self.engines[number as usize];
+        let (life, up) = (engine.life, engine.up);
+        for router in &mut self.routers {
+            router.hear_status(number, life, up);
+        }
+        for open in lost {
+            let state = &mut self.open[open];
+            if state.done {
+                continue;
+            }
+            state.excluded.push(EngineSlot(number as u16));
+            let has_attempts = state.excluded.len() < ATTEMPTS;
+            let router = &mut self.routers[state.router];
+            if has_attempts && router.budget.spend() {
+                self.dispatch(open, false);
+            } else {
+                state.done = true;
+                let request = &self.requests[state.request];
+                self.recorder.refused(request);
+            }
+        }
+    }
+
+    pub(super) fn restart(&mut self, number: u32) {
+        let engine = &mut self.engines[number as usize];
+        engine.up = true;
+        let life = engine.life;
+        for router in &mut self.routers {
+            router.hear_status(number, life, true);
+        }
+    }
+
+    pub(super) fn herd(&mut self) {
+        for number in 0..self.routers.len() {
+            self.routers[number] =
+                VirtualRouter::new(self.policy, self.conditions.engines, ROUTERS);
+            for engine in 0..self.conditions.engines {
+                let state = &self.engines[engine as usize];
+                self.routers[number].hear_status(engine, state.life, state.up);
+                let event = Event::Resync {
+                    router: number,
+                    engine,
+                    life: state.life,
+                };
+                if self.policy == Policy::Railtack {
+                    // Listings are fetched one after another.
+                    let delay = RESYNC_DELAY * u64::from(engine + 1);
+                    self.schedule.after(delay, event);
+                }
+            }
+        }
+    }
+
+    pub(super) fn evict(&mut self) {
+        for number in 0..self.conditions.engines {
+            let engine = &mut self.engines[number as usize];
+            let changes = engine.model.clear_cache();
+            engine.sequence += 1;
+            let event = Event::CacheChanged {
+                engine: number,
+                life: engine.life,
+                sequence: engine.sequence,
+                stored: changes.stored,
+                removed: changes.removed,
+            };
+            self.schedule.after(self.conditions.event_delay_us, event);
+        }
+    }
+}
--- a/crates/lab/src/experiment/fleet.rs
+++ b/crates/lab/src/experiment/fleet.rs
@@ -18,19 +18,11 @@
 };
 
 /// Routers.
-const ROUTERS: u32 = 4;
+pub(super) const ROUTERS: u32 = 4;
 /// Time between load reports, microseconds.
-const REPORT_INTERVAL: u64 = 250_000;
+pub(super) const REPORT_INTERVAL: u64 = 250_000;
 /// Time from an engine to a router, microseconds.
 const NETWORK_DELAY: u64 = 1_000;
-/// Time for fetching an engine's listing after a gap, microseconds.
-const RESYNC_DELAY: u64 = 50_000;
-/// Time until routers notice a crash by broken connections, microseconds.
-const CRASH_NOTICE: u64 = 20_000;
-/// Time until a crashed engine is back, microseconds.
-const RESTART_TIME: u64 = 5_000_000;
-/// Dispatches of one request.
-const ATTEMPTS: usize = 4;
 
 /// What goes wrong in a run, and for how long caches are filled before anything is counted.
 #[derive(Clone, Debug)]
@@ -72,7 +64,7 @@
     }
 }
 
-enum Event {
+pub(super) enum Event {
     Arrival(usize),
     Dispatched {
         engine: u32,
@@ -111,36 +103,36 @@
     Evict,
 }
 
-struct VirtualEngine {
-    model: EngineModel,
-    life: u64,
-    up: bool,
-    stepping: bool,
-    sequence: u64,
+pub(super) struct VirtualEngine {
+    pub(super) model: EngineModel,
+    pub(super) life: u64,
+    pub(super) up: bool,
+    pub(super) stepping: bool,
+    pub(super) sequence: u64,
 }
 
-struct Open {
-    request: usize,
-    router: usize,
-    chain: PrefixChain,
-    boundaries: Vec<u32>,
-    choice: Option<Choice>,
-    excluded: Vec<EngineSlot>,
-    delivered: u32,
-    has_first_token: bool,
-    done: bool,
+pub(super) struct Open {
+    pub(super) request: usize,
+    pub(super) router: usize,
+    pub(super) chain: PrefixChain,
+    pub(super) boundaries: Vec<u32>,
+    pub(super) choice: Option<Choice>,
+    pub(super) excluded: Vec<EngineSlot>,
+    pub(super) delivered: u32,
+    pub(super) has_first_token: bool,
+    pub(super) done: bool,
 }
 
-struct VirtualFleet<'a> {
-    requests: &'a [TraceRequest],
-    conditions: &'a Conditions,
-    schedule: Schedule<Event>,
-    engines: Vec<VirtualEngine>,
-    routers: Vec<VirtualRouter>,
-    policy: Policy,
-    open: Vec<Open>,
-    recorder: Recorder,
-    random: ChaCha8Rng,
+pub(super) struct VirtualFleet<'a> {
+    pub(super) requests: &'a [TraceRequest],
+    pub(super) conditions: &'a Conditions,
+    pub(super) schedule: Schedule<Event>,
+    pub(super) engines: Vec<VirtualEngine>,
+    pub(super) routers: Vec<VirtualRouter>,
+    pub(super) policy: Policy,
+    pub(super) open: Vec<Open>,
+    pub(super) recorder: Recorder,
+    pub(super) random: ChaCha8Rng,
 }
 
 /// What a run found, and the recorder for looking at parts of it.
@@ -277,7 +269,7 @@
         self.dispatch(open, true);
     }
 
-    fn dispatch(&mut self, open: usize, is_first: bool) {
+    pub(super) fn dispatch(&mut self, open: usize, is_first: bool) {
         let now = self.schedule.now();
         let seed = self.random.random();
         let state = &self.open[open];
@@ -431,157 +423,9 @@
             router.engines().view_mut(choice.engine).closed();
         }
     }
-
-    fn hear_event(
-        &mut self,
-        engine: u32,
-        life: u64,
-        sequence: u64,
-        stored: &[BlockHash],
-        removed: &[BlockHash],
-    ) {
-        if self.engines[engine as usize].life != life || self.policy != Policy::Railtack {
-            return;
-        }
-        for router in 0..self.routers.len() {
-            let follows = self.routers[router].hear_event(engine, sequence, stored, removed);
-            if !follows {
-                let event = Event::Resync {
-                    router,
-                    engine,
-                    life,
-                };
-                self.schedule.after(RESYNC_DELAY, event);
-            }
-        }
-    }
-
-    fn resync(&mut self, router: usize, number: u32, life: u64) {
-        let engine = &self.engines[number as usize];
-        if engine.life != life || !engine.up {
-            return;
-        }
-        let blocks: Vec<BlockHash> = engine.model.cache().hashes().copied().collect();
-        self.routers[router].resynchronise(number, engine.sequence, &blocks);
-    }
-
-    fn report(&mut self, number: u32) {
-        let now = self.schedule.now();
-        let last = self.requests.last().map_or(0, |request| request.arrival_us);
-        if now > last + 60_000_000 {
-            return;
-        }
-        self.schedule
-            .after(REPORT_INTERVAL, Event::Report { engine: number });
-        let engine = &self.engines[number as usize];
-        if !engine.up {
-            return;
-        }
-        let load = engine.model.load();
-        for router in &mut self.routers {
-            router
-                .engines()
-                .report(EngineSlot(number as u16), load, now);
-        }
-    }
-
-    fn crash(&mut self) {
-        let count = self.conditions.engines / 3;
-        for number in 0..count {
-            let engine = &mut self.engines[number as usize];
-            engine.up = false;
-            engine.life += 1;
-            engine.stepping = false;
-            engine.sequence = 0;
-            engine.model = EngineModel::new(costs(self.conditions));
-            let slot = EngineSlot(number as u16);
-            let lost = self.open.iter().enumerate().filter(|(_, open)| {
-                !open.done && open.choice.is_some_and(|choice| choice.engine == slot)
-            });
-            let lost = lost.map(|(position, _)| position).collect();
-            let event = Event::NoticeCrash {
-                engine: number,
-                lost,
-            };
-            self.schedule.after(CRASH_NOTICE, event);
-            self.schedule
-                .after(RESTART_TIME, Event::Restart { engine: number });
-        }
-    }
-
-    /// Broken connections: answers are continued elsewhere, as far as the budget goes.
-    fn notice_crash(&mut self, number: u32, lost: Vec<usize>) {
-        let engine = &self.engines[number as usize];
-        let (life, up) = (engine.life, engine.up);
-        for router in &mut self.routers {
-            router.hear_status(number, life, up);
-        }
-        for open in lost {
-            let state = &mut self.open[open];
-            if state.done {
-                continue;
-            }
-            state.excluded.push(EngineSlot(number as u16));
-            let has_attempts = state.excluded.len() < ATTEMPTS;
-            let router = &mut self.routers[state.router];
-            if has_attempts && router.budget.spend() {
-                self.dispatch(open, false);
-            } else {
-                state.done = true;
-                let request = &self.requests[state.request];
-                self.recorder.refused(request);
-            }
-        }
-    }
-
-    fn restart(&mut self, number: u32) {
-        let engine = &mut self.engines[number as usize];
-        engine.up = true;
-        let life = engine.life;
-        for router in &mut self.routers {
-            router.hear_status(number, life, true);
-        }
-    }
-
-    fn herd(&mut self) {
-        for number in 0..self.routers.len() {
-            self.routers[number] =
-                VirtualRouter::new(self.policy, self.conditions.engines, ROUTERS);
-            for engine in 0..self.conditions.engines {
-                let state = &self.engines[engine as usize];
-                self.routers[number].hear_status(engine, state.life, state.up);
-                let event = Event::Resync {
-                    router: number,
-                    engine,
-                    life: state.life,
-                };
-                if self.policy == Policy::Railtack {
-                    // Listings are fetched one after another.
-                    let delay = RESYNC_DELAY * u64::from(engine + 1);
-                    self.schedule.after(delay, event);
-                }
-            }
-        }
-    }
-
-    fn evict(&mut self) {
-        for number in 0..self.conditions.engines {
-            let engine = &mut self.engines[number as usize];
-            let changes = engine.model.clear_cache();
-            engine.sequence += 1;
-            let event = Event::CacheChanged {
-                engine: number,
-                life: engine.life,
-                sequence: engine.sequence,
-                stored: changes.stored,
-                removed: changes.removed,
-            };
-            self.schedule.after(self.conditions.event_delay_us, event);
-        }
-    }
 }
 
-fn costs(conditions: &Conditions) -> EngineCosts {
+pub(super) fn costs(conditions: &Conditions) -> EngineCosts {
     EngineCosts {
         cache_blocks: conditions.cache_blocks,
         ..EngineCosts::default()
--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -4,6 +4,7 @@
 //! prefix index, admission and retry budget. Events come late and with gaps, load reports lag.
 
 pub mod command;
+mod disturbances;
 pub mod fleet;
 pub mod measures;
 pub mod policy;
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -1,33 +1,20 @@
 //! Command line of `railtack-router`.
 
-use std::{ffi::OsString, path::PathBuf, process::ExitCode};
+use std::{ffi::OsString, process::ExitCode};
 
 use crate::{RouterError, server::Router};
-use clap::{Arg, ArgAction, Command, value_parser};
+use clap::Command;
 use error_stack::{Report, ResultExt};
-use railtack_settings::{RouterSettings, load_settings, logging, overrides};
-use tokio::signal::unix::{SignalKind, signal};
+use railtack_http::signals::cancel_on_terminate;
+use railtack_settings::{RouterSettings, daemon, logging};
 use tokio_util::sync::CancellationToken;
 
 fn command() -> Command {
-    Command::new("railtack-router")
-        .about("Routes model traffic to engines")
-        .version(env!("CARGO_PKG_VERSION"))
-        .arg(
-            Arg::new("settings")
-                .long("settings")
-                .value_name("FILE")
-                .required(true)
-                .value_parser(value_parser!(PathBuf))
-                .help("Settings file (TOML)"),
-        )
-        .arg(overrides::argument())
-        .arg(
-            Arg::new("check")
-                .long("check")
-                .action(ArgAction::SetTrue)
-                .help("Check the settings and exit"),
-        )
+    daemon::command(
+        "railtack-router",
+        "Routes model traffic to engines",
+        env!("CARGO_PKG_VERSION"),
+    )
 }
 
 /// Runs the program with the given arguments, the first of which is its name.
@@ -48,13 +35,9 @@
 
 fn start(arguments: impl IntoIterator<Item = OsString>) -> Result<bool, Report<RouterError>> {
     let matches = command().get_matches_from(arguments);
-    let file = matches
-        .get_one::<PathBuf>("settings")
-        .cloned()
-        .unwrap_or_default();
     let settings: RouterSettings =
-        load_settings(&file, &overrides::given(&matches)).change_context(RouterError::Settings)?;
-    if matches.get_flag("check") {
+        daemon::settings(&matches).change_context(RouterError::Settings)?;
+    if daemon::is_check(&matches) {
         return Ok(true);
     }
     let runtime = tokio::runtime::Runtime::new().change_context(RouterError::Runtime)?;
@@ -63,16 +46,7 @@
         let listen = router.address().map(|address| address.to_string());
         spdlog::info!("started", kv: { listen = listen.unwrap_or_default() });
         let shutdown = CancellationToken::new();
-        tokio::spawn(stop_on_signal(shutdown.clone()));
+        tokio::spawn(cancel_on_terminate(shutdown.clone()));
         Ok(router.run(shutdown).await)
     })
 }
-
-async fn stop_on_signal(shutdown: CancellationToken) {
-    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
-        return;
-    };
-    terminate.recv().await;
-    spdlog::info!("stopping");
-    shutdown.cancel();
-}
--- /dev/null
+++ b/crates/settings/src/daemon.rs
@@ -0,0 +1,51 @@
+//! The command line that every daemon has: `--settings FILE`, `--set KEY=VALUE`, `--check`.
+
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use error_stack::Report;
+use serde::de::DeserializeOwned;
+
+use crate::{
+    load::{SettingsError, Validate, load_settings},
+    overrides,
+};
+
+/// A daemon's command line; the caller may add to it.
+pub fn command(name: &'static str, about: &'static str, version: &'static str) -> Command {
+    Command::new(name)
+        .about(about)
+        .version(version)
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Settings file (TOML)"),
+        )
+        .arg(overrides::argument())
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings and exit"),
+        )
+}
+
+/// The settings that a command line names.
+pub fn settings<T>(matches: &ArgMatches) -> Result<T, Report<SettingsError>>
+where
+    T: DeserializeOwned + Validate,
+{
+    let file = matches
+        .get_one::<PathBuf>("settings")
+        .cloned()
+        .unwrap_or_default();
+    load_settings(&file, &overrides::given(matches))
+}
+
+/// Whether the settings are only to be checked.
+pub fn is_check(matches: &ArgMatches) -> bool {
+    matches.get_flag("check")
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,6 +1,7 @@
 //! Settings files and operator documents, with their validation.
 
 pub mod control;
+pub mod daemon;
 pub mod documents;
 pub mod emulator;
 pub mod load;
