Let a few of the waiting requests count for interactive work

With no waiting request counted, interactive work went to engines whose long queues tell of long steps. Change: up to three places count.

--- a/crates/routing/src/scoring.rs
+++ b/crates/routing/src/scoring.rs
@@ -9,6 +9,9 @@
     engines::{EngineSlot, EngineView},
 };
 
+/// Most places in the batch that interactive work is expected to wait for.
+const INTERACTIVE_PLACES_LIMIT: u32 = 3;
+
 /// Costs of the engines as the router estimates them, and how the two aims are weighed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ScoreWeights {
@@ -118,10 +121,12 @@
     };
     let batch_limit = load.batch_limit.max(1);
     let present = load.running + load.waiting + view.sent_since_report;
+    let excess = (present + 1).saturating_sub(batch_limit);
     let places = match priority {
-        // Whoever waits below this class is overtaken: only a place must come free.
-        Priority::Interactive => u32::from(load.running >= batch_limit),
-        Priority::Batch => (present + 1).saturating_sub(batch_limit),
+        // Whoever waits below this class is overtaken; but a queue tells that steps are long, so
+        // some of it counts.
+        Priority::Interactive => excess.min(INTERACTIVE_PLACES_LIMIT),
+        Priority::Batch => excess,
     };
     let step_us = load.step_us as f64;
     queued_tokens as f64 * weights.prefill_token_us
