Remove state that the lab does not use

Cause: a read of the whole change found a flag that was never set, a field and a parameter that were never read, and an error that was never raised. Change: they are gone from the lab; behaviour is as before.

--- a/crates/lab/src/errors.rs
+++ b/crates/lab/src/errors.rs
@@ -59,14 +59,6 @@
         /// How many.
         violations: u64,
     },
-    /// Something named on the command line does not exist.
-    #[error("no {kind} is named {name}")]
-    Unknown {
-        /// What kind of thing.
-        kind: &'static str,
-        /// The name.
-        name: String,
-    },
     /// A plot could not be drawn.
     #[error("plot {}", path.display())]
     Plot {
--- a/crates/lab/src/experiment/router.rs
+++ b/crates/lab/src/experiment/router.rs
@@ -61,8 +61,6 @@
     pub engine: EngineSlot,
     /// Prompt tokens that it was expected to compute.
     pub uncached_tokens: u64,
-    /// Blocks that the index said it holds.
-    pub held_blocks: u32,
 }
 
 fn model_key() -> ModelKey {
@@ -180,7 +178,6 @@
         let choice = Choice {
             engine: score.engine,
             uncached_tokens: u64::from(score.uncached_tokens),
-            held_blocks: score.held_tokens / chain.block_tokens,
         };
         Some((choice, score))
     }
--- a/crates/lab/src/simulate/control/faults.rs
+++ b/crates/lab/src/simulate/control/faults.rs
@@ -156,12 +156,7 @@
 
     /// A replica that is part of the cluster, running or not.
     fn draw_replica(&mut self) -> u32 {
-        let present: Vec<u32> = self
-            .replicas
-            .iter()
-            .filter(|(_, machine)| !machine.retired)
-            .map(|(number, _)| *number)
-            .collect();
+        let present: Vec<u32> = self.replicas.keys().copied().collect();
         present[self.random.random_range(0..present.len())]
     }
 
--- a/crates/lab/src/simulate/control/replicas.rs
+++ b/crates/lab/src/simulate/control/replicas.rs
@@ -47,8 +47,6 @@
     pub life: u32,
     /// Its clock.
     pub clock: Clock,
-    /// Whether it is gone for good.
-    pub retired: bool,
 }
 
 impl World {
@@ -87,7 +85,6 @@
             process: None,
             life: 0,
             clock,
-            retired: false,
         };
         self.replicas.insert(number, machine);
     }
@@ -120,7 +117,7 @@
         let Some(machine) = self.replicas.get_mut(&number) else {
             return Ok(());
         };
-        if machine.process.is_some() || machine.retired {
+        if machine.process.is_some() {
             return Ok(());
         }
         machine.life += 1;
--- a/crates/lab/src/simulate/streams/engines.rs
+++ b/crates/lab/src/simulate/streams/engines.rs
@@ -324,16 +324,11 @@
             let victim = self.any_request();
             let event = Event::Frame {
                 request: victim.unwrap_or(request),
-                channel,
                 frame: frame.clone(),
             };
             self.schedule.after(strange_delay, event);
         }
-        let event = Event::Frame {
-            request,
-            channel,
-            frame,
-        };
+        let event = Event::Frame { request, frame };
         self.schedule.at(arrival, event);
         if is_end {
             self.schedule
--- a/crates/lab/src/simulate/streams/requests.rs
+++ b/crates/lab/src/simulate/streams/requests.rs
@@ -185,12 +185,7 @@
     }
 
     /// A frame arrives; the router hands it to the relay whatever connection it came over.
-    pub fn take_frame(
-        &mut self,
-        number: u64,
-        _channel: Channel,
-        frame: StreamFrame,
-    ) -> Result<(), Broken> {
+    pub fn take_frame(&mut self, number: u64, frame: StreamFrame) -> Result<(), Broken> {
         let Some(request) = self.requests.get_mut(&number) else {
             return Ok(());
         };
--- a/crates/lab/src/simulate/streams/world.rs
+++ b/crates/lab/src/simulate/streams/world.rs
@@ -46,11 +46,7 @@
     /// An engine refused, or does not know the stream.
     Refused { request: u64, channel: Channel },
     /// A frame reaches the router.
-    Frame {
-        request: u64,
-        channel: Channel,
-        frame: StreamFrame,
-    },
+    Frame { request: u64, frame: StreamFrame },
     /// A connection is closed.
     Closed { request: u64, channel: Channel },
     /// A router resumes a stream after a pause.
@@ -185,11 +181,7 @@
                 Ok(())
             }
             Event::Refused { request, channel } => self.refused(request, channel),
-            Event::Frame {
-                request,
-                channel,
-                frame,
-            } => self.take_frame(request, channel, frame),
+            Event::Frame { request, frame } => self.take_frame(request, frame),
             Event::Closed { request, channel } => self.closed(request, channel),
             Event::Resume { request, channel } => {
                 self.resume(request, channel);
