--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -44,13 +44,19 @@
 pub struct RaftLog {
     snapshot: Snapshot,
     entries: Vec<Entry>,
+    payload_bytes: usize,
 }
 
 impl RaftLog {
     /// A log recovered from disk. Entries that the snapshot covers are dropped.
     pub fn new(snapshot: Snapshot, mut entries: Vec<Entry>) -> Self {
         entries.retain(|entry| entry.index > snapshot.last_index);
-        Self { snapshot, entries }
+        let payload_bytes = entries.iter().map(payload_size).sum();
+        Self {
+            snapshot,
+            entries,
+            payload_bytes,
+        }
     }
 
     /// The snapshot that the log follows.
@@ -98,6 +104,7 @@
     /// Adds an entry that follows the last one.
     pub fn append(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
+        self.payload_bytes += payload_size(&entry);
         self.entries.push(entry);
     }
 
@@ -105,6 +112,7 @@
     pub fn truncate_from(&mut self, index: LogIndex) {
         let keep = index.saturating_sub(self.snapshot.last_index + 1) as usize;
         self.entries.truncate(keep);
+        self.recount();
     }
 
     /// Replaces the entries up to the snapshot's index by the snapshot.
@@ -119,6 +127,11 @@
             self.entries.clear();
         }
         self.snapshot = snapshot;
+        self.recount();
+    }
+
+    fn recount(&mut self) {
+        self.payload_bytes = self.entries.iter().map(payload_size).sum();
     }
 
     /// The last membership in the log and the index of the entry that holds it.
@@ -143,6 +156,11 @@
             .map(|entry| entry.index)
     }
 
+    /// Bytes of the commands held in memory.
+    pub fn payload_bytes(&self) -> usize {
+        self.payload_bytes
+    }
+
     /// Entries held in memory.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -153,3 +171,10 @@
         self.entries.is_empty()
     }
 }
+
+fn payload_size(entry: &Entry) -> usize {
+    match &entry.payload {
+        Payload::Command(bytes) => bytes.len(),
+        Payload::Noop | Payload::Membership(_) => 0,
+    }
+}
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -3,7 +3,7 @@
 use speedy::{Readable, Writable};
 
 use crate::{
-    LogIndex, Term,
+    LogIndex, Millis, Term,
     log::{Entry, Snapshot},
     membership::{DiskId, ReplicaId},
 };
@@ -62,6 +62,8 @@
         entries: Vec<Entry>,
         /// The leader's commit index.
         commit: LogIndex,
+        /// The leader's clock when this was made, milliseconds; echoed in the answer.
+        sent_at: Millis,
     },
     /// Answer to an append or a snapshot.
     AppendReply {
@@ -69,10 +71,14 @@
         success: bool,
         /// On success the last matching index; otherwise where to try again.
         index: LogIndex,
+        /// The `sent_at` of the message that this answers.
+        sent_at: Millis,
     },
     /// The whole state, for a member that is further behind than the log reaches.
     InstallSnapshot {
         /// The state.
         snapshot: Snapshot,
+        /// The leader's clock when this was made, milliseconds; echoed in the answer.
+        sent_at: Millis,
     },
 }
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -13,6 +13,10 @@
     pub waiting: bool,
     /// When the member last answered.
     pub last_heard: Millis,
+    /// Latest moment at which something that the member has answered in this term was sent.
+    pub confirmed_at: Option<Millis>,
+    /// When a snapshot was last sent; it is not sent again at every heartbeat.
+    pub snapshot_sent_at: Option<Millis>,
 }
 
 impl Progress {
@@ -23,6 +27,8 @@
             matched: 0,
             waiting: false,
             last_heard: now,
+            confirmed_at: None,
+            snapshot_sent_at: None,
         }
     }
 }
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -119,6 +119,8 @@
     pub(crate) election_deadline: Millis,
     pub(crate) leader_heard: Option<Millis>,
     pub(crate) next_heartbeat: Millis,
+    /// Time of the last input; never later than the present.
+    pub(crate) now: Millis,
     pub(crate) ready: Ready,
     generator: ChaCha8Rng,
 }
@@ -147,6 +149,7 @@
             election_deadline: now,
             leader_heard: None,
             next_heartbeat: now,
+            now,
             ready: Ready::default(),
             generator,
         };
@@ -199,8 +202,47 @@
         self.membership_index
     }
 
+    /// Latest moment at which this replica is known to have led: a majority of the voters has
+    /// answered, in this term, messages that were sent then or later. `None` if it does not lead
+    /// or nothing was confirmed yet.
+    ///
+    /// Every entry that any leader had committed before that moment is in this replica's log.
+    pub fn confirmed_at(&self) -> Option<Millis> {
+        if self.role != Role::Leader {
+            return None;
+        }
+        let mut moments: Vec<Option<Millis>> = self
+            .membership
+            .voters()
+            .map(|member| self.member_confirmed_at(member.replica))
+            .collect();
+        moments.sort_unstable_by(|left, right| right.cmp(left));
+        moments.get(self.membership.quorum() - 1).copied().flatten()
+    }
+
+    /// Time since each other member last answered this leader, milliseconds; empty elsewhere.
+    pub fn silence(&self, now: Millis) -> BTreeMap<ReplicaId, Millis> {
+        self.progress
+            .iter()
+            .map(|(replica, progress)| (*replica, now.saturating_sub(progress.last_heard)))
+            .collect()
+    }
+
+    /// Sends a heartbeat at the next tick, so that [`Raft::confirmed_at`] moves on.
+    pub fn hasten_heartbeat(&mut self, now: Millis) {
+        self.next_heartbeat = self.next_heartbeat.min(now);
+    }
+
+    fn member_confirmed_at(&self, replica: ReplicaId) -> Option<Millis> {
+        if replica == self.options.replica {
+            return Some(self.now);
+        }
+        self.progress.get(&replica)?.confirmed_at
+    }
+
     /// Lets timers fire.
     pub fn tick(&mut self, now: Millis) {
+        self.now = now;
         if self.role == Role::Leader {
             self.tick_leader(now);
         } else if now >= self.election_deadline {
@@ -211,6 +253,7 @@
 
     /// Takes a message from another replica.
     pub fn receive(&mut self, message: Message, now: Millis) {
+        self.now = now;
         if !self.is_acceptable(&message) {
             return;
         }
@@ -233,8 +276,13 @@
             }
             Body::VoteReply { granted } => self.count_vote(&message, granted, now),
             Body::Append { .. } | Body::InstallSnapshot { .. } => self.follow(message, now),
-            Body::AppendReply { success, index } => {
+            Body::AppendReply {
+                success,
+                index,
+                sent_at,
+            } => {
                 self.handle_append_reply(&message, success, index, now);
+                self.note_confirmation(message.from, message.term, sent_at);
             }
         }
     }
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -52,6 +52,10 @@
 
     /// Takes entries or a snapshot from the leader of this term.
     pub(crate) fn follow(&mut self, message: Message, now: Millis) {
+        let sent_at = match &message.body {
+            Body::Append { sent_at, .. } | Body::InstallSnapshot { sent_at, .. } => *sent_at,
+            _ => return,
+        };
         if message.term < self.hard_state.term {
             let index = self.log.last_index();
             self.reply(
@@ -60,6 +64,7 @@
                 Body::AppendReply {
                     success: false,
                     index,
+                    sent_at,
                 },
             );
             return;
@@ -75,11 +80,18 @@
                 previous_term,
                 entries,
                 commit,
+                ..
             } => self.accept_entries(*previous_index, *previous_term, entries, *commit),
-            Body::InstallSnapshot { snapshot } => self.accept_snapshot(snapshot),
+            Body::InstallSnapshot { snapshot, .. } => self.accept_snapshot(snapshot),
             _ => return,
         };
-        self.reply(&message, self.hard_state.term, reply);
+        let (success, index) = reply;
+        let body = Body::AppendReply {
+            success,
+            index,
+            sent_at,
+        };
+        self.reply(&message, self.hard_state.term, body);
     }
 
     fn accept_entries(
@@ -88,25 +100,19 @@
         previous_term: u64,
         entries: &[Entry],
         commit: LogIndex,
-    ) -> Body {
+    ) -> (bool, LogIndex) {
         let snapshot_index = self.log.snapshot().last_index;
         let covered = previous_index < snapshot_index;
         if !covered && self.log.term_at(previous_index) != Some(previous_term) {
             let index = self.retry_index(previous_index);
-            return Body::AppendReply {
-                success: false,
-                index,
-            };
+            return (false, index);
         }
         for entry in entries {
             self.accept_entry(entry);
         }
         let matched = previous_index + entries.len() as u64;
         self.commit = self.commit.max(commit.min(matched));
-        Body::AppendReply {
-            success: true,
-            index: matched.max(snapshot_index),
-        }
+        (true, matched.max(snapshot_index))
     }
 
     fn accept_entry(&mut self, entry: &Entry) {
@@ -134,7 +140,7 @@
         index
     }
 
-    fn accept_snapshot(&mut self, snapshot: &Snapshot) -> Body {
+    fn accept_snapshot(&mut self, snapshot: &Snapshot) -> (bool, LogIndex) {
         let index = snapshot.last_index;
         if index > self.commit {
             self.log.install(snapshot.clone());
@@ -147,10 +153,7 @@
             self.ready.entries = self.log.entries_from(index + 1, usize::MAX);
             self.refresh_membership();
         }
-        Body::AppendReply {
-            success: true,
-            index,
-        }
+        (true, index)
     }
 
     pub(crate) fn handle_append_reply(
@@ -181,6 +184,16 @@
         }
     }
 
+    /// Notes that a member still followed this leader after `sent_at`.
+    pub(crate) fn note_confirmation(&mut self, from: ReplicaId, term: u64, sent_at: Millis) {
+        if self.role != Role::Leader || term != self.hard_state.term {
+            return;
+        }
+        if let Some(progress) = self.progress.get_mut(&from) {
+            progress.confirmed_at = progress.confirmed_at.max(Some(sent_at));
+        }
+    }
+
     /// Commits what a majority of voters has synced, if it is of this term.
     pub(crate) fn advance_commit(&mut self) {
         let mut synced: Vec<LogIndex> = self
@@ -218,22 +231,39 @@
     }
 
     fn send_append(&mut self, replica: ReplicaId, disk: DiskId) {
+        let now = self.now;
+        let limit = self.options.election_timeout;
+        let snapshot_index = self.log.snapshot().last_index;
         let Some(progress) = self.progress.get_mut(&replica) else {
             return;
         };
+        // A member that does not answer is only asked where it stands: entries and snapshots sent
+        // to it again and again would fill the queue to a machine that is away.
+        let silent = progress.waiting && now >= progress.last_heard + limit;
+        let snapshot_pending = progress.snapshot_sent_at.is_some_and(|at| now < at + limit);
+        let needs_snapshot = progress.next <= snapshot_index;
+        let probe = silent || (needs_snapshot && snapshot_pending);
         progress.waiting = true;
-        let previous_index = progress.next.saturating_sub(1);
+        if needs_snapshot && !probe {
+            progress.snapshot_sent_at = Some(now);
+        }
+        let previous_index = if probe {
+            progress.next.saturating_sub(1).max(snapshot_index)
+        } else {
+            progress.next.saturating_sub(1)
+        };
+        let limit = if probe { 0 } else { self.options.append_limit };
         let body = match self.log.term_at(previous_index) {
             Some(previous_term) => Body::Append {
                 previous_index,
                 previous_term,
-                entries: self
-                    .log
-                    .entries_from(previous_index + 1, self.options.append_limit),
+                entries: self.log.entries_from(previous_index + 1, limit),
                 commit: self.commit,
+                sent_at: now,
             },
             None => Body::InstallSnapshot {
                 snapshot: self.log.snapshot().clone(),
+                sent_at: now,
             },
         };
         self.send(replica, disk, self.hard_state.term, body);
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -11,25 +11,30 @@
 };
 
 use error_stack::Report;
-use railtack_consensus::{Message, ProposeError, ReplicaId, Role};
+use railtack_consensus::{LogIndex, Message, Millis, ProposeError, ReplicaId, Role};
 use railtack_rpc::protocol::{
     Configuration, MembershipChange, MembershipReply, PollReply, PollRequest, Proposal,
     ProposeReply, ReplicaIdentity, StatusReply,
 };
-use tokio::sync::oneshot;
+use railtack_rpc::serving::{JoinReply, JoinRequest, ReadIndexReply};
+use tokio::sync::{oneshot, watch};
 
 use crate::{
     errors::ControlError,
+    members::{MemberFacts, next_membership},
     metrics::ControlMetrics,
     peers::Peers,
     pending::PendingProposals,
     replica::{MembershipError, Replica},
     roster::RouterRoster,
     state::IssuedOrder,
+    view::NodeView,
 };
 
-/// Longest time between two rounds.
-const TICK: Duration = Duration::from_millis(10);
+/// Pause before a replica that lost its storage is opened again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(300);
+/// Time for which a request to join counts, milliseconds.
+const JOIN_KEPT_MS: Millis = 3_000;
 /// Inputs taken into one round.
 const ROUND_LIMIT: usize = 1_024;
 /// Inputs that may wait; more are refused.
@@ -55,6 +60,10 @@
     Snapshot(oneshot::Sender<u64>),
     /// Tell orders and configuration if this replica leads; `None` otherwise.
     Leading(oneshot::Sender<Option<LeaderView>>),
+    /// Tell how far a reader must have applied the log.
+    ReadIndex(oneshot::Sender<ReadIndexReply>),
+    /// Make a replica a member.
+    Join(JoinRequest, oneshot::Sender<JoinReply>),
     /// End the thread.
     Stop,
 }
@@ -72,6 +81,7 @@
 #[derive(Clone)]
 pub struct NodeHandle {
     inputs: SyncSender<Input>,
+    view: watch::Receiver<NodeView>,
 }
 
 impl NodeHandle {
@@ -94,24 +104,55 @@
             .map_err(|_| Report::new(ControlError::Stopped))
     }
 
+    /// The replica's belief after each round.
+    pub fn view(&self) -> watch::Receiver<NodeView> {
+        self.view.clone()
+    }
+
     /// Ends the thread after its current round.
     pub fn stop(&self) {
         let _ = self.inputs.try_send(Input::Stop);
     }
 }
 
+/// Opens the replica from its folder; the time is that of the replica's clock.
+pub type OpenReplica = Box<dyn Fn(Millis) -> Result<Replica, Report<ControlError>> + Send>;
+
+/// How a replica's thread behaves.
+pub struct NodeOptions {
+    /// Longest time between two rounds.
+    pub tick: Duration,
+    /// Whether the leader adds, replaces and removes members by itself; silence after which a
+    /// voter may be replaced, milliseconds.
+    pub replace_silent_after: Option<Millis>,
+    /// Opens the replica anew after its storage failed; without it the thread ends.
+    pub reopen: Option<OpenReplica>,
+}
+
+impl Default for NodeOptions {
+    fn default() -> Self {
+        Self {
+            tick: Duration::from_millis(10),
+            replace_silent_after: None,
+            reopen: None,
+        }
+    }
+}
+
 /// Starts the thread. The receiver is told how it ended.
 pub fn start(
     replica: Replica,
     peers: Peers,
     metrics: ControlMetrics,
     started: Instant,
+    options: NodeOptions,
 ) -> (
     NodeHandle,
     oneshot::Receiver<Result<(), Report<ControlError>>>,
 ) {
     let (inputs, receiver) = sync_channel(INPUT_QUEUE);
     let (ended_sender, ended) = oneshot::channel();
+    let (view_sender, view) = watch::channel(NodeView::default());
     let mut node = Node {
         replica,
         peers,
@@ -120,12 +161,16 @@
         pending: PendingProposals::default(),
         leader: None,
         routers: RouterRoster::default(),
+        options,
+        view: view_sender,
+        reads: Vec::new(),
+        joins: BTreeMap::new(),
     };
     thread::spawn(move || {
-        let outcome = node.run(&receiver);
+        let outcome = node.run_and_reopen(&receiver);
         let _ = ended_sender.send(outcome);
     });
-    (NodeHandle { inputs }, ended)
+    (NodeHandle { inputs, view }, ended)
 }
 
 struct Node {
@@ -136,12 +181,53 @@
     pending: PendingProposals<oneshot::Sender<ProposeReply>>,
     leader: Option<ReplicaId>,
     routers: RouterRoster,
+    options: NodeOptions,
+    view: watch::Sender<NodeView>,
+    reads: Vec<PendingRead>,
+    joins: BTreeMap<ReplicaId, (JoinRequest, Millis)>,
+}
+
+/// A reader that waits until this replica is known to have led after it asked.
+struct PendingRead {
+    asked_at: Millis,
+    index: LogIndex,
+    answer: oneshot::Sender<ReadIndexReply>,
 }
 
 impl Node {
+    /// Runs the replica; after its storage failed, opens it again from what is durable.
+    ///
+    /// What the failed replica held in memory may not be durable, so nothing of it is kept.
+    fn run_and_reopen(&mut self, inputs: &Receiver<Input>) -> Result<(), Report<ControlError>> {
+        loop {
+            let Err(mut report) = self.run(inputs) else {
+                return Ok(());
+            };
+            loop {
+                spdlog::warn!("storage lost", kv: { cause = format!("{report}") });
+                answer_all(self.pending.give_up());
+                self.reads.clear();
+                let Some(reopen) = &self.options.reopen else {
+                    return Err(report);
+                };
+                thread::sleep(REOPEN_PAUSE);
+                // Askers are told at once that nothing was done.
+                while inputs.try_recv().is_ok() {}
+                match reopen(self.now()) {
+                    Ok(replica) => {
+                        self.replica = replica;
+                        spdlog::info!("storage regained");
+                        break;
+                    }
+                    Err(failed) => report = failed,
+                }
+            }
+        }
+    }
+
     fn run(&mut self, inputs: &Receiver<Input>) -> Result<(), Report<ControlError>> {
         loop {
-            match inputs.recv_timeout(TICK) {
+            match inputs.recv_timeout(self.options.tick) {
                 Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return Ok(()),
                 Ok(input) => self.handle(input)?,
                 Err(RecvTimeoutError::Timeout) => {}
@@ -170,7 +256,10 @@
         if self.replica.raft().role() != Role::Leader {
             answer_all(self.pending.give_up());
         }
+        self.answer_reads();
+        self.keep_members(now);
         self.observe();
+        self.publish_view();
         Ok(())
     }
 
@@ -204,11 +293,132 @@
             Input::Leading(answer) => {
                 let _ = answer.send(self.leader_view());
             }
+            Input::ReadIndex(answer) => self.begin_read(answer, now),
+            Input::Join(request, answer) => {
+                let _ = answer.send(self.join(request, now));
+            }
             Input::Stop => {}
         }
         Ok(())
     }
 
+    fn begin_read(&mut self, answer: oneshot::Sender<ReadIndexReply>, now: Millis) {
+        if !self.replica.leads_with_current_state() {
+            let leader = self.leader_address();
+            let _ = answer.send(ReadIndexReply::NotLeader { leader });
+            return;
+        }
+        self.replica.hasten_heartbeat(now);
+        self.reads.push(PendingRead {
+            asked_at: now,
+            index: self.replica.raft().commit_index(),
+            answer,
+        });
+    }
+
+    fn answer_reads(&mut self) {
+        if self.reads.is_empty() {
+            return;
+        }
+        let leads = self.replica.leads_with_current_state();
+        let confirmed_at = self.replica.raft().confirmed_at();
+        let leader = self.leader_address();
+        for read in std::mem::take(&mut self.reads) {
+            let reply = if !leads {
+                ReadIndexReply::NotLeader {
+                    leader: leader.clone(),
+                }
+            } else if confirmed_at.is_some_and(|moment| moment > read.asked_at) {
+                ReadIndexReply::Confirmed { index: read.index }
+            } else {
+                self.reads.push(read);
+                continue;
+            };
+            let _ = read.answer.send(reply);
+        }
+    }
+
+    fn join(&mut self, request: JoinRequest, now: Millis) -> JoinReply {
+        if !self.replica.leads_with_current_state() {
+            return JoinReply::NotLeader {
+                leader: self.leader_address(),
+            };
+        }
+        self.joins.insert(request.replica, (request, now));
+        JoinReply::Accepted
+    }
+
+    /// While leading, brings the members closer to the replicas that are there.
+    fn keep_members(&mut self, now: Millis) {
+        let Some(silence_limit) = self.options.replace_silent_after else {
+            return;
+        };
+        self.joins
+            .retain(|_, (_, asked_at)| now < *asked_at + JOIN_KEPT_MS);
+        if !self.replica.leads_with_current_state() {
+            return;
+        }
+        let raft = self.replica.raft();
+        let joins = self
+            .joins
+            .iter()
+            .map(|(replica, (request, _))| (*replica, request.clone()))
+            .collect();
+        let facts = MemberFacts {
+            leader: raft.replica(),
+            joins: &joins,
+            silence: &raft.silence(now),
+            silence_limit,
+            presence_limit: JOIN_KEPT_MS.min(silence_limit),
+        };
+        let Some(next) = next_membership(raft.membership(), facts) else {
+            return;
+        };
+        let description = describe(&next);
+        // A refusal means that an earlier change or a learner is not far enough; the next round
+        // looks again.
+        if self.replica.propose_membership(next).is_ok() {
+            spdlog::info!("membership proposed", kv: { members = description });
+        }
+    }
+
+    fn publish_view(&self) {
+        let raft = self.replica.raft();
+        let serving = self.replica.state().serving();
+        let own = raft.membership().member(raft.replica());
+        let is_member = own.is_some_and(|member| member.disk == self.replica.identity().disk);
+        let leader = self.leader_address();
+        let leads = self.replica.leads_with_current_state();
+        let confirmed_at = raft.confirmed_at();
+        self.view.send_if_modified(|view| {
+            let same_state = view.serving.changed_at() == serving.changed_at()
+                && view.applied == raft.applied_index()
+                && view.term == raft.term();
+            let same_place = view.leader == leader
+                && view.leads == leads
+                && view.is_member == is_member
+                && view.confirmed_at == confirmed_at;
+            if same_state && same_place {
+                return false;
+            }
+            if view.serving.changed_at() != serving.changed_at() {
+                view.serving = std::sync::Arc::new(serving.clone());
+            }
+            view.applied = raft.applied_index();
+            view.term = raft.term();
+            view.leader = leader;
+            view.leads = leads;
+            view.confirmed_at = confirmed_at;
+            view.is_member = is_member;
+            view.voters = raft
+                .membership()
+                .voters()
+                .map(|member| member.address.clone())
+                .collect();
+            true
+        });
+    }
+
     fn poll(&mut self, request: &PollRequest, now: u64) -> PollReply {
         self.metrics.polls.inc();
         self.routers.heard(request, now);
@@ -310,3 +520,11 @@
         let _ = proposer.send(reply);
     }
 }
+
+fn describe(membership: &railtack_consensus::Membership) -> String {
+    let members = membership.members.iter().map(|member| {
+        let role = if member.voter { "voter" } else { "learner" };
+        format!("{}={}:{role}", member.replica, member.address)
+    });
+    members.collect::<Vec<_>>().join(",")
+}
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -13,11 +13,11 @@
 use crate::metrics::ControlMetrics;
 
 /// Messages that may wait for one peer; more are dropped, which the log tolerates.
-const PEER_QUEUE: usize = 256;
+const PEER_QUEUE: usize = 64;
 /// Time for connecting to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for delivering one message; a snapshot is the largest.
-const DELIVERY_TIMEOUT: Duration = Duration::from_secs(5);
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(1);
 
 struct Peer {
     address: String,
@@ -98,13 +98,17 @@
         while let Some(message) = receiver.recv().await {
             let reply_to = own_address.clone();
             // A lost message is sent again by the log's own timers.
-            let _ = connection
+            let delivered = connection
                 .call(|client| async move {
                     client
                         .deliver(call_deadline(DELIVERY_TIMEOUT), message, reply_to)
                         .await
                 })
                 .await;
+            if delivered.is_err() {
+                // What waited for a peer that is away is out of date once it is back.
+                while receiver.try_recv().is_ok() {}
+            }
         }
     });
     sender
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -25,8 +25,10 @@
 pub struct ReplicaOptions {
     /// Cluster.
     pub cluster: String,
-    /// This replica.
+    /// This replica; a folder that is in use keeps its own number if `adopts_folder` is set.
     pub replica: ReplicaId,
+    /// Whether the number in the folder prevails over `replica`.
+    pub adopts_folder: bool,
     /// Identity given to the data folder if it is new.
     pub new_disk: DiskId,
     /// Shortest election timeout, milliseconds.
@@ -35,6 +37,8 @@
     pub heartbeat_interval: Millis,
     /// Entries after which a snapshot replaces the log.
     pub snapshot_entries: u64,
+    /// Bytes of log entries after which a snapshot replaces the log.
+    pub snapshot_bytes: usize,
     /// How long claims are kept, milliseconds.
     pub claim_retention_ms: u64,
     /// Seed of the election timeouts.
@@ -104,6 +108,11 @@
         Self::start(options, identity, store, opened.recovered, now)
     }
 
+    /// Whether a folder was never used by a replica.
+    pub fn is_new(folder: &dyn Folder) -> Result<bool, Report<ControlError>> {
+        Ok(ReplicaStore::open(folder)?.identity.is_none())
+    }
+
     /// Makes an empty folder the first and only voter of a new cluster.
     pub fn initialize(
         folder: &dyn Folder,
@@ -223,6 +232,16 @@
             .map_err(MembershipError::Refused)
     }
 
+    /// Appends a membership if this replica leads and the log takes it now.
+    pub fn propose_membership(&mut self, next: Membership) -> Result<LogIndex, ProposeError> {
+        self.raft.propose_membership(next)
+    }
+
+    /// Sends a heartbeat at the next tick.
+    pub fn hasten_heartbeat(&mut self, now: Millis) {
+        self.raft.hasten_heartbeat(now);
+    }
+
     /// Persists, applies and compacts what the inputs since the last round brought.
     ///
     /// An error means that durable state may be lost; the replica must not go on.
@@ -246,7 +265,8 @@
                 advance.applied.extend(self.apply(entry)?);
             }
         }
-        if self.raft.log().len() as u64 >= self.options.snapshot_entries {
+        let over_entries = self.raft.log().len() as u64 >= self.options.snapshot_entries;
+        if over_entries || self.raft.log().payload_bytes() >= self.options.snapshot_bytes {
             self.compact()?;
         }
         Ok(advance)
@@ -390,7 +410,8 @@
     identity: Identity,
     options: &ReplicaOptions,
 ) -> Result<Identity, Report<ControlError>> {
-    if identity.replica == options.replica && identity.cluster == options.cluster {
+    let is_own = options.adopts_folder || identity.replica == options.replica;
+    if is_own && identity.cluster == options.cluster {
         return Ok(identity);
     }
     Err(Report::new(ControlError::ForeignData {
--- a/crates/control/src/rollout.rs
+++ b/crates/control/src/rollout.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 
 use railtack_core::{EngineId, ModelName};
-use railtack_platform::EngineStatus;
+use railtack_backend_api::EngineStatus;
 use railtack_rpc::protocol::{Configuration, EngineOrder};
 use railtack_settings::documents::ModelTarget;
 
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -13,7 +13,7 @@
 use railtack_consensus::{DiskId, Message, ReplicaId};
 use railtack_core::{EngineId, ModelName};
 use railtack_http::{HttpClient, ServeOptions, body, observability};
-use railtack_platform::{EngineStatus, MachineKind, MachineList, OrderReply, OrderRequest};
+use railtack_backend_api::{EngineStatus, MachineKind, MachineList, OrderReply, OrderRequest};
 use railtack_rpc::{
     Control,
     codec::ServerCodec,
@@ -22,6 +22,9 @@
         PollRequest, Proposal, ProposeReply, ReplicaIdentity, StatusReply,
     },
     service::{ControlRequest, ControlResponse},
+    serving::{
+        AliveNotice, AliveReply, JoinReply, JoinRequest, ReadIndexReply, WatchReply, WatchRequest,
+    },
 };
 use railtack_settings::ControlSettings;
 use railtack_storage::FileMedia;
@@ -36,13 +39,16 @@
     configuration::RevisionCheck,
     errors::ControlError,
     metrics::ControlMetrics,
-    node::{self, Input, LeaderView, NodeHandle},
+    node::{self, Input, LeaderView, NodeHandle, NodeOptions},
     peers::Peers,
     replica::{Replica, ReplicaOptions},
     rollout::{self, EnginesSeen, RolloutStep},
+    serving::{liveness::Liveness, watch::WatchServer},
     state::IssuedOrder,
 };
 
+/// Bytes of log entries after which a snapshot replaces the log.
+const SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
 /// Time between two looks at the engines.
 const ROLLOUT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for one call to an engine or the platform.
@@ -54,10 +60,12 @@
     ReplicaOptions {
         cluster: settings.cluster.clone(),
         replica: ReplicaId(settings.replica_id),
+        adopts_folder: false,
         new_disk,
         election_timeout: consensus.election_timeout_ms,
         heartbeat_interval: consensus.heartbeat_ms,
         snapshot_entries: consensus.snapshot_entries,
+        snapshot_bytes: SNAPSHOT_BYTES,
         claim_retention_ms: consensus.claim_retention_ms,
         seed: new_disk.0 ^ u64::from(settings.replica_id),
         check_disk_identity: true,
@@ -92,13 +100,13 @@
         metrics.clone(),
         settings.listen,
     );
-    let (handle, ended) = node::start(replica, peers, metrics, started);
+    let (handle, ended) = node::start(replica, peers, metrics, started, NodeOptions::default());
     spdlog::info!("started", kv: {
         replica = settings.replica_id,
         listen = settings.listen.to_string(),
     });
 
-    tokio::spawn(accept(listener, handle.clone()));
+    tokio::spawn(accept(listener, ControlService::new(handle.clone())));
     tokio::spawn(serve_metrics(
         metrics_listener,
         registry,
@@ -115,27 +123,29 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, Report<ControlError>> {
+/// Opens a listener.
+pub(crate) async fn listen(address: SocketAddr) -> Result<TcpListener, Report<ControlError>> {
     TcpListener::bind(address)
         .await
         .change_context(ControlError::Listen { address })
 }
 
-async fn accept(listener: TcpListener, handle: NodeHandle) {
+/// Serves the internal interface for as long as the process runs.
+pub(crate) async fn accept(listener: TcpListener, service: ControlService) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => serve_connection(stream, handle.clone()),
+            Ok((stream, _)) => serve_connection(stream, service.clone()),
             Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
         }
     }
 }
 
-fn serve_connection(stream: TcpStream, handle: NodeHandle) {
+fn serve_connection(stream: TcpStream, service: ControlService) {
     // A failure here only costs latency.
     let _ = stream.set_nodelay(true);
     let codec = ServerCodec::<ControlRequest, ControlResponse>::default();
     let channel = BaseChannel::with_defaults(Framed::new(stream, codec));
-    let requests = channel.execute(ControlService { handle }.serve());
+    let requests = channel.execute(service.serve());
     tokio::spawn(requests.for_each(|request| async {
         tokio::spawn(request);
     }));
@@ -161,9 +171,36 @@
     railtack_http::serve(listener, ServeOptions::default(), shutdown, handler).await;
 }
 
+/// The internal interface of a replica.
 #[derive(Clone)]
-struct ControlService {
+pub(crate) struct ControlService {
     handle: NodeHandle,
+    group: Option<GroupServices>,
+}
+
+/// What a replica of a group that serves routers by watches has besides.
+#[derive(Clone)]
+struct GroupServices {
+    watch: Arc<WatchServer>,
+    liveness: Arc<Liveness>,
+}
+
+impl ControlService {
+    /// The interface of the replica behind `handle`.
+    pub(crate) fn new(handle: NodeHandle) -> Self {
+        Self {
+            handle,
+            group: None,
+        }
+    }
+
+    /// The same, answering watches and taking signs of life.
+    pub(crate) fn with_group(self, watch: Arc<WatchServer>, liveness: Arc<Liveness>) -> Self {
+        Self {
+            group: Some(GroupServices { watch, liveness }),
+            ..self
+        }
+    }
 }
 
 impl Control for ControlService {
@@ -218,12 +255,51 @@
         answer.unwrap_or(MembershipReply::NotLeader { leader: None })
     }
 
+    async fn watch(self, _: Context, request: WatchRequest) -> WatchReply {
+        match &self.group {
+            Some(group) => group.watch.answer(request).await,
+            None => unwatched_reply(),
+        }
+    }
+
+    async fn join(self, _: Context, request: JoinRequest) -> JoinReply {
+        let answer = self
+            .handle
+            .ask(|sender| Input::Join(request, sender))
+            .await;
+        answer.unwrap_or(JoinReply::NotLeader { leader: None })
+    }
+
+    async fn read_index(self, _: Context) -> ReadIndexReply {
+        let answer = self.handle.ask(Input::ReadIndex).await;
+        answer.unwrap_or(ReadIndexReply::NotLeader { leader: None })
+    }
+
+    async fn alive(self, _: Context, notice: AliveNotice) -> AliveReply {
+        let group = self.group.as_ref();
+        group.map_or_else(AliveReply::default, |group| {
+            group.liveness.take_notice(notice)
+        })
+    }
+
     async fn snapshot(self, _: Context) -> u64 {
         let answer = self.handle.ask(Input::Snapshot).await;
         answer.unwrap_or_default()
     }
 }
 
+/// A replica that answers no watches confirms nothing.
+fn unwatched_reply() -> WatchReply {
+    WatchReply {
+        confirmed_age_ms: None,
+        held_ms: 0,
+        zone: String::new(),
+        members: Vec::new(),
+        routers: 0,
+        update: None,
+    }
+}
+
 /// A stopping replica vouches for nothing.
 fn stopped_poll_reply() -> PollReply {
     PollReply {
--- /dev/null
+++ b/crates/control/src/serving/daemon.rs
@@ -0,0 +1,170 @@
+//! Starts a control replica that finds its group by itself.
+
+use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration, time::Instant};
+
+use error_stack::{Report, ResultExt};
+use prometheus_client::registry::Registry;
+use railtack_consensus::{DiskId, Millis, ReplicaId};
+use railtack_serving::{Bounds, FaultTolerance};
+use railtack_storage::FileMedia;
+
+use crate::{
+    configuration::RevisionCheck,
+    errors::ControlError,
+    metrics::ControlMetrics,
+    node::{self, NodeOptions},
+    peers::Peers,
+    replica::{Replica, ReplicaOptions},
+    server::{self, ControlService},
+    serving::{
+        formation,
+        handle::GroupHandle,
+        leader::LeaderLink,
+        liveness::{self, Liveness},
+        orders::{self, OrderChannel},
+        watch::{self, WatchServer},
+    },
+};
+
+/// Name of the cluster; a group that forms by itself is told apart by its folders, not by names.
+const CLUSTER: &str = "railtack";
+/// Time between heartbeats of the replicated log, milliseconds.
+const HEARTBEAT_MS: Millis = 150;
+/// Shortest election timeout, milliseconds.
+const ELECTION_TIMEOUT_MS: Millis = 700;
+/// Longest time between two rounds of the replica.
+const TICK: Duration = Duration::from_millis(40);
+/// Entries after which a snapshot replaces the log.
+const SNAPSHOT_ENTRIES: u64 = 1_000;
+/// Bytes of entries after which a snapshot replaces the log.
+const SNAPSHOT_BYTES: usize = 1024 * 1024;
+/// How long the outcome of a request that may not be repeated is kept, milliseconds.
+const CLAIM_RETENTION_MS: u64 = 24 * 3_600_000;
+/// Pause before a folder that cannot be opened is tried again.
+const OPEN_PAUSE: Duration = Duration::from_millis(300);
+
+/// Where a control replica runs and what it is told about its group.
+#[derive(Clone, Debug)]
+pub struct GroupOptions {
+    /// Name of the machine, for logs and orders.
+    pub node: String,
+    /// Zone.
+    pub zone: String,
+    /// Internal address; other replicas and routers reach this one here.
+    pub listen: SocketAddr,
+    /// The data folder.
+    pub data: PathBuf,
+    /// Whether the whole system starts for the first time.
+    pub bootstrap: bool,
+    /// Internal addresses of some replicas.
+    pub seeds: Vec<SocketAddr>,
+    /// Losses to be borne.
+    pub tolerance: FaultTolerance,
+    /// Bounds of the deployment.
+    pub bounds: Bounds,
+    /// Time between heartbeats of back-end replicas.
+    pub replica_heartbeat: Duration,
+}
+
+/// Starts the replica and its tasks; they run for as long as the process.
+pub async fn start(
+    options: GroupOptions,
+    channel: Arc<dyn OrderChannel>,
+    registry: &mut Registry,
+) -> Result<GroupHandle, Report<ControlError>> {
+    let started = Instant::now();
+    let replica = open_patiently(&options).await;
+    let identity = replica.identity().clone();
+    let metrics = ControlMetrics::default();
+    metrics.register(registry);
+    let listener = server::listen(options.listen).await?;
+    let peers = Peers::new(
+        tokio::runtime::Handle::current(),
+        metrics.clone(),
+        options.listen,
+    );
+    let reopened = options.clone();
+    let node_options = NodeOptions {
+        tick: TICK,
+        replace_silent_after: Some(options.bounds.contact_ms + ELECTION_TIMEOUT_MS * 2),
+        reopen: Some(Box::new(move |now| open(&reopened, now))),
+    };
+    let (node, _) = node::start(replica, peers, metrics, started, node_options);
+    let link = Arc::new(LeaderLink::new(node.clone(), options.listen.to_string()));
+    let liveness = Arc::new(Liveness::default());
+    let watch = Arc::new(WatchServer::new(
+        Arc::clone(&link),
+        Arc::clone(&liveness),
+        options.zone.clone(),
+        started,
+    ));
+    let service = ControlService::new(node).with_group(Arc::clone(&watch), Arc::clone(&liveness));
+    tokio::spawn(server::accept(listener, service));
+    tokio::spawn(watch::keep_confirmed(watch));
+    tokio::spawn(formation::keep_joined(
+        Arc::clone(&link),
+        identity.replica,
+        identity.disk,
+        options.seeds.clone(),
+    ));
+    tokio::spawn(liveness::keep_told(
+        Arc::clone(&link),
+        Arc::clone(&liveness),
+        options.replica_heartbeat,
+    ));
+    tokio::spawn(orders::keep_rolled_out(
+        Arc::clone(&link),
+        channel,
+        options.node.clone(),
+        options.bounds,
+        started,
+    ));
+    spdlog::info!("control started", kv: {
+        node = options.node.clone(),
+        replica = identity.replica.0,
+        disk = identity.disk.0,
+        bootstrap = options.bootstrap,
+    });
+    Ok(GroupHandle::new(link, liveness, options.tolerance))
+}
+
+/// Opens the folder, for as long as it takes: a full or broken disk may recover.
+async fn open_patiently(options: &GroupOptions) -> Replica {
+    loop {
+        match open(options, 0) {
+            Ok(replica) => return replica,
+            Err(report) => {
+                spdlog::warn!("storage unusable", kv: { cause = format!("{report:?}") });
+                tokio::time::sleep(OPEN_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn open(options: &GroupOptions, now: Millis) -> Result<Replica, Report<ControlError>> {
+    let folder = FileMedia::open(&options.data).change_context(ControlError::Storage)?;
+    let replica_options = replica_options();
+    let makes_group = formation::makes_group(options.bootstrap, options.listen, &options.seeds);
+    if makes_group && Replica::is_new(&folder)? {
+        let address = options.listen.to_string();
+        Replica::initialize(&folder, &replica_options, &address)?;
+    }
+    Replica::open(&folder, replica_options, now)
+}
+
+fn replica_options() -> ReplicaOptions {
+    ReplicaOptions {
+        cluster: CLUSTER.to_owned(),
+        replica: ReplicaId(rand::random()),
+        adopts_folder: true,
+        new_disk: DiskId(rand::random()),
+        election_timeout: ELECTION_TIMEOUT_MS,
+        heartbeat_interval: HEARTBEAT_MS,
+        snapshot_entries: SNAPSHOT_ENTRIES,
+        snapshot_bytes: SNAPSHOT_BYTES,
+        claim_retention_ms: CLAIM_RETENTION_MS,
+        seed: rand::random(),
+        check_disk_identity: true,
+        revision_check: RevisionCheck::Enforced,
+    }
+}
--- /dev/null
+++ b/crates/control/src/serving/handle.rs
@@ -0,0 +1,135 @@
+//! What an adapter may ask of the group.
+
+use std::{sync::Arc, time::Duration};
+
+use railtack_rpc::serving::{ConfigurationDocument, ServingCommand, ServingOutcome};
+use railtack_serving::{FaultTolerance, HeldWeights, ReplicaRecord, ReplicaState};
+
+use crate::{
+    serving::{errors::Unavailable, leader::LeaderLink, liveness::Liveness},
+    view::NodeView,
+};
+
+/// Time in which callers expect an answer; they ask elsewhere after a second.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// What a registration got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Acknowledgement {
+    /// Internal address of the control replica that should get later heartbeats, if known.
+    pub leader: Option<String>,
+}
+
+/// A handle on this process's control replica.
+#[derive(Clone)]
+pub struct GroupHandle {
+    link: Arc<LeaderLink>,
+    liveness: Arc<Liveness>,
+    tolerance: FaultTolerance,
+}
+
+impl GroupHandle {
+    /// A handle over the replica behind `link`.
+    pub fn new(link: Arc<LeaderLink>, liveness: Arc<Liveness>, tolerance: FaultTolerance) -> Self {
+        Self {
+            link,
+            liveness,
+            tolerance,
+        }
+    }
+
+    /// The replica's present belief.
+    pub fn view(&self) -> NodeView {
+        self.link.view()
+    }
+
+    /// Takes a whole document. On success it, or one with a version at least as high, is held by
+    /// as many disks as the deployment may lose, and one more.
+    pub async fn put_document(
+        &self,
+        document: ConfigurationDocument,
+    ) -> Result<ServingOutcome, Unavailable> {
+        self.require_formed()?;
+        self.propose(ServingCommand::PutDocument(document)).await
+    }
+
+    /// The newest document, as it was sent.
+    pub async fn document(&self) -> Result<Vec<u8>, Unavailable> {
+        self.link.catch_up(ANSWER_TIMEOUT).await?;
+        let view = self.link.view();
+        let content = view.serving.content().ok_or(Unavailable::NoConfiguration)?;
+        Ok(content.to_vec())
+    }
+
+    /// Names the weights that a model's replicas are to hold.
+    pub async fn name_weights(&self, named: HeldWeights) -> Result<ServingOutcome, Unavailable> {
+        self.require_formed()?;
+        self.propose(ServingCommand::NameWeights(named)).await
+    }
+
+    /// Takes in a replica's heartbeat. What is new in it is recorded by the group before this
+    /// returns; in particular that a replica is leaving.
+    pub async fn heartbeat(
+        &self,
+        record: ReplicaRecord,
+        sequence: u64,
+    ) -> Result<Acknowledgement, Unavailable> {
+        let is_newest = self.liveness.heartbeat(&record.id, sequence);
+        let view = self.link.view();
+        if is_newest && needs_recording(&view, &record) {
+            let replica = record.id.clone();
+            let leaves = record.state == ReplicaState::Leaving;
+            self.propose(ServingCommand::Register(record)).await?;
+            spdlog::info!("replica recorded", kv: { replica, leaves });
+        }
+        Ok(Acknowledgement {
+            leader: view.leader,
+        })
+    }
+
+    /// Removes a replica that says that it leaves for good.
+    pub async fn deregister(&self, replica: String) -> Result<(), Unavailable> {
+        if self.link.view().serving.has_departed(&replica) {
+            return Ok(());
+        }
+        self.propose(ServingCommand::Deregister {
+            replica: replica.clone(),
+        })
+        .await?;
+        spdlog::info!("replica removed", kv: { replica });
+        Ok(())
+    }
+
+    async fn propose(&self, command: ServingCommand) -> Result<ServingOutcome, Unavailable> {
+        self.link.propose(command, ANSWER_TIMEOUT).await
+    }
+
+    /// Nothing is acknowledged before the group has the members that its promises need.
+    fn require_formed(&self) -> Result<(), Unavailable> {
+        let view = self.link.view();
+        let formed =
+            view.serving.has_configuration() || view.voters.len() >= self.tolerance.voters_needed();
+        if formed {
+            Ok(())
+        } else {
+            Err(Unavailable::Forming)
+        }
+    }
+}
+
+/// Whether a heartbeat says something that the replica here has not applied.
+fn needs_recording(view: &NodeView, record: &ReplicaRecord) -> bool {
+    if view.serving.has_departed(&record.id) {
+        return false;
+    }
+    let known = view.serving.replicas().get(&record.id);
+    !known.is_some_and(|known| {
+        let said_leaving = record.state == ReplicaState::Leaving;
+        let knows_leaving = known.state == ReplicaState::Leaving;
+        let weights_known = record.weights.iter().all(|held| {
+            known.version_of(&held.model).is_some_and(|version| version >= held.version)
+        });
+        let same_place = known.service == record.service && known.address == record.address;
+        same_place && weights_known && (knows_leaving || !said_leaving)
+    })
+}
--- /dev/null
+++ b/crates/control/src/serving/leader.rs
@@ -0,0 +1,149 @@
+//! Reaching the leader: proposals and reads, from whichever replica was asked.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use railtack_consensus::LogIndex;
+use railtack_rpc::{
+    ControlConnection, call_deadline,
+    protocol::{Command, Outcome, Proposal, ProposeReply},
+    serving::{ReadIndexReply, ServingCommand, ServingOutcome},
+};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+use crate::{
+    node::{Input, NodeHandle},
+    serving::errors::Unavailable,
+    view::NodeView,
+};
+
+/// Time for connecting to another replica.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Pause before the leader is looked for again.
+const RETRY_PAUSE: Duration = Duration::from_millis(40);
+/// Longest time for one try at a leader that may be gone.
+const TRY_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// The other replicas, and this one.
+pub struct LeaderLink {
+    node: NodeHandle,
+    own_address: String,
+    connections: Mutex<HashMap<String, Arc<ControlConnection>>>,
+}
+
+impl LeaderLink {
+    /// A link for the replica at `own_address`.
+    pub fn new(node: NodeHandle, own_address: String) -> Self {
+        Self {
+            node,
+            own_address,
+            connections: Mutex::default(),
+        }
+    }
+
+    /// The replica of this process.
+    pub fn node(&self) -> &NodeHandle {
+        &self.node
+    }
+
+    /// Internal address of this replica.
+    pub fn own_address(&self) -> &str {
+        &self.own_address
+    }
+
+    /// The replica's present belief.
+    pub fn view(&self) -> NodeView {
+        self.node.view().borrow().clone()
+    }
+
+    /// A connection to the replica at an address; `None` if the address cannot be read.
+    pub fn connection(&self, address: &str) -> Option<Arc<ControlConnection>> {
+        let socket = address.parse::<SocketAddr>().ok()?;
+        let mut connections = self
+            .connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let connection = connections
+            .entry(address.to_owned())
+            .or_insert_with(|| Arc::new(ControlConnection::new(socket, CONNECT_TIMEOUT)));
+        Some(Arc::clone(connection))
+    }
+
+    /// Commits a change, asking leader after leader until `limit` has passed. Every serving
+    /// command is safe to repeat.
+    pub async fn propose(
+        &self,
+        command: ServingCommand,
+        limit: Duration,
+    ) -> Result<ServingOutcome, Unavailable> {
+        let deadline = Instant::now() + limit;
+        let proposal = Proposal {
+            at: 0,
+            command: Command::Serving(command),
+        };
+        loop {
+            let answer = timeout_at(deadline, self.propose_once(&proposal)).await;
+            match answer {
+                Err(_) => return Err(Unavailable::NoLeader),
+                Ok(Some(ProposeReply::Done(Outcome::Serving(outcome)))) => return Ok(outcome),
+                Ok(_) => sleep(RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    async fn propose_once(&self, proposal: &Proposal) -> Option<ProposeReply> {
+        let leader = self.view().leader?;
+        if leader == self.own_address {
+            let asked = self
+                .node
+                .ask(|sender| Input::Propose(proposal.clone(), sender));
+            return timeout(TRY_TIMEOUT, asked).await.ok()?.ok();
+        }
+        let connection = self.connection(&leader)?;
+        let proposal = proposal.clone();
+        connection
+            .call(|client| async move { client.propose(call_deadline(TRY_TIMEOUT), proposal).await })
+            .await
+            .ok()
+    }
+
+    /// Waits until this replica has applied everything that was committed when this was called.
+    pub async fn catch_up(&self, limit: Duration) -> Result<(), Unavailable> {
+        let deadline = Instant::now() + limit;
+        let index = loop {
+            match timeout_at(deadline, self.read_index()).await {
+                Err(_) => return Err(Unavailable::NoLeader),
+                Ok(Some(index)) => break index,
+                Ok(None) => sleep(RETRY_PAUSE).await,
+            }
+        };
+        let mut view = self.node.view();
+        let applied = view.wait_for(|view| view.applied >= index);
+        match timeout_at(deadline, applied).await {
+            Ok(Ok(_)) => Ok(()),
+            _ => Err(Unavailable::NoLeader),
+        }
+    }
+
+    async fn read_index(&self) -> Option<LogIndex> {
+        let leader = self.view().leader?;
+        let reply = if leader == self.own_address {
+            let asked = self.node.ask(Input::ReadIndex);
+            timeout(TRY_TIMEOUT, asked).await.ok()?.ok()?
+        } else {
+            let connection = self.connection(&leader)?;
+            connection
+                .call(|client| async move { client.read_index(call_deadline(TRY_TIMEOUT)).await })
+                .await
+                .ok()?
+        };
+        match reply {
+            ReadIndexReply::Confirmed { index } => Some(index),
+            ReadIndexReply::NotLeader { .. } => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/serving/liveness.rs
@@ -0,0 +1,165 @@
+//! Signs of life of back-end replicas and routers. Not replicated: a new leader learns them anew.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use railtack_rpc::{
+    call_deadline,
+    serving::{AliveNotice, AliveReply, ServingCommand},
+};
+use tokio::time::{Instant, sleep};
+
+use crate::serving::leader::LeaderLink;
+
+/// Time between two notices to the leader.
+const NOTICE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for one notice.
+const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Silence after which a router counts as gone.
+const ROUTER_SILENCE: Duration = Duration::from_secs(5);
+/// Heartbeats in a row that a replica may miss before it counts as ended.
+const MISSED_HEARTBEATS: u32 = 12;
+/// Time for removing a replica that is silent.
+const REMOVAL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Who was heard from, and when.
+#[derive(Default)]
+pub struct Liveness {
+    heard: Mutex<Heard>,
+}
+
+#[derive(Default)]
+struct Heard {
+    replicas: HashMap<String, Instant>,
+    sequences: HashMap<String, u64>,
+    routers: HashMap<String, Instant>,
+    /// Routers that the leader last told of.
+    routers_of_leader: u32,
+    leading_since: Option<Instant>,
+}
+
+impl Liveness {
+    /// Takes in a heartbeat; false if it is older than one that was seen before.
+    pub fn heartbeat(&self, replica: &str, sequence: u64) -> bool {
+        let mut heard = self.lock();
+        let last = heard.sequences.entry(replica.to_owned()).or_insert(0);
+        if sequence < *last {
+            return false;
+        }
+        *last = sequence;
+        heard.replicas.insert(replica.to_owned(), Instant::now());
+        true
+    }
+
+    /// Notes that a router asked.
+    pub fn router_asked(&self, router: &str) {
+        self.lock()
+            .routers
+            .insert(router.to_owned(), Instant::now());
+    }
+
+    /// Takes in what another control replica has heard.
+    pub fn take_notice(&self, notice: AliveNotice) -> AliveReply {
+        let now = Instant::now();
+        let mut heard = self.lock();
+        for replica in notice.replicas {
+            heard.replicas.insert(replica, now);
+        }
+        for router in notice.routers {
+            heard.routers.insert(router, now);
+        }
+        AliveReply {
+            routers: heard.live_routers(),
+        }
+    }
+
+    /// Routers that are alive.
+    pub fn routers(&self) -> u32 {
+        let heard = self.lock();
+        heard.live_routers().max(heard.routers_of_leader)
+    }
+
+    fn notice(&self) -> AliveNotice {
+        let mut heard = self.lock();
+        heard.leading_since = None;
+        let recent = |at: &Instant| at.elapsed() < NOTICE_INTERVAL * 2;
+        let replicas = heard.replicas.iter().filter(|(_, at)| recent(at));
+        let routers = heard.routers.iter().filter(|(_, at)| recent(at));
+        AliveNotice {
+            replicas: replicas.map(|(replica, _)| replica.clone()).collect(),
+            routers: routers.map(|(router, _)| router.clone()).collect(),
+        }
+    }
+
+    /// While leading: replicas of `known` that have been silent for longer than `limit`.
+    fn silent<'a>(
+        &self,
+        known: impl Iterator<Item = &'a String>,
+        limit: Duration,
+    ) -> Vec<String> {
+        let now = Instant::now();
+        let mut heard = self.lock();
+        let since = *heard.leading_since.get_or_insert(now);
+        heard.routers_of_leader = 0;
+        let is_silent = |replica: &&String| {
+            let last = heard.replicas.get(*replica).copied().unwrap_or(since);
+            now.duration_since(last.max(since)) > limit
+        };
+        known.filter(is_silent).cloned().collect()
+    }
+
+    fn forget(&self, kept: impl Fn(&str) -> bool) {
+        let mut heard = self.lock();
+        heard.replicas.retain(|replica, _| kept(replica));
+        heard.sequences.retain(|replica, _| kept(replica));
+        heard
+            .routers
+            .retain(|_, at| at.elapsed() < ROUTER_SILENCE);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Heard> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Heard {
+    fn live_routers(&self) -> u32 {
+        let live = self
+            .routers
+            .values()
+            .filter(|at| at.elapsed() < ROUTER_SILENCE);
+        live.count() as u32
+    }
+}
+
+/// Tells the leader who was heard from; as the leader, removes replicas that are silent.
+pub async fn keep_told(link: Arc<LeaderLink>, liveness: Arc<Liveness>, heartbeat: Duration) {
+    loop {
+        sleep(NOTICE_INTERVAL).await;
+        let view = link.view();
+        liveness.forget(|replica| view.serving.replicas().contains_key(replica));
+        if view.leads {
+            let known = view.serving.replicas().keys();
+            for replica in liveness.silent(known, heartbeat * MISSED_HEARTBEATS) {
+                spdlog::info!("replica silent", kv: { replica = replica.clone() });
+                let command = ServingCommand::Deregister { replica };
+                // Looked at again after the next interval.
+                let _ = link.propose(command, REMOVAL_TIMEOUT).await;
+            }
+            continue;
+        }
+        let Some(connection) = view.leader.and_then(|leader| link.connection(&leader)) else {
+            continue;
+        };
+        let notice = liveness.notice();
+        let reply = connection
+            .call(|client| async move { client.alive(call_deadline(NOTICE_TIMEOUT), notice).await })
+            .await;
+        if let Ok(reply) = reply {
+            liveness.lock().routers_of_leader = reply.routers;
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/serving/mod.rs
@@ -0,0 +1,28 @@
+//! A control replica as part of a group that forms and mends itself, and serves routers, back-end
+//! replicas and operators through an adapter.
+//!
+//! | module | job |
+//! |---|---|
+//! | [`daemon`] | starts the replica, its internal service and the tasks below |
+//! | [`formation`] | first member, joining, joining again |
+//! | [`handle`] | what an adapter may ask: documents, registrations, weights |
+//! | [`leader`] | proposals and reads by way of the leader |
+//! | [`liveness`] | signs of life of back-end replicas and routers |
+//! | [`orders`] | carrying out the rollout of weights |
+//! | [`weights`] | the rollout's pure decision |
+//! | [`watch`] | answering routers |
+
+pub mod daemon;
+pub mod errors;
+pub mod formation;
+pub mod handle;
+pub mod leader;
+pub mod liveness;
+pub mod orders;
+pub mod watch;
+pub mod weights;
+
+pub use daemon::{GroupOptions, start};
+pub use errors::Unavailable;
+pub use handle::{Acknowledgement, GroupHandle};
+pub use orders::{OrderAnswer, OrderChannel, OrderRequest, WeightsReport};
--- /dev/null
+++ b/crates/control/src/serving/watch.rs
@@ -0,0 +1,118 @@
+//! Answering routers: what changed, and how surely it is current.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use railtack_rpc::serving::{WatchReply, WatchRequest};
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::{
+    serving::{leader::LeaderLink, liveness::Liveness},
+    view::NodeView,
+};
+
+/// Time between two confirmations by the leader while routers ask.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(200);
+/// Time for one confirmation.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time after a router's last question in which confirmations go on.
+const WATCHED_FOR: Duration = Duration::from_secs(3);
+/// Longest time for which an answer is held, milliseconds.
+const WAIT_LIMIT_MS: u64 = 5_000;
+
+/// Answers routers from this replica's state.
+pub struct WatchServer {
+    link: Arc<LeaderLink>,
+    liveness: Arc<Liveness>,
+    zone: String,
+    /// Zero of the replica's clock.
+    started: std::time::Instant,
+    times: Mutex<Times>,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Times {
+    /// Moment at which everything committed before it was known to be applied here.
+    confirmed_at: Option<Instant>,
+    asked_at: Option<Instant>,
+}
+
+impl WatchServer {
+    /// A server over the replica behind `link`, whose clock began at `started`.
+    pub fn new(
+        link: Arc<LeaderLink>,
+        liveness: Arc<Liveness>,
+        zone: String,
+        started: std::time::Instant,
+    ) -> Self {
+        Self {
+            link,
+            liveness,
+            zone,
+            started,
+            times: Mutex::default(),
+        }
+    }
+
+    /// Answers one question, at the latest after the time that it allows.
+    pub async fn answer(&self, request: WatchRequest) -> WatchReply {
+        let asked_at = Instant::now();
+        self.liveness.router_asked(&request.router);
+        self.update_times(|times| times.asked_at = Some(asked_at));
+        let deadline = asked_at + Duration::from_millis(request.wait_ms.min(WAIT_LIMIT_MS));
+        let mut receiver = self.link.node().view();
+        let changed = receiver.wait_for(|view| view.serving.changed_at() > request.known);
+        // Either way the present view is answered.
+        let _ = timeout_at(deadline, changed).await;
+        let view = self.link.view();
+        WatchReply {
+            confirmed_age_ms: self.confirmed_age_ms(&view),
+            held_ms: asked_at.elapsed().as_millis() as u64,
+            zone: self.zone.clone(),
+            members: view.voters.clone(),
+            routers: self.liveness.routers(),
+            update: view.serving.update_after(request.known),
+        }
+    }
+
+    fn confirmed_age_ms(&self, view: &NodeView) -> Option<u64> {
+        if view.leads {
+            let confirmed_at = self.started + Duration::from_millis(view.confirmed_at?);
+            return Some(confirmed_at.elapsed().as_millis() as u64);
+        }
+        let confirmed_at = self.times().confirmed_at?;
+        Some(confirmed_at.elapsed().as_millis() as u64)
+    }
+
+    fn is_watched(&self) -> bool {
+        let asked_at = self.times().asked_at;
+        asked_at.is_some_and(|at| at.elapsed() < WATCHED_FOR)
+    }
+
+    fn times(&self) -> Times {
+        *self.times.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn update_times(&self, update: impl FnOnce(&mut Times)) {
+        update(&mut self.times.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+}
+
+/// While routers ask this replica and it does not lead, has the leader confirm its state.
+///
+/// One question to the leader serves all routers that ask here, so the leader's load does not
+/// grow with their number.
+pub async fn keep_confirmed(server: Arc<WatchServer>) {
+    loop {
+        sleep(CONFIRM_INTERVAL).await;
+        if !server.is_watched() || server.link.view().leads {
+            continue;
+        }
+        let asked_at = Instant::now();
+        if server.link.catch_up(CONFIRM_TIMEOUT).await.is_ok() {
+            server.update_times(|times| times.confirmed_at = Some(asked_at));
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/serving_state.rs
@@ -0,0 +1,248 @@
+//! The replicated state that routers serve from: the document held, back-end replicas, weights.
+//!
+//! Invariants: the version of the document only rises; a replica that is leaving never becomes
+//! ready again in the same life; the versions of weights that a replica holds and the versions
+//! that operators named only rise; a token for orders is above every token before it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use railtack_consensus::LogIndex;
+use railtack_rpc::serving::{
+    ConfigurationDocument, ServingCommand, ServingOutcome, ServingUpdate,
+};
+use railtack_serving::{
+    HeldWeights, PendingOrder, ReplicaRecord, ReplicaState, ServingConfiguration,
+};
+use speedy::{Readable, Writable};
+
+/// Replicas that have left and are remembered, so that their late messages do not revive them and
+/// routers can be told only what changed.
+const DEPARTED_KEPT: usize = 1_024;
+
+/// The right to give orders to back ends.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+struct OrderRight {
+    holder: String,
+    token: u64,
+}
+
+/// What routers serve from, and who may give orders.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct ServingState {
+    content: Vec<u8>,
+    configuration: ServingConfiguration,
+    configuration_at: LogIndex,
+    replicas: BTreeMap<String, ReplicaRecord>,
+    /// Replicas that have left, oldest first.
+    departed: BTreeSet<(LogIndex, String)>,
+    departed_ids: BTreeSet<String>,
+    departed_complete_after: LogIndex,
+    weights: BTreeMap<String, u64>,
+    changed_at: LogIndex,
+    order_right: Option<OrderRight>,
+}
+
+impl ServingState {
+    /// The bytes of the document held; `None` before the first.
+    pub fn content(&self) -> Option<&[u8]> {
+        (self.configuration_at > 0).then_some(self.content.as_slice())
+    }
+
+    /// What the document held means.
+    pub fn configuration(&self) -> &ServingConfiguration {
+        &self.configuration
+    }
+
+    /// Whether a document is held.
+    pub fn has_configuration(&self) -> bool {
+        self.configuration_at > 0
+    }
+
+    /// Back-end replicas by identity.
+    pub fn replicas(&self) -> &BTreeMap<String, ReplicaRecord> {
+        &self.replicas
+    }
+
+    /// Whether a replica of this identity has left.
+    pub fn has_departed(&self, replica: &str) -> bool {
+        self.departed_ids.contains(replica)
+    }
+
+    /// The version of weights that operators named for each model.
+    pub fn weights(&self) -> &BTreeMap<String, u64> {
+        &self.weights
+    }
+
+    /// Position of the last change.
+    pub fn changed_at(&self) -> LogIndex {
+        self.changed_at
+    }
+
+    /// Applies one committed command.
+    pub fn apply(&mut self, index: LogIndex, command: ServingCommand) -> ServingOutcome {
+        match command {
+            ServingCommand::PutDocument(document) => self.put_document(index, document),
+            ServingCommand::Register(record) => self.register(index, record),
+            ServingCommand::Deregister { replica } => self.deregister(index, &replica),
+            ServingCommand::NameWeights(named) => self.name_weights(index, named),
+            ServingCommand::AcquireOrders { holder } => self.acquire_orders(index, holder),
+            ServingCommand::BeginOrder {
+                token,
+                replica,
+                order,
+            } => self.begin_order(index, token, &replica, order),
+        }
+    }
+
+    /// What a router lacks that knows everything up to `known`; `None` if nothing.
+    pub fn update_after(&self, known: LogIndex) -> Option<ServingUpdate> {
+        if known >= self.changed_at {
+            return None;
+        }
+        let complete = known == 0 || known < self.departed_complete_after;
+        let changed = |record: &&ReplicaRecord| complete || record.changed_at > known;
+        let configuration = (self.configuration_at > known).then(|| self.configuration.clone());
+        Some(ServingUpdate {
+            through: self.changed_at,
+            configuration,
+            complete,
+            replicas: self.replicas.values().filter(changed).cloned().collect(),
+            removed: self.removed_after(known),
+            weights: self.named_weights(),
+        })
+    }
+
+    fn removed_after(&self, known: LogIndex) -> Vec<String> {
+        self.departed
+            .iter()
+            .filter(|(at, _)| *at > known)
+            .map(|(_, replica)| replica.clone())
+            .collect()
+    }
+
+    fn named_weights(&self) -> Vec<HeldWeights> {
+        let named = self.weights.iter().map(|(model, version)| HeldWeights {
+            model: model.clone(),
+            version: *version,
+        });
+        named.collect()
+    }
+
+    fn put_document(&mut self, index: LogIndex, document: ConfigurationDocument) -> ServingOutcome {
+        if self.has_configuration() && document.revision <= self.configuration.revision {
+            return ServingOutcome::Superseded;
+        }
+        self.content = document.content;
+        self.configuration = document.configuration;
+        self.configuration_at = index;
+        self.changed_at = index;
+        ServingOutcome::Done
+    }
+
+    fn register(&mut self, index: LogIndex, mut record: ReplicaRecord) -> ServingOutcome {
+        if self.has_departed(&record.id) {
+            return ServingOutcome::UnknownReplica;
+        }
+        self.remove_former_at(index, &record);
+        if let Some(known) = self.replicas.get(&record.id) {
+            record = merged(known, record);
+        }
+        record.order = record.order.take().filter(|order| {
+            let held = record.version_of(&order.model);
+            held.is_none_or(|held| held < order.version)
+        });
+        record.changed_at = index;
+        self.changed_at = index;
+        self.replicas.insert(record.id.clone(), record);
+        ServingOutcome::Done
+    }
+
+    /// A new life at the address of another one means that the other one has ended.
+    fn remove_former_at(&mut self, index: LogIndex, record: &ReplicaRecord) {
+        let former: Vec<String> = self
+            .replicas
+            .values()
+            .filter(|known| known.address == record.address && known.id != record.id)
+            .map(|known| known.id.clone())
+            .collect();
+        for replica in former {
+            self.deregister(index, &replica);
+        }
+    }
+
+    fn deregister(&mut self, index: LogIndex, replica: &str) -> ServingOutcome {
+        if self.has_departed(replica) {
+            return ServingOutcome::Done;
+        }
+        self.replicas.remove(replica);
+        self.changed_at = index;
+        self.departed_ids.insert(replica.to_owned());
+        self.departed.insert((index, replica.to_owned()));
+        if self.departed.len() > DEPARTED_KEPT
+            && let Some((at, oldest)) = self.departed.pop_first()
+        {
+            self.departed_ids.remove(&oldest);
+            self.departed_complete_after = at;
+        }
+        ServingOutcome::Done
+    }
+
+    fn name_weights(&mut self, index: LogIndex, named: HeldWeights) -> ServingOutcome {
+        let known = self.weights.get(&named.model).copied().unwrap_or(0);
+        if named.version <= known {
+            return ServingOutcome::Superseded;
+        }
+        self.weights.insert(named.model, named.version);
+        self.changed_at = index;
+        ServingOutcome::Done
+    }
+
+    fn acquire_orders(&mut self, index: LogIndex, holder: String) -> ServingOutcome {
+        let former = self.order_right.take();
+        let taken_over = former.is_some_and(|former| former.holder != holder);
+        self.order_right = Some(OrderRight {
+            holder,
+            token: index,
+        });
+        ServingOutcome::OrdersAcquired {
+            token: index,
+            taken_over,
+        }
+    }
+
+    fn begin_order(
+        &mut self,
+        index: LogIndex,
+        token: u64,
+        replica: &str,
+        order: PendingOrder,
+    ) -> ServingOutcome {
+        let is_holder = self
+            .order_right
+            .as_ref()
+            .is_some_and(|right| right.token == token);
+        if !is_holder {
+            return ServingOutcome::NotHolder;
+        }
+        let Some(record) = self.replicas.get_mut(replica) else {
+            return ServingOutcome::UnknownReplica;
+        };
+        record.order = Some(order);
+        record.changed_at = index;
+        self.changed_at = index;
+        ServingOutcome::Done
+    }
+}
+
+/// Takes in what a replica says now without going back on what it said before.
+fn merged(known: &ReplicaRecord, mut said: ReplicaRecord) -> ReplicaRecord {
+    if known.state == ReplicaState::Leaving {
+        said.state = ReplicaState::Leaving;
+    }
+    for held in &mut said.weights {
+        let before = known.version_of(&held.model).unwrap_or(0);
+        held.version = held.version.max(before);
+    }
+    said.order = known.order.clone();
+    said
+}
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -16,6 +16,7 @@
 use crate::{
     claims::ClaimTable,
     configuration::{ChangeRefused, RevisionCheck, apply_change},
+    serving_state::ServingState,
 };
 
 /// Outcomes of operations that are kept for resends.
@@ -54,6 +55,7 @@
     claim_retention_ms: u64,
     recent_changes: BTreeMap<LogIndex, AcceptedChange>,
     changes_complete_after: LogIndex,
+    serving: ServingState,
 }
 
 impl ControlState {
@@ -85,6 +87,11 @@
         &self.orders
     }
 
+    /// What routers serve from.
+    pub fn serving(&self) -> &ServingState {
+        &self.serving
+    }
+
     /// Applies one committed command.
     pub fn apply(&mut self, index: LogIndex, proposal: Proposal, check: RevisionCheck) -> Outcome {
         self.advance_clock(proposal.at);
@@ -110,6 +117,7 @@
                 );
                 Outcome::Ordered { token: index }
             }
+            Command::Serving(change) => Outcome::Serving(self.serving.apply(index, change)),
             Command::Barrier => Outcome::Current,
         }
     }
--- /dev/null
+++ b/crates/control/src/view.rs
@@ -0,0 +1,28 @@
+//! What a replica's thread tells the tasks around it, without being asked.
+
+use std::sync::Arc;
+
+use railtack_consensus::{LogIndex, Millis};
+
+use crate::serving_state::ServingState;
+
+/// A replica's belief after a round of work.
+#[derive(Clone, Debug, Default)]
+pub struct NodeView {
+    /// What routers serve from, as applied here.
+    pub serving: Arc<ServingState>,
+    /// Position up to which the log is applied here.
+    pub applied: LogIndex,
+    /// Term of the log.
+    pub term: u64,
+    /// Internal address of the leader, if known.
+    pub leader: Option<String>,
+    /// Whether this replica leads and has applied everything before its term.
+    pub leads: bool,
+    /// While leading: latest moment at which it is known to have led, on the replica's clock.
+    pub confirmed_at: Option<Millis>,
+    /// Whether this replica's folder is that of a member.
+    pub is_member: bool,
+    /// Internal addresses of the voters.
+    pub voters: Vec<String>,
+}
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -7,7 +7,7 @@
 use railtack_consensus::{Member, ReplicaId};
 use railtack_core::{EngineId, OperationId, Revision};
 use railtack_http::HttpClient;
-use railtack_platform::{EngineStatus, MachineKind, MachineList};
+use railtack_backend_api::{EngineStatus, MachineKind, MachineList};
 use railtack_router::decisions::DecisionRecord;
 use railtack_rpc::protocol::{ConfigurationChange, MembershipChange, Outcome};
 
--- a/crates/emulator/src/engine_server.rs
+++ b/crates/emulator/src/engine_server.rs
@@ -11,7 +11,7 @@
 use hyper::{Method, Request, Response, Uri, body::Incoming};
 use railtack_core::{CacheNamespace, EngineIncarnation, PrefixChain};
 use railtack_http::{Body, BodySender, body, read_body, streaming};
-use railtack_platform::{
+use railtack_backend_api::{
     CacheListing, EngineError, EngineEvent, EngineEventKind, EngineRefusal, EngineRequest,
     EngineStatus, Hex, OrderReply, OrderRequest, StreamEnd, StreamFrame, WeightsGrant,
     WeightsRequest,
--- a/crates/emulator/src/event_feed.rs
+++ b/crates/emulator/src/event_feed.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use railtack_core::EngineIncarnation;
-use railtack_platform::{EngineEvent, EngineEventKind, Hex};
+use railtack_backend_api::{EngineEvent, EngineEventKind, Hex};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
--- a/crates/emulator/src/gate.rs
+++ b/crates/emulator/src/gate.rs
@@ -3,7 +3,7 @@
 //! Pure: the engine process and the simulator use the same checks.
 
 use railtack_core::{EngineIncarnation, ModelName, WeightsVersion};
-use railtack_platform::{EngineRefusal, OrderRequest};
+use railtack_backend_api::{EngineRefusal, OrderRequest};
 
 /// Checks that a deliberately broken build leaves out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/emulator/src/service_server.rs
+++ b/crates/emulator/src/service_server.rs
@@ -7,7 +7,7 @@
 
 use hyper::{Method, Request, Response, body::Incoming};
 use railtack_http::{Body, body, read_body};
-use railtack_platform::ExecutionCounts;
+use railtack_backend_api::ExecutionCounts;
 use serde_json::json;
 
 /// Largest request body, bytes.
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,6 +1,6 @@
 //! Bodies: whole ones, streams, and reading within limits.
 
-use std::{convert::Infallible, time::Duration};
+use std::{io, time::Duration};
 
 use bytes::Bytes;
 use futures::{Stream, StreamExt, channel::mpsc};
@@ -19,8 +19,9 @@
 
 use crate::errors::ReceiveError;
 
-/// The body type of every response.
-pub type Body = BoxBody<Bytes, Infallible>;
+/// The body type of every response. An error ends the connection, so that a body that breaks off
+/// does not look whole.
+pub type Body = BoxBody<Bytes, io::Error>;
 
 /// Chunks that may wait for a slow reader before the writer waits too.
 const STREAM_BUFFER: usize = 64;
@@ -35,13 +36,15 @@
 
 /// A body that is known as a whole.
 pub fn full(content: impl Into<Bytes>) -> Body {
-    Full::new(content.into()).boxed()
+    Full::new(content.into())
+        .map_err(|never| match never {})
+        .boxed()
 }
 
 /// A body that is written while it is sent; it ends when the sender is dropped.
 pub fn streaming() -> (BodySender, Body) {
     let (sender, receiver) = mpsc::channel(STREAM_BUFFER);
-    let frames = receiver.map(|chunk| Ok::<_, Infallible>(Frame::data(chunk)));
+    let frames = receiver.map(|chunk| Ok::<_, io::Error>(Frame::data(chunk)));
     (sender, BodyExt::boxed(StreamBody::new(frames)))
 }
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -21,6 +21,9 @@
 /// Pause after a failed accept, so that a lack of file descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Smallest buffer that hyper takes, bytes.
+const SMALLEST_BUFFER: usize = 8 * 1024;
+
 /// Default of [`ServeOptions::linger`].
 pub const LINGER: Duration = Duration::from_millis(500);
 
@@ -31,6 +34,8 @@
     pub connections: usize,
     /// Time for the head of a request to arrive.
     pub head_timeout: Duration,
+    /// Largest head of a request, bytes.
+    pub head_bytes: usize,
     /// Time after shutdown is asked for in which connections and requests are still taken, so
     /// that the handler can refuse them and callers learn to go elsewhere. Closing idle
     /// connections at once would cut off a request that is just being written to one.
@@ -44,6 +49,7 @@
         Self {
             connections: 10_000,
             head_timeout: Duration::from_secs(10),
+            head_bytes: 64 * 1024,
             linger: LINGER,
             drain: Duration::from_secs(30),
         }
@@ -89,6 +95,7 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(options.head_timeout)
+            .max_buf_size(options.head_bytes.max(SMALLEST_BUFFER))
             .serve_connection(TokioIo::new(stream), service);
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
--- a/crates/lab/src/experiment/router.rs
+++ b/crates/lab/src/experiment/router.rs
@@ -3,7 +3,7 @@
 use railtack_core::{
     BlockHash, EngineId, EngineIncarnation, ModelName, PrefixChain, WeightsVersion,
 };
-use railtack_platform::LoadReport;
+use railtack_backend_api::LoadReport;
 use railtack_routing::{
     Admission, AdmissionRefusal, CandidateScore, EngineSlot, EngineTable, ModelKey, RequestShape,
     RetryBudget, Scheduler, SchedulerOptions, ScoreWeights, admission::AdmissionRequest,
--- a/crates/lab/src/scale/decisions.rs
+++ b/crates/lab/src/scale/decisions.rs
@@ -6,7 +6,7 @@
 use railtack_core::{
     BlockHash, CacheNamespace, EngineId, EngineIncarnation, PrefixChain, WeightsVersion,
 };
-use railtack_platform::LoadReport;
+use railtack_backend_api::LoadReport;
 use railtack_routing::{
     EngineSlot, ModelKey, PrefixIndex, RequestShape, Scheduler, SchedulerOptions,
     engines::EngineDescription,
--- a/crates/lab/src/simulate/control/replicas.rs
+++ b/crates/lab/src/simulate/control/replicas.rs
@@ -103,6 +103,8 @@
             election_timeout: ELECTION_TIMEOUT,
             heartbeat_interval: HEARTBEAT,
             snapshot_entries: SNAPSHOT_ENTRIES,
+            snapshot_bytes: usize::MAX,
+            adopts_folder: false,
             claim_retention_ms: CLAIM_RETENTION,
             seed: u64::from(number) << 32 | u64::from(life),
             check_disk_identity: !self.is_mutant(Mutant::StaleVote),
--- a/crates/lab/src/simulate/streams/engines.rs
+++ b/crates/lab/src/simulate/streams/engines.rs
@@ -10,7 +10,7 @@
     engine::{EngineModel, NewSequence, StepOutcome},
     gate::{Gate, GateChecks},
 };
-use railtack_platform::{Hex, OrderRequest, StreamEnd, StreamFrame};
+use railtack_backend_api::{Hex, OrderRequest, StreamEnd, StreamFrame};
 use railtack_settings::emulator::EngineCosts;
 use rand::RngExt;
 
--- a/crates/lab/src/simulate/streams/requests.rs
+++ b/crates/lab/src/simulate/streams/requests.rs
@@ -5,7 +5,7 @@
     prefix::BYTES_PER_TOKEN,
 };
 use railtack_emulator::answer::whole_answer;
-use railtack_platform::StreamFrame;
+use railtack_backend_api::StreamFrame;
 use railtack_router::{
     attempts::{AfterAttempt, AttemptEnd, Attempts},
     relay::{EndMarker, FrameStep, Relay},
--- /dev/null
+++ b/crates/proxy/src/attempt.rs
@@ -0,0 +1,185 @@
+//! One exchange with one replica, up to the head of its answer.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use hyper::{Response, body::Incoming, http::response};
+use railtack_http::read_body;
+use railtack_serving::ReplicaRecord;
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    backend::{AnswerHead, Dispatch},
+    health::ExchangeEnd,
+    pool::{Connection, NoConnection},
+    replicas::ReplicaUse,
+    state::ProxyState,
+    verdict::ExchangeProof,
+};
+
+/// Kept connections that may turn out to be closed, before anything was sent, in one exchange.
+const STALE_CONNECTIONS: usize = 3;
+/// Largest answer that is read as a whole, bytes.
+const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
+/// Largest body of a declined request that is read so that the connection can be kept, bytes.
+const DECLINED_LIMIT: usize = 64 * 1024;
+/// Time for reading it.
+const DECLINED_TIME: Duration = Duration::from_millis(100);
+
+/// A replica that was chosen.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// The replica.
+    pub record: Arc<ReplicaRecord>,
+    /// This router's use of it.
+    pub usage: Arc<ReplicaUse>,
+    /// Connections that this router may open to it.
+    pub connection_limit: u32,
+}
+
+/// An answer whose head has come.
+#[derive(Debug)]
+pub struct OpenAnswer {
+    /// Head.
+    pub head: response::Parts,
+    /// Body, as it comes.
+    pub body: Incoming,
+    /// The connection that it comes over.
+    pub connection: Connection,
+    /// Whether the connection may be used again after a whole answer.
+    pub reusable: bool,
+}
+
+/// An exchange that brought no answer to pass on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FailedExchange {
+    /// What it says of the replica; `None` if nothing.
+    pub end: Option<ExchangeEnd>,
+    /// What it proves of the request.
+    pub proof: ExchangeProof,
+    /// For logs.
+    pub cause: &'static str,
+}
+
+impl FailedExchange {
+    fn not_run(end: Option<ExchangeEnd>, cause: &'static str) -> Self {
+        Self {
+            end,
+            proof: ExchangeProof::NotRun,
+            cause,
+        }
+    }
+
+    /// A failure after the request may have been received.
+    pub fn may_have_run(cause: &'static str) -> Self {
+        Self {
+            end: Some(ExchangeEnd::Broken),
+            proof: ExchangeProof::MayHaveRun,
+            cause,
+        }
+    }
+}
+
+/// Sends a request and waits for the head of the answer until `head_due`.
+///
+/// Dropping the future closes the connection, so that the replica stops.
+pub async fn exchange(
+    state: &ProxyState,
+    target: &Target,
+    dispatch: &Dispatch<'_>,
+    must_be_fresh: bool,
+    head_due: Instant,
+) -> Result<OpenAnswer, FailedExchange> {
+    for _ in 0..STALE_CONNECTIONS {
+        let mut connection = connect(target, must_be_fresh).await?;
+        // A freeze may fall anywhere before this point; the lease is looked at after it.
+        if !state.is_confirmed() {
+            return Err(FailedExchange::not_run(None, "lease lost"));
+        }
+        let sent = connection
+            .sender
+            .try_send_request(state.backend.encode(dispatch));
+        match timeout_at(head_due, sent).await {
+            Err(_) => return Err(FailedExchange::may_have_run("no head in time")),
+            Ok(Ok(response)) => return judge(state, dispatch, connection, response).await,
+            Ok(Err(mut error)) => {
+                if error.take_message().is_none() {
+                    return Err(FailedExchange::may_have_run("connection broke"));
+                }
+            }
+        }
+    }
+    Err(FailedExchange::not_run(
+        Some(ExchangeEnd::Unreachable),
+        "connections closed",
+    ))
+}
+
+async fn connect(target: &Target, must_be_fresh: bool) -> Result<Connection, FailedExchange> {
+    let unreachable = || FailedExchange::not_run(Some(ExchangeEnd::Unreachable), "unreachable");
+    let address = target.record.address.parse().map_err(|_| unreachable())?;
+    let pool = &target.usage.pool;
+    let taken = pool
+        .take(address, target.connection_limit, must_be_fresh)
+        .await;
+    taken.map_err(|failure| match failure {
+        NoConnection::Unreachable => unreachable(),
+        NoConnection::Limit => {
+            FailedExchange::not_run(Some(ExchangeEnd::Declined), "connection limit")
+        }
+    })
+}
+
+async fn judge(
+    state: &ProxyState,
+    dispatch: &Dispatch<'_>,
+    mut connection: Connection,
+    response: Response<Incoming>,
+) -> Result<OpenAnswer, FailedExchange> {
+    let (head, body) = response.into_parts();
+    let reusable = connection.note_head(&head.headers);
+    let answer = OpenAnswer {
+        head,
+        body,
+        connection,
+        reusable,
+    };
+    match state.backend.classify(dispatch.request, &answer.head) {
+        AnswerHead::Answer => Ok(answer),
+        AnswerHead::Foreign => Err(FailedExchange::may_have_run("foreign answer")),
+        AnswerHead::NotRun => Err(FailedExchange::not_run(
+            Some(ExchangeEnd::Declined),
+            "declined",
+        )),
+        AnswerHead::WrongReplica => Err(FailedExchange::not_run(
+            Some(ExchangeEnd::Declined),
+            "wrong replica or weights",
+        )),
+    }
+}
+
+impl OpenAnswer {
+    /// Reads the whole body and gives the connection back.
+    pub async fn read_whole(
+        self,
+        usage: &ReplicaUse,
+        due: Instant,
+    ) -> Result<(response::Parts, Bytes), FailedExchange> {
+        let time = due.saturating_duration_since(Instant::now());
+        let content = read_body(self.body, ANSWER_LIMIT, time)
+            .await
+            .map_err(|_| FailedExchange::may_have_run("answer broke off"))?;
+        if self.reusable {
+            usage.pool.put_back(self.connection);
+        }
+        Ok((self.head, content))
+    }
+}
+
+/// Reads what is left of a declined answer, so that its connection can be kept.
+pub async fn finish_declined(answer: OpenAnswer, usage: &ReplicaUse) {
+    let read = read_body(answer.body, DECLINED_LIMIT, DECLINED_TIME).await;
+    if read.is_ok() && answer.reusable {
+        usage.pool.put_back(answer.connection);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/choice.rs
@@ -0,0 +1,82 @@
+//! Which replica runs a request. Pure.
+//!
+//! Every candidate gets a cost in shares of a replica: how busy it would be with the work that is
+//! known or presumed to be there, what part of its memory the uncached prompt takes, and what it
+//! costs to reach it. The cheapest wins; equal ones are told apart by the seed.
+
+/// Cost of leaving the router's zone.
+const OTHER_ZONE_COST: f64 = 0.06;
+/// Cost of a replica whose recent exchanges all failed.
+const FAILURE_COST: f64 = 2.0;
+/// Weight of the prompt tokens that must be read, as shares of a replica's memory.
+const READING_WEIGHT: f64 = 3.0;
+/// Share of a prompt's beginning that the favoured replica is presumed to keep.
+const PRESUMED_KEPT: f64 = 0.5;
+
+/// What is known of one replica that may run the request.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Candidate {
+    /// Whether it is in the router's zone.
+    pub same_zone: bool,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Tokens that its memory holds; 0 if it is no engine.
+    pub capacity_tokens: u64,
+    /// Requests of this router that are open there.
+    pub open_requests: u32,
+    /// Prompt tokens of this router's requests there that have brought no event yet.
+    pub unread_tokens: u64,
+    /// Prompt tokens that it is known to keep.
+    pub known_tokens: u64,
+    /// Whether rendezvous hashing favours it for this prompt.
+    pub favoured: bool,
+    /// Share of recent exchanges that failed.
+    pub failure_rate: f64,
+}
+
+/// What is known of the request.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RequestSize {
+    /// Length of the prompt, tokens; 0 without one.
+    pub prompt_tokens: u64,
+    /// Length of the beginning that it shares with others, tokens.
+    pub shared_tokens: u64,
+    /// Routers that send to the same replicas.
+    pub routers: u32,
+}
+
+/// Position of the cheapest candidate, and its cost.
+pub fn choose(candidates: &[Candidate], size: RequestSize, seed: u64) -> Option<(usize, f64)> {
+    let count = candidates.len();
+    let costs = candidates.iter().map(|candidate| cost(candidate, size));
+    costs
+        .enumerate()
+        .map(|(position, cost)| (position, cost, turn(position, count, seed)))
+        .min_by(|left, right| left.1.total_cmp(&right.1).then(left.2.cmp(&right.2)))
+        .map(|(position, cost, _)| (position, cost))
+}
+
+fn turn(position: usize, count: usize, seed: u64) -> usize {
+    (position + (seed % count.max(1) as u64) as usize) % count.max(1)
+}
+
+fn cost(candidate: &Candidate, size: RequestSize) -> f64 {
+    let routers = f64::from(size.routers.max(1));
+    let busy = f64::from(candidate.open_requests) * routers.sqrt() / f64::from(candidate.slots.max(1));
+    let zone = if candidate.same_zone { 0.0 } else { OTHER_ZONE_COST };
+    busy + reading(candidate, size) + zone + candidate.failure_rate * FAILURE_COST
+}
+
+fn reading(candidate: &Candidate, size: RequestSize) -> f64 {
+    if candidate.capacity_tokens == 0 {
+        return 0.0;
+    }
+    let presumed = if candidate.favoured {
+        (size.shared_tokens as f64 * PRESUMED_KEPT) as u64
+    } else {
+        0
+    };
+    let kept = candidate.known_tokens.max(presumed).min(size.prompt_tokens);
+    let unread = (size.prompt_tokens - kept) + candidate.unread_tokens;
+    READING_WEIGHT * unread as f64 / candidate.capacity_tokens as f64
+}
--- /dev/null
+++ b/crates/proxy/src/control_watch.rs
@@ -0,0 +1,210 @@
+//! Following the control group: one question at a time to one control replica, which answers when
+//! something changes. A replica that does not answer, or whose state is not confirmed any more, is
+//! left for another; one in the router's own zone is preferred.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use railtack_rpc::{
+    ControlConnection, call_deadline,
+    serving::{WatchReply, WatchRequest},
+};
+use tokio::time::{Instant, sleep};
+
+use crate::state::{ProxyState, lock};
+
+/// Time for connecting to a control replica.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for which an answer may be held.
+const WAIT: Duration = Duration::from_millis(500);
+/// Time beyond the wait after which a control replica counts as out of reach.
+const ANSWER_MARGIN: Duration = Duration::from_millis(400);
+/// Pause after a question that was not answered.
+const FAILURE_PAUSE: Duration = Duration::from_millis(50);
+/// Age of a confirmation from which another control replica is asked.
+const CONFIRMATION_LIMIT_MS: u64 = 1_200;
+/// Time between looks at resting connections.
+const TIDY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Follows the control group for as long as the process runs. `seeds` is asked for addresses
+/// whenever no known control replica answers.
+pub async fn follow(state: Arc<ProxyState>, seeds: impl Fn() -> Vec<SocketAddr> + Send) {
+    let mut targets = Targets::new(seeds());
+    let mut failures_in_a_row = 0;
+    loop {
+        let Some(address) = targets.current() else {
+            sleep(FAILURE_PAUSE).await;
+            targets.add(seeds());
+            continue;
+        };
+        let asked_at = Instant::now();
+        let reply = ask(&state, targets.connection(address)).await;
+        let Some(reply) = reply else {
+            failures_in_a_row += 1;
+            if failures_in_a_row % targets.len().max(1) == 0 {
+                targets.add(seeds());
+            }
+            spdlog::debug!("control silent", kv: { address = address.to_string() });
+            targets.leave(address);
+            sleep(FAILURE_PAUSE).await;
+            continue;
+        };
+        failures_in_a_row = 0;
+        let is_current = reply
+            .confirmed_age_ms
+            .is_some_and(|age| age < CONFIRMATION_LIMIT_MS);
+        targets.learn(address, &reply);
+        take_reply(&state, reply, asked_at);
+        if is_current {
+            targets.prefer_zone(&state.options.zone, address);
+        } else {
+            targets.leave(address);
+            sleep(FAILURE_PAUSE).await;
+        }
+    }
+}
+
+/// Closes connections to replicas that have rested for too long, for as long as the process runs.
+pub async fn tidy(state: Arc<ProxyState>) {
+    loop {
+        sleep(TIDY_INTERVAL).await;
+        lock(&state.replicas).close_old();
+        let age = lock(&state.lease).age(Instant::now()).unwrap_or_default();
+        state.metrics.lease_age_ms.set(age.as_millis() as u64);
+    }
+}
+
+async fn ask(state: &ProxyState, connection: Arc<ControlConnection>) -> Option<WatchReply> {
+    let first = !state.is_confirmed();
+    let wait = if first { Duration::ZERO } else { WAIT };
+    let request = WatchRequest {
+        router: state.options.node.clone(),
+        known: state.view.load().known,
+        wait_ms: wait.as_millis() as u64,
+    };
+    connection
+        .call(|client| async move {
+            client
+                .watch(call_deadline(wait + ANSWER_MARGIN), request)
+                .await
+        })
+        .await
+        .ok()
+}
+
+fn take_reply(state: &ProxyState, reply: WatchReply, asked_at: Instant) {
+    state.routers.store(reply.routers, Ordering::Relaxed);
+    let was_confirmed = state.is_confirmed();
+    if let Some(update) = reply.update.clone()
+        && let Some(next) = state.view.load().updated(update)
+    {
+        let revision = next
+            .table
+            .as_ref()
+            .map_or(0, |table| table.configuration().revision);
+        spdlog::info!("view updated", kv: {
+            known = next.known,
+            revision,
+            replicas = next.replicas.len(),
+        });
+        state.metrics.revision.set(revision);
+        state.set_view(next);
+    }
+    // The state is applied before the lease that vouches for it counts.
+    lock(&state.lease).take_reply(&reply, asked_at);
+    if state.is_confirmed() && !was_confirmed {
+        spdlog::info!("lease gained", kv: { known = state.view.load().known });
+    }
+}
+
+/// Control replicas that may be asked.
+struct Targets {
+    connections: BTreeMap<SocketAddr, Arc<ControlConnection>>,
+    zones: BTreeMap<SocketAddr, String>,
+    current: Option<SocketAddr>,
+}
+
+impl Targets {
+    fn new(seeds: Vec<SocketAddr>) -> Self {
+        let mut targets = Self {
+            connections: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            current: None,
+        };
+        targets.add(seeds);
+        targets
+    }
+
+    fn len(&self) -> usize {
+        self.connections.len()
+    }
+
+    fn add(&mut self, addresses: Vec<SocketAddr>) {
+        for address in addresses {
+            self.connections
+                .entry(address)
+                .or_insert_with(|| Arc::new(ControlConnection::new(address, CONNECT_TIMEOUT)));
+        }
+    }
+
+    fn current(&mut self) -> Option<SocketAddr> {
+        if self.current.is_none() {
+            // Routers that start together spread over the control replicas.
+            let position = rand::random_range(0..self.connections.len().max(1));
+            self.current = self.connections.keys().nth(position).copied();
+        }
+        self.current
+    }
+
+    fn connection(&mut self, address: SocketAddr) -> Arc<ControlConnection> {
+        let connection = self
+            .connections
+            .entry(address)
+            .or_insert_with(|| Arc::new(ControlConnection::new(address, CONNECT_TIMEOUT)));
+        Arc::clone(connection)
+    }
+
+    /// Goes on to the next control replica.
+    fn leave(&mut self, address: SocketAddr) {
+        let later = self.connections.range((
+            std::ops::Bound::Excluded(address),
+            std::ops::Bound::Unbounded,
+        ));
+        let next = later.map(|(address, _)| *address).next();
+        self.current = next.or_else(|| self.connections.keys().next().copied());
+    }
+
+    fn learn(&mut self, address: SocketAddr, reply: &WatchReply) {
+        self.zones.insert(address, reply.zone.clone());
+        let members: Vec<SocketAddr> = reply
+            .members
+            .iter()
+            .filter_map(|member| member.parse().ok())
+            .collect();
+        if members.is_empty() {
+            return;
+        }
+        self.connections
+            .retain(|known, _| members.contains(known) || *known == address);
+        self.zones.retain(|known, _| members.contains(known));
+        self.add(members);
+    }
+
+    /// Moves to a control replica of the router's zone, or to one whose zone is not known yet.
+    fn prefer_zone(&mut self, zone: &str, address: SocketAddr) {
+        if self.zones.get(&address).is_some_and(|known| known == zone) {
+            return;
+        }
+        let better = self.connections.keys().find(|candidate| {
+            let known = self.zones.get(*candidate);
+            **candidate != address && known.is_none_or(|known| known == zone)
+        });
+        if let Some(better) = better.copied() {
+            self.current = Some(better);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,44 @@
+//! The data plane for requests that are passed on as they are.
+//!
+//! An adapter turns callers' HTTP into [`ProxiedRequest`]s and a [`BackendProtocol`] turns
+//! dispatches into replicas' HTTP; everything between is decided here. The pure parts take time
+//! and randomness as arguments.
+//!
+//! | step | module | pure |
+//! |---|---|---|
+//! | is the configuration current? | [`lease`], [`control_watch`] keeps it | yes |
+//! | which route, tenant, limits? | [`admission`] | yes |
+//! | which service? | [`split`] | yes |
+//! | which replica? | [`choice`], with [`affinity`] and [`health`] | yes |
+//! | may it be tried again? | [`verdict`], [`budget`] | yes |
+//! | over which connection? | [`pool`] | |
+//! | one exchange | [`attempt`] | |
+//! | all exchanges of a request | [`pipeline`] | |
+//! | events of a stream | [`events`] (pure), [`stream`] | |
+
+pub mod admission;
+pub mod affinity;
+pub mod attempt;
+pub mod backend;
+pub mod budget;
+pub mod choice;
+pub mod control_watch;
+pub mod events;
+pub mod health;
+pub mod lease;
+pub mod metrics;
+pub mod pipeline;
+pub mod pool;
+pub mod refusal;
+pub mod replicas;
+pub mod request;
+pub mod split;
+pub mod state;
+pub mod stream;
+pub mod verdict;
+pub mod view;
+
+pub use backend::{AnswerHead, BackendProtocol, Dispatch};
+pub use pipeline::handle;
+pub use request::{PromptSegment, PromptShape, ProxiedRequest};
+pub use state::{ProxyOptions, ProxyState};
--- /dev/null
+++ b/crates/proxy/src/metrics.rs
@@ -0,0 +1,135 @@
+//! Counters of the data plane.
+
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// Labels of a count by outcome.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabels {
+    /// How it ended.
+    pub outcome: String,
+}
+
+/// Counters, gauges and histograms.
+#[derive(Clone, Debug)]
+pub struct ProxyMetrics {
+    /// Requests by outcome.
+    pub requests: Family<OutcomeLabels, Counter>,
+    /// Exchanges with replicas by outcome.
+    pub exchanges: Family<OutcomeLabels, Counter>,
+    /// Retries sent.
+    pub retries: Counter,
+    /// Retries that the budget did not allow.
+    pub retries_denied: Counter,
+    /// Streams continued at another replica.
+    pub resumed: Counter,
+    /// Prompt tokens sent, and those presumed to be cached.
+    pub prompt_tokens: Counter,
+    /// Prompt tokens that the chosen replica was presumed to keep.
+    pub presumed_cached_tokens: Counter,
+    /// Requests that are open.
+    pub open_requests: Gauge,
+    /// Version of the configuration in force.
+    pub revision: Gauge<u64, AtomicU64>,
+    /// Time since the configuration was known to be current, milliseconds.
+    pub lease_age_ms: Gauge<u64, AtomicU64>,
+    /// Seconds from a request to its answer's head or first event.
+    pub first_byte_seconds: Histogram,
+}
+
+impl Default for ProxyMetrics {
+    fn default() -> Self {
+        Self {
+            requests: Family::default(),
+            exchanges: Family::default(),
+            retries: Counter::default(),
+            retries_denied: Counter::default(),
+            resumed: Counter::default(),
+            prompt_tokens: Counter::default(),
+            presumed_cached_tokens: Counter::default(),
+            open_requests: Gauge::default(),
+            revision: Gauge::default(),
+            lease_age_ms: Gauge::default(),
+            first_byte_seconds: Histogram::new(exponential_buckets(0.005, 2.0, 12)),
+        }
+    }
+}
+
+impl ProxyMetrics {
+    /// Makes the counters visible.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register("proxy_requests", "Requests by outcome", self.requests.clone());
+        registry.register(
+            "proxy_exchanges",
+            "Exchanges with replicas by outcome",
+            self.exchanges.clone(),
+        );
+        registry.register("proxy_retries", "Retries sent", self.retries.clone());
+        registry.register(
+            "proxy_retries_denied",
+            "Retries that the budget did not allow",
+            self.retries_denied.clone(),
+        );
+        registry.register(
+            "proxy_streams_resumed",
+            "Streams continued at another replica",
+            self.resumed.clone(),
+        );
+        registry.register(
+            "proxy_prompt_tokens",
+            "Prompt tokens sent",
+            self.prompt_tokens.clone(),
+        );
+        registry.register(
+            "proxy_presumed_cached_tokens",
+            "Prompt tokens presumed to be cached where they were sent",
+            self.presumed_cached_tokens.clone(),
+        );
+        registry.register(
+            "proxy_open_requests",
+            "Requests that are open",
+            self.open_requests.clone(),
+        );
+        registry.register(
+            "proxy_configuration_revision",
+            "Version of the configuration in force",
+            self.revision.clone(),
+        );
+        registry.register(
+            "proxy_lease_age_ms",
+            "Time since the configuration was known to be current",
+            self.lease_age_ms.clone(),
+        );
+        registry.register(
+            "proxy_first_byte_seconds",
+            "Time to the head or first event of an answer",
+            self.first_byte_seconds.clone(),
+        );
+    }
+
+    /// Counts the end of a request.
+    pub fn request_ended(&self, outcome: &str) {
+        let labels = OutcomeLabels {
+            outcome: outcome.to_owned(),
+        };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Counts the end of an exchange.
+    pub fn exchange_ended(&self, outcome: &str) {
+        let labels = OutcomeLabels {
+            outcome: outcome.to_owned(),
+        };
+        self.exchanges.get_or_create(&labels).inc();
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/pool.rs
@@ -0,0 +1,237 @@
+//! Connections to one replica.
+//!
+//! A connection serves one request at a time. It goes back into the pool only after a whole answer
+//! that belongs to the request; dropped in any other state, it is closed at once, which also makes
+//! the replica stop working on the request.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    HeaderMap,
+    client::conn::http1::{self, SendRequest},
+    header::CONNECTION,
+};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{
+    net::TcpStream,
+    task::AbortHandle,
+    time::{Instant, timeout},
+};
+
+/// Time for a connection to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time after which a connection with unacknowledged bytes counts as broken.
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after which a silent connection is probed, and between probes.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
+/// Rest after which a connection is not taken up, if the replica states no time.
+const DEFAULT_REST: Duration = Duration::from_secs(2);
+/// Part of the time that a replica states in which a connection is taken up again.
+const REST_SHARE: f64 = 0.6;
+/// Longest rest after which a request that must not be lost goes over a kept connection.
+const FRESH_REST: Duration = Duration::from_millis(400);
+
+/// Why there is no connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoConnection {
+    /// The limit of open connections is reached.
+    Limit,
+    /// The replica cannot be reached.
+    Unreachable,
+}
+
+/// Connections to one replica that rest.
+#[derive(Debug, Default)]
+pub struct Pool {
+    resting: Mutex<Vec<Resting>>,
+    open: Arc<AtomicU32>,
+}
+
+#[derive(Debug)]
+struct Resting {
+    connection: Connection,
+    since: Instant,
+}
+
+/// One connection. Dropping it closes it.
+#[derive(Debug)]
+pub struct Connection {
+    /// Sends a request over it.
+    pub sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    open: Arc<AtomicU32>,
+    rest: Duration,
+    reused: bool,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+        self.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Connection {
+    /// Whether it has served a request before.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
+    /// Takes in what the head of an answer says of the connection; false if it is not to be used
+    /// again.
+    pub fn note_head(&mut self, headers: &HeaderMap) -> bool {
+        if let Some(rest) = stated_rest(headers) {
+            self.rest = rest.mul_f64(REST_SHARE);
+        }
+        let closes = headers
+            .get(CONNECTION)
+            .and_then(|value| value.to_str().ok())
+            .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
+        !closes
+    }
+}
+
+impl Pool {
+    /// Open connections, resting or in use.
+    pub fn open_connections(&self) -> u32 {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Whether a request would get a connection.
+    pub fn has_room(&self, limit: u32) -> bool {
+        self.open_connections() < limit || !self.resting().is_empty()
+    }
+
+    /// A connection: a resting one, or a new one if fewer than `limit` are open. A request that
+    /// must not be lost (`must_be_fresh`) is not sent over one that the replica may just be
+    /// closing.
+    pub async fn take(
+        &self,
+        address: SocketAddr,
+        limit: u32,
+        must_be_fresh: bool,
+    ) -> Result<Connection, NoConnection> {
+        if let Some(connection) = self.take_resting(must_be_fresh) {
+            return Ok(connection);
+        }
+        if self.open_connections() >= limit {
+            return Err(NoConnection::Limit);
+        }
+        self.connect(address).await
+    }
+
+    /// Takes a connection back after a whole answer.
+    pub fn put_back(&self, mut connection: Connection) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        connection.reused = true;
+        self.resting().push(Resting {
+            connection,
+            since: Instant::now(),
+        });
+    }
+
+    /// Closes connections that have rested for too long.
+    pub fn close_old(&self) {
+        self.resting()
+            .retain(|resting| resting.is_usable(resting.connection.rest));
+    }
+
+    fn take_resting(&self, must_be_fresh: bool) -> Option<Connection> {
+        let mut resting = self.resting();
+        while let Some(newest) = resting.pop() {
+            let rest = newest.connection.rest;
+            if newest.is_usable(if must_be_fresh { rest.min(FRESH_REST) } else { rest }) {
+                return Some(newest.connection);
+            }
+            if must_be_fresh && newest.is_usable(rest) {
+                // Still good for others.
+                resting.push(newest);
+                return None;
+            }
+        }
+        None
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, NoConnection> {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        let counted = OpenCount(Some(Arc::clone(&self.open)));
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+            .await
+            .map_err(|_| NoConnection::Unreachable)?
+            .map_err(|_| NoConnection::Unreachable)?;
+        set_options(&stream).map_err(|_| NoConnection::Unreachable)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_| NoConnection::Unreachable)?;
+        let task = tokio::spawn(async move {
+            // How it ended shows in the exchange that used it.
+            let _ = connection.await;
+        });
+        Ok(Connection {
+            sender,
+            task: task.abort_handle(),
+            open: counted.handed_on(),
+            rest: DEFAULT_REST,
+            reused: false,
+        })
+    }
+
+    fn resting(&self) -> MutexGuard<'_, Vec<Resting>> {
+        self.resting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Resting {
+    fn is_usable(&self, rest: Duration) -> bool {
+        !self.connection.sender.is_closed() && self.since.elapsed() < rest
+    }
+}
+
+/// Counts a connection that is being made, also if its maker is dropped.
+struct OpenCount(Option<Arc<AtomicU32>>);
+
+impl OpenCount {
+    fn handed_on(mut self) -> Arc<AtomicU32> {
+        self.0.take().unwrap_or_default()
+    }
+}
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        if let Some(open) = &self.0 {
+            open.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
+fn set_options(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_TIME)
+        .with_interval(KEEPALIVE_TIME);
+    socket.set_tcp_keepalive(&keepalive)
+}
+
+/// The time in `Keep-Alive: timeout=SECONDS`.
+fn stated_rest(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = text
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/proxy/src/replicas.rs
@@ -0,0 +1,158 @@
+//! What this router knows of each replica from its own requests.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use tokio::time::Instant;
+
+use crate::{
+    affinity::{PrefixPath, SentPrefixes},
+    choice::Candidate,
+    health::{ExchangeEnd, Health},
+    pool::Pool,
+    view::ServingView,
+};
+
+/// One life of a replica, as this router uses it.
+#[derive(Debug)]
+pub struct ReplicaUse {
+    /// Connections.
+    pub pool: Pool,
+    load: Mutex<Load>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    open_requests: u32,
+    unread_tokens: u64,
+    health: Health,
+}
+
+impl ReplicaUse {
+    fn new(now: Instant) -> Self {
+        Self {
+            pool: Pool::default(),
+            load: Mutex::new(Load {
+                open_requests: 0,
+                unread_tokens: 0,
+                health: Health::new(now),
+            }),
+        }
+    }
+
+    /// Whether the replica may be sent work now.
+    pub fn allows(&self, now: Instant) -> bool {
+        self.load().health.allows(now)
+    }
+
+    /// Fills in what is known of the replica's load.
+    pub fn describe(&self, candidate: Candidate, now: Instant) -> Candidate {
+        let load = self.load();
+        Candidate {
+            open_requests: load.open_requests,
+            unread_tokens: load.unread_tokens,
+            failure_rate: load.health.failure_rate(now),
+            ..candidate
+        }
+    }
+
+    /// Notes how an exchange ended.
+    pub fn note(&self, end: ExchangeEnd, now: Instant) {
+        self.load().health.note(end, now);
+    }
+
+    fn load(&self) -> MutexGuard<'_, Load> {
+        self.load.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request that is open at a replica; dropping it closes the account.
+#[derive(Debug)]
+pub struct OpenRequest {
+    replica: Arc<ReplicaUse>,
+    unread_tokens: u64,
+}
+
+impl OpenRequest {
+    /// Notes a request that is sent with a prompt of which `unread_tokens` must be read.
+    pub fn begin(replica: Arc<ReplicaUse>, unread_tokens: u64) -> Self {
+        {
+            let mut load = replica.load();
+            load.open_requests += 1;
+            load.unread_tokens += unread_tokens;
+        }
+        Self {
+            replica,
+            unread_tokens,
+        }
+    }
+
+    /// Notes that the prompt is read.
+    pub fn prompt_read(&mut self) {
+        let mut load = self.replica.load();
+        load.unread_tokens = load.unread_tokens.saturating_sub(self.unread_tokens);
+        self.unread_tokens = 0;
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.prompt_read();
+        let mut load = self.replica.load();
+        load.open_requests = load.open_requests.saturating_sub(1);
+    }
+}
+
+/// All replicas that this router uses.
+#[derive(Debug, Default)]
+pub struct ReplicaTable {
+    uses: HashMap<String, Arc<ReplicaUse>>,
+    sent: SentPrefixes,
+}
+
+impl ReplicaTable {
+    /// The account of a replica.
+    pub fn of(&mut self, replica: &str, now: Instant) -> Arc<ReplicaUse> {
+        let known = self.uses.get(replica);
+        if let Some(known) = known {
+            return Arc::clone(known);
+        }
+        let new = Arc::new(ReplicaUse::new(now));
+        self.uses.insert(replica.to_owned(), Arc::clone(&new));
+        new
+    }
+
+    /// What was sent where.
+    pub fn sent(&self) -> &SentPrefixes {
+        &self.sent
+    }
+
+    /// Notes that a replica reads a prompt.
+    pub fn note_sent(&mut self, replica: &str, path: &PrefixPath, now: Instant) {
+        self.sent.note(replica, path, now);
+    }
+
+    /// Forgets replicas that are gone, and what those keep that were given new weights.
+    pub fn follow(&mut self, before: &ServingView, after: &ServingView) {
+        self.uses
+            .retain(|replica, _| after.replicas.contains_key(replica));
+        for (replica, record) in &before.replicas {
+            let kept = after
+                .replicas
+                .get(replica)
+                .is_some_and(|now| now.weights == record.weights);
+            if !kept {
+                self.sent.forget(replica);
+            }
+        }
+    }
+
+    /// Closes connections that have rested for too long.
+    pub fn close_old(&self) {
+        for replica in self.uses.values() {
+            replica.pool.close_old();
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/state.rs
@@ -0,0 +1,150 @@
+//! What the tasks of a router share.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use railtack_serving::{Bounds, CallerLimits};
+use tokio::{sync::watch, time::Instant};
+
+use crate::{
+    backend::BackendProtocol,
+    budget::{BudgetRule, RetryBudget},
+    lease::Lease,
+    metrics::ProxyMetrics,
+    replicas::ReplicaTable,
+    split::Splitter,
+    view::ServingView,
+};
+
+/// Where a router runs and what it is told.
+#[derive(Clone, Debug)]
+pub struct ProxyOptions {
+    /// Name of the machine.
+    pub node: String,
+    /// Zone.
+    pub zone: String,
+    /// Internal addresses of some control replicas.
+    pub control: Vec<SocketAddr>,
+    /// Bounds of the deployment.
+    pub bounds: Bounds,
+}
+
+/// State of a router.
+pub struct ProxyState {
+    /// Options.
+    pub options: ProxyOptions,
+    /// The language of back ends.
+    pub backend: Box<dyn BackendProtocol>,
+    /// What is served from.
+    pub view: ArcSwap<ServingView>,
+    /// Whether it is current.
+    pub lease: Mutex<Lease>,
+    /// Replicas as this router uses them.
+    pub replicas: Mutex<ReplicaTable>,
+    /// Division of routes among services.
+    pub splitter: Mutex<Splitter>,
+    /// Counters.
+    pub metrics: ProxyMetrics,
+    /// Routers that are alive; 0 while unknown.
+    pub routers: AtomicU32,
+    budgets: Mutex<HashMap<String, RetryBudget>>,
+    changed: watch::Sender<u64>,
+    stopping: AtomicBool,
+}
+
+/// Locks a mutex; a panic elsewhere while it was held does not stop the router.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl ProxyState {
+    /// State of a router that knows nothing yet.
+    pub fn new(options: ProxyOptions, backend: Box<dyn BackendProtocol>) -> Arc<Self> {
+        let bounds = options.bounds;
+        let revoke = Duration::from_millis(bounds.revoke_ms);
+        let (changed, _) = watch::channel(0);
+        Arc::new(Self {
+            lease: Mutex::new(Lease::new(revoke, bounds.fail_closed)),
+            options,
+            backend,
+            view: ArcSwap::default(),
+            replicas: Mutex::default(),
+            splitter: Mutex::default(),
+            metrics: ProxyMetrics::default(),
+            routers: AtomicU32::new(0),
+            budgets: Mutex::default(),
+            changed,
+            stopping: AtomicBool::new(false),
+        })
+    }
+
+    /// Replaces the view by a newer one.
+    pub fn set_view(&self, next: ServingView) {
+        let before = self.view.load_full();
+        lock(&self.replicas).follow(&before, &next);
+        let known = next.known;
+        self.view.store(Arc::new(next));
+        self.changed.send_replace(known);
+    }
+
+    /// Tells of each new view.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Whether the configuration may be served from now.
+    pub fn is_confirmed(&self) -> bool {
+        let held = self.view.load().table.is_some();
+        held && lock(&self.lease).is_valid(Instant::now())
+    }
+
+    /// Whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.is_confirmed() && !self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Begins a planned stop.
+    pub fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// What callers may send now.
+    pub fn caller_limits(&self) -> CallerLimits {
+        let view = self.view.load();
+        let table = view.table.as_ref();
+        table.map_or_else(CallerLimits::default, |table| table.configuration().limits)
+    }
+
+    /// Notes a first arrival at a service.
+    pub fn earn_retry(&self, service: &str) {
+        self.with_budget(service, RetryBudget::earn);
+    }
+
+    /// Takes a retry from a service's budget.
+    pub fn spend_retry(&self, service: &str) -> bool {
+        let routers = self.routers.load(Ordering::Relaxed);
+        self.with_budget(service, |budget| budget.spend(routers, Instant::now()))
+    }
+
+    fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let bounds = self.options.bounds;
+        let rule = BudgetRule {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: Duration::from_millis(bounds.retry_window_ms),
+        };
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets
+            .entry(service.to_owned())
+            .or_insert_with(|| RetryBudget::new(rule, Instant::now()));
+        act(budget)
+    }
+}
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -5,7 +5,7 @@
 use hyper::{Response, header::HeaderValue};
 use railtack_core::RequestId;
 use railtack_http::{Body, body, streaming};
-use railtack_platform::StreamEnd;
+use railtack_backend_api::StreamEnd;
 use serde::Serialize;
 use tokio::sync::mpsc;
 
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -3,7 +3,7 @@
 //! Pure: the daemon and the simulator feed it how each attempt ended.
 
 use railtack_core::{Execution, RefusalCode};
-use railtack_platform::StreamEnd;
+use railtack_backend_api::StreamEnd;
 
 use crate::refusal::Refusal;
 
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -15,7 +15,7 @@
     AttemptId, CacheNamespace, EngineIncarnation, PrefixChain, RequestId, TemplateName, TenantName,
 };
 use railtack_http::{SendError, lines, read_body};
-use railtack_platform::{EngineError, EngineRefusal, EngineRequest, Hex, StreamFrame};
+use railtack_backend_api::{EngineError, EngineRefusal, EngineRequest, Hex, StreamFrame};
 use railtack_routing::{Decision, EngineSlot, ModelKey, RequestShape};
 use railtack_settings::documents::Priority;
 use tokio::{
--- a/crates/router/src/engine_link.rs
+++ b/crates/router/src/engine_link.rs
@@ -13,7 +13,7 @@
 use hyper::Request;
 use railtack_core::{BlockHash, EngineId, EngineIncarnation};
 use railtack_http::lines;
-use railtack_platform::{
+use railtack_backend_api::{
     CacheListing, EngineEvent, EngineEventKind, EngineStatus, Hex, MachineKind, MachineList,
 };
 use railtack_routing::engines::{CacheKnowledge, EngineDescription, EngineSlot, ModelKey};
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -70,6 +70,7 @@
             head_timeout: Duration::from_millis(limits.receive_timeout_ms),
             linger: railtack_http::server::LINGER,
             drain: Duration::from_millis(state.settings.drain_ms),
+            ..ServeOptions::default()
         };
         tokio::spawn(control_link::keep_current(Arc::clone(&state)));
         tokio::spawn(engine_link::follow_platform(Arc::clone(&state)));
--- a/crates/routing/src/engines.rs
+++ b/crates/routing/src/engines.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use railtack_core::{EngineId, EngineIncarnation, ModelName, WeightsVersion, ZoneName};
-use railtack_platform::LoadReport;
+use railtack_backend_api::LoadReport;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{Micros, breaker::CircuitBreaker};
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -6,7 +6,7 @@
 use railtack_core::{
     BlockHash, CacheNamespace, EngineId, EngineIncarnation, ModelName, PrefixChain, WeightsVersion,
 };
-use railtack_platform::LoadReport;
+use railtack_backend_api::LoadReport;
 use railtack_routing::{
     EngineSlot, ModelKey, PrefixIndex, RequestShape, Scheduler, SchedulerOptions,
     engines::{CacheKnowledge, EngineDescription},
--- a/crates/rpc/src/connection.rs
+++ b/crates/rpc/src/connection.rs
@@ -16,6 +16,8 @@
     service::{ControlClient, ControlRequest, ControlResponse},
 };
 
+/// Time after which a connection with unacknowledged bytes counts as broken.
+const USER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Requests that may wait on one connection.
 const PENDING_REQUESTS: usize = 1024;
 
@@ -103,6 +105,10 @@
             .change_context(unreachable)?
             .change_context(unreachable)?;
         stream.set_nodelay(true).change_context(unreachable)?;
+        // A machine that falls silent resets nothing; unacknowledged bytes must not wait for it.
+        socket2::SockRef::from(&stream)
+            .set_tcp_user_timeout(Some(USER_TIMEOUT))
+            .change_context(unreachable)?;
         let codec = ClientCodec::<ControlRequest, ControlResponse>::default();
         let mut config = client::Config::default();
         config.max_in_flight_requests = PENDING_REQUESTS;
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod connection;
 pub mod protocol;
 pub mod service;
+pub mod serving;
 
 pub use connection::{ConnectionError, ControlConnection, call_deadline};
 pub use service::{Control, ControlClient};
--- a/crates/rpc/src/protocol.rs
+++ b/crates/rpc/src/protocol.rs
@@ -53,6 +53,8 @@
         /// What it is to do.
         order: EngineOrder,
     },
+    /// Changes what routers serve from.
+    Serving(crate::serving::ServingCommand),
     /// Changes nothing; its outcome proves that the state was current when it was applied.
     Barrier,
 }
@@ -157,6 +159,8 @@
         /// Larger than every token drawn before.
         token: u64,
     },
+    /// The answer to a change of what routers serve from.
+    Serving(crate::serving::ServingOutcome),
     /// The barrier was applied.
     Current,
 }
--- a/crates/rpc/src/service.rs
+++ b/crates/rpc/src/service.rs
@@ -7,6 +7,9 @@
     Configuration, MembershipChange, MembershipReply, PollReply, PollRequest, Proposal,
     ProposeReply, ReplicaIdentity, StatusReply,
 };
+use crate::serving::{
+    AliveNotice, AliveReply, JoinReply, JoinRequest, ReadIndexReply, WatchReply, WatchRequest,
+};
 
 /// Calls between routers, operators and control replicas.
 #[tarpc::service(derive = [Clone, Readable, Writable])]
@@ -26,6 +29,14 @@
     async fn status() -> StatusReply;
     /// Changes the set of control replicas.
     async fn change_membership(change: MembershipChange) -> MembershipReply;
+    /// Tells a router what changed, holding the answer until something does.
+    async fn watch(request: WatchRequest) -> WatchReply;
+    /// Makes the sender a member of the group.
+    async fn join(request: JoinRequest) -> JoinReply;
+    /// Tells how far a reader must have applied the log to know everything committed by now.
+    async fn read_index() -> ReadIndexReply;
+    /// Passes on signs of life of back-end replicas.
+    async fn alive(notice: AliveNotice) -> AliveReply;
     /// Writes a snapshot now; answers with the position it covers.
     async fn snapshot() -> u64;
 }
--- /dev/null
+++ b/crates/serving/src/lib.rs
@@ -0,0 +1,20 @@
+//! What the data plane serves from, independent of how operators wrote it down.
+//!
+//! Whole documents and templates both come to a [`ServingConfiguration`]. The replicated state of
+//! the control group keeps it beside the [`ReplicaRecord`]s of back ends and the weights that
+//! operators named; routers hold copies. There is no I/O and no clock in this crate.
+
+pub mod configuration;
+pub mod errors;
+pub mod lookup;
+pub mod registry;
+pub mod settings;
+
+pub use configuration::{
+    CallerLimits, EngineShape, RequestKind, Route, ServiceShape, ServingConfiguration, StoreShape,
+    TenantShape, WeightedService,
+};
+pub use errors::ConfigurationError;
+pub use lookup::{KeyOwner, RouteTable};
+pub use registry::{HeldWeights, PendingOrder, ReplicaRecord, ReplicaState};
+pub use settings::{Bounds, FaultTolerance};
--- /dev/null
+++ b/crates/serving/src/registry.rs
@@ -0,0 +1,63 @@
+//! Back-end replicas as the control group records them.
+
+use speedy::{Readable, Writable};
+
+/// Whether a replica may get new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub enum ReplicaState {
+    /// It takes work.
+    Ready,
+    /// It has said that it leaves; this is never taken back within one life.
+    Leaving,
+}
+
+/// Weights that a replica holds.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct HeldWeights {
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: u64,
+}
+
+/// An order for new weights that the replica may be carrying out.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct PendingOrder {
+    /// Model.
+    pub model: String,
+    /// Version to change to.
+    pub version: u64,
+}
+
+/// One life of a back-end replica.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct ReplicaRecord {
+    /// Identity of this life; a restart has another.
+    pub id: String,
+    /// Service that it belongs to.
+    pub service: String,
+    /// `ip:port` of its HTTP interface.
+    pub address: String,
+    /// Zone.
+    pub zone: String,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Whether it may get new work.
+    pub state: ReplicaState,
+    /// Weights that it was last known to hold.
+    pub weights: Vec<HeldWeights>,
+    /// Set while an order may be under way; such a replica gets no new work.
+    pub order: Option<PendingOrder>,
+    /// Log position of the last change of this record.
+    pub changed_at: u64,
+}
+
+impl ReplicaRecord {
+    /// Version of a model's weights that this replica holds.
+    pub fn version_of(&self, model: &str) -> Option<u64> {
+        self.weights
+            .iter()
+            .find(|held| held.model == model)
+            .map(|held| held.version)
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod control;
 pub mod daemon;
+pub mod deployment;
 pub mod documents;
 pub mod emulator;
 pub mod load;
@@ -10,6 +11,7 @@
 pub mod router;
 
 pub use control::ControlSettings;
+pub use deployment::NodeSettings;
 pub use documents::{Document, DocumentError, Template, Tenant};
 pub use load::{SettingsError, Validate, Violation, load_settings, parse_settings};
 pub use router::RouterSettings;
--- a/crates/storage/src/media.rs
+++ b/crates/storage/src/media.rs
@@ -20,6 +20,8 @@
     fn create(&self, name: &str) -> io::Result<Box<dyn SegmentFile>>;
     /// Reads a whole file.
     fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+    /// Makes everything that a file holds durable, whoever wrote it.
+    fn sync_file(&self, name: &str) -> io::Result<()>;
     /// Names of all files, sorted.
     fn list(&self) -> io::Result<Vec<String>>;
     /// Gives a file another name, replacing what was there.
@@ -60,6 +62,10 @@
         fs::read(self.folder.join(name))
     }
 
+    fn sync_file(&self, name: &str) -> io::Result<()> {
+        File::open(self.folder.join(name))?.sync_all()
+    }
+
     fn list(&self) -> io::Result<Vec<String>> {
         let mut names = Vec::new();
         for entry in fs::read_dir(&self.folder)? {
--- a/crates/storage/src/memory.rs
+++ b/crates/storage/src/memory.rs
@@ -112,6 +112,17 @@
             .ok_or_else(|| io::ErrorKind::NotFound.into())
     }
 
+    fn sync_file(&self, name: &str) -> io::Result<()> {
+        let mut folder = self.lock();
+        if folder.ignore_syncs {
+            return Ok(());
+        }
+        if let Some(file) = folder.files.get_mut(name) {
+            file.synced = file.content.len();
+        }
+        Ok(())
+    }
+
     fn list(&self) -> io::Result<Vec<String>> {
         Ok(self.lock().files.keys().cloned().collect())
     }
--- a/crates/storage/src/record.rs
+++ b/crates/storage/src/record.rs
@@ -29,6 +29,25 @@
     (xxh3_64(payload) == checksum).then_some(payload)
 }
 
+/// Adds a payload to a batch: the payloads of one sync share a record, so that a write that a loss
+/// of power tore comes back as one torn record and never as whole ones behind a torn one.
+pub(crate) fn add_to_batch(payload: &[u8], batch: &mut Vec<u8>) {
+    batch.extend_from_slice(&(payload.len() as u32).to_le_bytes());
+    batch.extend_from_slice(payload);
+}
+
+/// The payloads of a batch, in order.
+pub(crate) fn payloads(mut batch: &[u8]) -> Vec<&[u8]> {
+    let mut payloads = Vec::new();
+    while let Some((size, rest)) = batch.split_first_chunk::<4>() {
+        let length = (u32::from_le_bytes(*size) as usize).min(rest.len());
+        let (payload, remaining) = rest.split_at(length);
+        payloads.push(payload);
+        batch = remaining;
+    }
+    payloads
+}
+
 /// Whether a whole record begins anywhere after the first byte.
 pub(crate) fn whole_record_follows(bytes: &[u8]) -> bool {
     (1..bytes.len())
--- a/crates/storage/src/wal.rs
+++ b/crates/storage/src/wal.rs
@@ -48,6 +48,8 @@
         let mut records = Vec::new();
         let mut previous = None;
         for name in &names {
+            // What a killed process wrote and did not sync is read here, and counts from now on.
+            media.sync_file(name).change_context(io_error("sync", name))?;
             let bytes = media.read(name).change_context(io_error("read", name))?;
             let segment = read_segment(name, &bytes)?;
             require_whole_predecessor(previous.as_ref(), &segment)?;
@@ -59,7 +61,7 @@
         let segment = create_segment(media.as_ref(), segment_number)?;
         let mut pending = Vec::new();
         if let Some(header) = header {
-            record::encode(&header.encode(), &mut pending);
+            record::add_to_batch(&header.encode(), &mut pending);
         }
         let log = Self {
             media,
@@ -82,7 +84,7 @@
                 limit: record::PAYLOAD_LIMIT,
             }));
         }
-        record::encode(payload, &mut self.pending);
+        record::add_to_batch(payload, &mut self.pending);
         Ok(())
     }
 
@@ -112,13 +114,15 @@
 
     fn write_pending(&mut self) -> Result<(), Report<StorageError>> {
         let name = segment_name(self.segment_number);
+        let mut framed = Vec::with_capacity(self.pending.len() + record::HEADER_BYTES);
+        record::encode(&self.pending, &mut framed);
         self.segment
-            .append(&self.pending)
+            .append(&framed)
             .change_context(io_error("append", &name))?;
         self.segment
             .sync()
             .change_context(io_error("sync", &name))?;
-        self.segment_size += self.pending.len();
+        self.segment_size += framed.len();
         self.pending.clear();
         self.rotate_if_full()
     }
@@ -135,7 +139,7 @@
         self.pending.clear();
         self.begin_segment()?;
         for payload in records {
-            record::encode(payload, &mut self.pending);
+            record::add_to_batch(payload, &mut self.pending);
         }
         self.write_pending()?;
         for name in old_names {
@@ -156,7 +160,7 @@
         self.segment_number += 1;
         self.segment = create_segment(self.media.as_ref(), self.segment_number)?;
         self.segment_size = 0;
-        record::encode(&header.encode(), &mut self.pending);
+        record::add_to_batch(&header.encode(), &mut self.pending);
         Ok(())
     }
 
@@ -226,12 +230,14 @@
         whole_size: 0,
     };
     let mut offset = 0;
-    while let Some(payload) = record::decode(&bytes[offset..]) {
-        match SegmentHeader::decode(payload) {
-            Some(header) if offset == 0 => content.header = Some(header),
-            _ => content.records.push(payload.to_vec()),
+    while let Some(batch) = record::decode(&bytes[offset..]) {
+        for (position, payload) in record::payloads(batch).into_iter().enumerate() {
+            match SegmentHeader::decode(payload) {
+                Some(header) if offset == 0 && position == 0 => content.header = Some(header),
+                _ => content.records.push(payload.to_vec()),
+            }
         }
-        offset += record::HEADER_BYTES + payload.len();
+        offset += record::HEADER_BYTES + batch.len();
     }
     if record::whole_record_follows(&bytes[offset..]) {
         return Err(damaged(name, offset as u64));
--- a/crates/storage/tests/recovery.rs
+++ b/crates/storage/tests/recovery.rs
@@ -131,3 +131,45 @@
     media.crash(3);
     assert_eq!(store.load().expect("load"), Some(b"first".to_vec()));
 }
+
+/// A process is killed between a write and its sync; the next one reads the record and goes on
+/// from it. A loss of power after that must not take the record back.
+#[test]
+fn what_was_read_at_open_survives_a_loss_of_power() {
+    let media = MemoryMedia::default();
+    let (mut log, _) = open(&media);
+    log.append(b"first").expect("append");
+    media.fail_syncs(true);
+    assert!(log.sync().is_err());
+    drop(log);
+    media.fail_syncs(false);
+    let (_, read) = open(&media);
+    assert_eq!(read, vec![b"first".to_vec()]);
+    media.crash(0);
+    assert_eq!(open(&media).1, read);
+}
+
+/// Records of one sync are one write, of which a loss of power may spoil any part.
+#[test]
+fn a_spoilt_unsynced_batch_is_a_torn_tail() {
+    let batch = || {
+        let media = MemoryMedia::default();
+        write_all(&media, &[b"synced".to_vec()]);
+        let (mut log, _) = open(&media);
+        for record in 0..3_u8 {
+            log.append(&[record; 20]).expect("append");
+        }
+        media.fail_syncs(true);
+        assert!(log.sync().is_err());
+        media.fail_syncs(false);
+        media
+    };
+    let name = "wal-0000000000000002";
+    let length = batch().read(name).expect("segment").len();
+    for offset in 0..length {
+        let media = batch();
+        media.damage(name, offset);
+        let (_, read) = open(&media);
+        assert_eq!(read, vec![b"synced".to_vec()], "byte {offset}");
+    }
+}
