--- a/crates/control/src/serving/orders.rs
+++ b/crates/control/src/serving/orders.rs
@@ -20,7 +20,7 @@
 use crate::{
     serving::{
         leader::LeaderLink,
-        weights::{RolloutFacts, RolloutStep, next_steps},
+        weights::{NamedVersion, RolloutFacts, RolloutStep, next_steps},
     },
     view::NodeView,
 };
@@ -38,6 +38,13 @@
 /// Time between recording an order and giving it, in which routers learn of it.
 const NOTICE_TIME: Duration = Duration::from_millis(30);
 
+/// Part of the bound on versions that a load is assumed to take before one was measured.
+const LOAD_SHARE_ASSUMED: f64 = 0.25;
+/// Weight of the newest load in the estimate.
+const NEWEST_WEIGHT: f64 = 0.3;
+/// Named versions whose age is remembered.
+const VERSIONS_KEPT: usize = 64;
+
 /// An order with everything that the back end needs to judge it.
 #[derive(Clone, Debug)]
 pub struct OrderRequest {
@@ -109,6 +116,8 @@
         right: None,
         given: HashMap::new(),
         named: BTreeMap::new(),
+        begun: HashMap::new(),
+        load_ms: bounds.version_ms as f64 * LOAD_SHARE_ASSUMED,
     };
     loop {
         let busy = rollout.look().await;
@@ -133,27 +142,30 @@
     right: Option<Right>,
     /// When each replica was last given an order.
     given: HashMap<String, Instant>,
-    /// The version of each model last seen to be named, and when.
-    named: BTreeMap<String, (u64, Instant)>,
+    /// The versions of each model seen to be named, and when.
+    named: BTreeMap<String, Vec<(u64, Instant)>>,
+    /// When each order under way was recorded.
+    begun: HashMap<String, Instant>,
+    /// Time that replicas lately took to change, milliseconds.
+    load_ms: f64,
 }
 
 impl Rollout {
     /// One look; true if a rollout is under way.
     async fn look(&mut self) -> bool {
         let view = self.link.view();
+        // Also while another replica leads: the next leader needs the ages.
+        self.note_named(&view);
+        self.note_loads(&view);
         if !view.leads {
             self.right = None;
             return false;
         }
-        self.note_named(&view);
-        let named_for_ms = self
-            .named
-            .iter()
-            .map(|(model, (_, at))| (model.clone(), at.elapsed().as_millis() as u64))
-            .collect();
+        let named = self.named_versions();
         let facts = RolloutFacts {
-            named_for_ms: &named_for_ms,
+            named: &named,
             version_ms: self.bounds.version_ms,
+            load_ms: self.load_ms as u64,
         };
         let steps = next_steps(&view.serving, facts);
         if steps.is_empty() {
@@ -178,10 +190,45 @@
 
     fn note_named(&mut self, view: &NodeView) {
         for (model, version) in view.serving.weights() {
-            let known = self.named.get(model).map(|(version, _)| *version);
-            if known != Some(*version) {
-                self.named
-                    .insert(model.clone(), (*version, Instant::now()));
+            let versions = self.named.entry(model.clone()).or_default();
+            if versions.last().is_none_or(|(last, _)| last < version) {
+                versions.push((*version, Instant::now()));
+            }
+            let surplus = versions.len().saturating_sub(VERSIONS_KEPT);
+            versions.drain(..surplus);
+        }
+    }
+
+    fn named_versions(&self) -> BTreeMap<String, Vec<NamedVersion>> {
+        let now = Instant::now();
+        let age = |(version, at): &(u64, Instant)| NamedVersion {
+            version: *version,
+            age_ms: now.duration_since(*at).as_millis() as u64,
+        };
+        self.named
+            .iter()
+            .map(|(model, versions)| (model.clone(), versions.iter().map(age).collect()))
+            .collect()
+    }
+
+    /// Measures how long replicas take from a recorded order to their new weights.
+    fn note_loads(&mut self, view: &NodeView) {
+        let now = Instant::now();
+        let replicas = view.serving.replicas();
+        for record in replicas.values().filter(|record| record.order.is_some()) {
+            self.begun.entry(record.id.clone()).or_insert(now);
+        }
+        let ended: Vec<String> = self
+            .begun
+            .keys()
+            .filter(|id| replicas.get(*id).is_none_or(|record| record.order.is_none()))
+            .cloned()
+            .collect();
+        for id in ended {
+            let begun = self.begun.remove(&id);
+            let took = begun.map(|at| now.duration_since(at).as_millis() as f64);
+            if let Some(took) = took.filter(|_| replicas.contains_key(&id)) {
+                self.load_ms += (took - self.load_ms) * NEWEST_WEIGHT;
             }
         }
     }
--- a/crates/control/src/serving/weights.rs
+++ b/crates/control/src/serving/weights.rs
@@ -9,8 +9,12 @@
 
 use crate::serving_state::ServingState;
 
-/// Of a model's replicas, one in this many loads weights at a time when there is time enough.
-const REPLICAS_PER_LOAD: usize = 4;
+/// Of a model's replicas, at least one in this many may load at a time.
+const MOST_REPLICAS_PER_LOAD: usize = 4;
+/// Of a model's replicas, at most one in this many load at a time.
+const FEWEST_REPLICAS_PER_LOAD: usize = 2;
+/// Part of the bound within which every replica should have changed.
+const PLANNED_SHARE: f64 = 0.75;
 
 /// One thing to do for one replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,13 +36,38 @@
     },
 }
 
+/// A version that operators named.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NamedVersion {
+    /// The version.
+    pub version: u64,
+    /// Time since it was seen to be named, milliseconds.
+    pub age_ms: u64,
+}
+
 /// What is known besides the replicated state.
 #[derive(Clone, Copy, Debug)]
 pub struct RolloutFacts<'a> {
-    /// Time since each model's present version was seen to be named, milliseconds.
-    pub named_for_ms: &'a BTreeMap<String, u64>,
+    /// Versions of each model that were named lately.
+    pub named: &'a BTreeMap<String, Vec<NamedVersion>>,
     /// Time in which requests must stop starting on older weights, milliseconds.
     pub version_ms: u64,
+    /// Time that a replica lately took from its order to its new weights, milliseconds.
+    pub load_ms: u64,
+}
+
+impl RolloutFacts<'_> {
+    /// Time left until a replica that holds `held` should have newer weights, milliseconds.
+    fn time_left_ms(&self, model: &str, held: u64) -> u64 {
+        let newer = self.named.get(model).into_iter().flatten();
+        let oldest_age = newer
+            .filter(|named| named.version > held)
+            .map(|named| named.age_ms)
+            .max()
+            .unwrap_or(0);
+        let planned = (self.version_ms as f64 * PLANNED_SHARE) as u64;
+        planned.saturating_sub(oldest_age)
+    }
 }
 
 /// What to do now, for all models.
@@ -65,6 +94,7 @@
     let mut under_way = 0;
     let mut waiting = Vec::new();
     for record in &holders {
+        let held = record.version_of(model).unwrap_or(0);
         match &record.order {
             Some(order) if order.model == model => {
                 under_way += 1;
@@ -74,14 +104,20 @@
                 });
             }
             Some(_) => under_way += 1,
-            None if record.version_of(model) < Some(version) => waiting.push(record),
+            None if held < version => waiting.push((held, *record)),
             None => {}
         }
     }
-    let named_for_ms = facts.named_for_ms.get(model).copied().unwrap_or(0);
-    let limit = loads_at_once(holders.len(), named_for_ms, facts.version_ms);
+    // Those with the oldest weights are the first that may not be used any more.
+    waiting.sort_by_key(|(held, _)| *held);
+    let Some((oldest, _)) = waiting.first() else {
+        return;
+    };
+    let time_left_ms = facts.time_left_ms(model, *oldest);
+    let left = under_way + waiting.len();
+    let limit = loads_at_once(holders.len(), left, time_left_ms, facts.load_ms);
     let free = limit.saturating_sub(under_way);
-    for record in waiting.into_iter().take(free) {
+    for (_, record) in waiting.into_iter().take(free) {
         steps.push(RolloutStep::Begin {
             replica: record.id.clone(),
             order: PendingOrder {
@@ -92,17 +128,15 @@
     }
 }
 
-/// Replicas that may load at the same time: a quarter at first, half once half of the time is
-/// gone; with two replicas or more, one always serves.
-fn loads_at_once(replicas: usize, named_for_ms: u64, version_ms: u64) -> usize {
-    let share = if named_for_ms * 2 < version_ms {
-        REPLICAS_PER_LOAD
-    } else {
-        REPLICAS_PER_LOAD / 2
-    };
+/// Replicas that may load at the same time: as many as it takes to be done in time, within limits;
+/// with two replicas or more, one always serves.
+fn loads_at_once(replicas: usize, left: usize, time_left_ms: u64, load_ms: u64) -> usize {
+    let waves = (time_left_ms / load_ms.max(1)).max(1) as usize;
+    let least = replicas.div_ceil(MOST_REPLICAS_PER_LOAD);
+    let most = replicas.div_ceil(FEWEST_REPLICAS_PER_LOAD);
     let spared = usize::from(replicas > 1);
-    replicas
-        .div_ceil(share)
+    left.div_ceil(waves)
+        .clamp(least, most)
         .min(replicas.saturating_sub(spared))
         .max(1)
 }
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -35,6 +35,8 @@
     pub usage: Arc<ReplicaUse>,
     /// Connections that this router may open to it.
     pub connection_limit: u32,
+    /// A replica that is likely to keep more of the prompt's beginning.
+    pub fetch_from: Option<Arc<ReplicaRecord>>,
 }
 
 /// An answer whose head has come.
--- a/crates/proxy/src/choice.rs
+++ b/crates/proxy/src/choice.rs
@@ -6,12 +6,14 @@
 
 /// Cost of leaving the router's zone.
 const OTHER_ZONE_COST: f64 = 0.06;
+/// Cost of a replica that is not the favoured one: what it lacks is fetched or read again.
+const STRANGER_COST: f64 = 0.15;
 /// Cost of a replica whose recent exchanges all failed.
 const FAILURE_COST: f64 = 2.0;
 /// Weight of the prompt tokens that must be read, as shares of a replica's memory.
 const READING_WEIGHT: f64 = 3.0;
 /// Share of a prompt's beginning that the favoured replica is presumed to keep.
-const PRESUMED_KEPT: f64 = 0.5;
+const PRESUMED_KEPT: f64 = 0.9;
 
 /// What is known of one replica that may run the request.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -64,7 +66,12 @@
     let routers = f64::from(size.routers.max(1));
     let busy = f64::from(candidate.open_requests) * routers.sqrt() / f64::from(candidate.slots.max(1));
     let zone = if candidate.same_zone { 0.0 } else { OTHER_ZONE_COST };
-    busy + reading(candidate, size) + zone + candidate.failure_rate * FAILURE_COST
+    let stranger = if size.shared_tokens > 0 && !candidate.favoured {
+        STRANGER_COST
+    } else {
+        0.0
+    };
+    busy + reading(candidate, size) + zone + stranger + candidate.failure_rate * FAILURE_COST
 }
 
 fn reading(candidate: &Candidate, size: RequestSize) -> f64 {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,7 +9,7 @@
 //! | is the configuration current? | [`lease`], [`control_watch`] keeps it | yes |
 //! | which route, tenant, limits? | [`admission`] | yes |
 //! | which service? | [`split`] | yes |
-//! | which replica? | [`choice`], with [`affinity`] and [`health`] | yes |
+//! | which replica? | [`choice`], with [`affinity`], [`health`] and [`named`] | yes |
 //! | may it be tried again? | [`verdict`], [`budget`] | yes |
 //! | over which connection? | [`pool`] | |
 //! | one exchange | [`attempt`] | |
@@ -27,6 +27,7 @@
 pub mod health;
 pub mod lease;
 pub mod metrics;
+pub mod named;
 pub mod pipeline;
 pub mod pool;
 pub mod refusal;
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -15,7 +15,7 @@
     choice::{self, Candidate, RequestSize},
     health::ExchangeEnd,
     refusal::RefusalReason,
-    replicas::OpenRequest,
+    replicas::{OpenRequest, ReplicaTable},
     request::ProxiedRequest,
     state::{ProxyState, lock},
     stream,
@@ -217,6 +217,10 @@
             priority: self.admitted.priority,
             expected_weights: self.expected_weights(&target.record),
             cache_namespace: namespace.as_deref(),
+            fetch_from: target
+                .fetch_from
+                .as_ref()
+                .map(|source| source.address.as_str()),
             last_event,
         };
         let must_be_fresh = !self.admitted.route.kind.may_repeat();
@@ -351,14 +355,15 @@
         let mut targets = Vec::new();
         let mut candidates = Vec::new();
         let limit = self.connection_limit(configuration);
+        let oldest = self.oldest_usable_weights();
         let ready: Vec<&Arc<ReplicaRecord>> = view
             .ready(&self.service)
             .filter(|record| record.order.is_none() && !self.tried.contains(&record.id))
-            .filter(|record| self.serves_model(record))
+            .filter(|record| self.serves_model(record, oldest))
             .collect();
         let favoured = self.favoured(&ready);
         let capacity = self.capacity_tokens(configuration);
-        for record in ready {
+        for record in ready.iter().copied() {
             let usage = table.of(&record.id, now);
             if !usage.allows(now) || !usage.pool.has_room(limit) {
                 continue;
@@ -376,37 +381,86 @@
                 record: Arc::clone(record),
                 usage,
                 connection_limit: limit,
+                fetch_from: None,
             });
         }
-        drop(table);
         let size = RequestSize {
             prompt_tokens: self.path.prompt_tokens,
             shared_tokens: self.path.shared_tokens(),
             routers: self.routers(),
         };
         let (position, cost) = choice::choose(&candidates, size, rand::random())?;
-        let target = targets.swap_remove(position);
+        let mut target = targets.swap_remove(position);
+        target.fetch_from = self.fetch_source(&ready, &mut table, &target.record);
+        drop(table);
         self.log
             .chose(&target, candidates[position].known_tokens, cost, view.known);
         Some(target)
     }
 
-    /// Whether a replica holds the model that the request names.
-    fn serves_model(&self, record: &ReplicaRecord) -> bool {
+    fn oldest_usable_weights(&self) -> u64 {
+        let prompt = self.request.prompt.as_ref();
+        prompt.map_or(0, |prompt| self.state.oldest_usable_weights(&prompt.model))
+    }
+
+    /// Whether a replica holds the model that the request names, in weights that may be used.
+    fn serves_model(&self, record: &ReplicaRecord, oldest: u64) -> bool {
         let Some(prompt) = &self.request.prompt else {
             return true;
         };
-        record.weights.is_empty() || record.version_of(&prompt.model).is_some()
+        let held = record.version_of(&prompt.model);
+        record.weights.is_empty() || held.is_some_and(|held| held >= oldest)
     }
 
+    /// The replica at which requests with this beginning meet: one in each zone, so that few
+    /// bytes cross between zones.
     fn favoured(&self, ready: &[&Arc<ReplicaRecord>]) -> Option<String> {
         let key = self.path.key()?;
+        let own_zone = &self.state.options.zone;
         let best = ready
             .iter()
-            .max_by_key(|record| rendezvous(key, &record.id))?;
+            .max_by_key(|record| (record.zone == *own_zone, rendezvous(key, &record.id)))?;
         Some(best.id.clone())
     }
 
+    /// Another replica with the same weights that is likely to keep what the chosen one lacks: the
+    /// one that this router sent most of the beginning to, or else the one that all routers favour
+    /// for the longest beginning.
+    fn fetch_source(
+        &self,
+        ready: &[&Arc<ReplicaRecord>],
+        table: &mut ReplicaTable,
+        chosen: &ReplicaRecord,
+    ) -> Option<Arc<ReplicaRecord>> {
+        let lacking = self.path.shared_tokens();
+        let kept = table.sent().known_tokens(&chosen.id, &self.path);
+        if kept >= lacking {
+            return None;
+        }
+        let model = &self.request.prompt.as_ref()?.model;
+        let now = Instant::now();
+        let sources: Vec<&Arc<ReplicaRecord>> = ready
+            .iter()
+            .copied()
+            .filter(|record| record.id != chosen.id)
+            .filter(|record| record.version_of(model) == chosen.version_of(model))
+            .filter(|record| table.of(&record.id, now).allows(now))
+            .collect();
+        let known = sources
+            .iter()
+            .map(|record| (table.sent().known_tokens(&record.id, &self.path), record))
+            .max_by_key(|(tokens, record)| (*tokens, record.zone == chosen.zone))
+            .filter(|(tokens, _)| *tokens > kept);
+        if let Some((_, record)) = known {
+            return Some(Arc::clone(record));
+        }
+        let key = self.path.key()?;
+        let favoured = sources
+            .iter()
+            .max_by_key(|record| rendezvous(key, &record.id))?;
+        Some(Arc::clone(favoured))
+    }
+
     fn capacity_tokens(&self, configuration: &ServingConfiguration) -> u64 {
         let service = configuration.service(&self.service);
         let engine = service.and_then(|service| service.engine.as_ref());
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -19,6 +19,7 @@
     budget::{BudgetRule, RetryBudget},
     lease::Lease,
     metrics::ProxyMetrics,
+    named::NamedWeights,
     replicas::ReplicaTable,
     split::Splitter,
     view::ServingView,
@@ -56,6 +57,7 @@
     /// Routers that are alive; 0 while unknown.
     pub routers: AtomicU32,
     budgets: Mutex<HashMap<String, RetryBudget>>,
+    named: Mutex<NamedWeights>,
     changed: watch::Sender<u64>,
     stopping: AtomicBool,
 }
@@ -81,6 +83,7 @@
             metrics: ProxyMetrics::default(),
             routers: AtomicU32::new(0),
             budgets: Mutex::default(),
+            named: Mutex::default(),
             changed,
             stopping: AtomicBool::new(false),
         })
@@ -90,6 +93,7 @@
     pub fn set_view(&self, next: ServingView) {
         let before = self.view.load_full();
         lock(&self.replicas).follow(&before, &next);
+        lock(&self.named).learn(&next.weights, Instant::now());
         let known = next.known;
         self.view.store(Arc::new(next));
         self.changed.send_replace(known);
@@ -116,6 +120,12 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
+    /// The oldest weights of a model on which a request may start.
+    pub fn oldest_usable_weights(&self, model: &str) -> u64 {
+        let bound = Duration::from_millis(self.options.bounds.version_ms);
+        lock(&self.named).oldest_usable(model, bound, Instant::now())
+    }
+
     /// What callers may send now.
     pub fn caller_limits(&self) -> CallerLimits {
         let view = self.view.load();
