Save what replicas read to the store and fetch from it

Change: one home for all zones by rendezvous rank; another replica fetches from the home if it has the same weights, and else from the store, which keeps everything that was read.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -35,8 +35,10 @@
     pub usage: Arc<ReplicaUse>,
     /// Connections that this router may open to it.
     pub connection_limit: u32,
-    /// A replica that is likely to keep more of the prompt's beginning.
-    pub fetch_from: Option<Arc<ReplicaRecord>>,
+    /// Where the beginning of the prompt is likely to be kept, `ip:port`.
+    pub fetch_from: Option<String>,
+    /// The store that is to keep what is read, `ip:port`.
+    pub save_to: Option<String>,
 }
 
 /// An answer whose head has come.
--- a/crates/proxy/src/backend.rs
+++ b/crates/proxy/src/backend.rs
@@ -26,8 +26,10 @@
     pub expected_weights: Option<u64>,
     /// Namespace of cached prompt memory.
     pub cache_namespace: Option<&'a str>,
-    /// `ip:port` of a replica that is likely to keep the beginning of the prompt.
+    /// `ip:port` of a replica or store that is likely to keep the beginning of the prompt.
     pub fetch_from: Option<&'a str>,
+    /// `ip:port` of the store that is to keep what the replica reads.
+    pub save_to: Option<&'a str>,
     /// Last event that the caller has; the answer goes on behind it.
     pub last_event: Option<u64>,
 }
--- a/crates/proxy/src/choice.rs
+++ b/crates/proxy/src/choice.rs
@@ -6,8 +6,8 @@
 
 /// Cost of leaving the router's zone.
 const OTHER_ZONE_COST: f64 = 0.06;
-/// Cost of a replica that is not the favoured one: what it lacks is fetched or read again.
-const STRANGER_COST: f64 = 0.15;
+/// Cost of the replicas behind the favoured one, by rank: what they lack is fetched or read again.
+const RANK_COSTS: [f64; 4] = [0.0, 0.10, 0.15, 0.20];
 /// Cost of a replica whose recent exchanges all failed.
 const FAILURE_COST: f64 = 2.0;
 /// Weight of the prompt tokens that must be read, as shares of a replica's memory.
@@ -30,8 +30,8 @@
     pub unread_tokens: u64,
     /// Prompt tokens that it is known to keep.
     pub known_tokens: u64,
-    /// Whether rendezvous hashing favours it for this prompt.
-    pub favoured: bool,
+    /// Place among the replicas that rendezvous hashing favours for this prompt; 0 is the first.
+    pub rank: usize,
     /// Share of recent exchanges that failed.
     pub failure_rate: f64,
 }
@@ -66,19 +66,19 @@
     let routers = f64::from(size.routers.max(1));
     let busy = f64::from(candidate.open_requests) * routers.sqrt() / f64::from(candidate.slots.max(1));
     let zone = if candidate.same_zone { 0.0 } else { OTHER_ZONE_COST };
-    let stranger = if size.shared_tokens > 0 && !candidate.favoured {
-        STRANGER_COST
+    let rank = if size.shared_tokens > 0 {
+        RANK_COSTS[candidate.rank.min(RANK_COSTS.len() - 1)]
     } else {
         0.0
     };
-    busy + reading(candidate, size) + zone + stranger + candidate.failure_rate * FAILURE_COST
+    busy + reading(candidate, size) + zone + rank + candidate.failure_rate * FAILURE_COST
 }
 
 fn reading(candidate: &Candidate, size: RequestSize) -> f64 {
     if candidate.capacity_tokens == 0 {
         return 0.0;
     }
-    let presumed = if candidate.favoured {
+    let presumed = if candidate.rank == 0 {
         (size.shared_tokens as f64 * PRESUMED_KEPT) as u64
     } else {
         0
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -217,10 +217,8 @@
             priority: self.admitted.priority,
             expected_weights: self.expected_weights(&target.record),
             cache_namespace: namespace.as_deref(),
-            fetch_from: target
-                .fetch_from
-                .as_ref()
-                .map(|source| source.address.as_str()),
+            fetch_from: target.fetch_from.as_deref(),
+            save_to: target.save_to.as_deref(),
             last_event,
         };
         let must_be_fresh = !self.admitted.route.kind.may_repeat();
@@ -361,7 +359,7 @@
             .filter(|record| record.order.is_none() && !self.tried.contains(&record.id))
             .filter(|record| self.serves_model(record, oldest))
             .collect();
-        let favoured = self.favoured(&ready);
+        let ranked = self.ranked(&ready);
         let capacity = self.capacity_tokens(configuration);
         for record in ready.iter().copied() {
             let usage = table.of(&record.id, now);
@@ -373,7 +371,7 @@
                 slots: record.slots,
                 capacity_tokens: capacity,
                 known_tokens: table.sent().known_tokens(&record.id, &self.path),
-                favoured: favoured.as_deref() == Some(record.id.as_str()),
+                rank: rank_of(&ranked, record),
                 ..Candidate::default()
             };
             candidates.push(usage.describe(candidate, now));
@@ -382,6 +380,7 @@
                 usage,
                 connection_limit: limit,
                 fetch_from: None,
+                save_to: None,
             });
         }
         let size = RequestSize {
@@ -391,7 +390,10 @@
         };
         let (position, cost) = choice::choose(&candidates, size, rand::random())?;
         let mut target = targets.swap_remove(position);
-        target.fetch_from = self.fetch_source(&ready, &mut table, &target.record);
+        target.save_to = self.store(configuration);
+        target.fetch_from = self
+            .fetch_source(&ranked, &mut table, &target.record)
+            .or_else(|| target.save_to.clone());
         drop(table);
         self.log
             .chose(&target, candidates[position].known_tokens, cost, view.known);
@@ -412,53 +414,41 @@
         record.weights.is_empty() || held.is_some_and(|held| held >= oldest)
     }
 
-    /// The replica at which requests with this beginning meet: one in each zone, so that few
-    /// bytes cross between zones.
-    fn favoured(&self, ready: &[&Arc<ReplicaRecord>]) -> Option<String> {
-        let key = self.path.key()?;
-        let own_zone = &self.state.options.zone;
-        let best = ready
-            .iter()
-            .max_by_key(|record| (record.zone == *own_zone, rendezvous(key, &record.id)))?;
-        Some(best.id.clone())
+    /// The replicas in the order in which all routers favour them for this prompt's beginning.
+    fn ranked<'a>(&self, ready: &[&'a Arc<ReplicaRecord>]) -> Vec<&'a Arc<ReplicaRecord>> {
+        let mut ranked = ready.to_vec();
+        if let Some(key) = self.path.key() {
+            ranked.sort_by_cached_key(|record| std::cmp::Reverse(rendezvous(key, &record.id)));
+        }
+        ranked
     }
 
-    /// Another replica with the same weights that is likely to keep what the chosen one lacks: the
-    /// one that this router sent most of the beginning to, or else the one that all routers favour
-    /// for the longest beginning.
+    /// The replica that all routers favour, if another one was chosen and it has the same weights:
+    /// it is likely to keep what the chosen one lacks. A replica that lacks nothing does not ask it.
     fn fetch_source(
         &self,
-        ready: &[&Arc<ReplicaRecord>],
+        ranked: &[&Arc<ReplicaRecord>],
         table: &mut ReplicaTable,
         chosen: &ReplicaRecord,
-    ) -> Option<Arc<ReplicaRecord>> {
-        let lacking = self.path.shared_tokens();
-        let kept = table.sent().known_tokens(&chosen.id, &self.path);
-        if kept >= lacking {
+    ) -> Option<String> {
+        if self.path.shared_tokens() == 0 {
             return None;
         }
         let model = &self.request.prompt.as_ref()?.model;
-        let now = Instant::now();
-        let sources: Vec<&Arc<ReplicaRecord>> = ready
-            .iter()
-            .copied()
-            .filter(|record| record.id != chosen.id)
-            .filter(|record| record.version_of(model) == chosen.version_of(model))
-            .filter(|record| table.of(&record.id, now).allows(now))
-            .collect();
-        let known = sources
-            .iter()
-            .map(|record| (table.sent().known_tokens(&record.id, &self.path), record))
-            .max_by_key(|(tokens, record)| (*tokens, record.zone == chosen.zone))
-            .filter(|(tokens, _)| *tokens > kept);
-        if let Some((_, record)) = known {
-            return Some(Arc::clone(record));
-        }
+        let favoured = ranked.first()?;
+        let usable = favoured.id != chosen.id
+            && favoured.version_of(model) == chosen.version_of(model)
+            && table.of(&favoured.id, Instant::now()).allows(Instant::now());
+        usable.then(|| favoured.address.clone())
+    }
+
+    /// The store for this prompt's beginning; the same in every router.
+    fn store(&self, configuration: &ServingConfiguration) -> Option<String> {
         let key = self.path.key()?;
-        let favoured = sources
-            .iter()
-            .max_by_key(|record| rendezvous(key, &record.id))?;
-        Some(Arc::clone(favoured))
+        let stores = configuration.services.iter();
+        let stores = stores.filter_map(|service| service.store.as_ref());
+        let store = stores.max_by_key(|store| rendezvous(key, &store.address))?;
+        Some(store.address.clone())
     }
 
     fn capacity_tokens(&self, configuration: &ServingConfiguration) -> u64 {
@@ -534,6 +524,13 @@
     }
 }
 
+fn rank_of(ranked: &[&Arc<ReplicaRecord>], record: &ReplicaRecord) -> usize {
+    ranked
+        .iter()
+        .position(|known| known.id == record.id)
+        .unwrap_or(usize::MAX)
+}
+
 /// What an exchange brought.
 pub enum Step {
     /// The whole answer.
