--- a/crates/control/src/serving/orders.rs
+++ b/crates/control/src/serving/orders.rs
@@ -26,7 +26,7 @@
 };
 
 /// Time between two looks while a rollout is under way.
-const BUSY_INTERVAL: Duration = Duration::from_millis(150);
+const BUSY_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two looks otherwise.
 const IDLE_INTERVAL: Duration = Duration::from_millis(300);
 /// Time for one exchange with a back end.
@@ -39,7 +39,7 @@
 const NOTICE_TIME: Duration = Duration::from_millis(30);
 
 /// Part of the bound on versions that a load is assumed to take before one was measured.
-const LOAD_SHARE_ASSUMED: f64 = 0.25;
+const LOAD_SHARE_ASSUMED: f64 = 0.125;
 /// Weight of the newest load in the estimate.
 const NEWEST_WEIGHT: f64 = 0.3;
 /// Named versions whose age is remembered.
--- a/crates/control/src/serving/weights.rs
+++ b/crates/control/src/serving/weights.rs
@@ -14,7 +14,10 @@
 /// Of a model's replicas, at most one in this many load at a time.
 const FEWEST_REPLICAS_PER_LOAD: usize = 2;
 /// Part of the bound within which every replica should have changed.
-const PLANNED_SHARE: f64 = 0.75;
+const PLANNED_SHARE: f64 = 0.8;
+
+/// Times the expected duration that a rollout is begun before it must be over.
+const LATENESS_MARGIN: f64 = 1.25;
 
 /// One thing to do for one replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -115,6 +118,9 @@
     };
     let time_left_ms = facts.time_left_ms(model, *oldest);
     let left = under_way + waiting.len();
+    if under_way == 0 && may_wait(holders.len(), left, time_left_ms, facts.load_ms) {
+        return;
+    }
     let limit = loads_at_once(holders.len(), left, time_left_ms, facts.load_ms);
     let free = limit.saturating_sub(under_way);
     for (_, record) in waiting.into_iter().take(free) {
@@ -128,6 +134,14 @@
     }
 }
 
+/// Whether the rollout may begin later. A version that is named meanwhile is then loaded in the same
+/// turn, and what replicas keep is used for longer.
+fn may_wait(replicas: usize, left: usize, time_left_ms: u64, load_ms: u64) -> bool {
+    let at_once = replicas.div_ceil(FEWEST_REPLICAS_PER_LOAD).max(1);
+    let waves = left.div_ceil(at_once) as f64;
+    time_left_ms as f64 > waves * load_ms as f64 * LATENESS_MARGIN
+}
+
 /// Replicas that may load at the same time: as many as it takes to be done in time, within limits;
 /// with two replicas or more, one always serves.
 fn loads_at_once(replicas: usize, left: usize, time_left_ms: u64, load_ms: u64) -> usize {
