--- a/crates/control/src/serving/handle.rs
+++ b/crates/control/src/serving/handle.rs
@@ -78,9 +78,18 @@
         let view = self.link.view();
         if is_newest && needs_recording(&view, &record) {
             let replica = record.id.clone();
+            let address = record.address.clone();
             let leaves = record.state == ReplicaState::Leaving;
-            self.propose(ServingCommand::Register(record)).await?;
-            spdlog::info!("replica recorded", kv: { replica, leaves });
+            let weights = record.weights.first().map_or(0, |held| held.version);
+            let outcome = self.propose(ServingCommand::Register(record)).await?;
+            spdlog::info!("replica recorded", kv: {
+                replica,
+                address,
+                sequence,
+                leaves,
+                weights,
+                outcome = format!("{outcome:?}"),
+            });
         }
         Ok(Acknowledgement {
             leader: view.leader,
--- a/crates/control/src/serving/liveness.rs
+++ b/crates/control/src/serving/liveness.rs
@@ -104,11 +104,15 @@
         let mut heard = self.lock();
         let since = *heard.leading_since.get_or_insert(now);
         heard.routers_of_leader = 0;
-        let is_silent = |replica: &&String| {
-            let last = heard.replicas.get(*replica).copied().unwrap_or(since);
-            now.duration_since(last.max(since)) > limit
-        };
-        known.filter(is_silent).cloned().collect()
+        let mut silent = Vec::new();
+        for replica in known {
+            // One that another control replica took in counts from when it is first seen here.
+            let last = *heard.replicas.entry(replica.clone()).or_insert(now);
+            if now.duration_since(last.max(since)) > limit {
+                silent.push(replica.clone());
+            }
+        }
+        silent
     }
 
     fn forget(&self, kept: impl Fn(&str) -> bool) {
@@ -145,7 +149,7 @@
             let known = view.serving.replicas().keys();
             for replica in liveness.silent(known, heartbeat * MISSED_HEARTBEATS) {
                 spdlog::info!("replica silent", kv: { replica = replica.clone() });
-                let command = ServingCommand::Deregister { replica };
+                let command = ServingCommand::Expire { replica };
                 // Looked at again after the next interval.
                 let _ = link.propose(command, REMOVAL_TIMEOUT).await;
             }
--- a/crates/control/src/serving_state.rs
+++ b/crates/control/src/serving_state.rs
@@ -84,6 +84,7 @@
             ServingCommand::PutDocument(document) => self.put_document(index, document),
             ServingCommand::Register(record) => self.register(index, record),
             ServingCommand::Deregister { replica } => self.deregister(index, &replica),
+            ServingCommand::Expire { replica } => self.expire(index, &replica),
             ServingCommand::NameWeights(named) => self.name_weights(index, named),
             ServingCommand::AcquireOrders { holder } => self.acquire_orders(index, holder),
             ServingCommand::BeginOrder {
@@ -174,9 +175,23 @@
         if self.has_departed(replica) {
             return ServingOutcome::Done;
         }
+        self.departed_ids.insert(replica.to_owned());
+        self.remove(index, replica);
+        ServingOutcome::Done
+    }
+
+    fn expire(&mut self, index: LogIndex, replica: &str) -> ServingOutcome {
+        if !self.replicas.contains_key(replica) {
+            return ServingOutcome::UnknownReplica;
+        }
+        self.remove(index, replica);
+        ServingOutcome::Done
+    }
+
+    /// Removes a replica and remembers that, for routers that know it.
+    fn remove(&mut self, index: LogIndex, replica: &str) {
         self.replicas.remove(replica);
         self.changed_at = index;
-        self.departed_ids.insert(replica.to_owned());
         self.departed.insert((index, replica.to_owned()));
         if self.departed.len() > DEPARTED_KEPT
             && let Some((at, oldest)) = self.departed.pop_first()
@@ -184,7 +199,6 @@
             self.departed_ids.remove(&oldest);
             self.departed_complete_after = at;
         }
-        ServingOutcome::Done
     }
 
     fn name_weights(&mut self, index: LogIndex, named: HeldWeights) -> ServingOutcome {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -42,4 +42,4 @@
 pub use backend::{AnswerHead, BackendProtocol, Dispatch};
 pub use pipeline::handle;
 pub use request::{PromptSegment, PromptShape, ProxiedRequest};
-pub use state::{ProxyOptions, ProxyState};
+pub use state::{ProxyOptions, ProxyState, StopPlan};
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -40,8 +40,7 @@
         Ok(admitted) => admitted,
         Err(reason) => {
             log.end(reason_name(reason));
-            let pause = matches!(reason, RefusalReason::Unconfirmed).then_some(LONG_PAUSE);
-            return reason.response(pause);
+            return reason.response(pause_after(reason));
         }
     };
     log.admitted(&admitted);
@@ -57,6 +56,16 @@
 
 /// Pause that a caller is told while the configuration cannot be confirmed.
 const LONG_PAUSE: Duration = Duration::from_millis(500);
+/// Pause that a caller is told by a router that is about to end: others take the request at once.
+const STOPPING_PAUSE: Duration = Duration::from_millis(20);
+
+fn pause_after(reason: RefusalReason) -> Option<Duration> {
+    match reason {
+        RefusalReason::Unconfirmed => Some(LONG_PAUSE),
+        RefusalReason::Stopping => Some(STOPPING_PAUSE),
+        _ => None,
+    }
+}
 
 fn reason_name(reason: RefusalReason) -> String {
     reason.to_string()
@@ -68,7 +77,12 @@
     if !state.is_confirmed() {
         return Err(RefusalReason::Unconfirmed);
     }
-    admission::admit(table, request)
+    let admitted = admission::admit(table, request)?;
+    let stop = state.stop_plan();
+    if stop.is_some_and(|plan| !plan.takes(admitted.deadline, Instant::now())) {
+        return Err(RefusalReason::Stopping);
+    }
+    Ok(admitted)
 }
 
 /// A request on its way, with everything that was tried for it.
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -30,6 +30,9 @@
     /// The configuration is not known to be current.
     #[error("unconfirmed")]
     Unconfirmed,
+    /// This router is about to end and could not finish it.
+    #[error("stopping")]
+    Stopping,
     /// No replica takes work.
     #[error("no_replica")]
     NoReplica,
@@ -56,9 +59,11 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
-            Self::Unconfirmed | Self::NoReplica | Self::Declined | Self::Expired => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Unconfirmed
+            | Self::Stopping
+            | Self::NoReplica
+            | Self::Declined
+            | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -59,7 +59,23 @@
     budgets: Mutex<HashMap<String, RetryBudget>>,
     named: Mutex<NamedWeights>,
     changed: watch::Sender<u64>,
-    stopping: AtomicBool,
+    stop: Mutex<Option<StopPlan>>,
+}
+
+/// A planned stop of this router.
+#[derive(Clone, Copy, Debug)]
+pub struct StopPlan {
+    /// Until when every request is taken: callers learn by then that others are to be asked.
+    pub takes_all_until: Instant,
+    /// When the last answer must be over.
+    pub ends_at: Instant,
+}
+
+impl StopPlan {
+    /// Whether a request that is to be answered by `deadline` is still taken.
+    pub fn takes(&self, deadline: Instant, now: Instant) -> bool {
+        now < self.takes_all_until || deadline <= self.ends_at
+    }
 }
 
 /// Locks a mutex; a panic elsewhere while it was held does not stop the router.
@@ -85,7 +101,7 @@
             budgets: Mutex::default(),
             named: Mutex::default(),
             changed,
-            stopping: AtomicBool::new(false),
+            stop: Mutex::default(),
         })
     }
 
@@ -112,12 +128,17 @@
 
     /// Whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
-        self.is_confirmed() && !self.stopping.load(Ordering::Relaxed)
+        self.is_confirmed() && self.stop_plan().is_none()
     }
 
     /// Begins a planned stop.
-    pub fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    pub fn begin_stop(&self, plan: StopPlan) {
+        *lock(&self.stop) = Some(plan);
+    }
+
+    /// The planned stop, if one has begun.
+    pub fn stop_plan(&self) -> Option<StopPlan> {
+        *lock(&self.stop)
     }
 
     /// The oldest weights of a model on which a request may start.
--- a/crates/rpc/src/serving.rs
+++ b/crates/rpc/src/serving.rs
@@ -22,11 +22,16 @@
     PutDocument(ConfigurationDocument),
     /// Records what a back-end replica says of itself.
     Register(ReplicaRecord),
-    /// Removes a replica that has left, or that was silent for too long.
+    /// Removes a replica that has left; it never comes back in the same life.
     Deregister {
         /// The replica.
         replica: String,
     },
+    /// Removes a replica that was silent for too long; its next heartbeat brings it back.
+    Expire {
+        /// The replica.
+        replica: String,
+    },
     /// Names the weights that a model's replicas are to hold.
     NameWeights(HeldWeights),
     /// Makes a control replica the only one that gives orders to back ends.
