--- /dev/null
+++ b/crates/control/tests/members.rs
@@ -0,0 +1,112 @@
+//! Which membership a leader proposes next.
+
+use std::collections::BTreeMap;
+
+use railtack_consensus::{DiskId, Member, Membership, ReplicaId};
+use railtack_control::members::{MemberFacts, next_membership};
+use railtack_rpc::serving::JoinRequest;
+
+const LIMIT_MS: u64 = 4_000;
+
+fn member(number: u32, voter: bool) -> Member {
+    Member {
+        replica: ReplicaId(number),
+        disk: DiskId(u64::from(number)),
+        address: format!("10.0.0.{number}:1"),
+        voter,
+    }
+}
+
+fn join(number: u32, address_of: u32) -> (ReplicaId, JoinRequest) {
+    let request = JoinRequest {
+        replica: ReplicaId(number),
+        disk: DiskId(u64::from(number)),
+        address: format!("10.0.0.{address_of}:1"),
+    };
+    (ReplicaId(number), request)
+}
+
+fn voters(numbers: &[u32]) -> Membership {
+    Membership {
+        members: numbers.iter().map(|number| member(*number, true)).collect(),
+    }
+}
+
+/// The next membership as numbers, learners negative; replica 1 leads.
+fn next(
+    current: &Membership,
+    joins: &[(ReplicaId, JoinRequest)],
+    silent: &[u32],
+) -> Option<Vec<i64>> {
+    let joins = joins.iter().cloned().collect();
+    let silence: BTreeMap<ReplicaId, u64> = current
+        .members
+        .iter()
+        .map(|member| {
+            let is_silent = silent.contains(&member.replica.0);
+            (member.replica, if is_silent { LIMIT_MS * 2 } else { 10 })
+        })
+        .collect();
+    let facts = MemberFacts {
+        leader: ReplicaId(1),
+        joins: &joins,
+        silence: &silence,
+        silence_limit: LIMIT_MS,
+        presence_limit: LIMIT_MS / 2,
+    };
+    let next = next_membership(current, facts)?;
+    assert!(current.voter_difference(&next) <= 1);
+    let number = |member: &Member| {
+        let sign = if member.voter { 1 } else { -1 };
+        sign * i64::from(member.replica.0)
+    };
+    Some(next.members.iter().map(number).collect())
+}
+
+#[test]
+fn the_first_member_takes_the_others_in_one_by_one() {
+    let alone = voters(&[1]);
+    assert_eq!(next(&alone, &[], &[]), None);
+    assert_eq!(next(&alone, &[join(2, 2)], &[]), Some(vec![1, -2]));
+    let mut with_learner = alone;
+    with_learner.members.push(member(2, false));
+    assert_eq!(next(&with_learner, &[], &[]), Some(vec![1, 2]));
+    assert_eq!(next(&with_learner, &[], &[2]), None);
+}
+
+#[test]
+fn an_empty_folder_at_a_known_address_replaces_the_member_there() {
+    let five = voters(&[1, 2, 3, 4, 5]);
+    let joins = [join(9, 3)];
+    assert_eq!(next(&five, &joins, &[]), Some(vec![1, 2, 4, 5]));
+    let four = voters(&[1, 2, 4, 5]);
+    assert_eq!(next(&four, &joins, &[]), Some(vec![1, 2, 4, 5, -9]));
+}
+
+#[test]
+fn a_successor_at_a_new_address_takes_the_place_of_a_silent_voter() {
+    let mut members = voters(&[1, 2, 3, 4, 5]);
+    members.members.push(member(6, false));
+    assert_eq!(next(&members, &[], &[5]), Some(vec![1, 2, 3, 4, -6]));
+    assert_eq!(next(&members, &[], &[]), Some(vec![1, 2, 3, 4, 5, 6]));
+    // Six voters, one of them gone: it adds nothing.
+    let six = voters(&[1, 2, 3, 4, 5, 6]);
+    assert_eq!(next(&six, &[], &[5]), Some(vec![1, 2, 3, 4, 6]));
+    assert_eq!(next(&six, &[], &[]), None);
+}
+
+#[test]
+fn no_voter_goes_if_too_few_live_ones_would_be_left() {
+    let mut members = voters(&[1, 2, 3]);
+    members.members.push(member(4, false));
+    // One live voter of the two that would be left is no majority.
+    assert_eq!(next(&members, &[], &[2, 3]), Some(vec![1, 2, 3, 4]));
+    let four = voters(&[1, 2, 3, 4]);
+    assert_eq!(next(&four, &[], &[2, 3, 4]), None);
+}
+
+#[test]
+fn a_silent_voter_without_a_successor_stays() {
+    let five = voters(&[1, 2, 3, 4, 5]);
+    assert_eq!(next(&five, &[], &[4, 5]), None);
+}
--- /dev/null
+++ b/crates/control/tests/serving_state.rs
@@ -0,0 +1,166 @@
+//! The replicated state that routers serve from.
+
+use railtack_control::serving_state::ServingState;
+use railtack_rpc::serving::{ConfigurationDocument, ServingCommand, ServingOutcome};
+use railtack_serving::{
+    HeldWeights, PendingOrder, ReplicaRecord, ReplicaState, ServingConfiguration,
+};
+
+fn document(revision: u64, content: &str) -> ServingCommand {
+    ServingCommand::PutDocument(ConfigurationDocument {
+        revision,
+        content: content.as_bytes().to_vec(),
+        configuration: ServingConfiguration {
+            revision,
+            ..ServingConfiguration::default()
+        },
+    })
+}
+
+fn record(id: &str, address: &str, version: u64) -> ReplicaRecord {
+    ReplicaRecord {
+        id: id.to_owned(),
+        service: "pool".to_owned(),
+        address: address.to_owned(),
+        zone: "a".to_owned(),
+        slots: 4,
+        state: ReplicaState::Ready,
+        weights: vec![HeldWeights {
+            model: "m".to_owned(),
+            version,
+        }],
+        order: None,
+        changed_at: 0,
+    }
+}
+
+fn register(id: &str, address: &str, version: u64) -> ServingCommand {
+    ServingCommand::Register(record(id, address, version))
+}
+
+fn order(version: u64) -> PendingOrder {
+    PendingOrder {
+        model: "m".to_owned(),
+        version,
+    }
+}
+
+#[test]
+fn the_highest_version_prevails_whatever_comes_later() {
+    let mut state = ServingState::default();
+    assert_eq!(state.content(), None);
+    assert_eq!(state.apply(1, document(5, "five")), ServingOutcome::Done);
+    assert_eq!(state.apply(2, document(5, "other")), ServingOutcome::Superseded);
+    assert_eq!(state.apply(3, document(4, "four")), ServingOutcome::Superseded);
+    assert_eq!(state.content(), Some(b"five".as_slice()));
+    assert_eq!(state.apply(4, document(9, "nine")), ServingOutcome::Done);
+    assert_eq!(state.content(), Some(b"nine".as_slice()));
+}
+
+#[test]
+fn a_leaving_replica_never_becomes_ready_again() {
+    let mut state = ServingState::default();
+    state.apply(1, register("r", "h:1", 1));
+    let mut leaving = record("r", "h:1", 1);
+    leaving.state = ReplicaState::Leaving;
+    state.apply(2, ServingCommand::Register(leaving));
+    state.apply(3, register("r", "h:1", 1));
+    assert_eq!(state.replicas()["r"].state, ReplicaState::Leaving);
+    let removed = ServingCommand::Deregister {
+        replica: "r".to_owned(),
+    };
+    state.apply(4, removed);
+    let late = state.apply(5, register("r", "h:1", 1));
+    assert_eq!(late, ServingOutcome::UnknownReplica);
+    assert!(state.replicas().is_empty());
+}
+
+/// Found by a hunt: a live replica that was counted as silent was never taken in again.
+#[test]
+fn a_replica_that_was_silent_comes_back_with_its_next_heartbeat() {
+    let mut state = ServingState::default();
+    state.apply(1, register("r", "h:1", 1));
+    let expire = ServingCommand::Expire {
+        replica: "r".to_owned(),
+    };
+    assert_eq!(state.apply(2, expire), ServingOutcome::Done);
+    assert!(!state.has_departed("r"));
+    assert_eq!(state.apply(3, register("r", "h:1", 1)), ServingOutcome::Done);
+    let update = state.update_after(1).expect("news");
+    assert_eq!(update.replicas.len(), 1);
+}
+
+#[test]
+fn a_new_life_at_an_address_ends_the_former_one() {
+    let mut state = ServingState::default();
+    state.apply(1, register("old", "h:1", 1));
+    state.apply(2, register("new", "h:1", 1));
+    assert_eq!(state.replicas().keys().collect::<Vec<_>>(), ["new"]);
+    let late = state.apply(3, register("old", "h:1", 1));
+    assert_eq!(late, ServingOutcome::UnknownReplica);
+    assert_eq!(state.replicas().keys().collect::<Vec<_>>(), ["new"]);
+    let update = state.update_after(1).expect("news");
+    assert_eq!(update.removed, ["old"]);
+}
+
+#[test]
+fn weights_only_rise_and_end_their_order() {
+    let mut state = ServingState::default();
+    state.apply(1, register("r", "h:1", 1));
+    let acquired = state.apply(
+        2,
+        ServingCommand::AcquireOrders {
+            holder: "n1".to_owned(),
+        },
+    );
+    let ServingOutcome::OrdersAcquired { token, taken_over } = acquired else {
+        panic!("{acquired:?}");
+    };
+    assert!(!taken_over);
+    let begin = |token, version| ServingCommand::BeginOrder {
+        token,
+        replica: "r".to_owned(),
+        order: order(version),
+    };
+    assert_eq!(state.apply(3, begin(token, 3)), ServingOutcome::Done);
+    assert_eq!(state.replicas()["r"].order, Some(order(3)));
+    // A heartbeat that was sent before the load had ended changes nothing.
+    state.apply(4, register("r", "h:1", 1));
+    assert_eq!(state.replicas()["r"].order, Some(order(3)));
+    state.apply(5, register("r", "h:1", 3));
+    assert_eq!(state.replicas()["r"].order, None);
+    state.apply(6, register("r", "h:1", 1));
+    assert_eq!(state.replicas()["r"].version_of("m"), Some(3));
+
+    let other = state.apply(
+        7,
+        ServingCommand::AcquireOrders {
+            holder: "n2".to_owned(),
+        },
+    );
+    assert!(matches!(
+        other,
+        ServingOutcome::OrdersAcquired { token: 7, taken_over: true }
+    ));
+    assert_eq!(state.apply(8, begin(token, 4)), ServingOutcome::NotHolder);
+}
+
+#[test]
+fn a_router_is_told_only_what_changed() {
+    let mut state = ServingState::default();
+    state.apply(1, document(1, "one"));
+    state.apply(2, register("a", "h:1", 1));
+    state.apply(3, register("b", "h:2", 1));
+    let first = state.update_after(0).expect("everything");
+    assert!(first.complete && first.configuration.is_some() && first.replicas.len() == 2);
+    let next = state.update_after(2).expect("one replica");
+    assert!(!next.complete && next.configuration.is_none());
+    assert_eq!(next.replicas.len(), 1);
+    assert_eq!(state.update_after(3), None);
+    let named = HeldWeights {
+        model: "m".to_owned(),
+        version: 2,
+    };
+    state.apply(4, ServingCommand::NameWeights(named.clone()));
+    assert_eq!(state.update_after(3).expect("weights").weights, [named]);
+}
--- /dev/null
+++ b/crates/proxy/tests/decisions.rs
@@ -0,0 +1,352 @@
+//! The data plane's pure decisions.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use railtack_proxy::{
+    PromptSegment, PromptShape, StopPlan,
+    affinity::{PrefixPath, SentPrefixes, rendezvous},
+    budget::{BudgetRule, RetryBudget},
+    choice::{Candidate, RequestSize, choose},
+    events::EventBuffer,
+    health::{ExchangeEnd, Health},
+    lease::Lease,
+    named::NamedWeights,
+    split::Splitter,
+    verdict::{ExchangeFacts, ExchangeProof, NextStep, next_step, without_retry},
+};
+use railtack_rpc::serving::WatchReply;
+use railtack_serving::{RequestKind, Route, WeightedService};
+use tokio::time::Instant;
+
+fn milliseconds(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn reply(confirmed_age_ms: Option<u64>, held_ms: u64) -> WatchReply {
+    WatchReply {
+        confirmed_age_ms,
+        held_ms,
+        zone: String::new(),
+        members: Vec::new(),
+        routers: 1,
+        update: None,
+    }
+}
+
+#[test]
+fn a_lease_counts_from_what_was_confirmed_and_ends_before_the_bound() {
+    let start = Instant::now();
+    let mut lease = Lease::new(milliseconds(5_000), true);
+    assert!(!lease.is_valid(start));
+    lease.take_reply(&reply(None, 0), start);
+    assert!(!lease.is_valid(start));
+    // Asked now, held 400 ms, confirmed 300 ms before the answer: confirmed 100 ms from now.
+    lease.take_reply(&reply(Some(300), 400), start);
+    assert!(lease.is_valid(start + milliseconds(4_500)));
+    assert!(!lease.is_valid(start + milliseconds(4_700)));
+    // An older confirmation that comes late changes nothing.
+    lease.take_reply(&reply(Some(5_000), 0), start + milliseconds(200));
+    assert!(lease.is_valid(start + milliseconds(4_500)));
+}
+
+#[test]
+fn a_lease_that_fails_open_never_ends() {
+    let start = Instant::now();
+    let mut lease = Lease::new(milliseconds(5_000), false);
+    assert!(!lease.is_valid(start));
+    lease.take_reply(&reply(Some(0), 0), start);
+    assert!(lease.is_valid(start + milliseconds(60_000)));
+}
+
+fn facts(proof: ExchangeProof) -> ExchangeFacts {
+    ExchangeFacts {
+        proof,
+        may_repeat: true,
+        replicas_used: 1,
+        max_attempts: 2,
+        declined: 0,
+        in_time: true,
+    }
+}
+
+#[test]
+fn only_proof_that_it_did_not_run_lets_an_unrepeatable_request_go_on() {
+    let unrepeatable = |proof, replicas_used| ExchangeFacts {
+        may_repeat: false,
+        replicas_used,
+        ..facts(proof)
+    };
+    assert_eq!(
+        next_step(unrepeatable(ExchangeProof::MayHaveRun, 1)),
+        NextStep::FailUnknown
+    );
+    assert_eq!(
+        next_step(unrepeatable(ExchangeProof::RanAndFailed, 1)),
+        NextStep::PassOn
+    );
+    assert_eq!(
+        next_step(unrepeatable(ExchangeProof::NotRun, 0)),
+        NextStep::TryAgain
+    );
+}
+
+#[test]
+fn not_run_is_promised_only_if_no_replica_may_have_run_it() {
+    assert_eq!(
+        without_retry(ExchangeFacts {
+            replicas_used: 0,
+            ..facts(ExchangeProof::NotRun)
+        }),
+        NextStep::RefuseNotRun
+    );
+    assert_eq!(
+        without_retry(facts(ExchangeProof::NotRun)),
+        NextStep::FailUnknown
+    );
+}
+
+#[test]
+fn attempts_declines_and_time_end_the_tries() {
+    assert_eq!(next_step(facts(ExchangeProof::MayHaveRun)), NextStep::TryAgain);
+    let used_up = ExchangeFacts {
+        replicas_used: 2,
+        ..facts(ExchangeProof::MayHaveRun)
+    };
+    assert_eq!(next_step(used_up), NextStep::FailUnknown);
+    let late = ExchangeFacts {
+        in_time: false,
+        ..facts(ExchangeProof::RanAndFailed)
+    };
+    assert_eq!(next_step(late), NextStep::PassOn);
+    let declined = ExchangeFacts {
+        declined: 3,
+        replicas_used: 0,
+        ..facts(ExchangeProof::NotRun)
+    };
+    assert_eq!(next_step(declined), NextStep::RefuseNotRun);
+}
+
+/// All routers together, whatever their number and however often they restart, stay below the
+/// slack in one window if no request is served.
+#[test]
+fn retries_of_all_routers_stay_below_the_slack() {
+    let rule = BudgetRule {
+        ratio: 0.2,
+        slack: 54.0,
+        window: Duration::from_secs(10),
+    };
+    for routers in [1_u32, 7, 79, 400] {
+        for restarts in [0, 5] {
+            let start = Instant::now();
+            let mut spent = 0;
+            for _ in 0..routers {
+                let mut budget = RetryBudget::new(rule, start);
+                for step in 0..1_000_u64 {
+                    let now = start + milliseconds(step * 10);
+                    if restarts > 0 && step % (1_000 / restarts) == 0 {
+                        budget = RetryBudget::new(rule, now);
+                    }
+                    spent += u32::from(budget.spend(routers, now));
+                }
+            }
+            assert!(f64::from(spent) <= rule.slack, "{routers} routers spent {spent}");
+        }
+    }
+}
+
+#[test]
+fn requests_earn_their_share_of_retries() {
+    let rule = BudgetRule {
+        ratio: 0.2,
+        slack: 0.0,
+        window: Duration::from_secs(10),
+    };
+    let start = Instant::now();
+    let mut budget = RetryBudget::new(rule, start);
+    let mut spent = 0;
+    for step in 0..1_000_u64 {
+        budget.earn();
+        spent += u32::from(budget.spend(7, start + milliseconds(step)));
+    }
+    assert!((100..=200).contains(&spent), "{spent}");
+}
+
+fn split_route(weights: &[u64]) -> Route {
+    Route {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        path_prefix: "/".to_owned(),
+        kind: RequestKind::Idempotent,
+        timeout_ms: 1,
+        objective_ms: 1,
+        gap_objective_ms: 0,
+        priority: 0,
+        targets: weights
+            .iter()
+            .enumerate()
+            .map(|(position, weight)| WeightedService {
+                service: position.to_string(),
+                weight_milli: *weight,
+            })
+            .collect(),
+        max_attempts: 1,
+        allows_anonymous: true,
+        sticky: false,
+    }
+}
+
+#[test]
+fn shares_follow_the_weights_from_any_start() {
+    let route = split_route(&[90_000, 10_000, 0]);
+    for seed in 0..20 {
+        let mut splitter = Splitter::default();
+        let mut counts = BTreeMap::new();
+        for _ in 0..100 {
+            let service = splitter.next(&route, seed).expect("a service").to_owned();
+            *counts.entry(service).or_insert(0) += 1;
+        }
+        assert_eq!(counts.get("2"), None);
+        let tenth = counts.get("1").copied().unwrap_or(0);
+        assert!((9..=11).contains(&tenth), "seed {seed}: {counts:?}");
+    }
+}
+
+#[test]
+fn only_whole_events_are_handed_on_each_once() {
+    let mut buffer = EventBuffer::after(Some(3));
+    assert!(buffer.push(b"id: 3\ndata: x\n\nid: 4\nda").is_empty());
+    assert!(buffer.is_inside_event());
+    assert_eq!(buffer.push(b"ta: y\n").as_ref(), b"");
+    assert_eq!(buffer.push(b"\nid: 5").as_ref(), b"id: 4\ndata: y\n\n");
+    assert_eq!(buffer.last_event(), Some(4));
+    buffer.discard_partial();
+    assert_eq!(
+        buffer.push(b"id: 4\ndata: y\n\nid: 5\ndata: z\n\n").as_ref(),
+        b"id: 5\ndata: z\n\n"
+    );
+    assert!(!buffer.is_inside_event());
+}
+
+#[test]
+fn events_are_found_however_the_bytes_are_cut() {
+    let text = b"x-weight-versions: 2\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+    for size in 1..text.len() {
+        let mut buffer = EventBuffer::after(None);
+        let mut whole = Vec::new();
+        for piece in text.chunks(size) {
+            whole.extend_from_slice(&buffer.push(piece));
+        }
+        assert_eq!(whole, text, "pieces of {size}");
+        assert_eq!(buffer.last_event(), Some(3));
+    }
+}
+
+#[test]
+fn an_unreachable_replica_rests_longer_each_time() {
+    let start = Instant::now();
+    let mut health = Health::new(start);
+    assert!(health.allows(start));
+    health.note(ExchangeEnd::Unreachable, start);
+    assert!(!health.allows(start + milliseconds(300)));
+    assert!(health.allows(start + milliseconds(500)));
+    health.note(ExchangeEnd::Unreachable, start + milliseconds(500));
+    assert!(!health.allows(start + milliseconds(1_200)));
+    health.note(ExchangeEnd::Good, start + milliseconds(1_500));
+    assert!(health.allows(start + milliseconds(1_500)));
+}
+
+#[test]
+fn older_weights_are_not_used_once_the_bound_comes_near() {
+    let start = Instant::now();
+    let bound = milliseconds(8_000);
+    let mut named = NamedWeights::default();
+    let learn = |named: &mut NamedWeights, version, at| {
+        named.learn(&BTreeMap::from([("m".to_owned(), version)]), at);
+    };
+    learn(&mut named, 2, start);
+    learn(&mut named, 3, start + milliseconds(3_000));
+    let oldest = |named: &mut NamedWeights, at| named.oldest_usable("m", bound, start + milliseconds(at));
+    assert_eq!(oldest(&mut named, 5_000), 0);
+    assert_eq!(oldest(&mut named, 7_000), 2);
+    assert_eq!(oldest(&mut named, 9_900), 3);
+    assert_eq!(named.oldest_usable("other", bound, start), 0);
+}
+
+fn prompt(ids: &[u64]) -> PromptShape {
+    PromptShape {
+        model: "m".to_owned(),
+        prompt_tokens: 1_000 * ids.len() as u64,
+        answer_tokens: 10,
+        segments: ids
+            .iter()
+            .map(|id| PromptSegment {
+                id: *id,
+                tokens: 1_000,
+            })
+            .collect(),
+    }
+}
+
+#[test]
+fn prompts_with_the_same_beginning_meet_and_namespaces_keep_them_apart() {
+    let first = PrefixPath::new(&prompt(&[1, 2, 3]), "");
+    let second = PrefixPath::new(&prompt(&[1, 2, 4]), "");
+    let walled = PrefixPath::new(&prompt(&[1, 2, 3]), "tenant");
+    assert_eq!(first.key(), second.key());
+    assert_ne!(first.key(), walled.key());
+    assert_eq!(first.shared_tokens(), 2_000);
+    let mut sent = SentPrefixes::default();
+    let now = Instant::now();
+    sent.note("r1", &first, now);
+    assert_eq!(sent.known_tokens("r1", &second), 2_000);
+    assert_eq!(sent.known_tokens("r1", &PrefixPath::new(&prompt(&[1, 9, 3]), "")), 1_000);
+    assert_eq!(sent.known_tokens("r1", &walled), 0);
+    assert_eq!(sent.known_tokens("r2", &first), 0);
+    sent.forget("r1");
+    assert_eq!(sent.known_tokens("r1", &first), 0);
+    let key = first.key().expect("a key");
+    assert_eq!(rendezvous(key, "r1"), rendezvous(key, "r1"));
+}
+
+#[test]
+fn the_favoured_replica_is_left_when_it_is_much_busier() {
+    let idle = Candidate {
+        same_zone: true,
+        slots: 32,
+        capacity_tokens: 100_000,
+        rank: 2,
+        ..Candidate::default()
+    };
+    let home = Candidate { rank: 0, ..idle };
+    let size = RequestSize {
+        prompt_tokens: 3_000,
+        shared_tokens: 2_000,
+        routers: 7,
+    };
+    assert_eq!(choose(&[idle, home], size, 0).map(|(at, _)| at), Some(1));
+    let busy_home = Candidate {
+        open_requests: 20,
+        ..home
+    };
+    assert_eq!(choose(&[idle, busy_home], size, 0).map(|(at, _)| at), Some(0));
+    let failing_home = Candidate {
+        failure_rate: 0.5,
+        ..home
+    };
+    assert_eq!(choose(&[idle, failing_home], size, 0).map(|(at, _)| at), Some(0));
+    assert_eq!(choose(&[], size, 0), None);
+}
+
+/// Found by a hunt: a stream that was taken 3.2 s after the signal was cut at the end.
+#[test]
+fn a_stopping_router_takes_only_what_it_can_finish() {
+    let start = Instant::now();
+    let plan = StopPlan {
+        takes_all_until: start + milliseconds(2_500),
+        ends_at: start + milliseconds(7_500),
+    };
+    let long = start + milliseconds(15_000);
+    assert!(plan.takes(long, start + milliseconds(2_000)));
+    assert!(!plan.takes(long, start + milliseconds(3_000)));
+    assert!(plan.takes(start + milliseconds(5_000), start + milliseconds(3_000)));
+}
--- /dev/null
+++ b/crates/serving/tests/configuration.rs
@@ -0,0 +1,123 @@
+//! Validation, routes and keys.
+
+use railtack_serving::{
+    ConfigurationError, KeyOwner, RequestKind, Route, RouteTable, ServiceShape,
+    ServingConfiguration, TenantShape, WeightedService,
+};
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RequestKind::Idempotent,
+        timeout_ms: 1_000,
+        objective_ms: 100,
+        gap_objective_ms: 0,
+        priority: 0,
+        targets: vec![WeightedService {
+            service: "app".to_owned(),
+            weight_milli: 1_000,
+        }],
+        max_attempts: 2,
+        allows_anonymous: false,
+        sticky: false,
+    }
+}
+
+fn service(name: &str) -> ServiceShape {
+    ServiceShape {
+        name: name.to_owned(),
+        max_connections: 10,
+        engine: None,
+        store: None,
+    }
+}
+
+fn tenant(name: &str, keys: &[&str]) -> TenantShape {
+    TenantShape {
+        name: name.to_owned(),
+        api_keys: keys.iter().map(|key| (*key).to_owned()).collect(),
+        priority: None,
+        isolated: false,
+    }
+}
+
+fn valid() -> ServingConfiguration {
+    ServingConfiguration {
+        revision: 1,
+        routes: vec![
+            route("short", "a.example", "/x/"),
+            route("long", "a.example", "/x/y/"),
+        ],
+        services: vec![service("app")],
+        tenants: vec![tenant("one", &["k1", "k2"]), tenant("two", &["k3"])],
+        ..ServingConfiguration::default()
+    }
+}
+
+#[test]
+fn the_longest_prefix_wins_and_hosts_ignore_case_and_port() {
+    let table = RouteTable::new(valid());
+    let name = |host, path| table.route(host, path).map(|route| route.name.clone());
+    assert_eq!(name("a.example", "/x/y/z").as_deref(), Some("long"));
+    assert_eq!(name("A.Example:8080", "/x/z").as_deref(), Some("short"));
+    assert_eq!(name("a.example", "/xy/"), None);
+    assert_eq!(name("b.example", "/x/"), None);
+}
+
+#[test]
+fn keys_lead_to_their_tenant() {
+    let table = RouteTable::new(valid());
+    assert!(matches!(table.owner(Some("k2")), KeyOwner::Tenant(tenant) if tenant.name == "one"));
+    assert_eq!(table.owner(Some("k9")), KeyOwner::Unknown);
+    assert_eq!(table.owner(None), KeyOwner::Unknown);
+    let open = ServingConfiguration {
+        tenants: Vec::new(),
+        ..valid()
+    };
+    assert_eq!(RouteTable::new(open).owner(None), KeyOwner::NotAsked);
+}
+
+#[test]
+fn each_fault_is_told_by_its_own_error() {
+    type Spoil = fn(&mut ServingConfiguration);
+    type Expect = fn(&ConfigurationError) -> bool;
+    let cases: [(Spoil, Expect); 7] = [
+        (
+            |c| c.routes[0].targets[0].service = "none".to_owned(),
+            |e| matches!(e, ConfigurationError::UnknownService { .. }),
+        ),
+        (
+            |c| c.routes[1].path_prefix = "/x/".to_owned(),
+            |e| matches!(e, ConfigurationError::DuplicateRoute { .. }),
+        ),
+        (
+            |c| c.routes[0].targets[0].weight_milli = 0,
+            |e| matches!(e, ConfigurationError::NoWeight { .. }),
+        ),
+        (
+            |c| c.routes[0].timeout_ms = 0,
+            |e| matches!(e, ConfigurationError::NoTimeout { .. }),
+        ),
+        (
+            |c| c.routes[0].path_prefix = "/x".to_owned(),
+            |e| matches!(e, ConfigurationError::MalformedPrefix { .. }),
+        ),
+        (
+            |c| c.services.push(c.services[0].clone()),
+            |e| matches!(e, ConfigurationError::DuplicateService { .. }),
+        ),
+        (
+            |c| c.tenants[1].api_keys.push("k1".to_owned()),
+            |e| matches!(e, ConfigurationError::SharedKey { .. }),
+        ),
+    ];
+    assert_eq!(valid().validate(), Ok(()));
+    for (position, (spoil, expected)) in cases.iter().enumerate() {
+        let mut configuration = valid();
+        spoil(&mut configuration);
+        let error = configuration.validate().expect_err("a fault");
+        assert!(expected(&error), "case {position}: {error}");
+    }
+}
