--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -409,8 +409,9 @@
             .fetch_source(&ranked, &mut table, &target.record)
             .or_else(|| target.save_to.clone());
         drop(table);
-        self.log
-            .chose(&target, candidates[position].known_tokens, cost, view.known);
+        self.log.chose(&target, &candidates[position], cost, view.known);
+        self.log.prefix = self.path.key().unwrap_or_default();
+        self.log.shared_tokens = self.path.shared_tokens();
         Some(target)
     }
 
@@ -566,6 +567,9 @@
     known: u64,
     replica: String,
     kept_tokens: u64,
+    shared_tokens: u64,
+    prefix: u64,
+    rank: usize,
     cost: f64,
     attempts: u32,
     first_byte: Option<Duration>,
@@ -585,6 +589,9 @@
             known: 0,
             replica: String::new(),
             kept_tokens: 0,
+            shared_tokens: 0,
+            prefix: 0,
+            rank: 0,
             cost: 0.0,
             attempts: 0,
             first_byte: None,
@@ -598,9 +605,10 @@
         self.revision = admitted.revision;
     }
 
-    fn chose(&mut self, target: &Target, kept_tokens: u64, cost: f64, known: u64) {
+    fn chose(&mut self, target: &Target, candidate: &Candidate, cost: f64, known: u64) {
         self.replica.clone_from(&target.record.id);
-        self.kept_tokens = kept_tokens;
+        self.kept_tokens = candidate.known_tokens;
+        self.rank = candidate.rank;
         self.cost = cost;
         self.known = known;
         self.attempts += 1;
@@ -644,7 +652,10 @@
             revision = self.revision,
             known = self.known,
             replica = self.replica.clone(),
+            prefix = format!("{:016x}", self.prefix),
+            shared_tokens = self.shared_tokens,
             kept_tokens = self.kept_tokens,
+            rank = self.rank,
             cost = self.cost,
             attempts = self.attempts,
             first_byte_ms = self.first_byte.map_or(0, |waited| waited.as_millis() as u64),
