--- a/crates/control/src/rollout.rs
+++ b/crates/control/src/rollout.rs
@@ -5,8 +5,8 @@
 
 use std::collections::BTreeMap;
 
-use railtack_core::{EngineId, ModelName};
 use railtack_backend_api::EngineStatus;
+use railtack_core::{EngineId, ModelName};
 use railtack_rpc::protocol::{Configuration, EngineOrder};
 use railtack_settings::documents::ModelTarget;
 
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -10,10 +10,10 @@
 use futures::StreamExt;
 use hyper::Request;
 use prometheus_client::registry::Registry;
+use railtack_backend_api::{EngineStatus, MachineKind, MachineList, OrderReply, OrderRequest};
 use railtack_consensus::{DiskId, Message, ReplicaId};
 use railtack_core::{EngineId, ModelName};
 use railtack_http::{HttpClient, ServeOptions, body, observability};
-use railtack_backend_api::{EngineStatus, MachineKind, MachineList, OrderReply, OrderRequest};
 use railtack_rpc::{
     Control,
     codec::ServerCodec,
@@ -263,10 +263,7 @@
     }
 
     async fn join(self, _: Context, request: JoinRequest) -> JoinReply {
-        let answer = self
-            .handle
-            .ask(|sender| Input::Join(request, sender))
-            .await;
+        let answer = self.handle.ask(|sender| Input::Join(request, sender)).await;
         answer.unwrap_or(JoinReply::NotLeader { leader: None })
     }
 
--- a/crates/control/src/serving/handle.rs
+++ b/crates/control/src/serving/handle.rs
@@ -136,7 +136,9 @@
         let said_leaving = record.state == ReplicaState::Leaving;
         let knows_leaving = known.state == ReplicaState::Leaving;
         let weights_known = record.weights.iter().all(|held| {
-            known.version_of(&held.model).is_some_and(|version| version >= held.version)
+            known
+                .version_of(&held.model)
+                .is_some_and(|version| version >= held.version)
         });
         let same_place = known.service == record.service && known.address == record.address;
         same_place && weights_known && (knows_leaving || !said_leaving)
--- a/crates/control/src/serving/leader.rs
+++ b/crates/control/src/serving/leader.rs
@@ -106,7 +106,9 @@
         let connection = self.connection(&leader)?;
         let proposal = proposal.clone();
         connection
-            .call(|client| async move { client.propose(call_deadline(TRY_TIMEOUT), proposal).await })
+            .call(
+                |client| async move { client.propose(call_deadline(TRY_TIMEOUT), proposal).await },
+            )
             .await
             .ok()
     }
--- a/crates/control/src/serving/liveness.rs
+++ b/crates/control/src/serving/liveness.rs
@@ -95,11 +95,7 @@
     }
 
     /// While leading: replicas of `known` that have been silent for longer than `limit`.
-    fn silent<'a>(
-        &self,
-        known: impl Iterator<Item = &'a String>,
-        limit: Duration,
-    ) -> Vec<String> {
+    fn silent<'a>(&self, known: impl Iterator<Item = &'a String>, limit: Duration) -> Vec<String> {
         let now = Instant::now();
         let mut heard = self.lock();
         let since = *heard.leading_since.get_or_insert(now);
@@ -119,9 +115,7 @@
         let mut heard = self.lock();
         heard.replicas.retain(|replica, _| kept(replica));
         heard.sequences.retain(|replica, _| kept(replica));
-        heard
-            .routers
-            .retain(|_, at| at.elapsed() < ROUTER_SILENCE);
+        heard.routers.retain(|_, at| at.elapsed() < ROUTER_SILENCE);
     }
 
     fn lock(&self) -> MutexGuard<'_, Heard> {
--- a/crates/control/src/serving/orders.rs
+++ b/crates/control/src/serving/orders.rs
@@ -94,7 +94,8 @@
 /// How orders reach back ends; an adapter implements it.
 pub trait OrderChannel: Send + Sync {
     /// Asks what a back end holds; `None` without an answer.
-    fn report<'a>(&'a self, replica: &'a ReplicaRecord) -> ChannelFuture<'a, Option<WeightsReport>>;
+    fn report<'a>(&'a self, replica: &'a ReplicaRecord)
+    -> ChannelFuture<'a, Option<WeightsReport>>;
     /// Gives an order.
     fn order(&self, request: OrderRequest) -> ChannelFuture<'_, OrderAnswer>;
 }
@@ -221,7 +222,11 @@
         let ended: Vec<String> = self
             .begun
             .keys()
-            .filter(|id| replicas.get(*id).is_none_or(|record| record.order.is_none()))
+            .filter(|id| {
+                replicas
+                    .get(*id)
+                    .is_none_or(|record| record.order.is_none())
+            })
             .cloned()
             .collect();
         for id in ended {
--- a/crates/control/src/serving_state.rs
+++ b/crates/control/src/serving_state.rs
@@ -7,9 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use railtack_consensus::LogIndex;
-use railtack_rpc::serving::{
-    ConfigurationDocument, ServingCommand, ServingOutcome, ServingUpdate,
-};
+use railtack_rpc::serving::{ConfigurationDocument, ServingCommand, ServingOutcome, ServingUpdate};
 use railtack_serving::{
     HeldWeights, PendingOrder, ReplicaRecord, ReplicaState, ServingConfiguration,
 };
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -4,10 +4,10 @@
 
 use clap::ArgMatches;
 use error_stack::{Report, ResultExt};
+use railtack_backend_api::{EngineStatus, MachineKind, MachineList};
 use railtack_consensus::{Member, ReplicaId};
 use railtack_core::{EngineId, OperationId, Revision};
 use railtack_http::HttpClient;
-use railtack_backend_api::{EngineStatus, MachineKind, MachineList};
 use railtack_router::decisions::DecisionRecord;
 use railtack_rpc::protocol::{ConfigurationChange, MembershipChange, Outcome};
 
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -5,8 +5,8 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use railtack_core::{BlockHash, PrefixChain};
 use railtack_backend_api::{EngineTotals, LoadReport};
+use railtack_core::{BlockHash, PrefixChain};
 use railtack_settings::emulator::EngineCosts;
 
 use crate::cache::{BlockCache, CacheChanges};
--- a/crates/emulator/src/engine_server.rs
+++ b/crates/emulator/src/engine_server.rs
@@ -9,13 +9,13 @@
 use bytes::Bytes;
 use futures::SinkExt;
 use hyper::{Method, Request, Response, Uri, body::Incoming};
-use railtack_core::{CacheNamespace, EngineIncarnation, PrefixChain};
-use railtack_http::{Body, BodySender, body, read_body, streaming};
 use railtack_backend_api::{
     CacheListing, EngineError, EngineEvent, EngineEventKind, EngineRefusal, EngineRequest,
     EngineStatus, Hex, OrderReply, OrderRequest, StreamEnd, StreamFrame, WeightsGrant,
     WeightsRequest,
 };
+use railtack_core::{CacheNamespace, EngineIncarnation, PrefixChain};
+use railtack_http::{Body, BodySender, body, read_body, streaming};
 use railtack_settings::emulator::EngineSettings;
 use serde::Serialize;
 use tokio::sync::Notify;
--- a/crates/emulator/src/event_feed.rs
+++ b/crates/emulator/src/event_feed.rs
@@ -2,8 +2,8 @@
 
 use std::collections::VecDeque;
 
-use railtack_core::EngineIncarnation;
 use railtack_backend_api::{EngineEvent, EngineEventKind, Hex};
+use railtack_core::EngineIncarnation;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
--- a/crates/emulator/src/gate.rs
+++ b/crates/emulator/src/gate.rs
@@ -2,8 +2,8 @@
 //!
 //! Pure: the engine process and the simulator use the same checks.
 
-use railtack_core::{EngineIncarnation, ModelName, WeightsVersion};
 use railtack_backend_api::{EngineRefusal, OrderRequest};
+use railtack_core::{EngineIncarnation, ModelName, WeightsVersion};
 
 /// Checks that a deliberately broken build leaves out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/emulator/src/platform_server.rs
+++ b/crates/emulator/src/platform_server.rs
@@ -7,8 +7,8 @@
 };
 
 use hyper::{Method, Request, Response, body::Incoming};
-use railtack_http::{Body, body, read_body};
 use railtack_backend_api::{Machine, MachineList, WeightsGrant, WeightsRequest};
+use railtack_http::{Body, body, read_body};
 use serde::de::DeserializeOwned;
 use serde_json::json;
 
--- a/crates/emulator/src/service_server.rs
+++ b/crates/emulator/src/service_server.rs
@@ -6,8 +6,8 @@
 };
 
 use hyper::{Method, Request, Response, body::Incoming};
-use railtack_http::{Body, body, read_body};
 use railtack_backend_api::ExecutionCounts;
+use railtack_http::{Body, body, read_body};
 use serde_json::json;
 
 /// Largest request body, bytes.
--- a/crates/lab/src/experiment/router.rs
+++ b/crates/lab/src/experiment/router.rs
@@ -1,9 +1,9 @@
 //! The router's side of a run: the daemon's scheduler and admission, fed by late events.
 
+use railtack_backend_api::LoadReport;
 use railtack_core::{
     BlockHash, EngineId, EngineIncarnation, ModelName, PrefixChain, WeightsVersion,
 };
-use railtack_backend_api::LoadReport;
 use railtack_routing::{
     Admission, AdmissionRefusal, CandidateScore, EngineSlot, EngineTable, ModelKey, RequestShape,
     RetryBudget, Scheduler, SchedulerOptions, ScoreWeights, admission::AdmissionRequest,
--- a/crates/lab/src/fault/keys.rs
+++ b/crates/lab/src/fault/keys.rs
@@ -8,9 +8,9 @@
 
 use error_stack::Report;
 use futures::{StreamExt, stream};
+use railtack_backend_api::{Machine, MachineKind};
 use railtack_core::{Execution, ZoneName};
 use railtack_http::HttpClient;
-use railtack_backend_api::{Machine, MachineKind};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::sleep;
--- a/crates/lab/src/fleet/running.rs
+++ b/crates/lab/src/fleet/running.rs
@@ -9,9 +9,9 @@
 };
 
 use error_stack::{Report, ResultExt};
+use railtack_backend_api::{EngineStatus, ExecutionCounts, Machine, MachineKind};
 use railtack_core::{EngineId, ModelName, ZoneName};
 use railtack_http::HttpClient;
-use railtack_backend_api::{EngineStatus, ExecutionCounts, Machine, MachineKind};
 use serde_json::Value;
 use tokio::time::{Instant, sleep};
 
--- a/crates/lab/src/scale/decisions.rs
+++ b/crates/lab/src/scale/decisions.rs
@@ -3,10 +3,10 @@
 use std::time::Instant;
 
 use hdrhistogram::Histogram;
+use railtack_backend_api::LoadReport;
 use railtack_core::{
     BlockHash, CacheNamespace, EngineId, EngineIncarnation, PrefixChain, WeightsVersion,
 };
-use railtack_backend_api::LoadReport;
 use railtack_routing::{
     EngineSlot, ModelKey, PrefixIndex, RequestShape, Scheduler, SchedulerOptions,
     engines::EngineDescription,
--- a/crates/lab/src/simulate/control/engines.rs
+++ b/crates/lab/src/simulate/control/engines.rs
@@ -1,9 +1,9 @@
 //! Engines and the rollout of weights by whoever leads.
 
+use railtack_backend_api::{EngineStatus, EngineTotals, LoadReport, OrderRequest};
 use railtack_control::rollout::{self, EnginesSeen, RolloutStep};
 use railtack_core::{EngineId, EngineIncarnation, ModelName, WeightsVersion, ZoneName};
 use railtack_emulator::gate::{Gate, GateChecks};
-use railtack_backend_api::{EngineStatus, EngineTotals, LoadReport, OrderRequest};
 use railtack_rpc::protocol::{Command, EngineOrder, Proposal};
 use rand::RngExt;
 
--- a/crates/lab/src/simulate/control/world.rs
+++ b/crates/lab/src/simulate/control/world.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use railtack_consensus::Message;
 use railtack_backend_api::OrderRequest;
+use railtack_consensus::Message;
 use railtack_router::proposal::ProposalRun;
 use railtack_rpc::protocol::{Command, PollReply, PollRequest, Proposal, ProposeReply};
 use rand::{RngExt, SeedableRng};
--- a/crates/lab/src/simulate/streams/engines.rs
+++ b/crates/lab/src/simulate/streams/engines.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use railtack_backend_api::{Hex, OrderRequest, StreamEnd, StreamFrame};
 use railtack_core::{
     BlockHash, CacheNamespace, EngineIncarnation, ModelName, PrefixChain, WeightsVersion,
 };
@@ -10,7 +11,6 @@
     engine::{EngineModel, NewSequence, StepOutcome},
     gate::{Gate, GateChecks},
 };
-use railtack_backend_api::{Hex, OrderRequest, StreamEnd, StreamFrame};
 use railtack_settings::emulator::EngineCosts;
 use rand::RngExt;
 
--- a/crates/lab/src/simulate/streams/requests.rs
+++ b/crates/lab/src/simulate/streams/requests.rs
@@ -1,11 +1,11 @@
 //! Requests: the router's relay and attempts, and the caller's check of what comes.
 
+use railtack_backend_api::StreamFrame;
 use railtack_core::{
     AttemptId, BlockHash, CacheNamespace, ModelName, PrefixChain, TenantName, WeightsVersion,
     prefix::BYTES_PER_TOKEN,
 };
 use railtack_emulator::answer::whole_answer;
-use railtack_backend_api::StreamFrame;
 use railtack_router::{
     attempts::{AfterAttempt, AttemptEnd, Attempts},
     relay::{EndMarker, FrameStep, Relay},
--- a/crates/lab/src/simulate/streams/world.rs
+++ b/crates/lab/src/simulate/streams/world.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use railtack_core::{EngineIncarnation, WeightsVersion};
 use railtack_backend_api::{OrderRequest, StreamFrame};
+use railtack_core::{EngineIncarnation, WeightsVersion};
 use railtack_routing::RetryBudget;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/proxy/src/budget.rs
+++ b/crates/proxy/src/budget.rs
@@ -62,7 +62,11 @@
     }
 
     fn accrue(&mut self, routers: u32, now: Instant) {
-        let routers = if routers == 0 { ROUTERS_ASSUMED } else { routers };
+        let routers = if routers == 0 {
+            ROUTERS_ASSUMED
+        } else {
+            routers
+        };
         let slack = self.rule.slack * SLACK_USED / f64::from(routers);
         let elapsed = now.saturating_duration_since(self.updated_at);
         let windows = elapsed.as_secs_f64() / self.rule.window.as_secs_f64().max(1e-3);
--- a/crates/proxy/src/choice.rs
+++ b/crates/proxy/src/choice.rs
@@ -64,8 +64,13 @@
 
 fn cost(candidate: &Candidate, size: RequestSize) -> f64 {
     let routers = f64::from(size.routers.max(1));
-    let busy = f64::from(candidate.open_requests) * routers.sqrt() / f64::from(candidate.slots.max(1));
-    let zone = if candidate.same_zone { 0.0 } else { OTHER_ZONE_COST };
+    let busy =
+        f64::from(candidate.open_requests) * routers.sqrt() / f64::from(candidate.slots.max(1));
+    let zone = if candidate.same_zone {
+        0.0
+    } else {
+        OTHER_ZONE_COST
+    };
     let rank = if size.shared_tokens > 0 {
         RANK_COSTS[candidate.rank.min(RANK_COSTS.len() - 1)]
     } else {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,9 +11,11 @@
 //! | which service? | [`split`] | yes |
 //! | which replica? | [`choice`], with [`affinity`], [`health`] and [`named`] | yes |
 //! | may it be tried again? | [`verdict`], [`budget`] | yes |
+//! | all of that for one request | [`targeting`] | |
 //! | over which connection? | [`pool`] | |
 //! | one exchange | [`attempt`] | |
 //! | all exchanges of a request | [`pipeline`] | |
+//! | what is logged of it | [`request_log`] | |
 //! | events of a stream | [`events`] (pure), [`stream`] | |
 
 pub mod admission;
@@ -33,9 +35,11 @@
 pub mod refusal;
 pub mod replicas;
 pub mod request;
+pub mod request_log;
 pub mod split;
 pub mod state;
 pub mod stream;
+pub mod targeting;
 pub mod verdict;
 pub mod view;
 
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -68,7 +68,11 @@
 impl ProxyMetrics {
     /// Makes the counters visible.
     pub fn register(&self, registry: &mut Registry) {
-        registry.register("proxy_requests", "Requests by outcome", self.requests.clone());
+        registry.register(
+            "proxy_requests",
+            "Requests by outcome",
+            self.requests.clone(),
+        );
         registry.register(
             "proxy_exchanges",
             "Exchanges with replicas by outcome",
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -153,7 +153,11 @@
         let mut resting = self.resting();
         while let Some(newest) = resting.pop() {
             let rest = newest.connection.rest;
-            if newest.is_usable(if must_be_fresh { rest.min(FRESH_REST) } else { rest }) {
+            if newest.is_usable(if must_be_fresh {
+                rest.min(FRESH_REST)
+            } else {
+                rest
+            }) {
                 return Some(newest.connection);
             }
             if must_be_fresh && newest.is_usable(rest) {
--- /dev/null
+++ b/crates/proxy/src/request_log.rs
@@ -0,0 +1,124 @@
+//! One log line for each request, with everything that decided it.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::Instant;
+
+use crate::{
+    admission::Admitted, attempt::Target, choice::Candidate, request::ProxiedRequest,
+    state::ProxyState,
+};
+
+/// Collects what is logged of a request and logs it once, also if the caller goes away.
+pub struct RequestLog {
+    state: Arc<ProxyState>,
+    request: String,
+    received: Instant,
+    route: String,
+    tenant: String,
+    revision: u64,
+    known: u64,
+    replica: String,
+    kept_tokens: u64,
+    /// Length of that beginning, tokens.
+    pub shared_tokens: u64,
+    /// Hash of the longest shared beginning of the prompt.
+    pub prefix: u64,
+    rank: usize,
+    cost: f64,
+    attempts: u32,
+    first_byte: Option<Duration>,
+    outcome: Option<String>,
+}
+
+impl RequestLog {
+    /// Begins the account of a request.
+    pub fn begin(state: &Arc<ProxyState>, request: &ProxiedRequest) -> Self {
+        state.metrics.open_requests.inc();
+        Self {
+            state: Arc::clone(state),
+            request: request.id.clone(),
+            received: request.received,
+            route: String::new(),
+            tenant: String::new(),
+            revision: 0,
+            known: 0,
+            replica: String::new(),
+            kept_tokens: 0,
+            shared_tokens: 0,
+            prefix: 0,
+            rank: 0,
+            cost: 0.0,
+            attempts: 0,
+            first_byte: None,
+            outcome: None,
+        }
+    }
+
+    /// Notes how the request was admitted.
+    pub fn admitted(&mut self, admitted: &Admitted) {
+        self.route.clone_from(&admitted.route.name);
+        self.tenant = admitted.tenant.clone().unwrap_or_default();
+        self.revision = admitted.revision;
+    }
+
+    /// Notes a choice, with what decided it.
+    pub fn chose(&mut self, target: &Target, candidate: &Candidate, cost: f64, known: u64) {
+        self.replica.clone_from(&target.record.id);
+        self.kept_tokens = candidate.known_tokens;
+        self.rank = candidate.rank;
+        self.cost = cost;
+        self.known = known;
+        self.attempts += 1;
+    }
+
+    /// Notes the whole answer of a replica.
+    pub fn answered(&mut self, target: &Target, status: u16) {
+        self.first_byte();
+        self.replica.clone_from(&target.record.id);
+        self.end(format!("answered_{status}"));
+    }
+
+    /// Notes that the first byte of the answer is here.
+    pub fn first_byte(&mut self) {
+        let waited = self.received.elapsed();
+        self.first_byte = Some(waited);
+        self.state
+            .metrics
+            .first_byte_seconds
+            .observe(waited.as_secs_f64());
+    }
+
+    /// Notes how the request ended; the first outcome counts.
+    pub fn end(&mut self, outcome: String) {
+        self.outcome.get_or_insert(outcome);
+    }
+}
+
+impl Drop for RequestLog {
+    fn drop(&mut self) {
+        let outcome = self
+            .outcome
+            .take()
+            .unwrap_or_else(|| "caller_gone".to_owned());
+        self.state.metrics.open_requests.dec();
+        self.state.metrics.request_ended(&outcome);
+        spdlog::info!("request", kv: {
+            request = self.request.clone(),
+            outcome,
+            route = self.route.clone(),
+            tenant = self.tenant.clone(),
+            revision = self.revision,
+            known = self.known,
+            replica = self.replica.clone(),
+            prefix = format!("{:016x}", self.prefix),
+            shared_tokens = self.shared_tokens,
+            kept_tokens = self.kept_tokens,
+            rank = self.rank,
+            cost = self.cost,
+            attempts = self.attempts,
+            first_byte_ms = self.first_byte.map_or(0, |waited| waited.as_millis() as u64),
+            total_ms = self.received.elapsed().as_millis() as u64,
+        });
+    }
+}
--- a/crates/proxy/src/split.rs
+++ b/crates/proxy/src/split.rs
@@ -34,7 +34,10 @@
                 .insert(route.name.clone(), Division::new(&route.targets, seed));
         }
         let position = self.routes.get_mut(&route.name)?.next()?;
-        route.targets.get(position).map(|target| target.service.as_str())
+        route
+            .targets
+            .get(position)
+            .map(|target| target.service.as_str())
     }
 
     /// Forgets routes that are gone.
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -51,7 +51,7 @@
                         buffer,
                         ended: false,
                     };
-                    return Ok(Step::Stream(answered, first));
+                    return Ok(Step::Stream(Box::new((answered, first))));
                 }
             }
             Chunk::End if !buffer.is_inside_event() => {
@@ -60,7 +60,7 @@
                     buffer,
                     ended: true,
                 };
-                return Ok(Step::Stream(answered, first));
+                return Ok(Step::Stream(Box::new((answered, first))));
             }
             Chunk::End | Chunk::Broken => {
                 let failed = FailedExchange::may_have_run("stream broke before its first event");
--- /dev/null
+++ b/crates/proxy/src/targeting.rs
@@ -0,0 +1,205 @@
+//! Finding the replica for a request: who may serve it, what each is known to keep, who is chosen,
+//! and where the chosen one fetches what it lacks.
+
+use std::{
+    cmp::Reverse,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use railtack_serving::{ReplicaRecord, ServingConfiguration};
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::{
+    affinity::rendezvous,
+    attempt::Target,
+    choice::{self, Candidate, RequestSize},
+    pipeline::RequestRun,
+    replicas::ReplicaTable,
+    state::lock,
+};
+
+/// Pause between two looks for a replica that takes work.
+const LOOK_PAUSE: Duration = Duration::from_millis(15);
+/// Part of the objective for which a request may wait for a replica before it is refused.
+const WAIT_DIVISOR: u64 = 5;
+/// Connections that a router may open to one replica if the configuration states no limit.
+const DEFAULT_CONNECTIONS: u32 = 32;
+
+impl RequestRun {
+    /// Waits a little for a replica that takes work; `None` if there is none.
+    pub async fn wait_for_target(&mut self) -> Option<Target> {
+        let route = &self.admitted.route;
+        let wait = Duration::from_millis(route.objective_ms / WAIT_DIVISOR);
+        let until = (self.request.received + wait).min(self.admitted.deadline);
+        let mut changes = self.state.changes();
+        loop {
+            if let Some(target) = self.choose() {
+                return Some(target);
+            }
+            if Instant::now() >= until || !self.state.is_confirmed() {
+                return None;
+            }
+            let change = async {
+                tokio::select! {
+                    _ = changes.changed() => {}
+                    () = sleep(LOOK_PAUSE) => {}
+                }
+            };
+            let _ = timeout_at(until, change).await;
+        }
+    }
+
+    fn choose(&mut self) -> Option<Target> {
+        let view = self.state.view.load_full();
+        let configuration = view.table.as_ref()?.configuration();
+        let now = Instant::now();
+        let mut table = lock(&self.state.replicas);
+        let mut targets = Vec::new();
+        let mut candidates = Vec::new();
+        let limit = self.connection_limit(configuration);
+        let oldest = self.oldest_usable_weights();
+        let ready: Vec<&Arc<ReplicaRecord>> = view
+            .ready(&self.service)
+            .filter(|record| record.order.is_none() && !self.tried.contains(&record.id))
+            .filter(|record| self.serves_model(record, oldest))
+            .collect();
+        let ranked = self.ranked(&ready);
+        let capacity = self.capacity_tokens(configuration);
+        for record in ready.iter().copied() {
+            let usage = table.of(&record.id, now);
+            if !usage.allows(now) || !usage.pool.has_room(limit) {
+                continue;
+            }
+            let candidate = Candidate {
+                same_zone: record.zone == self.state.options.zone,
+                slots: record.slots,
+                capacity_tokens: capacity,
+                known_tokens: table.sent().known_tokens(&record.id, &self.path),
+                rank: rank_of(&ranked, record),
+                ..Candidate::default()
+            };
+            candidates.push(usage.describe(candidate, now));
+            targets.push(Target {
+                record: Arc::clone(record),
+                usage,
+                connection_limit: limit,
+                fetch_from: None,
+                save_to: None,
+            });
+        }
+        let size = RequestSize {
+            prompt_tokens: self.path.prompt_tokens,
+            shared_tokens: self.path.shared_tokens(),
+            routers: self.routers(),
+        };
+        let (position, cost) = choice::choose(&candidates, size, rand::random())?;
+        let mut target = targets.swap_remove(position);
+        target.save_to = self.store(configuration);
+        target.fetch_from = self
+            .fetch_source(&ranked, &mut table, &target.record)
+            .or_else(|| target.save_to.clone());
+        drop(table);
+        self.log
+            .chose(&target, &candidates[position], cost, view.known);
+        self.log.prefix = self.path.key().unwrap_or_default();
+        self.log.shared_tokens = self.path.shared_tokens();
+        Some(target)
+    }
+
+    fn oldest_usable_weights(&self) -> u64 {
+        let prompt = self.request.prompt.as_ref();
+        prompt.map_or(0, |prompt| self.state.oldest_usable_weights(&prompt.model))
+    }
+
+    /// Whether a replica holds the model that the request names, in weights that may be used.
+    fn serves_model(&self, record: &ReplicaRecord, oldest: u64) -> bool {
+        let Some(prompt) = &self.request.prompt else {
+            return true;
+        };
+        let held = record.version_of(&prompt.model);
+        record.weights.is_empty() || held.is_some_and(|held| held >= oldest)
+    }
+
+    /// The replicas in the order in which all routers favour them for this prompt's beginning.
+    fn ranked<'a>(&self, ready: &[&'a Arc<ReplicaRecord>]) -> Vec<&'a Arc<ReplicaRecord>> {
+        let mut ranked = ready.to_vec();
+        if let Some(key) = self.path.key() {
+            ranked.sort_by_cached_key(|record| Reverse(rendezvous(key, &record.id)));
+        }
+        ranked
+    }
+
+    /// The replica that all routers favour, if another one was chosen and it has the same weights:
+    /// it is likely to keep what the chosen one lacks. A replica that lacks nothing does not ask it.
+    fn fetch_source(
+        &self,
+        ranked: &[&Arc<ReplicaRecord>],
+        table: &mut ReplicaTable,
+        chosen: &ReplicaRecord,
+    ) -> Option<String> {
+        if self.path.shared_tokens() == 0 {
+            return None;
+        }
+        let model = &self.request.prompt.as_ref()?.model;
+        let favoured = ranked.first()?;
+        let usable = favoured.id != chosen.id
+            && favoured.version_of(model) == chosen.version_of(model)
+            && table
+                .of(&favoured.id, Instant::now())
+                .allows(Instant::now());
+        usable.then(|| favoured.address.clone())
+    }
+
+    /// The store for this prompt's beginning; the same in every router.
+    fn store(&self, configuration: &ServingConfiguration) -> Option<String> {
+        let key = self.path.key()?;
+        let stores = configuration.services.iter();
+        let stores = stores.filter_map(|service| service.store.as_ref());
+        let store = stores.max_by_key(|store| rendezvous(key, &store.address))?;
+        Some(store.address.clone())
+    }
+
+    fn capacity_tokens(&self, configuration: &ServingConfiguration) -> u64 {
+        let service = configuration.service(&self.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        engine.map_or(0, |engine| engine.kv_capacity_tokens)
+    }
+
+    fn connection_limit(&self, configuration: &ServingConfiguration) -> u32 {
+        let service = configuration.service(&self.service);
+        let stated = service.map_or(0, |service| service.max_connections);
+        if stated == 0 {
+            return DEFAULT_CONNECTIONS;
+        }
+        (stated / self.routers().max(1)).max(1)
+    }
+
+    fn routers(&self) -> u32 {
+        self.state.routers.load(Ordering::Relaxed).max(1)
+    }
+
+    /// Weights that the replica must hold to run the request.
+    pub fn expected_weights(&self, record: &ReplicaRecord) -> Option<u64> {
+        record.version_of(&self.request.prompt.as_ref()?.model)
+    }
+
+    /// Cached prompt memory is shared only within a model, a version of its weights and, for an
+    /// isolated tenant, the tenant.
+    pub fn cache_namespace(&self, record: &ReplicaRecord) -> Option<String> {
+        let prompt = self.request.prompt.as_ref()?;
+        let version = record.version_of(&prompt.model).unwrap_or(0);
+        let tenant = self.admitted.tenant.as_deref();
+        let owner = tenant
+            .filter(|_| self.admitted.isolated)
+            .unwrap_or_default();
+        Some(format!("{}.{version}.{owner}", prompt.model))
+    }
+}
+
+fn rank_of(ranked: &[&Arc<ReplicaRecord>], record: &ReplicaRecord) -> usize {
+    ranked
+        .iter()
+        .position(|known| known.id == record.id)
+        .unwrap_or(usize::MAX)
+}
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -3,9 +3,9 @@
 use bytes::Bytes;
 use futures::SinkExt;
 use hyper::{Response, header::HeaderValue};
+use railtack_backend_api::StreamEnd;
 use railtack_core::RequestId;
 use railtack_http::{Body, body, streaming};
-use railtack_backend_api::StreamEnd;
 use serde::Serialize;
 use tokio::sync::mpsc;
 
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -2,8 +2,8 @@
 //!
 //! Pure: the daemon and the simulator feed it how each attempt ended.
 
-use railtack_core::{Execution, RefusalCode};
 use railtack_backend_api::StreamEnd;
+use railtack_core::{Execution, RefusalCode};
 
 use crate::refusal::Refusal;
 
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -11,11 +11,11 @@
 use futures::StreamExt;
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming};
+use railtack_backend_api::{EngineError, EngineRefusal, EngineRequest, Hex, StreamFrame};
 use railtack_core::{
     AttemptId, CacheNamespace, EngineIncarnation, PrefixChain, RequestId, TemplateName, TenantName,
 };
 use railtack_http::{SendError, lines, read_body};
-use railtack_backend_api::{EngineError, EngineRefusal, EngineRequest, Hex, StreamFrame};
 use railtack_routing::{Decision, EngineSlot, ModelKey, RequestShape};
 use railtack_settings::documents::Priority;
 use tokio::{
--- a/crates/router/src/engine_link.rs
+++ b/crates/router/src/engine_link.rs
@@ -11,11 +11,11 @@
 use futures::StreamExt;
 use http_body_util::Full;
 use hyper::Request;
-use railtack_core::{BlockHash, EngineId, EngineIncarnation};
-use railtack_http::lines;
 use railtack_backend_api::{
     CacheListing, EngineEvent, EngineEventKind, EngineStatus, Hex, MachineKind, MachineList,
 };
+use railtack_core::{BlockHash, EngineId, EngineIncarnation};
+use railtack_http::lines;
 use railtack_routing::engines::{CacheKnowledge, EngineDescription, EngineSlot, ModelKey};
 use tokio::time::{sleep, timeout};
 
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -2,8 +2,8 @@
 //!
 //! Pure: the daemon and the simulator feed it frames and closed connections.
 
-use railtack_core::AttemptId;
 use railtack_backend_api::{StreamEnd, StreamFrame};
+use railtack_core::AttemptId;
 
 /// Whether an answer ends only by an explicit mark.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/routing/src/engines.rs
+++ b/crates/routing/src/engines.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 
-use railtack_core::{EngineId, EngineIncarnation, ModelName, WeightsVersion, ZoneName};
 use railtack_backend_api::LoadReport;
+use railtack_core::{EngineId, EngineIncarnation, ModelName, WeightsVersion, ZoneName};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{Micros, breaker::CircuitBreaker};
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -3,10 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use quickcheck::quickcheck;
+use railtack_backend_api::LoadReport;
 use railtack_core::{
     BlockHash, CacheNamespace, EngineId, EngineIncarnation, ModelName, PrefixChain, WeightsVersion,
 };
-use railtack_backend_api::LoadReport;
 use railtack_routing::{
     EngineSlot, ModelKey, PrefixIndex, RequestShape, Scheduler, SchedulerOptions,
     engines::{CacheKnowledge, EngineDescription},
--- a/crates/serving/src/configuration.rs
+++ b/crates/serving/src/configuration.rs
@@ -23,10 +23,7 @@
 impl RequestKind {
     /// Whether a second run of the same request does no harm.
     pub fn may_repeat(self) -> bool {
-        matches!(
-            self,
-            Self::Idempotent | Self::Stream { resumable: true }
-        )
+        matches!(self, Self::Idempotent | Self::Stream { resumable: true })
     }
 
     /// Whether the answer is a stream of events.
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -121,7 +121,11 @@
         let bounds = &self.bounds;
         require_range("bounds.revoke_ms", bounds.revoke_ms, 100..=3_600_000)?;
         require_range("bounds.grace_s", bounds.grace_s, 0.1..=3_600.0)?;
-        require_range("bounds.retry_window_s", bounds.retry_window_s, 0.1..=3_600.0)?;
+        require_range(
+            "bounds.retry_window_s",
+            bounds.retry_window_s,
+            0.1..=3_600.0,
+        )?;
         require_range("bounds.retry_ratio", bounds.retry_ratio, 0.0..=10.0)?;
         require_range("bounds.retry_slack", bounds.retry_slack, 0.0..=1e6)?;
         require_range("bounds.lease_ms", bounds.lease_ms, 1..=3_600_000)
--- a/crates/settings/src/logging.rs
+++ b/crates/settings/src/logging.rs
@@ -5,10 +5,9 @@
 use std::{num::NonZeroUsize, sync::Arc};
 
 use spdlog::{
-    Level, LevelFilter,
+    Level, LevelFilter, ThreadPool,
     formatter::JsonFormatter,
     sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink},
-    ThreadPool,
 };
 
 /// Lines that may wait for a slow reader of standard output; more are dropped.
--- a/crates/storage/src/wal.rs
+++ b/crates/storage/src/wal.rs
@@ -49,7 +49,9 @@
         let mut previous = None;
         for name in &names {
             // What a killed process wrote and did not sync is read here, and counts from now on.
-            media.sync_file(name).change_context(io_error("sync", name))?;
+            media
+                .sync_file(name)
+                .change_context(io_error("sync", name))?;
             let bytes = media.read(name).change_context(io_error("read", name))?;
             let segment = read_segment(name, &bytes)?;
             require_whole_predecessor(previous.as_ref(), &segment)?;
