Save only prompts of which most can be used again

Cause: every prompt was saved to the store, the own part of each request too: the store's link was full, and fetches from it were not begun. Change: a prompt is saved if at least half of it is shared.

--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -95,10 +95,11 @@
         };
         let (position, cost) = choice::choose(&candidates, size, rand::random())?;
         let mut target = targets.swap_remove(position);
-        target.save_to = self.store(configuration);
+        let store = self.store(configuration);
         target.fetch_from = self
             .fetch_source(&ranked, &mut table, &target.record)
-            .or_else(|| target.save_to.clone());
+            .or_else(|| store.clone());
+        target.save_to = store.filter(|_| self.is_worth_saving());
         drop(table);
         self.log
             .chose(&target, &candidates[position], cost, view.known);
@@ -151,6 +152,11 @@
         usable.then(|| favoured.address.clone())
     }
 
+    /// Whether most of what a save would move can be used again: a whole prompt is saved.
+    fn is_worth_saving(&self) -> bool {
+        self.path.shared_tokens() * 2 >= self.path.prompt_tokens
+    }
+
     /// The store for this prompt's beginning; the same in every router.
     fn store(&self, configuration: &ServingConfiguration) -> Option<String> {
         let key = self.path.key()?;
