--- a/crates/proxy/src/choice.rs
+++ b/crates/proxy/src/choice.rs
@@ -10,8 +10,10 @@
 const RANK_COSTS: [f64; 4] = [0.0, 0.10, 0.15, 0.20];
 /// Cost of a replica whose recent exchanges all failed.
 const FAILURE_COST: f64 = 2.0;
-/// Weight of the prompt tokens that must be read, as shares of a replica's memory.
-const READING_WEIGHT: f64 = 3.0;
+/// Weight of the request's own prompt tokens that must be read, as shares of a replica's memory.
+const READING_WEIGHT: f64 = 4.0;
+/// Weight of the prompt tokens of other requests that are read before.
+const QUEUE_WEIGHT: f64 = 1.5;
 /// Share of a prompt's beginning that the favoured replica is presumed to keep.
 const PRESUMED_KEPT: f64 = 0.9;
 
@@ -89,6 +91,7 @@
         0
     };
     let kept = candidate.known_tokens.max(presumed).min(size.prompt_tokens);
-    let unread = (size.prompt_tokens - kept) + candidate.unread_tokens;
-    READING_WEIGHT * unread as f64 / candidate.capacity_tokens as f64
+    let unread = (size.prompt_tokens - kept) as f64 * READING_WEIGHT;
+    let queued = candidate.unread_tokens as f64 * QUEUE_WEIGHT;
+    (unread + queued) / candidate.capacity_tokens as f64
 }
--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -96,9 +96,9 @@
         let (position, cost) = choice::choose(&candidates, size, rand::random())?;
         let mut target = targets.swap_remove(position);
         let store = self.store(configuration);
-        target.fetch_from = self
-            .fetch_source(&ranked, &mut table, &target.record)
-            .or_else(|| store.clone());
+        target.fetch_from = store
+            .clone()
+            .or_else(|| self.fetch_source(&ranked, &mut table, &target.record));
         target.save_to = store.filter(|_| self.is_worth_saving());
         drop(table);
         self.log
