--- a/crates/proxy/src/request_log.rs
+++ b/crates/proxy/src/request_log.rs
@@ -25,6 +25,8 @@
     /// Hash of the longest shared beginning of the prompt.
     pub prefix: u64,
     rank: usize,
+    /// Weights that the replica was told to hold.
+    pub weights: u64,
     cost: f64,
     attempts: u32,
     first_byte: Option<Duration>,
@@ -48,6 +50,7 @@
             shared_tokens: 0,
             prefix: 0,
             rank: 0,
+            weights: 0,
             cost: 0.0,
             attempts: 0,
             first_byte: None,
@@ -115,6 +118,7 @@
             shared_tokens = self.shared_tokens,
             kept_tokens = self.kept_tokens,
             rank = self.rank,
+            weights = self.weights,
             cost = self.cost,
             attempts = self.attempts,
             first_byte_ms = self.first_byte.map_or(0, |waited| waited.as_millis() as u64),
--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -105,6 +105,7 @@
             .chose(&target, &candidates[position], cost, view.known);
         self.log.prefix = self.path.key().unwrap_or_default();
         self.log.shared_tokens = self.path.shared_tokens();
+        self.log.weights = self.expected_weights(&target.record).unwrap_or_default();
         Some(target)
     }
 
