Tell commits at once; elect after 400 ms

Change: the leader sends the new commit index in the same round; heartbeat 100 ms, election timeout 400 to 800 ms; 50 ms between recording an order and giving it.

--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -208,6 +208,8 @@
         let of_this_term = self.log.term_at(candidate) == Some(self.hard_state.term);
         if candidate > self.commit && of_this_term {
             self.commit = candidate;
+            // Followers should apply it now and not at the next heartbeat.
+            self.next_heartbeat = self.next_heartbeat.min(self.now);
             self.leave_if_removed();
         }
     }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -244,7 +244,14 @@
     fn round(&mut self) -> Result<(), Report<ControlError>> {
         let now = self.now();
         self.replica.tick(now);
-        let advance = self.replica.advance()?;
+        let mut advance = self.replica.advance()?;
+        if !advance.applied.is_empty() {
+            // What was just committed is told to the others in the same round.
+            self.replica.tick(now);
+            let told = self.replica.advance()?;
+            advance.messages.extend(told.messages);
+            advance.applied.extend(told.applied);
+        }
         self.metrics.rounds.inc();
         self.metrics.applied.inc_by(advance.applied.len() as u64);
         self.peers
--- a/crates/control/src/serving/daemon.rs
+++ b/crates/control/src/serving/daemon.rs
@@ -29,11 +29,11 @@
 /// Name of the cluster; a group that forms by itself is told apart by its folders, not by names.
 const CLUSTER: &str = "railtack";
 /// Time between heartbeats of the replicated log, milliseconds.
-const HEARTBEAT_MS: Millis = 150;
+const HEARTBEAT_MS: Millis = 100;
 /// Shortest election timeout, milliseconds.
-const ELECTION_TIMEOUT_MS: Millis = 700;
+const ELECTION_TIMEOUT_MS: Millis = 400;
 /// Longest time between two rounds of the replica.
-const TICK: Duration = Duration::from_millis(40);
+const TICK: Duration = Duration::from_millis(25);
 /// Entries after which a snapshot replaces the log.
 const SNAPSHOT_ENTRIES: u64 = 1_000;
 /// Bytes of entries after which a snapshot replaces the log.
--- a/crates/control/src/serving/orders.rs
+++ b/crates/control/src/serving/orders.rs
@@ -6,7 +6,7 @@
 //! so that one that is carried out late does nothing.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     future::Future,
     pin::Pin,
     sync::Arc,
@@ -36,10 +36,8 @@
 /// Time after which an order that shows no effect is given again.
 const REPEAT_AFTER: Duration = Duration::from_millis(1_500);
 /// Time between recording an order and giving it, in which routers learn of it.
-const NOTICE_TIME: Duration = Duration::from_millis(30);
+const NOTICE_TIME: Duration = Duration::from_millis(50);
 
-/// Part of the bound on versions that a load is assumed to take before one was measured.
-const LOAD_SHARE_ASSUMED: f64 = 0.125;
 /// Weight of the newest load in the estimate.
 const NEWEST_WEIGHT: f64 = 0.3;
 /// Named versions whose age is remembered.
@@ -117,8 +115,9 @@
         right: None,
         given: HashMap::new(),
         named: BTreeMap::new(),
-        begun: HashMap::new(),
-        load_ms: bounds.version_ms as f64 * LOAD_SHARE_ASSUMED,
+        under_way: BTreeSet::new(),
+        load_ended: None,
+        interval_ms: None,
     };
     loop {
         let busy = rollout.look().await;
@@ -145,10 +144,12 @@
     given: HashMap<String, Instant>,
     /// The versions of each model seen to be named, and when.
     named: BTreeMap<String, Vec<(u64, Instant)>>,
-    /// When each order under way was recorded.
-    begun: HashMap<String, Instant>,
-    /// Time that replicas lately took to change, milliseconds.
-    load_ms: f64,
+    /// Replicas with an order under way.
+    under_way: BTreeSet<String>,
+    /// When a load ended while others were under way.
+    load_ended: Option<Instant>,
+    /// Time between the ends of two loads, milliseconds.
+    interval_ms: Option<f64>,
 }
 
 impl Rollout {
@@ -166,7 +167,7 @@
         let facts = RolloutFacts {
             named: &named,
             version_ms: self.bounds.version_ms,
-            load_ms: self.load_ms as u64,
+            interval_ms: self.interval_ms.map(|interval| interval as u64),
         };
         let steps = next_steps(&view.serving, facts);
         if steps.is_empty() {
@@ -212,30 +213,32 @@
             .collect()
     }
 
-    /// Measures how long replicas take from a recorded order to their new weights.
+    /// Measures the time between the ends of loads.
     fn note_loads(&mut self, view: &NodeView) {
         let now = Instant::now();
         let replicas = view.serving.replicas();
-        for record in replicas.values().filter(|record| record.order.is_some()) {
-            self.begun.entry(record.id.clone()).or_insert(now);
-        }
-        let ended: Vec<String> = self
-            .begun
-            .keys()
-            .filter(|id| {
-                replicas
-                    .get(*id)
-                    .is_none_or(|record| record.order.is_none())
-            })
-            .cloned()
+        let under_way: BTreeSet<String> = replicas
+            .values()
+            .filter(|record| record.order.is_some())
+            .map(|record| record.id.clone())
             .collect();
-        for id in ended {
-            let begun = self.begun.remove(&id);
-            let took = begun.map(|at| now.duration_since(at).as_millis() as f64);
-            if let Some(took) = took.filter(|_| replicas.contains_key(&id)) {
-                self.load_ms += (took - self.load_ms) * NEWEST_WEIGHT;
+        let ended = self
+            .under_way
+            .difference(&under_way)
+            .filter(|id| replicas.contains_key(*id))
+            .count();
+        if ended > 0 {
+            if let Some(before) = self.load_ended {
+                let sample = now.duration_since(before).as_millis() as f64 / ended as f64;
+                let known = self.interval_ms.unwrap_or(sample);
+                self.interval_ms = Some(known + (sample - known) * NEWEST_WEIGHT);
             }
+            self.load_ended = Some(now);
+        }
+        if under_way.is_empty() {
+            self.load_ended = None;
         }
+        self.under_way = under_way;
     }
 
     async fn usable_right(&mut self, view: &NodeView) -> Option<Right> {
--- a/crates/control/src/serving/weights.rs
+++ b/crates/control/src/serving/weights.rs
@@ -9,15 +9,17 @@
 
 use crate::serving_state::ServingState;
 
-/// Of a model's replicas, at least one in this many may load at a time.
+/// Of a model's replicas, one in this many loads at a time.
 const MOST_REPLICAS_PER_LOAD: usize = 4;
-/// Of a model's replicas, at most one in this many load at a time.
+/// The same when the rollout is late.
 const FEWEST_REPLICAS_PER_LOAD: usize = 2;
 /// Part of the bound within which every replica should have changed.
 const PLANNED_SHARE: f64 = 0.8;
 
 /// Times the expected duration that a rollout is begun before it must be over.
-const LATENESS_MARGIN: f64 = 1.25;
+const LATENESS_MARGIN: f64 = 1.2;
+/// Part of the bound that a rollout is assumed to take before one was measured.
+const ASSUMED_SHARE: f64 = 0.4;
 
 /// One thing to do for one replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -55,11 +57,21 @@
     pub named: &'a BTreeMap<String, Vec<NamedVersion>>,
     /// Time in which requests must stop starting on older weights, milliseconds.
     pub version_ms: u64,
-    /// Time that a replica lately took from its order to its new weights, milliseconds.
-    pub load_ms: u64,
+    /// Time between the ends of two loads in a rollout, milliseconds, as measured lately. Weights
+    /// come from one place, so more loads at once need not bring more loads in a second.
+    pub interval_ms: Option<u64>,
 }
 
 impl RolloutFacts<'_> {
+    /// Time that `left` replicas are expected to need, with a margin, milliseconds.
+    fn needed_ms(&self, left: usize) -> u64 {
+        let expected = match self.interval_ms {
+            Some(interval) => interval as f64 * left as f64,
+            None => self.version_ms as f64 * ASSUMED_SHARE,
+        };
+        (expected * LATENESS_MARGIN) as u64
+    }
+
     /// Time left until a replica that holds `held` should have newer weights, milliseconds.
     fn time_left_ms(&self, model: &str, held: u64) -> u64 {
         let newer = self.named.get(model).into_iter().flatten();
@@ -118,10 +130,13 @@
     };
     let time_left_ms = facts.time_left_ms(model, *oldest);
     let left = under_way + waiting.len();
-    if under_way == 0 && may_wait(holders.len(), left, time_left_ms, facts.load_ms) {
+    let needed_ms = facts.needed_ms(left);
+    if under_way == 0 && time_left_ms > needed_ms {
+        // A version that is named meanwhile is then loaded in the same turn, and what replicas
+        // keep is used for longer.
         return;
     }
-    let limit = loads_at_once(holders.len(), left, time_left_ms, facts.load_ms);
+    let limit = loads_at_once(holders.len(), time_left_ms < needed_ms / 2);
     let free = limit.saturating_sub(under_way);
     for (_, record) in waiting.into_iter().take(free) {
         steps.push(RolloutStep::Begin {
@@ -134,23 +149,17 @@
     }
 }
 
-/// Whether the rollout may begin later. A version that is named meanwhile is then loaded in the same
-/// turn, and what replicas keep is used for longer.
-fn may_wait(replicas: usize, left: usize, time_left_ms: u64, load_ms: u64) -> bool {
-    let at_once = replicas.div_ceil(FEWEST_REPLICAS_PER_LOAD).max(1);
-    let waves = left.div_ceil(at_once) as f64;
-    time_left_ms as f64 > waves * load_ms as f64 * LATENESS_MARGIN
-}
-
-/// Replicas that may load at the same time: as many as it takes to be done in time, within limits;
-/// with two replicas or more, one always serves.
-fn loads_at_once(replicas: usize, left: usize, time_left_ms: u64, load_ms: u64) -> usize {
-    let waves = (time_left_ms / load_ms.max(1)).max(1) as usize;
-    let least = replicas.div_ceil(MOST_REPLICAS_PER_LOAD);
-    let most = replicas.div_ceil(FEWEST_REPLICAS_PER_LOAD);
+/// Replicas that may load at the same time: more if the rollout is late; with two replicas or more,
+/// one always serves.
+fn loads_at_once(replicas: usize, is_late: bool) -> usize {
+    let share = if is_late {
+        FEWEST_REPLICAS_PER_LOAD
+    } else {
+        MOST_REPLICAS_PER_LOAD
+    };
     let spared = usize::from(replicas > 1);
-    left.div_ceil(waves)
-        .clamp(least, most)
+    replicas
+        .div_ceil(share)
         .min(replicas.saturating_sub(spared))
         .max(1)
 }
