Give each back end its orders by a task of its own, to the newest version

Change: one task for each replica, exchanges of at most 400 ms, an order that seems lost is given again after 700 ms for the newest version; rollouts are planned to 0.75 of the bound and routers stop using older weights at 0.8. Ruled out: the fetch of weights (each taken order is done within 0.7 s).

--- a/crates/control/src/serving/daemon.rs
+++ b/crates/control/src/serving/daemon.rs
@@ -21,7 +21,8 @@
         handle::GroupHandle,
         leader::LeaderLink,
         liveness::{self, Liveness},
-        orders::{self, OrderChannel},
+        order_channel::OrderChannel,
+        orders,
         watch::{self, WatchServer},
     },
 };
--- a/crates/control/src/serving/mod.rs
+++ b/crates/control/src/serving/mod.rs
@@ -8,7 +8,8 @@
 //! | [`handle`] | what an adapter may ask: documents, registrations, weights |
 //! | [`leader`] | proposals and reads by way of the leader |
 //! | [`liveness`] | signs of life of back-end replicas and routers |
-//! | [`orders`] | carrying out the rollout of weights |
+//! | [`orders`], [`order_giver`] | carrying out the rollout of weights |
+//! | [`order_channel`] | how orders reach back ends |
 //! | [`weights`] | the rollout's pure decision |
 //! | [`watch`] | answering routers |
 
@@ -18,6 +19,8 @@
 pub mod handle;
 pub mod leader;
 pub mod liveness;
+pub mod order_channel;
+pub mod order_giver;
 pub mod orders;
 pub mod watch;
 pub mod weights;
@@ -25,4 +28,4 @@
 pub use daemon::{GroupOptions, start};
 pub use errors::Unavailable;
 pub use handle::{Acknowledgement, GroupHandle};
-pub use orders::{OrderAnswer, OrderChannel, OrderRequest, WeightsReport};
+pub use order_channel::{OrderAnswer, OrderChannel, OrderRequest, WeightsReport};
--- /dev/null
+++ b/crates/control/src/serving/order_channel.rs
@@ -0,0 +1,60 @@
+//! How orders reach back ends; an adapter implements it.
+
+use std::{future::Future, pin::Pin};
+
+use railtack_serving::{HeldWeights, PendingOrder, ReplicaRecord};
+
+/// An order with everything that the back end needs to judge it.
+#[derive(Clone, Debug)]
+pub struct OrderRequest {
+    /// The back-end replica.
+    pub replica: ReplicaRecord,
+    /// The weights to load.
+    pub order: PendingOrder,
+    /// Names the control replica that gives it.
+    pub holder: String,
+    /// Its fencing token.
+    pub token: u64,
+    /// Orders that the back end had taken when it was last asked.
+    pub expected_sequence: u64,
+}
+
+/// What a back end answered to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It is carrying the order out.
+    Taken,
+    /// It already holds what was ordered.
+    Held,
+    /// Another order is under way, or its count of orders differs.
+    Conflict,
+    /// A higher fencing token was seen.
+    Fenced,
+    /// It refused for another reason, or is another replica.
+    Refused,
+    /// No answer; the order may be carried out.
+    Unknown,
+}
+
+/// What a back end says of its weights.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WeightsReport {
+    /// Weights that it holds.
+    pub weights: Vec<HeldWeights>,
+    /// Whether an order is under way.
+    pub busy: bool,
+    /// Orders that it has taken.
+    pub sequence: u64,
+}
+
+/// A future that an adapter returns.
+pub type ChannelFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+
+/// How orders reach back ends; an adapter implements it.
+pub trait OrderChannel: Send + Sync {
+    /// Asks what a back end holds; `None` without an answer.
+    fn report<'a>(&'a self, replica: &'a ReplicaRecord)
+    -> ChannelFuture<'a, Option<WeightsReport>>;
+    /// Gives an order.
+    fn order(&self, request: OrderRequest) -> ChannelFuture<'_, OrderAnswer>;
+}
--- /dev/null
+++ b/crates/control/src/serving/order_giver.rs
@@ -0,0 +1,222 @@
+//! Giving one back end its order, and seeing whether it was carried out.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use railtack_rpc::serving::{ServingCommand, ServingOutcome};
+use railtack_serving::{Bounds, HeldWeights, PendingOrder, ReplicaRecord};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::{
+    serving::{
+        leader::LeaderLink,
+        order_channel::{OrderAnswer, OrderChannel, OrderRequest, WeightsReport},
+        weights::RolloutStep,
+    },
+    view::NodeView,
+};
+
+/// Time for one exchange with a back end.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for recording a step.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time after which an order that shows no effect is given again; a back end's report is some
+/// hundred milliseconds old.
+const REPEAT_AFTER: Duration = Duration::from_millis(700);
+/// Time between recording an order and giving it, in which routers learn of it.
+const NOTICE_TIME: Duration = Duration::from_millis(50);
+
+/// The right to give orders.
+#[derive(Clone, Debug)]
+pub struct Right {
+    /// Term of the log in which it was acquired.
+    pub term: u64,
+    /// Fencing token.
+    pub token: u64,
+    /// When the former holder can give no order any more.
+    pub usable_from: Instant,
+}
+
+/// Gives orders. Each back end is dealt with by one task at a time.
+pub struct OrderGiver {
+    link: Arc<LeaderLink>,
+    channel: Arc<dyn OrderChannel>,
+    node: String,
+    bounds: Bounds,
+    started: std::time::Instant,
+    work: Mutex<Work>,
+}
+
+#[derive(Default)]
+struct Work {
+    /// When each replica was last given an order.
+    given: HashMap<String, Instant>,
+    /// Replicas that a task deals with.
+    at_work: HashSet<String>,
+}
+
+impl OrderGiver {
+    /// A giver for the control replica behind `link`, whose clock began at `started`.
+    pub fn new(
+        link: Arc<LeaderLink>,
+        channel: Arc<dyn OrderChannel>,
+        node: String,
+        bounds: Bounds,
+        started: std::time::Instant,
+    ) -> Self {
+        Self {
+            link,
+            channel,
+            node,
+            bounds,
+            started,
+            work: Mutex::default(),
+        }
+    }
+
+    /// Reserves a replica for a task; false if one deals with it already.
+    pub fn begin_work(&self, replica: &str) -> bool {
+        self.lock().at_work.insert(replica.to_owned())
+    }
+
+    /// Forgets replicas that are gone.
+    pub fn forget_gone(&self, view: &NodeView) {
+        let replicas = view.serving.replicas();
+        self.lock()
+            .given
+            .retain(|replica, _| replicas.contains_key(replica));
+    }
+
+    /// Carries out a step for a replica that was reserved.
+    pub async fn work(self: Arc<Self>, view: NodeView, right: Right, step: RolloutStep) {
+        let replica = step.replica().to_owned();
+        if let Some(record) = view.serving.replicas().get(&replica) {
+            self.carry_out(&right, record, step).await;
+        }
+        self.lock().at_work.remove(&replica);
+    }
+
+    async fn carry_out(&self, right: &Right, record: &ReplicaRecord, step: RolloutStep) {
+        match step {
+            RolloutStep::Begin { order, .. } => self.begin(right, record, &order).await,
+            RolloutStep::Follow { order, wanted, .. } => {
+                self.follow(right, record, &order, wanted).await;
+            }
+        }
+    }
+
+    /// Records an order, so that routers send the replica no more work, and gives it.
+    async fn begin(&self, right: &Right, record: &ReplicaRecord, order: &PendingOrder) {
+        let command = ServingCommand::BeginOrder {
+            token: right.token,
+            replica: record.id.clone(),
+            order: order.clone(),
+        };
+        let recorded = self.link.propose(command, RECORD_TIMEOUT).await;
+        if recorded != Ok(ServingOutcome::Done) {
+            return;
+        }
+        sleep(NOTICE_TIME).await;
+        if let Some(report) = self.report(record).await {
+            self.give(right, record, order, &report).await;
+        }
+    }
+
+    async fn follow(
+        &self,
+        right: &Right,
+        record: &ReplicaRecord,
+        order: &PendingOrder,
+        wanted: u64,
+    ) {
+        let Some(report) = self.report(record).await else {
+            return;
+        };
+        let held = report.weights.iter().find(|held| held.model == order.model);
+        if held.is_some_and(|held| held.version >= order.version) && !report.busy {
+            self.record_weights(record, report.weights).await;
+            return;
+        }
+        let given = self.lock().given.get(&record.id).copied();
+        let is_lost = given.is_none_or(|at| at.elapsed() > REPEAT_AFTER);
+        if report.busy || !is_lost {
+            return;
+        }
+        if wanted > order.version {
+            let newest = PendingOrder {
+                version: wanted,
+                ..order.clone()
+            };
+            self.begin(right, record, &newest).await;
+            return;
+        }
+        self.give(right, record, order, &report).await;
+    }
+
+    async fn report(&self, record: &ReplicaRecord) -> Option<WeightsReport> {
+        timeout(EXCHANGE_TIMEOUT, self.channel.report(record))
+            .await
+            .ok()?
+    }
+
+    async fn record_weights(&self, record: &ReplicaRecord, weights: Vec<HeldWeights>) {
+        let known = ReplicaRecord {
+            weights,
+            ..record.clone()
+        };
+        // The next look records it if this fails.
+        let _ = self
+            .link
+            .propose(ServingCommand::Register(known), RECORD_TIMEOUT)
+            .await;
+    }
+
+    async fn give(
+        &self,
+        right: &Right,
+        record: &ReplicaRecord,
+        order: &PendingOrder,
+        report: &WeightsReport,
+    ) {
+        if !self.may_give(right) {
+            return;
+        }
+        self.lock().given.insert(record.id.clone(), Instant::now());
+        let request = OrderRequest {
+            replica: record.clone(),
+            order: order.clone(),
+            holder: self.node.clone(),
+            token: right.token,
+            expected_sequence: report.sequence,
+        };
+        let answer = timeout(EXCHANGE_TIMEOUT, self.channel.order(request))
+            .await
+            .unwrap_or(OrderAnswer::Unknown);
+        spdlog::info!("order given", kv: {
+            replica = record.id.clone(),
+            version = order.version,
+            token = right.token,
+            expected = report.sequence,
+            answer = format!("{answer:?}"),
+        });
+    }
+
+    /// Whether this replica still is the one that gives orders: known to lead a moment ago.
+    fn may_give(&self, right: &Right) -> bool {
+        let view = self.link.view();
+        let Some(confirmed_at) = view.confirmed_at else {
+            return false;
+        };
+        let age = (self.started + Duration::from_millis(confirmed_at)).elapsed();
+        view.leads
+            && view.term == right.term
+            && age < Duration::from_millis(self.bounds.lease_ms / 3)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Work> {
+        self.work.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/control/src/serving/weights.rs
+++ b/crates/control/src/serving/weights.rs
@@ -14,7 +14,7 @@
 /// The same when the rollout is late.
 const FEWEST_REPLICAS_PER_LOAD: usize = 2;
 /// Part of the bound within which every replica should have changed.
-const PLANNED_SHARE: f64 = 0.8;
+const PLANNED_SHARE: f64 = 0.75;
 
 /// Times the expected duration that a rollout is begun before it must be over.
 const LATENESS_MARGIN: f64 = 1.2;
@@ -38,9 +38,20 @@
         replica: String,
         /// The order.
         order: PendingOrder,
+        /// The newest version that is named.
+        wanted: u64,
     },
 }
 
+impl RolloutStep {
+    /// The replica that the step is about.
+    pub fn replica(&self) -> &str {
+        match self {
+            Self::Begin { replica, .. } | Self::Follow { replica, .. } => replica,
+        }
+    }
+}
+
 /// A version that operators named.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NamedVersion {
@@ -116,6 +127,7 @@
                 steps.push(RolloutStep::Follow {
                     replica: record.id.clone(),
                     order: order.clone(),
+                    wanted: version,
                 });
             }
             Some(_) => under_way += 1,
--- a/crates/proxy/src/named.rs
+++ b/crates/proxy/src/named.rs
@@ -11,7 +11,7 @@
 
 /// Part of the bound after which a router sends a replica with older weights nothing more; the
 /// rest is for requests that wait there before they start.
-const USABLE_SHARE: f64 = 0.85;
+const USABLE_SHARE: f64 = 0.8;
 
 /// When this router learned of each version that was named.
 #[derive(Clone, Debug, Default)]
