Hold an order back until nothing waits at the replica

Cause: requests that waited at a replica when its order came were declined after up to 0.8 s. Change: after an order is recorded, the giver looks at what waits and gives it once that is nothing, at the latest after 700 ms.

--- a/crates/control/src/serving/order_channel.rs
+++ b/crates/control/src/serving/order_channel.rs
@@ -45,6 +45,8 @@
     pub busy: bool,
     /// Orders that it has taken.
     pub sequence: u64,
+    /// Requests that wait there and would be declined by an order.
+    pub waiting: u64,
 }
 
 /// A future that an adapter returns.
--- a/crates/control/src/serving/order_giver.rs
+++ b/crates/control/src/serving/order_giver.rs
@@ -26,6 +26,10 @@
 /// Time after which an order that shows no effect is given again; a back end's report is some
 /// hundred milliseconds old.
 const REPEAT_AFTER: Duration = Duration::from_millis(700);
+/// Longest time for which requests that wait at a replica put its order off.
+const DRAIN_TIME: Duration = Duration::from_millis(700);
+/// Time between two looks at what waits.
+const DRAIN_PAUSE: Duration = Duration::from_millis(100);
 /// Time between recording an order and giving it, in which routers learn of it.
 const NOTICE_TIME: Duration = Duration::from_millis(50);
 
@@ -120,11 +124,24 @@
             return;
         }
         sleep(NOTICE_TIME).await;
-        if let Some(report) = self.report(record).await {
+        if let Some(report) = self.report_once_idle(record).await {
             self.give(right, record, order, &report).await;
         }
     }
 
+    /// The replica's report once nothing waits there any more, or after a while: an order makes it
+    /// decline the requests that wait.
+    async fn report_once_idle(&self, record: &ReplicaRecord) -> Option<WeightsReport> {
+        let until = Instant::now() + DRAIN_TIME;
+        loop {
+            let report = self.report(record).await?;
+            if report.waiting == 0 || Instant::now() >= until {
+                return Some(report);
+            }
+            sleep(DRAIN_PAUSE).await;
+        }
+    }
+
     async fn follow(
         &self,
         right: &Right,
