--- a/crates/storage/src/errors.rs
+++ b/crates/storage/src/errors.rs
@@ -22,6 +22,12 @@
         /// Where the damage begins.
         offset: u64,
     },
+    /// The file was written by an earlier build in another format.
+    #[error("{file} was written in an earlier format")]
+    FormerFormat {
+        /// File within the data folder.
+        file: String,
+    },
     /// The snapshot's checksum does not match.
     #[error("snapshot {file} is damaged")]
     DamagedSnapshot {
--- a/crates/storage/src/record.rs
+++ b/crates/storage/src/record.rs
@@ -3,7 +3,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// First bytes of every record. Recovery looks for them to tell a torn tail from damage.
-const MAGIC: [u8; 4] = *b"RTW1";
+const MAGIC: [u8; 4] = *b"RTW2";
+/// First bytes of the records of earlier builds, which held one payload each.
+pub(crate) const FORMER_MAGIC: [u8; 4] = *b"RTW1";
 /// Bytes before the payload: magic, payload length (u32), checksum (u64).
 pub(crate) const HEADER_BYTES: usize = 16;
 /// Largest payload. Snapshots are kept in files of their own, so records stay far below it.
--- a/crates/storage/src/wal.rs
+++ b/crates/storage/src/wal.rs
@@ -231,6 +231,11 @@
         records: Vec::new(),
         whole_size: 0,
     };
+    if bytes.starts_with(&record::FORMER_MAGIC) {
+        return Err(Report::new(StorageError::FormerFormat {
+            file: name.to_owned(),
+        }));
+    }
     let mut offset = 0;
     while let Some(batch) = record::decode(&bytes[offset..]) {
         for (position, payload) in record::payloads(batch).into_iter().enumerate() {
--- a/crates/storage/tests/recovery.rs
+++ b/crates/storage/tests/recovery.rs
@@ -173,3 +173,17 @@
         assert_eq!(read, vec![b"synced".to_vec()], "byte {offset}");
     }
 }
+
+/// A folder of an earlier build is refused, not taken for an empty one.
+#[test]
+fn records_of_the_former_format_are_refused() {
+    let media = MemoryMedia::default();
+    let mut file = media.create("wal-0000000000000001").expect("create");
+    file.append(b"RTW1, and what an earlier build wrote")
+        .expect("append");
+    let error = WriteAheadLog::open(Box::new(media), SMALL_SEGMENTS)
+        .err()
+        .expect("the folder is refused");
+    let refused = matches!(error.current_context(), StorageError::FormerFormat { .. });
+    assert!(refused, "{error:?}");
+}
