Wait longer for a stream's first event if its replica answers others

Change: if anything came from the replica meanwhile it is busy, not gone: the head is waited for up to four objectives. Silent replicas are left after two, as before.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -84,7 +84,16 @@
     }
 }
 
-/// Sends a request and waits for the head of the answer until `head_due`.
+/// Until when the head of an answer is waited for.
+#[derive(Clone, Copy, Debug)]
+pub struct HeadDue {
+    /// The usual end.
+    pub due: Instant,
+    /// The end if the replica answers others meanwhile: it is busy, not gone.
+    pub if_heard: Instant,
+}
+
+/// Sends a request and waits for the head of the answer.
 ///
 /// Dropping the future closes the connection, so that the replica stops.
 pub async fn exchange(
@@ -92,7 +101,7 @@
     target: &Target,
     dispatch: &Dispatch<'_>,
     must_be_fresh: bool,
-    head_due: Instant,
+    head_due: HeadDue,
 ) -> Result<OpenAnswer, FailedExchange> {
     for _ in 0..STALE_CONNECTIONS {
         let mut connection = connect(target, must_be_fresh).await?;
@@ -100,12 +109,21 @@
         if !state.is_confirmed() {
             return Err(FailedExchange::not_run(None, "lease lost"));
         }
+        let sent_at = Instant::now();
         let sent = connection
             .sender
             .try_send_request(state.backend.encode(dispatch));
-        match timeout_at(head_due, sent).await {
+        tokio::pin!(sent);
+        let mut answered = timeout_at(head_due.due, &mut sent).await;
+        if answered.is_err() && target.usage.heard_since(sent_at) {
+            answered = timeout_at(head_due.if_heard, &mut sent).await;
+        }
+        match answered {
             Err(_) => return Err(FailedExchange::may_have_run("no head in time")),
-            Ok(Ok(response)) => return judge(state, dispatch, connection, response).await,
+            Ok(Ok(response)) => {
+                target.usage.note_heard(Instant::now());
+                return judge(state, dispatch, connection, response).await;
+            }
             Ok(Err(mut error)) => {
                 if error.take_message().is_none() {
                     return Err(FailedExchange::may_have_run("connection broke"));
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -9,7 +9,7 @@
 use crate::{
     admission::{self, Admitted},
     affinity::PrefixPath,
-    attempt::{self, FailedExchange, OpenAnswer, Target},
+    attempt::{self, FailedExchange, HeadDue, OpenAnswer, Target},
     backend::Dispatch,
     health::ExchangeEnd,
     refusal::RefusalReason,
@@ -23,6 +23,8 @@
 
 /// Objectives after which an answer that may be had elsewhere is given up.
 const PATIENCE_OBJECTIVES: u64 = 2;
+/// Objectives after which a stream's first event is given up though its replica answers others.
+const BUSY_PATIENCE_OBJECTIVES: u32 = 4;
 /// Shortest pause that a refused caller is told, milliseconds.
 const SHORTEST_RETRY_MS: u64 = 150;
 
@@ -236,7 +238,7 @@
             last_event,
         };
         let must_be_fresh = !self.admitted.route.kind.may_repeat();
-        let due = self.due();
+        let due = self.head_due();
         let sent = attempt::exchange(&self.state, &target, &dispatch, must_be_fresh, due).await;
         let answer = sent.map_err(|failed| self.note_failure(&target, failed))?;
         self.replicas_used += 1;
@@ -262,6 +264,20 @@
         self.admitted.deadline.min(Instant::now() + patience)
     }
 
+    /// When the head of an answer is given up. The head of a stream comes with its first event, and
+    /// a prompt that waits behind others would only be read once more elsewhere.
+    fn head_due(&self) -> HeadDue {
+        let due = self.due();
+        let objective = Duration::from_millis(self.admitted.route.objective_ms);
+        let busy = Instant::now() + objective * BUSY_PATIENCE_OBJECTIVES;
+        let if_heard = if self.admitted.route.kind.is_stream() {
+            busy.min(self.admitted.deadline).max(due)
+        } else {
+            due
+        };
+        HeadDue { due, if_heard }
+    }
+
     /// Whether another replica may continue a stream, and the budget allows it.
     pub fn may_resume(&mut self) -> bool {
         self.next_step(ExchangeProof::MayHaveRun) == NextStep::TryAgain
--- a/crates/proxy/src/replicas.rs
+++ b/crates/proxy/src/replicas.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
 };
 
 use tokio::time::Instant;
@@ -12,6 +12,7 @@
     choice::Candidate,
     health::{ExchangeEnd, Health},
     pool::Pool,
+    state::lock,
     view::ServingView,
 };
 
@@ -21,6 +22,7 @@
     /// Connections.
     pub pool: Pool,
     load: Mutex<Load>,
+    heard_at: Mutex<Instant>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -39,9 +41,20 @@
                 unread_tokens: 0,
                 health: Health::new(now),
             }),
+            heard_at: Mutex::new(now),
         }
     }
 
+    /// Notes that something came from the replica, on any connection.
+    pub fn note_heard(&self, now: Instant) {
+        *lock(&self.heard_at) = now;
+    }
+
+    /// Whether anything came from the replica since `since`.
+    pub fn heard_since(&self, since: Instant) -> bool {
+        *lock(&self.heard_at) > since
+    }
+
     /// Whether the replica may be sent work now.
     pub fn allows(&self, now: Instant) -> bool {
         self.load().health.allows(now)
@@ -64,7 +77,7 @@
     }
 
     fn load(&self) -> MutexGuard<'_, Load> {
-        self.load.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.load)
     }
 }
 
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -147,6 +147,7 @@
             Ok(Some(Ok(frame))) => {
                 // Trailers carry nothing for callers.
                 if let Ok(data) = frame.into_data() {
+                    answered.target.usage.note_heard(Instant::now());
                     return Chunk::Data(data);
                 }
             }
