--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One exchange with one replica, up to the head of its answer.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use hyper::{Response, body::Incoming, http::response};
@@ -21,10 +21,6 @@
 const STALE_CONNECTIONS: usize = 3;
 /// Largest answer that is read as a whole, bytes.
 const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
-/// Largest body of a declined request that is read so that the connection can be kept, bytes.
-const DECLINED_LIMIT: usize = 64 * 1024;
-/// Time for reading it.
-const DECLINED_TIME: Duration = Duration::from_millis(100);
 
 /// A replica that was chosen.
 #[derive(Clone, Debug)]
@@ -197,11 +193,3 @@
         Ok((self.head, content))
     }
 }
-
-/// Reads what is left of a declined answer, so that its connection can be kept.
-pub async fn finish_declined(answer: OpenAnswer, usage: &ReplicaUse) {
-    let read = read_body(answer.body, DECLINED_LIMIT, DECLINED_TIME).await;
-    if read.is_ok() && answer.reusable {
-        usage.pool.put_back(answer.connection);
-    }
-}
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -27,6 +27,10 @@
 const BUSY_PATIENCE_OBJECTIVES: u32 = 4;
 /// Shortest pause that a refused caller is told, milliseconds.
 const SHORTEST_RETRY_MS: u64 = 150;
+/// Pause that a caller is told while the configuration cannot be confirmed.
+const LONG_PAUSE: Duration = Duration::from_millis(500);
+/// Pause that a caller is told by a router that is about to end: others take the request at once.
+const STOPPING_PAUSE: Duration = Duration::from_millis(20);
 
 /// Serves one request. Dropping the future, or the body of the response, cancels it.
 pub async fn handle(state: Arc<ProxyState>, request: ProxiedRequest) -> Response<Body> {
@@ -34,7 +38,7 @@
     let admitted = match admit(&state, &request) {
         Ok(admitted) => admitted,
         Err(reason) => {
-            log.end(reason_name(reason));
+            log.end(reason.to_string());
             return reason.response(pause_after(reason));
         }
     };
@@ -49,11 +53,6 @@
     run.run().await
 }
 
-/// Pause that a caller is told while the configuration cannot be confirmed.
-const LONG_PAUSE: Duration = Duration::from_millis(500);
-/// Pause that a caller is told by a router that is about to end: others take the request at once.
-const STOPPING_PAUSE: Duration = Duration::from_millis(20);
-
 fn pause_after(reason: RefusalReason) -> Option<Duration> {
     match reason {
         RefusalReason::Unconfirmed => Some(LONG_PAUSE),
@@ -62,10 +61,6 @@
     }
 }
 
-fn reason_name(reason: RefusalReason) -> String {
-    reason.to_string()
-}
-
 fn admit(state: &ProxyState, request: &ProxiedRequest) -> Result<Admitted, RefusalReason> {
     let view = state.view.load();
     let table = view.table.as_ref().ok_or(RefusalReason::Unconfirmed)?;
@@ -369,7 +364,7 @@
     }
 
     fn refuse(mut self, reason: RefusalReason) -> Response<Body> {
-        self.log.end(reason_name(reason));
+        self.log.end(reason.to_string());
         let pause_ms = (self.admitted.route.objective_ms / 2).max(SHORTEST_RETRY_MS);
         reason.response(Some(Duration::from_millis(pause_ms)))
     }
@@ -384,7 +379,7 @@
         } else {
             RefusalReason::AnswerLost
         };
-        self.log.end(reason_name(reason));
+        self.log.end(reason.to_string());
         reason.response(None)
     }
 }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -72,7 +72,6 @@
     task: AbortHandle,
     open: Arc<AtomicU32>,
     rest: Duration,
-    reused: bool,
 }
 
 impl Drop for Connection {
@@ -83,11 +82,6 @@
 }
 
 impl Connection {
-    /// Whether it has served a request before.
-    pub fn is_reused(&self) -> bool {
-        self.reused
-    }
-
     /// Takes in what the head of an answer says of the connection; false if it is not to be used
     /// again.
     pub fn note_head(&mut self, headers: &HeaderMap) -> bool {
@@ -132,11 +126,10 @@
     }
 
     /// Takes a connection back after a whole answer.
-    pub fn put_back(&self, mut connection: Connection) {
+    pub fn put_back(&self, connection: Connection) {
         if connection.sender.is_closed() {
             return;
         }
-        connection.reused = true;
         self.resting().push(Resting {
             connection,
             since: Instant::now(),
@@ -189,7 +182,6 @@
             task: task.abort_handle(),
             open: counted.handed_on(),
             rest: DEFAULT_REST,
-            reused: false,
         })
     }
 
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -111,6 +111,10 @@
         lock(&self.replicas).follow(&before, &next);
         lock(&self.named).learn(&next.weights, Instant::now());
         let known = next.known;
+        if let Some(table) = &next.table {
+            let routes = &table.configuration().routes;
+            lock(&self.splitter).retain(|name| routes.iter().any(|route| route.name == name));
+        }
         self.view.store(Arc::new(next));
         self.changed.send_replace(known);
     }
