Plan a router's stop in the product, not in the adapter

Cause: how long everything is taken and what of the grace time is used was worked out in platform/. Change: StopPlan::new and StopPlan::usable; the same values.

--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -71,7 +71,24 @@
     pub ends_at: Instant,
 }
 
+/// Time after the signal in which every request is taken, whatever time it may need; a third of the
+/// grace time if that is shorter.
+const TAKING_TIME: Duration = Duration::from_millis(2_500);
+
 impl StopPlan {
+    /// A plan for a router that is told to stop `now` and ended by force after `grace`.
+    pub fn new(now: Instant, grace: Duration) -> Self {
+        Self {
+            takes_all_until: now + TAKING_TIME.min(grace / 3),
+            ends_at: now + Self::usable(grace),
+        }
+    }
+
+    /// The part of the grace time that is used for open requests.
+    pub fn usable(grace: Duration) -> Duration {
+        grace * 15 / 16
+    }
+
     /// Whether a request that is to be answered by `deadline` is still taken.
     pub fn takes(&self, deadline: Instant, now: Instant) -> bool {
         now < self.takes_all_until || deadline <= self.ends_at
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -359,10 +359,7 @@
 #[test]
 fn a_stopping_router_takes_only_what_it_can_finish() {
     let start = Instant::now();
-    let plan = StopPlan {
-        takes_all_until: start + milliseconds(2_500),
-        ends_at: start + milliseconds(7_500),
-    };
+    let plan = StopPlan::new(start, milliseconds(8_000));
     let long = start + milliseconds(15_000);
     assert!(plan.takes(long, start + milliseconds(2_000)));
     assert!(!plan.takes(long, start + milliseconds(3_000)));
