Count exchanges once, look kept tokens up once, open a folder once

A replica that had sent a head was counted, and uncounted again before a later failure counted it anew; the tokens that a replica is known to keep were looked up by the choice and again by the exchange; the first member opened its folder to see whether it was new and again to make the group; a time-out, a dial and a counter stood twice.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -108,11 +108,6 @@
         Self::start(options, identity, store, opened.recovered, now)
     }
 
-    /// Whether a folder was never used by a replica.
-    pub fn is_new(folder: &dyn Folder) -> Result<bool, Report<ControlError>> {
-        Ok(ReplicaStore::open(folder)?.identity.is_none())
-    }
-
     /// Makes an empty folder the first and only voter of a new cluster.
     pub fn initialize(
         folder: &dyn Folder,
--- a/crates/control/src/serving/daemon.rs
+++ b/crates/control/src/serving/daemon.rs
@@ -146,9 +146,15 @@
     let folder = FileMedia::open(&options.data).change_context(ControlError::Storage)?;
     let replica_options = replica_options();
     let makes_group = formation::makes_group(options.bootstrap, options.listen, &options.seeds);
-    if makes_group && Replica::is_new(&folder)? {
+    if makes_group {
         let address = options.listen.to_string();
-        Replica::initialize(&folder, &replica_options, &address)?;
+        let made = Replica::initialize(&folder, &replica_options, &address);
+        // A folder that is in use was made before; it is opened as it is.
+        if let Err(report) = made
+            && report.current_context() != &ControlError::AlreadyInitialized
+        {
+            return Err(report);
+        }
     }
     Replica::open(&folder, replica_options, now)
 }
--- a/crates/control/src/serving/order_giver.rs
+++ b/crates/control/src/serving/order_giver.rs
@@ -22,7 +22,7 @@
 /// Time for one exchange with a back end.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for recording a step.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(900);
+pub(crate) const RECORD_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time after which an order that shows no effect is given again; a back end's report is some
 /// hundred milliseconds old.
 const REPEAT_AFTER: Duration = Duration::from_millis(700);
--- a/crates/control/src/serving/orders.rs
+++ b/crates/control/src/serving/orders.rs
@@ -19,7 +19,7 @@
     serving::{
         leader::LeaderLink,
         order_channel::OrderChannel,
-        order_giver::{OrderGiver, Right},
+        order_giver::{OrderGiver, RECORD_TIMEOUT, Right},
         weights::{NamedVersion, RolloutFacts, next_steps},
     },
     view::NodeView,
@@ -29,8 +29,6 @@
 const BUSY_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two looks otherwise.
 const IDLE_INTERVAL: Duration = Duration::from_millis(300);
-/// Time for recording a step.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Weight of the newest load in the estimate.
 const NEWEST_WEIGHT: f64 = 0.3;
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -31,6 +31,8 @@
     pub usage: Arc<ReplicaUse>,
     /// Connections that this router may open to it.
     pub connection_limit: u32,
+    /// Tokens of the prompt that this router had sent there before.
+    pub kept_tokens: u64,
     /// Where the beginning of the prompt is likely to be kept, `ip:port`.
     pub fetch_from: Option<String>,
     /// The store that is to keep what is read, `ip:port`.
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -145,9 +145,7 @@
 
     fn add(&mut self, addresses: Vec<SocketAddr>) {
         for address in addresses {
-            self.connections
-                .entry(address)
-                .or_insert_with(|| Arc::new(ControlConnection::new(address, CONNECT_TIMEOUT)));
+            self.connection(address);
         }
     }
 
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -123,17 +123,18 @@
 
     /// Counts the end of a request.
     pub fn request_ended(&self, outcome: &str) {
-        let labels = OutcomeLabels {
-            outcome: outcome.to_owned(),
-        };
-        self.requests.get_or_create(&labels).inc();
+        count(&self.requests, outcome);
     }
 
     /// Counts the end of an exchange.
     pub fn exchange_ended(&self, outcome: &str) {
-        let labels = OutcomeLabels {
-            outcome: outcome.to_owned(),
-        };
-        self.exchanges.get_or_create(&labels).inc();
+        count(&self.exchanges, outcome);
     }
 }
+
+fn count(counters: &Family<OutcomeLabels, Counter>, outcome: &str) {
+    let labels = OutcomeLabels {
+        outcome: outcome.to_owned(),
+    };
+    counters.get_or_create(&labels).inc();
+}
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -177,13 +177,7 @@
         let due = self.due();
         let read = answer.read_whole(&target.usage, due).await;
         drop(open);
-        let (head, content) = match read {
-            Ok(whole) => whole,
-            Err(failed) => {
-                self.uncount_head();
-                return Err(self.note_failure(&target, failed));
-            }
-        };
+        let (head, content) = read.map_err(|failed| self.note_failure(&target, failed))?;
         let failed = head.status.is_server_error();
         let end = if failed {
             ExchangeEnd::Failed
@@ -205,9 +199,7 @@
         target: Target,
         last_event: Option<u64>,
     ) -> Result<Answered, FailedExchange> {
-        let kept = lock(&self.state.replicas)
-            .sent()
-            .known_tokens(&target.record.id, &self.path);
+        let kept = target.kept_tokens;
         let unread = self.path.prompt_tokens.saturating_sub(kept);
         let open = OpenRequest::begin(Arc::clone(&target.usage), unread);
         self.state
@@ -235,8 +227,13 @@
         let must_be_fresh = !self.admitted.route.kind.may_repeat();
         let due = self.head_due();
         let sent = attempt::exchange(&self.state, &target, &dispatch, must_be_fresh, due).await;
+        let not_run = matches!(&sent, Err(failed) if failed.proof == ExchangeProof::NotRun);
+        if not_run {
+            self.declined += 1;
+        } else {
+            self.replicas_used += 1;
+        }
         let answer = sent.map_err(|failed| self.note_failure(&target, failed))?;
-        self.replicas_used += 1;
         if self.request.prompt.is_some() {
             let now = Instant::now();
             lock(&self.state.replicas).note_sent(&target.record.id, &self.path, now);
@@ -284,11 +281,6 @@
         route.kind.may_repeat() && self.replicas_used < route.max_attempts
     }
 
-    /// Takes back the count of a replica whose exchange is about to be counted as failed.
-    pub fn uncount_head(&mut self) {
-        self.replicas_used = self.replicas_used.saturating_sub(1);
-    }
-
     fn next_step(&self, proof: ExchangeProof) -> NextStep {
         let facts = ExchangeFacts {
             proof,
@@ -311,11 +303,7 @@
     }
 
     /// Notes how an exchange failed; logs it.
-    pub fn note_failure(&mut self, target: &Target, failed: FailedExchange) -> FailedExchange {
-        match failed.proof {
-            ExchangeProof::NotRun => self.declined += 1,
-            _ => self.replicas_used += 1,
-        }
+    pub fn note_failure(&self, target: &Target, failed: FailedExchange) -> FailedExchange {
         if let Some(end) = failed.end {
             self.note_end(target, end);
         }
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -64,29 +64,16 @@
             }
             Chunk::End | Chunk::Broken => {
                 let failed = FailedExchange::may_have_run("stream broke before its first event");
-                return Err(run.note_stream_failure(&answered, failed));
+                return Err(run.note_failure(&answered.target, failed));
             }
             Chunk::Late => {
                 let failed = FailedExchange::may_have_run("no event in time");
-                return Err(run.note_stream_failure(&answered, failed));
+                return Err(run.note_failure(&answered.target, failed));
             }
         }
     }
 }
 
-impl RequestRun {
-    /// Notes a failure of an exchange whose head was counted already.
-    fn note_stream_failure(
-        &mut self,
-        answered: &Answered,
-        failed: FailedExchange,
-    ) -> FailedExchange {
-        self.uncount_head();
-        let target = answered.target.clone();
-        self.note_failure(&target, failed)
-    }
-}
-
 /// The response to the caller, whose body relays the rest.
 pub fn respond(run: RequestRun, answered: Answered, first: FirstEvents) -> Response<Body> {
     let head = clone_head(&answered);
@@ -237,7 +224,7 @@
     /// only one replica works on the stream.
     async fn resume(&mut self, answered: Answered, cause: &'static str) -> Option<()> {
         let failed = FailedExchange::may_have_run(cause);
-        self.run.note_stream_failure(&answered, failed);
+        self.run.note_failure(&answered.target, failed);
         drop(answered);
         self.buffer.discard_partial();
         while self.run.may_resume() {
--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -84,6 +84,7 @@
                 record: Arc::clone(record),
                 usage,
                 connection_limit: limit,
+                kept_tokens: candidate.known_tokens,
                 fetch_from: None,
                 save_to: None,
             });
