--- a/crates/control/src/cli.rs
+++ b/crates/control/src/cli.rs
@@ -6,7 +6,7 @@
 use clap::Command;
 use error_stack::{Report, ResultExt};
 use railtack_http::signals::cancel_on_terminate;
-use railtack_settings::{ControlSettings, daemon, logging};
+use railtack_settings::{ControlSettings, daemon};
 use tokio_util::sync::CancellationToken;
 
 fn command() -> Command {
@@ -23,8 +23,10 @@
 
 /// Runs the program with the given arguments, the first of which is its name.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
-    logging::initialize();
-    match start(arguments) {
+    railtack_telemetry::initialize();
+    let outcome = start(arguments);
+    spdlog::default_logger().flush();
+    match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("error: {report:#}");
@@ -43,6 +45,7 @@
     if matches.subcommand_matches("initialize").is_some() {
         return server::initialize(&settings);
     }
+    railtack_telemetry::set_node(&format!("control-{}", settings.replica_id));
     let runtime = tokio::runtime::Runtime::new().change_context(ControlError::Stopped)?;
     runtime.block_on(async {
         let shutdown = CancellationToken::new();
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -91,6 +91,7 @@
     let replica = Replica::open(&folder, options, 0)?;
     let metrics = ControlMetrics::default();
     let mut registry = Registry::default();
+    railtack_telemetry::metrics().register(&mut registry);
     metrics.register(&mut registry);
 
     let listener = listen(settings.listen).await?;
--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
-use clap::{Arg, ArgAction, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, error::ErrorKind, value_parser};
 
 /// The whole command line.
 pub fn command() -> Command {
@@ -16,8 +16,7 @@
                 .value_name("ADDRESS,...")
                 .value_delimiter(',')
                 .value_parser(value_parser!(SocketAddr))
-                .required(true)
-                .help("Internal addresses of control replicas"),
+                .help("Internal addresses of control replicas; needed by all commands but explain"),
         )
         .arg(
             Arg::new("output")
@@ -41,6 +40,18 @@
         .subcommand(Command::new("snapshot").about("Make every control replica write a snapshot"))
 }
 
+/// Checks what the shape alone does not say: only `explain` asks no control replica.
+pub fn check(matches: &ArgMatches) -> Result<(), clap::Error> {
+    let needs_control = matches.subcommand_name() != Some("explain");
+    if needs_control && !matches.contains_id("control") {
+        return Err(command().error(
+            ErrorKind::MissingRequiredArgument,
+            "this command needs --control <ADDRESS,...>",
+        ));
+    }
+    Ok(())
+}
+
 fn documents(name: &'static str, about: &'static str) -> Command {
     let changing = |verb: &'static str, about: &'static str| {
         Command::new(verb)
@@ -137,9 +148,18 @@
                 .value_name("ADDRESS,...")
                 .value_delimiter(',')
                 .value_parser(value_parser!(SocketAddr))
-                .required(true)
+                .required_unless_present("logs")
                 .help("Operators' addresses of the routers to ask"),
         )
+        .arg(
+            Arg::new("logs")
+                .long("logs")
+                .value_name("FILE")
+                .num_args(1..)
+                .value_parser(value_parser!(PathBuf))
+                .conflicts_with("router")
+                .help("Logs of any processes to read instead; what cannot be read is counted"),
+        )
 }
 
 fn platform() -> Arg {
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -17,6 +17,9 @@
 /// Runs the program with the given arguments, the first of which is its name.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
     let matches = arguments::command().get_matches_from(arguments);
+    if let Err(error) = arguments::check(&matches) {
+        error.exit();
+    }
     match start(&matches) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -1,6 +1,6 @@
 //! Commands on the cluster: status, members, engines, drain, explain, snapshot.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use clap::ArgMatches;
 use error_stack::{Report, ResultExt};
@@ -14,6 +14,7 @@
 use crate::{
     client::ControlClient,
     errors::CtlError,
+    logs,
     output::{OutputFormat, Table, print_json},
 };
 
@@ -223,6 +224,10 @@
         .get_one::<String>("request")
         .cloned()
         .unwrap_or_default();
+    if let Some(files) = matches.get_many::<PathBuf>("logs") {
+        let files: Vec<PathBuf> = files.cloned().collect();
+        return logs::explain_from(format, &request, &files);
+    }
     let routers = matches.get_many::<SocketAddr>("router").unwrap_or_default();
     let http = HttpClient::new(HTTP_TIMEOUT);
     for router in routers.copied() {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod commands;
 pub mod documents;
 pub mod errors;
+pub mod logs;
 pub mod output;
 
 pub use errors::CtlError;
--- /dev/null
+++ b/crates/ctl/tests/logs.rs
@@ -0,0 +1,225 @@
+//! A request explained from logs that are mixed, cut and partly garbage.
+
+use quickcheck::quickcheck;
+use railtack_ctl::{
+    arguments,
+    logs::{
+        explanation::{About, Explanation, explain},
+        read::{self, Skipped},
+        timeline::Timeline,
+    },
+};
+
+fn line(life: &str, sequence: u64, uptime_ms: u64, payload: &str, fields: &str) -> String {
+    let started_ms = 1_000_000;
+    format!(
+        concat!(
+            r#"{{"level":"info","timestamp":{},"uptime_us":{},"node":"node-{}","life":"{}","#,
+            r#""sequence":{},"payload":"{}","kv":{{{}}}}}"#
+        ),
+        started_ms + uptime_ms,
+        uptime_ms * 1_000,
+        life,
+        life,
+        sequence,
+        payload,
+        fields
+    )
+}
+
+fn router_log() -> Vec<String> {
+    vec![
+        line("r", 0, 0, "starting", ""),
+        line("r", 1, 100, "view updated", r#""known":5"#),
+        line("r", 2, 110, "lease gained", r#""known":5"#),
+        line("r", 3, 2_000, "view updated", r#""known":9"#),
+        line(
+            "r",
+            4,
+            4_000,
+            "exchange failed",
+            r#""request":"other","replica":"i-1""#,
+        ),
+        line(
+            "r",
+            5,
+            5_000,
+            "exchange failed",
+            r#""request":"q","replica":"i-1","known":9"#,
+        ),
+        line("r", 6, 5_001, "retry", r#""request":"q","in_budget":true"#),
+        line("r", 7, 5_010, "view updated", r#""known":12"#),
+        line(
+            "r",
+            8,
+            5_400,
+            "request",
+            r#""request":"q","replica":"i-2","known":9,"total_ms":800"#,
+        ),
+        line(
+            "r",
+            9,
+            6_000,
+            "request",
+            r#""request":"other","total_ms":1"#,
+        ),
+    ]
+}
+
+fn control_log() -> Vec<String> {
+    vec![
+        line("c", 0, 50, "leader changed", r#""leader":1"#),
+        line(
+            "c",
+            1,
+            3_000,
+            "order given",
+            r#""replica":"i-1","version":2"#,
+        ),
+        line(
+            "c",
+            2,
+            3_100,
+            "order given",
+            r#""replica":"i-9","version":2"#,
+        ),
+        line(
+            "c",
+            3,
+            9_000,
+            "order given",
+            r#""replica":"i-2","version":3"#,
+        ),
+    ]
+}
+
+fn explained(content: &[u8]) -> (Option<Explanation>, Skipped) {
+    let mut lines = Vec::new();
+    let skipped = read::lines(content, &mut lines);
+    (explain(&Timeline::new(lines), "q"), skipped)
+}
+
+fn events(explanation: &Explanation, about: About) -> Vec<(&str, f64)> {
+    let of = explanation
+        .entries
+        .iter()
+        .filter(|entry| entry.about == about);
+    of.map(|entry| (entry.event.as_str(), entry.at_ms))
+        .collect()
+}
+
+#[test]
+fn a_request_is_told_in_order_with_the_beliefs_in_force() {
+    let mut all = control_log();
+    all.extend(router_log());
+    let (explanation, skipped) = explained(all.join("\n").as_bytes());
+    let explanation = explanation.expect("an explanation");
+    assert_eq!(skipped, Skipped::default());
+    assert_eq!(explanation.missing_lines, 0);
+    assert_eq!(
+        events(&explanation, About::Request),
+        vec![
+            ("exchange failed", 400.0),
+            ("retry", 401.0),
+            ("request", 800.0)
+        ]
+    );
+    // The view of position 9 decided, not the newer one that came before the last line.
+    let beliefs = events(&explanation, About::Belief);
+    assert_eq!(
+        beliefs,
+        vec![
+            ("starting", -4_600.0),
+            ("leader changed", -4_550.0),
+            ("lease gained", -4_490.0),
+            ("view updated", -2_600.0),
+        ]
+    );
+    // Not the order that came after the request, nor one at another back end.
+    assert_eq!(
+        events(&explanation, About::Replica),
+        vec![("order given", -1_600.0), ("exchange failed", -600.0)]
+    );
+}
+
+#[test]
+fn prefixes_garbage_and_cut_lines_are_passed_over_and_counted() {
+    let mut lines = router_log();
+    lines[3] = format!("   5.4000 front-a-1 {{odd}} {} and more", lines[3]);
+    let cut = lines[7].clone();
+    lines[7] = cut[..cut.len() / 2].to_owned();
+    lines.insert(2, "no structure at all".to_owned());
+    let mut content = lines.join("\n").into_bytes();
+    content.extend_from_slice(b"\n\xff\xfe\x00\n\n");
+    let (explanation, skipped) = explained(&content);
+    let explanation = explanation.expect("an explanation");
+    assert_eq!(
+        skipped,
+        Skipped {
+            unstructured: 2,
+            damaged: 1
+        }
+    );
+    assert_eq!(explanation.missing_lines, 1);
+    assert_eq!(events(&explanation, About::Request).len(), 3);
+}
+
+#[test]
+fn lines_that_are_read_twice_count_once_and_a_jump_of_the_clock_moves_nothing() {
+    let mut lines = router_log();
+    lines.extend(router_log());
+    // The time of day jumps by an hour for one line; the steady clock goes on.
+    lines[5] = lines[5].replace(r#""timestamp":1005000"#, r#""timestamp":4605000"#);
+    lines.truncate(10);
+    lines.extend(
+        router_log()
+            .into_iter()
+            .filter(|line| !line.contains(r#""sequence":5,"#)),
+    );
+    let (explanation, _) = explained(lines.join("\n").as_bytes());
+    let explanation = explanation.expect("an explanation");
+    assert_eq!(
+        events(&explanation, About::Request),
+        vec![
+            ("exchange failed", 400.0),
+            ("retry", 401.0),
+            ("request", 800.0)
+        ]
+    );
+}
+
+#[test]
+fn an_unknown_request_is_not_explained() {
+    let mut lines = Vec::new();
+    read::lines(router_log().join("\n").as_bytes(), &mut lines);
+    assert!(explain(&Timeline::new(lines), "unknown").is_none());
+}
+
+#[test]
+fn only_explain_goes_without_control_replicas() {
+    let parsed = |arguments: &[&str]| {
+        let matches = arguments::command().get_matches_from(arguments);
+        arguments::check(&matches).is_ok()
+    };
+    assert!(parsed(&["railtackctl", "explain", "q", "--logs", "a", "b"]));
+    assert!(!parsed(&["railtackctl", "status"]));
+    assert!(parsed(&[
+        "railtackctl",
+        "--control",
+        "127.0.0.1:1",
+        "status"
+    ]));
+}
+
+quickcheck! {
+    /// Any bytes are read to their end, and every line that is not blank is either read or counted.
+    fn any_content_is_read_to_its_end(content: Vec<u8>) -> bool {
+        let mut lines = Vec::new();
+        let skipped = read::lines(&content, &mut lines);
+        let expected = content
+            .split(|byte| *byte == b'\n')
+            .filter(|text| !text.trim_ascii().is_empty())
+            .count();
+        lines.len() + skipped.damaged + skipped.unstructured == expected
+    }
+}
--- a/crates/emulator/src/cli.rs
+++ b/crates/emulator/src/cli.rs
@@ -12,7 +12,6 @@
 use railtack_settings::{
     daemon,
     emulator::{EmulatorRole, EmulatorSettings},
-    logging,
 };
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -34,7 +33,7 @@
 
 /// Runs the program with the given arguments, the first of which is its name.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
-    logging::initialize();
+    railtack_telemetry::initialize();
     match start(arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -101,12 +101,13 @@
             name: self.name.clone(),
         };
         let log = open_log(&self.log)?;
+        let errors = log.try_clone().change_context_lazy(spawn_error)?;
         let child = command(self.program)
             .change_context_lazy(spawn_error)?
             .args(&self.arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
+            .stdout(log)
+            .stderr(errors)
             .kill_on_drop(true)
             .spawn()
             .change_context_lazy(spawn_error)?;
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -44,15 +44,23 @@
         let asked_at = Instant::now();
         let reply = ask(&state, targets.connection(address)).await;
         let Some(reply) = reply else {
+            if failures_in_a_row == 0 {
+                spdlog::warn!("control lost", kv: { address = address.to_string() });
+            }
             failures_in_a_row += 1;
             if failures_in_a_row % targets.len().max(1) == 0 {
                 targets.add(seeds());
             }
-            spdlog::debug!("control silent", kv: { address = address.to_string() });
             targets.leave(address);
             sleep(FAILURE_PAUSE).await;
             continue;
         };
+        if failures_in_a_row > 0 {
+            spdlog::info!("control regained", kv: {
+                address = address.to_string(),
+                failures = failures_in_a_row,
+            });
+        }
         failures_in_a_row = 0;
         let is_current = reply
             .confirmed_age_ms
@@ -70,11 +78,18 @@
 
 /// Closes connections to replicas that have rested for too long, for as long as the process runs.
 pub async fn tidy(state: Arc<ProxyState>) {
+    let mut was_confirmed = false;
     loop {
         sleep(TIDY_INTERVAL).await;
         lock(&state.replicas).close_old();
         let age = lock(&state.lease).age(Instant::now()).unwrap_or_default();
         state.metrics.lease_age_ms.set(age.as_millis() as u64);
+        let is_confirmed = state.is_confirmed();
+        if was_confirmed && !is_confirmed {
+            let known = state.view.load().known;
+            spdlog::warn!("lease lost", kv: { known, age_ms = age.as_millis() as u64 });
+        }
+        was_confirmed = is_confirmed;
     }
 }
 
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -294,7 +294,15 @@
         if step != NextStep::TryAgain {
             return step;
         }
-        if self.state.spend_retry(&self.service) {
+        let in_budget = self.state.spend_retry(&self.service);
+        spdlog::info!("retry", kv: {
+            request = self.request.id.clone(),
+            in_budget,
+            proof = format!("{proof:?}"),
+            replicas_used = self.replicas_used,
+            declined = self.declined,
+        });
+        if in_budget {
             self.state.metrics.retries.inc();
             return step;
         }
--- a/crates/proxy/src/request_log.rs
+++ b/crates/proxy/src/request_log.rs
@@ -73,6 +73,18 @@
         self.cost = cost;
         self.known = known;
         self.attempts += 1;
+        // The line at the end tells of the last choice only.
+        if self.attempts > 1 {
+            spdlog::info!("chosen again", kv: {
+                request = self.request.clone(),
+                attempt = self.attempts,
+                replica = self.replica.clone(),
+                kept_tokens = self.kept_tokens,
+                rank = self.rank,
+                cost = self.cost,
+                known,
+            });
+        }
     }
 
     /// Notes the whole answer of a replica.
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -236,6 +236,11 @@
                 && answered.answer.head.status.is_success()
             {
                 self.run.state.metrics.resumed.inc();
+                spdlog::info!("stream resumed", kv: {
+                    request = self.run.request.id.clone(),
+                    replica = answered.target.record.id.clone(),
+                    last_event = self.buffer.last_event().unwrap_or_default(),
+                });
                 self.answered = Some(answered);
                 return Some(());
             }
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -6,7 +6,7 @@
 use clap::Command;
 use error_stack::{Report, ResultExt};
 use railtack_http::signals::cancel_on_terminate;
-use railtack_settings::{RouterSettings, daemon, logging};
+use railtack_settings::{RouterSettings, daemon};
 use tokio_util::sync::CancellationToken;
 
 fn command() -> Command {
@@ -19,8 +19,10 @@
 
 /// Runs the program with the given arguments, the first of which is its name.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
-    logging::initialize();
-    match start(arguments) {
+    railtack_telemetry::initialize();
+    let outcome = start(arguments);
+    spdlog::default_logger().flush();
+    match outcome {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => {
             spdlog::warn!("stopped with requests still open");
@@ -40,6 +42,7 @@
     if daemon::is_check(&matches) {
         return Ok(true);
     }
+    railtack_telemetry::set_node(&format!("router-{}", settings.router_id.0));
     let runtime = tokio::runtime::Runtime::new().change_context(RouterError::Runtime)?;
     runtime.block_on(async {
         let router = Router::bind(settings).await?;
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -94,6 +94,7 @@
 
 async fn serve_admin(state: Arc<RouterState>, listener: TcpListener) {
     let mut registry = Registry::default();
+    railtack_telemetry::metrics().register(&mut registry);
     state.metrics.register(&mut registry);
     let registry = Arc::new(registry);
     let handler = move |request: Request<Incoming>| {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,7 +6,6 @@
 pub mod documents;
 pub mod emulator;
 pub mod load;
-pub mod logging;
 pub mod overrides;
 pub mod router;
 
