--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,4 +10,4 @@
 pub use body::{Body, BodySender, empty, full, json, lines, read_body, streaming};
 pub use client::{HttpClient, send_on_new_connection};
 pub use errors::{HttpError, ReceiveError, SendError};
-pub use server::{ServeOptions, serve};
+pub use server::{ConnectionLimits, ServeOptions, serve, serve_limited};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -56,6 +56,15 @@
     }
 }
 
+/// Limits of one connection, as they are when it is accepted.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionLimits {
+    /// Time for which the connection may rest, and for the head of a request to arrive.
+    pub head_timeout: Duration,
+    /// Largest head of a request, bytes.
+    pub head_bytes: usize,
+}
+
 /// Serves until `shutdown`, then waits for open requests; true if all ended in time.
 pub async fn serve<H, F>(
     listener: TcpListener,
@@ -63,6 +72,25 @@
     shutdown: CancellationToken,
     handler: H,
 ) -> bool
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let limits = ConnectionLimits {
+        head_timeout: options.head_timeout,
+        head_bytes: options.head_bytes,
+    };
+    serve_limited(listener, options, move || limits, shutdown, handler).await
+}
+
+/// Like [`serve`], with limits that may change: `limits` is asked for each new connection.
+pub async fn serve_limited<H, F>(
+    listener: TcpListener,
+    options: ServeOptions,
+    limits: impl Fn() -> ConnectionLimits,
+    shutdown: CancellationToken,
+    handler: H,
+) -> bool
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
@@ -92,10 +120,11 @@
             let shutdown = shutdown.clone();
             async move { Ok::<_, Infallible>(closing_if(&shutdown, answer.await)) }
         });
+        let limits = limits();
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(options.head_timeout)
-            .max_buf_size(options.head_bytes.max(SMALLEST_BUFFER))
+            .header_read_timeout(limits.head_timeout)
+            .max_buf_size(limits.head_bytes.max(SMALLEST_BUFFER))
             .serve_connection(TokioIo::new(stream), service);
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
