--- a/crates/control/src/serving/watch.rs
+++ b/crates/control/src/serving/watch.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use railtack_consensus::LogIndex;
 use railtack_rpc::serving::{WatchReply, WatchRequest};
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -21,6 +22,8 @@
 const WATCHED_FOR: Duration = Duration::from_secs(3);
 /// Longest time for which an answer is held, milliseconds.
 const WAIT_LIMIT_MS: u64 = 5_000;
+/// Shortest time between two answers to a router that is not new.
+const GATHERING: Duration = Duration::from_millis(20);
 
 /// Answers routers from this replica's state.
 pub struct WatchServer {
@@ -66,6 +69,7 @@
         let changed = receiver.wait_for(|view| view.serving.changed_at() > request.known);
         // Either way the present view is answered.
         let _ = timeout_at(deadline, changed).await;
+        sleep(gathering_time(request.known, asked_at.elapsed())).await;
         let view = self.link.view();
         WatchReply {
             confirmed_age_ms: self.confirmed_age_ms(&view),
@@ -100,6 +104,16 @@
     }
 }
 
+/// Time for which an answer waits for further changes, if a router that knows changes up to `known`
+/// asked `asked` ago. A router asks again as soon as it has an answer, so only changes close behind
+/// one another wait: hundreds of replicas that register together are told in a few answers.
+pub fn gathering_time(known: LogIndex, asked: Duration) -> Duration {
+    if known == 0 {
+        return Duration::ZERO;
+    }
+    GATHERING.saturating_sub(asked)
+}
+
 /// While routers ask this replica and it does not lead, has the leader confirm its state.
 ///
 /// One question to the leader serves all routers that ask here, so the leader's load does not
--- a/crates/control/src/serving_state.rs
+++ b/crates/control/src/serving_state.rs
@@ -3,37 +3,46 @@
 //! Invariants: the version of the document only rises; a replica that is leaving never becomes
 //! ready again in the same life; the versions of weights that a replica holds and the versions
 //! that operators named only rise; a token for orders is above every token before it.
+//!
+//! After each round of changes the tasks of a control replica get a copy. With thousands of
+//! replicas that start together a deep copy each time would take the processor and the memory, so
+//! everything large is shared between copies.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{collections::BTreeMap, sync::Arc};
 
 use railtack_consensus::LogIndex;
 use railtack_rpc::serving::{ConfigurationDocument, ServingCommand, ServingOutcome, ServingUpdate};
 use railtack_serving::{
     HeldWeights, PendingOrder, ReplicaRecord, ReplicaState, ServingConfiguration,
 };
-use speedy::{Readable, Writable};
+use rpds::{RedBlackTreeMapSync, RedBlackTreeSetSync};
+
+mod stored;
 
 /// Replicas that have left and are remembered, so that their late messages do not revive them and
 /// routers can be told only what changed.
 const DEPARTED_KEPT: usize = 1_024;
 
 /// The right to give orders to back ends.
-#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+#[derive(Clone, Debug, PartialEq, Eq, speedy::Readable, speedy::Writable)]
 struct OrderRight {
     holder: String,
     token: u64,
 }
 
-/// What routers serve from, and who may give orders.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+/// Back-end replicas by identity.
+pub type ReplicaMap = RedBlackTreeMapSync<String, ReplicaRecord>;
+
+/// What routers serve from, and who may give orders. A copy shares what it can.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ServingState {
-    content: Vec<u8>,
-    configuration: ServingConfiguration,
+    content: Arc<Vec<u8>>,
+    configuration: Arc<ServingConfiguration>,
     configuration_at: LogIndex,
-    replicas: BTreeMap<String, ReplicaRecord>,
+    replicas: ReplicaMap,
     /// Replicas that have left, oldest first.
-    departed: BTreeSet<(LogIndex, String)>,
-    departed_ids: BTreeSet<String>,
+    departed: RedBlackTreeSetSync<(LogIndex, String)>,
+    departed_ids: RedBlackTreeSetSync<String>,
     departed_complete_after: LogIndex,
     weights: BTreeMap<String, u64>,
     changed_at: LogIndex,
@@ -57,7 +66,7 @@
     }
 
     /// Back-end replicas by identity.
-    pub fn replicas(&self) -> &BTreeMap<String, ReplicaRecord> {
+    pub fn replicas(&self) -> &ReplicaMap {
         &self.replicas
     }
 
@@ -100,7 +109,7 @@
         }
         let complete = known == 0 || known < self.departed_complete_after;
         let changed = |record: &&ReplicaRecord| complete || record.changed_at > known;
-        let configuration = (self.configuration_at > known).then(|| self.configuration.clone());
+        let configuration = (self.configuration_at > known).then(|| self.configuration().clone());
         Some(ServingUpdate {
             through: self.changed_at,
             configuration,
@@ -131,8 +140,8 @@
         if self.has_configuration() && document.revision <= self.configuration.revision {
             return ServingOutcome::Superseded;
         }
-        self.content = document.content;
-        self.configuration = document.configuration;
+        self.content = Arc::new(document.content);
+        self.configuration = Arc::new(document.configuration);
         self.configuration_at = index;
         self.changed_at = index;
         ServingOutcome::Done
@@ -152,7 +161,7 @@
         });
         record.changed_at = index;
         self.changed_at = index;
-        self.replicas.insert(record.id.clone(), record);
+        self.replicas.insert_mut(record.id.clone(), record);
         ServingOutcome::Done
     }
 
@@ -173,7 +182,7 @@
         if self.has_departed(replica) {
             return ServingOutcome::Done;
         }
-        self.departed_ids.insert(replica.to_owned());
+        self.departed_ids.insert_mut(replica.to_owned());
         self.remove(index, replica);
         ServingOutcome::Done
     }
@@ -188,14 +197,15 @@
 
     /// Removes a replica and remembers that, for routers that know it.
     fn remove(&mut self, index: LogIndex, replica: &str) {
-        self.replicas.remove(replica);
+        self.replicas.remove_mut(replica);
         self.changed_at = index;
-        self.departed.insert((index, replica.to_owned()));
-        if self.departed.len() > DEPARTED_KEPT
-            && let Some((at, oldest)) = self.departed.pop_first()
+        self.departed.insert_mut((index, replica.to_owned()));
+        if self.departed.size() > DEPARTED_KEPT
+            && let Some(oldest) = self.departed.first().cloned()
         {
-            self.departed_ids.remove(&oldest);
-            self.departed_complete_after = at;
+            self.departed.remove_mut(&oldest);
+            self.departed_ids.remove_mut(&oldest.1);
+            self.departed_complete_after = oldest.0;
         }
     }
 
--- a/crates/control/tests/serving_state.rs
+++ b/crates/control/tests/serving_state.rs
@@ -5,6 +5,7 @@
 use railtack_serving::{
     HeldWeights, PendingOrder, ReplicaRecord, ReplicaState, ServingConfiguration,
 };
+use speedy::{Readable, Writable};
 
 fn document(revision: u64, content: &str) -> ServingCommand {
     ServingCommand::PutDocument(ConfigurationDocument {
@@ -176,3 +177,31 @@
     state.apply(4, ServingCommand::NameWeights(named.clone()));
     assert_eq!(state.update_after(3).expect("weights").weights, [named]);
 }
+
+/// Found by the sweep: a copy of all records at each registration took the memory of control.
+#[test]
+fn a_copy_shares_what_did_not_change() {
+    let mut state = ServingState::default();
+    state.apply(1, register("r", "h:1", 1));
+    let copy = state.clone();
+    state.apply(2, register("s", "h:2", 1));
+    assert!(std::ptr::eq(&state.replicas()["r"], &copy.replicas()["r"]));
+    assert!(copy.replicas().get("s").is_none());
+}
+
+#[test]
+fn a_state_is_read_back_from_a_snapshot_as_it_was() {
+    let mut state = ServingState::default();
+    for number in 1..50_u64 {
+        let command = register(&format!("r{number}"), &format!("h:{number}"), 1);
+        state.apply(number, command);
+    }
+    let leaves = ServingCommand::Deregister {
+        replica: "r7".to_owned(),
+    };
+    state.apply(60, leaves);
+    state.apply(61, document(3, "three"));
+    let stored = state.write_to_vec().expect("bytes");
+    let read = ServingState::read_from_buffer(&stored).expect("a state");
+    assert_eq!(read, state);
+}
