--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -131,7 +131,7 @@
     ]
 }
 
-async fn send(router: SocketAddr, input: &BadInput) -> (u16, Value) {
+async fn send(router: SocketAddr, input: &BadInput) -> (u16, bool, Value) {
     let mut builder = hyper::Request::post(format!("http://{router}{}", input.path));
     if let Some(bearer) = &input.bearer {
         builder = builder.header("authorization", format!("Bearer {bearer}"));
@@ -142,10 +142,15 @@
     let client = HttpClient::new(Duration::from_secs(2));
     let response = client.send(request).await.expect("an answer");
     let status = response.status().as_u16();
+    let is_named = response.headers().contains_key("x-request-id");
     let content = railtack_http::read_body(response.into_body(), 1 << 20, Duration::from_secs(5))
         .await
         .expect("a body");
-    (status, serde_json::from_slice(&content).expect("JSON"))
+    (
+        status,
+        is_named,
+        serde_json::from_slice(&content).expect("JSON"),
+    )
 }
 
 async fn serves(prepared: &PreparedFleet) -> bool {
@@ -219,10 +224,15 @@
     add_private_template(&prepared, folder.path()).await;
     let router = prepared.fleet.places.routers[0].listen;
     for input in bad_inputs(&prepared) {
-        let (status, body) = send(router, &input).await;
+        let (status, is_named, body) = send(router, &input).await;
         assert_eq!(status, input.status, "{}: {body}", input.name);
         assert_eq!(body["error"]["code"], input.code, "{}: {body}", input.name);
         assert_eq!(body["error"]["execution"], "not_run", "{}", input.name);
+        // Whoever complains of a refused model request can name it.
+        let is_model = input.path.starts_with("/v1/");
+        if is_model && input.code == "unknown_template" {
+            assert!(is_named, "{}", input.name);
+        }
     }
     let slow = tokio::task::spawn_blocking(move || slow_client(router));
     assert!(serves(&prepared).await);
--- a/crates/router/src/completions.rs
+++ b/crates/router/src/completions.rs
@@ -19,11 +19,12 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    answers::{AnswerWriter, Shape},
+    answers::{self, AnswerWriter, Shape},
     api::CompletionBody,
     dispatch::{self, Job},
     prompt,
     refusal::Refusal,
+    request_log,
     resolved::{Resolved, ResolvedService},
     state::{RouterState, lock},
 };
@@ -42,6 +43,7 @@
 ) -> Response<Body> {
     let request = RequestId(rand::random());
     let stream = body.stream;
+    let template = body.template.0.clone();
     match prepare(&state, bearer.as_deref(), body, request) {
         Ok(job) => {
             let writer = AnswerWriter {
@@ -54,8 +56,9 @@
             writer.respond(events, stream).await
         }
         Err(refusal) => {
+            request_log::refused(request, &template, &refusal);
             state.metrics.refused(refusal.code);
-            refusal.response()
+            answers::with_request_id(refusal.response(), request)
         }
     }
 }
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -29,6 +29,7 @@
     decisions::{CandidateRecord, DecisionRecord},
     engine_link::refresh_status,
     relay::{EndMarker, FrameStep, Relay},
+    request_log::RequestLog,
     state::{RouterState, lock},
 };
 
@@ -83,9 +84,11 @@
 /// Runs a job and reports its answer step by step. Dropping the receiver cancels it.
 pub async fn run(state: Arc<RouterState>, job: Job, events: mpsc::Sender<AnswerEvent>) {
     state.metrics.open_requests.inc();
+    let job = Arc::new(job);
     let mut run = Run {
         state: &state,
         job: &job,
+        log: RequestLog::new(Arc::clone(&job)),
         events: &events,
         relay: Relay::new(job.max_tokens, EndMarker::Required),
         attempts: Attempts::default(),
@@ -103,6 +106,7 @@
 struct Run<'a> {
     state: &'a RouterState,
     job: &'a Job,
+    log: RequestLog,
     events: &'a mpsc::Sender<AnswerEvent>,
     relay: Relay,
     attempts: Attempts,
@@ -132,6 +136,7 @@
             };
             self.record(&chosen);
             let end = self.attempt(&chosen).await;
+            self.log.attempted(&end);
             let (state, tenant) = (self.state, &self.job.tenant);
             let after = self.attempts.ended(end, || spend_retry(state, tenant));
             if after != AfterAttempt::Again {
@@ -358,12 +363,13 @@
         }
     }
 
-    fn note_first_token(&self, attempt: &mut Attempt) {
+    fn note_first_token(&mut self, attempt: &mut Attempt) {
         if !attempt.waits_for_token {
             return;
         }
         attempt.waits_for_token = false;
         if self.relay.delivered() == 1 {
+            self.log.first_byte();
             let waited = self.job.received.elapsed();
             self.state.metrics.first_token.observe(waited.as_secs_f64());
         }
@@ -387,20 +393,24 @@
         }
     }
 
-    fn count_end(&self, event: &AnswerEvent) {
+    fn count_end(&mut self, event: &AnswerEvent) {
         let metrics = &self.state.metrics;
         match event {
             AnswerEvent::Ended(end) => {
+                self.log.whole();
                 metrics.completed.inc();
                 metrics.prompt_tokens.inc_by(u64::from(end.prompt_tokens));
                 metrics.cached_tokens.inc_by(u64::from(end.cached_tokens));
             }
-            AnswerEvent::Failed(refusal) => metrics.refused(refusal.code),
+            AnswerEvent::Failed(refusal) => {
+                self.log.failed(refusal);
+                metrics.refused(refusal.code);
+            }
             AnswerEvent::Token(_) => {}
         }
     }
 
-    fn record(&self, decision: &Decision) {
+    fn record(&mut self, decision: &Decision) {
         if self.relay.delivered() > 0 {
             self.state.metrics.continued.inc();
         }
@@ -425,6 +435,8 @@
             prompt_tokens: self.job.chain.total_tokens,
             candidates: candidates.collect(),
         };
+        drop(scheduler);
+        self.log.chose(record.engine, decision.chosen.held_tokens);
         lock(&self.state.decisions).add(record);
     }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod proposal;
 pub mod refusal;
 pub mod relay;
+pub mod request_log;
 pub mod resolved;
 pub mod server;
 pub mod services;
