--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -3,12 +3,16 @@
 use std::sync::atomic::AtomicU64;
 
 use prometheus_client::{
-    metrics::{counter::Counter, gauge::Gauge},
+    metrics::{
+        counter::Counter,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
     registry::Registry,
 };
 
 /// Counters and gauges, shared by the replica's thread and its services.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ControlMetrics {
     /// Commands committed and applied.
     pub applied: Counter,
@@ -28,6 +32,28 @@
     pub revision: Gauge<u64, AtomicU64>,
     /// Claims kept.
     pub claims: Gauge<u64, AtomicU64>,
+    /// Voters of the group, as this replica knows them.
+    pub voters: Gauge<u64, AtomicU64>,
+    /// Seconds for writing and syncing the log.
+    pub sync_seconds: Histogram,
+}
+
+impl Default for ControlMetrics {
+    fn default() -> Self {
+        Self {
+            applied: Counter::default(),
+            rounds: Counter::default(),
+            polls: Counter::default(),
+            dropped_messages: Counter::default(),
+            is_leader: Gauge::default(),
+            term: Gauge::default(),
+            commit: Gauge::default(),
+            revision: Gauge::default(),
+            claims: Gauge::default(),
+            voters: Gauge::default(),
+            sync_seconds: Histogram::new(exponential_buckets(0.000_5, 2.0, 14)),
+        }
+    }
 }
 
 impl ControlMetrics {
@@ -54,5 +80,11 @@
             self.revision.clone(),
         );
         registry.register("control_claims", "Claims kept", self.claims.clone());
+        registry.register("control_voters", "Voters of the group", self.voters.clone());
+        registry.register(
+            "control_sync_seconds",
+            "Time for writing and syncing the log",
+            self.sync_seconds.clone(),
+        );
     }
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -26,7 +26,7 @@
     metrics::ControlMetrics,
     peers::Peers,
     pending::PendingProposals,
-    replica::{MembershipError, Replica},
+    replica::{Advance, MembershipError, Replica},
     roster::RouterRoster,
     state::IssuedOrder,
     view::NodeView,
@@ -252,11 +252,11 @@
     fn round(&mut self) -> Result<(), Report<ControlError>> {
         let now = self.now();
         self.replica.tick(now);
-        let mut advance = self.replica.advance()?;
+        let mut advance = self.advance()?;
         if !advance.applied.is_empty() {
             // What was just committed is told to the others in the same round.
             self.replica.tick(now);
-            let told = self.replica.advance()?;
+            let told = self.advance()?;
             advance.messages.extend(told.messages);
             advance.applied.extend(told.applied);
         }
@@ -277,6 +277,17 @@
         Ok(())
     }
 
+    /// One step of the replica; its time counts as that of the disk if it synced.
+    fn advance(&mut self) -> Result<Advance, Report<ControlError>> {
+        let began = Instant::now();
+        let advance = self.replica.advance()?;
+        if advance.synced {
+            let took = began.elapsed().as_secs_f64();
+            self.metrics.sync_seconds.observe(took);
+        }
+        Ok(advance)
+    }
+
     fn handle(&mut self, input: Input) -> Result<(), Report<ControlError>> {
         let now = self.now();
         match input {
@@ -399,6 +410,8 @@
         self.metrics.is_leader.set(i64::from(leads));
         self.metrics.term.set(raft.term());
         self.metrics.commit.set(raft.commit_index());
+        let voters = raft.membership().voters().count();
+        self.metrics.voters.set(voters as u64);
         let state = self.replica.state();
         self.metrics.revision.set(state.configuration().revision.0);
         self.metrics.claims.set(state.claims().len() as u64);
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -76,6 +76,8 @@
     pub messages: Vec<Message>,
     /// Commands applied in this round, in order.
     pub applied: Vec<Applied>,
+    /// Whether something was synced to the disk.
+    pub synced: bool,
 }
 
 /// A control replica.
@@ -250,6 +252,7 @@
             }
             if ready.must_sync() {
                 self.store.persist(&ready)?;
+                advance.synced = true;
             }
             if let Some(snapshot) = &ready.snapshot {
                 self.state = decode_state(snapshot, self.options.claim_retention_ms)?;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -12,6 +12,7 @@
     },
     registry::Registry,
 };
+use railtack_serving::{ReplicaRecord, ReplicaState, RequestKind};
 
 /// Labels of a count by outcome.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -20,11 +21,27 @@
     pub outcome: String,
 }
 
+/// Labels of a count of requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// Kind of the route; empty if there was none.
+    pub kind: &'static str,
+    /// How it ended.
+    pub outcome: String,
+}
+
+/// Labels of a count of replicas.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ReplicaLabels {
+    /// `ready`, `loading` or `leaving`.
+    pub state: &'static str,
+}
+
 /// Counters, gauges and histograms.
 #[derive(Clone, Debug)]
 pub struct ProxyMetrics {
-    /// Requests by outcome.
-    pub requests: Family<OutcomeLabels, Counter>,
+    /// Requests by kind of route and outcome.
+    pub requests: Family<RequestLabels, Counter>,
     /// Exchanges with replicas by outcome.
     pub exchanges: Family<OutcomeLabels, Counter>,
     /// Retries sent.
@@ -39,6 +56,8 @@
     pub presumed_cached_tokens: Counter,
     /// Requests that are open.
     pub open_requests: Gauge,
+    /// Replicas that this router knows, by state.
+    pub replicas: Family<ReplicaLabels, Gauge>,
     /// Version of the configuration in force.
     pub revision: Gauge<u64, AtomicU64>,
     /// Time since the configuration was known to be current, milliseconds.
@@ -58,6 +77,7 @@
             prompt_tokens: Counter::default(),
             presumed_cached_tokens: Counter::default(),
             open_requests: Gauge::default(),
+            replicas: Family::default(),
             revision: Gauge::default(),
             lease_age_ms: Gauge::default(),
             first_byte_seconds: Histogram::new(exponential_buckets(0.005, 2.0, 12)),
@@ -70,7 +90,7 @@
     pub fn register(&self, registry: &mut Registry) {
         registry.register(
             "proxy_requests",
-            "Requests by outcome",
+            "Requests by kind of route and outcome",
             self.requests.clone(),
         );
         registry.register(
@@ -99,6 +119,11 @@
             "Prompt tokens presumed to be cached where they were sent",
             self.presumed_cached_tokens.clone(),
         );
+        registry.register(
+            "proxy_replicas",
+            "Replicas known, by state",
+            self.replicas.clone(),
+        );
         registry.register(
             "proxy_open_requests",
             "Requests that are open",
@@ -122,8 +147,30 @@
     }
 
     /// Counts the end of a request.
-    pub fn request_ended(&self, outcome: &str) {
-        count(&self.requests, outcome);
+    pub fn request_ended(&self, kind: Option<RequestKind>, outcome: &str) {
+        let labels = RequestLabels {
+            kind: kind.map_or("", kind_label),
+            outcome: outcome.to_owned(),
+        };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Notes the replicas that are known now.
+    pub fn replicas_known<'a>(&self, records: impl Iterator<Item = &'a ReplicaRecord>) {
+        let mut counts = [("ready", 0), ("loading", 0), ("leaving", 0)];
+        for record in records {
+            let place = match (record.state, &record.order) {
+                (ReplicaState::Leaving, _) => 2,
+                (ReplicaState::Ready, Some(_)) => 1,
+                (ReplicaState::Ready, None) => 0,
+            };
+            counts[place].1 += 1;
+        }
+        for (state, count) in counts {
+            self.replicas
+                .get_or_create(&ReplicaLabels { state })
+                .set(count);
+        }
     }
 
     /// Counts the end of an exchange.
@@ -132,6 +179,14 @@
     }
 }
 
+fn kind_label(kind: RequestKind) -> &'static str {
+    match kind {
+        RequestKind::Idempotent => "idempotent",
+        RequestKind::NonIdempotent => "non_idempotent",
+        RequestKind::Stream { .. } => "stream",
+    }
+}
+
 fn count(counters: &Family<OutcomeLabels, Counter>, outcome: &str) {
     let labels = OutcomeLabels {
         outcome: outcome.to_owned(),
--- a/crates/proxy/src/request_log.rs
+++ b/crates/proxy/src/request_log.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use railtack_serving::RequestKind;
 use tokio::time::Instant;
 
 use crate::{
@@ -15,6 +16,7 @@
     request: String,
     received: Instant,
     route: String,
+    kind: Option<RequestKind>,
     tenant: String,
     revision: u64,
     known: u64,
@@ -42,6 +44,7 @@
             request: request.id.clone(),
             received: request.received,
             route: String::new(),
+            kind: None,
             tenant: String::new(),
             revision: 0,
             known: 0,
@@ -61,6 +64,7 @@
     /// Notes how the request was admitted.
     pub fn admitted(&mut self, admitted: &Admitted) {
         self.route.clone_from(&admitted.route.name);
+        self.kind = Some(admitted.route.kind);
         self.tenant = admitted.tenant.clone().unwrap_or_default();
         self.revision = admitted.revision;
     }
@@ -117,7 +121,7 @@
             .take()
             .unwrap_or_else(|| "caller_gone".to_owned());
         self.state.metrics.open_requests.dec();
-        self.state.metrics.request_ended(&outcome);
+        self.state.metrics.request_ended(self.kind, &outcome);
         spdlog::info!("request", kv: {
             request = self.request.clone(),
             outcome,
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -128,6 +128,8 @@
         lock(&self.replicas).follow(&before, &next);
         lock(&self.named).learn(&next.weights, Instant::now());
         let known = next.known;
+        self.metrics
+            .replicas_known(next.replicas.values().map(|record| &**record));
         if let Some(table) = &next.table {
             let routes = &table.configuration().routes;
             lock(&self.splitter).retain(|name| routes.iter().any(|route| route.name == name));
--- a/crates/telemetry/tests/logs.rs
+++ b/crates/telemetry/tests/logs.rs
@@ -126,3 +126,17 @@
         written.values().all(|lines| *lines <= LINES_PER_SECOND)
     }
 }
+
+#[test]
+fn the_page_tells_the_memory_and_the_lines() {
+    let mut registry = prometheus_client::registry::Registry::default();
+    LogMetrics::default().register(&mut registry);
+    let mut page = String::new();
+    prometheus_client::encoding::text::encode(&mut page, &registry).expect("a page");
+    assert!(page.contains("log_lines_dropped_total 0"), "{page}");
+    let memory = page
+        .lines()
+        .find_map(|line| line.strip_prefix("process_resident_memory_bytes "))
+        .and_then(|value| value.parse::<u64>().ok());
+    assert!(memory.is_some_and(|bytes| bytes > 0), "{page}");
+}
