--- a/crates/ctl/src/logs/explanation.rs
+++ b/crates/ctl/src/logs/explanation.rs
@@ -23,8 +23,15 @@
 ];
 /// The event of a new view; the request's own lines name the one in force.
 const VIEW_EVENT: &str = "view updated";
-/// Events of the control replicas about one back end.
-const REPLICA_EVENTS: &[&str] = &["replica recorded", "replica removed", "order given"];
+/// Events about one back end.
+const REPLICA_EVENTS: &[&str] = &[
+    "replica recorded",
+    "replica removed",
+    "replica suspected",
+    "replica regained",
+    "replica silent",
+    "order given",
+];
 /// The event of a failed exchange with a back end.
 const FAILURE_EVENT: &str = "exchange failed";
 /// The event of a new leader of the control group.
--- a/crates/proxy/src/health.rs
+++ b/crates/proxy/src/health.rs
@@ -61,6 +61,11 @@
         self.failure_rate * 0.5_f64.powf(age / HALF_LIFE_S)
     }
 
+    /// Whether the last exchange found the replica out of reach.
+    pub fn is_suspected(&self) -> bool {
+        self.unreachable_in_a_row > 0
+    }
+
     /// Notes how an exchange ended.
     pub fn note(&mut self, end: ExchangeEnd, now: Instant) {
         let failed = match end {
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -13,7 +13,7 @@
     backend::Dispatch,
     health::ExchangeEnd,
     refusal::RefusalReason,
-    replicas::OpenRequest,
+    replicas::{OpenRequest, Suspicion},
     request::ProxiedRequest,
     request_log::RequestLog,
     state::{ProxyState, lock},
@@ -328,7 +328,18 @@
 
     /// Notes what an exchange says of a replica.
     pub fn note_end(&self, target: &Target, end: ExchangeEnd) {
-        target.usage.note(end, Instant::now());
+        let Some(suspicion) = target.usage.note(end, Instant::now()) else {
+            return;
+        };
+        let event = match suspicion {
+            Suspicion::Raised => "replica suspected",
+            Suspicion::Cleared => "replica regained",
+        };
+        spdlog::info!("{event}", kv: {
+            replica = target.record.id.clone(),
+            address = target.record.address.clone(),
+            end = format!("{end:?}"),
+        });
     }
 
     /// The head of a response to the caller, without what concerns only the replica's connection.
--- a/crates/proxy/src/replicas.rs
+++ b/crates/proxy/src/replicas.rs
@@ -71,9 +71,16 @@
         }
     }
 
-    /// Notes how an exchange ended.
-    pub fn note(&self, end: ExchangeEnd, now: Instant) {
-        self.load().health.note(end, now);
+    /// Notes how an exchange ended; tells whether the replica is suspected since, or no more.
+    pub fn note(&self, end: ExchangeEnd, now: Instant) -> Option<Suspicion> {
+        let health = &mut self.load().health;
+        let before = health.is_suspected();
+        health.note(end, now);
+        match (before, health.is_suspected()) {
+            (false, true) => Some(Suspicion::Raised),
+            (true, false) => Some(Suspicion::Cleared),
+            _ => None,
+        }
     }
 
     fn load(&self) -> MutexGuard<'_, Load> {
@@ -81,6 +88,15 @@
     }
 }
 
+/// A change of belief about whether a replica can be reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Suspicion {
+    /// It cannot be reached.
+    Raised,
+    /// It answered again.
+    Cleared,
+}
+
 /// A request that is open at a replica; dropping it closes the account.
 #[derive(Debug)]
 pub struct OpenRequest {
--- a/crates/proxy/src/request_log.rs
+++ b/crates/proxy/src/request_log.rs
@@ -27,6 +27,10 @@
     /// Hash of the longest shared beginning of the prompt.
     pub prefix: u64,
     rank: usize,
+    /// Requests of this router that were open at the replica when it was chosen.
+    open_requests: u32,
+    /// Prompt tokens of those that it had yet to read.
+    unread_tokens: u64,
     /// Weights that the replica was told to hold.
     pub weights: u64,
     cost: f64,
@@ -53,6 +57,8 @@
             shared_tokens: 0,
             prefix: 0,
             rank: 0,
+            open_requests: 0,
+            unread_tokens: 0,
             weights: 0,
             cost: 0.0,
             attempts: 0,
@@ -74,6 +80,8 @@
         self.replica.clone_from(&target.record.id);
         self.kept_tokens = candidate.known_tokens;
         self.rank = candidate.rank;
+        self.open_requests = candidate.open_requests;
+        self.unread_tokens = candidate.unread_tokens;
         self.cost = cost;
         self.known = known;
         self.attempts += 1;
@@ -134,6 +142,8 @@
             shared_tokens = self.shared_tokens,
             kept_tokens = self.kept_tokens,
             rank = self.rank,
+            open_requests = self.open_requests,
+            unread_tokens = self.unread_tokens,
             weights = self.weights,
             cost = self.cost,
             attempts = self.attempts,
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -254,13 +254,16 @@
     let start = Instant::now();
     let mut health = Health::new(start);
     assert!(health.allows(start));
+    assert!(!health.is_suspected());
     health.note(ExchangeEnd::Unreachable, start);
+    assert!(health.is_suspected());
     assert!(!health.allows(start + milliseconds(300)));
     assert!(health.allows(start + milliseconds(500)));
     health.note(ExchangeEnd::Unreachable, start + milliseconds(500));
     assert!(!health.allows(start + milliseconds(1_200)));
     health.note(ExchangeEnd::Good, start + milliseconds(1_500));
     assert!(health.allows(start + milliseconds(1_500)));
+    assert!(!health.is_suspected());
 }
 
 #[test]
