--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -153,7 +153,7 @@
             ready: Ready::default(),
             generator,
         };
-        raft.reset_election_deadline(now);
+        raft.reset_pre_vote_deadline(now);
         raft
     }
 
@@ -246,7 +246,7 @@
         if self.role == Role::Leader {
             self.tick_leader(now);
         } else if now >= self.election_deadline {
-            self.reset_election_deadline(now);
+            self.reset_pre_vote_deadline(now);
             self.start_pre_vote(now);
         }
     }
@@ -437,6 +437,19 @@
         self.election_deadline = now + self.options.election_timeout + spread;
     }
 
+    /// When this replica asks for a pre-vote next. One that has heard of no leader since it started
+    /// asks soon and often: a pre-vote raises no term and is refused while a leader lives, so it
+    /// disturbs nobody, and replicas that all restarted need not wait for an election timeout.
+    fn reset_pre_vote_deadline(&mut self, now: Millis) {
+        if self.leader_heard.is_some() {
+            self.reset_election_deadline(now);
+            return;
+        }
+        let interval = self.options.heartbeat_interval.max(1);
+        let spread = self.generator.random_range(0..interval);
+        self.election_deadline = now + interval + spread;
+    }
+
     pub(crate) fn refresh_membership(&mut self) {
         (self.membership, self.membership_index) = self.log.membership();
     }
--- a/crates/consensus/tests/raft.rs
+++ b/crates/consensus/tests/raft.rs
@@ -218,3 +218,33 @@
         assert_eq!(proposed.is_ok(), *replica == leader);
     }
 }
+
+#[test]
+fn replicas_that_start_together_elect_before_an_election_timeout() {
+    let mut cluster = Cluster::new(5, 0);
+    cluster.run(ELECTION_TIMEOUT - 100);
+    assert_eq!(cluster.leaders().len(), 1);
+}
+
+/// It asks for pre-votes again and again, and deposes nobody.
+#[test]
+fn a_replica_that_starts_out_of_the_leaders_reach_deposes_nobody() {
+    let mut cluster = Cluster::new(5, 0);
+    cluster.run(2_000);
+    let leader = cluster.leader().replica();
+    let term = cluster.leader().term();
+    let restarted = cluster
+        .replicas
+        .keys()
+        .copied()
+        .find(|replica| *replica != leader)
+        .expect("a follower");
+    cluster.cut_off.push(leader);
+    let fresh = start(restarted.0, u64::from(restarted.0), Some(membership(5)));
+    cluster.replicas.insert(restarted, fresh);
+    cluster.run(100);
+    cluster.cut_off.clear();
+    cluster.run(2_000);
+    assert_eq!(cluster.leader().replica(), leader);
+    assert_eq!(cluster.leader().term(), term);
+}
