--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -103,7 +103,7 @@
         });
         self.votes.clear();
         self.votes.insert(self.options.replica);
-        self.reset_election_deadline(now);
+        self.reset_pre_vote_deadline(now);
         if self.has_vote_quorum() {
             self.become_leader(now);
             return;
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -431,23 +431,26 @@
     }
 
     pub(crate) fn reset_election_deadline(&mut self, now: Millis) {
-        let spread = self
-            .generator
-            .random_range(0..self.options.election_timeout.max(1));
+        let spread = self.election_spread();
         self.election_deadline = now + self.options.election_timeout + spread;
     }
 
+    fn election_spread(&mut self) -> Millis {
+        let widest = self.options.election_timeout.max(1);
+        self.generator.random_range(0..widest)
+    }
+
     /// When this replica asks for a pre-vote next. One that has heard of no leader since it started
-    /// asks soon and often: a pre-vote raises no term and is refused while a leader lives, so it
-    /// disturbs nobody, and replicas that all restarted need not wait for an election timeout.
-    fn reset_pre_vote_deadline(&mut self, now: Millis) {
+    /// does not wait for an election timeout first: a pre-vote raises no term and is refused while a
+    /// leader lives, so it disturbs nobody. Replicas that start together are spread as widely as in
+    /// any election, or they would split their votes.
+    pub(crate) fn reset_pre_vote_deadline(&mut self, now: Millis) {
         if self.leader_heard.is_some() {
             self.reset_election_deadline(now);
             return;
         }
-        let interval = self.options.heartbeat_interval.max(1);
-        let spread = self.generator.random_range(0..interval);
-        self.election_deadline = now + interval + spread;
+        let spread = self.election_spread();
+        self.election_deadline = now + self.options.heartbeat_interval + spread;
     }
 
     pub(crate) fn refresh_membership(&mut self) {
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -3,14 +3,14 @@
 //! The caller of a log macro never waits: a line passes a [`budget`] of lines a second for its
 //! event, is written as JSON with its place in the process's sequence, and goes into a queue that
 //! drops when it is full. A thread of its own hands the queue to standard output, so that a reader
-//! that stands still slows nothing. What is left out or dropped is counted in [`metrics`], and shows
+//! that stands still slows nothing. What is left out or dropped is counted in [`metrics()`], and shows
 //! as gaps in the sequence.
 //!
 //! | module | job | pure |
 //! |---|---|---|
 //! | [`budget`] | lines that an event may write in a second | yes |
-//! | [`line`] | a line's fields, written and read | yes |
-//! | [`metrics`] | counters | yes |
+//! | [`mod@line`] | a line's fields, written and read | yes |
+//! | [`mod@metrics`] | counters | yes |
 //! | [`sink`] | the queue and its thread | |
 
 pub mod budget;
