--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -11,6 +11,7 @@
 
 use railtack_consensus::{Member, Membership, Millis, ReplicaId};
 use railtack_rpc::serving::JoinRequest;
+use railtack_serving::FaultTolerance;
 
 /// What a leader knows besides the membership itself.
 #[derive(Clone, Copy, Debug)]
@@ -27,8 +28,8 @@
     pub presence_limit: Millis,
     /// Members whose processes are being stopped.
     pub leaving: &'a BTreeSet<ReplicaId>,
-    /// Members that may be lost at once, with their disks.
-    pub tolerance: usize,
+    /// Losses that the group must bear.
+    pub tolerance: FaultTolerance,
 }
 
 /// The membership to propose next; `None` if nothing is to change.
@@ -54,8 +55,8 @@
     let newcomer = facts
         .joins
         .values()
-        .find(|join| current.member(join.replica).is_none())
-        .filter(|join| !facts.leaving.contains(&join.replica))?;
+        .filter(|join| !facts.leaving.contains(&join.replica))
+        .find(|join| current.member(join.replica).is_none())?;
     let mut next = current.clone();
     next.members.push(Member {
         replica: newcomer.replica,
@@ -78,11 +79,8 @@
         .filter(|member| silence(facts, member.replica) > facts.silence_limit)
         .max_by_key(|member| silence(facts, member.replica))?;
     let next = without(current, silent.replica);
-    let live = next
-        .voters()
-        .filter(|member| silence(facts, member.replica) <= facts.presence_limit)
-        .count();
-    let outlives_losses = next.quorum() > facts.tolerance;
+    let live = live_voters(&next, facts, facts.presence_limit);
+    let outlives_losses = next.quorum() > facts.tolerance.machines as usize;
     (live >= next.quorum() && outlives_losses).then_some(next)
 }
 
@@ -93,12 +91,17 @@
     if voters.is_multiple_of(2) {
         return true;
     }
-    let live = current
+    let live = live_voters(current, facts, facts.silence_limit);
+    let lost_at_once = facts.tolerance.machines as usize;
+    voters > facts.tolerance.voters_needed() && live < current.quorum() + lost_at_once
+}
+
+/// Voters that were heard from within `limit`.
+fn live_voters(membership: &Membership, facts: MemberFacts<'_>, limit: Millis) -> usize {
+    membership
         .voters()
-        .filter(|member| silence(facts, member.replica) <= facts.silence_limit)
-        .count();
-    let needed = 2 * facts.tolerance + 1;
-    voters > needed && live < current.quorum() + facts.tolerance
+        .filter(|member| silence(facts, member.replica) <= limit)
+        .count()
 }
 
 fn with_promotion(current: &Membership, facts: MemberFacts<'_>) -> Option<Membership> {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -19,6 +19,7 @@
     ProposeReply, ReplicaIdentity, StatusReply,
 };
 use railtack_rpc::serving::{JoinReply, JoinRequest, ReadIndexReply};
+use railtack_serving::FaultTolerance;
 use tokio::sync::{oneshot, watch};
 
 use crate::{
@@ -126,8 +127,8 @@
     /// Whether the leader adds, replaces and removes members by itself; silence after which a
     /// voter may be replaced, milliseconds.
     pub replace_silent_after: Option<Millis>,
-    /// Members that may be lost at once, with their disks.
-    pub tolerance: usize,
+    /// Losses that the group must bear.
+    pub tolerance: FaultTolerance,
     /// Opens the replica anew after its storage failed; without it the thread ends.
     pub reopen: Option<OpenReplica>,
 }
@@ -137,7 +138,7 @@
         Self {
             tick: Duration::from_millis(10),
             replace_silent_after: None,
-            tolerance: 0,
+            tolerance: FaultTolerance { machines: 0 },
             reopen: None,
         }
     }
--- a/crates/control/src/serving/daemon.rs
+++ b/crates/control/src/serving/daemon.rs
@@ -88,7 +88,7 @@
     let node_options = NodeOptions {
         tick: TICK,
         replace_silent_after: Some(options.bounds.contact_ms + ELECTION_TIMEOUT_MS * 2),
-        tolerance: options.tolerance.machines as usize,
+        tolerance: options.tolerance,
         reopen: Some(Box::new(move |now| open(&reopened, now))),
     };
     let (node, _) = node::start(replica, peers, metrics, started, node_options);
--- a/crates/control/src/serving/leader.rs
+++ b/crates/control/src/serving/leader.rs
@@ -81,10 +81,7 @@
         limit: Duration,
     ) -> Result<ServingOutcome, Unavailable> {
         let deadline = Instant::now() + limit;
-        let proposal = Proposal {
-            at: 0,
-            command: Command::Serving(command),
-        };
+        let proposal = proposal(command);
         loop {
             let answer = timeout_at(deadline, self.propose_once(&proposal)).await;
             match answer {
@@ -98,11 +95,7 @@
     /// Commits a change only if this replica leads: what it claims for itself must not reach a
     /// later leader's log. `None` if it does not, or if the outcome is not known in time.
     pub async fn propose_here(&self, command: ServingCommand) -> Option<ServingOutcome> {
-        let proposal = Proposal {
-            at: 0,
-            command: Command::Serving(command),
-        };
-        match self.propose_to_own(&proposal).await? {
+        match self.propose_to_own(&proposal(command)).await? {
             ProposeReply::Done(Outcome::Serving(outcome)) => Some(outcome),
             _ => None,
         }
@@ -166,3 +159,11 @@
         }
     }
 }
+
+/// A proposal of a serving command; none of them depends on the time of day.
+fn proposal(command: ServingCommand) -> Proposal {
+    Proposal {
+        at: 0,
+        command: Command::Serving(command),
+    }
+}
--- a/crates/control/tests/members.rs
+++ b/crates/control/tests/members.rs
@@ -5,6 +5,7 @@
 use railtack_consensus::{DiskId, Member, Membership, ReplicaId};
 use railtack_control::members::{MemberFacts, next_membership};
 use railtack_rpc::serving::JoinRequest;
+use railtack_serving::FaultTolerance;
 
 const LIMIT_MS: u64 = 4_000;
 
@@ -41,9 +42,9 @@
     next_bearing(0, current, joins, silent, &[])
 }
 
-/// The same for a group that must bear the loss of `tolerance` members.
+/// The same for a group that must bear the loss of `machines` members.
 fn next_bearing(
-    tolerance: usize,
+    machines: u32,
     current: &Membership,
     joins: &[(ReplicaId, JoinRequest)],
     silent: &[u32],
@@ -66,7 +67,7 @@
         silence_limit: LIMIT_MS,
         presence_limit: LIMIT_MS / 2,
         leaving: &leaving,
-        tolerance,
+        tolerance: FaultTolerance { machines },
     };
     let next = next_membership(current, facts)?;
     assert!(current.voter_difference(&next) <= 1);
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -27,15 +27,31 @@
 /// Default of [`ServeOptions::linger`].
 pub const LINGER: Duration = Duration::from_millis(500);
 
+/// Limits of one connection, as they are when it is accepted.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionLimits {
+    /// Time for which the connection may rest, and for the head of a request to arrive.
+    pub head_timeout: Duration,
+    /// Largest head of a request, bytes.
+    pub head_bytes: usize,
+}
+
+impl Default for ConnectionLimits {
+    fn default() -> Self {
+        Self {
+            head_timeout: Duration::from_secs(10),
+            head_bytes: 64 * 1024,
+        }
+    }
+}
+
 /// Limits of a listener.
 #[derive(Clone, Copy, Debug)]
 pub struct ServeOptions {
     /// Open connections; more are closed at once.
     pub connections: usize,
-    /// Time for the head of a request to arrive.
-    pub head_timeout: Duration,
-    /// Largest head of a request, bytes.
-    pub head_bytes: usize,
+    /// Limits of each connection, unless they are asked for anew ([`serve_limited`]).
+    pub limits: ConnectionLimits,
     /// Time after shutdown is asked for in which connections and requests are still taken, so
     /// that the handler can refuse them and callers learn to go elsewhere. Closing idle
     /// connections at once would cut off a request that is just being written to one.
@@ -48,23 +64,13 @@
     fn default() -> Self {
         Self {
             connections: 10_000,
-            head_timeout: Duration::from_secs(10),
-            head_bytes: 64 * 1024,
+            limits: ConnectionLimits::default(),
             linger: LINGER,
             drain: Duration::from_secs(30),
         }
     }
 }
 
-/// Limits of one connection, as they are when it is accepted.
-#[derive(Clone, Copy, Debug)]
-pub struct ConnectionLimits {
-    /// Time for which the connection may rest, and for the head of a request to arrive.
-    pub head_timeout: Duration,
-    /// Largest head of a request, bytes.
-    pub head_bytes: usize,
-}
-
 /// Serves until `shutdown`, then waits for open requests; true if all ended in time.
 pub async fn serve<H, F>(
     listener: TcpListener,
@@ -76,11 +82,8 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let limits = ConnectionLimits {
-        head_timeout: options.head_timeout,
-        head_bytes: options.head_bytes,
-    };
-    serve_limited(listener, options, move || limits, shutdown, handler).await
+    let limits = move || options.limits;
+    serve_limited(listener, options, limits, shutdown, handler).await
 }
 
 /// Like [`serve`], with limits that may change: `limits` is asked for each new connection.
--- a/crates/proxy/src/request_log.rs
+++ b/crates/proxy/src/request_log.rs
@@ -21,16 +21,12 @@
     revision: u64,
     known: u64,
     replica: String,
-    kept_tokens: u64,
-    /// Length of that beginning, tokens.
-    pub shared_tokens: u64,
+    /// What was known of the replica when it was chosen.
+    candidate: Candidate,
     /// Hash of the longest shared beginning of the prompt.
     pub prefix: u64,
-    rank: usize,
-    /// Requests of this router that were open at the replica when it was chosen.
-    open_requests: u32,
-    /// Prompt tokens of those that it had yet to read.
-    unread_tokens: u64,
+    /// Length of that beginning, tokens.
+    pub shared_tokens: u64,
     /// Weights that the replica was told to hold.
     pub weights: u64,
     cost: f64,
@@ -53,12 +49,9 @@
             revision: 0,
             known: 0,
             replica: String::new(),
-            kept_tokens: 0,
+            candidate: Candidate::default(),
             shared_tokens: 0,
             prefix: 0,
-            rank: 0,
-            open_requests: 0,
-            unread_tokens: 0,
             weights: 0,
             cost: 0.0,
             attempts: 0,
@@ -78,10 +71,7 @@
     /// Notes a choice, with what decided it.
     pub fn chose(&mut self, target: &Target, candidate: &Candidate, cost: f64, known: u64) {
         self.replica.clone_from(&target.record.id);
-        self.kept_tokens = candidate.known_tokens;
-        self.rank = candidate.rank;
-        self.open_requests = candidate.open_requests;
-        self.unread_tokens = candidate.unread_tokens;
+        self.candidate = *candidate;
         self.cost = cost;
         self.known = known;
         self.attempts += 1;
@@ -91,8 +81,8 @@
                 request = self.request.clone(),
                 attempt = self.attempts,
                 replica = self.replica.clone(),
-                kept_tokens = self.kept_tokens,
-                rank = self.rank,
+                kept_tokens = self.candidate.known_tokens,
+                rank = self.candidate.rank,
                 cost = self.cost,
                 known,
             });
@@ -140,10 +130,10 @@
             replica = self.replica.clone(),
             prefix = format!("{:016x}", self.prefix),
             shared_tokens = self.shared_tokens,
-            kept_tokens = self.kept_tokens,
-            rank = self.rank,
-            open_requests = self.open_requests,
-            unread_tokens = self.unread_tokens,
+            kept_tokens = self.candidate.known_tokens,
+            rank = self.candidate.rank,
+            open_requests = self.candidate.open_requests,
+            unread_tokens = self.candidate.unread_tokens,
             weights = self.weights,
             cost = self.cost,
             attempts = self.attempts,
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -11,7 +11,7 @@
 };
 use prometheus_client::registry::Registry;
 use railtack_core::{RefusalCode, TemplateName};
-use railtack_http::{Body, ReceiveError, ServeOptions, read_body, serve};
+use railtack_http::{Body, ConnectionLimits, ReceiveError, ServeOptions, read_body, serve};
 use railtack_settings::RouterSettings;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
@@ -67,10 +67,12 @@
         let limits = &state.settings.limits;
         let options = ServeOptions {
             connections: limits.connections,
-            head_timeout: Duration::from_millis(limits.receive_timeout_ms),
+            limits: ConnectionLimits {
+                head_timeout: Duration::from_millis(limits.receive_timeout_ms),
+                ..ConnectionLimits::default()
+            },
             linger: railtack_http::server::LINGER,
             drain: Duration::from_millis(state.settings.drain_ms),
-            ..ServeOptions::default()
         };
         tokio::spawn(control_link::keep_current(Arc::clone(&state)));
         tokio::spawn(engine_link::follow_platform(Arc::clone(&state)));
--- a/crates/telemetry/src/budget.rs
+++ b/crates/telemetry/src/budget.rs
@@ -29,11 +29,7 @@
 impl LineBudget {
     /// Whether a line of `event` may be written at `now_ms`.
     pub fn takes(&mut self, event: &str, now_ms: u64) -> bool {
-        let window = now_ms / WINDOW_MS;
-        if window != self.window {
-            self.window = window;
-            self.lines.clear();
-        }
+        self.enter_window(now_ms);
         let written = match self.lines.get_mut(event) {
             Some(written) => written,
             None => self.lines.entry(event.to_owned()).or_default(),
@@ -44,14 +40,8 @@
 
     /// What was left out in the window that ended before `now_ms`; told once.
     pub fn ended(&mut self, now_ms: u64) -> Vec<LeftOut> {
-        let window = now_ms / WINDOW_MS;
-        if window == self.window {
-            return Vec::new();
-        }
-        self.window = window;
-        let lines = std::mem::take(&mut self.lines);
+        let lines = self.enter_window(now_ms).into_iter();
         let mut left_out: Vec<LeftOut> = lines
-            .into_iter()
             .filter(|(_, lines)| *lines > LINES_PER_SECOND)
             .map(|(event, lines)| LeftOut {
                 event,
@@ -61,4 +51,14 @@
         left_out.sort_by(|left, right| left.event.cmp(&right.event));
         left_out
     }
+
+    /// Goes on to the window of `now_ms`; the counts of the former one, if it has ended.
+    fn enter_window(&mut self, now_ms: u64) -> HashMap<String, u32> {
+        let window = now_ms / WINDOW_MS;
+        if window == self.window {
+            return HashMap::new();
+        }
+        self.window = window;
+        std::mem::take(&mut self.lines)
+    }
 }
