Let requests wait for the first lease of a router that has just started

Cause: after all processes were killed, a router is back within 10 ms but knows no configuration for 0.3 to 0.6 s.

Change: a request that comes before the first lease of a process waits for it, for a third of its time. A router that lost its lease refuses at once, as before. The line of a retry names the replica that failed.

Tests in crates/proxy/tests/entry.rs; two of the three seen to fail without the wait.

--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -113,7 +113,6 @@
 
 fn take_reply(state: &ProxyState, reply: WatchReply, asked_at: Instant) {
     state.routers.store(reply.routers, Ordering::Relaxed);
-    let was_confirmed = state.is_confirmed();
     if let Some(update) = reply.update.clone()
         && let Some(next) = state.view.load().updated(update)
     {
@@ -130,8 +129,7 @@
         state.set_view(next);
     }
     // The state is applied before the lease that vouches for it counts.
-    lock(&state.lease).take_reply(&reply, asked_at);
-    if state.is_confirmed() && !was_confirmed {
+    if state.take_confirmation(&reply, asked_at) {
         spdlog::info!("lease gained", kv: { known = state.view.load().known });
     }
 }
--- /dev/null
+++ b/crates/proxy/src/entry.rs
@@ -0,0 +1,76 @@
+//! Taking a request in: the admission against what this router holds now.
+//!
+//! A router that has just started knows no configuration for some hundred milliseconds. After many
+//! were killed at the same moment no other router does better, and a caller that is refused spends
+//! its only retry on another one that starts too. So a request that comes before the first lease of
+//! a process waits for it, for a bounded part of its time. A router that *lost* its lease refuses at
+//! once: it is cut off, and others are not.
+
+use std::time::Duration;
+
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    admission::{self, Admitted},
+    refusal::RefusalReason,
+    request::ProxiedRequest,
+    state::ProxyState,
+};
+
+/// Part of a caller's time, as a divisor, for which a request waits for the first lease: the rest
+/// must do for serving it, or for a try elsewhere.
+const FIRST_LEASE_WAIT_DIVISOR: u32 = 3;
+/// Time assumed of a caller that states none.
+const ASSUMED_PATIENCE: Duration = Duration::from_secs(3);
+/// Pause that a caller is told while the configuration cannot be confirmed.
+const LONG_PAUSE: Duration = Duration::from_millis(500);
+/// Pause that a caller is told by a router that is about to end: others take the request at once.
+const STOPPING_PAUSE: Duration = Duration::from_millis(20);
+
+/// Admits a request; one that comes before the first lease of this process waits for it.
+pub async fn admit(
+    state: &ProxyState,
+    request: &ProxiedRequest,
+) -> Result<Admitted, RefusalReason> {
+    let until = request.received + first_lease_wait(request);
+    let mut changes = state.changes();
+    loop {
+        let admitted = admit_now(state, request);
+        let may_wait = admitted.as_ref().err() == Some(&RefusalReason::Unconfirmed)
+            && !state.was_confirmed()
+            && state.stop_plan().is_none();
+        if !may_wait {
+            return admitted;
+        }
+        if timeout_at(until, changes.changed()).await.is_err() {
+            return admitted;
+        }
+    }
+}
+
+/// What a caller is told of when to come back after a refusal on entry.
+pub fn pause_after(reason: RefusalReason) -> Option<Duration> {
+    match reason {
+        RefusalReason::Unconfirmed => Some(LONG_PAUSE),
+        RefusalReason::Stopping => Some(STOPPING_PAUSE),
+        _ => None,
+    }
+}
+
+fn first_lease_wait(request: &ProxiedRequest) -> Duration {
+    request.patience.unwrap_or(ASSUMED_PATIENCE) / FIRST_LEASE_WAIT_DIVISOR
+}
+
+fn admit_now(state: &ProxyState, request: &ProxiedRequest) -> Result<Admitted, RefusalReason> {
+    let view = state.view.load();
+    let table = view.table.as_ref().ok_or(RefusalReason::Unconfirmed)?;
+    if !state.is_confirmed() {
+        return Err(RefusalReason::Unconfirmed);
+    }
+    let admitted = admission::admit(table, request)?;
+    let stop = state.stop_plan();
+    if stop.is_some_and(|plan| !plan.takes(admitted.deadline, Instant::now())) {
+        return Err(RefusalReason::Stopping);
+    }
+    Ok(admitted)
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 //! |---|---|---|
 //! | is the configuration current? | [`lease`], [`control_watch`] keeps it | yes |
 //! | which route, tenant, limits? | [`admission`] | yes |
+//! | taken now, later, or refused? | [`entry`] | |
 //! | which service? | [`split`] | yes |
 //! | which replica? | [`choice`], with [`affinity`], [`health`] and [`named`] | yes |
 //! | may it be tried again? | [`verdict`], [`budget`] | yes |
@@ -25,6 +26,7 @@
 pub mod budget;
 pub mod choice;
 pub mod control_watch;
+pub mod entry;
 pub mod events;
 pub mod health;
 pub mod lease;
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -7,10 +7,11 @@
 use tokio::time::Instant;
 
 use crate::{
-    admission::{self, Admitted},
+    admission::Admitted,
     affinity::PrefixPath,
     attempt::{self, FailedExchange, HeadDue, OpenAnswer, Target},
     backend::Dispatch,
+    entry,
     health::ExchangeEnd,
     refusal::RefusalReason,
     replicas::{OpenRequest, Suspicion},
@@ -27,19 +28,15 @@
 const BUSY_PATIENCE_OBJECTIVES: u32 = 4;
 /// Shortest pause that a refused caller is told, milliseconds.
 const SHORTEST_RETRY_MS: u64 = 150;
-/// Pause that a caller is told while the configuration cannot be confirmed.
-const LONG_PAUSE: Duration = Duration::from_millis(500);
-/// Pause that a caller is told by a router that is about to end: others take the request at once.
-const STOPPING_PAUSE: Duration = Duration::from_millis(20);
 
 /// Serves one request. Dropping the future, or the body of the response, cancels it.
 pub async fn handle(state: Arc<ProxyState>, request: ProxiedRequest) -> Response<Body> {
     let mut log = RequestLog::begin(&state, &request);
-    let admitted = match admit(&state, &request) {
+    let admitted = match entry::admit(&state, &request).await {
         Ok(admitted) => admitted,
         Err(reason) => {
             log.end(reason.to_string());
-            return reason.response(pause_after(reason));
+            return reason.response(entry::pause_after(reason));
         }
     };
     log.admitted(&admitted);
@@ -53,28 +50,6 @@
     run.run().await
 }
 
-fn pause_after(reason: RefusalReason) -> Option<Duration> {
-    match reason {
-        RefusalReason::Unconfirmed => Some(LONG_PAUSE),
-        RefusalReason::Stopping => Some(STOPPING_PAUSE),
-        _ => None,
-    }
-}
-
-fn admit(state: &ProxyState, request: &ProxiedRequest) -> Result<Admitted, RefusalReason> {
-    let view = state.view.load();
-    let table = view.table.as_ref().ok_or(RefusalReason::Unconfirmed)?;
-    if !state.is_confirmed() {
-        return Err(RefusalReason::Unconfirmed);
-    }
-    let admitted = admission::admit(table, request)?;
-    let stop = state.stop_plan();
-    if stop.is_some_and(|plan| !plan.takes(admitted.deadline, Instant::now())) {
-        return Err(RefusalReason::Stopping);
-    }
-    Ok(admitted)
-}
-
 /// A request on its way, with everything that was tried for it.
 pub struct RequestRun {
     /// The router.
@@ -298,6 +273,8 @@
         spdlog::info!("retry", kv: {
             request = self.request.id.clone(),
             in_budget,
+            // The replica of the exchange that failed.
+            replica = self.tried.last().cloned().unwrap_or_default(),
             proof = format!("{proof:?}"),
             replicas_used = self.replicas_used,
             declined = self.declined,
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -11,6 +11,7 @@
 };
 
 use arc_swap::ArcSwap;
+use railtack_rpc::serving::WatchReply;
 use railtack_serving::{Bounds, CallerLimits};
 use tokio::{sync::watch, time::Instant};
 
@@ -149,6 +150,23 @@
         held && lock(&self.lease).is_valid(Instant::now())
     }
 
+    /// Whether the configuration was ever confirmed in the life of this process.
+    pub fn was_confirmed(&self) -> bool {
+        lock(&self.lease).age(Instant::now()).is_some()
+    }
+
+    /// Takes in a confirmation; true if the router may serve since.
+    pub fn take_confirmation(&self, reply: &WatchReply, asked_at: Instant) -> bool {
+        let was_confirmed = self.is_confirmed();
+        lock(&self.lease).take_reply(reply, asked_at);
+        let gained = !was_confirmed && self.is_confirmed();
+        if gained {
+            // Requests wait for the first lease as they wait for a new view.
+            self.changed.send_replace(self.view.load().known);
+        }
+        gained
+    }
+
     /// Whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         self.is_confirmed() && self.stop_plan().is_none()
--- /dev/null
+++ b/crates/proxy/tests/entry.rs
@@ -0,0 +1,161 @@
+//! Requests that come to a router which has just started.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{HeaderMap, Method, Request, http::response};
+use railtack_proxy::{
+    AnswerHead, BackendProtocol, Dispatch, ProxiedRequest, ProxyOptions, ProxyState, entry,
+    refusal::RefusalReason,
+};
+use railtack_rpc::serving::{ServingUpdate, WatchReply};
+use railtack_serving::{
+    Bounds, CallerLimits, RequestKind, Route, ServiceShape, ServingConfiguration, WeightedService,
+};
+use tokio::time::{Instant, sleep};
+
+/// A back end's language that no test here speaks.
+struct Unspoken;
+
+impl BackendProtocol for Unspoken {
+    fn encode(&self, _: &Dispatch<'_>) -> Request<Full<Bytes>> {
+        Request::default()
+    }
+
+    fn classify(&self, _: &ProxiedRequest, _: &response::Parts) -> AnswerHead {
+        AnswerHead::Foreign
+    }
+
+    fn is_hop_by_hop(&self, _: &str) -> bool {
+        false
+    }
+}
+
+const REVOKE_MS: u64 = 5_000;
+
+fn router() -> Arc<ProxyState> {
+    let options = ProxyOptions {
+        node: "router".to_owned(),
+        zone: "a".to_owned(),
+        control: Vec::new(),
+        bounds: Bounds {
+            config_apply_ms: 2_000,
+            revoke_ms: REVOKE_MS,
+            fail_closed: true,
+            drain_ms: 2_000,
+            grace_ms: 8_000,
+            ack_ms: 4_000,
+            contact_ms: 3_000,
+            retry_ratio: 0.2,
+            retry_window_ms: 10_000,
+            retry_slack: 54.0,
+            lease_ms: 3_000,
+            version_ms: 8_000,
+        },
+    };
+    ProxyState::new(options, Box::new(Unspoken))
+}
+
+fn configuration() -> ServingConfiguration {
+    ServingConfiguration {
+        revision: 1,
+        routes: vec![Route {
+            name: "read".to_owned(),
+            host: "app.example".to_owned(),
+            path_prefix: "/read/".to_owned(),
+            kind: RequestKind::Idempotent,
+            timeout_ms: 3_000,
+            objective_ms: 300,
+            gap_objective_ms: 0,
+            priority: 1,
+            targets: vec![WeightedService {
+                service: "app".to_owned(),
+                weight_milli: 1_000,
+            }],
+            max_attempts: 2,
+            allows_anonymous: true,
+            sticky: false,
+        }],
+        services: vec![ServiceShape {
+            name: "app".to_owned(),
+            max_connections: 0,
+            engine: None,
+            store: None,
+        }],
+        tenants: Vec::new(),
+        limits: CallerLimits::default(),
+    }
+}
+
+fn request() -> ProxiedRequest {
+    ProxiedRequest {
+        id: "1".to_owned(),
+        method: Method::GET,
+        target: "/read/x".to_owned(),
+        host: "app.example".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        key: None,
+        received: Instant::now(),
+        patience: Some(Duration::from_millis(3_000)),
+        prompt: None,
+        last_event: None,
+    }
+}
+
+/// The router learns the configuration, and that it is current.
+fn confirm(state: &ProxyState) {
+    let update = ServingUpdate {
+        through: 1,
+        configuration: Some(configuration()),
+        complete: true,
+        ..ServingUpdate::default()
+    };
+    let view = state.view.load().updated(update).expect("a newer view");
+    state.set_view(view);
+    let reply = WatchReply {
+        confirmed_age_ms: Some(0),
+        held_ms: 0,
+        zone: String::new(),
+        members: Vec::new(),
+        routers: 1,
+        update: None,
+    };
+    assert!(state.take_confirmation(&reply, Instant::now()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_comes_before_the_first_lease_waits_for_it() {
+    let state = router();
+    let starting = Arc::clone(&state);
+    tokio::spawn(async move {
+        sleep(Duration::from_millis(600)).await;
+        confirm(&starting);
+    });
+    let admitted = entry::admit(&state, &request()).await.expect("admitted");
+    assert_eq!(admitted.revision, 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_a_lease_it_is_refused_while_time_is_left_for_another_try() {
+    let state = router();
+    let begun = Instant::now();
+    let refused = entry::admit(&state, &request()).await;
+    assert_eq!(refused.err(), Some(RefusalReason::Unconfirmed));
+    let waited = begun.elapsed();
+    assert!(waited >= Duration::from_millis(900), "{waited:?}");
+    assert!(waited <= Duration::from_millis(1_500), "{waited:?}");
+    assert!(entry::pause_after(RefusalReason::Unconfirmed).is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_router_that_lost_its_lease_refuses_at_once() {
+    let state = router();
+    confirm(&state);
+    sleep(Duration::from_millis(REVOKE_MS)).await;
+    let begun = Instant::now();
+    let refused = entry::admit(&state, &request()).await;
+    assert_eq!(refused.err(), Some(RefusalReason::Unconfirmed));
+    assert_eq!(begun.elapsed(), Duration::ZERO);
+}
