Bound saves by what the store can keep for a reuse window

Cause: the store drops what was unused for longest, and every save brings the unshared end of its prompt along.

Change: all routers together save unshared tokens for at most one filling of the store in one and a half reuse windows (`bounds.reuse_window_s`, from the deployment); prompts with a short unshared end are so saved more often. What this router sent to the same replica before is not saved again. The store's capacity is read from the configuration.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,6 +11,7 @@
 //! | taken now, later, or refused? | [`entry`] | |
 //! | which service? | [`split`] | yes |
 //! | which replica? | [`choice`], with [`affinity`], [`health`] and [`named`] | yes |
+//! | is its prompt sent to the store? | [`saves`] | yes |
 //! | may it be tried again? | [`verdict`], [`budget`] | yes |
 //! | all of that for one request | [`targeting`] | |
 //! | over which connection? | [`pool`] | |
@@ -38,6 +39,7 @@
 pub mod replicas;
 pub mod request;
 pub mod request_log;
+pub mod saves;
 pub mod split;
 pub mod state;
 pub mod stream;
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -16,12 +16,14 @@
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
+    affinity::PrefixPath,
     backend::BackendProtocol,
     budget::{BudgetRule, RetryBudget},
     lease::Lease,
     metrics::ProxyMetrics,
     named::NamedWeights,
     replicas::ReplicaTable,
+    saves::{SaveBudget, StoreRoom},
     split::Splitter,
     view::ServingView,
 };
@@ -58,6 +60,7 @@
     /// Routers that are alive; 0 while unknown.
     pub routers: AtomicU32,
     budgets: Mutex<HashMap<String, RetryBudget>>,
+    saves: Mutex<SaveBudget>,
     named: Mutex<NamedWeights>,
     changed: watch::Sender<u64>,
     stop: Mutex<Option<StopPlan>>,
@@ -117,6 +120,7 @@
             metrics: ProxyMetrics::default(),
             routers: AtomicU32::new(0),
             budgets: Mutex::default(),
+            saves: Mutex::default(),
             named: Mutex::default(),
             changed,
             stop: Mutex::default(),
@@ -206,6 +210,16 @@
         self.with_budget(service, |budget| budget.spend(routers, Instant::now()))
     }
 
+    /// Whether a prompt is sent to a store that holds `capacity_tokens`.
+    pub fn takes_save(&self, path: &PrefixPath, capacity_tokens: u64) -> bool {
+        let room = StoreRoom {
+            capacity_tokens,
+            routers: self.routers.load(Ordering::Relaxed),
+            reuse_window: Duration::from_millis(self.options.bounds.reuse_window_ms),
+        };
+        lock(&self.saves).take(path, room, Instant::now())
+    }
+
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let bounds = self.options.bounds;
         let rule = BudgetRule {
--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use railtack_serving::{ReplicaRecord, ServingConfiguration};
+use railtack_serving::{ReplicaRecord, ServingConfiguration, StoreShape};
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
@@ -98,10 +98,12 @@
         let mut target = targets.swap_remove(position);
         let store = self.store(configuration);
         target.fetch_from = store
-            .clone()
+            .map(|store| store.address.clone())
             .or_else(|| self.fetch_source(&ranked, &mut table, &target.record));
-        target.save_to = store.filter(|_| self.is_worth_saving());
         drop(table);
+        target.save_to = store
+            .filter(|store| self.is_saved(target.kept_tokens, store))
+            .map(|store| store.address.clone());
         self.log
             .chose(&target, &candidates[position], cost, view.known);
         self.log.prefix = self.path.key().unwrap_or_default();
@@ -154,18 +156,18 @@
         usable.then(|| favoured.address.clone())
     }
 
-    /// Whether most of what a save would move can be used again: a whole prompt is saved.
-    fn is_worth_saving(&self) -> bool {
-        self.path.shared_tokens() * 2 >= self.path.prompt_tokens
+    /// Whether the store is to keep the prompt. What the replica was sent before was saved then.
+    fn is_saved(&self, kept_tokens: u64, store: &StoreShape) -> bool {
+        kept_tokens < self.path.shared_tokens()
+            && self.state.takes_save(&self.path, store.capacity_tokens)
     }
 
     /// The store for this prompt's beginning; the same in every router.
-    fn store(&self, configuration: &ServingConfiguration) -> Option<String> {
+    fn store<'a>(&self, configuration: &'a ServingConfiguration) -> Option<&'a StoreShape> {
         let key = self.path.key()?;
         let stores = configuration.services.iter();
         let stores = stores.filter_map(|service| service.store.as_ref());
-        let store = stores.max_by_key(|store| rendezvous(key, &store.address))?;
-        Some(store.address.clone())
+        stores.max_by_key(|store| rendezvous(key, &store.address))
     }
 
     fn capacity_tokens(&self, configuration: &ServingConfiguration) -> u64 {
--- a/crates/proxy/tests/entry.rs
+++ b/crates/proxy/tests/entry.rs
@@ -52,6 +52,7 @@
             retry_slack: 54.0,
             lease_ms: 3_000,
             version_ms: 8_000,
+            reuse_window_ms: 10_000,
         },
     };
     ProxyState::new(options, Box::new(Unspoken))
--- a/crates/serving/src/configuration.rs
+++ b/crates/serving/src/configuration.rs
@@ -90,6 +90,8 @@
     pub address: String,
     /// Zone.
     pub zone: String,
+    /// Tokens that it holds; 0 if not stated.
+    pub capacity_tokens: u64,
 }
 
 /// A service: replicas that are alike.
--- a/crates/serving/src/settings.rs
+++ b/crates/serving/src/settings.rs
@@ -29,6 +29,8 @@
     pub lease_ms: u64,
     /// Time in which requests stop starting on older weights, milliseconds.
     pub version_ms: u64,
+    /// Time in which a part of a prompt is usually asked for again, milliseconds.
+    pub reuse_window_ms: u64,
 }
 
 /// Losses at the same time under which every promise holds.
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -67,6 +67,14 @@
     pub lease_ms: u64,
     /// Time in which requests stop starting on older weights.
     pub version_ms: u64,
+    /// Seconds in which a part of a prompt is usually asked for again.
+    #[serde(default = "default_reuse_window_s")]
+    pub reuse_window_s: f64,
+}
+
+/// The reuse window of a deployment that states none, seconds.
+fn default_reuse_window_s() -> f64 {
+    10.0
 }
 
 impl NodeSettings {
@@ -103,6 +111,7 @@
             retry_slack: self.retry_slack,
             lease_ms: self.lease_ms,
             version_ms: self.version_ms,
+            reuse_window_ms: (self.reuse_window_s * 1_000.0) as u64,
         }
     }
 }
@@ -127,6 +136,11 @@
             0.1..=3_600.0,
         )?;
         require_range("bounds.retry_ratio", bounds.retry_ratio, 0.0..=10.0)?;
+        require_range(
+            "bounds.reuse_window_s",
+            bounds.reuse_window_s,
+            0.1..=3_600.0,
+        )?;
         require_range("bounds.retry_slack", bounds.retry_slack, 0.0..=1e6)?;
         require_range("bounds.lease_ms", bounds.lease_ms, 1..=3_600_000)
     }
