Begin a rollout of weights at once

Change: a rollout begins as soon as weights are named. A quarter of the replicas load at a time as before, half when it is late.

--- a/crates/control/src/serving/weights.rs
+++ b/crates/control/src/serving/weights.rs
@@ -1,7 +1,9 @@
 //! Which back-end replica is brought to newer weights next. Pure.
 //!
-//! A replica that loads serves nothing, so only some of a model's replicas load at a time. More do
-//! when the time in which requests may still start on older weights runs out.
+//! A rollout begins at once: what is made on older weights is worth less from the moment at which
+//! newer ones are named. A replica that loads serves nothing, so only some of a model's replicas
+//! load at a time. More do when the time in which requests may still start on older weights runs
+//! out.
 
 use std::collections::BTreeMap;
 
@@ -16,7 +18,7 @@
 /// Part of the bound within which every replica should have changed.
 const PLANNED_SHARE: f64 = 0.75;
 
-/// Times the expected duration that a rollout is begun before it must be over.
+/// Times the expected duration of a rollout that are planned for it.
 const LATENESS_MARGIN: f64 = 1.2;
 /// Part of the bound that a rollout is assumed to take before one was measured.
 const ASSUMED_SHARE: f64 = 0.4;
@@ -143,11 +145,6 @@
     let time_left_ms = facts.time_left_ms(model, *oldest);
     let left = under_way + waiting.len();
     let needed_ms = facts.needed_ms(left);
-    if under_way == 0 && time_left_ms > needed_ms {
-        // A version that is named meanwhile is then loaded in the same turn, and what replicas
-        // keep is used for longer.
-        return;
-    }
     let limit = loads_at_once(holders.len(), time_left_ms < needed_ms / 2);
     let free = limit.saturating_sub(under_way);
     for (_, record) in waiting.into_iter().take(free) {
