Trust the rest that a replica states for requests that must not be lost

Change: the time that a replica states in Keep-Alive is trusted to 0.8 of it, for every request. Where none is stated the replica may close after less than a second, and 0.4 s stay. The times stand in a module of their own, which is pure.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,7 +14,7 @@
 //! | is its prompt sent to the store? | [`saves`] | yes |
 //! | may it be tried again? | [`verdict`], [`budget`] | yes |
 //! | all of that for one request | [`targeting`] | |
-//! | over which connection? | [`pool`] | |
+//! | over which connection? | [`pool`], [`rest`] (pure) | |
 //! | one exchange | [`attempt`] | |
 //! | all exchanges of a request | [`pipeline`] | |
 //! | what is logged of it | [`request_log`] | |
@@ -39,6 +39,7 @@
 pub mod replicas;
 pub mod request;
 pub mod request_log;
+pub mod rest;
 pub mod saves;
 pub mod split;
 pub mod state;
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -29,18 +29,14 @@
     time::{Instant, timeout},
 };
 
+use crate::rest::Rest;
+
 /// Time for a connection to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time after which a connection with unacknowledged bytes counts as broken.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time after which a silent connection is probed, and between probes.
 const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
-/// Rest after which a connection is not taken up, if the replica states no time.
-const DEFAULT_REST: Duration = Duration::from_secs(2);
-/// Part of the time that a replica states in which a connection is taken up again.
-const REST_SHARE: f64 = 0.6;
-/// Longest rest after which a request that must not be lost goes over a kept connection.
-const FRESH_REST: Duration = Duration::from_millis(400);
 
 /// Why there is no connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,7 +67,7 @@
     pub sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     open: Arc<AtomicU32>,
-    rest: Duration,
+    rest: Rest,
 }
 
 impl Drop for Connection {
@@ -85,8 +81,8 @@
     /// Takes in what the head of an answer says of the connection; false if it is not to be used
     /// again.
     pub fn note_head(&mut self, headers: &HeaderMap) -> bool {
-        if let Some(rest) = stated_rest(headers) {
-            self.rest = rest.mul_f64(REST_SHARE);
+        if let Some(stated) = Rest::stated(headers) {
+            self.rest = stated;
         }
         let closes = headers
             .get(CONNECTION)
@@ -139,21 +135,17 @@
     /// Closes connections that have rested for too long.
     pub fn close_old(&self) {
         self.resting()
-            .retain(|resting| resting.is_usable(resting.connection.rest));
+            .retain(|resting| resting.is_usable(resting.connection.rest.limit(false)));
     }
 
     fn take_resting(&self, must_be_fresh: bool) -> Option<Connection> {
         let mut resting = self.resting();
         while let Some(newest) = resting.pop() {
             let rest = newest.connection.rest;
-            if newest.is_usable(if must_be_fresh {
-                rest.min(FRESH_REST)
-            } else {
-                rest
-            }) {
+            if newest.is_usable(rest.limit(must_be_fresh)) {
                 return Some(newest.connection);
             }
-            if must_be_fresh && newest.is_usable(rest) {
+            if must_be_fresh && newest.is_usable(rest.limit(false)) {
                 // Still good for others.
                 resting.push(newest);
                 return None;
@@ -181,7 +173,7 @@
             sender,
             task: task.abort_handle(),
             open: counted.handed_on(),
-            rest: DEFAULT_REST,
+            rest: Rest::UNSTATED,
         })
     }
 
@@ -222,12 +214,3 @@
         .with_interval(KEEPALIVE_TIME);
     socket.set_tcp_keepalive(&keepalive)
 }
-
-/// The time in `Keep-Alive: timeout=SECONDS`.
-fn stated_rest(headers: &HeaderMap) -> Option<Duration> {
-    let text = headers.get("keep-alive")?.to_str().ok()?;
-    let seconds = text
-        .split(',')
-        .find_map(|part| part.trim().strip_prefix("timeout="))?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
-}
