Let each mechanism of a router be switched off for a measurement

Cause: what a mechanism is worth could only be measured by editing code.

No promise depends on a switch: the lease, the proofs of "not run", the namespaces of caches and the bounds on retries have none.

Behaviour with the shipped settings is unchanged.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -98,11 +98,11 @@
     state: &ProxyState,
     target: &Target,
     dispatch: &Dispatch<'_>,
-    must_be_fresh: bool,
+    must_not_be_lost: bool,
     head_due: HeadDue,
 ) -> Result<OpenAnswer, FailedExchange> {
     for _ in 0..STALE_CONNECTIONS {
-        let mut connection = connect(target, must_be_fresh).await?;
+        let mut connection = connect(target, must_not_be_lost).await?;
         // A freeze may fall anywhere before this point; the lease is looked at after it.
         if !state.is_confirmed() {
             return Err(FailedExchange::not_run(None, "lease lost"));
@@ -135,12 +135,12 @@
     ))
 }
 
-async fn connect(target: &Target, must_be_fresh: bool) -> Result<Connection, FailedExchange> {
+async fn connect(target: &Target, must_not_be_lost: bool) -> Result<Connection, FailedExchange> {
     let unreachable = || FailedExchange::not_run(Some(ExchangeEnd::Unreachable), "unreachable");
     let address = target.record.address.parse().map_err(|_| unreachable())?;
     let pool = &target.usage.pool;
     let taken = pool
-        .take(address, target.connection_limit, must_be_fresh)
+        .take(address, target.connection_limit, must_not_be_lost)
         .await;
     taken.map_err(|failure| match failure {
         NoConnection::Unreachable => unreachable(),
@@ -157,7 +157,7 @@
     response: Response<Incoming>,
 ) -> Result<OpenAnswer, FailedExchange> {
     let (head, body) = response.into_parts();
-    let reusable = connection.note_head(&head.headers);
+    let reusable = connection.note_head(&head.headers, state.options.policy.stated_rest);
     let answer = OpenAnswer {
         head,
         body,
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -37,6 +37,7 @@
     loop {
         let admitted = admit_now(state, request);
         let may_wait = admitted.as_ref().err() == Some(&RefusalReason::Unconfirmed)
+            && state.options.policy.first_lease_wait
             && !state.was_confirmed()
             && state.stop_plan().is_none();
         if !may_wait {
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -199,9 +199,9 @@
             save_to: target.save_to.as_deref(),
             last_event,
         };
-        let must_be_fresh = !self.admitted.route.kind.may_repeat();
+        let must_not_be_lost = !self.admitted.route.kind.may_repeat();
         let due = self.head_due();
-        let sent = attempt::exchange(&self.state, &target, &dispatch, must_be_fresh, due).await;
+        let sent = attempt::exchange(&self.state, &target, &dispatch, must_not_be_lost, due).await;
         let not_run = matches!(&sent, Err(failed) if failed.proof == ExchangeProof::NotRun);
         if not_run {
             self.declined += 1;
@@ -237,7 +237,8 @@
         let due = self.due();
         let objective = Duration::from_millis(self.admitted.route.objective_ms);
         let busy = Instant::now() + objective * BUSY_PATIENCE_OBJECTIVES;
-        let if_heard = if self.admitted.route.kind.is_stream() {
+        let waits = self.state.options.policy.busy_patience && self.admitted.route.kind.is_stream();
+        let if_heard = if waits {
             busy.min(self.admitted.deadline).max(due)
         } else {
             due
@@ -247,13 +248,16 @@
 
     /// Whether another replica may continue a stream, and the budget allows it.
     pub fn may_resume(&mut self) -> bool {
-        self.next_step(ExchangeProof::MayHaveRun) == NextStep::TryAgain
+        self.state.options.policy.resume
+            && self.next_step(ExchangeProof::MayHaveRun) == NextStep::TryAgain
     }
 
     /// Whether the route lets a stream be continued at one more replica.
     pub fn can_resume(&self) -> bool {
         let route = &self.admitted.route;
-        route.kind.may_repeat() && self.replicas_used < route.max_attempts
+        self.state.options.policy.resume
+            && route.kind.may_repeat()
+            && self.replicas_used < route.max_attempts
     }
 
     fn next_step(&self, proof: ExchangeProof) -> NextStep {
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -80,9 +80,13 @@
 impl Connection {
     /// Takes in what the head of an answer says of the connection; false if it is not to be used
     /// again.
-    pub fn note_head(&mut self, headers: &HeaderMap) -> bool {
+    pub fn note_head(&mut self, headers: &HeaderMap, trusts_stated_rest: bool) -> bool {
         if let Some(stated) = Rest::stated(headers) {
-            self.rest = stated;
+            self.rest = if trusts_stated_rest {
+                stated
+            } else {
+                stated.not_trusted_alone()
+            };
         }
         let closes = headers
             .get(CONNECTION)
@@ -104,15 +108,15 @@
     }
 
     /// A connection: a resting one, or a new one if fewer than `limit` are open. A request that
-    /// must not be lost (`must_be_fresh`) is not sent over one that the replica may just be
+    /// must not be lost (`must_not_be_lost`) is not sent over one that the replica may just be
     /// closing.
     pub async fn take(
         &self,
         address: SocketAddr,
         limit: u32,
-        must_be_fresh: bool,
+        must_not_be_lost: bool,
     ) -> Result<Connection, NoConnection> {
-        if let Some(connection) = self.take_resting(must_be_fresh) {
+        if let Some(connection) = self.take_resting(must_not_be_lost) {
             return Ok(connection);
         }
         if self.open_connections() >= limit {
@@ -138,14 +142,14 @@
             .retain(|resting| resting.is_usable(resting.connection.rest.limit(false)));
     }
 
-    fn take_resting(&self, must_be_fresh: bool) -> Option<Connection> {
+    fn take_resting(&self, must_not_be_lost: bool) -> Option<Connection> {
         let mut resting = self.resting();
         while let Some(newest) = resting.pop() {
             let rest = newest.connection.rest;
-            if newest.is_usable(rest.limit(must_be_fresh)) {
+            if newest.is_usable(rest.limit(must_not_be_lost)) {
                 return Some(newest.connection);
             }
-            if must_be_fresh && newest.is_usable(rest.limit(false)) {
+            if must_not_be_lost && newest.is_usable(rest.limit(false)) {
                 // Still good for others.
                 resting.push(newest);
                 return None;
--- a/crates/proxy/src/replicas.rs
+++ b/crates/proxy/src/replicas.rs
@@ -5,6 +5,7 @@
     sync::{Arc, Mutex, MutexGuard},
 };
 
+use railtack_serving::Policy;
 use tokio::time::Instant;
 
 use crate::{
@@ -61,14 +62,17 @@
     }
 
     /// Fills in what is known of the replica's load.
-    pub fn describe(&self, candidate: Candidate, now: Instant) -> Candidate {
+    pub fn describe(&self, candidate: Candidate, policy: Policy, now: Instant) -> Candidate {
         let load = self.load();
-        Candidate {
-            open_requests: load.open_requests,
-            unread_tokens: load.unread_tokens,
-            failure_rate: load.health.failure_rate(now),
-            ..candidate
+        let mut described = candidate;
+        if policy.own_load {
+            described.open_requests = load.open_requests;
+            described.unread_tokens = load.unread_tokens;
         }
+        if policy.failure_rate {
+            described.failure_rate = load.health.failure_rate(now);
+        }
+        described
     }
 
     /// Notes how an exchange ended; tells whether the replica is suspected since, or no more.
--- a/crates/proxy/src/rest.rs
+++ b/crates/proxy/src/rest.rs
@@ -34,10 +34,22 @@
         })
     }
 
-    /// Longest rest for a request; one that must not be lost (`must_be_fresh`) has a shorter one
+    /// The same where requests that must not be lost do not rely on what a replica states.
+    pub fn not_trusted_alone(self) -> Self {
+        Self {
+            safe: self.usual.min(Self::UNSTATED.safe),
+            ..self
+        }
+    }
+
+    /// Longest rest for a request; one that must not be lost (`must_not_be_lost`) has a shorter one
     /// unless the replica states the time.
-    pub fn limit(self, must_be_fresh: bool) -> Duration {
-        if must_be_fresh { self.safe } else { self.usual }
+    pub fn limit(self, must_not_be_lost: bool) -> Duration {
+        if must_not_be_lost {
+            self.safe
+        } else {
+            self.usual
+        }
     }
 }
 
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -12,7 +12,7 @@
 
 use arc_swap::ArcSwap;
 use railtack_rpc::serving::WatchReply;
-use railtack_serving::{Bounds, CallerLimits};
+use railtack_serving::{Bounds, CallerLimits, Policy};
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
@@ -39,6 +39,8 @@
     pub control: Vec<SocketAddr>,
     /// Bounds of the deployment.
     pub bounds: Bounds,
+    /// Mechanisms that are on.
+    pub policy: Policy,
 }
 
 /// State of a router.
@@ -206,18 +208,26 @@
 
     /// Takes a retry from a service's budget.
     pub fn spend_retry(&self, service: &str) -> bool {
+        if !self.options.policy.retry {
+            return false;
+        }
         let routers = self.routers.load(Ordering::Relaxed);
         self.with_budget(service, |budget| budget.spend(routers, Instant::now()))
     }
 
     /// Whether a prompt is sent to a store that holds `capacity_tokens`.
     pub fn takes_save(&self, path: &PrefixPath, capacity_tokens: u64) -> bool {
+        let policy = self.options.policy;
         let room = StoreRoom {
-            capacity_tokens,
+            capacity_tokens: if policy.save_bound {
+                capacity_tokens
+            } else {
+                0
+            },
             routers: self.routers.load(Ordering::Relaxed),
             reuse_window: Duration::from_millis(self.options.bounds.reuse_window_ms),
         };
-        lock(&self.saves).take(path, room, Instant::now())
+        policy.save && lock(&self.saves).take(path, room, Instant::now())
     }
 
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -58,6 +58,7 @@
         let mut targets = Vec::new();
         let mut candidates = Vec::new();
         let limit = self.connection_limit(configuration);
+        let policy = self.state.options.policy;
         let oldest = self.oldest_usable_weights();
         let ready: Vec<&Arc<ReplicaRecord>> = view
             .ready(&self.service)
@@ -68,18 +69,26 @@
         let capacity = self.capacity_tokens(configuration);
         for record in ready.iter().copied() {
             let usage = table.of(&record.id, now);
-            if !usage.allows(now) || !usage.pool.has_room(limit) {
+            if (policy.pauses && !usage.allows(now)) || !usage.pool.has_room(limit) {
                 continue;
             }
             let candidate = Candidate {
-                same_zone: record.zone == self.state.options.zone,
+                same_zone: !policy.zone || record.zone == self.state.options.zone,
                 slots: record.slots,
                 capacity_tokens: capacity,
-                known_tokens: table.sent().known_tokens(&record.id, &self.path),
-                rank: rank_of(&ranked, record),
+                known_tokens: if policy.sent_prefixes {
+                    table.sent().known_tokens(&record.id, &self.path)
+                } else {
+                    0
+                },
+                rank: if policy.homes {
+                    rank_of(&ranked, record)
+                } else {
+                    0
+                },
                 ..Candidate::default()
             };
-            candidates.push(usage.describe(candidate, now));
+            candidates.push(usage.describe(candidate, policy, now));
             targets.push(Target {
                 record: Arc::clone(record),
                 usage,
@@ -99,7 +108,8 @@
         let store = self.store(configuration);
         target.fetch_from = store
             .map(|store| store.address.clone())
-            .or_else(|| self.fetch_source(&ranked, &mut table, &target.record));
+            .or_else(|| self.fetch_source(&ranked, &mut table, &target.record))
+            .filter(|_| policy.fetch);
         drop(table);
         target.save_to = store
             .filter(|store| self.is_saved(target.kept_tokens, store))
@@ -129,7 +139,8 @@
     /// The replicas in the order in which all routers favour them for this prompt's beginning.
     fn ranked<'a>(&self, ready: &[&'a Arc<ReplicaRecord>]) -> Vec<&'a Arc<ReplicaRecord>> {
         let mut ranked = ready.to_vec();
-        if let Some(key) = self.path.key() {
+        let key = self.path.key().filter(|_| self.state.options.policy.homes);
+        if let Some(key) = key {
             ranked.sort_by_cached_key(|record| Reverse(rendezvous(key, &record.id)));
         }
         ranked
--- a/crates/proxy/tests/entry.rs
+++ b/crates/proxy/tests/entry.rs
@@ -11,7 +11,8 @@
 };
 use railtack_rpc::serving::{ServingUpdate, WatchReply};
 use railtack_serving::{
-    Bounds, CallerLimits, RequestKind, Route, ServiceShape, ServingConfiguration, WeightedService,
+    Bounds, CallerLimits, Policy, RequestKind, Route, ServiceShape, ServingConfiguration,
+    WeightedService,
 };
 use tokio::time::{Instant, sleep};
 
@@ -54,6 +55,7 @@
             version_ms: 8_000,
             reuse_window_ms: 10_000,
         },
+        policy: Policy::ALL,
     };
     ProxyState::new(options, Box::new(Unspoken))
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod configuration;
 pub mod errors;
 pub mod lookup;
+pub mod policy;
 pub mod registry;
 pub mod settings;
 
@@ -16,5 +17,6 @@
 };
 pub use errors::ConfigurationError;
 pub use lookup::{KeyOwner, RouteTable};
+pub use policy::Policy;
 pub use registry::{HeldWeights, PendingOrder, ReplicaRecord, ReplicaState};
 pub use settings::{Bounds, FaultTolerance};
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -7,7 +7,10 @@
 use railtack_serving::{Bounds, FaultTolerance};
 use serde::Deserialize;
 
-use crate::load::{Validate, Violation, require_range};
+use crate::{
+    load::{Validate, Violation, require_range},
+    policy::PolicySettings,
+};
 
 /// Settings of one process.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -38,6 +41,9 @@
     pub tolerated_machines: u32,
     /// Bounds that the deployment states.
     pub bounds: BoundsSettings,
+    /// Mechanisms that are switched off for a measurement.
+    #[serde(default)]
+    pub policy: PolicySettings,
 }
 
 /// Bounds that the deployment states. Times are in milliseconds.
