--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -16,7 +16,7 @@
                 .value_name("ADDRESS,...")
                 .value_delimiter(',')
                 .value_parser(value_parser!(SocketAddr))
-                .help("Internal addresses of control replicas; needed by all commands but explain"),
+                .help("Internal addresses of control replicas; needed by all commands but explain and outcomes"),
         )
         .arg(
             Arg::new("output")
@@ -37,12 +37,13 @@
         )
         .subcommand(drain())
         .subcommand(explain())
+        .subcommand(outcomes())
         .subcommand(Command::new("snapshot").about("Make every control replica write a snapshot"))
 }
 
-/// Checks what the shape alone does not say: only `explain` asks no control replica.
+/// Checks what the shape alone does not say: some commands ask no control replica.
 pub fn check(matches: &ArgMatches) -> Result<(), clap::Error> {
-    let needs_control = matches.subcommand_name() != Some("explain");
+    let needs_control = !matches!(matches.subcommand_name(), Some("explain" | "outcomes"));
     if needs_control && !matches.contains_id("control") {
         return Err(command().error(
             ErrorKind::MissingRequiredArgument,
@@ -162,6 +163,20 @@
         )
 }
 
+fn outcomes() -> Command {
+    Command::new("outcomes")
+        .about("What became of all requests in a set of logs, and what decided it")
+        .arg(
+            Arg::new("logs")
+                .long("logs")
+                .value_name("FILE")
+                .num_args(1..)
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Logs of routers; what cannot be read is counted"),
+        )
+}
+
 fn platform() -> Arg {
     Arg::new("platform")
         .long("platform")
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -66,6 +66,7 @@
         Some(("engines", matches)) => commands::engines(&client, format, matches).await,
         Some(("drain", matches)) => commands::drain(&client, matches).await,
         Some(("explain", matches)) => commands::explain(format, matches).await,
+        Some(("outcomes", matches)) => commands::outcomes(format, matches),
         Some(("snapshot", _)) => commands::snapshot(&client, format).await,
         _ => Ok(()),
     }
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -218,6 +218,13 @@
     Ok(())
 }
 
+/// Prints what became of the requests in logs.
+pub fn outcomes(format: OutputFormat, matches: &ArgMatches) -> Result<(), Report<CtlError>> {
+    let files = matches.get_many::<PathBuf>("logs").unwrap_or_default();
+    let files: Vec<PathBuf> = files.cloned().collect();
+    logs::outcomes_from(format, &files)
+}
+
 /// Prints why a request went to its engine.
 pub async fn explain(format: OutputFormat, matches: &ArgMatches) -> Result<(), Report<CtlError>> {
     let request = matches
--- a/crates/ctl/src/logs/mod.rs
+++ b/crates/ctl/src/logs/mod.rs
@@ -1,12 +1,14 @@
-//! Explaining a request from logs: no process is asked.
+//! Explaining requests from logs: no process is asked.
 //!
 //! | module | job |
 //! |---|---|
 //! | [`read`] | lines out of files that may be cut, mixed or partly garbage |
 //! | [`timeline`] | lines of several processes in one order |
 //! | [`explanation`] | the lines that explain one request |
+//! | [`outcomes`] | what became of all requests, and what decided it |
 
 pub mod explanation;
+pub mod outcomes;
 pub mod read;
 pub mod timeline;
 
@@ -19,6 +21,7 @@
     errors::CtlError,
     logs::{
         explanation::{Explanation, explain},
+        outcomes::OutcomeGroup,
         read::Skipped,
         timeline::Timeline,
     },
@@ -33,12 +36,67 @@
     skipped: Skipped,
 }
 
+/// All requests in a set of logs, printed for programs.
+#[derive(Serialize)]
+struct OutcomesAnswer {
+    groups: Vec<OutcomeGroup>,
+    skipped: Skipped,
+}
+
 /// Prints the lines of `files` that explain a request.
 pub fn explain_from(
     format: OutputFormat,
     request: &str,
     files: &[PathBuf],
 ) -> Result<(), Report<CtlError>> {
+    let (timeline, skipped) = read_files(files)?;
+    let Some(explanation) = explain(&timeline, request) else {
+        return Err(Report::new(CtlError::NotFound {
+            name: request.to_owned(),
+        }));
+    };
+    print(format, &explanation, skipped);
+    Ok(())
+}
+
+/// Prints what became of the requests in `files`.
+pub fn outcomes_from(format: OutputFormat, files: &[PathBuf]) -> Result<(), Report<CtlError>> {
+    let (timeline, skipped) = read_files(files)?;
+    let groups = outcomes::outcomes(&timeline);
+    if format == OutputFormat::Json {
+        print_json(&OutcomesAnswer { groups, skipped });
+        return Ok(());
+    }
+    let mut table = Table::new([
+        "route",
+        "outcome",
+        "cause",
+        "requests",
+        "further_attempts",
+        "first_byte_median_ms",
+        "first_byte_p99_ms",
+        "shared_tokens",
+        "presumed_kept_tokens",
+    ]);
+    for group in groups {
+        table.row([
+            group.route,
+            group.outcome,
+            group.cause,
+            group.requests.to_string(),
+            group.further_attempts.to_string(),
+            group.first_byte_median_ms.to_string(),
+            group.first_byte_p99_ms.to_string(),
+            group.shared_tokens.to_string(),
+            group.presumed_kept_tokens.to_string(),
+        ]);
+    }
+    table.print(format);
+    println!("{}", skipped_text(skipped));
+    Ok(())
+}
+
+fn read_files(files: &[PathBuf]) -> Result<(Timeline, Skipped), Report<CtlError>> {
     let mut lines = Vec::new();
     let mut skipped = Skipped::default();
     for file in files {
@@ -48,14 +106,14 @@
         })?;
         skipped += read::lines(&content, &mut lines);
     }
-    let timeline = Timeline::new(lines);
-    let Some(explanation) = explain(&timeline, request) else {
-        return Err(Report::new(CtlError::NotFound {
-            name: request.to_owned(),
-        }));
-    };
-    print(format, &explanation, skipped);
-    Ok(())
+    Ok((Timeline::new(lines), skipped))
+}
+
+fn skipped_text(skipped: Skipped) -> String {
+    format!(
+        "skipped: {} without structure, {} damaged",
+        skipped.unstructured, skipped.damaged
+    )
 }
 
 fn print(format: OutputFormat, explanation: &Explanation, skipped: Skipped) {
@@ -78,7 +136,8 @@
     }
     table.print(format);
     println!(
-        "missing lines: {}; skipped: {} without structure, {} damaged",
-        explanation.missing_lines, skipped.unstructured, skipped.damaged
+        "missing lines: {}; {}",
+        explanation.missing_lines,
+        skipped_text(skipped)
     );
 }
