Count retries over the last window, and let its share be spent at once

A bucket kept at most two windows' slack, and on the other hand let what was saved earlier come on top of a window's own share, so that its bound did not follow for every window.

--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -203,7 +203,8 @@
 
     /// Notes a first arrival at a service.
     pub fn earn_retry(&self, service: &str) {
-        self.with_budget(service, RetryBudget::earn);
+        let routers = self.routers.load(Ordering::Relaxed);
+        self.with_budget(service, |budget| budget.earn(routers, Instant::now()));
     }
 
     /// Takes a retry from a service's budget.
