Split the choice of a replica into steps; read the policy table as it is

Cause: read again, `choose` had grown to seventy lines of three steps (who is ready, what is known of each, where the chosen one fetches and saves), and the `[policy]` table stood as two structures with a macro between.

Change: `ready`, `offers` and `size` beside a short `choose`; `Policy` is read from the settings as it is. Behaviour is unchanged.

--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -17,6 +17,7 @@
     pipeline::RequestRun,
     replicas::ReplicaTable,
     state::lock,
+    view::ServingView,
 };
 
 /// Pause between two looks for a replica that takes work.
@@ -26,6 +27,12 @@
 /// Connections that a router may open to one replica if the configuration states no limit.
 const DEFAULT_CONNECTIONS: u32 = 32;
 
+/// A replica that may be sent the request, and what speaks for and against it.
+struct Offer {
+    candidate: Candidate,
+    target: Target,
+}
+
 impl RequestRun {
     /// Waits a little for a replica that takes work; `None` if there is none.
     pub async fn wait_for_target(&mut self) -> Option<Target> {
@@ -53,73 +60,94 @@
     fn choose(&mut self) -> Option<Target> {
         let view = self.state.view.load_full();
         let configuration = view.table.as_ref()?.configuration();
-        let now = Instant::now();
         let mut table = lock(&self.state.replicas);
-        let mut targets = Vec::new();
-        let mut candidates = Vec::new();
-        let limit = self.connection_limit(configuration);
-        let policy = self.state.options.policy;
+        let ready = self.ready(&view);
+        let ranked = self.ranked(&ready);
+        let mut offers = self.offers(&ready, &ranked, &mut table, configuration);
+        let candidates: Vec<Candidate> = offers.iter().map(|offer| offer.candidate).collect();
+        let (position, cost) = choice::choose(&candidates, self.size(), rand::random())?;
+        let Offer {
+            candidate,
+            mut target,
+        } = offers.swap_remove(position);
+        let store = self.store(configuration);
+        target.fetch_from = store
+            .map(|store| store.address.clone())
+            .or_else(|| self.fetch_source(&ranked, &mut table, &target.record))
+            .filter(|_| self.state.options.policy.fetch);
+        drop(table);
+        target.save_to = store
+            .filter(|store| self.is_saved(target.kept_tokens, store))
+            .map(|store| store.address.clone());
+        self.log.chose(&target, &candidate, cost, view.known);
+        self.log.prefix = self.path.key().unwrap_or_default();
+        self.log.shared_tokens = self.path.shared_tokens();
+        self.log.weights = self.expected_weights(&target.record).unwrap_or_default();
+        Some(target)
+    }
+
+    /// Replicas that may run the request and were not asked yet.
+    fn ready<'a>(&'a self, view: &'a ServingView) -> Vec<&'a Arc<ReplicaRecord>> {
         let oldest = self.oldest_usable_weights();
-        let ready: Vec<&Arc<ReplicaRecord>> = view
-            .ready(&self.service)
+        view.ready(&self.service)
             .filter(|record| record.order.is_none() && !self.tried.contains(&record.id))
             .filter(|record| self.serves_model(record, oldest))
-            .collect();
-        let ranked = self.ranked(&ready);
-        let capacity = self.capacity_tokens(configuration);
+            .collect()
+    }
+
+    /// What is known of each replica that may be sent the request now.
+    fn offers(
+        &self,
+        ready: &[&Arc<ReplicaRecord>],
+        ranked: &[&Arc<ReplicaRecord>],
+        table: &mut ReplicaTable,
+        configuration: &ServingConfiguration,
+    ) -> Vec<Offer> {
+        let now = Instant::now();
+        let policy = self.state.options.policy;
+        let connection_limit = self.connection_limit(configuration);
+        let capacity_tokens = self.capacity_tokens(configuration);
+        let mut offers = Vec::with_capacity(ready.len());
         for record in ready.iter().copied() {
             let usage = table.of(&record.id, now);
-            if (policy.pauses && !usage.allows(now)) || !usage.pool.has_room(limit) {
+            let rests = policy.pauses && !usage.allows(now);
+            if rests || !usage.pool.has_room(connection_limit) {
                 continue;
             }
-            let candidate = Candidate {
+            let known_tokens = table.sent().known_tokens(&record.id, &self.path);
+            let mut candidate = Candidate {
                 same_zone: !policy.zone || record.zone == self.state.options.zone,
                 slots: record.slots,
-                capacity_tokens: capacity,
-                known_tokens: if policy.sent_prefixes {
-                    table.sent().known_tokens(&record.id, &self.path)
-                } else {
-                    0
-                },
-                rank: if policy.homes {
-                    rank_of(&ranked, record)
-                } else {
-                    0
-                },
+                capacity_tokens,
                 ..Candidate::default()
             };
-            candidates.push(usage.describe(candidate, policy, now));
-            targets.push(Target {
-                record: Arc::clone(record),
-                usage,
-                connection_limit: limit,
-                kept_tokens: candidate.known_tokens,
-                fetch_from: None,
-                save_to: None,
+            if policy.sent_prefixes {
+                candidate.known_tokens = known_tokens;
+            }
+            if policy.homes {
+                candidate.rank = rank_of(ranked, record);
+            }
+            offers.push(Offer {
+                candidate: usage.describe(candidate, policy, now),
+                target: Target {
+                    record: Arc::clone(record),
+                    usage,
+                    connection_limit,
+                    kept_tokens: candidate.known_tokens,
+                    fetch_from: None,
+                    save_to: None,
+                },
             });
         }
-        let size = RequestSize {
+        offers
+    }
+
+    fn size(&self) -> RequestSize {
+        RequestSize {
             prompt_tokens: self.path.prompt_tokens,
             shared_tokens: self.path.shared_tokens(),
             routers: self.routers(),
-        };
-        let (position, cost) = choice::choose(&candidates, size, rand::random())?;
-        let mut target = targets.swap_remove(position);
-        let store = self.store(configuration);
-        target.fetch_from = store
-            .map(|store| store.address.clone())
-            .or_else(|| self.fetch_source(&ranked, &mut table, &target.record))
-            .filter(|_| policy.fetch);
-        drop(table);
-        target.save_to = store
-            .filter(|store| self.is_saved(target.kept_tokens, store))
-            .map(|store| store.address.clone());
-        self.log
-            .chose(&target, &candidates[position], cost, view.known);
-        self.log.prefix = self.path.key().unwrap_or_default();
-        self.log.shared_tokens = self.path.shared_tokens();
-        self.log.weights = self.expected_weights(&target.record).unwrap_or_default();
-        Some(target)
+        }
     }
 
     fn oldest_usable_weights(&self) -> u64 {
--- a/crates/serving/src/policy.rs
+++ b/crates/serving/src/policy.rs
@@ -1,7 +1,12 @@
 //! Mechanisms of the data plane, each of which can be switched off to measure what it is worth.
 
-/// Which mechanisms are on. Promises do not depend on any of them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+use serde::Deserialize;
+
+/// Which mechanisms are on, as the settings' `[policy]` table says; one that is left out is on.
+/// Promises do not depend on any of them. An unknown one is refused, so that no measurement runs
+/// with a mechanism on that it was to switch off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Policy {
     /// Prompts with the same beginning are sent to the replica that all routers favour for it.
     pub homes: bool,
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -4,13 +4,10 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
-use railtack_serving::{Bounds, FaultTolerance};
+use railtack_serving::{Bounds, FaultTolerance, Policy};
 use serde::Deserialize;
 
-use crate::{
-    load::{Validate, Violation, require_range},
-    policy::PolicySettings,
-};
+use crate::load::{Validate, Violation, require_range};
 
 /// Settings of one process.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -43,7 +40,7 @@
     pub bounds: BoundsSettings,
     /// Mechanisms that are switched off for a measurement.
     #[serde(default)]
-    pub policy: PolicySettings,
+    pub policy: Policy,
 }
 
 /// Bounds that the deployment states. Times are in milliseconds.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,12 +7,10 @@
 pub mod emulator;
 pub mod load;
 pub mod overrides;
-pub mod policy;
 pub mod router;
 
 pub use control::ControlSettings;
 pub use deployment::NodeSettings;
 pub use documents::{Document, DocumentError, Template, Tenant};
 pub use load::{SettingsError, Validate, Violation, load_settings, parse_settings};
-pub use policy::PolicySettings;
 pub use router::RouterSettings;
