--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -32,21 +32,32 @@
     state: &ProxyState,
     request: &ProxiedRequest,
 ) -> Result<Admitted, RefusalReason> {
-    let until = request.received + first_lease_wait(request);
     let mut changes = state.changes();
-    loop {
-        let admitted = admit_now(state, request);
-        let may_wait = admitted.as_ref().err() == Some(&RefusalReason::Unconfirmed)
-            && state.options.policy.first_lease_wait
-            && !state.was_confirmed()
-            && state.stop_plan().is_none();
-        if !may_wait {
-            return admitted;
-        }
+    let mut admitted = admit_now(state, request);
+    if !waits(state, &admitted) {
+        return admitted;
+    }
+    let wait = first_lease_wait(request);
+    spdlog::info!("waits for the first lease", kv: {
+        request = request.id.clone(),
+        at_most_ms = wait.as_millis() as u64,
+    });
+    let until = request.received + wait;
+    while waits(state, &admitted) {
         if timeout_at(until, changes.changed()).await.is_err() {
-            return admitted;
+            break;
         }
+        admitted = admit_now(state, request);
     }
+    admitted
+}
+
+/// Whether a request that was looked at may be admitted later by this router.
+fn waits(state: &ProxyState, admitted: &Result<Admitted, RefusalReason>) -> bool {
+    admitted.as_ref().err() == Some(&RefusalReason::Unconfirmed)
+        && state.options.policy.first_lease_wait
+        && !state.was_confirmed()
+        && state.stop_plan().is_none()
 }
 
 /// What a caller is told of when to come back after a refusal on entry.
