Send a member of the log nothing twice while it is on its way; bound heartbeats asked for

Cause: each heartbeat carried all entries that a member had not confirmed yet, and each commit and each confirmed read brought a heartbeat to all members. Tests seen to fail before: entries_that_are_on_their_way_are_not_sent_again (195 entries sent for 10), heartbeats_are_bounded_however_often_they_are_asked_for (200 messages in 100 ms).

--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -2,6 +2,15 @@
 
 use crate::{LogIndex, Millis};
 
+/// Something sent to a member whose answer is not there yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Awaited {
+    /// Last position that the answer would confirm.
+    pub through: LogIndex,
+    /// When it was sent.
+    pub sent_at: Millis,
+}
+
 /// Replication progress of one member.
 #[derive(Clone, Debug)]
 pub struct Progress {
@@ -9,8 +18,9 @@
     pub next: LogIndex,
     /// Last entry known to be synced there.
     pub matched: LogIndex,
-    /// Whether an append is unanswered; the next heartbeat sends it again.
-    pub waiting: bool,
+    /// Entries or a snapshot that were sent and not answered yet. Meanwhile heartbeats carry
+    /// nothing, so that a slow member is not sent its backlog again and again.
+    pub awaited: Option<Awaited>,
     /// When the member last answered.
     pub last_heard: Millis,
     /// Latest moment at which something that the member has answered in this term was sent.
@@ -25,7 +35,7 @@
         Self {
             next,
             matched: 0,
-            waiting: false,
+            awaited: None,
             last_heard: now,
             confirmed_at: None,
             snapshot_sent_at: None,
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -17,6 +17,8 @@
 
 /// Entries that a learner may lack when it is made a voter.
 const LEARNER_LAG_LIMIT: u64 = 64;
+/// A heartbeat that is asked for comes at the earliest this part of an interval after the last.
+const HASTE_DIVISOR: Millis = 2;
 
 /// Timing and identity of a replica.
 #[derive(Clone, Debug)]
@@ -119,6 +121,8 @@
     pub(crate) election_deadline: Millis,
     pub(crate) leader_heard: Option<Millis>,
     pub(crate) next_heartbeat: Millis,
+    /// When the last heartbeat was sent while leading.
+    pub(crate) last_heartbeat: Millis,
     /// Time of the last input; never later than the present.
     pub(crate) now: Millis,
     pub(crate) ready: Ready,
@@ -149,6 +153,7 @@
             election_deadline: now,
             leader_heard: None,
             next_heartbeat: now,
+            last_heartbeat: 0,
             now,
             ready: Ready::default(),
             generator,
@@ -228,9 +233,12 @@
             .collect()
     }
 
-    /// Sends a heartbeat at the next tick, so that [`Raft::confirmed_at`] moves on.
+    /// Sends a heartbeat soon, so that [`Raft::confirmed_at`] moves on: at the next tick, or half
+    /// an interval after the last one. Each costs a message to every member and an answer, however
+    /// many commits and readers ask for one.
     pub fn hasten_heartbeat(&mut self, now: Millis) {
-        self.next_heartbeat = self.next_heartbeat.min(now);
+        let earliest = self.last_heartbeat + self.options.heartbeat_interval / HASTE_DIVISOR;
+        self.next_heartbeat = self.next_heartbeat.min(now.max(earliest));
     }
 
     fn member_confirmed_at(&self, replica: ReplicaId) -> Option<Millis> {
@@ -281,7 +289,7 @@
                 index,
                 sent_at,
             } => {
-                self.handle_append_reply(&message, success, index, now);
+                self.handle_append_reply(&message, success, index, sent_at, now);
                 self.note_confirmation(message.from, message.term, sent_at);
             }
         }
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -5,7 +5,7 @@
     log::{Entry, Payload, Snapshot},
     membership::{DiskId, ReplicaId},
     message::{Body, Message},
-    progress::Progress,
+    progress::{Awaited, Progress},
     raft::{Raft, Role},
 };
 
@@ -19,6 +19,7 @@
         if now < self.next_heartbeat {
             return;
         }
+        self.last_heartbeat = now;
         self.next_heartbeat = now + self.options.heartbeat_interval;
         for (replica, disk) in self.peers() {
             self.send_append(replica, disk);
@@ -43,7 +44,7 @@
             let idle = self
                 .progress
                 .get(&replica)
-                .is_some_and(|progress| !progress.waiting && progress.next <= last_index);
+                .is_some_and(|progress| progress.awaited.is_none() && progress.next <= last_index);
             if idle {
                 self.send_append(replica, disk);
             }
@@ -161,6 +162,7 @@
         message: &Message,
         success: bool,
         index: LogIndex,
+        sent_at: Millis,
         now: Millis,
     ) {
         if self.role != Role::Leader || message.term != self.hard_state.term {
@@ -171,15 +173,24 @@
         };
         progress.last_heard = now;
         if success {
-            progress.waiting = false;
+            // Messages to a member arrive in order: if it answers something later and lacks what was
+            // sent before, that was lost.
+            let settled = progress
+                .awaited
+                .is_some_and(|awaited| index >= awaited.through || sent_at > awaited.sent_at);
+            if settled {
+                progress.awaited = None;
+            }
             progress.matched = progress.matched.max(index);
             progress.next = progress.next.max(progress.matched + 1);
             self.advance_commit();
         } else {
             let earlier = (index + 1).clamp(progress.matched + 1, progress.next.max(1));
             // A member that refuses the same place again, as one that lost synced entries does,
-            // is asked at the next heartbeat and not at once.
-            progress.waiting = earlier == progress.next;
+            // is sent nothing until what was sent there is out of date.
+            if earlier != progress.next {
+                progress.awaited = None;
+            }
             progress.next = earlier;
         }
     }
@@ -209,7 +220,7 @@
         if candidate > self.commit && of_this_term {
             self.commit = candidate;
             // Followers should apply it now and not at the next heartbeat.
-            self.next_heartbeat = self.next_heartbeat.min(self.now);
+            self.hasten_heartbeat(self.now);
             self.leave_if_removed();
         }
     }
@@ -240,12 +251,18 @@
             return;
         };
         // A member that does not answer is only asked where it stands: entries and snapshots sent
-        // to it again and again would fill the queue to a machine that is away.
-        let silent = progress.waiting && now >= progress.last_heard + limit;
+        // to it again and again would fill the queue to a machine that is away. One that has not
+        // answered the last ones yet is sent no more.
+        let silent = now >= progress.last_heard + limit;
+        let awaited = progress.awaited.filter(|sent| now < sent.sent_at + limit);
         let snapshot_pending = progress.snapshot_sent_at.is_some_and(|at| now < at + limit);
         let needs_snapshot = progress.next <= snapshot_index;
-        let probe = silent || (needs_snapshot && snapshot_pending);
-        progress.waiting = true;
+        let has_sent = if needs_snapshot {
+            snapshot_pending
+        } else {
+            awaited.is_some()
+        };
+        let probe = silent || has_sent;
         if needs_snapshot && !probe {
             progress.snapshot_sent_at = Some(now);
         }
@@ -268,9 +285,37 @@
                 sent_at: now,
             },
         };
+        self.await_answer(replica, &body);
         self.send(replica, disk, self.hard_state.term, body);
     }
 
+    /// Notes what a member is to answer before it is sent more. A heartbeat while an answer is
+    /// awaited changes nothing.
+    fn await_answer(&mut self, replica: ReplicaId, body: &Body) {
+        let last_index = self.log.last_index();
+        let through = match body {
+            Body::Append {
+                previous_index,
+                entries,
+                ..
+            } => previous_index + entries.len() as u64,
+            Body::InstallSnapshot { snapshot, .. } => snapshot.last_index,
+            _ => return,
+        };
+        let carries_nothing = matches!(body, Body::Append { entries, .. } if entries.is_empty());
+        let Some(progress) = self.progress.get_mut(&replica) else {
+            return;
+        };
+        let lacks_nothing = progress.next > last_index;
+        if carries_nothing && (progress.awaited.is_some() || lacks_nothing) {
+            return;
+        }
+        progress.awaited = Some(Awaited {
+            through,
+            sent_at: self.now,
+        });
+    }
+
     fn store(&mut self, entry: Entry) {
         let is_membership = matches!(entry.payload, Payload::Membership(_));
         self.ready.entries.push(entry.clone());
--- a/crates/consensus/tests/raft.rs
+++ b/crates/consensus/tests/raft.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use railtack_consensus::{
-    DiskId, Member, Membership, Millis, ProposeError, Raft, RaftOptions, Recovered, ReplicaId,
-    Role, Snapshot,
+    Body, DiskId, LogIndex, Member, Membership, Message, Millis, ProposeError, Raft, RaftOptions,
+    Recovered, ReplicaId, Role, Snapshot,
 };
 
 const ELECTION_TIMEOUT: Millis = 300;
@@ -248,3 +248,79 @@
     assert_eq!(cluster.leader().replica(), leader);
     assert_eq!(cluster.leader().term(), term);
 }
+
+/// Positions of the entries that messages to one member carry.
+fn entries_to(messages: &[Message], member: ReplicaId) -> Vec<LogIndex> {
+    let bodies = messages
+        .iter()
+        .filter(|message| message.to == member)
+        .map(|message| &message.body);
+    bodies
+        .flat_map(|body| match body {
+            Body::Append { entries, .. } => entries.iter().map(|entry| entry.index).collect(),
+            _ => Vec::new(),
+        })
+        .collect()
+}
+
+/// A member that is slow to answer would otherwise be sent its whole backlog with each heartbeat,
+/// and each commit brings one: the slower the members, the more there would be to send them.
+#[test]
+fn entries_that_are_on_their_way_are_not_sent_again() {
+    let mut cluster = Cluster::new(9, 0);
+    cluster.run(3_000);
+    let leader = cluster.leaders()[0];
+    let slow = ReplicaId(if leader == ReplicaId(1) { 2 } else { 1 });
+    let now = cluster.now;
+    let raft = cluster.replicas.get_mut(&leader).unwrap();
+    let mut sent = Vec::new();
+    for step in 0..20 {
+        for command in 0..5 {
+            raft.propose(vec![command]).unwrap();
+        }
+        raft.hasten_heartbeat(now + step * 10);
+        raft.tick(now + step * 10);
+        sent.extend(raft.take_ready().messages);
+        raft.mark_persisted(raft.log().last_index());
+    }
+    let carried = entries_to(&sent, slow);
+    let mut distinct = carried.clone();
+    distinct.sort_unstable();
+    distinct.dedup();
+    assert!(!distinct.is_empty(), "the first append is sent at once");
+    assert_eq!(carried.len(), distinct.len(), "an entry was sent twice");
+}
+
+#[test]
+fn heartbeats_are_bounded_however_often_they_are_asked_for() {
+    let mut cluster = Cluster::new(3, 0);
+    cluster.run(3_000);
+    let leader = cluster.leaders()[0];
+    let now = cluster.now;
+    let raft = cluster.replicas.get_mut(&leader).unwrap();
+    let mut messages = 0;
+    for millisecond in 0..100 {
+        raft.hasten_heartbeat(now + millisecond);
+        raft.tick(now + millisecond);
+        messages += raft.take_ready().messages.len();
+    }
+    // Two members; a heartbeat each 50 ms and each 25 ms if it is asked for.
+    assert!(messages <= 2 * 6, "{messages} messages in 100 ms");
+}
+
+/// An append that was lost is noticed as soon as the member answers something sent after it.
+#[test]
+fn a_lost_append_is_sent_again_once_a_later_heartbeat_is_answered() {
+    let mut cluster = Cluster::new(3, 0);
+    cluster.run(3_000);
+    let leader = cluster.leaders()[0];
+    let before = cluster.replicas[&leader].commit_index();
+    let raft = cluster.replicas.get_mut(&leader).unwrap();
+    raft.propose(vec![1]).unwrap();
+    // Neither member gets this one.
+    let lost = raft.take_ready().messages;
+    assert!(!entries_to(&lost, lost[0].to).is_empty());
+    raft.mark_persisted(raft.log().last_index());
+    cluster.run(150);
+    assert!(cluster.replicas[&leader].commit_index() > before);
+}
