Let no answer with news wait beyond the time that its router allows

Cause: a router without a lease asks with no time to wait and gives the question up after 400 ms; news was gathered for up to 375 ms all the same. Change: the gathering time is bounded by the time that the question allows. Ruled out: the replicated log (its members converge, test convergence), the control machines' processor (0.02 of 0.15 cores). Test seen to fail before: no_answer_waits_beyond_the_time_that_the_router_allows.

--- a/crates/control/src/serving/watch.rs
+++ b/crates/control/src/serving/watch.rs
@@ -82,7 +82,8 @@
         // Either way the present view is answered.
         let _ = timeout_at(deadline, changed).await;
         let interval = self.gathering_interval();
-        sleep(gathering_time(request.known, asked_at.elapsed(), interval)).await;
+        let gathering = gathering_time(&request, asked_at.elapsed(), interval);
+        sleep(gathering).await;
         let view = self.link.view();
         WatchReply {
             confirmed_age_ms: self.confirmed_age_ms(&view),
@@ -138,15 +139,17 @@
     Duration::from_millis(shortest_bound / GATHERING_DIVISOR)
 }
 
-/// Time for which an answer waits for further changes, if a router that knows changes up to `known`
-/// asked `asked` ago. A router asks again as soon as it has an answer, so only changes close behind
-/// one another wait: hundreds of replicas that register or load together are told in a few
-/// answers, and news after a calm moment is told at once.
-pub fn gathering_time(known: LogIndex, asked: Duration, interval: Duration) -> Duration {
-    if known == 0 {
+/// Time for which the answer to a question that was asked `asked` ago waits for further changes. A
+/// router asks again as soon as it has an answer, so only changes close behind one another wait:
+/// hundreds of replicas that register or load together are told in a few answers, and news after a
+/// calm moment is told at once. An answer never waits beyond the time that the router allows: one
+/// without a lease allows none.
+pub fn gathering_time(request: &WatchRequest, asked: Duration, interval: Duration) -> Duration {
+    if request.known == 0 {
         return Duration::ZERO;
     }
-    interval.saturating_sub(asked)
+    let allowed = Duration::from_millis(request.wait_ms);
+    interval.min(allowed).saturating_sub(asked)
 }
 
 /// While routers ask this replica and it does not lead, has the leader confirm its state.
--- a/crates/control/tests/watch.rs
+++ b/crates/control/tests/watch.rs
@@ -3,19 +3,40 @@
 use std::time::Duration;
 
 use railtack_control::serving::watch::{gathering_interval, gathering_time, longest_gathering};
+use railtack_rpc::serving::WatchRequest;
 use railtack_serving::Bounds;
 
 const LONGEST: Duration = Duration::from_millis(400);
 
+fn question(known: u64, wait_ms: u64) -> WatchRequest {
+    WatchRequest {
+        router: "r".to_owned(),
+        known,
+        wait_ms,
+    }
+}
+
 #[test]
 fn only_changes_close_behind_an_answer_wait_for_others() {
     let asked = Duration::from_millis;
     let interval = gathering_interval(3, LONGEST);
-    assert_eq!(gathering_time(0, asked(0), interval), Duration::ZERO);
-    assert!(gathering_time(7, asked(1), interval) > Duration::from_millis(10));
-    assert_eq!(gathering_time(7, asked(300), interval), Duration::ZERO);
+    let gathering = |known, asked| gathering_time(&question(known, 500), asked, interval);
+    assert_eq!(gathering(0, asked(0)), Duration::ZERO);
+    assert!(gathering(7, asked(1)) > Duration::from_millis(10));
+    assert_eq!(gathering(7, asked(300)), Duration::ZERO);
     // A router asks again at once: what waits is far below any bound on changes.
-    assert!(gathering_time(7, asked(0), interval) <= Duration::from_millis(50));
+    assert!(gathering(7, asked(0)) <= Duration::from_millis(50));
+}
+
+/// A router without a lease allows no time and gives the question up soon: with hundreds of
+/// routers it would never have an answer, and no lease.
+#[test]
+fn no_answer_waits_beyond_the_time_that_the_router_allows() {
+    let interval = gathering_interval(60, LONGEST);
+    assert!(interval > Duration::from_millis(300));
+    let gathering = |wait_ms| gathering_time(&question(7, wait_ms), Duration::ZERO, interval);
+    assert_eq!(gathering(0), Duration::ZERO);
+    assert_eq!(gathering(100), Duration::from_millis(100));
 }
 
 /// A rollout changes hundreds of records in a second. However many routers ask one control
