Choose replicas by what all routers meet there, and leave dark ones out

Cause: one of 291 routers sees a three-hundredth of a replica's requests. Change: routers tell with their watch what they have open where and from whom they heard; control replicas add it up and hand back a digest. The choice goes by it, among the three replicas favoured most for a prompt (others: the zone's and two drawn ones); a replica from which nobody hears while two routers wait is left out, at most half of a service. Without a fresh digest it goes as before. Tests: crates/control/tests/fleet.rs, a_shared_load_tells_more_than_a_routers_own_requests (fails without the shared load: its second half), a_digest_is_gone_by_only_while_it_is_new.

--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -303,6 +303,7 @@
         members: Vec::new(),
         routers: 0,
         update: None,
+        fleet: None,
     }
 }
 
--- /dev/null
+++ b/crates/control/src/serving/fleet.rs
@@ -0,0 +1,228 @@
+//! What all routers together meet at the back-end replicas. Pure: times are passed in.
+//!
+//! One of hundreds of routers sees a small part of a replica's requests. It cannot tell a busy
+//! replica from an idle one, and it finds a dead one only by losing a request of its own. So each
+//! tells the control replica that it asks what it has open where, and from whom it has heard; the
+//! control replicas add that up and tell the leader, which makes a digest for all routers.
+//!
+//! Invariants: a replica that any router has just heard from is not dark; of a service's replicas
+//! at most half are dark. A router or control replica that says nothing any more is forgotten.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+
+use railtack_rpc::serving::{FleetDigest, ReplicaCondition, ReplicaSighting};
+use railtack_serving::ReplicaKey;
+
+/// Age at which what a router or a control replica told counts no more. Both tell about twice a
+/// second.
+const REPORT_KEPT: Duration = Duration::from_millis(2_000);
+/// Routers that wait in vain before a replica counts as dark: one may be cut off itself.
+const WITNESSES: u16 = 2;
+/// Time for which nobody must have heard from a replica that is dark. A working replica sends
+/// events to somebody several times in a second.
+const DARK_SILENCE_MS: u16 = 1_000;
+/// Heartbeats for which a dark replica is left alone, and longer if it sends none.
+const DARK_HEARTBEATS: u32 = 3;
+/// Of a service's replicas, one in this many may be dark at most.
+const FEWEST_REPLICAS_PER_DARK: usize = 2;
+
+/// What is known of a replica besides what routers met.
+#[derive(Clone, Copy, Debug)]
+pub struct KnownReplica<'a> {
+    /// The replica.
+    pub key: ReplicaKey,
+    /// Its service.
+    pub service: &'a str,
+    /// Whether its heartbeats come.
+    pub is_alive: bool,
+}
+
+/// Sightings by who told them.
+#[derive(Debug, Default)]
+pub struct FleetView {
+    routers: HashMap<String, Report>,
+    controls: HashMap<String, Report>,
+    /// Replicas that are dark, and since when.
+    dark: BTreeMap<ReplicaKey, Instant>,
+    /// The digest that was made or received last.
+    digest: Option<(FleetDigest, Instant)>,
+}
+
+#[derive(Debug)]
+struct Report {
+    at: Instant,
+    sightings: Vec<ReplicaSighting>,
+}
+
+/// A change of belief about a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DarkChange {
+    /// The replica.
+    pub replica: ReplicaKey,
+    /// Whether it is dark now.
+    pub is_dark: bool,
+    /// What the routers had met.
+    pub sighting: ReplicaSighting,
+}
+
+impl FleetView {
+    /// Takes in what a router that asks this control replica has met.
+    pub fn take_router(&mut self, router: &str, sightings: Vec<ReplicaSighting>, now: Instant) {
+        let report = Report { at: now, sightings };
+        self.routers.insert(router.to_owned(), report);
+    }
+
+    /// Takes in what the routers that ask another control replica have met.
+    pub fn take_control(&mut self, control: String, sightings: Vec<ReplicaSighting>, now: Instant) {
+        let report = Report { at: now, sightings };
+        self.controls.insert(control, report);
+    }
+
+    /// What the routers that ask here have met, added up by replica.
+    pub fn own_sightings(&mut self, now: Instant) -> Vec<ReplicaSighting> {
+        self.routers.retain(|_, report| is_fresh(report, now));
+        added_up(self.routers.values(), now).into_values().collect()
+    }
+
+    /// While leading: makes the digest of what all routers have met at the replicas that are
+    /// `known`, whose heartbeats come every `heartbeat`. Tells what changed.
+    pub fn make_digest(
+        &mut self,
+        known: &[KnownReplica<'_>],
+        heartbeat: Duration,
+        now: Instant,
+    ) -> Vec<DarkChange> {
+        self.routers.retain(|_, report| is_fresh(report, now));
+        self.controls.retain(|_, report| is_fresh(report, now));
+        let reports = self.routers.values().chain(self.controls.values());
+        let sightings = added_up(reports, now);
+        let changes = self.judge(&sightings, known, heartbeat, now);
+        let conditions = known.iter().filter_map(|replica| {
+            let sighting = sightings.get(&replica.key);
+            let is_dark = self.dark.contains_key(&replica.key);
+            (sighting.is_some() || is_dark).then(|| ReplicaCondition {
+                replica: replica.key,
+                open_requests: sighting.map_or(0, |met| met.open_requests),
+                unread_tokens: sighting.map_or(0, |met| met.unread_tokens),
+                is_dark,
+            })
+        });
+        let digest = FleetDigest {
+            age_ms: 0,
+            replicas: conditions.collect(),
+        };
+        self.digest = Some((digest, now));
+        changes
+    }
+
+    /// Takes in the leader's digest.
+    pub fn take_digest(&mut self, digest: Option<FleetDigest>, now: Instant) {
+        self.digest = digest.map(|digest| (digest, now));
+    }
+
+    /// The digest with its present age; `None` if there is none, or it is too old to go by.
+    pub fn digest(&self, now: Instant) -> Option<FleetDigest> {
+        let (digest, received_at) = self.digest.as_ref()?;
+        let kept = now.saturating_duration_since(*received_at).as_millis() as u32;
+        let age_ms = digest.age_ms.saturating_add(kept);
+        (age_ms < REPORT_KEPT.as_millis() as u32).then(|| FleetDigest {
+            age_ms,
+            ..digest.clone()
+        })
+    }
+
+    fn judge(
+        &mut self,
+        sightings: &BTreeMap<ReplicaKey, ReplicaSighting>,
+        known: &[KnownReplica<'_>],
+        heartbeat: Duration,
+        now: Instant,
+    ) -> Vec<DarkChange> {
+        let before = self.dark.clone();
+        let mut replicas: BTreeMap<&str, usize> = BTreeMap::new();
+        for replica in known {
+            *replicas.entry(replica.service).or_default() += 1;
+        }
+        let mut dark_now = BTreeMap::new();
+        let mut dark_of: BTreeMap<&str, usize> = BTreeMap::new();
+        // Those that were dark before come first, so that the bounded share does not wander.
+        let mut in_order: Vec<&KnownReplica<'_>> = known.iter().collect();
+        in_order.sort_by_key(|replica| !before.contains_key(&replica.key));
+        for replica in in_order {
+            let sighting = sightings.get(&replica.key);
+            let since = before.get(&replica.key).copied();
+            let stays = since.is_some_and(|since| {
+                let is_over = now >= since + heartbeat * DARK_HEARTBEATS;
+                !heard(sighting) && !(is_over && replica.is_alive)
+            });
+            let limit = replicas[replica.service] / FEWEST_REPLICAS_PER_DARK;
+            let count = dark_of.entry(replica.service).or_default();
+            if (stays || sighting.is_some_and(seems_dark)) && *count < limit {
+                *count += 1;
+                dark_now.insert(replica.key, since.unwrap_or(now));
+            }
+        }
+        self.dark = dark_now;
+        let changed = |replica: &&KnownReplica<'_>| {
+            before.contains_key(&replica.key) != self.dark.contains_key(&replica.key)
+        };
+        known
+            .iter()
+            .filter(changed)
+            .map(|replica| DarkChange {
+                replica: replica.key,
+                is_dark: self.dark.contains_key(&replica.key),
+                sighting: sightings
+                    .get(&replica.key)
+                    .copied()
+                    .unwrap_or_else(|| unseen(replica.key)),
+            })
+            .collect()
+    }
+}
+
+fn is_fresh(report: &Report, now: Instant) -> bool {
+    now.saturating_duration_since(report.at) < REPORT_KEPT
+}
+
+fn unseen(replica: ReplicaKey) -> ReplicaSighting {
+    ReplicaSighting {
+        replica,
+        open_requests: 0,
+        unread_tokens: 0,
+        heard_ms: u16::MAX,
+        waiting_in_vain: 0,
+    }
+}
+
+/// Whether some router has just heard from the replica.
+fn heard(sighting: Option<&ReplicaSighting>) -> bool {
+    sighting.is_some_and(|met| met.heard_ms < DARK_SILENCE_MS)
+}
+
+fn seems_dark(met: &ReplicaSighting) -> bool {
+    met.waiting_in_vain >= WITNESSES && met.heard_ms >= DARK_SILENCE_MS
+}
+
+fn added_up<'a>(
+    reports: impl Iterator<Item = &'a Report>,
+    now: Instant,
+) -> BTreeMap<ReplicaKey, ReplicaSighting> {
+    let mut sums: BTreeMap<ReplicaKey, ReplicaSighting> = BTreeMap::new();
+    for report in reports {
+        let age_ms = now.saturating_duration_since(report.at).as_millis() as u16;
+        for met in &report.sightings {
+            let sum = sums
+                .entry(met.replica)
+                .or_insert_with(|| unseen(met.replica));
+            sum.open_requests = sum.open_requests.saturating_add(met.open_requests);
+            sum.unread_tokens = sum.unread_tokens.saturating_add(met.unread_tokens);
+            sum.heard_ms = sum.heard_ms.min(met.heard_ms.saturating_add(age_ms));
+            sum.waiting_in_vain = sum.waiting_in_vain.saturating_add(met.waiting_in_vain);
+        }
+    }
+    sums
+}
--- a/crates/control/src/serving/liveness.rs
+++ b/crates/control/src/serving/liveness.rs
@@ -6,16 +6,28 @@
     time::Duration,
 };
 
+use futures::future::join_all;
 use railtack_rpc::{
     call_deadline,
-    serving::{AliveNotice, AliveReply, ServingCommand},
+    serving::{AliveNotice, AliveReply, FleetDigest, ReplicaSighting, ServingCommand},
 };
+use railtack_serving::ReplicaKey;
 use tokio::time::{Instant, sleep};
 
-use crate::serving::leader::LeaderLink;
+use crate::{
+    serving::{
+        fleet::{FleetView, KnownReplica},
+        leader::LeaderLink,
+    },
+    view::NodeView,
+};
 
 /// Time between two notices to the leader.
-const NOTICE_INTERVAL: Duration = Duration::from_secs(1);
+const NOTICE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after a sign of life in which it is told to the leader.
+const TOLD_FOR: Duration = Duration::from_secs(2);
+/// Heartbeats that may be missing before a replica's signs of life count as interrupted.
+const MISSED_WHILE_ALIVE: u32 = 2;
 /// Time for one notice.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Silence after which a router counts as gone.
@@ -29,6 +41,7 @@
 #[derive(Default)]
 pub struct Liveness {
     heard: Mutex<Heard>,
+    fleet: Mutex<FleetView>,
 }
 
 #[derive(Default)]
@@ -74,6 +87,11 @@
     /// Takes in what another control replica has heard.
     pub fn take_notice(&self, notice: AliveNotice) -> AliveReply {
         let now = Instant::now();
+        let fleet = {
+            let mut fleet = self.fleet();
+            fleet.take_control(notice.sender, notice.sightings, now.into_std());
+            fleet.digest(now.into_std())
+        };
         let mut heard = self.lock();
         for replica in notice.replicas {
             heard.replicas.insert(replica, now);
@@ -83,6 +101,7 @@
         }
         AliveReply {
             routers: heard.live_routers(),
+            fleet,
         }
     }
 
@@ -92,15 +111,67 @@
         heard.live_routers().max(heard.routers_of_leader)
     }
 
-    fn notice(&self) -> AliveNotice {
+    /// Notes that a router asked, and what it has met at the replicas.
+    pub fn take_sightings(&self, router: &str, sightings: Vec<ReplicaSighting>) {
+        let now = std::time::Instant::now();
+        self.fleet().take_router(router, sightings, now);
+    }
+
+    /// What all routers together meet at the replicas.
+    pub fn fleet_digest(&self) -> Option<FleetDigest> {
+        self.fleet().digest(std::time::Instant::now())
+    }
+
+    /// While leading: makes the digest for all routers.
+    fn make_digest(&self, view: &NodeView, heartbeat: Duration) {
+        let now = Instant::now();
+        let records = view.serving.replicas().values();
+        let known: Vec<KnownReplica<'_>> = {
+            let heard = self.lock();
+            let is_alive = |replica: &String| {
+                let last = heard.replicas.get(replica);
+                last.is_some_and(|at| at.elapsed() < heartbeat * MISSED_WHILE_ALIVE)
+            };
+            let known = records.map(|record| KnownReplica {
+                key: ReplicaKey::of(&record.id),
+                service: &record.service,
+                is_alive: is_alive(&record.id),
+            });
+            known.collect()
+        };
+        let changes = self.fleet().make_digest(&known, heartbeat, now.into_std());
+        for change in changes {
+            let replica = view
+                .serving
+                .replicas()
+                .keys()
+                .find(|replica| ReplicaKey::of(replica) == change.replica);
+            spdlog::info!("replica judged by all routers", kv: {
+                replica = replica.cloned().unwrap_or_default(),
+                is_dark = change.is_dark,
+                waiting_in_vain = change.sighting.waiting_in_vain,
+                heard_ms = change.sighting.heard_ms,
+                open_requests = change.sighting.open_requests,
+            });
+        }
+    }
+
+    fn fleet(&self) -> MutexGuard<'_, FleetView> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn notice(&self, sender: &str) -> AliveNotice {
+        let sightings = self.fleet().own_sightings(std::time::Instant::now());
         let mut heard = self.lock();
         heard.leading_since = None;
-        let recent = |at: &Instant| at.elapsed() < NOTICE_INTERVAL * 2;
+        let recent = |at: &Instant| at.elapsed() < TOLD_FOR;
         let replicas = heard.replicas.iter().filter(|(_, at)| recent(at));
         let routers = heard.asking_here.iter().filter(|(_, at)| recent(at));
         AliveNotice {
             replicas: replicas.map(|(replica, _)| replica.clone()).collect(),
             routers: routers.map(|(router, _)| router.clone()).collect(),
+            sender: sender.to_owned(),
+            sightings,
         }
     }
 
@@ -148,6 +219,14 @@
     }
 }
 
+/// Removes a replica that is silent.
+async fn remove(link: &LeaderLink, replica: String) {
+    spdlog::info!("replica silent", kv: { replica = replica.clone() });
+    let command = ServingCommand::Expire { replica };
+    // Looked at again after the next interval.
+    let _ = link.propose(command, REMOVAL_TIMEOUT).await;
+}
+
 /// Tells the leader who was heard from; as the leader, removes replicas that are silent.
 pub async fn keep_told(link: Arc<LeaderLink>, liveness: Arc<Liveness>, heartbeat: Duration) {
     loop {
@@ -155,24 +234,25 @@
         let view = link.view();
         liveness.forget(|replica| view.serving.replicas().contains_key(replica));
         if view.leads {
+            liveness.make_digest(&view, heartbeat);
             let known = view.serving.replicas().keys();
-            for replica in liveness.silent(known, heartbeat * MISSED_HEARTBEATS) {
-                spdlog::info!("replica silent", kv: { replica = replica.clone() });
-                let command = ServingCommand::Expire { replica };
-                // Looked at again after the next interval.
-                let _ = link.propose(command, REMOVAL_TIMEOUT).await;
-            }
+            let silent = liveness.silent(known, heartbeat * MISSED_HEARTBEATS);
+            // Together, so that they share a commit: many are silent at once or none.
+            join_all(silent.into_iter().map(|replica| remove(&link, replica))).await;
             continue;
         }
         let Some(connection) = view.leader.and_then(|leader| link.connection(&leader)) else {
             continue;
         };
-        let notice = liveness.notice();
+        let notice = liveness.notice(link.own_address());
         let reply = connection
             .call(|client| async move { client.alive(call_deadline(NOTICE_TIMEOUT), notice).await })
             .await;
         if let Ok(reply) = reply {
             liveness.lock().routers_of_leader = reply.routers;
+            liveness
+                .fleet()
+                .take_digest(reply.fleet, std::time::Instant::now());
         }
     }
 }
--- a/crates/control/src/serving/mod.rs
+++ b/crates/control/src/serving/mod.rs
@@ -4,6 +4,7 @@
 //! | module | job |
 //! |---|---|
 //! | [`daemon`] | starts the replica, its internal service and the tasks below |
+//! | [`fleet`] | what all routers together meet at the replicas (pure) |
 //! | [`formation`] | first member, joining, joining again |
 //! | [`handle`] | what an adapter may ask: documents, registrations, weights |
 //! | [`leader`] | proposals and reads by way of the leader |
@@ -15,6 +16,7 @@
 
 pub mod daemon;
 pub mod errors;
+pub mod fleet;
 pub mod formation;
 pub mod handle;
 pub mod leader;
--- a/crates/control/src/serving/watch.rs
+++ b/crates/control/src/serving/watch.rs
@@ -72,9 +72,11 @@
     }
 
     /// Answers one question, at the latest after the time that it allows.
-    pub async fn answer(&self, request: WatchRequest) -> WatchReply {
+    pub async fn answer(&self, mut request: WatchRequest) -> WatchReply {
         let asked_at = Instant::now();
         self.liveness.router_asked(&request.router);
+        let sightings = std::mem::take(&mut request.sightings);
+        self.liveness.take_sightings(&request.router, sightings);
         self.update_times(|times| times.asked_at = Some(asked_at));
         let deadline = asked_at + Duration::from_millis(request.wait_ms.min(WAIT_LIMIT_MS));
         let mut receiver = self.link.node().view();
@@ -92,6 +94,7 @@
             members: view.voters.clone(),
             routers: self.liveness.routers(),
             update: view.serving.update_after(request.known),
+            fleet: self.liveness.fleet_digest(),
         }
     }
 
--- a/crates/control/tests/watch.rs
+++ b/crates/control/tests/watch.rs
@@ -13,6 +13,7 @@
         router: "r".to_owned(),
         known,
         wait_ms,
+        sightings: Vec::new(),
     }
 }
 
--- a/crates/proxy/src/choice.rs
+++ b/crates/proxy/src/choice.rs
@@ -17,6 +17,25 @@
 /// Share of a prompt's beginning that the favoured replica is presumed to keep.
 const PRESUMED_KEPT: f64 = 0.9;
 
+/// Power of the share of taken slots that is the cost of a busy replica whose whole load is known.
+/// A replica with free slots holds a request up little, however many are taken; and the figure is
+/// a second old, so that small differences must not send every router to the same replica.
+const BUSY_POWER: i32 = 3;
+
+/// Replicas that are favoured most for a prompt, among which the shared load decides.
+const FAVOURED_CHOICES: usize = 3;
+/// Replicas of any zone that are drawn for a request without a prompt.
+const DRAWN_CHOICES: usize = 2;
+
+/// What all routers together have open at a replica, this router's newest requests included.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SharedLoad {
+    /// Open requests.
+    pub open_requests: u32,
+    /// Prompt tokens of those that have brought no event yet.
+    pub unread_tokens: u64,
+}
+
 /// What is known of one replica that may run the request.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Candidate {
@@ -30,6 +49,8 @@
     pub open_requests: u32,
     /// Prompt tokens of this router's requests there that have brought no event yet.
     pub unread_tokens: u64,
+    /// What all routers have open there; `None` if that is not known.
+    pub shared_load: Option<SharedLoad>,
     /// Prompt tokens that it is known to keep.
     pub known_tokens: u64,
     /// Place among the replicas that rendezvous hashing favours for this prompt; 0 is the first.
@@ -52,12 +73,44 @@
 /// Position of the cheapest candidate, and its cost.
 pub fn choose(candidates: &[Candidate], size: RequestSize, seed: u64) -> Option<(usize, f64)> {
     let count = candidates.len();
-    let costs = candidates.iter().map(|candidate| cost(candidate, size));
-    costs
+    let offers = candidates
+        .iter()
         .enumerate()
-        .map(|(position, cost)| (position, cost, turn(position, count, seed)))
-        .min_by(|left, right| left.1.total_cmp(&right.1).then(left.2.cmp(&right.2)))
-        .map(|(position, cost, _)| (position, cost))
+        .map(|(position, candidate)| Offer {
+            position,
+            turn: turn(position, count, seed),
+            is_considered: is_considered(candidate, turn(position, count, seed), size),
+            cost: cost(candidate, size),
+        });
+    let cheapest = offers.min_by(|left, right| {
+        let considered = right.is_considered.cmp(&left.is_considered);
+        let cost = left.cost.total_cmp(&right.cost);
+        considered.then(cost).then(left.turn.cmp(&right.turn))
+    })?;
+    Some((cheapest.position, cheapest.cost))
+}
+
+/// A candidate as it is compared with others.
+struct Offer {
+    position: usize,
+    turn: usize,
+    is_considered: bool,
+    cost: f64,
+}
+
+/// Whether a candidate is one of the few among which a request chooses by their shared load. All
+/// routers have the same figures, a second old: if each took the least busy replica of all, all
+/// would take the same one. A prompt chooses among the replicas that are favoured most for it,
+/// which differ from prompt to prompt; other requests among their zone's and a few drawn ones.
+fn is_considered(candidate: &Candidate, turn: usize, size: RequestSize) -> bool {
+    if candidate.shared_load.is_none() {
+        return true;
+    }
+    if size.shared_tokens > 0 {
+        candidate.rank < FAVOURED_CHOICES
+    } else {
+        candidate.same_zone || turn < DRAWN_CHOICES
+    }
 }
 
 fn turn(position: usize, count: usize, seed: u64) -> usize {
@@ -65,9 +118,6 @@
 }
 
 fn cost(candidate: &Candidate, size: RequestSize) -> f64 {
-    let routers = f64::from(size.routers.max(1));
-    let busy =
-        f64::from(candidate.open_requests) * routers.sqrt() / f64::from(candidate.slots.max(1));
     let zone = if candidate.same_zone {
         0.0
     } else {
@@ -78,7 +128,20 @@
     } else {
         0.0
     };
-    busy + reading(candidate, size) + zone + rank + candidate.failure_rate * FAILURE_COST
+    let failures = candidate.failure_rate * FAILURE_COST;
+    busy(candidate, size) + reading(candidate, size) + zone + rank + failures
+}
+
+/// How much the requests that are open at a replica hold up one more.
+fn busy(candidate: &Candidate, size: RequestSize) -> f64 {
+    let slots = f64::from(candidate.slots.max(1));
+    if let Some(shared) = candidate.shared_load {
+        let open = shared.open_requests.max(candidate.open_requests);
+        return (f64::from(open) / slots).powi(BUSY_POWER);
+    }
+    // Others send there as well; how much is a guess.
+    let routers = f64::from(size.routers.max(1));
+    f64::from(candidate.open_requests) * routers.sqrt() / slots
 }
 
 fn reading(candidate: &Candidate, size: RequestSize) -> f64 {
@@ -92,6 +155,7 @@
     };
     let kept = candidate.known_tokens.max(presumed).min(size.prompt_tokens);
     let unread = (size.prompt_tokens - kept) as f64 * READING_WEIGHT;
-    let queued = candidate.unread_tokens as f64 * QUEUE_WEIGHT;
+    let shared_unread = candidate.shared_load.map_or(0, |load| load.unread_tokens);
+    let queued = candidate.unread_tokens.max(shared_unread) as f64 * QUEUE_WEIGHT;
     (unread + queued) / candidate.capacity_tokens as f64
 }
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -100,6 +100,7 @@
         router: state.options.node.clone(),
         known: state.view.load().known,
         wait_ms: wait.as_millis() as u64,
+        sightings: lock(&state.replicas).sightings(Instant::now()),
     };
     connection
         .call(|client| async move {
@@ -111,8 +112,13 @@
         .ok()
 }
 
-fn take_reply(state: &ProxyState, reply: WatchReply, asked_at: Instant) {
+fn take_reply(state: &ProxyState, mut reply: WatchReply, asked_at: Instant) {
     state.routers.store(reply.routers, Ordering::Relaxed);
+    if let Some(digest) = reply.fleet.take()
+        && let Some(dark) = lock(&state.fleet).take(digest, Instant::now())
+    {
+        spdlog::info!("dark replicas told", kv: { dark });
+    }
     if let Some(update) = reply.update.clone()
         && let Some(next) = state.view.load().updated(update)
     {
--- /dev/null
+++ b/crates/proxy/src/fleet.rs
@@ -0,0 +1,58 @@
+//! What all routers together meet at the replicas, as a control replica last told it.
+//!
+//! It is a second or so old. It replaces what this router could only guess from its own requests:
+//! how busy a replica is, and whether it is gone. Without news for a while the router goes by its
+//! own requests again.
+
+use std::{collections::HashMap, time::Duration};
+
+use railtack_rpc::serving::{FleetDigest, ReplicaCondition};
+use railtack_serving::ReplicaKey;
+use tokio::time::Instant;
+
+/// Age from which a digest is not gone by: load changes within seconds.
+const DIGEST_KEPT: Duration = Duration::from_millis(3_000);
+
+/// The digest received last.
+#[derive(Debug, Default)]
+pub struct FleetKnowledge {
+    made_at: Option<Instant>,
+    conditions: HashMap<ReplicaKey, ReplicaCondition>,
+}
+
+impl FleetKnowledge {
+    /// Takes in a digest; tells how many replicas are dark, if that changed.
+    pub fn take(&mut self, digest: FleetDigest, now: Instant) -> Option<usize> {
+        let dark_before = self.dark();
+        self.made_at = now.checked_sub(Duration::from_millis(u64::from(digest.age_ms)));
+        self.conditions = digest
+            .replicas
+            .into_iter()
+            .map(|condition| (condition.replica, condition))
+            .collect();
+        let dark = self.dark();
+        (dark != dark_before).then_some(dark)
+    }
+
+    /// Whether the digest is new enough to go by.
+    pub fn is_current(&self, now: Instant) -> bool {
+        self.age(now).is_some_and(|age| age < DIGEST_KEPT)
+    }
+
+    /// Age of the digest; `None` if there is none.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.made_at?))
+    }
+
+    /// What is known of a replica; one that nobody uses has nothing open.
+    pub fn condition(&self, replica: ReplicaKey) -> Option<&ReplicaCondition> {
+        self.conditions.get(&replica)
+    }
+
+    fn dark(&self) -> usize {
+        self.conditions
+            .values()
+            .filter(|condition| condition.is_dark)
+            .count()
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,6 +11,7 @@
 //! | taken now, later, or refused? | [`entry`] | |
 //! | which service? | [`split`] | yes |
 //! | which replica? | [`choice`], with [`affinity`], [`health`] and [`named`] | yes |
+//! | what do all routers meet there? | [`fleet`] | yes |
 //! | is its prompt sent to the store? | [`saves`] | yes |
 //! | may it be tried again? | [`verdict`], [`budget`] | yes |
 //! | all of that for one request | [`targeting`] | |
@@ -29,6 +30,7 @@
 pub mod control_watch;
 pub mod entry;
 pub mod events;
+pub mod fleet;
 pub mod health;
 pub mod lease;
 pub mod metrics;
--- a/crates/proxy/src/replicas.rs
+++ b/crates/proxy/src/replicas.rs
@@ -3,20 +3,28 @@
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
 };
 
-use railtack_serving::Policy;
+use railtack_rpc::serving::ReplicaSighting;
+use railtack_serving::{Policy, ReplicaKey};
 use tokio::time::Instant;
 
 use crate::{
     affinity::{PrefixPath, SentPrefixes},
-    choice::Candidate,
+    choice::{Candidate, SharedLoad},
     health::{ExchangeEnd, Health},
     pool::Pool,
     state::lock,
     view::ServingView,
 };
 
+/// Time after its last sign in which a replica without open requests is told of.
+const SIGHTING_KEPT: Duration = Duration::from_millis(1_500);
+/// Time without any sign after which a replica with open requests is waited for in vain. A prompt
+/// that waits behind others may take as long; that others hear from the replica tells it apart.
+const IN_VAIN_AFTER: Duration = Duration::from_millis(700);
+
 /// One life of a replica, as this router uses it.
 #[derive(Debug)]
 pub struct ReplicaUse {
@@ -29,6 +37,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Load {
     open_requests: u32,
+    /// Since when some request has been open without a break.
+    busy_since: Instant,
     unread_tokens: u64,
     health: Health,
 }
@@ -39,6 +49,7 @@
             pool: Pool::default(),
             load: Mutex::new(Load {
                 open_requests: 0,
+                busy_since: now,
                 unread_tokens: 0,
                 health: Health::new(now),
             }),
@@ -61,14 +72,43 @@
         self.load().health.allows(now)
     }
 
-    /// Fills in what is known of the replica's load.
-    pub fn describe(&self, candidate: Candidate, policy: Policy, now: Instant) -> Candidate {
+    /// What this router has met at the replica lately; `None` if it has not used it.
+    fn sighting(&self, replica: &str, now: Instant) -> Option<ReplicaSighting> {
+        let heard_at = *lock(&self.heard_at);
+        let load = *self.load();
+        let silence = now.saturating_duration_since(heard_at);
+        let is_waiting = load.open_requests > 0;
+        let unreachable = load.health.is_suspected() && !load.health.allows(now);
+        if !is_waiting && !unreachable && silence > SIGHTING_KEPT {
+            return None;
+        }
+        let last_sign = heard_at.max(load.busy_since);
+        let in_vain = is_waiting && now.saturating_duration_since(last_sign) > IN_VAIN_AFTER;
+        Some(ReplicaSighting {
+            replica: ReplicaKey::of(replica),
+            open_requests: u16::try_from(load.open_requests).unwrap_or(u16::MAX),
+            unread_tokens: u32::try_from(load.unread_tokens).unwrap_or(u32::MAX),
+            heard_ms: u16::try_from(silence.as_millis()).unwrap_or(u16::MAX),
+            waiting_in_vain: u16::from(in_vain || unreachable),
+        })
+    }
+
+    /// Fills in what is known of the replica's load: `shared` is what all routers met there, if
+    /// that is known.
+    pub fn describe(
+        &self,
+        candidate: Candidate,
+        policy: Policy,
+        shared: Option<SharedLoad>,
+        now: Instant,
+    ) -> Candidate {
         let load = self.load();
         let mut described = candidate;
         if policy.own_load {
             described.open_requests = load.open_requests;
             described.unread_tokens = load.unread_tokens;
         }
+        described.shared_load = shared;
         if policy.failure_rate {
             described.failure_rate = load.health.failure_rate(now);
         }
@@ -113,6 +153,9 @@
     pub fn begin(replica: Arc<ReplicaUse>, unread_tokens: u64) -> Self {
         {
             let mut load = replica.load();
+            if load.open_requests == 0 {
+                load.busy_since = Instant::now();
+            }
             load.open_requests += 1;
             load.unread_tokens += unread_tokens;
         }
@@ -182,6 +225,13 @@
         }
     }
 
+    /// What this router has met at the replicas lately.
+    pub fn sightings(&self, now: Instant) -> Vec<ReplicaSighting> {
+        let uses = self.uses.iter();
+        uses.filter_map(|(replica, usage)| usage.sighting(replica, now))
+            .collect()
+    }
+
     /// Closes connections that have rested for too long.
     pub fn close_old(&self) {
         for replica in self.uses.values() {
--- a/crates/proxy/src/request_log.rs
+++ b/crates/proxy/src/request_log.rs
@@ -30,6 +30,8 @@
     /// Weights that the replica was told to hold.
     pub weights: u64,
     cost: f64,
+    /// Where the replica was told to fetch what it lacks; empty if nowhere.
+    fetch_from: String,
     attempts: u32,
     first_byte: Option<Duration>,
     outcome: Option<String>,
@@ -54,6 +56,7 @@
             prefix: 0,
             weights: 0,
             cost: 0.0,
+            fetch_from: String::new(),
             attempts: 0,
             first_byte: None,
             outcome: None,
@@ -74,6 +77,7 @@
         self.candidate = *candidate;
         self.cost = cost;
         self.known = known;
+        self.fetch_from = target.fetch_from.clone().unwrap_or_default();
         self.attempts += 1;
         // The line at the end tells of the last choice only.
         if self.attempts > 1 {
@@ -134,6 +138,11 @@
             rank = self.candidate.rank,
             open_requests = self.candidate.open_requests,
             unread_tokens = self.candidate.unread_tokens,
+            // What all routers had there, as far as this one was told.
+            shared_open = self.candidate.shared_load.map_or(0, |load| load.open_requests),
+            shared_unread = self.candidate.shared_load.map_or(0, |load| load.unread_tokens),
+            has_shared_view = self.candidate.shared_load.is_some(),
+            fetch_from = self.fetch_from.clone(),
             weights = self.weights,
             cost = self.cost,
             attempts = self.attempts,
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -19,6 +19,7 @@
     affinity::PrefixPath,
     backend::BackendProtocol,
     budget::{BudgetRule, RetryBudget},
+    fleet::FleetKnowledge,
     lease::Lease,
     metrics::ProxyMetrics,
     named::NamedWeights,
@@ -55,6 +56,8 @@
     pub lease: Mutex<Lease>,
     /// Replicas as this router uses them.
     pub replicas: Mutex<ReplicaTable>,
+    /// What all routers together meet at the replicas.
+    pub fleet: Mutex<FleetKnowledge>,
     /// Division of routes among services.
     pub splitter: Mutex<Splitter>,
     /// Counters.
@@ -118,6 +121,7 @@
             backend,
             view: ArcSwap::default(),
             replicas: Mutex::default(),
+            fleet: Mutex::default(),
             splitter: Mutex::default(),
             metrics: ProxyMetrics::default(),
             routers: AtomicU32::new(0),
--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -7,13 +7,14 @@
     time::Duration,
 };
 
-use railtack_serving::{ReplicaRecord, ServingConfiguration, StoreShape};
+use railtack_serving::{ReplicaKey, ReplicaRecord, ServingConfiguration, StoreShape};
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
     affinity::rendezvous,
     attempt::Target,
-    choice::{self, Candidate, RequestSize},
+    choice::{self, Candidate, RequestSize, SharedLoad},
+    fleet::FleetKnowledge,
     pipeline::RequestRun,
     replicas::ReplicaTable,
     state::lock,
@@ -89,10 +90,31 @@
     /// Replicas that may run the request and were not asked yet.
     fn ready<'a>(&'a self, view: &'a ServingView) -> Vec<&'a Arc<ReplicaRecord>> {
         let oldest = self.oldest_usable_weights();
-        view.ready(&self.service)
+        let ready: Vec<&Arc<ReplicaRecord>> = view
+            .ready(&self.service)
             .filter(|record| record.order.is_none() && !self.tried.contains(&record.id))
             .filter(|record| self.serves_model(record, oldest))
-            .collect()
+            .collect();
+        self.without_dark(ready)
+    }
+
+    /// Leaves out the replicas from which no router hears anything, so that all routers agree on
+    /// who stands in for them. If there are no others, they are asked all the same.
+    fn without_dark<'a>(&self, ready: Vec<&'a Arc<ReplicaRecord>>) -> Vec<&'a Arc<ReplicaRecord>> {
+        let fleet = lock(&self.state.fleet);
+        if !self.state.options.policy.shared_view || !fleet.is_current(Instant::now()) {
+            return ready;
+        }
+        let is_dark = |record: &Arc<ReplicaRecord>| {
+            let condition = fleet.condition(ReplicaKey::of(&record.id));
+            condition.is_some_and(|condition| condition.is_dark)
+        };
+        let lit: Vec<_> = ready
+            .iter()
+            .copied()
+            .filter(|record| !is_dark(record))
+            .collect();
+        if lit.is_empty() { ready } else { lit }
     }
 
     /// What is known of each replica that may be sent the request now.
@@ -107,9 +129,12 @@
         let policy = self.state.options.policy;
         let connection_limit = self.connection_limit(configuration);
         let capacity_tokens = self.capacity_tokens(configuration);
+        let fleet = lock(&self.state.fleet);
+        let shares_view = policy.shared_view && fleet.is_current(now);
         let mut offers = Vec::with_capacity(ready.len());
         for record in ready.iter().copied() {
             let usage = table.of(&record.id, now);
+            let shared = shares_view.then(|| shared_load(&fleet, record));
             let rests = policy.pauses && !usage.allows(now);
             if rests || !usage.pool.has_room(connection_limit) {
                 continue;
@@ -128,7 +153,7 @@
                 candidate.rank = rank_of(ranked, record);
             }
             offers.push(Offer {
-                candidate: usage.describe(candidate, policy, now),
+                candidate: usage.describe(candidate, policy, shared, now),
                 target: Target {
                     record: Arc::clone(record),
                     usage,
@@ -246,6 +271,15 @@
     }
 }
 
+/// What all routers have open at a replica; one that the digest leaves out is not in use.
+fn shared_load(fleet: &FleetKnowledge, record: &ReplicaRecord) -> SharedLoad {
+    let condition = fleet.condition(ReplicaKey::of(&record.id));
+    condition.map_or_else(SharedLoad::default, |condition| SharedLoad {
+        open_requests: u32::from(condition.open_requests),
+        unread_tokens: u64::from(condition.unread_tokens),
+    })
+}
+
 fn rank_of(ranked: &[&Arc<ReplicaRecord>], record: &ReplicaRecord) -> usize {
     ranked
         .iter()
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -5,16 +5,17 @@
 use railtack_proxy::{
     PromptSegment, PromptShape, StopPlan,
     affinity::{PrefixPath, SentPrefixes, rendezvous},
-    choice::{Candidate, RequestSize, choose},
+    choice::{Candidate, RequestSize, SharedLoad, choose},
     events::EventBuffer,
+    fleet::FleetKnowledge,
     health::{ExchangeEnd, Health},
     lease::Lease,
     named::NamedWeights,
     split::Splitter,
     verdict::{ExchangeFacts, ExchangeProof, NextStep, next_step, without_retry},
 };
-use railtack_rpc::serving::WatchReply;
-use railtack_serving::{RequestKind, Route, WeightedService};
+use railtack_rpc::serving::{FleetDigest, ReplicaCondition, WatchReply};
+use railtack_serving::{ReplicaKey, RequestKind, Route, WeightedService};
 use tokio::time::Instant;
 
 fn milliseconds(count: u64) -> Duration {
@@ -29,6 +30,7 @@
         members: Vec::new(),
         routers: 1,
         update: None,
+        fleet: None,
     }
 }
 
@@ -319,3 +321,78 @@
     assert!(!plan.takes(long, start + milliseconds(3_000)));
     assert!(plan.takes(start + milliseconds(5_000), start + milliseconds(3_000)));
 }
+
+/// One of three hundred routers sends a replica one request in a while; that it has one open there
+/// says nothing of how busy the replica is.
+#[test]
+fn a_shared_load_tells_more_than_a_routers_own_requests() {
+    let size = RequestSize {
+        prompt_tokens: 17_000,
+        shared_tokens: 13_300,
+        routers: 300,
+    };
+    let other = Candidate {
+        same_zone: true,
+        slots: 12,
+        capacity_tokens: 152_000,
+        rank: 1,
+        shared_load: Some(SharedLoad::default()),
+        ..Candidate::default()
+    };
+    let home = Candidate {
+        rank: 0,
+        open_requests: 1,
+        unread_tokens: 3_700,
+        shared_load: Some(SharedLoad {
+            open_requests: 4,
+            unread_tokens: 3_700,
+        }),
+        ..other
+    };
+    let chosen = |home| choose(&[other, home], size, 0).map(|(position, _)| position);
+    assert_eq!(chosen(home), Some(1));
+    // Without the shared view the router guesses from its own request, and leaves.
+    let guessed = Candidate {
+        shared_load: None,
+        ..home
+    };
+    let guessed_other = Candidate {
+        shared_load: None,
+        ..other
+    };
+    let position = choose(&[guessed_other, guessed], size, 0).map(|(position, _)| position);
+    assert_eq!(position, Some(0));
+    // Every slot is taken, and more wait.
+    let full = Candidate {
+        shared_load: Some(SharedLoad {
+            open_requests: 14,
+            unread_tokens: 60_000,
+        }),
+        ..home
+    };
+    assert_eq!(chosen(full), Some(0));
+}
+
+#[test]
+fn a_digest_is_gone_by_only_while_it_is_new() {
+    let start = Instant::now() + milliseconds(10_000);
+    let condition = |replica: &str, is_dark| ReplicaCondition {
+        replica: ReplicaKey::of(replica),
+        open_requests: 3,
+        unread_tokens: 500,
+        is_dark,
+    };
+    let digest = FleetDigest {
+        age_ms: 1_000,
+        replicas: vec![condition("a", false), condition("b", true)],
+    };
+    let mut fleet = FleetKnowledge::default();
+    assert!(!fleet.is_current(start));
+    assert_eq!(fleet.take(digest.clone(), start), Some(1));
+    assert_eq!(fleet.take(digest, start), None);
+    assert!(fleet.is_current(start + milliseconds(1_900)));
+    assert!(!fleet.is_current(start + milliseconds(2_100)));
+    let known = fleet.condition(ReplicaKey::of("a"));
+    assert_eq!(known.map(|condition| condition.open_requests), Some(3));
+    assert_eq!(fleet.condition(ReplicaKey::of("c")), None);
+}
--- a/crates/proxy/tests/entry.rs
+++ b/crates/proxy/tests/entry.rs
@@ -124,6 +124,7 @@
         members: Vec::new(),
         routers: 1,
         update: None,
+        fleet: None,
     };
     assert!(state.take_confirmation(&reply, Instant::now()));
 }
--- a/crates/rpc/src/serving.rs
+++ b/crates/rpc/src/serving.rs
@@ -1,7 +1,9 @@
 //! Messages about what routers serve from: documents, back-end replicas, weights, members.
 
 use railtack_consensus::{DiskId, LogIndex, ReplicaId};
-use railtack_serving::{HeldWeights, PendingOrder, ReplicaRecord, ServingConfiguration};
+use railtack_serving::{
+    HeldWeights, PendingOrder, ReplicaKey, ReplicaRecord, ServingConfiguration,
+};
 use speedy::{Readable, Writable};
 
 /// A whole configuration document as an operator sent it, with what it means.
@@ -79,6 +81,8 @@
     pub known: LogIndex,
     /// Time for which the answer may be held until something changes, milliseconds.
     pub wait_ms: u64,
+    /// What the router has met lately at back-end replicas.
+    pub sightings: Vec<ReplicaSighting>,
 }
 
 /// Answer to [`WatchRequest`].
@@ -97,6 +101,48 @@
     pub routers: u32,
     /// What changed; `None` if nothing did.
     pub update: Option<ServingUpdate>,
+    /// What all routers together meet at the replicas; `None` if it is not known, or too old.
+    pub fleet: Option<FleetDigest>,
+}
+
+/// What one router, or all routers that ask one control replica, have met at one back-end replica
+/// lately. Replicas that were not used are left out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct ReplicaSighting {
+    /// The replica.
+    pub replica: ReplicaKey,
+    /// Requests that are open there.
+    pub open_requests: u16,
+    /// Prompt tokens of those that have brought no event yet.
+    pub unread_tokens: u32,
+    /// Time since anything came from the replica, milliseconds; the largest value stands for any
+    /// longer time.
+    pub heard_ms: u16,
+    /// Routers to which it owes an answer and has sent nothing for a while, or that cannot reach
+    /// it.
+    pub waiting_in_vain: u16,
+}
+
+/// What all routers together meet at the back-end replicas.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct FleetDigest {
+    /// How long before this message it was made, milliseconds.
+    pub age_ms: u32,
+    /// Replicas that are in use or dark.
+    pub replicas: Vec<ReplicaCondition>,
+}
+
+/// One replica, as all routers together see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct ReplicaCondition {
+    /// The replica.
+    pub replica: ReplicaKey,
+    /// Requests that are open there.
+    pub open_requests: u16,
+    /// Prompt tokens of those that have brought no event yet.
+    pub unread_tokens: u32,
+    /// Whether nobody hears anything from it though several routers wait: no work is to be sent.
+    pub is_dark: bool,
 }
 
 /// What changed after a log position.
@@ -161,6 +207,10 @@
     pub replicas: Vec<String>,
     /// Names of the routers.
     pub routers: Vec<String>,
+    /// Internal address of the control replica that tells this.
+    pub sender: String,
+    /// What the routers that ask it have met, added up by replica.
+    pub sightings: Vec<ReplicaSighting>,
 }
 
 /// Answer to [`AliveNotice`].
@@ -168,4 +218,6 @@
 pub struct AliveReply {
     /// Routers that the leader knows to be alive.
     pub routers: u32,
+    /// What all routers together meet at the replicas.
+    pub fleet: Option<FleetDigest>,
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -18,5 +18,5 @@
 pub use errors::ConfigurationError;
 pub use lookup::{KeyOwner, RouteTable};
 pub use policy::Policy;
-pub use registry::{HeldWeights, PendingOrder, ReplicaRecord, ReplicaState};
+pub use registry::{HeldWeights, PendingOrder, ReplicaKey, ReplicaRecord, ReplicaState};
 pub use settings::{Bounds, FaultTolerance};
--- a/crates/serving/src/policy.rs
+++ b/crates/serving/src/policy.rs
@@ -20,6 +20,8 @@
     pub save_bound: bool,
     /// Open requests and unread prompts of this router count in the choice of a replica.
     pub own_load: bool,
+    /// What all routers together meet at the replicas counts in the choice of one.
+    pub shared_view: bool,
     /// Replicas of the router's zone are favoured.
     pub zone: bool,
     /// Replicas whose recent exchanges failed are avoided.
@@ -47,6 +49,7 @@
         save: true,
         save_bound: true,
         own_load: true,
+        shared_view: true,
         zone: true,
         failure_rate: true,
         pauses: true,
--- a/crates/serving/src/registry.rs
+++ b/crates/serving/src/registry.rs
@@ -29,6 +29,19 @@
     pub version: u64,
 }
 
+/// Names one life of a replica in figures that are told often: a hash of its identity. Two of a
+/// thousand replicas share one with a chance of one in ten thousand; then the load of both is
+/// counted for each, which costs a worse choice and nothing more.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
+pub struct ReplicaKey(pub u32);
+
+impl ReplicaKey {
+    /// The key of a replica's identity.
+    pub fn of(replica: &str) -> Self {
+        Self(xxhash_rust::xxh3::xxh3_64(replica.as_bytes()) as u32)
+    }
+}
+
 /// One life of a back-end replica.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct ReplicaRecord {
