Fetch what a replica lacks from the one that is presumed to keep it

Cause: every replica was told to fetch from the store, whose link is shared by all: on Quarrybrook large it carries a tenth of the shared tokens that are asked for. Change: a replica that stands in for the favoured one fetches from that; one that comes back with an empty memory from the one that stood in for it; the store is asked otherwise.

--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -15,6 +15,7 @@
     attempt::Target,
     choice::{self, Candidate, RequestSize, SharedLoad},
     fleet::FleetKnowledge,
+    holder::{self, Place},
     pipeline::RequestRun,
     replicas::ReplicaTable,
     state::lock,
@@ -28,6 +29,9 @@
 /// Connections that a router may open to one replica if the configuration states no limit.
 const DEFAULT_CONNECTIONS: u32 = 32;
 
+/// Replicas, in the order of favour, among which the one that keeps a prompt is looked for.
+const HOLDERS_LOOKED_AT: usize = 4;
+
 /// A replica that may be sent the request, and what speaks for and against it.
 struct Offer {
     candidate: Candidate,
@@ -72,9 +76,9 @@
             mut target,
         } = offers.swap_remove(position);
         let store = self.store(configuration);
-        target.fetch_from = store
-            .map(|store| store.address.clone())
-            .or_else(|| self.fetch_source(&ranked, &mut table, &target.record))
+        target.fetch_from = self
+            .holder(&ranked, &mut table, &target.record)
+            .or_else(|| store.map(|store| store.address.clone()))
             .filter(|_| self.state.options.policy.fetch);
         drop(table);
         target.save_to = store
@@ -199,9 +203,10 @@
         ranked
     }
 
-    /// The replica that all routers favour, if another one was chosen and it has the same weights:
-    /// it is likely to keep what the chosen one lacks. A replica that lacks nothing does not ask it.
-    fn fetch_source(
+    /// The replica that is presumed to keep what the chosen one lacks: the one that all routers
+    /// favour, or, if that one is chosen and was empty not long ago, the one that stood in for it.
+    /// `None` if the chosen one is presumed to keep it itself.
+    fn holder(
         &self,
         ranked: &[&Arc<ReplicaRecord>],
         table: &mut ReplicaTable,
@@ -211,13 +216,23 @@
             return None;
         }
         let model = &self.request.prompt.as_ref()?.model;
-        let favoured = ranked.first()?;
-        let usable = favoured.id != chosen.id
-            && favoured.version_of(model) == chosen.version_of(model)
-            && table
-                .of(&favoured.id, Instant::now())
-                .allows(Instant::now());
-        usable.then(|| favoured.address.clone())
+        let now = Instant::now();
+        let places: Vec<Place> = ranked
+            .iter()
+            .take(HOLDERS_LOOKED_AT)
+            .map(|record| {
+                let usage = table.of(&record.id, now);
+                Place {
+                    is_chosen: record.id == chosen.id,
+                    is_usable: record.version_of(model) == chosen.version_of(model)
+                        && usage.allows(now),
+                    emptied_at: usage.emptied_at(),
+                }
+            })
+            .collect();
+        let reuse_window = Duration::from_millis(self.state.options.bounds.reuse_window_ms);
+        let position = holder::presumed_holder(&places, reuse_window, now)?;
+        Some(ranked[position].address.clone())
     }
 
     /// Whether the store is to keep the prompt. What the replica was sent before was saved then.
