Bound saves by what all stores hold together

Cause: prompts are spread over all stores of a deployment (6 on the large ones, 3 on the grown ones), but a router's allowance of saves followed from one of them. Change: it follows from their sum.

--- a/crates/proxy/src/saves.rs
+++ b/crates/proxy/src/saves.rs
@@ -21,9 +21,9 @@
 /// What the allowance follows from.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StoreRoom {
-    /// Tokens that the store holds; 0 if not stated, which bounds nothing.
+    /// Tokens that all stores hold together; 0 if not stated, which bounds nothing.
     pub capacity_tokens: u64,
-    /// Routers that save to it.
+    /// Routers that save to them.
     pub routers: u32,
     /// Time in which a part is usually asked for again.
     pub reuse_window: Duration,
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -220,7 +220,7 @@
         self.with_budget(service, |budget| budget.spend(routers, Instant::now()))
     }
 
-    /// Whether a prompt is sent to a store that holds `capacity_tokens`.
+    /// Whether a prompt is sent to its store; all stores together hold `capacity_tokens`.
     pub fn takes_save(&self, path: &PrefixPath, capacity_tokens: u64) -> bool {
         let policy = self.options.policy;
         let room = StoreRoom {
--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -82,7 +82,7 @@
             .filter(|_| self.state.options.policy.fetch);
         drop(table);
         target.save_to = store
-            .filter(|store| self.is_saved(target.kept_tokens, store))
+            .filter(|_| self.is_saved(target.kept_tokens, configuration))
             .map(|store| store.address.clone());
         self.log.chose(&target, &candidate, cost, view.known);
         self.log.prefix = self.path.key().unwrap_or_default();
@@ -236,17 +236,19 @@
     }
 
     /// Whether the store is to keep the prompt. What the replica was sent before was saved then.
-    fn is_saved(&self, kept_tokens: u64, store: &StoreShape) -> bool {
+    /// Prompts are spread over all stores, so what they hold together bounds the saves.
+    fn is_saved(&self, kept_tokens: u64, configuration: &ServingConfiguration) -> bool {
+        let capacity_tokens = stores(configuration)
+            .map(|store| store.capacity_tokens)
+            .sum();
         kept_tokens < self.path.shared_tokens()
-            && self.state.takes_save(&self.path, store.capacity_tokens)
+            && self.state.takes_save(&self.path, capacity_tokens)
     }
 
     /// The store for this prompt's beginning; the same in every router.
     fn store<'a>(&self, configuration: &'a ServingConfiguration) -> Option<&'a StoreShape> {
         let key = self.path.key()?;
-        let stores = configuration.services.iter();
-        let stores = stores.filter_map(|service| service.store.as_ref());
-        stores.max_by_key(|store| rendezvous(key, &store.address))
+        stores(configuration).max_by_key(|store| rendezvous(key, &store.address))
     }
 
     fn capacity_tokens(&self, configuration: &ServingConfiguration) -> u64 {
@@ -286,6 +288,11 @@
     }
 }
 
+fn stores(configuration: &ServingConfiguration) -> impl Iterator<Item = &StoreShape> {
+    let services = configuration.services.iter();
+    services.filter_map(|service| service.store.as_ref())
+}
+
 /// What all routers have open at a replica; one that the digest leaves out is not in use.
 fn shared_load(fleet: &FleetKnowledge, record: &ReplicaRecord) -> SharedLoad {
     let condition = fleet.condition(ReplicaKey::of(&record.id));
