--- a/crates/control/src/serving/fleet.rs
+++ b/crates/control/src/serving/fleet.rs
@@ -155,8 +155,8 @@
             let sighting = sightings.get(&replica.key);
             let since = before.get(&replica.key).copied();
             let stays = since.is_some_and(|since| {
-                let is_over = now >= since + heartbeat * DARK_HEARTBEATS;
-                !heard(sighting) && !(is_over && replica.is_alive)
+                let left_alone = now < since + heartbeat * DARK_HEARTBEATS;
+                !heard(sighting) && (left_alone || !replica.is_alive)
             });
             let limit = replicas[replica.service] / FEWEST_REPLICAS_PER_DARK;
             let count = dark_of.entry(replica.service).or_default();
--- a/crates/control/src/serving/watch.rs
+++ b/crates/control/src/serving/watch.rs
@@ -5,7 +5,6 @@
     time::Duration,
 };
 
-use railtack_consensus::LogIndex;
 use railtack_rpc::serving::{WatchReply, WatchRequest};
 use railtack_serving::Bounds;
 use tokio::time::{Instant, sleep, timeout_at};
