Fetch only from the favoured replica; revert the fetch from a stand-in

Cause: a replica that came back with an empty memory was told to fetch from the one that had stood in for it. Where all load weights one after the other that one has little, and the store, to which every replica saves, has more. Change: the favoured replica is asked by those that stand in for it; all others ask the store.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,7 +11,6 @@
 //! | taken now, later, or refused? | [`entry`] | |
 //! | which service? | [`split`] | yes |
 //! | which replica? | [`choice`], with [`affinity`], [`health`] and [`named`] | yes |
-//! | who keeps what it lacks? | [`holder`] | yes |
 //! | what do all routers meet there? | [`fleet`] | yes |
 //! | is its prompt sent to the store? | [`saves`] | yes |
 //! | may it be tried again? | [`verdict`], [`budget`] | yes |
@@ -33,7 +32,6 @@
 pub mod events;
 pub mod fleet;
 pub mod health;
-pub mod holder;
 pub mod lease;
 pub mod metrics;
 pub mod named;
--- a/crates/proxy/src/replicas.rs
+++ b/crates/proxy/src/replicas.rs
@@ -32,9 +32,6 @@
     pub pool: Pool,
     load: Mutex<Load>,
     heard_at: Mutex<Instant>,
-    /// When its memory was last known to be empty: it started, or took new weights. `None` if that
-    /// was before this router knew it.
-    emptied_at: Mutex<Option<Instant>>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -57,20 +54,9 @@
                 health: Health::new(now),
             }),
             heard_at: Mutex::new(now),
-            emptied_at: Mutex::new(None),
         }
     }
 
-    /// Notes that the replica's memory is empty.
-    fn note_emptied(&self, now: Instant) {
-        *lock(&self.emptied_at) = Some(now);
-    }
-
-    /// When its memory was last known to be empty.
-    pub fn emptied_at(&self) -> Option<Instant> {
-        *lock(&self.emptied_at)
-    }
-
     /// Notes that something came from the replica, on any connection.
     pub fn note_heard(&self, now: Instant) {
         *lock(&self.heard_at) = now;
@@ -224,20 +210,10 @@
         self.sent.note(replica, path, now);
     }
 
-    /// Forgets replicas that are gone, and what those keep that were given new weights; notes which
-    /// start with an empty memory.
-    pub fn follow(&mut self, before: &ServingView, after: &ServingView, now: Instant) {
+    /// Forgets replicas that are gone, and what those keep that were given new weights.
+    pub fn follow(&mut self, before: &ServingView, after: &ServingView) {
         self.uses
             .retain(|replica, _| after.replicas.contains_key(replica));
-        // Nothing is known of the replicas that a router finds when it starts.
-        if before.known > 0 {
-            for (replica, record) in &after.replicas {
-                let known = before.replicas.get(replica);
-                if known.is_none_or(|known| known.weights != record.weights) {
-                    self.of(replica, now).note_emptied(now);
-                }
-            }
-        }
         for (replica, record) in &before.replicas {
             let kept = after
                 .replicas
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -136,7 +136,7 @@
     /// Replaces the view by a newer one.
     pub fn set_view(&self, next: ServingView) {
         let before = self.view.load_full();
-        lock(&self.replicas).follow(&before, &next, Instant::now());
+        lock(&self.replicas).follow(&before, &next);
         lock(&self.named).learn(&next.weights, Instant::now());
         let known = next.known;
         self.metrics
--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -15,7 +15,6 @@
     attempt::Target,
     choice::{self, Candidate, RequestSize, SharedLoad},
     fleet::FleetKnowledge,
-    holder::{self, Place},
     pipeline::RequestRun,
     replicas::ReplicaTable,
     state::lock,
@@ -29,9 +28,6 @@
 /// Connections that a router may open to one replica if the configuration states no limit.
 const DEFAULT_CONNECTIONS: u32 = 32;
 
-/// Replicas, in the order of favour, among which the one that keeps a prompt is looked for.
-const HOLDERS_LOOKED_AT: usize = 4;
-
 /// A replica that may be sent the request, and what speaks for and against it.
 struct Offer {
     candidate: Candidate,
@@ -77,7 +73,7 @@
         } = offers.swap_remove(position);
         let store = self.store(configuration);
         target.fetch_from = self
-            .holder(&ranked, &mut table, &target.record)
+            .favoured_holder(&ranked, &mut table, &target.record)
             .or_else(|| store.map(|store| store.address.clone()))
             .filter(|_| self.state.options.policy.fetch);
         drop(table);
@@ -203,10 +199,10 @@
         ranked
     }
 
-    /// The replica that is presumed to keep what the chosen one lacks: the one that all routers
-    /// favour, or, if that one is chosen and was empty not long ago, the one that stood in for it.
-    /// `None` if the chosen one is presumed to keep it itself.
-    fn holder(
+    /// The replica that all routers favour, if another one was chosen and it has the same weights:
+    /// it is likely to keep what the chosen one lacks. The link of a store serves all replicas; what
+    /// they can hand to each other does not burden it.
+    fn favoured_holder(
         &self,
         ranked: &[&Arc<ReplicaRecord>],
         table: &mut ReplicaTable,
@@ -216,23 +212,12 @@
             return None;
         }
         let model = &self.request.prompt.as_ref()?.model;
+        let favoured = ranked.first()?;
         let now = Instant::now();
-        let places: Vec<Place> = ranked
-            .iter()
-            .take(HOLDERS_LOOKED_AT)
-            .map(|record| {
-                let usage = table.of(&record.id, now);
-                Place {
-                    is_chosen: record.id == chosen.id,
-                    is_usable: record.version_of(model) == chosen.version_of(model)
-                        && usage.allows(now),
-                    emptied_at: usage.emptied_at(),
-                }
-            })
-            .collect();
-        let reuse_window = Duration::from_millis(self.state.options.bounds.reuse_window_ms);
-        let position = holder::presumed_holder(&places, reuse_window, now)?;
-        Some(ranked[position].address.clone())
+        let usable = favoured.id != chosen.id
+            && favoured.version_of(model) == chosen.version_of(model)
+            && table.of(&favoured.id, now).allows(now);
+        usable.then(|| favoured.address.clone())
     }
 
     /// Whether the store is to keep the prompt. What the replica was sent before was saved then.
