Let a prompt spread only as far as its favoured replicas are full

Cause: of three favoured replicas 42 in 100 long prompts took the second or third, each a copy in a memory that holds hardly more than is in use. Change: two to choose among, and one more than those whose slots are all taken. Test: a_prompt_spreads_only_as_far_as_its_favoured_replicas_are_full.

--- a/crates/proxy/src/choice.rs
+++ b/crates/proxy/src/choice.rs
@@ -23,7 +23,7 @@
 const BUSY_POWER: i32 = 3;
 
 /// Replicas that are favoured most for a prompt, among which the shared load decides.
-const FAVOURED_CHOICES: usize = 3;
+const FAVOURED_CHOICES: usize = 2;
 /// Replicas of any zone that are drawn for a request without a prompt.
 const DRAWN_CHOICES: usize = 2;
 
@@ -73,13 +73,14 @@
 /// Position of the cheapest candidate, and its cost.
 pub fn choose(candidates: &[Candidate], size: RequestSize, seed: u64) -> Option<(usize, f64)> {
     let count = candidates.len();
+    let ranks = favoured_ranks(candidates);
     let offers = candidates
         .iter()
         .enumerate()
         .map(|(position, candidate)| Offer {
             position,
             turn: turn(position, count, seed),
-            is_considered: is_considered(candidate, turn(position, count, seed), size),
+            is_considered: is_considered(candidate, ranks, turn(position, count, seed), size),
             cost: cost(candidate, size),
         });
     let cheapest = offers.min_by(|left, right| {
@@ -102,17 +103,36 @@
 /// routers have the same figures, a second old: if each took the least busy replica of all, all
 /// would take the same one. A prompt chooses among the replicas that are favoured most for it,
 /// which differ from prompt to prompt; other requests among their zone's and a few drawn ones.
-fn is_considered(candidate: &Candidate, turn: usize, size: RequestSize) -> bool {
+fn is_considered(
+    candidate: &Candidate,
+    favoured_ranks: usize,
+    turn: usize,
+    size: RequestSize,
+) -> bool {
     if candidate.shared_load.is_none() {
         return true;
     }
     if size.shared_tokens > 0 {
-        candidate.rank < FAVOURED_CHOICES
+        candidate.rank < favoured_ranks
     } else {
         candidate.same_zone || turn < DRAWN_CHOICES
     }
 }
 
+/// Ranks among which the shared load decides: the first few, and one more than those that are full,
+/// so that a prompt that is asked for very often spreads as far as it must.
+fn favoured_ranks(candidates: &[Candidate]) -> usize {
+    let free = candidates.iter().filter(|candidate| !is_full(candidate));
+    let first_free = free.map(|candidate| candidate.rank).min();
+    first_free.map_or(usize::MAX, |rank| (rank + 1).max(FAVOURED_CHOICES))
+}
+
+/// Whether all slots are taken by what all routers have open there.
+fn is_full(candidate: &Candidate) -> bool {
+    let open = candidate.shared_load.map_or(0, |load| load.open_requests);
+    open >= candidate.slots
+}
+
 fn turn(position: usize, count: usize, seed: u64) -> usize {
     (position + (seed % count.max(1) as u64) as usize) % count.max(1)
 }
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -373,6 +373,38 @@
     assert_eq!(chosen(full), Some(0));
 }
 
+/// All routers have the same figures: if each took the least busy replica of all, all would take
+/// the same one. A prompt goes beyond the replicas favoured most for it only where those are full.
+#[test]
+fn a_prompt_spreads_only_as_far_as_its_favoured_replicas_are_full() {
+    let size = RequestSize {
+        prompt_tokens: 400,
+        shared_tokens: 100,
+        routers: 300,
+    };
+    let replica = |rank, open_requests| Candidate {
+        same_zone: true,
+        slots: 12,
+        capacity_tokens: 152_000,
+        rank,
+        shared_load: Some(SharedLoad {
+            open_requests,
+            unread_tokens: 0,
+        }),
+        ..Candidate::default()
+    };
+    let rank_chosen = |loads: &[u32]| {
+        let loads = loads.iter().enumerate();
+        let candidates: Vec<Candidate> = loads.map(|(rank, open)| replica(rank, *open)).collect();
+        choose(&candidates, size, 0).map(|(position, _)| position)
+    };
+    // The fourth is idle, and stays out of it while the first ones have room.
+    assert_eq!(rank_chosen(&[10, 11, 11, 0]), Some(0));
+    assert_eq!(rank_chosen(&[14, 11, 11, 0]), Some(1));
+    assert_eq!(rank_chosen(&[14, 14, 14, 0]), Some(3));
+    assert!(rank_chosen(&[14, 14, 14, 14]).is_some());
+}
+
 #[test]
 fn a_digest_is_gone_by_only_while_it_is_new() {
     let start = Instant::now() + milliseconds(10_000);
