Wait for a busy replica if any router has heard from it

Change: the digest tells when any router last heard from a replica; that counts as well. Ruled out: dark replicas (told 2.0 s after they went; nobody hears from them, so they are not waited for longer). Test: a_digest_is_gone_by_only_while_it_is_new.

--- a/crates/control/src/serving/fleet.rs
+++ b/crates/control/src/serving/fleet.rs
@@ -107,6 +107,7 @@
                 replica: replica.key,
                 open_requests: sighting.map_or(0, |met| met.open_requests),
                 unread_tokens: sighting.map_or(0, |met| met.unread_tokens),
+                heard_ms: sighting.map_or(u16::MAX, |met| met.heard_ms),
                 is_dark,
             })
         });
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hyper::{Response, body::Incoming, http::response};
 use railtack_http::read_body;
-use railtack_serving::ReplicaRecord;
+use railtack_serving::{ReplicaKey, ReplicaRecord};
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
@@ -13,7 +13,7 @@
     health::ExchangeEnd,
     pool::{Connection, NoConnection},
     replicas::ReplicaUse,
-    state::ProxyState,
+    state::{ProxyState, lock},
     verdict::ExchangeProof,
 };
 
@@ -113,7 +113,7 @@
             .try_send_request(state.backend.encode(dispatch));
         tokio::pin!(sent);
         let mut answered = timeout_at(head_due.due, &mut sent).await;
-        if answered.is_err() && target.usage.heard_since(sent_at) {
+        if answered.is_err() && was_heard(state, target, sent_at) {
             answered = timeout_at(head_due.if_heard, &mut sent).await;
         }
         match answered {
@@ -135,6 +135,14 @@
     ))
 }
 
+/// Whether anything came from the replica since `sent_at`, to this router or to another one: it is
+/// busy, not gone. One of hundreds of routers seldom has a second request there that would tell.
+fn was_heard(state: &ProxyState, target: &Target, sent_at: Instant) -> bool {
+    let replica = ReplicaKey::of(&target.record.id);
+    target.usage.heard_since(sent_at)
+        || (state.options.policy.shared_view && lock(&state.fleet).heard_since(replica, sent_at))
+}
+
 async fn connect(target: &Target, must_not_be_lost: bool) -> Result<Connection, FailedExchange> {
     let unreachable = || FailedExchange::not_run(Some(ExchangeEnd::Unreachable), "unreachable");
     let address = target.record.address.parse().map_err(|_| unreachable())?;
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -49,6 +49,15 @@
         self.conditions.get(&replica)
     }
 
+    /// Whether some router heard from a replica after `since`, as far as the digest tells.
+    pub fn heard_since(&self, replica: ReplicaKey, since: Instant) -> bool {
+        let heard_at = self.made_at.and_then(|made_at| {
+            let heard_ms = self.condition(replica)?.heard_ms;
+            made_at.checked_sub(Duration::from_millis(u64::from(heard_ms)))
+        });
+        heard_at.is_some_and(|heard_at| heard_at > since)
+    }
+
     fn dark(&self) -> usize {
         self.conditions
             .values()
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -412,6 +412,7 @@
         replica: ReplicaKey::of(replica),
         open_requests: 3,
         unread_tokens: 500,
+        heard_ms: 200,
         is_dark,
     };
     let digest = FleetDigest {
@@ -427,4 +428,9 @@
     let known = fleet.condition(ReplicaKey::of("a"));
     assert_eq!(known.map(|condition| condition.open_requests), Some(3));
     assert_eq!(fleet.condition(ReplicaKey::of("c")), None);
+    // Made a second ago, when somebody had heard from it 200 ms before.
+    let heard = |replica| ReplicaKey::of(replica);
+    assert!(fleet.heard_since(heard("a"), start - milliseconds(1_300)));
+    assert!(!fleet.heard_since(heard("a"), start - milliseconds(1_100)));
+    assert!(!fleet.heard_since(heard("c"), start - milliseconds(9_000)));
 }
--- a/crates/rpc/src/serving.rs
+++ b/crates/rpc/src/serving.rs
@@ -141,6 +141,9 @@
     pub open_requests: u16,
     /// Prompt tokens of those that have brought no event yet.
     pub unread_tokens: u32,
+    /// Time between the last sign of it that any router had and the making of the digest,
+    /// milliseconds; the largest value stands for any longer time.
+    pub heard_ms: u16,
     /// Whether nobody hears anything from it though several routers wait: no work is to be sent.
     pub is_dark: bool,
 }
