--- a/crates/consensus/tests/convergence.rs
+++ b/crates/consensus/tests/convergence.rs
@@ -1,15 +1,18 @@
 //! Members that are slow, silent for a while, or lose messages reach the leader's state soon after
 //! the network is calm again.
 
+mod support;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use quickcheck::quickcheck;
 use railtack_consensus::{
-    DiskId, LogIndex, Member, Membership, Message, Millis, Raft, RaftOptions, Recovered, ReplicaId,
-    Role, Snapshot,
+    DiskId, LogIndex, Membership, Message, Millis, Raft, RaftOptions, Recovered, ReplicaId, Role,
+    Snapshot,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use support::member;
 
 const MEMBERS: u32 = 5;
 /// Time after the last disturbance in which every member must have applied everything: an election,
@@ -17,15 +20,6 @@
 const CALM: Millis = 4_000;
 const STEP: Millis = 5;
 
-fn member(number: u32, voter: bool) -> Member {
-    Member {
-        replica: ReplicaId(number),
-        disk: DiskId(u64::from(number)),
-        address: String::new(),
-        voter,
-    }
-}
-
 fn start(number: u32) -> Raft {
     let founder = number == 1;
     let snapshot = Snapshot {
--- a/crates/consensus/tests/raft.rs
+++ b/crates/consensus/tests/raft.rs
@@ -1,23 +1,17 @@
 //! The replicated log by itself: elections, quorums, members and disk identities.
 
+mod support;
+
 use std::collections::BTreeMap;
 
 use railtack_consensus::{
-    Body, DiskId, LogIndex, Member, Membership, Message, Millis, ProposeError, Raft, RaftOptions,
+    Body, DiskId, LogIndex, Membership, Message, Millis, ProposeError, Raft, RaftOptions,
     Recovered, ReplicaId, Role, Snapshot,
 };
+use support::member;
 
 const ELECTION_TIMEOUT: Millis = 300;
 
-fn member(number: u32, voter: bool) -> Member {
-    Member {
-        replica: ReplicaId(number),
-        disk: DiskId(u64::from(number)),
-        address: String::new(),
-        voter,
-    }
-}
-
 fn membership(voters: u32) -> Membership {
     Membership {
         members: (1..=voters).map(|number| member(number, true)).collect(),
