Compare candidates without doing work twice; ask for a current digest in one place

Change: one computation, ProxyState::current_fleet, Compared in choice.rs, a comment that points to docs/EXPERIMENTS.md. FleetKnowledge::age, which nothing else used, is gone. Behaviour is the same; the tests are unchanged and pass.

--- a/crates/proxy/src/choice.rs
+++ b/crates/proxy/src/choice.rs
@@ -74,16 +74,16 @@
 pub fn choose(candidates: &[Candidate], size: RequestSize, seed: u64) -> Option<(usize, f64)> {
     let count = candidates.len();
     let ranks = favoured_ranks(candidates);
-    let offers = candidates
-        .iter()
-        .enumerate()
-        .map(|(position, candidate)| Offer {
+    let compared = candidates.iter().enumerate().map(|(position, candidate)| {
+        let turn = turn(position, count, seed);
+        Compared {
             position,
-            turn: turn(position, count, seed),
-            is_considered: is_considered(candidate, ranks, turn(position, count, seed), size),
+            turn,
+            is_considered: is_considered(candidate, ranks, turn, size),
             cost: cost(candidate, size),
-        });
-    let cheapest = offers.min_by(|left, right| {
+        }
+    });
+    let cheapest = compared.min_by(|left, right| {
         let considered = right.is_considered.cmp(&left.is_considered);
         let cost = left.cost.total_cmp(&right.cost);
         considered.then(cost).then(left.turn.cmp(&right.turn))
@@ -91,8 +91,8 @@
     Some((cheapest.position, cheapest.cost))
 }
 
-/// A candidate as it is compared with others.
-struct Offer {
+/// What decides between a candidate and others.
+struct Compared {
     position: usize,
     turn: usize,
     is_considered: bool,
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -36,12 +36,8 @@
 
     /// Whether the digest is new enough to go by.
     pub fn is_current(&self, now: Instant) -> bool {
-        self.age(now).is_some_and(|age| age < DIGEST_KEPT)
-    }
-
-    /// Age of the digest; `None` if there is none.
-    pub fn age(&self, now: Instant) -> Option<Duration> {
-        Some(now.saturating_duration_since(self.made_at?))
+        self.made_at
+            .is_some_and(|made_at| now.saturating_duration_since(made_at) < DIGEST_KEPT)
     }
 
     /// What is known of a replica; one that nobody uses has nothing open.
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -177,6 +177,12 @@
         gained
     }
 
+    /// What all routers together meet at the replicas, if it is new enough to go by.
+    pub fn current_fleet(&self, now: Instant) -> Option<MutexGuard<'_, FleetKnowledge>> {
+        let fleet = lock(&self.fleet);
+        (self.options.policy.shared_view && fleet.is_current(now)).then_some(fleet)
+    }
+
     /// Whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         self.is_confirmed() && self.stop_plan().is_none()
--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -29,8 +29,8 @@
 const DEFAULT_CONNECTIONS: u32 = 32;
 
 /// Routers from which on a replica's load is taken from what all of them meet. A router that sees a
-/// good part of the traffic knows more from its own requests, which are newer: with 7 or 8 routers
-/// their own view was worth 0.05 more on Kochi, with 291 the shared one 0.10 on Quarrybrook.
+/// good part of the traffic knows more from its own requests, which are newer: its own view was worth
+/// more with 7 or 8 routers, the shared one with 291 (`docs/EXPERIMENTS.md`); between is not measured.
 const FEWEST_ROUTERS_FOR_SHARED_LOAD: u32 = 20;
 
 /// A replica that may be sent the request, and what speaks for and against it.
@@ -106,10 +106,9 @@
     /// Leaves out the replicas from which no router hears anything, so that all routers agree on
     /// who stands in for them. If there are no others, they are asked all the same.
     fn without_dark<'a>(&self, ready: Vec<&'a Arc<ReplicaRecord>>) -> Vec<&'a Arc<ReplicaRecord>> {
-        let fleet = lock(&self.state.fleet);
-        if !self.state.options.policy.shared_view || !fleet.is_current(Instant::now()) {
+        let Some(fleet) = self.state.current_fleet(Instant::now()) else {
             return ready;
-        }
+        };
         let is_dark = |record: &Arc<ReplicaRecord>| {
             let condition = fleet.condition(ReplicaKey::of(&record.id));
             condition.is_some_and(|condition| condition.is_dark)
@@ -134,14 +133,14 @@
         let policy = self.state.options.policy;
         let connection_limit = self.connection_limit(configuration);
         let capacity_tokens = self.capacity_tokens(configuration);
-        let fleet = lock(&self.state.fleet);
-        let shares_view = policy.shared_view
-            && fleet.is_current(now)
-            && self.routers() >= FEWEST_ROUTERS_FOR_SHARED_LOAD;
+        let fleet = self
+            .state
+            .current_fleet(now)
+            .filter(|_| self.routers() >= FEWEST_ROUTERS_FOR_SHARED_LOAD);
         let mut offers = Vec::with_capacity(ready.len());
         for record in ready.iter().copied() {
             let usage = table.of(&record.id, now);
-            let shared = shares_view.then(|| shared_load(&fleet, record));
+            let shared = fleet.as_ref().map(|fleet| shared_load(fleet, record));
             let rests = policy.pauses && !usage.allows(now);
             if rests || !usage.pool.has_room(connection_limit) {
                 continue;
