--- a/crates/consensus/tests/convergence.rs
+++ b/crates/consensus/tests/convergence.rs
@@ -158,7 +158,7 @@
         }
     }
 
-    fn commits(&self) -> BTreeMap<ReplicaId, LogIndex> {
+    fn applied(&self) -> BTreeMap<ReplicaId, LogIndex> {
         let replicas = self.replicas.iter();
         replicas
             .map(|(id, raft)| (*id, raft.applied_index()))
@@ -203,7 +203,7 @@
     let Some(commit) = world.leader().map(|leader| leader.commit_index()) else {
         return false;
     };
-    world.commits().values().all(|applied| *applied == commit)
+    world.applied().values().all(|applied| *applied == commit)
 }
 
 quickcheck! {
--- a/crates/control/src/serving/fleet.rs
+++ b/crates/control/src/serving/fleet.rs
@@ -10,11 +10,12 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use railtack_rpc::serving::{FleetDigest, ReplicaCondition, ReplicaSighting};
 use railtack_serving::ReplicaKey;
+use tokio::time::Instant;
 
 /// Age at which what a router or a control replica told counts no more. Both tell about twice a
 /// second.
@@ -142,12 +143,11 @@
         heartbeat: Duration,
         now: Instant,
     ) -> Vec<DarkChange> {
-        let before = self.dark.clone();
+        let before = std::mem::take(&mut self.dark);
         let mut replicas: BTreeMap<&str, usize> = BTreeMap::new();
         for replica in known {
             *replicas.entry(replica.service).or_default() += 1;
         }
-        let mut dark_now = BTreeMap::new();
         let mut dark_of: BTreeMap<&str, usize> = BTreeMap::new();
         // Those that were dark before come first, so that the bounded share does not wander.
         let mut in_order: Vec<&KnownReplica<'_>> = known.iter().collect();
@@ -163,26 +163,29 @@
             let count = dark_of.entry(replica.service).or_default();
             if (stays || sighting.is_some_and(seems_dark)) && *count < limit {
                 *count += 1;
-                dark_now.insert(replica.key, since.unwrap_or(now));
+                self.dark.insert(replica.key, since.unwrap_or(now));
             }
         }
-        self.dark = dark_now;
-        let changed = |replica: &&KnownReplica<'_>| {
-            before.contains_key(&replica.key) != self.dark.contains_key(&replica.key)
-        };
-        known
-            .iter()
-            .filter(changed)
-            .map(|replica| DarkChange {
-                replica: replica.key,
-                is_dark: self.dark.contains_key(&replica.key),
-                sighting: sightings
-                    .get(&replica.key)
-                    .copied()
-                    .unwrap_or_else(|| unseen(replica.key)),
-            })
+        let keys = known.iter().map(|replica| replica.key);
+        keys.filter_map(|replica| self.change(&before, sightings, replica))
             .collect()
     }
+
+    /// The change of belief about one replica since `before`, if there was one.
+    fn change(
+        &self,
+        before: &BTreeMap<ReplicaKey, Instant>,
+        sightings: &BTreeMap<ReplicaKey, ReplicaSighting>,
+        replica: ReplicaKey,
+    ) -> Option<DarkChange> {
+        let is_dark = self.dark.contains_key(&replica);
+        let sighting = sightings.get(&replica).copied();
+        (before.contains_key(&replica) != is_dark).then(|| DarkChange {
+            replica,
+            is_dark,
+            sighting: sighting.unwrap_or_else(|| unseen(replica)),
+        })
+    }
 }
 
 fn is_fresh(report: &Report, now: Instant) -> bool {
--- a/crates/control/src/serving/liveness.rs
+++ b/crates/control/src/serving/liveness.rs
@@ -89,8 +89,8 @@
         let now = Instant::now();
         let fleet = {
             let mut fleet = self.fleet();
-            fleet.take_control(notice.sender, notice.sightings, now.into_std());
-            fleet.digest(now.into_std())
+            fleet.take_control(notice.sender, notice.sightings, now);
+            fleet.digest(now)
         };
         let mut heard = self.lock();
         for replica in notice.replicas {
@@ -113,13 +113,13 @@
 
     /// Notes that a router asked, and what it has met at the replicas.
     pub fn take_sightings(&self, router: &str, sightings: Vec<ReplicaSighting>) {
-        let now = std::time::Instant::now();
+        let now = Instant::now();
         self.fleet().take_router(router, sightings, now);
     }
 
     /// What all routers together meet at the replicas.
     pub fn fleet_digest(&self) -> Option<FleetDigest> {
-        self.fleet().digest(std::time::Instant::now())
+        self.fleet().digest(Instant::now())
     }
 
     /// While leading: makes the digest for all routers.
@@ -139,7 +139,7 @@
             });
             known.collect()
         };
-        let changes = self.fleet().make_digest(&known, heartbeat, now.into_std());
+        let changes = self.fleet().make_digest(&known, heartbeat, now);
         for change in changes {
             let replica = view
                 .serving
@@ -161,7 +161,7 @@
     }
 
     fn notice(&self, sender: &str) -> AliveNotice {
-        let sightings = self.fleet().own_sightings(std::time::Instant::now());
+        let sightings = self.fleet().own_sightings(Instant::now());
         let mut heard = self.lock();
         heard.leading_since = None;
         let recent = |at: &Instant| at.elapsed() < TOLD_FOR;
@@ -250,9 +250,7 @@
             .await;
         if let Ok(reply) = reply {
             liveness.lock().routers_of_leader = reply.routers;
-            liveness
-                .fleet()
-                .take_digest(reply.fleet, std::time::Instant::now());
+            liveness.fleet().take_digest(reply.fleet, Instant::now());
         }
     }
 }
--- a/crates/control/src/serving_state.rs
+++ b/crates/control/src/serving_state.rs
@@ -161,11 +161,7 @@
         });
         // The same heartbeat may be recorded several times: it reaches several control replicas,
         // and a proposal whose answer is late is made again. Only the first is told to routers.
-        if self
-            .replicas
-            .get(&record.id)
-            .is_some_and(|known| says_same(known, &record))
-        {
+        if self.replicas.get(&record.id) == Some(&record) {
             return ServingOutcome::Done;
         }
         record.changed_at = index;
@@ -268,15 +264,6 @@
     }
 }
 
-/// Whether two records differ at most in when they were made.
-fn says_same(known: &ReplicaRecord, said: &ReplicaRecord) -> bool {
-    let said_then = ReplicaRecord {
-        changed_at: known.changed_at,
-        ..said.clone()
-    };
-    *known == said_then
-}
-
 /// Takes in what a replica says now without going back on what it said before.
 fn merged(known: &ReplicaRecord, mut said: ReplicaRecord) -> ReplicaRecord {
     if known.state == ReplicaState::Leaving {
@@ -287,5 +274,6 @@
         held.version = held.version.max(before);
     }
     said.order = known.order.clone();
+    said.changed_at = known.changed_at;
     said
 }
--- a/crates/control/tests/fleet.rs
+++ b/crates/control/tests/fleet.rs
@@ -1,11 +1,12 @@
 //! What all routers together meet at the replicas: added up, aged, and which replicas are dark.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use quickcheck::{TestResult, quickcheck};
 use railtack_control::serving::fleet::{FleetView, KnownReplica};
 use railtack_rpc::serving::{FleetDigest, ReplicaSighting};
 use railtack_serving::ReplicaKey;
+use tokio::time::Instant;
 
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
