Grant tenants' quotas from one ledger at the leader

Change: every request of a tenant with a quota asks the leading control replica for its part before it is sent. The ledger of a term begins empty, grants only while its leadership was proved within 250 ms, and a grant is good for 300 ms, so no hand-over is needed. Requests wait for an eighth of their objective; what is refused gets 429 and comes back one after the other. Ruled out: an equal division (1/79 of a quota is less than one long request); counts from the digest (a second old, in which a tenant runs several times its quota). Shown: 3,000 random schedules of demand, leaders, lost time and limits without a window above the bound; four mutants noticed.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -20,6 +20,10 @@
     pub rounds: Counter,
     /// Polls by routers.
     pub polls: Counter,
+    /// Parts of tenants' quotas that routers asked for.
+    pub quota_asked: Counter,
+    /// Those that were refused.
+    pub quota_refused: Counter,
     /// Messages to other replicas that were dropped because the peer was slow or away.
     pub dropped_messages: Counter,
     /// 1 while this replica leads.
@@ -44,6 +48,8 @@
             applied: Counter::default(),
             rounds: Counter::default(),
             polls: Counter::default(),
+            quota_asked: Counter::default(),
+            quota_refused: Counter::default(),
             dropped_messages: Counter::default(),
             is_leader: Gauge::default(),
             term: Gauge::default(),
@@ -62,6 +68,16 @@
         registry.register("control_applied", "Commands applied", self.applied.clone());
         registry.register("control_rounds", "Rounds of work", self.rounds.clone());
         registry.register("control_polls", "Polls by routers", self.polls.clone());
+        registry.register(
+            "control_quota_asked",
+            "Parts of tenants' quotas asked for",
+            self.quota_asked.clone(),
+        );
+        registry.register(
+            "control_quota_refused",
+            "Parts of tenants' quotas refused",
+            self.quota_refused.clone(),
+        );
         registry.register(
             "control_dropped_messages",
             "Messages to replicas dropped",
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -23,7 +23,8 @@
     },
     service::{ControlRequest, ControlResponse},
     serving::{
-        AliveNotice, AliveReply, JoinReply, JoinRequest, ReadIndexReply, WatchReply, WatchRequest,
+        AliveNotice, AliveReply, JoinReply, JoinRequest, QuotaReply, QuotaRequest, ReadIndexReply,
+        WatchReply, WatchRequest,
     },
 };
 use railtack_settings::ControlSettings;
@@ -43,7 +44,7 @@
     peers::Peers,
     replica::{Replica, ReplicaOptions},
     rollout::{self, EnginesSeen, RolloutStep},
-    serving::{liveness::Liveness, watch::WatchServer},
+    serving::{liveness::Liveness, quota::QuotaServer, watch::WatchServer},
     state::IssuedOrder,
 };
 
@@ -181,9 +182,10 @@
 
 /// What a replica of a group that serves routers by watches has besides.
 #[derive(Clone)]
-struct GroupServices {
-    watch: Arc<WatchServer>,
-    liveness: Arc<Liveness>,
+pub(crate) struct GroupServices {
+    pub(crate) watch: Arc<WatchServer>,
+    pub(crate) liveness: Arc<Liveness>,
+    pub(crate) quotas: Arc<QuotaServer>,
 }
 
 impl ControlService {
@@ -195,10 +197,10 @@
         }
     }
 
-    /// The same, answering watches and taking signs of life.
-    pub(crate) fn with_group(self, watch: Arc<WatchServer>, liveness: Arc<Liveness>) -> Self {
+    /// The same, answering watches, taking signs of life and granting quotas.
+    pub(crate) fn with_group(self, group: GroupServices) -> Self {
         Self {
-            group: Some(GroupServices { watch, liveness }),
+            group: Some(group),
             ..self
         }
     }
@@ -288,6 +290,13 @@
         })
     }
 
+    async fn take_quota(self, _: Context, request: QuotaRequest) -> QuotaReply {
+        let group = self.group.as_ref();
+        group.map_or(QuotaReply::NotLeader { leader: None }, |group| {
+            group.quotas.take(&request)
+        })
+    }
+
     async fn snapshot(self, _: Context) -> u64 {
         let answer = self.handle.ask(Input::Snapshot).await;
         answer.unwrap_or_default()
--- a/crates/control/src/serving/daemon.rs
+++ b/crates/control/src/serving/daemon.rs
@@ -15,7 +15,7 @@
     node::{self, NodeOptions},
     peers::Peers,
     replica::{Replica, ReplicaOptions},
-    server::{self, ControlService},
+    server::{self, ControlService, GroupServices},
     serving::{
         formation,
         handle::GroupHandle,
@@ -23,6 +23,7 @@
         liveness::{self, Liveness},
         order_channel::OrderChannel,
         orders,
+        quota::{self, QuotaServer},
         watch::{self, WatchServer},
     },
 };
@@ -91,7 +92,7 @@
         tolerance: options.tolerance,
         reopen: Some(Box::new(move |now| open(&reopened, now))),
     };
-    let (node, _) = node::start(replica, peers, metrics, started, node_options);
+    let (node, _) = node::start(replica, peers, metrics.clone(), started, node_options);
     let link = Arc::new(LeaderLink::new(node.clone(), options.listen.to_string()));
     let liveness = Arc::new(Liveness::default());
     let watch = Arc::new(WatchServer::new(
@@ -101,7 +102,18 @@
         started,
         &options.bounds,
     ));
-    let service = ControlService::new(node).with_group(Arc::clone(&watch), Arc::clone(&liveness));
+    let quotas = Arc::new(QuotaServer::new(
+        node.clone(),
+        options.bounds.quota,
+        started,
+        metrics.clone(),
+    ));
+    let service = ControlService::new(node).with_group(GroupServices {
+        watch: Arc::clone(&watch),
+        liveness: Arc::clone(&liveness),
+        quotas: Arc::clone(&quotas),
+    });
+    tokio::spawn(quota::keep_ledger(quotas));
     tokio::spawn(server::accept(listener, service));
     tokio::spawn(watch::keep_confirmed(Arc::clone(&watch)));
     tokio::spawn(formation::keep_joined(
--- a/crates/control/src/serving/mod.rs
+++ b/crates/control/src/serving/mod.rs
@@ -8,6 +8,7 @@
 //! | [`formation`] | first member, joining, joining again |
 //! | [`handle`] | what an adapter may ask: documents, registrations, weights |
 //! | [`leader`] | proposals and reads by way of the leader |
+//! | [`ledger`], [`quota`] | what tenants use of their quotas (the ledger is pure) |
 //! | [`liveness`] | signs of life of back-end replicas and routers |
 //! | [`orders`], [`order_giver`] | carrying out the rollout of weights |
 //! | [`order_channel`] | how orders reach back ends |
@@ -20,10 +21,12 @@
 pub mod formation;
 pub mod handle;
 pub mod leader;
+pub mod ledger;
 pub mod liveness;
 pub mod order_channel;
 pub mod order_giver;
 pub mod orders;
+pub mod quota;
 pub mod watch;
 pub mod weights;
 
--- /dev/null
+++ b/crates/control/src/serving/quota.rs
@@ -0,0 +1,164 @@
+//! Answering routers that ask for a part of a tenant's quota, while this replica leads.
+//!
+//! All routers ask the leader, so every part of a quota is known to one ledger before it is used.
+//! *Weighed:* an equal division of each quota among routers: of 79, each would hold less than one
+//! long request of a tenant needs. Counts that come back with the digest are a second old, in which
+//! a tenant may run several times its quota.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant as StdInstant},
+};
+
+use railtack_rpc::serving::{GRANT_LIFE, QuotaReply, QuotaRequest};
+use railtack_serving::{GrantTimes, QuotaBounds, TenantQuota};
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    metrics::ControlMetrics,
+    node::NodeHandle,
+    serving::ledger::{LedgerAnswer, QuotaLedger, Withdrawal},
+    view::NodeView,
+};
+
+/// Age of the last proof of leadership up to which quotas are granted. A leader has one every
+/// heartbeat of 100 ms; a new leader may grant beside a former one for as long as this.
+pub const LEADERSHIP_PROVED_WITHIN: Duration = Duration::from_millis(250);
+/// Time between looks at whether a term has begun.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Grants parts of quotas from the ledger of this replica's present term.
+pub struct QuotaServer {
+    node: NodeHandle,
+    bounds: QuotaBounds,
+    /// Zero of the replica's clock.
+    started: StdInstant,
+    metrics: ControlMetrics,
+    ledger: Mutex<Option<TermLedger>>,
+}
+
+struct TermLedger {
+    term: u64,
+    ledger: QuotaLedger,
+}
+
+impl QuotaServer {
+    /// A server for the replica behind `node`, whose clock began at `started`.
+    pub fn new(
+        node: NodeHandle,
+        bounds: QuotaBounds,
+        started: StdInstant,
+        metrics: ControlMetrics,
+    ) -> Self {
+        Self {
+            node,
+            bounds,
+            started,
+            metrics,
+            ledger: Mutex::default(),
+        }
+    }
+
+    /// Takes a part of a tenant's quota for one request.
+    pub fn take(&self, request: &QuotaRequest) -> QuotaReply {
+        let receiver = self.node.view();
+        let view = receiver.borrow();
+        if !self.surely_leads(&view) {
+            return QuotaReply::NotLeader {
+                leader: view.leader.clone(),
+            };
+        }
+        self.metrics.quota_asked.inc();
+        let Some(quota) = configured(&view, &request.tenant) else {
+            return QuotaReply::Granted { wait_ms: 0 };
+        };
+        let withdrawal = Withdrawal {
+            tenant: &request.tenant,
+            quota,
+            cost: quota.cost(request.stated_tokens),
+            longest_wait: Duration::from_millis(u64::from(request.longest_wait_ms)),
+        };
+        let answer = self.withdraw(view.term, withdrawal);
+        self.reply(answer, &withdrawal, view.term)
+    }
+
+    fn reply(&self, answer: LedgerAnswer, withdrawal: &Withdrawal<'_>, term: u64) -> QuotaReply {
+        match answer {
+            LedgerAnswer::Granted { wait } => QuotaReply::Granted {
+                wait_ms: wait.as_millis() as u32,
+            },
+            LedgerAnswer::Refused { retry_after, level } => {
+                self.metrics.quota_refused.inc();
+                QuotaReply::Refused {
+                    retry_after_ms: retry_after.as_millis() as u32,
+                    rate_per_s: withdrawal.quota.rate_per_s,
+                    level: level as i64,
+                    term,
+                }
+            }
+        }
+    }
+
+    fn withdraw(&self, term: u64, withdrawal: Withdrawal<'_>) -> LedgerAnswer {
+        let mut held = self.lock();
+        let now = Instant::now();
+        self.of_term(&mut held, term, now).withdraw(withdrawal, now)
+    }
+
+    /// The ledger of the present term; an empty one if the term is new.
+    fn of_term<'a>(
+        &self,
+        held: &'a mut Option<TermLedger>,
+        term: u64,
+        now: Instant,
+    ) -> &'a mut QuotaLedger {
+        let kept = held.take().filter(|held| held.term == term);
+        let begun = kept.unwrap_or_else(|| TermLedger {
+            term,
+            ledger: QuotaLedger::new(self.bounds, grant_times(), now),
+        });
+        &mut held.insert(begun).ledger
+    }
+
+    fn surely_leads(&self, view: &NodeView) -> bool {
+        let Some(confirmed_at) = view.confirmed_at else {
+            return false;
+        };
+        let age = (self.started + Duration::from_millis(confirmed_at)).elapsed();
+        view.leads && age < LEADERSHIP_PROVED_WITHIN
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<TermLedger>> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Times on which the room above a quota is spent.
+pub fn grant_times() -> GrantTimes {
+    GrantTimes {
+        grant_life: GRANT_LIFE,
+        leader_overlap: LEADERSHIP_PROVED_WITHIN,
+    }
+}
+
+fn configured(view: &NodeView, tenant: &str) -> Option<TenantQuota> {
+    let configuration = view.serving.configuration();
+    let mut tenants = configuration.tenants.iter();
+    tenants.find(|known| known.name == tenant)?.quota
+}
+
+/// Begins a ledger as soon as this replica leads: its buckets fill from then on.
+pub async fn keep_ledger(server: Arc<QuotaServer>) {
+    loop {
+        let leading = {
+            let receiver = server.node.view();
+            let view = receiver.borrow();
+            server.surely_leads(&view).then_some(view.term)
+        };
+        if let Some(term) = leading {
+            let mut held = server.lock();
+            server.of_term(&mut held, term, Instant::now());
+        }
+        sleep(LOOK_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/control/tests/quota.rs
@@ -0,0 +1,380 @@
+//! Quotas over all routers: no schedule of demand, leaders, lost time and changed limits lets more
+//! of a tenant's requests run in a window than its bound allows.
+//!
+//! The runs are in virtual time. Each mutant takes one safeguard away and must be noticed.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use railtack_control::serving::{
+    ledger::{LedgerAnswer, QuotaLedger, Withdrawal},
+    quota::{LEADERSHIP_PROVED_WITHIN, grant_times},
+};
+use railtack_rpc::serving::GRANT_LIFE;
+use railtack_serving::{QuotaBounds, QuotaUnit, TenantQuota};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use tokio::time::Instant;
+
+const SEEDS: u64 = 3_000;
+/// Seeds within which each mutant must be noticed.
+const MUTANT_SEEDS: u64 = 1_500;
+const RUN_MS: u64 = 24_000;
+const ROUTERS: u32 = 300;
+const TENANT: &str = "office";
+
+/// A safeguard that is taken away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mutant {
+    /// None: the code as it is.
+    None,
+    /// Every request is let through.
+    NoLimit,
+    /// Routers use what they are granted however late the answer is.
+    LateGrantsUsed,
+    /// A new term begins with full buckets.
+    FullAtNewTerm,
+    /// A former leader goes on granting until it hears of the new one.
+    FormerLeaderGoesOn,
+}
+
+fn bounds() -> QuotaBounds {
+    QuotaBounds {
+        window_ms: 8_000,
+        overage: 0.1,
+        slack: 110_000.0,
+    }
+}
+
+fn quota(rate_per_s: u64, burst: u64) -> TenantQuota {
+    TenantQuota {
+        unit: QuotaUnit::Tokens,
+        rate_per_s,
+        burst,
+        unstated_tokens: 200,
+    }
+}
+
+fn at(start: Instant, milliseconds: u64) -> Instant {
+    start + Duration::from_millis(milliseconds)
+}
+
+/// A control replica that leads, or believes that it does.
+struct Leader {
+    ledger: QuotaLedger,
+    /// When it last had proof; `None` while nobody has replaced it.
+    last_proof_ms: Option<u64>,
+}
+
+/// What a tenant's requests used, and when they were sent to a replica.
+#[derive(Clone, Copy)]
+struct Use {
+    at_ms: u64,
+    cost: u64,
+}
+
+/// A question on its way to a leader.
+#[derive(Clone, Copy)]
+struct Question {
+    asked_ms: u64,
+    cost: u64,
+    leader: usize,
+}
+
+struct World {
+    random: StdRng,
+    mutant: Mutant,
+    start: Instant,
+    leaders: Vec<Leader>,
+    /// Quotas, each with the moment from which it is in force.
+    quotas: Vec<(u64, TenantQuota)>,
+    /// Questions by the moment at which they arrive.
+    on_their_way: BTreeMap<u64, Vec<Question>>,
+    uses: Vec<Use>,
+}
+
+impl World {
+    fn new(seed: u64, mutant: Mutant) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let rate = random.random_range(40_000..600_000);
+        let burst = random.random_range(rate / 2..rate * 2);
+        let mut world = Self {
+            random,
+            mutant,
+            start: Instant::now(),
+            leaders: Vec::new(),
+            quotas: vec![(0, quota(rate, burst))],
+            on_their_way: BTreeMap::new(),
+            uses: Vec::new(),
+        };
+        world.elect(0);
+        world
+    }
+
+    /// A new leader; the former one's last proof is some time old.
+    fn elect(&mut self, now_ms: u64) {
+        let proof_age = self.random.random_range(0..200);
+        if let Some(former) = self.leaders.last_mut() {
+            former.last_proof_ms = Some(now_ms.saturating_sub(proof_age));
+        }
+        let began = at(self.start, now_ms);
+        let mut ledger = QuotaLedger::new(bounds(), grant_times(), began);
+        if self.mutant == Mutant::FullAtNewTerm {
+            ledger = QuotaLedger::new(bounds(), grant_times(), began - Duration::from_secs(60));
+        }
+        self.leaders.push(Leader {
+            ledger,
+            last_proof_ms: None,
+        });
+    }
+
+    /// A limit that is raised or lowered.
+    fn change_quota(&mut self, now_ms: u64) {
+        let rate = self.random.random_range(40_000..600_000);
+        let burst = self.random.random_range(rate / 2..rate * 2);
+        self.quotas.push((now_ms, quota(rate, burst)));
+    }
+
+    fn current_quota(&self) -> TenantQuota {
+        self.quotas[self.quotas.len() - 1].1
+    }
+
+    /// One router asks one of those that believe to lead.
+    fn ask(&mut self, now_ms: u64, cost: u64) {
+        let to_former = self.leaders.len() > 1 && self.random.random_bool(0.5);
+        let question = Question {
+            asked_ms: now_ms,
+            cost,
+            leader: self.leaders.len() - 1 - usize::from(to_former),
+        };
+        let arrives_ms = now_ms + self.delay();
+        self.on_their_way
+            .entry(arrives_ms)
+            .or_default()
+            .push(question);
+    }
+
+    /// The question arrives; the router sends its request if the answer allows it.
+    fn answer(&mut self, now_ms: u64, question: Question) {
+        let quota = self.current_quota();
+        let proved_within = if self.mutant == Mutant::FormerLeaderGoesOn {
+            Duration::from_secs(8)
+        } else {
+            LEADERSHIP_PROVED_WITHIN
+        };
+        let start = self.start;
+        let leader = &mut self.leaders[question.leader];
+        let proof_age = leader.last_proof_ms.map_or(0, |proof| now_ms - proof);
+        if Duration::from_millis(proof_age) >= proved_within {
+            return;
+        }
+        let withdrawal = Withdrawal {
+            tenant: TENANT,
+            quota,
+            cost: question.cost,
+            longest_wait: Duration::from_millis(100),
+        };
+        let wait_ms = match leader.ledger.withdraw(withdrawal, at(start, now_ms)) {
+            LedgerAnswer::Granted { wait } => wait.as_millis() as u64,
+            LedgerAnswer::Refused { .. } if self.mutant == Mutant::NoLimit => 0,
+            LedgerAnswer::Refused { .. } => return,
+        };
+        let answered_ms = now_ms + self.delay();
+        let used_ms = answered_ms + wait_ms;
+        let in_time = used_ms <= question.asked_ms + wait_ms + GRANT_LIFE.as_millis() as u64;
+        if in_time || self.mutant == Mutant::LateGrantsUsed {
+            self.uses.push(Use {
+                at_ms: used_ms,
+                cost: question.cost,
+            });
+        }
+    }
+
+    /// Mostly short; now and then a message or a process rests for seconds.
+    fn delay(&mut self) -> u64 {
+        if self.random.random_bool(0.1) {
+            self.random.random_range(0..4_000)
+        } else {
+            self.random.random_range(0..20)
+        }
+    }
+
+    fn run(&mut self) {
+        // Demand swings between far below and far above the limit.
+        let mut pause_limit = 100;
+        for now_ms in 0..RUN_MS {
+            if self.random.random_ratio(1, 2_000) {
+                pause_limit = *[1, 5, 50, 1_000]
+                    .get(self.random.random_range(0..4))
+                    .unwrap_or(&1);
+            }
+            if self.random.random_ratio(1, 5_000) {
+                self.elect(now_ms);
+            }
+            if self.random.random_ratio(1, 12_000) {
+                self.change_quota(now_ms);
+            }
+            for question in self.on_their_way.remove(&now_ms).unwrap_or_default() {
+                self.answer(now_ms, question);
+            }
+            if self.random.random_ratio(1, pause_limit) {
+                // Which of the routers asks makes no difference: none of them keeps anything.
+                let _router = self.random.random_range(0..ROUTERS);
+                let cost = self.random.random_range(200..50_000);
+                self.ask(now_ms, cost);
+            }
+        }
+    }
+
+    /// The first window in which more ran than the bound allows, with both figures.
+    fn broken_window(&mut self) -> Option<(u64, f64, f64)> {
+        self.uses.sort_by_key(|used| used.at_ms);
+        let window = bounds().window_ms;
+        let mut end = 0;
+        let mut sum = 0.0;
+        for begin in 0..self.uses.len() {
+            let began_ms = self.uses[begin].at_ms;
+            while end < self.uses.len() && self.uses[end].at_ms < began_ms + window {
+                sum += self.uses[end].cost as f64;
+                end += 1;
+            }
+            let bound = self.bound(began_ms, window);
+            if sum > bound {
+                return Some((began_ms, sum, bound));
+            }
+            sum -= self.uses[begin].cost as f64;
+        }
+        None
+    }
+
+    /// The bound on a window; a lower limit binds one window after its change.
+    fn bound(&self, began_ms: u64, window_ms: u64) -> f64 {
+        let bounds = bounds();
+        let mut largest: f64 = 0.0;
+        for (position, (from_ms, quota)) in self.quotas.iter().enumerate() {
+            let until_ms = self
+                .quotas
+                .get(position + 1)
+                .map_or(u64::MAX, |next| next.0);
+            let in_force =
+                *from_ms <= began_ms + window_ms && until_ms.saturating_add(window_ms) >= began_ms;
+            if in_force {
+                let window_s = window_ms as f64 / 1_000.0;
+                let stated = quota.rate_per_s as f64 * window_s + quota.burst as f64;
+                largest = largest.max(stated * (1.0 + bounds.overage) + bounds.slack);
+            }
+        }
+        largest
+    }
+}
+
+fn broken_seed(mutant: Mutant, seeds: u64) -> Option<(u64, (u64, f64, f64))> {
+    (0..seeds).find_map(|seed| {
+        let mut world = World::new(seed, mutant);
+        world.run();
+        world.broken_window().map(|window| (seed, window))
+    })
+}
+
+#[test]
+fn no_window_exceeds_the_bound() {
+    assert_eq!(broken_seed(Mutant::None, SEEDS), None);
+}
+
+#[test]
+fn each_safeguard_is_needed() {
+    for mutant in [
+        Mutant::NoLimit,
+        Mutant::LateGrantsUsed,
+        Mutant::FullAtNewTerm,
+        Mutant::FormerLeaderGoesOn,
+    ] {
+        let noticed = broken_seed(mutant, MUTANT_SEEDS);
+        assert!(noticed.is_some(), "{mutant:?} was not noticed");
+    }
+}
+
+fn withdraw(ledger: &mut QuotaLedger, cost: u64, now: Instant) -> LedgerAnswer {
+    let withdrawal = Withdrawal {
+        tenant: TENANT,
+        quota: quota(100_000, 100_000),
+        cost,
+        longest_wait: Duration::from_millis(100),
+    };
+    ledger.withdraw(withdrawal, now)
+}
+
+#[test]
+fn below_the_limit_nothing_is_refused() {
+    let start = Instant::now();
+    let mut ledger = QuotaLedger::new(bounds(), grant_times(), start);
+    let mut random = StdRng::seed_from_u64(7);
+    let mut now_ms = 2_000.0;
+    let mut refused = 0;
+    for _ in 0..10_000 {
+        // A mean of 75,000 tokens a second, in requests that come at random.
+        now_ms += -random.random_range(0.0_f64..1.0).max(1e-9).ln() * 120.0;
+        let cost = random.random_range(1_000..17_000);
+        let answer = withdraw(&mut ledger, cost, at(start, now_ms as u64));
+        refused += u32::from(matches!(answer, LedgerAnswer::Refused { .. }));
+    }
+    assert!(refused < 10, "{refused} of 10,000 refused");
+}
+
+#[test]
+fn a_large_request_is_not_passed_for_ever_by_small_ones() {
+    let start = Instant::now();
+    let mut ledger = QuotaLedger::new(bounds(), grant_times(), start);
+    let mut now = at(start, 5_000);
+    while matches!(withdraw(&mut ledger, 5_000, now), LedgerAnswer::Granted { wait } if wait.is_zero())
+    {
+    }
+    // What the bucket will hold within 100 ms goes to the large one; the small one waits behind it.
+    now += Duration::from_millis(400);
+    let large = withdraw(&mut ledger, 45_000, now);
+    assert!(matches!(large, LedgerAnswer::Granted { .. }), "{large:?}");
+    let small = withdraw(&mut ledger, 5_000, now);
+    let LedgerAnswer::Granted { wait: large_wait } = large else {
+        return;
+    };
+    assert!(
+        !matches!(small, LedgerAnswer::Granted { wait } if wait < large_wait),
+        "{small:?}"
+    );
+}
+
+#[test]
+fn refused_callers_come_back_one_after_the_other() {
+    let start = Instant::now();
+    let mut ledger = QuotaLedger::new(bounds(), grant_times(), start);
+    let now = at(start, 5_000);
+    let mut pauses = Vec::new();
+    for _ in 0..60 {
+        if let LedgerAnswer::Refused { retry_after, .. } = withdraw(&mut ledger, 10_000, now) {
+            pauses.push(retry_after);
+        }
+    }
+    assert!(pauses.len() > 10);
+    assert!(
+        pauses.windows(2).all(|pair| pair[0] < pair[1]),
+        "{pauses:?}"
+    );
+}
+
+#[test]
+fn a_raised_limit_is_usable_at_once() {
+    let start = Instant::now();
+    let mut ledger = QuotaLedger::new(bounds(), grant_times(), start);
+    let mut now = at(start, 5_000);
+    while matches!(
+        withdraw(&mut ledger, 20_000, now),
+        LedgerAnswer::Granted { .. }
+    ) {}
+    now += Duration::from_millis(100);
+    let raised = Withdrawal {
+        tenant: TENANT,
+        quota: quota(1_000_000, 1_000_000),
+        cost: 50_000,
+        longest_wait: Duration::from_millis(100),
+    };
+    let answer = ledger.withdraw(raised, now);
+    assert!(matches!(answer, LedgerAnswer::Granted { .. }), "{answer:?}");
+}
--- a/crates/control/tests/watch.rs
+++ b/crates/control/tests/watch.rs
@@ -4,7 +4,7 @@
 
 use railtack_control::serving::watch::{gathering_interval, gathering_time, longest_gathering};
 use railtack_rpc::serving::WatchRequest;
-use railtack_serving::Bounds;
+use railtack_serving::{Bounds, QuotaBounds};
 
 const LONGEST: Duration = Duration::from_millis(400);
 
@@ -70,6 +70,11 @@
         lease_ms: 3_000,
         version_ms: 8_000,
         reuse_window_ms: 10_000,
+        quota: QuotaBounds {
+            window_ms: 8_000,
+            overage: 0.1,
+            slack: 110_000.0,
+        },
     };
     let longest = longest_gathering(&bounds);
     assert_eq!(longest, Duration::from_millis(250));
--- a/crates/proxy/src/admission.rs
+++ b/crates/proxy/src/admission.rs
@@ -16,6 +16,8 @@
     pub tenant: Option<String>,
     /// Whether the tenant shares no cached prompt memory.
     pub isolated: bool,
+    /// Whether the tenant has a quota.
+    pub has_quota: bool,
     /// Urgency; 0 is the most urgent.
     pub priority: u8,
     /// When the last answer is due: the caller's time or the route's, whichever is shorter.
@@ -45,6 +47,7 @@
         route: route.clone(),
         tenant: tenant.map(|tenant| tenant.name.clone()),
         isolated: tenant.is_some_and(|tenant| tenant.isolated),
+        has_quota: tenant.is_some_and(|tenant| tenant.quota.is_some()),
         priority: tenant
             .and_then(|tenant| tenant.priority)
             .unwrap_or(route.priority),
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -66,6 +66,7 @@
             .confirmed_age_ms
             .is_some_and(|age| age < CONFIRMATION_LIMIT_MS);
         targets.learn(address, &reply);
+        state.quotas.learn(targets.addresses());
         take_reply(&state, reply, asked_at);
         if is_current {
             targets.prefer_zone(&state.options.zone, address);
@@ -158,6 +159,10 @@
         targets
     }
 
+    fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.connections.keys().copied()
+    }
+
     fn len(&self) -> usize {
         self.connections.len()
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,6 +9,7 @@
 //! | is the configuration current? | [`lease`], [`control_watch`] keeps it | yes |
 //! | which route, tenant, limits? | [`admission`] | yes |
 //! | taken now, later, or refused? | [`entry`] | |
+//! | is the tenant's quota used up? | [`quota`] | |
 //! | which service? | [`split`] | yes |
 //! | which replica? | [`choice`], with [`affinity`], [`health`] and [`named`] | yes |
 //! | what do all routers meet there? | [`fleet`] | yes |
@@ -37,6 +38,7 @@
 pub mod named;
 pub mod pipeline;
 pub mod pool;
+pub mod quota;
 pub mod refusal;
 pub mod replicas;
 pub mod request;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -48,6 +48,8 @@
     pub retries: Counter,
     /// Retries that the budget did not allow.
     pub retries_denied: Counter,
+    /// Requests refused because no leader told about their quota.
+    pub quota_unanswered: Counter,
     /// Streams continued at another replica.
     pub resumed: Counter,
     /// Prompt tokens sent, and those presumed to be cached.
@@ -73,6 +75,7 @@
             exchanges: Family::default(),
             retries: Counter::default(),
             retries_denied: Counter::default(),
+            quota_unanswered: Counter::default(),
             resumed: Counter::default(),
             prompt_tokens: Counter::default(),
             presumed_cached_tokens: Counter::default(),
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -13,6 +13,7 @@
     backend::Dispatch,
     entry,
     health::ExchangeEnd,
+    quota,
     refusal::RefusalReason,
     replicas::{OpenRequest, Suspicion},
     request::ProxiedRequest,
@@ -40,6 +41,10 @@
         }
     };
     log.admitted(&admitted);
+    if let Err(refusal) = quota::take(&state, &request, &admitted).await {
+        log.end(refusal.reason.to_string());
+        return refusal.reason.response(refusal.retry_after);
+    }
     let seed = rand::random();
     let service = lock(&state.splitter)
         .next(&admitted.route, seed)
@@ -126,7 +131,8 @@
                 Err(failed) => failed.proof,
             };
             match self.next_step(failed) {
-                NextStep::TryAgain => {}
+                NextStep::TryAgain if self.may_run_again(failed).await => {}
+                NextStep::TryAgain => return self.fail(failure),
                 NextStep::PassOn => {
                     self.log.end("replica_failure".to_owned());
                     return failure.unwrap_or_else(|| RefusalReason::AnswerLost.response(None));
@@ -291,6 +297,16 @@
         verdict::without_retry(facts)
     }
 
+    /// Whether the tenant's quota allows one more run after an exchange that ended with `proof`:
+    /// what may have run was used, and is used once more.
+    pub async fn may_run_again(&self, proof: ExchangeProof) -> bool {
+        let is_paid = proof == ExchangeProof::NotRun;
+        is_paid
+            || quota::take(&self.state, &self.request, &self.admitted)
+                .await
+                .is_ok()
+    }
+
     /// Notes how an exchange failed; logs it.
     pub fn note_failure(&self, target: &Target, failed: FailedExchange) -> FailedExchange {
         if let Some(end) = failed.end {
--- /dev/null
+++ b/crates/proxy/src/quota.rs
@@ -0,0 +1,227 @@
+//! Taking a part of a tenant's quota from the leading control replica, before a request is sent.
+//!
+//! A router holds no part of a quota itself: one of many sees too few of a tenant's requests to use
+//! what it would hold. A question takes a round trip to the leader. Without an answer the request is
+//! refused: nobody else knows what other routers have used.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use railtack_rpc::{
+    ControlConnection, call_deadline,
+    serving::{GRANT_LIFE, QuotaReply, QuotaRequest},
+};
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    admission::Admitted,
+    refusal::RefusalReason,
+    request::ProxiedRequest,
+    state::{ProxyState, lock},
+};
+
+/// Time for connecting to a control replica.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for one question; a leader that is gone must not take all of a request's time.
+const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Pause before another control replica is asked, while a leader is being elected.
+const ASK_PAUSE: Duration = Duration::from_millis(30);
+/// Part of the objective, as a divisor, for which a request may wait for its part of the quota: the
+/// rest is needed for its answer.
+const WAIT_DIVISOR: u32 = 8;
+/// Part of the objective, as a divisor, from which on a request is late anyway, as after a restart.
+const LATE_DIVISOR: u32 = 2;
+/// Part of the time left, as a divisor, for which a request that is late anyway may wait. All that
+/// waited for the same leader come at once then; those that are refused have mostly spent their
+/// retry.
+const LATE_WAIT_DIVISOR: u32 = 4;
+/// Part of the objective, as a divisor, in which a leader must have been found.
+const SEARCH_DIVISOR: u32 = 2;
+/// Shortest time in which one must have been found.
+const SHORTEST_SEARCH: Duration = Duration::from_millis(200);
+
+/// Why a request has no part of its tenant's quota.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuotaRefusal {
+    /// What the caller is told.
+    pub reason: RefusalReason,
+    /// When it should come back.
+    pub retry_after: Option<Duration>,
+}
+
+/// The control replicas that may lead.
+#[derive(Debug, Default)]
+pub struct QuotaClient {
+    known: Mutex<Known>,
+}
+
+#[derive(Debug, Default)]
+struct Known {
+    connections: BTreeMap<SocketAddr, Arc<ControlConnection>>,
+    leader: Option<SocketAddr>,
+}
+
+impl QuotaClient {
+    /// Takes in the present control replicas.
+    pub fn learn(&self, members: impl Iterator<Item = SocketAddr>) {
+        let mut known = self.lock();
+        let former = std::mem::take(&mut known.connections);
+        for address in members {
+            let kept = former.get(&address).map(Arc::clone);
+            let connection =
+                kept.unwrap_or_else(|| Arc::new(ControlConnection::new(address, CONNECT_TIMEOUT)));
+            known.connections.insert(address, connection);
+        }
+    }
+
+    /// The replica that is believed to lead, or any.
+    fn target(&self) -> Option<Arc<ControlConnection>> {
+        let known = self.lock();
+        let leader = known
+            .leader
+            .and_then(|leader| known.connections.get(&leader));
+        leader
+            .or_else(|| known.connections.values().next())
+            .map(Arc::clone)
+    }
+
+    fn leads(&self, leader: Option<SocketAddr>) {
+        self.lock().leader = leader;
+    }
+
+    /// Goes on to the replica behind `address`.
+    fn leave(&self, address: SocketAddr) {
+        let mut known = self.lock();
+        let mut later = known
+            .connections
+            .keys()
+            .skip_while(|next| **next <= address);
+        known.leader = later.next().copied();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Known> {
+        lock(&self.known)
+    }
+}
+
+/// Takes the part of its tenant's quota that an admitted request needs; at once if the tenant has
+/// no limit.
+pub async fn take(
+    state: &ProxyState,
+    request: &ProxiedRequest,
+    admitted: &Admitted,
+) -> Result<(), QuotaRefusal> {
+    let (Some(tenant), true) = (&admitted.tenant, admitted.has_quota) else {
+        return Ok(());
+    };
+    let objective = Duration::from_millis(admitted.route.objective_ms);
+    let search = (objective / SEARCH_DIVISOR).max(SHORTEST_SEARCH);
+    let until = (Instant::now() + search).min(admitted.deadline);
+    let wait = longest_wait(request.received, admitted.deadline, objective);
+    let question = QuotaRequest {
+        tenant: tenant.clone(),
+        stated_tokens: request.stated_tokens,
+        longest_wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+    };
+    loop {
+        match ask(state, &question, until).await {
+            Asked::Granted => return Ok(()),
+            Asked::Refused(retry_after) => {
+                return Err(QuotaRefusal {
+                    reason: RefusalReason::QuotaUsed,
+                    retry_after: Some(retry_after),
+                });
+            }
+            Asked::Unanswered => {
+                if Instant::now() + ASK_PAUSE >= until {
+                    state.metrics.quota_unanswered.inc();
+                    return Err(QuotaRefusal {
+                        reason: RefusalReason::QuotaUnknown,
+                        retry_after: Some(search),
+                    });
+                }
+                sleep(ASK_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// How long a request may wait for its part of the quota.
+fn longest_wait(received: Instant, deadline: Instant, objective: Duration) -> Duration {
+    let now = Instant::now();
+    if now.saturating_duration_since(received) < objective / LATE_DIVISOR {
+        objective / WAIT_DIVISOR
+    } else {
+        deadline.saturating_duration_since(now) / LATE_WAIT_DIVISOR
+    }
+}
+
+enum Asked {
+    Granted,
+    Refused(Duration),
+    Unanswered,
+}
+
+/// One question.
+async fn ask(state: &ProxyState, question: &QuotaRequest, until: Instant) -> Asked {
+    let Some(connection) = state.quotas.target() else {
+        return Asked::Unanswered;
+    };
+    let asked_at = Instant::now();
+    let limit = ASK_TIMEOUT.min(until.saturating_duration_since(asked_at));
+    let sent = question.clone();
+    let reply = connection
+        .call(|client| async move { client.take_quota(call_deadline(limit), sent).await })
+        .await;
+    match reply {
+        Ok(QuotaReply::Granted { wait_ms }) => {
+            state.quotas.leads(Some(connection.address()));
+            let wait = Duration::from_millis(u64::from(wait_ms));
+            sleep(wait).await;
+            // What is used later than this is not covered by the ledger; it is asked for anew.
+            if asked_at.elapsed() <= wait + GRANT_LIFE {
+                Asked::Granted
+            } else {
+                Asked::Unanswered
+            }
+        }
+        Ok(QuotaReply::Refused {
+            retry_after_ms,
+            rate_per_s,
+            level,
+            term,
+        }) => {
+            spdlog::info!("quota used up", kv: {
+                tenant = question.tenant.clone(),
+                stated_tokens = question.stated_tokens.unwrap_or_default(),
+                rate_per_s,
+                level,
+                // Whose ledger it is, and how old its answer.
+                leader = connection.address().to_string(),
+                term,
+                age_ms = asked_at.elapsed().as_millis() as u64,
+                retry_after_ms,
+            });
+            Asked::Refused(Duration::from_millis(u64::from(retry_after_ms)))
+        }
+        Ok(QuotaReply::NotLeader { leader }) => {
+            match leader.and_then(|leader| leader.parse().ok()) {
+                Some(leader) if leader != connection.address() => state.quotas.leads(Some(leader)),
+                _ => state.quotas.leave(connection.address()),
+            }
+            Asked::Unanswered
+        }
+        Err(report) => {
+            spdlog::info!("quota question unanswered", kv: {
+                tenant = question.tenant.clone(),
+                cause = report.to_string(),
+            });
+            state.quotas.leave(connection.address());
+            Asked::Unanswered
+        }
+    }
+}
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -33,6 +33,12 @@
     /// This router is about to end and could not finish it.
     #[error("stopping")]
     Stopping,
+    /// The tenant's quota is used up.
+    #[error("quota_used")]
+    QuotaUsed,
+    /// Nobody told whether the tenant's quota is used up.
+    #[error("quota_unknown")]
+    QuotaUnknown,
     /// No replica takes work.
     #[error("no_replica")]
     NoReplica,
@@ -51,7 +57,7 @@
 }
 
 impl RefusalReason {
-    /// HTTP status. 503 promises that the request has not run and never will.
+    /// HTTP status. 429 and 503 promise that the request has not run and never will.
     pub fn status(self) -> StatusCode {
         match self {
             Self::Malformed => StatusCode::BAD_REQUEST,
@@ -59,7 +65,9 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
+            Self::QuotaUsed => StatusCode::TOO_MANY_REQUESTS,
             Self::Unconfirmed
+            | Self::QuotaUnknown
             | Self::Stopping
             | Self::NoReplica
             | Self::Declined
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -51,6 +51,8 @@
     pub patience: Option<Duration>,
     /// What the caller says of the prompt, if the request has one.
     pub prompt: Option<PromptShape>,
+    /// Tokens of prompt and longest answer that the caller states.
+    pub stated_tokens: Option<u64>,
     /// Last event of the stream that the caller has.
     pub last_event: Option<u64>,
 }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -23,6 +23,7 @@
     lease::Lease,
     metrics::ProxyMetrics,
     named::NamedWeights,
+    quota::QuotaClient,
     replicas::ReplicaTable,
     saves::{SaveBudget, StoreRoom},
     split::Splitter,
@@ -60,6 +61,8 @@
     pub fleet: Mutex<FleetKnowledge>,
     /// Division of routes among services.
     pub splitter: Mutex<Splitter>,
+    /// Who grants parts of tenants' quotas.
+    pub quotas: QuotaClient,
     /// Counters.
     pub metrics: ProxyMetrics,
     /// Routers that are alive; 0 while unknown.
@@ -123,6 +126,7 @@
             replicas: Mutex::default(),
             fleet: Mutex::default(),
             splitter: Mutex::default(),
+            quotas: QuotaClient::default(),
             metrics: ProxyMetrics::default(),
             routers: AtomicU32::new(0),
             budgets: Mutex::default(),
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -17,6 +17,7 @@
     events::EventBuffer,
     health::ExchangeEnd,
     pipeline::{Answered, RequestRun, Step},
+    verdict::ExchangeProof,
 };
 
 /// Longest pauses that a route allows between events after which a stream that can be continued
@@ -228,6 +229,9 @@
         drop(answered);
         self.buffer.discard_partial();
         while self.run.may_resume() {
+            if !self.run.may_run_again(ExchangeProof::MayHaveRun).await {
+                return Some(());
+            }
             let Some(target) = self.run.wait_for_target().await else {
                 return Some(());
             };
--- a/crates/proxy/tests/entry.rs
+++ b/crates/proxy/tests/entry.rs
@@ -11,8 +11,8 @@
 };
 use railtack_rpc::serving::{ServingUpdate, WatchReply};
 use railtack_serving::{
-    Bounds, CallerLimits, Policy, RequestKind, Route, ServiceShape, ServingConfiguration,
-    WeightedService,
+    Bounds, CallerLimits, Policy, QuotaBounds, RequestKind, Route, ServiceShape,
+    ServingConfiguration, WeightedService,
 };
 use tokio::time::{Instant, sleep};
 
@@ -54,6 +54,11 @@
             lease_ms: 3_000,
             version_ms: 8_000,
             reuse_window_ms: 10_000,
+            quota: QuotaBounds {
+                window_ms: 8_000,
+                overage: 0.1,
+                slack: 110_000.0,
+            },
         },
         policy: Policy::ALL,
     };
@@ -103,6 +108,7 @@
         received: Instant::now(),
         patience: Some(Duration::from_millis(3_000)),
         prompt: None,
+        stated_tokens: None,
         last_event: None,
     }
 }
--- a/crates/rpc/src/service.rs
+++ b/crates/rpc/src/service.rs
@@ -8,7 +8,8 @@
     ProposeReply, ReplicaIdentity, StatusReply,
 };
 use crate::serving::{
-    AliveNotice, AliveReply, JoinReply, JoinRequest, ReadIndexReply, WatchReply, WatchRequest,
+    AliveNotice, AliveReply, JoinReply, JoinRequest, QuotaReply, QuotaRequest, ReadIndexReply,
+    WatchReply, WatchRequest,
 };
 
 /// Calls between routers, operators and control replicas.
@@ -41,4 +42,6 @@
     async fn snapshot() -> u64;
     /// Tells the leader that a member's process is being stopped.
     async fn leave(replica: ReplicaId) -> JoinReply;
+    /// Takes a part of a tenant's quota for one request.
+    async fn take_quota(request: QuotaRequest) -> QuotaReply;
 }
--- a/crates/rpc/src/serving.rs
+++ b/crates/rpc/src/serving.rs
@@ -1,5 +1,7 @@
 //! Messages about what routers serve from: documents, back-end replicas, weights, members.
 
+use std::time::Duration;
+
 use railtack_consensus::{DiskId, LogIndex, ReplicaId};
 use railtack_serving::{
     HeldWeights, PendingOrder, ReplicaKey, ReplicaRecord, ServingConfiguration,
@@ -203,6 +205,49 @@
     },
 }
 
+/// A router's question for a part of a tenant's quota, before it sends a request.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct QuotaRequest {
+    /// The tenant.
+    pub tenant: String,
+    /// Tokens that the caller states; `None` if it states none.
+    pub stated_tokens: Option<u64>,
+    /// Longest time for which the request may wait for its part, milliseconds.
+    pub longest_wait_ms: u32,
+}
+
+/// Answer to [`QuotaRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub enum QuotaReply {
+    /// The request may be sent once `wait_ms` have passed. The answer holds for
+    /// [`GRANT_LIFE`] from the question.
+    Granted {
+        /// Time until the part is there, milliseconds.
+        wait_ms: u32,
+    },
+    /// The quota is used up.
+    Refused {
+        /// When the caller should come back, milliseconds.
+        retry_after_ms: u32,
+        /// Quota, units a second.
+        rate_per_s: u64,
+        /// What the bucket held, in units; below zero while others wait for their parts.
+        level: i64,
+        /// Term of the leader that refused.
+        term: u64,
+    },
+    /// This replica does not lead, or cannot be sure that it does.
+    NotLeader {
+        /// Internal address of the leader, if known.
+        leader: Option<String>,
+    },
+}
+
+/// Time from a router's question in which a granted part of a quota may be used: room for a
+/// connection to be made and for a slow answer. What is granted and used later counts against the
+/// room above the quota, rate times this.
+pub const GRANT_LIFE: Duration = Duration::from_millis(300);
+
 /// Signs of life that a control replica took for the leader.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
 pub struct AliveNotice {
--- a/crates/serving/src/configuration.rs
+++ b/crates/serving/src/configuration.rs
@@ -4,7 +4,7 @@
 
 use speedy::{Readable, Writable};
 
-use crate::errors::ConfigurationError;
+use crate::{errors::ConfigurationError, quota::TenantQuota};
 
 /// What may be repeated of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
@@ -118,6 +118,8 @@
     pub priority: Option<u8>,
     /// Whether it shares no cached prompt memory with other tenants.
     pub isolated: bool,
+    /// What it may use, over all routers; `None` for no limit.
+    pub quota: Option<TenantQuota>,
 }
 
 /// What callers may send.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod errors;
 pub mod lookup;
 pub mod policy;
+pub mod quota;
 pub mod registry;
 pub mod settings;
 
@@ -18,5 +19,6 @@
 pub use errors::ConfigurationError;
 pub use lookup::{KeyOwner, RouteTable};
 pub use policy::Policy;
+pub use quota::{Bucket, GrantTimes, QuotaBounds, QuotaUnit, TenantQuota};
 pub use registry::{HeldWeights, PendingOrder, ReplicaKey, ReplicaRecord, ReplicaState};
 pub use settings::{Bounds, FaultTolerance};
--- a/crates/serving/src/settings.rs
+++ b/crates/serving/src/settings.rs
@@ -2,6 +2,8 @@
 
 use speedy::{Readable, Writable};
 
+use crate::quota::QuotaBounds;
+
 /// Times and shares that the deployment promises to its users.
 #[derive(Clone, Copy, Debug, PartialEq, Readable, Writable)]
 pub struct Bounds {
@@ -31,6 +33,8 @@
     pub version_ms: u64,
     /// Time in which a part of a prompt is usually asked for again, milliseconds.
     pub reuse_window_ms: u64,
+    /// How tenants' quotas are judged.
+    pub quota: QuotaBounds,
 }
 
 /// Losses at the same time under which every promise holds.
--- a/crates/serving/tests/configuration.rs
+++ b/crates/serving/tests/configuration.rs
@@ -40,6 +40,7 @@
         api_keys: keys.iter().map(|key| (*key).to_owned()).collect(),
         priority: None,
         isolated: false,
+        quota: None,
     }
 }
 
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -4,7 +4,7 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
-use railtack_serving::{Bounds, FaultTolerance, Policy};
+use railtack_serving::{Bounds, FaultTolerance, Policy, QuotaBounds};
 use serde::Deserialize;
 
 use crate::load::{Validate, Violation, require_range};
@@ -73,6 +73,15 @@
     /// Seconds in which a part of a prompt is usually asked for again.
     #[serde(default = "default_reuse_window_s")]
     pub reuse_window_s: f64,
+    /// Seconds over which a tenant's quota is judged.
+    #[serde(default = "default_quota_window_s")]
+    pub quota_window_s: f64,
+    /// What a tenant may use above its quota in a window, as a share of it.
+    #[serde(default)]
+    pub quota_overage: f64,
+    /// What a tenant may use above that, in the quota's unit.
+    #[serde(default)]
+    pub quota_slack: f64,
 }
 
 /// The reuse window of a deployment that states none, seconds.
@@ -80,6 +89,11 @@
     10.0
 }
 
+/// The window of a deployment that states none, seconds.
+fn default_quota_window_s() -> f64 {
+    10.0
+}
+
 impl NodeSettings {
     /// Internal addresses of the seeds: all processes of a deployment use the same ports.
     pub fn internal_seeds(&self) -> Vec<SocketAddr> {
@@ -115,6 +129,11 @@
             lease_ms: self.lease_ms,
             version_ms: self.version_ms,
             reuse_window_ms: (self.reuse_window_s * 1_000.0) as u64,
+            quota: QuotaBounds {
+                window_ms: (self.quota_window_s * 1_000.0) as u64,
+                overage: self.quota_overage,
+                slack: self.quota_slack,
+            },
         }
     }
 }
@@ -144,6 +163,13 @@
             bounds.reuse_window_s,
             0.1..=3_600.0,
         )?;
+        require_range(
+            "bounds.quota_window_s",
+            bounds.quota_window_s,
+            0.1..=3_600.0,
+        )?;
+        require_range("bounds.quota_overage", bounds.quota_overage, 0.0..=10.0)?;
+        require_range("bounds.quota_slack", bounds.quota_slack, 0.0..=1e12)?;
         require_range("bounds.retry_slack", bounds.retry_slack, 0.0..=1e6)?;
         require_range("bounds.lease_ms", bounds.lease_ms, 1..=3_600_000)
     }
