Begin the ledger of a group's first term with full buckets

Cause: a ledger begins empty, since it does not know what former terms granted; at a group's first start there is none, and a tenant whose burst is many seconds of its rate had to wait for it (15 s in the test of the adapter, seen to fail). Change: the first term's buckets are full. Ruled out: full buckets at every term (the property test's mutant breaks the bound).

--- a/crates/control/src/serving/ledger.rs
+++ b/crates/control/src/serving/ledger.rs
@@ -1,6 +1,6 @@
 //! What each tenant has used of its quota, at the leader. Pure: times are passed in.
 //!
-//! The ledger of a term starts with empty buckets and knows nothing of former terms. It gives out
+//! The ledger of a term, but for a group's first, starts with empty buckets and knows nothing of former terms. It gives out
 //! what a bucket holds, or what it will hold shortly: then the request waits, and later ones queue up
 //! behind it, so that a large request is not passed for ever by small ones.
 //!
@@ -64,6 +64,8 @@
     times: GrantTimes,
     accounts: HashMap<String, Account>,
     began_at: Instant,
+    /// Whether no other ledger has granted anything before.
+    is_first: bool,
 }
 
 impl QuotaLedger {
@@ -74,6 +76,15 @@
             times,
             accounts: HashMap::new(),
             began_at: now,
+            is_first: false,
+        }
+    }
+
+    /// The ledger of a group's first term: its buckets are full.
+    pub fn first(bounds: QuotaBounds, times: GrantTimes, now: Instant) -> Self {
+        Self {
+            is_first: true,
+            ..Self::new(bounds, times, now)
         }
     }
 
@@ -115,7 +126,7 @@
     ) -> &mut Account {
         let began = Account {
             quota: withdrawal.quota,
-            level: 0.0,
+            level: if self.is_first { bucket.capacity } else { 0.0 },
             returning: 0.0,
             updated_at: self.began_at,
         };
--- a/crates/control/src/serving/quota.rs
+++ b/crates/control/src/serving/quota.rs
@@ -24,6 +24,8 @@
 /// Age of the last proof of leadership up to which quotas are granted. A leader has one every
 /// heartbeat of 100 ms; a new leader may grant beside a former one for as long as this.
 pub const LEADERSHIP_PROVED_WITHIN: Duration = Duration::from_millis(250);
+/// Term of a group's first leader.
+const FIRST_TERM: u64 = 1;
 /// Time between looks at whether a term has begun.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -115,7 +117,11 @@
         let kept = held.take().filter(|held| held.term == term);
         let begun = kept.unwrap_or_else(|| TermLedger {
             term,
-            ledger: QuotaLedger::new(self.bounds, grant_times(), now),
+            ledger: if term == FIRST_TERM {
+                QuotaLedger::first(self.bounds, grant_times(), now)
+            } else {
+                QuotaLedger::new(self.bounds, grant_times(), now)
+            },
         });
         &mut held.insert(begun).ledger
     }
--- a/crates/control/tests/quota.rs
+++ b/crates/control/tests/quota.rs
@@ -359,6 +359,21 @@
     );
 }
 
+#[test]
+fn a_groups_first_ledger_is_full_and_later_ones_are_empty() {
+    let start = Instant::now();
+    let mut first = QuotaLedger::first(bounds(), grant_times(), start);
+    let mut later = QuotaLedger::new(bounds(), grant_times(), start);
+    let granted = |ledger: &mut QuotaLedger| {
+        matches!(
+            withdraw(ledger, 90_000, start),
+            LedgerAnswer::Granted { wait } if wait.is_zero()
+        )
+    };
+    assert!(granted(&mut first));
+    assert!(!granted(&mut later));
+}
+
 #[test]
 fn a_raised_limit_is_usable_at_once() {
     let start = Instant::now();
