Refuse prompts that cannot be in time while a service is overloaded

Change: a router learns the time to the first event by the tokens ahead of a prompt; a new prompt that is expected to take over 1.5 objectives at its replica, and over 0.75 at the service's replicas on average, is refused at once and told when the queue will have drained. One that reads too little to help others, has run elsewhere or continues a stream is sent. What a replica has to read is told to others less what it is presumed to keep. Switch: refuse_late.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -11,6 +11,7 @@
 use crate::{
     backend::{AnswerHead, Dispatch},
     health::ExchangeEnd,
+    pace::TokensAhead,
     pool::{Connection, NoConnection},
     replicas::ReplicaUse,
     state::{ProxyState, lock},
@@ -33,6 +34,8 @@
     pub connection_limit: u32,
     /// Tokens of the prompt that this router had sent there before.
     pub kept_tokens: u64,
+    /// What the prompt has to wait for before its first event.
+    pub ahead: TokensAhead,
     /// Where the beginning of the prompt is likely to be kept, `ip:port`.
     pub fetch_from: Option<String>,
     /// The store that is to keep what is read, `ip:port`.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -13,6 +13,7 @@
 //! | which service? | [`split`] | yes |
 //! | which replica? | [`choice`], with [`affinity`], [`health`] and [`named`] | yes |
 //! | what do all routers meet there? | [`fleet`] | yes |
+//! | will its first event be in time? | [`pace`] | yes |
 //! | is its prompt sent to the store? | [`saves`] | yes |
 //! | may it be tried again? | [`verdict`], [`budget`] | yes |
 //! | all of that for one request | [`targeting`] | |
@@ -36,6 +37,7 @@
 pub mod lease;
 pub mod metrics;
 pub mod named;
+pub mod pace;
 pub mod pipeline;
 pub mod pool;
 pub mod quota;
--- /dev/null
+++ b/crates/proxy/src/pace.rs
@@ -0,0 +1,79 @@
+//! How long a prompt takes to its first event, and whether that is too long. Pure.
+//!
+//! When more comes than the engines can read, every prompt waits behind those that came before it, and
+//! all of them come late. Then one that cannot be in time is refused at once, with when to come back,
+//! so that those behind it are served in time. The pace is learned from what this router's own prompts
+//! waited for; it holds whatever slows an engine: reading, running requests, memory.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Time in which what was seen counts half as much, seconds: load changes within seconds.
+const HALF_LIFE_S: f64 = 5.0;
+/// Tokens that must have been read before the pace is gone by: a handful of long prompts.
+const FEWEST_TOKENS: f64 = 20_000.0;
+/// Objectives that a prompt must be expected to take before it is refused. The load that is known is a
+/// second old; at one objective prompts were refused on calm days that would have been in time.
+const REFUSED_FROM_OBJECTIVES: f64 = 1.5;
+/// The same for the mean of a service's replicas: a queue at one replica alone is no overload.
+const OVERLOAD_FROM_OBJECTIVES: f64 = 0.75;
+/// Part of the objective, as a divisor, below which reading a prompt takes too little to refuse it:
+/// it would free nothing for others.
+const SHORT_DIVISOR: f64 = 16.0;
+/// Part of the objective, as a divisor, up to which a prompt's own reading counts: a very long prompt
+/// is not refused for its length alone.
+const OWN_READING_DIVISOR: f64 = 4.0;
+/// Part of the objective, as a divisor, that must be left when a refused caller comes back.
+const LEFT_DIVISOR: f64 = 2.0;
+
+/// Time to the first event by the tokens that were to be read before it, as seen lately.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ReadingPace {
+    waited_s: f64,
+    tokens: f64,
+    noted_at: Option<Instant>,
+}
+
+/// What a prompt has ahead of it, tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TokensAhead {
+    /// Of the prompt itself, less what the replica is presumed to keep.
+    pub own: u64,
+    /// Of other prompts at the replica that have brought no event yet.
+    pub others: u64,
+    /// The same, as the mean of the service's replicas.
+    pub mean_others: u64,
+}
+
+impl ReadingPace {
+    /// Notes a first event that came `waited` after its prompt was sent.
+    pub fn note(&mut self, ahead: TokensAhead, waited: Duration, now: Instant) {
+        let age = self
+            .noted_at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let kept = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE_S);
+        self.waited_s = self.waited_s * kept + waited.as_secs_f64();
+        self.tokens = self.tokens * kept + (ahead.own + ahead.others) as f64;
+        self.noted_at = Some(now);
+    }
+
+    /// When the caller of a prompt that comes too late should come back; `None` if it is sent.
+    pub fn refusal(&self, ahead: TokensAhead, objective: Duration) -> Option<Duration> {
+        if self.tokens < FEWEST_TOKENS {
+            return None;
+        }
+        let pace_s = self.waited_s / self.tokens;
+        let objective_s = objective.as_secs_f64();
+        let own_s = ahead.own as f64 * pace_s;
+        if own_s < objective_s / SHORT_DIVISOR {
+            return None;
+        }
+        let counted_s = own_s.min(objective_s / OWN_READING_DIVISOR);
+        let expected_s = ahead.others as f64 * pace_s + counted_s;
+        let mean_s = ahead.mean_others as f64 * pace_s + counted_s;
+        let is_too_late = expected_s > objective_s * REFUSED_FROM_OBJECTIVES
+            && mean_s > objective_s * OVERLOAD_FROM_OBJECTIVES;
+        is_too_late.then(|| Duration::from_secs_f64(expected_s - objective_s / LEFT_DIVISOR))
+    }
+}
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -20,6 +20,7 @@
     request_log::RequestLog,
     state::{ProxyState, lock},
     stream,
+    targeting::NoTarget,
     verdict::{self, ExchangeFacts, ExchangeProof, NextStep},
 };
 
@@ -115,8 +116,9 @@
     async fn run(mut self) -> Response<Body> {
         let mut failure: Option<Response<Body>> = None;
         loop {
-            let Some(target) = self.wait_for_target().await else {
-                return self.without_target(failure);
+            let target = match self.wait_for_target().await {
+                Ok(target) => target,
+                Err(cause) => return self.without_target(failure, cause),
             };
             let failed = match self.answer_from(target).await {
                 Ok(Step::Done(response)) => return response,
@@ -181,8 +183,7 @@
         last_event: Option<u64>,
     ) -> Result<Answered, FailedExchange> {
         let kept = target.kept_tokens;
-        let unread = self.path.prompt_tokens.saturating_sub(kept);
-        let open = OpenRequest::begin(Arc::clone(&target.usage), unread);
+        let open = OpenRequest::begin(Arc::clone(&target.usage), target.ahead.own);
         self.state
             .metrics
             .prompt_tokens
@@ -351,7 +352,11 @@
         response
     }
 
-    fn without_target(mut self, failure: Option<Response<Body>>) -> Response<Body> {
+    fn without_target(
+        mut self,
+        failure: Option<Response<Body>>,
+        cause: NoTarget,
+    ) -> Response<Body> {
         if let Some(failure) = failure {
             self.log.end("replica_failure".to_owned());
             return failure;
@@ -359,6 +364,11 @@
         if self.replicas_used > 0 {
             return self.fail(None);
         }
+        if let NoTarget::TooLate { retry_after } = cause {
+            let reason = RefusalReason::Overloaded;
+            self.log.end(reason.to_string());
+            return reason.response(Some(retry_after));
+        }
         let reason = if self.state.is_confirmed() {
             RefusalReason::NoReplica
         } else {
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -39,6 +39,9 @@
     /// Nobody told whether the tenant's quota is used up.
     #[error("quota_unknown")]
     QuotaUnknown,
+    /// Its first event would come too late, and those of others later still.
+    #[error("overloaded")]
+    Overloaded,
     /// No replica takes work.
     #[error("no_replica")]
     NoReplica,
@@ -69,6 +72,7 @@
             Self::Unconfirmed
             | Self::QuotaUnknown
             | Self::Stopping
+            | Self::Overloaded
             | Self::NoReplica
             | Self::Declined
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/proxy/src/replicas.rs
+++ b/crates/proxy/src/replicas.rs
@@ -146,15 +146,17 @@
 pub struct OpenRequest {
     replica: Arc<ReplicaUse>,
     unread_tokens: u64,
+    began_at: Instant,
 }
 
 impl OpenRequest {
     /// Notes a request that is sent with a prompt of which `unread_tokens` must be read.
     pub fn begin(replica: Arc<ReplicaUse>, unread_tokens: u64) -> Self {
+        let began_at = Instant::now();
         {
             let mut load = replica.load();
             if load.open_requests == 0 {
-                load.busy_since = Instant::now();
+                load.busy_since = began_at;
             }
             load.open_requests += 1;
             load.unread_tokens += unread_tokens;
@@ -162,9 +164,15 @@
         Self {
             replica,
             unread_tokens,
+            began_at,
         }
     }
 
+    /// Time since the request was sent.
+    pub fn waited(&self) -> Duration {
+        self.began_at.elapsed()
+    }
+
     /// Notes that the prompt is read.
     pub fn prompt_read(&mut self) {
         let mut load = self.replica.load();
--- a/crates/proxy/src/request_log.rs
+++ b/crates/proxy/src/request_log.rs
@@ -6,8 +6,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    admission::Admitted, attempt::Target, choice::Candidate, request::ProxiedRequest,
-    state::ProxyState,
+    admission::Admitted, attempt::Target, choice::Candidate, pace::TokensAhead,
+    request::ProxiedRequest, state::ProxyState,
 };
 
 /// Collects what is logged of a request and logs it once, also if the caller goes away.
@@ -30,6 +30,8 @@
     /// Weights that the replica was told to hold.
     pub weights: u64,
     cost: f64,
+    /// What the prompt had to wait for there.
+    ahead: TokensAhead,
     /// Where the replica was told to fetch what it lacks; empty if nowhere.
     fetch_from: String,
     attempts: u32,
@@ -56,6 +58,7 @@
             prefix: 0,
             weights: 0,
             cost: 0.0,
+            ahead: TokensAhead::default(),
             fetch_from: String::new(),
             attempts: 0,
             first_byte: None,
@@ -71,12 +74,18 @@
         self.revision = admitted.revision;
     }
 
-    /// Notes a choice, with what decided it.
-    pub fn chose(&mut self, target: &Target, candidate: &Candidate, cost: f64, known: u64) {
+    /// Notes the replica that was considered, with what speaks for and against it.
+    pub fn considered(&mut self, target: &Target, candidate: &Candidate, cost: f64, known: u64) {
         self.replica.clone_from(&target.record.id);
         self.candidate = *candidate;
         self.cost = cost;
         self.known = known;
+        self.ahead = target.ahead;
+    }
+
+    /// Notes a choice, with what decided it.
+    pub fn chose(&mut self, target: &Target, candidate: &Candidate, cost: f64, known: u64) {
+        self.considered(target, candidate, cost, known);
         self.fetch_from = target.fetch_from.clone().unwrap_or_default();
         self.attempts += 1;
         // The line at the end tells of the last choice only.
@@ -142,6 +151,8 @@
             shared_open = self.candidate.shared_load.map_or(0, |load| load.open_requests),
             shared_unread = self.candidate.shared_load.map_or(0, |load| load.unread_tokens),
             has_shared_view = self.candidate.shared_load.is_some(),
+            unread_own = self.ahead.own,
+            unread_mean = self.ahead.mean_others,
             fetch_from = self.fetch_from.clone(),
             weights = self.weights,
             cost = self.cost,
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -23,6 +23,7 @@
     lease::Lease,
     metrics::ProxyMetrics,
     named::NamedWeights,
+    pace::{ReadingPace, TokensAhead},
     quota::QuotaClient,
     replicas::ReplicaTable,
     saves::{SaveBudget, StoreRoom},
@@ -70,6 +71,7 @@
     budgets: Mutex<HashMap<String, RetryBudget>>,
     saves: Mutex<SaveBudget>,
     named: Mutex<NamedWeights>,
+    paces: Mutex<HashMap<String, ReadingPace>>,
     changed: watch::Sender<u64>,
     stop: Mutex<Option<StopPlan>>,
 }
@@ -132,6 +134,7 @@
             budgets: Mutex::default(),
             saves: Mutex::default(),
             named: Mutex::default(),
+            paces: Mutex::default(),
             changed,
             stop: Mutex::default(),
         })
@@ -146,7 +149,9 @@
         self.metrics
             .replicas_known(next.replicas.values().map(|record| &**record));
         if let Some(table) = &next.table {
-            let routes = &table.configuration().routes;
+            let configuration = table.configuration();
+            lock(&self.paces).retain(|service, _| configuration.service(service).is_some());
+            let routes = &configuration.routes;
             lock(&self.splitter).retain(|name| routes.iter().any(|route| route.name == name));
         }
         self.view.store(Arc::new(next));
@@ -230,6 +235,26 @@
         self.with_budget(service, |budget| budget.spend(routers, Instant::now()))
     }
 
+    /// Notes how long a prompt waited for its first event.
+    pub fn note_first_event(&self, service: &str, ahead: TokensAhead, waited: Duration) {
+        let mut paces = lock(&self.paces);
+        let pace = paces.entry(service.to_owned()).or_default();
+        pace.note(ahead, waited, Instant::now());
+    }
+
+    /// When the caller of a prompt that would come too late should come back.
+    pub fn late_refusal(
+        &self,
+        service: &str,
+        ahead: TokensAhead,
+        objective: Duration,
+    ) -> Option<Duration> {
+        if !self.options.policy.refuse_late {
+            return None;
+        }
+        lock(&self.paces).get(service)?.refusal(ahead, objective)
+    }
+
     /// Whether a prompt is sent to its store; all stores together hold `capacity_tokens`.
     pub fn takes_save(&self, path: &PrefixPath, capacity_tokens: u64) -> bool {
         let policy = self.options.policy;
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -46,6 +46,8 @@
                 let events = buffer.push(&bytes);
                 if !events.is_empty() {
                     answered.open.prompt_read();
+                    let (ahead, waited) = (answered.target.ahead, answered.open.waited());
+                    run.state.note_first_event(&run.service, ahead, waited);
                     run.log.first_byte();
                     let first = FirstEvents {
                         events,
@@ -232,7 +234,7 @@
             if !self.run.may_run_again(ExchangeProof::MayHaveRun).await {
                 return Some(());
             }
-            let Some(target) = self.run.wait_for_target().await else {
+            let Ok(target) = self.run.wait_for_target().await else {
                 return Some(());
             };
             let resumed = self.run.exchange(target, self.buffer.last_event()).await;
--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -14,7 +14,8 @@
     affinity::rendezvous,
     attempt::Target,
     choice::{self, Candidate, RequestSize, SharedLoad},
-    fleet::FleetKnowledge,
+    fleet::{FEWEST_ROUTERS_FOR_SHARED_LOAD, FleetKnowledge},
+    pace::TokensAhead,
     pipeline::RequestRun,
     replicas::ReplicaTable,
     state::lock,
@@ -28,10 +29,30 @@
 /// Connections that a router may open to one replica if the configuration states no limit.
 const DEFAULT_CONNECTIONS: u32 = 32;
 
-/// Routers from which on a replica's load is taken from what all of them meet. A router that sees a
-/// good part of the traffic knows more from its own requests, which are newer: its own view was worth
-/// more with 7 or 8 routers, the shared one with 291 (`docs/EXPERIMENTS.md`); between is not measured.
-const FEWEST_ROUTERS_FOR_SHARED_LOAD: u32 = 20;
+/// What a look for a replica found.
+enum Choice {
+    /// This replica runs the request.
+    Replica(Target),
+    /// None takes work now.
+    Nobody,
+    /// The first event would come too late.
+    TooLate {
+        /// When the caller should come back.
+        retry_after: Duration,
+    },
+}
+
+/// Why a request was not sent to any replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoTarget {
+    /// None took work in time.
+    Nobody,
+    /// The first event would come too late.
+    TooLate {
+        /// When the caller should come back.
+        retry_after: Duration,
+    },
+}
 
 /// A replica that may be sent the request, and what speaks for and against it.
 struct Offer {
@@ -40,18 +61,20 @@
 }
 
 impl RequestRun {
-    /// Waits a little for a replica that takes work; `None` if there is none.
-    pub async fn wait_for_target(&mut self) -> Option<Target> {
+    /// Waits a little for a replica that takes work.
+    pub async fn wait_for_target(&mut self) -> Result<Target, NoTarget> {
         let route = &self.admitted.route;
         let wait = Duration::from_millis(route.objective_ms / WAIT_DIVISOR);
         let until = (self.request.received + wait).min(self.admitted.deadline);
         let mut changes = self.state.changes();
         loop {
-            if let Some(target) = self.choose() {
-                return Some(target);
+            match self.choose() {
+                Choice::Replica(target) => return Ok(target),
+                Choice::TooLate { retry_after } => return Err(NoTarget::TooLate { retry_after }),
+                Choice::Nobody => {}
             }
             if Instant::now() >= until || !self.state.is_confirmed() {
-                return None;
+                return Err(NoTarget::Nobody);
             }
             let change = async {
                 tokio::select! {
@@ -63,25 +86,36 @@
         }
     }
 
-    fn choose(&mut self) -> Option<Target> {
+    fn choose(&mut self) -> Choice {
         let view = self.state.view.load_full();
-        let configuration = view.table.as_ref()?.configuration();
-        let mut table = lock(&self.state.replicas);
+        let Some(table) = &view.table else {
+            return Choice::Nobody;
+        };
+        let configuration = table.configuration();
+        let mut replicas = lock(&self.state.replicas);
         let ready = self.ready(&view);
         let ranked = self.ranked(&ready);
-        let mut offers = self.offers(&ready, &ranked, &mut table, configuration);
+        let mut offers = self.offers(&ready, &ranked, &mut replicas, configuration);
         let candidates: Vec<Candidate> = offers.iter().map(|offer| offer.candidate).collect();
-        let (position, cost) = choice::choose(&candidates, self.size(), rand::random())?;
+        let chosen = choice::choose(&candidates, self.size(), rand::random());
+        let Some((position, cost)) = chosen else {
+            return Choice::Nobody;
+        };
         let Offer {
             candidate,
             mut target,
         } = offers.swap_remove(position);
+        target.ahead = self.tokens_ahead(&candidate, &target, &ready);
+        if let Some(retry_after) = self.late_refusal(target.ahead) {
+            self.log.considered(&target, &candidate, cost, view.known);
+            return Choice::TooLate { retry_after };
+        }
         let store = self.store(configuration);
         target.fetch_from = self
-            .favoured_holder(&ranked, &mut table, &target.record)
+            .favoured_holder(&ranked, &mut replicas, &target.record)
             .or_else(|| store.map(|store| store.address.clone()))
             .filter(|_| self.state.options.policy.fetch);
-        drop(table);
+        drop(replicas);
         target.save_to = store
             .filter(|_| self.is_saved(target.kept_tokens, configuration))
             .map(|store| store.address.clone());
@@ -89,7 +123,43 @@
         self.log.prefix = self.path.key().unwrap_or_default();
         self.log.shared_tokens = self.path.shared_tokens();
         self.log.weights = self.expected_weights(&target.record).unwrap_or_default();
-        Some(target)
+        Choice::Replica(target)
+    }
+
+    /// What the prompt has to wait for at a replica, and would have to at the others on average.
+    fn tokens_ahead(
+        &self,
+        candidate: &Candidate,
+        target: &Target,
+        ready: &[&Arc<ReplicaRecord>],
+    ) -> TokensAhead {
+        let own = choice::unread_tokens(candidate, self.size());
+        let Some(fleet) = self.state.current_fleet(Instant::now()) else {
+            return TokensAhead {
+                own,
+                others: candidate.unread_tokens,
+                mean_others: 0,
+            };
+        };
+        let unread = |record: &ReplicaRecord| shared_load(&fleet, record).unread_tokens;
+        let sum: u64 = ready.iter().map(|record| unread(record)).sum();
+        TokensAhead {
+            own,
+            others: unread(&target.record).max(candidate.unread_tokens),
+            mean_others: sum / ready.len().max(1) as u64,
+        }
+    }
+
+    /// When the caller should come back, if the first event would come too late. One that has run
+    /// elsewhere, or continues a stream, is sent all the same: its caller has waited for it.
+    fn late_refusal(&self, ahead: TokensAhead) -> Option<Duration> {
+        let is_new = self.tried.is_empty() && self.request.last_event.is_none();
+        let is_stream = self.admitted.route.kind.is_stream();
+        if !is_new || !is_stream || self.path.prompt_tokens == 0 {
+            return None;
+        }
+        let objective = Duration::from_millis(self.admitted.route.objective_ms);
+        self.state.late_refusal(&self.service, ahead, objective)
     }
 
     /// Replicas that may run the request and were not asked yet.
@@ -165,6 +235,7 @@
                     usage,
                     connection_limit,
                     kept_tokens: candidate.known_tokens,
+                    ahead: TokensAhead::default(),
                     fetch_from: None,
                     save_to: None,
                 },
--- a/crates/serving/src/policy.rs
+++ b/crates/serving/src/policy.rs
@@ -22,6 +22,8 @@
     pub own_load: bool,
     /// What all routers together meet at the replicas counts in the choice of one.
     pub shared_view: bool,
+    /// Prompts that cannot be in time are refused at once while a service is overloaded.
+    pub refuse_late: bool,
     /// Replicas of the router's zone are favoured.
     pub zone: bool,
     /// Replicas whose recent exchanges failed are avoided.
@@ -50,6 +52,7 @@
         save_bound: true,
         own_load: true,
         shared_view: true,
+        refuse_late: true,
         zone: true,
         failure_rate: true,
         pauses: true,
