Tell what all routers meet at half the age

Cause: the shared load is a second old when it is gone by, which refusals and choices feel. Change: from 20 routers on a router asks four times a second, fewer times the more routers there are (400 questions a second of all); control replicas tell each other four times a second.

--- a/crates/control/src/serving/liveness.rs
+++ b/crates/control/src/serving/liveness.rs
@@ -23,7 +23,7 @@
 };
 
 /// Time between two notices to the leader.
-const NOTICE_INTERVAL: Duration = Duration::from_millis(500);
+const NOTICE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time after a sign of life in which it is told to the leader.
 const TOLD_FOR: Duration = Duration::from_secs(2);
 /// Heartbeats that may be missing before a replica's signs of life count as interrupted.
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -15,12 +15,22 @@
 };
 use tokio::time::{Instant, sleep};
 
-use crate::state::{ProxyState, lock};
+use crate::{
+    fleet::FEWEST_ROUTERS_FOR_SHARED_LOAD,
+    state::{ProxyState, lock},
+};
 
 /// Time for connecting to a control replica.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time for which an answer may be held.
-const WAIT: Duration = Duration::from_millis(500);
+/// Longest time for which an answer may be held.
+const LONGEST_WAIT: Duration = Duration::from_millis(500);
+/// Shortest time for which one may be held where the shared load is gone by: what this router meets
+/// goes with each question, and the digest of all routers comes with each answer. Half the age was
+/// worth 0.01 to 0.05 of what callers are owed, with 79 routers.
+const SHORTEST_WAIT: Duration = Duration::from_millis(250);
+/// Questions that all routers together ask in a second; with more routers each asks less often, so
+/// that control replicas are asked no more.
+const QUESTIONS_PER_SECOND: u32 = 400;
 /// Time beyond the wait after which a control replica counts as out of reach.
 const ANSWER_MARGIN: Duration = Duration::from_millis(400);
 /// Pause after a question that was not answered.
@@ -94,9 +104,23 @@
     }
 }
 
+/// Time for which an answer may be held, with that many routers.
+pub fn longest_wait(routers: u32) -> Duration {
+    if routers < FEWEST_ROUTERS_FOR_SHARED_LOAD {
+        return LONGEST_WAIT;
+    }
+    let wait = Duration::from_secs(1) * routers / QUESTIONS_PER_SECOND;
+    wait.clamp(SHORTEST_WAIT, LONGEST_WAIT)
+}
+
 async fn ask(state: &ProxyState, connection: Arc<ControlConnection>) -> Option<WatchReply> {
     let first = !state.is_confirmed();
-    let wait = if first { Duration::ZERO } else { WAIT };
+    let routers = state.routers.load(Ordering::Relaxed);
+    let wait = if first {
+        Duration::ZERO
+    } else {
+        longest_wait(routers)
+    };
     let request = WatchRequest {
         router: state.options.node.clone(),
         known: state.view.load().known,
