Rank replicas once for a request, in a time linear in their number

Cause: each of a request's candidates was looked for in the list of ranked ones: 8,100 comparisons of identities for a request before 90 replicas, 58,000 before 240. Change: candidates are taken in the order of their ranks.

--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -95,7 +95,7 @@
         let mut replicas = lock(&self.state.replicas);
         let ready = self.ready(&view);
         let ranked = self.ranked(&ready);
-        let mut offers = self.offers(&ready, &ranked, &mut replicas, configuration);
+        let mut offers = self.offers(&ranked, &mut replicas, configuration);
         let candidates: Vec<Candidate> = offers.iter().map(|offer| offer.candidate).collect();
         let chosen = choice::choose(&candidates, self.size(), rand::random());
         let Some((position, cost)) = chosen else {
@@ -194,7 +194,6 @@
     /// What is known of each replica that may be sent the request now.
     fn offers(
         &self,
-        ready: &[&Arc<ReplicaRecord>],
         ranked: &[&Arc<ReplicaRecord>],
         table: &mut ReplicaTable,
         configuration: &ServingConfiguration,
@@ -207,8 +206,8 @@
             .state
             .current_fleet(now)
             .filter(|_| self.routers() >= FEWEST_ROUTERS_FOR_SHARED_LOAD);
-        let mut offers = Vec::with_capacity(ready.len());
-        for record in ready.iter().copied() {
+        let mut offers = Vec::with_capacity(ranked.len());
+        for (rank, record) in ranked.iter().copied().enumerate() {
             let usage = table.of(&record.id, now);
             let shared = fleet.as_ref().map(|fleet| shared_load(fleet, record));
             let rests = policy.pauses && !usage.allows(now);
@@ -226,7 +225,7 @@
                 candidate.known_tokens = known_tokens;
             }
             if policy.homes {
-                candidate.rank = rank_of(ranked, record);
+                candidate.rank = rank;
             }
             offers.push(Offer {
                 candidate: usage.describe(candidate, policy, shared, now),
@@ -363,10 +362,3 @@
         unread_tokens: u64::from(condition.unread_tokens),
     })
 }
-
-fn rank_of(ranked: &[&Arc<ReplicaRecord>], record: &ReplicaRecord) -> usize {
-    ranked
-        .iter()
-        .position(|known| known.id == record.id)
-        .unwrap_or(usize::MAX)
-}
