--- a/crates/control/src/serving/ledger.rs
+++ b/crates/control/src/serving/ledger.rs
@@ -110,14 +110,6 @@
         }
     }
 
-    /// What a tenant's bucket holds; `None` if it has not been asked for in this term.
-    pub fn level(&self, tenant: &str, now: Instant) -> Option<f64> {
-        let mut account = *self.accounts.get(tenant)?;
-        let bucket = self.bounds.bucket(&account.quota, self.times);
-        account.gain(bucket, now);
-        Some(account.level)
-    }
-
     fn account(
         &mut self,
         withdrawal: &Withdrawal<'_>,
--- a/crates/proxy/src/choice.rs
+++ b/crates/proxy/src/choice.rs
@@ -27,11 +27,11 @@
 /// Share of a replica's memory from which on a prompt's shared beginning is kept at one replica, the
 /// favoured one, however busy it is. Memory is what binds then: a copy elsewhere takes the place of
 /// another beginning, which is read again. Worth 0.2 of what callers are owed at high load, with 79
-/// routers before 90 replicas that keep a beginning each of 7 in 100 of their memory; replicas that
-/// read beginnings again went from 10.2 to 4.3 million tokens in half a minute.
+/// routers before 90 replicas and beginnings of 7 in 100 of a replica's memory: 4.3 instead of 10.2
+/// million tokens of beginnings were read again in half a minute.
 const BOUND_SHARE: f64 = 0.01;
-/// Cost of a replica that is not the favoured one where the whole load is known: as much as a replica
-/// whose slots are all taken.
+/// Cost of a replica that is not the favoured one, for a prompt that is kept at one replica: as much as
+/// one whose slots are all taken. Failures and rests still send the prompt elsewhere.
 const LEAVING_HOME_COST: f64 = 1.0;
 /// Replicas of any zone that are drawn for a request without a prompt.
 const DRAWN_CHOICES: usize = 2;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -107,6 +107,11 @@
             "Retries that the budget did not allow",
             self.retries_denied.clone(),
         );
+        registry.register(
+            "proxy_quota_unanswered",
+            "Requests refused because no leader told about their quota",
+            self.quota_unanswered.clone(),
+        );
         registry.register(
             "proxy_streams_resumed",
             "Streams continued at another replica",
--- a/crates/proxy/src/quota.rs
+++ b/crates/proxy/src/quota.rs
@@ -166,7 +166,7 @@
     Unanswered,
 }
 
-/// One question.
+/// One question to the replica that is believed to lead.
 async fn ask(state: &ProxyState, question: &QuotaRequest, until: Instant) -> Asked {
     let Some(connection) = state.quotas.target() else {
         return Asked::Unanswered;
@@ -177,17 +177,11 @@
     let reply = connection
         .call(|client| async move { client.take_quota(call_deadline(limit), sent).await })
         .await;
+    let asked = connection.address();
     match reply {
         Ok(QuotaReply::Granted { wait_ms }) => {
-            state.quotas.leads(Some(connection.address()));
-            let wait = Duration::from_millis(u64::from(wait_ms));
-            sleep(wait).await;
-            // What is used later than this is not covered by the ledger; it is asked for anew.
-            if asked_at.elapsed() <= wait + GRANT_LIFE {
-                Asked::Granted
-            } else {
-                Asked::Unanswered
-            }
+            state.quotas.leads(Some(asked));
+            wait_for_part(asked_at, wait_ms).await
         }
         Ok(QuotaReply::Refused {
             retry_after_ms,
@@ -201,7 +195,7 @@
                 rate_per_s,
                 level,
                 // Whose ledger it is, and how old its answer.
-                leader = connection.address().to_string(),
+                leader = asked.to_string(),
                 term,
                 age_ms = asked_at.elapsed().as_millis() as u64,
                 retry_after_ms,
@@ -209,10 +203,7 @@
             Asked::Refused(Duration::from_millis(u64::from(retry_after_ms)))
         }
         Ok(QuotaReply::NotLeader { leader }) => {
-            match leader.and_then(|leader| leader.parse().ok()) {
-                Some(leader) if leader != connection.address() => state.quotas.leads(Some(leader)),
-                _ => state.quotas.leave(connection.address()),
-            }
+            follow(&state.quotas, asked, leader);
             Asked::Unanswered
         }
         Err(report) => {
@@ -220,8 +211,29 @@
                 tenant = question.tenant.clone(),
                 cause = report.to_string(),
             });
-            state.quotas.leave(connection.address());
+            state.quotas.leave(asked);
             Asked::Unanswered
         }
     }
 }
+
+/// Waits until what was granted is there. What is used later than its life is not covered by the
+/// ledger, so it is asked for anew.
+async fn wait_for_part(asked_at: Instant, wait_ms: u32) -> Asked {
+    let wait = Duration::from_millis(u64::from(wait_ms));
+    sleep(wait).await;
+    if asked_at.elapsed() <= wait + GRANT_LIFE {
+        Asked::Granted
+    } else {
+        Asked::Unanswered
+    }
+}
+
+/// Goes by what a replica that does not lead said of the leader.
+fn follow(quotas: &QuotaClient, asked: SocketAddr, leader: Option<String>) {
+    let told = leader.and_then(|leader| leader.parse().ok());
+    match told {
+        Some(leader) if leader != asked => quotas.leads(Some(leader)),
+        _ => quotas.leave(asked),
+    }
+}
