--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -101,6 +101,20 @@
             .collect()
     }
 
+    /// Up to `limit` entries from `index` on whose commands have `bytes` together, or the first one if that
+    /// alone has more.
+    pub fn entries_within(&self, index: LogIndex, limit: usize, bytes: usize) -> Vec<Entry> {
+        let offset = index.saturating_sub(self.snapshot.last_index + 1) as usize;
+        let mut taken = 0;
+        let fits = |entry: &&Entry| {
+            let is_first = taken == 0;
+            taken += payload_size(entry).max(1);
+            is_first || taken <= bytes
+        };
+        let entries = self.entries.iter().skip(offset).take(limit);
+        entries.take_while(fits).cloned().collect()
+    }
+
     /// Adds an entry that follows the last one.
     pub fn append(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -33,6 +33,8 @@
     pub heartbeat_interval: Millis,
     /// Entries in one append message.
     pub append_limit: usize,
+    /// Bytes of commands in one append message; the first entry goes whatever its size.
+    pub append_bytes: usize,
     /// Seed of the election timeouts.
     pub seed: u64,
     /// Whether messages of or for another data folder are dropped. Only the simulator's
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -272,11 +272,12 @@
             progress.next.saturating_sub(1)
         };
         let limit = if probe { 0 } else { self.options.append_limit };
+        let bytes = self.options.append_bytes;
         let body = match self.log.term_at(previous_index) {
             Some(previous_term) => Body::Append {
                 previous_index,
                 previous_term,
-                entries: self.log.entries_from(previous_index + 1, limit),
+                entries: self.log.entries_within(previous_index + 1, limit, bytes),
                 commit: self.commit,
                 sent_at: now,
             },
--- a/crates/consensus/tests/convergence.rs
+++ b/crates/consensus/tests/convergence.rs
@@ -14,6 +14,8 @@
 use rand_chacha::ChaCha8Rng;
 use support::member;
 
+/// More than the commands of these tests have together.
+const APPEND_BYTES: usize = 1024 * 1024;
 const MEMBERS: u32 = 5;
 /// Time after the last disturbance in which every member must have applied everything: an election,
 /// and a few heartbeats.
@@ -39,6 +41,7 @@
         election_timeout: 400,
         heartbeat_interval: 100,
         append_limit: 16,
+        append_bytes: APPEND_BYTES,
         seed: u64::from(number),
         check_disk_identity: true,
     };
--- /dev/null
+++ b/crates/consensus/tests/log.rs
@@ -0,0 +1,41 @@
+//! The in-memory log.
+
+use railtack_consensus::{Entry, Payload, RaftLog, Snapshot};
+
+fn log(sizes: &[usize]) -> RaftLog {
+    let mut log = RaftLog::new(Snapshot::default(), Vec::new());
+    for (position, size) in sizes.iter().enumerate() {
+        log.append(Entry {
+            index: position as u64 + 1,
+            term: 1,
+            payload: Payload::Command(vec![0; *size]),
+        });
+    }
+    log
+}
+
+fn indexes(entries: &[Entry]) -> Vec<u64> {
+    entries.iter().map(|entry| entry.index).collect()
+}
+
+/// Hundreds of entries of 40 kB in one message keep a slow member busy for longer than an election
+/// timeout, so that it and the leader no longer hear of each other.
+#[test]
+fn a_message_is_bounded_in_bytes_and_carries_one_entry_at_least() {
+    let log = log(&[40_000; 100]);
+    assert_eq!(
+        indexes(&log.entries_within(1, 512, 256 * 1024)),
+        [1, 2, 3, 4, 5, 6]
+    );
+    assert_eq!(indexes(&log.entries_within(90, 512, 10)), [90]);
+    assert_eq!(indexes(&log.entries_within(100, 512, 256 * 1024)), [100]);
+    assert_eq!(log.entries_within(101, 512, 256 * 1024), []);
+    // A member that is only asked where it stands is sent nothing.
+    assert_eq!(log.entries_within(1, 0, 256 * 1024), []);
+}
+
+#[test]
+fn small_entries_are_bounded_in_number() {
+    let log = log(&[10; 100]);
+    assert_eq!(log.entries_within(1, 16, 256 * 1024).len(), 16);
+}
--- a/crates/consensus/tests/raft.rs
+++ b/crates/consensus/tests/raft.rs
@@ -10,6 +10,8 @@
 };
 use support::member;
 
+/// More than the commands of these tests have together.
+const APPEND_BYTES: usize = 1024 * 1024;
 const ELECTION_TIMEOUT: Millis = 300;
 
 fn membership(voters: u32) -> Membership {
@@ -100,6 +102,7 @@
         election_timeout: ELECTION_TIMEOUT,
         heartbeat_interval: 50,
         append_limit: 10,
+        append_bytes: APPEND_BYTES,
         seed: u64::from(number),
         check_disk_identity: true,
     };
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -20,6 +20,10 @@
 
 /// Entries in one append message.
 const APPEND_LIMIT: usize = 512;
+/// Bytes of commands in one append message. A member with half of a core reads and syncs that many in some
+/// 10 ms, far below an election timeout; 512 entries of 40 kB, which are registrations of 250 replicas
+/// each, kept members and leader from hearing of each other for seconds.
+const APPEND_BYTES: usize = 256 * 1024;
 
 /// Identity, timing and limits of a replica.
 #[derive(Clone, Debug)]
@@ -162,6 +166,7 @@
             election_timeout: options.election_timeout,
             heartbeat_interval: options.heartbeat_interval,
             append_limit: APPEND_LIMIT,
+            append_bytes: APPEND_BYTES,
             seed: options.seed,
             check_disk_identity: options.check_disk_identity,
         };
@@ -264,8 +269,11 @@
                 advance.applied.extend(self.apply(entry)?);
             }
         }
-        let over_entries = self.raft.log().len() as u64 >= self.options.snapshot_entries;
-        if over_entries || self.raft.log().payload_bytes() >= self.options.snapshot_bytes {
+        let log = self.raft.log();
+        let over_entries = log.len() as u64 >= self.options.snapshot_entries;
+        // A snapshot is written for at least as many bytes of log as it has itself.
+        let byte_limit = self.options.snapshot_bytes.max(log.snapshot().state.len());
+        if over_entries || log.payload_bytes() >= byte_limit {
             self.compact()?;
         }
         Ok(advance)
@@ -274,6 +282,11 @@
     /// Replaces the applied part of the log by a snapshot.
     pub fn compact(&mut self) -> Result<(), Report<ControlError>> {
         let index = self.applied_index();
+        // While nothing commits the log stays long, and the state that is told there already is not
+        // encoded again in each round.
+        if index <= self.raft.log().snapshot().last_index {
+            return Ok(());
+        }
         let state = encode_state(&self.state)?;
         let Some(snapshot) = self.raft.compact(index, state) else {
             return Ok(());
