--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -28,6 +28,10 @@
     pub quarantined: Gauge,
     /// Requests under which replicas have ended lately.
     pub suspects: Gauge,
+    /// Records of back-end replicas that the group has taken from here.
+    pub registrations: Counter,
+    /// Heartbeats that were refused because too many replicas waited to be recorded.
+    pub registrations_refused: Counter,
     /// Messages to other replicas that were dropped because the peer was slow or away.
     pub dropped_messages: Counter,
     /// 1 while this replica leads.
@@ -56,6 +60,8 @@
             quota_refused: Counter::default(),
             quarantined: Gauge::default(),
             suspects: Gauge::default(),
+            registrations: Counter::default(),
+            registrations_refused: Counter::default(),
             dropped_messages: Counter::default(),
             is_leader: Gauge::default(),
             term: Gauge::default(),
@@ -74,6 +80,16 @@
         registry.register("control_applied", "Commands applied", self.applied.clone());
         registry.register("control_rounds", "Rounds of work", self.rounds.clone());
         registry.register("control_polls", "Polls by routers", self.polls.clone());
+        registry.register(
+            "control_registrations",
+            "Records of back-end replicas taken from here",
+            self.registrations.clone(),
+        );
+        registry.register(
+            "control_registrations_refused",
+            "Heartbeats refused because too many replicas waited to be recorded",
+            self.registrations_refused.clone(),
+        );
         registry.register(
             "control_quota_asked",
             "Parts of tenants' quotas asked for",
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -194,6 +194,7 @@
 /// What a replica of a group that serves routers by watches has besides.
 #[derive(Clone)]
 pub(crate) struct GroupServices {
+    pub(crate) link: Arc<LeaderLink>,
     pub(crate) watch: Arc<WatchServer>,
     pub(crate) liveness: Arc<Liveness>,
     pub(crate) quotas: Arc<QuotaServer>,
@@ -307,6 +308,14 @@
         view.serving.quarantine().statuses().collect()
     }
 
+    async fn remove_if_silent(self, _: Context, replica: String) -> bool {
+        let Some(group) = self.group.as_ref() else {
+            return false;
+        };
+        let removal = group.liveness.remove_if_silent(&group.link, &replica);
+        removal.await
+    }
+
     async fn take_quota(self, _: Context, request: QuotaRequest) -> QuotaReply {
         let group = self.group.as_ref();
         group.map_or(QuotaReply::NotLeader { leader: None }, |group| {
--- a/crates/control/src/serving/daemon.rs
+++ b/crates/control/src/serving/daemon.rs
@@ -25,6 +25,7 @@
         order_channel::OrderChannel,
         orders, quarantine,
         quota::{self, QuotaServer},
+        registrar::{self, Registrar},
         watch::{self, WatchServer},
     },
 };
@@ -95,7 +96,7 @@
     };
     let (node, _) = node::start(replica, peers, metrics.clone(), started, node_options);
     let link = Arc::new(LeaderLink::new(node.clone(), options.listen.to_string()));
-    let liveness = Arc::new(Liveness::default());
+    let liveness = Arc::new(Liveness::new(options.replica_heartbeat));
     let watch = Arc::new(WatchServer::new(
         Arc::clone(&link),
         Arc::clone(&liveness),
@@ -109,7 +110,13 @@
         started,
         metrics.clone(),
     ));
+    let registrar = Arc::new(Registrar::new(
+        Arc::clone(&link),
+        Arc::clone(&liveness),
+        metrics.clone(),
+    ));
     let service = ControlService::new(node).with_group(GroupServices {
+        link: Arc::clone(&link),
         watch: Arc::clone(&watch),
         liveness: Arc::clone(&liveness),
         quotas: Arc::clone(&quotas),
@@ -127,8 +134,8 @@
     tokio::spawn(liveness::keep_told(
         Arc::clone(&link),
         Arc::clone(&liveness),
-        options.replica_heartbeat,
     ));
+    tokio::spawn(registrar::keep_recorded(Arc::clone(&registrar)));
     tokio::spawn(orders::keep_rolled_out(
         Arc::clone(&link),
         watch,
@@ -146,9 +153,9 @@
     Ok(GroupHandle::new(
         link,
         liveness,
+        registrar,
         identity.replica,
         options.tolerance,
-        options.replica_heartbeat,
     ))
 }
 
--- a/crates/control/src/serving/errors.rs
+++ b/crates/control/src/serving/errors.rs
@@ -14,6 +14,9 @@
     /// Another replica that is alive has the address, or only the leader can tell.
     #[error("another replica has this address")]
     AddressHeld,
+    /// More replicas wait to be recorded than there are places.
+    #[error("too many replicas register at once")]
+    Busy,
     /// No configuration was ever taken.
     #[error("there is no configuration yet")]
     NoConfiguration,
--- a/crates/control/src/serving/handle.rs
+++ b/crates/control/src/serving/handle.rs
@@ -7,10 +7,15 @@
     call_deadline,
     serving::{ConfigurationDocument, ServingCommand, ServingOutcome},
 };
-use railtack_serving::{FaultTolerance, HeldWeights, ReplicaRecord, ReplicaState};
+use railtack_serving::{FaultTolerance, HeldWeights, ReplicaRecord};
 
 use crate::{
-    serving::{errors::Unavailable, leader::LeaderLink, liveness::Liveness},
+    serving::{
+        errors::Unavailable,
+        leader::LeaderLink,
+        liveness::Liveness,
+        registrar::{Registrar, needs_recording},
+    },
     view::NodeView,
 };
 
@@ -19,26 +24,14 @@
 /// Time for telling the leader that this process is being stopped.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Heartbeats for which the replica that has an address must have been silent before another one is
-/// taken in there, in tenths: one may be late. A replica that restarts is away for longer.
-const SUCCESSION_TENTHS: u32 = 15;
-
-/// What a registration got.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Acknowledgement {
-    /// Internal address of the control replica that should get later heartbeats, if known.
-    pub leader: Option<String>,
-}
-
 /// A handle on this process's control replica.
 #[derive(Clone)]
 pub struct GroupHandle {
     link: Arc<LeaderLink>,
     liveness: Arc<Liveness>,
+    registrar: Arc<Registrar>,
     replica: ReplicaId,
     tolerance: FaultTolerance,
-    /// Time between heartbeats of back-end replicas.
-    replica_heartbeat: Duration,
 }
 
 impl GroupHandle {
@@ -46,16 +39,16 @@
     pub fn new(
         link: Arc<LeaderLink>,
         liveness: Arc<Liveness>,
+        registrar: Arc<Registrar>,
         replica: ReplicaId,
         tolerance: FaultTolerance,
-        replica_heartbeat: Duration,
     ) -> Self {
         Self {
             link,
             liveness,
+            registrar,
             replica,
             tolerance,
-            replica_heartbeat,
         }
     }
 
@@ -90,58 +83,12 @@
 
     /// Takes in a replica's heartbeat. What is new in it is recorded by the group before this
     /// returns; in particular that a replica is leaving.
-    pub async fn heartbeat(
-        &self,
-        record: ReplicaRecord,
-        sequence: u64,
-    ) -> Result<Acknowledgement, Unavailable> {
+    pub async fn heartbeat(&self, record: ReplicaRecord, sequence: u64) -> Result<(), Unavailable> {
         let is_newest = self.liveness.heartbeat(&record.id, sequence);
-        let view = self.link.view();
-        if is_newest && needs_recording(&view, &record) {
-            let replica = record.id.clone();
-            let address = record.address.clone();
-            let leaves = record.state == ReplicaState::Leaving;
-            let weights = record.weights.first().map_or(0, |held| held.version);
-            let outcome = self.register(record).await?;
-            spdlog::info!("replica recorded", kv: {
-                replica,
-                address,
-                sequence,
-                leaves,
-                weights,
-                outcome = format!("{outcome:?}"),
-            });
-        }
-        Ok(Acknowledgement {
-            leader: view.leader,
-        })
-    }
-
-    /// Records a replica. One that is not known is taken in at the address of another only once that
-    /// one is silent: two cannot listen at one address, and a heartbeat that was held back may come after
-    /// its sender has crashed and another life has taken the address.
-    async fn register(&self, record: ReplicaRecord) -> Result<ServingOutcome, Unavailable> {
-        let outcome = self
-            .propose(ServingCommand::Register(record.clone()))
-            .await?;
-        let ServingOutcome::AddressHeld { holder } = outcome else {
-            return Ok(outcome);
-        };
-        // Only the leader hears of all heartbeats.
-        let silence = self.replica_heartbeat * SUCCESSION_TENTHS / 10;
-        let is_free = self.link.view().leads && self.liveness.is_silent(&holder, silence);
-        spdlog::info!("address is held", kv: {
-            replica = record.id.clone(),
-            address = record.address.clone(),
-            holder = holder.clone(),
-            is_free,
-        });
-        if !is_free {
-            return Err(Unavailable::AddressHeld);
+        if is_newest && needs_recording(&self.link.view(), &record) {
+            self.registrar.record(record).await?;
         }
-        self.propose(ServingCommand::Deregister { replica: holder })
-            .await?;
-        self.propose(ServingCommand::Register(record)).await
+        Ok(())
     }
 
     /// Removes a replica that says that it leaves for good.
@@ -189,22 +136,3 @@
         }
     }
 }
-
-/// Whether a heartbeat says something that the replica here has not applied.
-fn needs_recording(view: &NodeView, record: &ReplicaRecord) -> bool {
-    if view.serving.has_departed(&record.id) {
-        return false;
-    }
-    let known = view.serving.replicas().get(&record.id);
-    !known.is_some_and(|known| {
-        let said_leaving = record.state == ReplicaState::Leaving;
-        let knows_leaving = known.state == ReplicaState::Leaving;
-        let weights_known = record.weights.iter().all(|held| {
-            known
-                .version_of(&held.model)
-                .is_some_and(|version| version >= held.version)
-        });
-        let same_place = known.service == record.service && known.address == record.address;
-        same_place && weights_known && (knows_leaving || !said_leaving)
-    })
-}
--- a/crates/control/src/serving/liveness.rs
+++ b/crates/control/src/serving/liveness.rs
@@ -9,7 +9,7 @@
 use futures::future::join_all;
 use railtack_rpc::{
     call_deadline,
-    serving::{AliveNotice, AliveReply, FleetDigest, ReplicaSighting, ServingCommand},
+    serving::{AliveNotice, AliveReply, FleetDigest, ReplicaSighting, ServingCommand, SignOfLife},
 };
 use railtack_serving::ReplicaKey;
 use tokio::time::{Instant, sleep};
@@ -25,8 +25,11 @@
 /// Time between two notices to the leader, and between two digests that it makes: part of the age at
 /// which routers go by what all of them meet.
 const NOTICE_INTERVAL: Duration = Duration::from_millis(250);
-/// Time after a sign of life in which it is told to the leader.
+/// Age up to which signs of life are told to a leader that was told none yet.
 const TOLD_FOR: Duration = Duration::from_secs(2);
+/// Time between two looks at all replicas: whether one is silent is a matter of many heartbeats, and a
+/// look takes a time that grows with their number.
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 /// Heartbeats that may be missing before a replica's signs of life count as interrupted.
 const MISSED_WHILE_ALIVE: u32 = 2;
 /// Time for one notice.
@@ -35,20 +38,36 @@
 const ROUTER_SILENCE: Duration = Duration::from_secs(5);
 /// Heartbeats in a row that a replica may miss before it counts as ended.
 const MISSED_HEARTBEATS: u32 = 12;
+/// Heartbeats for which the replica that has an address must have been silent before another one is
+/// taken in there, in tenths: one may be late. A replica that restarts is away for longer.
+const SUCCESSION_TENTHS: u32 = 15;
+/// Time in which a sign of life that another control replica took reaches the leader.
+const TELLING_TIME: Duration = Duration::from_millis(500);
 /// Time for removing a replica that is silent.
 const REMOVAL_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Who was heard from, and when.
-#[derive(Default)]
 pub struct Liveness {
     heard: Mutex<Heard>,
     fleet: Mutex<FleetView>,
+    /// Time between heartbeats of back-end replicas.
+    heartbeat: Duration,
+}
+
+/// The last heartbeat of a replica that came to this control replica.
+struct Beat {
+    at: Instant,
+    sequence: u64,
 }
 
 #[derive(Default)]
 struct Heard {
-    replicas: HashMap<String, Instant>,
-    sequences: HashMap<String, u64>,
+    /// Heartbeats that came here.
+    beats: HashMap<String, Beat>,
+    /// Signs of life that came here or, while leading, of which other control replicas told.
+    replicas: HashMap<ReplicaKey, Instant>,
+    /// The leader that was told last, and the moment up to which it knows what came here.
+    told: Option<(String, Instant)>,
     /// Routers that ask this control replica.
     asking_here: HashMap<String, Instant>,
     /// Routers of which other control replicas told.
@@ -59,15 +78,26 @@
 }
 
 impl Liveness {
+    /// For replicas that send a heartbeat at this interval.
+    pub fn new(heartbeat: Duration) -> Self {
+        Self {
+            heard: Mutex::default(),
+            fleet: Mutex::default(),
+            heartbeat,
+        }
+    }
+
     /// Takes in a heartbeat; false if it is older than one that was seen before.
     pub fn heartbeat(&self, replica: &str, sequence: u64) -> bool {
         let mut heard = self.lock();
-        let last = heard.sequences.entry(replica.to_owned()).or_insert(0);
-        if sequence < *last {
+        let at = Instant::now();
+        let known = heard.beats.get(replica);
+        if known.is_some_and(|known| sequence < known.sequence) {
             return false;
         }
-        *last = sequence;
-        heard.replicas.insert(replica.to_owned(), Instant::now());
+        let beat = Beat { at, sequence };
+        heard.beats.insert(replica.to_owned(), beat);
+        heard.replicas.insert(ReplicaKey::of(replica), at);
         true
     }
 
@@ -94,8 +124,11 @@
             fleet.digest(now)
         };
         let mut heard = self.lock();
-        for replica in notice.replicas {
-            heard.replicas.insert(replica, now);
+        for sign in notice.replicas {
+            let age = Duration::from_millis(u64::from(sign.age_ms));
+            let at = now.checked_sub(age).unwrap_or(now);
+            let known = heard.replicas.entry(sign.replica).or_insert(at);
+            *known = at.max(*known);
         }
         for router in notice.routers {
             heard.asking_elsewhere.insert(router, now);
@@ -124,19 +157,24 @@
     }
 
     /// While leading: makes the digest for all routers.
-    fn make_digest(&self, view: &NodeView, heartbeat: Duration) {
+    fn make_digest(&self, view: &NodeView) {
         let now = Instant::now();
+        let heartbeat = self.heartbeat;
         let records = view.serving.replicas().values();
         let known: Vec<KnownReplica<'_>> = {
             let heard = self.lock();
-            let is_alive = |replica: &String| {
-                let last = heard.replicas.get(replica);
-                last.is_some_and(|at| at.elapsed() < heartbeat * MISSED_WHILE_ALIVE)
+            let alive_for = heartbeat * MISSED_WHILE_ALIVE;
+            let is_alive = |replica: ReplicaKey| {
+                let last = heard.replicas.get(&replica);
+                last.is_some_and(|at| now.saturating_duration_since(*at) < alive_for)
             };
-            let known = records.map(|record| KnownReplica {
-                key: ReplicaKey::of(&record.id),
-                service: &record.service,
-                is_alive: is_alive(&record.id),
+            let known = records.map(|record| {
+                let key = ReplicaKey::of(&record.id);
+                KnownReplica {
+                    key,
+                    service: &record.service,
+                    is_alive: is_alive(key),
+                }
             });
             known.collect()
         };
@@ -161,44 +199,96 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn notice(&self, sender: &str) -> AliveNotice {
-        let sightings = self.fleet().own_sightings(Instant::now());
+    /// What the leader has to be told, and the moment up to which it then knows what came here. Signs of
+    /// life that it knows are not told again: told four times a second for two seconds each, those of
+    /// 10,000 replicas would be 1.5 MB a second.
+    fn notice(&self, sender: &str, leader: &str) -> (AliveNotice, Instant) {
+        let now = Instant::now();
+        let sightings = self.fleet().own_sightings(now);
         let mut heard = self.lock();
         heard.leading_since = None;
-        let recent = |at: &Instant| at.elapsed() < TOLD_FOR;
-        let replicas = heard.replicas.iter().filter(|(_, at)| recent(at));
-        let routers = heard.asking_here.iter().filter(|(_, at)| recent(at));
-        AliveNotice {
-            replicas: replicas.map(|(replica, _)| replica.clone()).collect(),
-            routers: routers.map(|(router, _)| router.clone()).collect(),
+        let told = heard.told.as_ref().filter(|(told, _)| told == leader);
+        let told_through = told.map(|(_, through)| *through);
+        let is_news = |at: Instant| match told_through {
+            Some(through) => at > through,
+            None => now.saturating_duration_since(at) < TOLD_FOR,
+        };
+        let beats = heard.beats.iter().filter(|(_, beat)| is_news(beat.at));
+        let replicas = beats.map(|(replica, beat)| {
+            let age = now.saturating_duration_since(beat.at);
+            SignOfLife {
+                replica: ReplicaKey::of(replica),
+                age_ms: u16::try_from(age.as_millis()).unwrap_or(u16::MAX),
+            }
+        });
+        let routers = heard.asking_here.iter();
+        let recent = routers.filter(|(_, at)| at.elapsed() < TOLD_FOR);
+        let notice = AliveNotice {
+            replicas: replicas.collect(),
+            routers: recent.map(|(router, _)| router.clone()).collect(),
             sender: sender.to_owned(),
             sightings,
-        }
+        };
+        (notice, now)
+    }
+
+    /// Takes in the answer of a leader that knows since what came here before `through`.
+    fn told(&self, leader: String, through: Instant, reply: AliveReply) {
+        let mut heard = self.lock();
+        heard.told = Some((leader, through));
+        heard.routers_of_leader = reply.routers;
+        drop(heard);
+        self.fleet().take_digest(reply.fleet, Instant::now());
     }
 
     /// While leading: whether nothing was heard of a replica for longer than `limit`. A replica that was
     /// never heard counts as heard when the lead began.
-    pub fn is_silent(&self, replica: &str, limit: Duration) -> bool {
+    fn is_silent(&self, replica: &str, limit: Duration) -> bool {
         let heard = self.lock();
-        let last = heard
-            .replicas
-            .get(replica)
-            .copied()
-            .max(heard.leading_since);
+        let last = heard.replicas.get(&ReplicaKey::of(replica));
+        let last = last.copied().max(heard.leading_since);
         last.is_some_and(|last| last.elapsed() > limit)
     }
 
+    /// While leading: removes a replica at whose address another one wants to be taken in, if it has
+    /// been silent for long enough. Two cannot listen at one address, and a heartbeat that was held back
+    /// may come after its sender has crashed and another life has taken the address.
+    pub async fn remove_if_silent(&self, link: &LeaderLink, replica: &str) -> bool {
+        let silence = self.heartbeat * SUCCESSION_TENTHS / 10 + TELLING_TIME;
+        let is_free = link.view().leads && self.is_silent(replica, silence);
+        spdlog::info!("address is held", kv: { holder = replica.to_owned(), is_free });
+        if !is_free {
+            return false;
+        }
+        let command = ServingCommand::Deregister {
+            replica: replica.to_owned(),
+        };
+        link.propose(command, REMOVAL_TIMEOUT).await.is_ok()
+    }
+
+    /// Notes that this control replica leads.
+    fn begin_lead(&self) {
+        let mut heard = self.lock();
+        heard.leading_since.get_or_insert_with(Instant::now);
+        heard.routers_of_leader = 0;
+        heard.told = None;
+    }
+
     /// While leading: replicas of `known` that have been silent for longer than `limit`.
     fn silent<'a>(&self, known: impl Iterator<Item = &'a String>, limit: Duration) -> Vec<String> {
         let now = Instant::now();
         let mut heard = self.lock();
-        let since = *heard.leading_since.get_or_insert(now);
-        heard.routers_of_leader = 0;
+        let since = heard.leading_since.unwrap_or(now);
+        // What was not heard of for so long is either gone or removed below.
+        heard
+            .replicas
+            .retain(|_, at| now.saturating_duration_since(*at) < limit * 2);
         let mut silent = Vec::new();
         for replica in known {
             // One that another control replica took in counts from when it is first seen here.
-            let last = *heard.replicas.entry(replica.clone()).or_insert(now);
-            if now.duration_since(last.max(since)) > limit {
+            let key = ReplicaKey::of(replica);
+            let last = *heard.replicas.entry(key).or_insert(now);
+            if now.saturating_duration_since(last.max(since)) > limit {
                 silent.push(replica.clone());
             }
         }
@@ -207,8 +297,7 @@
 
     fn forget(&self, kept: impl Fn(&str) -> bool) {
         let mut heard = self.lock();
-        heard.replicas.retain(|replica, _| kept(replica));
-        heard.sequences.retain(|replica, _| kept(replica));
+        heard.beats.retain(|replica, _| kept(replica));
         let lives = |_: &String, at: &mut Instant| at.elapsed() < ROUTER_SILENCE;
         heard.asking_here.retain(lives);
         heard.asking_elsewhere.retain(lives);
@@ -241,29 +330,41 @@
 }
 
 /// Tells the leader who was heard from; as the leader, removes replicas that are silent.
-pub async fn keep_told(link: Arc<LeaderLink>, liveness: Arc<Liveness>, heartbeat: Duration) {
+pub async fn keep_told(link: Arc<LeaderLink>, liveness: Arc<Liveness>) {
+    let mut looked_at = Instant::now();
     loop {
         sleep(NOTICE_INTERVAL).await;
         let view = link.view();
-        liveness.forget(|replica| view.serving.replicas().contains_key(replica));
-        if view.leads {
-            liveness.make_digest(&view, heartbeat);
-            let known = view.serving.replicas().keys();
-            let silent = liveness.silent(known, heartbeat * MISSED_HEARTBEATS);
-            // Together, so that they share a commit: many are silent at once or none.
-            join_all(silent.into_iter().map(|replica| remove(&link, replica))).await;
-            continue;
+        let looks = looked_at.elapsed() >= LOOK_INTERVAL;
+        if looks {
+            looked_at = Instant::now();
+            liveness.forget(|replica| view.serving.replicas().contains_key(replica));
         }
-        let Some(connection) = view.leader.and_then(|leader| link.connection(&leader)) else {
-            continue;
-        };
-        let notice = liveness.notice(link.own_address());
-        let reply = connection
-            .call(|client| async move { client.alive(call_deadline(NOTICE_TIMEOUT), notice).await })
-            .await;
-        if let Ok(reply) = reply {
-            liveness.lock().routers_of_leader = reply.routers;
-            liveness.fleet().take_digest(reply.fleet, Instant::now());
+        if view.leads {
+            liveness.begin_lead();
+            liveness.make_digest(&view);
+            if looks {
+                let known = view.serving.replicas().keys();
+                let silent = liveness.silent(known, liveness.heartbeat * MISSED_HEARTBEATS);
+                // Together, so that they share a commit: many are silent at once or none.
+                join_all(silent.into_iter().map(|replica| remove(&link, replica))).await;
+            }
+        } else if let Some(leader) = view.leader {
+            tell(&link, &liveness, leader).await;
         }
     }
 }
+
+async fn tell(link: &LeaderLink, liveness: &Liveness, leader: String) {
+    let Some(connection) = link.connection(&leader) else {
+        return;
+    };
+    let (notice, through) = liveness.notice(link.own_address(), &leader);
+    let reply = connection
+        .call(|client| async move { client.alive(call_deadline(NOTICE_TIMEOUT), notice).await })
+        .await;
+    // What was not answered is told again.
+    if let Ok(reply) = reply {
+        liveness.told(leader, through, reply);
+    }
+}
--- a/crates/control/src/serving/mod.rs
+++ b/crates/control/src/serving/mod.rs
@@ -14,6 +14,7 @@
 //! | [`orders`], [`order_giver`] | carrying out the rollout of weights |
 //! | [`order_channel`] | how orders reach back ends |
 //! | [`weights`] | the rollout's pure decision |
+//! | [`registrations`], [`registrar`] | recording back-end replicas in batches (the former is pure) |
 //! | [`watch`] | answering routers |
 
 pub mod daemon;
@@ -29,10 +30,12 @@
 pub mod orders;
 pub mod quarantine;
 pub mod quota;
+pub mod registrar;
+pub mod registrations;
 pub mod watch;
 pub mod weights;
 
 pub use daemon::{GroupOptions, start};
 pub use errors::Unavailable;
-pub use handle::{Acknowledgement, GroupHandle};
+pub use handle::GroupHandle;
 pub use order_channel::{OrderAnswer, OrderChannel, OrderRequest, WeightsReport};
--- a/crates/control/src/serving/watch.rs
+++ b/crates/control/src/serving/watch.rs
@@ -82,7 +82,8 @@
         self.update_times(|times| times.asked_at = Some(asked_at));
         let deadline = asked_at + Duration::from_millis(request.wait_ms.min(WAIT_LIMIT_MS));
         let mut receiver = self.link.node().view();
-        let changed = receiver.wait_for(|view| view.serving.changed_at() > request.known);
+        let changed =
+            receiver.wait_for(|view| view.serving.changed_at() > request.known.records_through);
         // Either way the present view is answered.
         let _ = timeout_at(deadline, changed).await;
         let interval = self.gathering_interval();
@@ -150,7 +151,8 @@
 /// calm moment is told at once. An answer never waits beyond the time that the router allows: one
 /// without a lease allows none.
 pub fn gathering_time(request: &WatchRequest, asked: Duration, interval: Duration) -> Duration {
-    if request.known == 0 {
+    let lacks_a_part = request.known.through == 0 || !request.known.is_whole();
+    if lacks_a_part {
         return Duration::ZERO;
     }
     let allowed = Duration::from_millis(request.wait_ms);
--- a/crates/control/src/serving_state.rs
+++ b/crates/control/src/serving_state.rs
@@ -10,17 +10,23 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use crate::serving_state::{quarantine::Quarantine, reported_ends::ReportedEnds};
+use crate::serving_state::{
+    quarantine::Quarantine,
+    registry::{ReplicaMap, ReplicaRegistry},
+    reported_ends::ReportedEnds,
+};
 use railtack_consensus::LogIndex;
 use railtack_rpc::serving::{
-    ConfigurationDocument, QuarantineUpdate, ServingCommand, ServingOutcome, ServingUpdate,
+    ConfigurationDocument, Known, QuarantineUpdate, Registration, ServingCommand, ServingOutcome,
+    ServingUpdate,
 };
 use railtack_serving::{
     HeldWeights, PendingOrder, ReplicaKey, ReplicaRecord, ReplicaState, ServingConfiguration,
 };
-use rpds::{RedBlackTreeMapSync, RedBlackTreeSetSync};
+use rpds::RedBlackTreeSetSync;
 
 pub mod quarantine;
+pub mod registry;
 mod reported_ends;
 mod stored;
 
@@ -35,8 +41,10 @@
     token: u64,
 }
 
-/// Back-end replicas by identity.
-pub type ReplicaMap = RedBlackTreeMapSync<String, ReplicaRecord>;
+/// Records of replicas after which an answer to a router ends, bytes of some 70 kB: a router's link of
+/// 10 Mbit/s carries them in 60 ms, and an answer that does not come within its time is lost as a whole.
+/// All records at once, of 140 bytes each, took longer than that from some 3,000 replicas on.
+const RECORDS_IN_ANSWER: usize = 512;
 
 /// What routers serve from, and who may give orders. A copy shares what it can.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -44,7 +52,7 @@
     content: Arc<Vec<u8>>,
     configuration: Arc<ServingConfiguration>,
     configuration_at: LogIndex,
-    replicas: ReplicaMap,
+    replicas: ReplicaRegistry,
     /// Replicas that have left, oldest first.
     departed: RedBlackTreeSetSync<(LogIndex, String)>,
     departed_ids: RedBlackTreeSetSync<String>,
@@ -74,7 +82,7 @@
 
     /// Back-end replicas by identity.
     pub fn replicas(&self) -> &ReplicaMap {
-        &self.replicas
+        self.replicas.records()
     }
 
     /// Whether a replica of this identity has left.
@@ -101,7 +109,16 @@
     pub fn apply(&mut self, index: LogIndex, command: ServingCommand) -> ServingOutcome {
         match command {
             ServingCommand::PutDocument(document) => self.put_document(index, document),
-            ServingCommand::Register(record) => self.register(index, record),
+            ServingCommand::Register(record) => match self.register(index, record) {
+                Registration::Recorded => ServingOutcome::Done,
+                Registration::Departed => ServingOutcome::UnknownReplica,
+                Registration::AddressHeld { holder } => ServingOutcome::AddressHeld { holder },
+            },
+            ServingCommand::RegisterAll(records) => {
+                let records = records.into_iter();
+                let outcomes = records.map(|record| self.register(index, record));
+                ServingOutcome::Registered(outcomes.collect())
+            }
             ServingCommand::Deregister { replica } => self.deregister(index, &replica),
             ServingCommand::Expire { replica } => self.expire(index, &replica),
             ServingCommand::NameWeights(named) => self.name_weights(index, named),
@@ -140,28 +157,47 @@
         }
     }
 
-    /// What a router lacks that knows everything up to `known`; `None` if nothing.
-    pub fn update_after(&self, known: LogIndex) -> Option<ServingUpdate> {
-        if known >= self.changed_at {
+    /// What a router lacks that knows so much; `None` if nothing, or if it knows more than is applied
+    /// here. Everything but the records of replicas is told at once, and the records in the order of
+    /// their changes, as many as one answer may hold.
+    pub fn update_after(&self, known: Known) -> Option<ServingUpdate> {
+        if known.through > self.changed_at || known.records_through >= self.changed_at {
             return None;
         }
-        let complete = known == 0 || known < self.departed_complete_after;
-        let changed = |record: &&ReplicaRecord| complete || record.changed_at > known;
-        let configuration = (self.configuration_at > known).then(|| self.configuration().clone());
+        let complete = known.through == 0 || known.through < self.departed_complete_after;
+        let records_known = if complete { 0 } else { known.records_through };
+        let (replicas, records_through) = self.records_after(records_known);
+        let configuration =
+            (self.configuration_at > known.through).then(|| self.configuration().clone());
         let quarantine = Some(self.quarantine.told())
-            .filter(|told| told.changed_at > known)
+            .filter(|told| told.changed_at > known.through)
             .cloned();
         Some(ServingUpdate {
             through: self.changed_at,
+            records_through,
             configuration,
             complete,
-            replicas: self.replicas.values().filter(changed).cloned().collect(),
-            removed: self.removed_after(known),
+            replicas,
+            removed: self.removed_after(known.through),
             weights: self.named_weights(),
             quarantine,
         })
     }
 
+    /// The records for one answer, and the position up to which a router knows all records with them.
+    fn records_after(&self, known: LogIndex) -> (Vec<ReplicaRecord>, LogIndex) {
+        let mut records: Vec<ReplicaRecord> = Vec::new();
+        for record in self.replicas.changed_after(known) {
+            let last = records.last().map_or(known, |last| last.changed_at);
+            // Records of one position stay together: a router names a position.
+            if records.len() >= RECORDS_IN_ANSWER && record.changed_at > last {
+                return (records, last);
+            }
+            records.push(record.clone());
+        }
+        (records, self.changed_at)
+    }
+
     fn removed_after(&self, known: LogIndex) -> Vec<String> {
         self.departed
             .iter()
@@ -189,14 +225,18 @@
         ServingOutcome::Done
     }
 
-    fn register(&mut self, index: LogIndex, mut record: ReplicaRecord) -> ServingOutcome {
+    fn register(&mut self, index: LogIndex, mut record: ReplicaRecord) -> Registration {
         if self.has_departed(&record.id) {
-            return ServingOutcome::UnknownReplica;
+            return Registration::Departed;
         }
         if let Some(known) = self.replicas.get(&record.id) {
             record = merged(known, record);
-        } else if let Some(holder) = self.holder_of(&record.address) {
-            return ServingOutcome::AddressHeld { holder };
+        } else if let Some(holder) = self.replicas.holder_of(&record.address) {
+            // Which of two that claim one address is alive cannot be told here: the one that is silent
+            // has to be removed first.
+            return Registration::AddressHeld {
+                holder: holder.clone(),
+            };
         } else {
             self.retract_end(index, &record.id);
         }
@@ -207,20 +247,12 @@
         // The same heartbeat may be recorded several times: it reaches several control replicas,
         // and a proposal whose answer is late is made again. Only the first is told to routers.
         if self.replicas.get(&record.id) == Some(&record) {
-            return ServingOutcome::Done;
+            return Registration::Recorded;
         }
         record.changed_at = index;
         self.changed_at = index;
-        self.replicas.insert_mut(record.id.clone(), record);
-        ServingOutcome::Done
-    }
-
-    /// The replica at an address. Which of two that claim one address is alive cannot be told here: the
-    /// one that is silent has to be removed first.
-    fn holder_of(&self, address: &str) -> Option<String> {
-        let mut replicas = self.replicas.values();
-        let holder = replicas.find(|known| known.address == address)?;
-        Some(holder.id.clone())
+        self.replicas.keep(record);
+        Registration::Recorded
     }
 
     fn deregister(&mut self, index: LogIndex, replica: &str) -> ServingOutcome {
@@ -233,7 +265,7 @@
     }
 
     fn expire(&mut self, index: LogIndex, replica: &str) -> ServingOutcome {
-        if !self.replicas.contains_key(replica) {
+        if self.replicas.get(replica).is_none() {
             return ServingOutcome::UnknownReplica;
         }
         self.remove(index, replica);
@@ -243,7 +275,7 @@
     /// Removes a replica of which two routers say that it has ended, so that no router tries it any
     /// more: each would find that out by losing time of a request.
     fn witness_end(&mut self, index: LogIndex, replica: ReplicaKey, witness: String) {
-        let mut known = self.replicas.keys();
+        let mut known = self.replicas.records().keys();
         let Some(ended) = known.find(|id| ReplicaKey::of(id) == replica).cloned() else {
             return;
         };
@@ -263,7 +295,7 @@
 
     /// Removes a replica and remembers that, for routers that know it.
     fn remove(&mut self, index: LogIndex, replica: &str) {
-        self.replicas.remove_mut(replica);
+        self.replicas.remove(replica);
         self.changed_at = index;
         self.departed.insert_mut((index, replica.to_owned()));
         if self.departed.size() > DEPARTED_KEPT
@@ -320,7 +352,7 @@
         if !is_holder {
             return ServingOutcome::NotHolder;
         }
-        let Some(record) = self.replicas.get_mut(replica) else {
+        let Some(mut record) = self.replicas.get(replica).cloned() else {
             return ServingOutcome::UnknownReplica;
         };
         if record.order.as_ref() == Some(&order) {
@@ -328,6 +360,7 @@
         }
         record.order = Some(order);
         record.changed_at = index;
+        self.replicas.keep(record);
         self.changed_at = index;
         ServingOutcome::Done
     }
--- a/crates/control/src/serving_state/stored.rs
+++ b/crates/control/src/serving_state/stored.rs
@@ -32,7 +32,7 @@
 
 impl From<&ServingState> for StoredState {
     fn from(state: &ServingState) -> Self {
-        let replicas = state.replicas.iter();
+        let replicas = state.replicas.records().iter();
         Self {
             content: state.content.to_vec(),
             configuration: state.configuration().clone(),
@@ -58,7 +58,7 @@
             content: Arc::new(stored.content),
             configuration: Arc::new(stored.configuration),
             configuration_at: stored.configuration_at,
-            replicas: stored.replicas.into_iter().collect(),
+            replicas: stored.replicas.into_values().collect(),
             departed: stored.departed.into_iter().collect(),
             departed_ids: stored.departed_ids.into_iter().collect(),
             departed_complete_after: stored.departed_complete_after,
--- a/crates/control/tests/quarantine.rs
+++ b/crates/control/tests/quarantine.rs
@@ -8,7 +8,7 @@
         quarantine::{ENDS_DESPITE_RIVAL, Quarantine},
     },
 };
-use railtack_rpc::serving::{ENDS_TO_QUARANTINE, QUARANTINE_TIME, ServingCommand};
+use railtack_rpc::serving::{ENDS_TO_QUARANTINE, Known, QUARANTINE_TIME, ServingCommand};
 use railtack_serving::{ContentKey, ReplicaKey};
 use speedy::{Readable, Writable};
 use tokio::time::Instant;
@@ -188,19 +188,19 @@
     };
     state.apply(1, end(1));
     assert_eq!(
-        state.update_after(0),
+        state.update_after(Known::all(0)),
         None,
         "one end is no news for routers"
     );
     state.apply(2, end(2));
     state.apply(3, end(3));
-    let update = state.update_after(2).expect("news");
+    let update = state.update_after(Known::all(2)).expect("news");
     let told = update.quarantine.expect("a quarantine");
     assert_eq!(told.quarantined, [FATAL]);
     // A router that has just started learns all of it; one that knows it hears nothing more.
-    let first = state.update_after(0).expect("everything");
+    let first = state.update_after(Known::all(0)).expect("everything");
     assert_eq!(first.quarantine, Some(told));
-    assert_eq!(state.update_after(3), None);
+    assert_eq!(state.update_after(Known::all(3)), None);
 }
 
 #[test]
--- /dev/null
+++ b/crates/control/tests/registrations.rs
@@ -0,0 +1,205 @@
+//! Thousands of replicas that register together.
+
+use railtack_control::{
+    serving::registrations::{BATCH, Registrations},
+    serving_state::ServingState,
+};
+use railtack_rpc::serving::{Known, Registration, ServingCommand, ServingOutcome, ServingUpdate};
+use railtack_serving::{ReplicaRecord, ReplicaState};
+
+fn record(number: usize) -> ReplicaRecord {
+    ReplicaRecord {
+        id: format!("i-{number}"),
+        service: "pool".to_owned(),
+        address: format!("10.{}.{}.1:80", number / 250, number % 250),
+        zone: "a".to_owned(),
+        slots: 4,
+        state: ReplicaState::Ready,
+        weights: Vec::new(),
+        order: None,
+        changed_at: 0,
+    }
+}
+
+fn leaving(number: usize) -> ReplicaRecord {
+    ReplicaRecord {
+        state: ReplicaState::Leaving,
+        ..record(number)
+    }
+}
+
+/// Control replicas that record into one log, each with one batch under way at a time.
+struct Group {
+    state: ServingState,
+    index: u64,
+    replicas: Vec<Registrations<usize>>,
+}
+
+impl Group {
+    fn new(replicas: usize) -> Self {
+        Self {
+            state: ServingState::default(),
+            index: 0,
+            replicas: (0..replicas).map(|_| Registrations::default()).collect(),
+        }
+    }
+
+    /// Every control replica records one batch; tells the records that were under way together.
+    fn round(&mut self) -> usize {
+        let mut under_way = 0;
+        for replica in &mut self.replicas {
+            let known = self.state.replicas();
+            let is_wanted = |record: &ReplicaRecord| !known.contains_key(&record.id);
+            let (batch, _) = replica.next_batch(is_wanted);
+            if batch.is_empty() {
+                continue;
+            }
+            under_way += batch.len();
+            self.index += 1;
+            let outcome = self
+                .state
+                .apply(self.index, ServingCommand::RegisterAll(batch));
+            let ServingOutcome::Registered(outcomes) = outcome else {
+                panic!("{outcome:?}");
+            };
+            replica.settle(outcomes);
+        }
+        under_way
+    }
+}
+
+/// Ten thousand replicas send heartbeats to ten control replicas and, unanswered, send them again to
+/// others. One entry for each of these would be 40,000, and all of them could be under way at once.
+#[test]
+fn a_storm_of_registrations_takes_few_entries_and_a_bounded_backlog() {
+    let mut group = Group::new(10);
+    for repeat in 0..4 {
+        for number in 0..10_000 {
+            let asked = (number + repeat * 3) % 10;
+            let offered = group.replicas[asked].offer(record(number), number);
+            assert_eq!(offered, Ok(()));
+        }
+    }
+    let mut most_under_way = 0;
+    for _ in 0..200 {
+        most_under_way = most_under_way.max(group.round());
+    }
+    assert_eq!(group.state.replicas().size(), 10_000);
+    assert!(most_under_way <= 10 * BATCH, "{most_under_way} under way");
+    assert!(group.index <= 160, "{} entries", group.index);
+}
+
+#[test]
+fn a_replica_has_one_place_however_often_its_heartbeat_comes() {
+    let mut registrations = Registrations::default();
+    for asker in 0..5 {
+        assert_eq!(registrations.offer(record(1), asker), Ok(()));
+    }
+    let (batch, _) = registrations.next_batch(|_| true);
+    assert_eq!(batch, [record(1)]);
+    // One that comes while the batch is under way waits for the same answer.
+    assert_eq!(registrations.offer(record(1), 5), Ok(()));
+    assert_eq!(registrations.waiting(), 0);
+    let settled = registrations.settle(vec![Registration::Recorded]);
+    assert_eq!(settled[0].askers, [0, 1, 2, 3, 4, 5]);
+}
+
+#[test]
+fn what_was_not_recorded_waits_again_and_a_later_word_prevails() {
+    let mut registrations = Registrations::default();
+    assert_eq!(registrations.offer(record(1), 0), Ok(()));
+    assert_eq!(registrations.offer(record(2), 1), Ok(()));
+    let (batch, _) = registrations.next_batch(|_| true);
+    assert_eq!(batch.len(), 2);
+    assert_eq!(registrations.offer(leaving(1), 2), Ok(()));
+    registrations.retry();
+    let (batch, _) = registrations.next_batch(|_| true);
+    assert_eq!(batch, [leaving(1), record(2)]);
+    let settled = registrations.settle(vec![Registration::Recorded, Registration::Recorded]);
+    assert_eq!(settled[0].askers, [2, 0]);
+}
+
+#[test]
+fn a_replica_that_leaves_goes_before_those_that_come_and_never_turns_back() {
+    let mut registrations = Registrations::default();
+    for number in 0..1_000 {
+        assert_eq!(registrations.offer(record(number), number), Ok(()));
+    }
+    assert_eq!(registrations.offer(leaving(900), 1_000), Ok(()));
+    assert_eq!(registrations.offer(record(900), 1_001), Ok(()));
+    let (batch, _) = registrations.next_batch(|_| true);
+    assert_eq!(batch[0], leaving(900));
+    assert_eq!(batch.len(), BATCH);
+}
+
+#[test]
+fn replicas_that_another_control_replica_has_recorded_are_answered_and_not_recorded_again() {
+    let mut registrations = Registrations::default();
+    for number in 0..10 {
+        assert_eq!(registrations.offer(record(number), number), Ok(()));
+    }
+    let (batch, answered) = registrations.next_batch(|record| record.id == "i-7");
+    assert_eq!(batch, [record(7)]);
+    assert_eq!(answered.len(), 9);
+}
+
+/// A router that knows nothing is told of all replicas in answers of a bounded size, whatever changes
+/// in between, and ends with the same records as the group.
+#[test]
+fn a_whole_state_is_told_in_pieces() {
+    let mut state = ServingState::default();
+    for (position, first) in (0..10_000).step_by(BATCH).enumerate() {
+        let batch: Vec<_> = (first..(first + BATCH).min(10_000)).map(record).collect();
+        state.apply(position as u64 + 1, ServingCommand::RegisterAll(batch));
+    }
+    let mut index = 100;
+    let mut known = Known::default();
+    let mut told = std::collections::BTreeMap::new();
+    let mut answers = 0;
+    while let Some(update) = state.update_after(known) {
+        answers += 1;
+        assert!(
+            update.replicas.len() <= 4 * BATCH,
+            "{}",
+            update.replicas.len()
+        );
+        known = apply(&mut told, update, known);
+        if answers <= 5 {
+            // A replica that was told already is gone, one that was not told yet leaves.
+            index += 1;
+            let gone = format!("i-{answers}");
+            state.apply(index, ServingCommand::Deregister { replica: gone });
+            index += 1;
+            state.apply(
+                index,
+                ServingCommand::RegisterAll(vec![leaving(9_000 + answers)]),
+            );
+        }
+    }
+    assert!(answers > 10, "{answers}");
+    assert_eq!(known, Known::all(state.changed_at()));
+    let recorded = state.replicas().iter();
+    let recorded = recorded.map(|(id, record)| (id.clone(), record.clone()));
+    assert_eq!(told, recorded.collect());
+    // Whoever lags behind what a router knows tells it nothing.
+    assert_eq!(state.update_after(Known::all(index + 1)), None);
+}
+
+fn apply(
+    told: &mut std::collections::BTreeMap<String, ReplicaRecord>,
+    update: ServingUpdate,
+    known: Known,
+) -> Known {
+    assert!(update.through >= known.through);
+    assert!(update.complete == (known.through == 0));
+    for replica in &update.removed {
+        told.remove(replica);
+    }
+    for record in update.replicas {
+        told.insert(record.id.clone(), record);
+    }
+    Known {
+        through: update.through,
+        records_through: update.records_through,
+    }
+}
--- a/crates/control/tests/serving_state.rs
+++ b/crates/control/tests/serving_state.rs
@@ -1,7 +1,7 @@
 //! The replicated state that routers serve from.
 
 use railtack_control::serving_state::ServingState;
-use railtack_rpc::serving::{ConfigurationDocument, ServingCommand, ServingOutcome};
+use railtack_rpc::serving::{ConfigurationDocument, Known, ServingCommand, ServingOutcome};
 use railtack_serving::{
     ContentKey, HeldWeights, PendingOrder, ReplicaKey, ReplicaRecord, ReplicaState,
     ServingConfiguration,
@@ -97,7 +97,7 @@
         state.apply(3, register("r", "h:1", 1)),
         ServingOutcome::Done
     );
-    let update = state.update_after(1).expect("news");
+    let update = state.update_after(Known::all(1)).expect("news");
     assert_eq!(update.replicas.len(), 1);
 }
 
@@ -112,7 +112,7 @@
     };
     assert_eq!(state.apply(2, register("new", "h:1", 1)), held);
     assert_eq!(state.replicas().keys().collect::<Vec<_>>(), ["old"]);
-    assert_eq!(state.update_after(1), None);
+    assert_eq!(state.update_after(Known::all(1)), None);
     let removed = ServingCommand::Deregister {
         replica: "old".to_owned(),
     };
@@ -124,7 +124,7 @@
     let late = state.apply(5, register("old", "h:1", 1));
     assert_eq!(late, ServingOutcome::UnknownReplica);
     assert_eq!(state.replicas().keys().collect::<Vec<_>>(), ["new"]);
-    let update = state.update_after(1).expect("news");
+    let update = state.update_after(Known::all(1)).expect("news");
     assert_eq!(update.removed, ["old"]);
 }
 
@@ -166,7 +166,7 @@
     assert_eq!(state.replicas().size(), 2);
     state.apply(4, ended("r", Some("router-2")));
     assert_eq!(state.replicas().keys().collect::<Vec<_>>(), ["other"]);
-    let update = state.update_after(3).expect("news");
+    let update = state.update_after(Known::all(3)).expect("news");
     assert_eq!(update.removed, ["r"]);
     // Its next life may take the address at once.
     assert_eq!(
@@ -245,18 +245,21 @@
     state.apply(1, document(1, "one"));
     state.apply(2, register("a", "h:1", 1));
     state.apply(3, register("b", "h:2", 1));
-    let first = state.update_after(0).expect("everything");
+    let first = state.update_after(Known::all(0)).expect("everything");
     assert!(first.complete && first.configuration.is_some() && first.replicas.len() == 2);
-    let next = state.update_after(2).expect("one replica");
+    let next = state.update_after(Known::all(2)).expect("one replica");
     assert!(!next.complete && next.configuration.is_none());
     assert_eq!(next.replicas.len(), 1);
-    assert_eq!(state.update_after(3), None);
+    assert_eq!(state.update_after(Known::all(3)), None);
     let named = HeldWeights {
         model: "m".to_owned(),
         version: 2,
     };
     state.apply(4, ServingCommand::NameWeights(named.clone()));
-    assert_eq!(state.update_after(3).expect("weights").weights, [named]);
+    assert_eq!(
+        state.update_after(Known::all(3)).expect("weights").weights,
+        [named]
+    );
 }
 
 /// Found by the sweep: a copy of all records at each registration took the memory of control.
@@ -298,7 +301,7 @@
         ServingOutcome::Done
     );
     assert_eq!(state.changed_at(), 1);
-    assert_eq!(state.update_after(1), None);
+    assert_eq!(state.update_after(Known::all(1)), None);
     state.apply(3, register("r", "h:1", 2));
     assert_eq!(state.changed_at(), 3);
 }
--- a/crates/control/tests/watch.rs
+++ b/crates/control/tests/watch.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use railtack_control::serving::watch::{gathering_interval, gathering_time, longest_gathering};
-use railtack_rpc::serving::WatchRequest;
+use railtack_rpc::serving::{Known, WatchRequest};
 use railtack_serving::{Bounds, QuotaBounds};
 
 const LONGEST: Duration = Duration::from_millis(400);
@@ -11,7 +11,7 @@
 fn question(known: u64, wait_ms: u64) -> WatchRequest {
     WatchRequest {
         router: "r".to_owned(),
-        known,
+        known: Known::all(known),
         wait_ms,
         sightings: Vec::new(),
     }
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -76,10 +76,11 @@
         let is_current = reply
             .confirmed_age_ms
             .is_some_and(|age| age < CONFIRMATION_LIMIT_MS);
+        let brings_news = reply.update.is_some();
         targets.learn(address, &reply);
         state.control_peers.learn(targets.addresses());
         take_reply(&state, reply, asked_at);
-        if is_current {
+        if is_current || brings_news {
             targets.prefer_zone(&state.options.zone, address);
         } else {
             targets.leave(address);
@@ -100,7 +101,7 @@
         state.metrics.lease_age_ms.set(age.as_millis() as u64);
         let is_confirmed = state.is_confirmed();
         if was_confirmed && !is_confirmed {
-            let known = state.view.load().known;
+            let known = state.view.load().known.through;
             spdlog::warn!("lease lost", kv: { known, age_ms = age.as_millis() as u64 });
         }
         was_confirmed = is_confirmed;
@@ -117,16 +118,17 @@
 }
 
 async fn ask(state: &ProxyState, connection: Arc<ControlConnection>) -> Option<WatchReply> {
-    let first = !state.is_confirmed();
+    let known = state.view.load().known;
+    let lacks_a_part = !state.is_confirmed() || !known.is_whole();
     let routers = state.routers.load(Ordering::Relaxed);
-    let wait = if first {
+    let wait = if lacks_a_part {
         Duration::ZERO
     } else {
         longest_wait(routers)
     };
     let request = WatchRequest {
         router: state.options.node.clone(),
-        known: state.view.load().known,
+        known,
         wait_ms: wait.as_millis() as u64,
         sightings: lock(&state.replicas).sightings(Instant::now()),
     };
@@ -162,16 +164,20 @@
             .as_ref()
             .map_or(0, |table| table.configuration().revision);
         spdlog::info!("view updated", kv: {
-            known = next.known,
+            known = next.known.through,
+            records_known = next.known.records_through,
             revision,
             replicas = next.replicas.len(),
         });
         state.metrics.revision.set(revision);
         state.set_view(next);
     }
-    // The state is applied before the lease that vouches for it counts.
+    // The whole state is applied before the lease that vouches for it counts.
+    if !state.view.load().known.is_whole() {
+        return;
+    }
     if state.take_confirmation(&reply, asked_at) {
-        spdlog::info!("lease gained", kv: { known = state.view.load().known });
+        spdlog::info!("lease gained", kv: { known = state.view.load().known.through });
     }
 }
 
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -369,7 +369,7 @@
             replica = target.record.id.clone(),
             cause = failed.cause,
             proof = format!("{:?}", failed.proof),
-            known = self.state.view.load().known,
+            known = self.state.view.load().known.through,
         });
         self.state.metrics.exchange_ended(failed.cause);
         failed
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -163,7 +163,7 @@
         let before = self.view.load_full();
         lock(&self.replicas).follow(&before, &next);
         lock(&self.named).learn(&next.weights, Instant::now());
-        let known = next.known;
+        let known = next.known.through;
         self.metrics
             .replicas_known(next.replicas.values().map(|record| &**record));
         if let Some(table) = &next.table {
@@ -219,7 +219,7 @@
         let gained = !was_confirmed && self.is_confirmed();
         if gained {
             // Requests wait for the first lease as they wait for a new view.
-            self.changed.send_replace(self.view.load().known);
+            self.changed.send_replace(self.view.load().known.through);
         }
         gained
     }
--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -87,7 +87,8 @@
         } = offers.swap_remove(position);
         target.ahead = self.tokens_ahead(&candidate, &target, &ready);
         if let Some(retry_after) = self.late_refusal(target.ahead) {
-            self.log.considered(&target, &candidate, cost, view.known);
+            self.log
+                .considered(&target, &candidate, cost, view.known.through);
             return Err(NoTarget::TooLate { retry_after });
         }
         let store = self.store(configuration);
@@ -99,7 +100,8 @@
         target.save_to = store
             .filter(|_| self.is_saved(target.kept_tokens, configuration))
             .map(|store| store.address.clone());
-        self.log.chose(&target, &candidate, cost, view.known);
+        self.log
+            .chose(&target, &candidate, cost, view.known.through);
         self.log.prefix = self.path.key().unwrap_or_default();
         self.log.shared_tokens = self.path.shared_tokens();
         self.log.weights = self.expected_weights(&target.record).unwrap_or_default();
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -2,14 +2,14 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use railtack_rpc::serving::ServingUpdate;
+use railtack_rpc::serving::{Known, ServingUpdate};
 use railtack_serving::{ReplicaRecord, ReplicaState, RouteTable};
 
 /// One consistent state; a newer one replaces it as a whole. It never goes back.
 #[derive(Clone, Debug, Default)]
 pub struct ServingView {
-    /// Position in the control group's log up to which everything is known.
-    pub known: u64,
+    /// Positions in the control group's log up to which it is known what is served from.
+    pub known: Known,
     /// Routes, services and tenants; `None` before the first configuration.
     pub table: Option<Arc<RouteTable>>,
     /// Replicas by identity.
@@ -21,11 +21,16 @@
 impl ServingView {
     /// The state after an update; `None` if the update brings nothing new.
     pub fn updated(&self, update: ServingUpdate) -> Option<Self> {
-        if update.through <= self.known {
+        let brings = Known {
+            through: update.through,
+            records_through: update.records_through,
+        };
+        let is_older = brings.through < self.known.through;
+        if is_older || brings == self.known {
             return None;
         }
         let mut next = self.clone();
-        next.known = update.through;
+        next.known = brings;
         if let Some(configuration) = update.configuration {
             next.table = Some(Arc::new(RouteTable::new(configuration)));
         }
--- a/crates/rpc/src/service.rs
+++ b/crates/rpc/src/service.rs
@@ -46,4 +46,7 @@
     async fn suspects() -> Vec<SuspectStatus>;
     /// Takes a part of a tenant's quota for one request.
     async fn take_quota(request: QuotaRequest) -> QuotaReply;
+    /// Asks the leader to remove a back-end replica, so that another one is taken in at its address;
+    /// true if it was silent for long enough, and is removed.
+    async fn remove_if_silent(replica: String) -> bool;
 }
--- a/crates/rpc/src/serving.rs
+++ b/crates/rpc/src/serving.rs
@@ -75,6 +75,8 @@
         /// Its last change that the sender knows; nothing happens if it has changed since.
         changed_at: LogIndex,
     },
+    /// Records what several back-end replicas say of themselves, in one entry of the log.
+    RegisterAll(Vec<ReplicaRecord>),
 }
 
 /// What a change did.
@@ -102,6 +104,47 @@
     },
     /// The end is recorded; this is what all routers are told since.
     EndRecorded(QuarantineUpdate),
+    /// What became of each record of [`ServingCommand::RegisterAll`], in its order.
+    Registered(Vec<Registration>),
+}
+
+/// What became of the record of one back-end replica.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub enum Registration {
+    /// It is recorded.
+    Recorded,
+    /// The replica has left; nothing changed.
+    Departed,
+    /// Another replica has the address; nothing changed.
+    AddressHeld {
+        /// That replica.
+        holder: String,
+    },
+}
+
+/// Log positions up to which a router knows what routers serve from; 0 for nothing. The records of
+/// replicas may lag while they are told in several answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct Known {
+    /// Everything but the records of replicas; that a replica is gone is known too.
+    pub through: LogIndex,
+    /// The records of replicas.
+    pub records_through: LogIndex,
+}
+
+impl Known {
+    /// Everything up to a position.
+    pub fn all(through: LogIndex) -> Self {
+        Self {
+            through,
+            records_through: through,
+        }
+    }
+
+    /// Whether the records of replicas are known as far as everything else.
+    pub fn is_whole(self) -> bool {
+        self.records_through >= self.through
+    }
 }
 
 /// A router's question: what changed since, and is it current?
@@ -109,8 +152,8 @@
 pub struct WatchRequest {
     /// Names the router.
     pub router: String,
-    /// Log position up to which the router knows everything; 0 for nothing.
-    pub known: LogIndex,
+    /// What the router knows.
+    pub known: Known,
     /// Time for which the answer may be held until something changes, milliseconds.
     pub wait_ms: u64,
     /// What the router has met lately at back-end replicas.
@@ -185,6 +228,8 @@
 pub struct ServingUpdate {
     /// Log position that the router reaches by applying this.
     pub through: LogIndex,
+    /// The same for the records of replicas: below `through` if there are more to be asked for.
+    pub records_through: LogIndex,
     /// The configuration, if it changed.
     pub configuration: Option<ServingConfiguration>,
     /// Whether `replicas` holds all replicas, not only those that changed.
@@ -314,11 +359,20 @@
 /// room above the quota, rate times this.
 pub const GRANT_LIFE: Duration = Duration::from_millis(300);
 
+/// A sign of life of a back-end replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct SignOfLife {
+    /// The replica.
+    pub replica: ReplicaKey,
+    /// How long before this message it came, milliseconds; the largest value stands for any longer time.
+    pub age_ms: u16,
+}
+
 /// Signs of life that a control replica took for the leader.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
 pub struct AliveNotice {
-    /// Identities of the back-end replicas.
-    pub replicas: Vec<String>,
+    /// Back-end replicas heard from since the last notice that was answered.
+    pub replicas: Vec<SignOfLife>,
     /// Names of the routers.
     pub routers: Vec<String>,
     /// Internal address of the control replica that tells this.
