Answer heartbeats at once, and hold routers that cannot serve instead of being asked again

Cause: two storms that hold only while a fleet is small. A heartbeat whose recording took long was sent on to one control machine after the other; all replicas ended at the only one that answered in time, the leader (9,599 connections, 0.595 of its 0.6 cores). And a router without a configuration or a lease asked again at once: 15,559 questions a second from one router in the test, 48 MB/s between zones from 985. Change: a heartbeat that promises nothing is answered before it is recorded (that a replica leaves still is a promise); one that finds its address taken is tried again; a machine with over 1.5 times its share names another; a router without a lease is held until the state is confirmed, one that lacks records or is ahead until there is something to tell, and after an answer at once without news it pauses. Ruled out: the byte bound of appends alone (trial: no leader from -16 to -5 s). Tests: proxy/tests/control_watch.rs (seen to fail), control/tests/watch.rs, platform/tests.

--- a/crates/control/src/serving/handle.rs
+++ b/crates/control/src/serving/handle.rs
@@ -7,7 +7,7 @@
     call_deadline,
     serving::{ConfigurationDocument, ServingCommand, ServingOutcome},
 };
-use railtack_serving::{FaultTolerance, HeldWeights, ReplicaRecord};
+use railtack_serving::{FaultTolerance, HeldWeights, ReplicaKey, ReplicaRecord, ReplicaState};
 
 use crate::{
     serving::{
@@ -24,6 +24,21 @@
 /// Time for telling the leader that this process is being stopped.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Replicas whose heartbeats may come to one control replica, in tenths of an equal share: replicas choose
+/// at random, and none moves for a small gain.
+const MOST_SHARES_TENTHS: usize = 15;
+/// Replicas beyond that: with few of them shares are uneven, and none is a burden.
+const SHARE_SLACK: usize = 64;
+
+/// Where the later heartbeats of a replica should go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HeartbeatPlace {
+    /// To this control replica.
+    Here,
+    /// To the control replica with this internal address.
+    There(String),
+}
+
 /// A handle on this process's control replica.
 #[derive(Clone)]
 pub struct GroupHandle {
@@ -81,14 +96,46 @@
         self.propose(ServingCommand::NameWeights(named)).await
     }
 
-    /// Takes in a replica's heartbeat. What is new in it is recorded by the group before this
-    /// returns; in particular that a replica is leaving.
-    pub async fn heartbeat(&self, record: ReplicaRecord, sequence: u64) -> Result<(), Unavailable> {
+    /// Takes in a replica's heartbeat, and tells where later ones should go. That a replica is leaving is
+    /// recorded by the group before this returns: the answer binds all routers. Anything else promises
+    /// nothing and is recorded soon, so that the answer does not wait: a heartbeat without an answer in
+    /// time is sent to one control replica after the other, and then thousands of replicas that register
+    /// together are several times as many.
+    pub async fn heartbeat(
+        &self,
+        record: ReplicaRecord,
+        sequence: u64,
+    ) -> Result<HeartbeatPlace, Unavailable> {
+        let view = self.link.view();
+        let place = self.place_of(&view, &record.id);
         let is_newest = self.liveness.heartbeat(&record.id, sequence);
-        if is_newest && needs_recording(&self.link.view(), &record) {
-            self.registrar.record(record).await?;
+        if is_newest && needs_recording(&view, &record) {
+            if record.state == ReplicaState::Leaving {
+                self.registrar.record(record).await?;
+            } else {
+                self.registrar.take_in(record)?;
+            }
+        }
+        Ok(place)
+    }
+
+    /// Where the heartbeats of a replica should go: here, where its connection is, unless more come here
+    /// than this control replica's share, as after others were away.
+    fn place_of(&self, view: &NodeView, replica: &str) -> HeartbeatPlace {
+        let known = view.serving.replicas().size();
+        let share = known / view.voters.len().max(1);
+        if self.liveness.heartbeats_here() <= share * MOST_SHARES_TENTHS / 10 + SHARE_SLACK {
+            return HeartbeatPlace::Here;
+        }
+        let key = ReplicaKey::of(replica).0 as usize;
+        let others = view.voters.iter();
+        let others: Vec<&String> = others
+            .filter(|other| *other != self.link.own_address())
+            .collect();
+        match others.get(key % others.len().max(1)) {
+            Some(other) => HeartbeatPlace::There((*other).clone()),
+            None => HeartbeatPlace::Here,
         }
-        Ok(())
     }
 
     /// Removes a replica that says that it leaves for good.
--- a/crates/control/src/serving/leader.rs
+++ b/crates/control/src/serving/leader.rs
@@ -79,11 +79,30 @@
         &self,
         command: ServingCommand,
         limit: Duration,
+    ) -> Result<ServingOutcome, Unavailable> {
+        self.propose_in_tries(command, limit, TRY_TIMEOUT).await
+    }
+
+    /// Like [`Self::propose`], without asking a leader again that has not answered yet: for large commands,
+    /// which a leader that is behind should not get several times.
+    pub async fn propose_patiently(
+        &self,
+        command: ServingCommand,
+        limit: Duration,
+    ) -> Result<ServingOutcome, Unavailable> {
+        self.propose_in_tries(command, limit, limit).await
+    }
+
+    async fn propose_in_tries(
+        &self,
+        command: ServingCommand,
+        limit: Duration,
+        each: Duration,
     ) -> Result<ServingOutcome, Unavailable> {
         let deadline = Instant::now() + limit;
         let proposal = proposal(command);
         loop {
-            let answer = timeout_at(deadline, self.propose_once(&proposal)).await;
+            let answer = timeout_at(deadline, self.propose_once(&proposal, each)).await;
             match answer {
                 Err(_) => return Err(Unavailable::NoLeader),
                 Ok(Some(ProposeReply::Done(Outcome::Serving(outcome)))) => return Ok(outcome),
@@ -95,30 +114,28 @@
     /// Commits a change only if this replica leads: what it claims for itself must not reach a
     /// later leader's log. `None` if it does not, or if the outcome is not known in time.
     pub async fn propose_here(&self, command: ServingCommand) -> Option<ServingOutcome> {
-        match self.propose_to_own(&proposal(command)).await? {
+        match self.propose_to_own(&proposal(command), TRY_TIMEOUT).await? {
             ProposeReply::Done(Outcome::Serving(outcome)) => Some(outcome),
             _ => None,
         }
     }
 
-    async fn propose_to_own(&self, proposal: &Proposal) -> Option<ProposeReply> {
+    async fn propose_to_own(&self, proposal: &Proposal, limit: Duration) -> Option<ProposeReply> {
         let asked = self
             .node
             .ask(|sender| Input::Propose(proposal.clone(), sender));
-        timeout(TRY_TIMEOUT, asked).await.ok()?.ok()
+        timeout(limit, asked).await.ok()?.ok()
     }
 
-    async fn propose_once(&self, proposal: &Proposal) -> Option<ProposeReply> {
+    async fn propose_once(&self, proposal: &Proposal, limit: Duration) -> Option<ProposeReply> {
         let leader = self.view().leader?;
         if leader == self.own_address {
-            return self.propose_to_own(proposal).await;
+            return self.propose_to_own(proposal, limit).await;
         }
         let connection = self.connection(&leader)?;
         let proposal = proposal.clone();
         connection
-            .call(
-                |client| async move { client.propose(call_deadline(TRY_TIMEOUT), proposal).await },
-            )
+            .call(|client| async move { client.propose(call_deadline(limit), proposal).await })
             .await
             .ok()
     }
--- a/crates/control/src/serving/liveness.rs
+++ b/crates/control/src/serving/liveness.rs
@@ -64,6 +64,8 @@
 struct Heard {
     /// Heartbeats that came here.
     beats: HashMap<String, Beat>,
+    /// Replicas whose heartbeats came here lately, as of the last look.
+    beating_here: usize,
     /// Signs of life that came here or, while leading, of which other control replicas told.
     replicas: HashMap<ReplicaKey, Instant>,
     /// The leader that was told last, and the moment up to which it knows what came here.
@@ -101,6 +103,11 @@
         true
     }
 
+    /// Replicas whose heartbeats come here.
+    pub fn heartbeats_here(&self) -> usize {
+        self.lock().beating_here
+    }
+
     /// Notes that a router asked.
     pub fn router_asked(&self, router: &str) {
         self.lock()
@@ -254,7 +261,7 @@
     /// been silent for long enough. Two cannot listen at one address, and a heartbeat that was held back
     /// may come after its sender has crashed and another life has taken the address.
     pub async fn remove_if_silent(&self, link: &LeaderLink, replica: &str) -> bool {
-        let silence = self.heartbeat * SUCCESSION_TENTHS / 10 + TELLING_TIME;
+        let silence = self.succession_time();
         let is_free = link.view().leads && self.is_silent(replica, silence);
         spdlog::info!("address is held", kv: { holder = replica.to_owned(), is_free });
         if !is_free {
@@ -266,6 +273,11 @@
         link.propose(command, REMOVAL_TIMEOUT).await.is_ok()
     }
 
+    /// Silence after which another replica may be taken in at the address of one.
+    pub fn succession_time(&self) -> Duration {
+        self.heartbeat * SUCCESSION_TENTHS / 10 + TELLING_TIME
+    }
+
     /// Notes that this control replica leads.
     fn begin_lead(&self) {
         let mut heard = self.lock();
@@ -297,7 +309,14 @@
 
     fn forget(&self, kept: impl Fn(&str) -> bool) {
         let mut heard = self.lock();
-        heard.beats.retain(|replica, _| kept(replica));
+        let now = Instant::now();
+        let silence = self.heartbeat * MISSED_WHILE_ALIVE;
+        let is_recent = |beat: &Beat| now.saturating_duration_since(beat.at) < silence;
+        // One that is not recorded yet is kept as long as its heartbeats come.
+        heard
+            .beats
+            .retain(|replica, beat| is_recent(beat) || kept(replica));
+        heard.beating_here = heard.beats.values().filter(|beat| is_recent(beat)).count();
         let lives = |_: &String, at: &mut Instant| at.elapsed() < ROUTER_SILENCE;
         heard.asking_here.retain(lives);
         heard.asking_elsewhere.retain(lives);
--- a/crates/control/src/serving/mod.rs
+++ b/crates/control/src/serving/mod.rs
@@ -37,5 +37,5 @@
 
 pub use daemon::{GroupOptions, start};
 pub use errors::Unavailable;
-pub use handle::GroupHandle;
+pub use handle::{GroupHandle, HeartbeatPlace};
 pub use order_channel::{OrderAnswer, OrderChannel, OrderRequest, WeightsReport};
--- a/crates/control/src/serving/registrar.rs
+++ b/crates/control/src/serving/registrar.rs
@@ -1,6 +1,7 @@
 //! Has the back-end replicas recorded whose heartbeats reach this control replica.
 
 use std::{
+    collections::HashMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -13,7 +14,7 @@
 use railtack_serving::{ReplicaRecord, ReplicaState};
 use tokio::{
     sync::{Notify, oneshot},
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
@@ -33,6 +34,10 @@
 const BATCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause after a batch that was not recorded.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Time between two tries at a replica whose address another one has.
+const HELD_PAUSE: Duration = Duration::from_millis(250);
+/// Time beyond that in which the other one counts as silent for which a replica is tried again.
+const HELD_MARGIN: Duration = Duration::from_secs(1);
 /// Time for one question to the leader.
 const REMOVAL_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -46,6 +51,16 @@
     metrics: ControlMetrics,
     registrations: Mutex<Registrations<Asker>>,
     offered: Notify,
+    /// Replicas that wait until another one at their address is silent.
+    held: Mutex<HashMap<String, Held>>,
+}
+
+/// A replica at whose address another one is.
+struct Held {
+    /// Until when it is tried.
+    until: Instant,
+    /// Its record, unless it is just being tried.
+    record: Option<ReplicaRecord>,
 }
 
 impl Registrar {
@@ -57,18 +72,20 @@
             metrics,
             registrations: Mutex::default(),
             offered: Notify::new(),
+            held: Mutex::default(),
         }
     }
 
+    /// Has a replica recorded, without waiting for that.
+    pub fn take_in(&self, record: ReplicaRecord) -> Result<(), Unavailable> {
+        self.offer(record, None)
+    }
+
     /// Records what a replica says of itself. If that takes too long for the caller, it goes on all the
     /// same, and a later heartbeat finds it recorded.
     pub async fn record(&self, record: ReplicaRecord) -> Result<(), Unavailable> {
         let (sender, answer) = oneshot::channel();
-        if self.lock().offer(record, sender).is_err() {
-            self.metrics.registrations_refused.inc();
-            return Err(Unavailable::Busy);
-        }
-        self.offered.notify_one();
+        self.offer(record, Some(sender))?;
         match timeout(ANSWER_TIMEOUT, answer).await {
             Ok(Ok(Registration::AddressHeld { .. })) => Err(Unavailable::AddressHeld),
             Ok(Ok(Registration::Recorded | Registration::Departed)) => Ok(()),
@@ -76,6 +93,15 @@
         }
     }
 
+    fn offer(&self, record: ReplicaRecord, asker: Option<Asker>) -> Result<(), Unavailable> {
+        if !self.lock().offer(record, asker) {
+            self.metrics.registrations_refused.inc();
+            return Err(Unavailable::Busy);
+        }
+        self.offered.notify_one();
+        Ok(())
+    }
+
     async fn record_batch(&self) -> bool {
         let view = self.link.view();
         let (batch, answered) = self
@@ -90,7 +116,7 @@
         }
         let records = batch.len();
         let command = ServingCommand::RegisterAll(batch);
-        match self.link.propose(command, BATCH_TIMEOUT).await {
+        match self.link.propose_patiently(command, BATCH_TIMEOUT).await {
             Ok(ServingOutcome::Registered(outcomes)) => {
                 self.settle(outcomes).await;
                 true
@@ -137,6 +163,10 @@
             self.offer_again(&record, askers);
             return;
         }
+        if matches!(outcome, Registration::AddressHeld { .. }) && askers.is_empty() {
+            self.hold(record);
+            return;
+        }
         for asker in askers {
             // A caller that is gone needs no answer.
             let _ = asker.send(outcome.clone());
@@ -144,12 +174,42 @@
     }
 
     fn offer_again(&self, record: &ReplicaRecord, askers: Vec<Asker>) {
-        let mut registrations = self.lock();
+        let askers = askers.into_iter().map(Some).chain([None]);
         for asker in askers {
             // Without a place the caller is answered by the end of its channel, and comes again.
-            let _ = registrations.offer(record.clone(), asker);
+            let _ = self.offer(record.clone(), asker);
+        }
+    }
+
+    /// Tries a replica again that was acknowledged though another one has its address: by then that one is
+    /// silent, or the heartbeat was one that a cut had held back.
+    fn hold(&self, record: ReplicaRecord) {
+        let until = Instant::now() + self.liveness.succession_time() + HELD_MARGIN;
+        let mut held = lock(&self.held);
+        let place = held.entry(record.id.clone());
+        place
+            .or_insert(Held {
+                until,
+                record: None,
+            })
+            .record = Some(record);
+    }
+
+    /// Offers those again that are held.
+    fn offer_held(&self) {
+        let now = Instant::now();
+        let offered: Vec<ReplicaRecord> = {
+            let mut held = lock(&self.held);
+            held.retain(|_, held| now < held.until);
+            held.values_mut()
+                .filter_map(|held| held.record.take())
+                .collect()
+        };
+        for record in offered {
+            if let Err(refusal) = self.offer(record, None) {
+                spdlog::warn!("held replica dropped", kv: { cause = refusal.to_string() });
+            }
         }
-        self.offered.notify_one();
     }
 
     /// Has the leader remove a replica that is silent, so that another is taken in at its address: only
@@ -173,11 +233,14 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Registrations<Asker>> {
-        let registrations = self.registrations.lock();
-        registrations.unwrap_or_else(PoisonError::into_inner)
+        lock(&self.registrations)
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Whether a heartbeat says something that the replica here has not applied.
 pub fn needs_recording(view: &NodeView, record: &ReplicaRecord) -> bool {
     if view.serving.has_departed(&record.id) {
@@ -202,7 +265,11 @@
     loop {
         let offered = registrar.offered.notified();
         if registrar.lock().waiting() == 0 {
-            offered.await;
+            let is_held = !lock(&registrar.held).is_empty();
+            tokio::select! {
+                () = offered => {}
+                () = sleep(HELD_PAUSE), if is_held => registrar.offer_held(),
+            }
         }
         if !registrar.record_batch().await {
             sleep(RETRY_PAUSE).await;
--- a/crates/control/src/serving/registrations.rs
+++ b/crates/control/src/serving/registrations.rs
@@ -57,30 +57,31 @@
 }
 
 impl<T> Registrations<T> {
-    /// Takes in what a replica says of itself; gives the asker back if there is no place.
-    pub fn offer(&mut self, record: ReplicaRecord, asker: T) -> Result<(), T> {
+    /// Takes in what a replica says of itself, and who waits for what becomes of it; false if there is no
+    /// place.
+    pub fn offer(&mut self, record: ReplicaRecord, asker: Option<T>) -> bool {
         let same = |known: &&mut Waiting<T>| known.record == record;
         if let Some(known) = self.under_way.iter_mut().find(same) {
-            known.askers.push(asker);
-            return Ok(());
+            known.askers.extend(asker);
+            return true;
         }
         if let Some(known) = self.waiting.get_mut(&record.id) {
             let was_leaving = known.record.state == ReplicaState::Leaving;
             known.record = newer(&known.record, record);
-            known.askers.push(asker);
+            known.askers.extend(asker);
             if !was_leaving && known.record.state == ReplicaState::Leaving {
                 self.order.push_front(known.record.id.clone());
             }
-            return Ok(());
+            return true;
         }
         if self.waiting.len() >= PLACES {
-            return Err(asker);
+            return false;
         }
         self.wait(Waiting {
             record,
-            askers: vec![asker],
+            askers: asker.into_iter().collect(),
         });
-        Ok(())
+        true
     }
 
     /// The next batch, if none is under way. `is_wanted` tells which records still have to be recorded;
--- a/crates/control/src/serving/watch.rs
+++ b/crates/control/src/serving/watch.rs
@@ -6,7 +6,7 @@
 };
 
 use railtack_clock::BootInstant;
-use railtack_rpc::serving::{WatchReply, WatchRequest};
+use railtack_rpc::serving::{CONFIRMATION_LIMIT_MS, WatchReply, WatchRequest};
 use railtack_serving::Bounds;
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -82,10 +82,20 @@
         self.update_times(|times| times.asked_at = Some(asked_at));
         let deadline = asked_at + Duration::from_millis(request.wait_ms.min(WAIT_LIMIT_MS));
         let mut receiver = self.link.node().view();
-        let changed =
-            receiver.wait_for(|view| view.serving.changed_at() > request.known.records_through);
+        // One that knows more than is applied here waits until that is applied here too.
+        let known = request.known;
+        let changed = receiver.wait_for(|view| {
+            let changed_at = view.serving.changed_at();
+            changed_at > known.records_through && changed_at >= known.through
+        });
+        let is_due = async {
+            tokio::select! {
+                _ = changed => {}
+                () = self.confirmation(), if !request.has_lease => {}
+            }
+        };
         // Either way the present view is answered.
-        let _ = timeout_at(deadline, changed).await;
+        let _ = timeout_at(deadline, is_due).await;
         let interval = self.gathering_interval();
         let gathering = gathering_time(&request, asked_at.elapsed(), interval);
         sleep(gathering).await;
@@ -106,6 +116,17 @@
         gathering_interval(self.liveness.routers_asking_here(), self.longest_gathering)
     }
 
+    /// Waits until the state here is confirmed.
+    async fn confirmation(&self) {
+        loop {
+            let age = self.confirmed_age_ms(&self.link.view());
+            if age.is_some_and(|age| age < CONFIRMATION_LIMIT_MS) {
+                return;
+            }
+            sleep(CONFIRM_INTERVAL).await;
+        }
+    }
+
     fn confirmed_age_ms(&self, view: &NodeView) -> Option<u64> {
         if view.leads {
             let age = view.leadership_age(self.started)?;
@@ -152,7 +173,7 @@
 /// without a lease allows none.
 pub fn gathering_time(request: &WatchRequest, asked: Duration, interval: Duration) -> Duration {
     let lacks_a_part = request.known.through == 0 || !request.known.is_whole();
-    if lacks_a_part {
+    if lacks_a_part || !request.has_lease {
         return Duration::ZERO;
     }
     let allowed = Duration::from_millis(request.wait_ms);
--- a/crates/control/tests/registrations.rs
+++ b/crates/control/tests/registrations.rs
@@ -76,8 +76,7 @@
     for repeat in 0..4 {
         for number in 0..10_000 {
             let asked = (number + repeat * 3) % 10;
-            let offered = group.replicas[asked].offer(record(number), number);
-            assert_eq!(offered, Ok(()));
+            assert!(group.replicas[asked].offer(record(number), Some(number)));
         }
     }
     let mut most_under_way = 0;
@@ -93,12 +92,12 @@
 fn a_replica_has_one_place_however_often_its_heartbeat_comes() {
     let mut registrations = Registrations::default();
     for asker in 0..5 {
-        assert_eq!(registrations.offer(record(1), asker), Ok(()));
+        assert!(registrations.offer(record(1), Some(asker)));
     }
     let (batch, _) = registrations.next_batch(|_| true);
     assert_eq!(batch, [record(1)]);
     // One that comes while the batch is under way waits for the same answer.
-    assert_eq!(registrations.offer(record(1), 5), Ok(()));
+    assert!(registrations.offer(record(1), Some(5)));
     assert_eq!(registrations.waiting(), 0);
     let settled = registrations.settle(vec![Registration::Recorded]);
     assert_eq!(settled[0].askers, [0, 1, 2, 3, 4, 5]);
@@ -107,11 +106,11 @@
 #[test]
 fn what_was_not_recorded_waits_again_and_a_later_word_prevails() {
     let mut registrations = Registrations::default();
-    assert_eq!(registrations.offer(record(1), 0), Ok(()));
-    assert_eq!(registrations.offer(record(2), 1), Ok(()));
+    assert!(registrations.offer(record(1), Some(0)));
+    assert!(registrations.offer(record(2), Some(1)));
     let (batch, _) = registrations.next_batch(|_| true);
     assert_eq!(batch.len(), 2);
-    assert_eq!(registrations.offer(leaving(1), 2), Ok(()));
+    assert!(registrations.offer(leaving(1), Some(2)));
     registrations.retry();
     let (batch, _) = registrations.next_batch(|_| true);
     assert_eq!(batch, [leaving(1), record(2)]);
@@ -123,10 +122,10 @@
 fn a_replica_that_leaves_goes_before_those_that_come_and_never_turns_back() {
     let mut registrations = Registrations::default();
     for number in 0..1_000 {
-        assert_eq!(registrations.offer(record(number), number), Ok(()));
+        assert!(registrations.offer(record(number), Some(number)));
     }
-    assert_eq!(registrations.offer(leaving(900), 1_000), Ok(()));
-    assert_eq!(registrations.offer(record(900), 1_001), Ok(()));
+    assert!(registrations.offer(leaving(900), Some(1_000)));
+    assert!(registrations.offer(record(900), Some(1_001)));
     let (batch, _) = registrations.next_batch(|_| true);
     assert_eq!(batch[0], leaving(900));
     assert_eq!(batch.len(), BATCH);
@@ -136,7 +135,7 @@
 fn replicas_that_another_control_replica_has_recorded_are_answered_and_not_recorded_again() {
     let mut registrations = Registrations::default();
     for number in 0..10 {
-        assert_eq!(registrations.offer(record(number), number), Ok(()));
+        assert!(registrations.offer(record(number), Some(number)));
     }
     let (batch, answered) = registrations.next_batch(|record| record.id == "i-7");
     assert_eq!(batch, [record(7)]);
--- a/crates/control/tests/watch.rs
+++ b/crates/control/tests/watch.rs
@@ -13,6 +13,7 @@
         router: "r".to_owned(),
         known: Known::all(known),
         wait_ms,
+        has_lease: true,
         sightings: Vec::new(),
     }
 }
@@ -40,6 +41,31 @@
     assert_eq!(gathering(100), Duration::from_millis(100));
 }
 
+/// It waits for the confirmation instead, which is no news that is gathered.
+#[test]
+fn a_router_without_a_lease_is_answered_without_gathering() {
+    let interval = gathering_interval(60, LONGEST);
+    let request = WatchRequest {
+        has_lease: false,
+        ..question(7, 500)
+    };
+    assert_eq!(
+        gathering_time(&request, Duration::ZERO, interval),
+        Duration::ZERO
+    );
+    let in_pieces = WatchRequest {
+        known: Known {
+            through: 9,
+            records_through: 5,
+        },
+        ..question(7, 500)
+    };
+    assert_eq!(
+        gathering_time(&in_pieces, Duration::ZERO, interval),
+        Duration::ZERO
+    );
+}
+
 /// A rollout changes hundreds of records in a second. However many routers ask one control
 /// replica, the answers that it gives in a second stay the same in number.
 #[test]
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -12,7 +12,7 @@
 use railtack_clock::BootInstant;
 use railtack_rpc::{
     ControlConnection, call_deadline,
-    serving::{WatchReply, WatchRequest},
+    serving::{CONFIRMATION_LIMIT_MS, WatchReply, WatchRequest},
 };
 use tokio::time::{Instant, sleep};
 
@@ -34,10 +34,10 @@
 const QUESTIONS_PER_SECOND: u32 = 400;
 /// Time beyond the wait after which a control replica counts as out of reach.
 const ANSWER_MARGIN: Duration = Duration::from_millis(400);
-/// Pause after a question that was not answered.
+/// Pause after a question that was not answered, and that after several in a row: control replicas that
+/// come back, or are behind, are asked by all routers.
 const FAILURE_PAUSE: Duration = Duration::from_millis(50);
-/// Age of a confirmation from which another control replica is asked.
-const CONFIRMATION_LIMIT_MS: u64 = 1_200;
+const LONGEST_FAILURE_PAUSE: Duration = Duration::from_millis(800);
 /// Time between looks at resting connections.
 const TIDY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -63,7 +63,7 @@
                 targets.add(seeds());
             }
             targets.leave(address);
-            sleep(FAILURE_PAUSE).await;
+            sleep(failure_pause(failures_in_a_row)).await;
             continue;
         };
         if failures_in_a_row > 0 {
@@ -77,6 +77,7 @@
             .confirmed_age_ms
             .is_some_and(|age| age < CONFIRMATION_LIMIT_MS);
         let brings_news = reply.update.is_some();
+        let held = Duration::from_millis(reply.held_ms);
         targets.learn(address, &reply);
         state.control_peers.learn(targets.addresses());
         take_reply(&state, reply, asked_at);
@@ -84,6 +85,10 @@
             targets.prefer_zone(&state.options.zone, address);
         } else {
             targets.leave(address);
+        }
+        // One that is answered at once without news, whatever the cause, does not ask again at once:
+        // hundreds of routers would leave a control replica no time for anything else.
+        if !brings_news && held < FAILURE_PAUSE {
             sleep(FAILURE_PAUSE).await;
         }
     }
@@ -108,6 +113,14 @@
     }
 }
 
+/// Pause after so many questions in a row that were not answered; drawn, so that routers do not ask all
+/// at once.
+fn failure_pause(failures: usize) -> Duration {
+    let doublings = failures.saturating_sub(1).min(8) as u32;
+    let longest = (FAILURE_PAUSE * 2_u32.pow(doublings)).min(LONGEST_FAILURE_PAUSE);
+    longest.mul_f64(rand::random_range(0.5..1.0))
+}
+
 /// Time for which an answer may be held, with that many routers.
 pub fn longest_wait(routers: u32) -> Duration {
     if routers < FEWEST_ROUTERS_FOR_SHARED_LOAD {
@@ -119,17 +132,13 @@
 
 async fn ask(state: &ProxyState, connection: Arc<ControlConnection>) -> Option<WatchReply> {
     let known = state.view.load().known;
-    let lacks_a_part = !state.is_confirmed() || !known.is_whole();
-    let routers = state.routers.load(Ordering::Relaxed);
-    let wait = if lacks_a_part {
-        Duration::ZERO
-    } else {
-        longest_wait(routers)
-    };
+    // Held only if there is nothing to tell: a router that lacks records gets the next ones at once.
+    let wait = longest_wait(state.routers.load(Ordering::Relaxed));
     let request = WatchRequest {
         router: state.options.node.clone(),
         known,
         wait_ms: wait.as_millis() as u64,
+        has_lease: lock(&state.lease).is_valid(BootInstant::now()),
         sightings: lock(&state.replicas).sightings(Instant::now()),
     };
     connection
--- /dev/null
+++ b/crates/proxy/tests/control_watch.rs
@@ -0,0 +1,145 @@
+//! Following the control group.
+
+mod support;
+
+use std::{
+    future::pending,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use futures::StreamExt;
+use railtack_consensus::{Message, ReplicaId};
+use railtack_proxy::control_watch::follow;
+use railtack_rpc::{
+    Control,
+    codec::ServerCodec,
+    protocol::{
+        Configuration, MembershipChange, MembershipReply, PollReply, PollRequest, Proposal,
+        ProposeReply, ReplicaIdentity, StatusReply,
+    },
+    service::{ControlRequest, ControlResponse},
+    serving::{
+        AliveNotice, AliveReply, JoinReply, JoinRequest, QuotaReply, QuotaRequest, ReadIndexReply,
+        SuspectStatus, WatchReply, WatchRequest,
+    },
+};
+use support::router;
+use tarpc::{
+    context::Context,
+    server::{BaseChannel, Channel},
+};
+use tokio::net::TcpListener;
+use tokio_util::codec::Framed;
+
+/// A control replica that answers each question at once: it is current and holds no configuration yet.
+#[derive(Clone, Default)]
+struct WithoutConfiguration {
+    questions: Arc<AtomicU32>,
+}
+
+impl Control for WithoutConfiguration {
+    async fn watch(self, _: Context, _: WatchRequest) -> WatchReply {
+        self.questions.fetch_add(1, Ordering::Relaxed);
+        WatchReply {
+            confirmed_age_ms: Some(0),
+            held_ms: 0,
+            zone: "a".to_owned(),
+            members: Vec::new(),
+            routers: 1_000,
+            update: None,
+            fleet: None,
+        }
+    }
+
+    async fn deliver(self, _: Context, _: Message, _: String) {
+        pending().await
+    }
+
+    async fn poll(self, _: Context, _: PollRequest) -> PollReply {
+        pending().await
+    }
+
+    async fn propose(self, _: Context, _: Proposal) -> ProposeReply {
+        pending().await
+    }
+
+    async fn configuration(self, _: Context) -> Configuration {
+        pending().await
+    }
+
+    async fn identify(self, _: Context) -> ReplicaIdentity {
+        pending().await
+    }
+
+    async fn status(self, _: Context) -> StatusReply {
+        pending().await
+    }
+
+    async fn change_membership(self, _: Context, _: MembershipChange) -> MembershipReply {
+        pending().await
+    }
+
+    async fn join(self, _: Context, _: JoinRequest) -> JoinReply {
+        pending().await
+    }
+
+    async fn read_index(self, _: Context) -> ReadIndexReply {
+        pending().await
+    }
+
+    async fn alive(self, _: Context, _: AliveNotice) -> AliveReply {
+        pending().await
+    }
+
+    async fn snapshot(self, _: Context) -> u64 {
+        pending().await
+    }
+
+    async fn leave(self, _: Context, _: ReplicaId) -> JoinReply {
+        pending().await
+    }
+
+    async fn suspects(self, _: Context) -> Vec<SuspectStatus> {
+        pending().await
+    }
+
+    async fn take_quota(self, _: Context, _: QuotaRequest) -> QuotaReply {
+        pending().await
+    }
+
+    async fn remove_if_silent(self, _: Context, _: String) -> bool {
+        pending().await
+    }
+}
+
+async fn serve(listener: TcpListener, service: WithoutConfiguration) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let codec = ServerCodec::<ControlRequest, ControlResponse>::default();
+        let channel = BaseChannel::with_defaults(Framed::new(stream, codec));
+        let requests = channel.execute(service.clone().serve());
+        tokio::spawn(requests.for_each(|request| async {
+            tokio::spawn(request);
+        }));
+    }
+}
+
+/// Before the first configuration there is nothing to serve from and nothing to tell. Asking again at
+/// once, hundreds of routers left the control replicas no time to form their group.
+#[tokio::test]
+async fn a_router_that_has_nothing_to_serve_from_asks_at_a_bounded_pace() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("its address");
+    let control = WithoutConfiguration::default();
+    tokio::spawn(serve(listener, control.clone()));
+    let state = router(vec![address]);
+    let following = tokio::spawn(follow(state, move || vec![address]));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    following.abort();
+    let questions = control.questions.load(Ordering::Relaxed);
+    assert!(questions >= 2, "{questions} questions in a second");
+    assert!(questions <= 25, "{questions} questions in a second");
+}
--- a/crates/proxy/tests/entry.rs
+++ b/crates/proxy/tests/entry.rs
@@ -1,71 +1,20 @@
 //! Requests that come to a router which has just started.
 
+mod support;
+
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::{HeaderMap, Method, Request, http::response};
+use hyper::{HeaderMap, Method};
 use railtack_clock::BootInstant;
-use railtack_proxy::{
-    AnswerHead, BackendProtocol, Dispatch, ProxiedRequest, ProxyOptions, ProxyState, entry,
-    refusal::RefusalReason,
-};
+use railtack_proxy::{ProxiedRequest, ProxyState, entry, refusal::RefusalReason};
 use railtack_rpc::serving::{ServingUpdate, WatchReply};
 use railtack_serving::{
-    Bounds, CallerLimits, Policy, QuotaBounds, RequestKind, Route, ServiceShape,
-    ServingConfiguration, WeightedService,
+    CallerLimits, RequestKind, Route, ServiceShape, ServingConfiguration, WeightedService,
 };
+use support::{REVOKE_MS, router};
 use tokio::time::{Instant, sleep};
 
-/// A back end's language that no test here speaks.
-struct Unspoken;
-
-impl BackendProtocol for Unspoken {
-    fn encode(&self, _: &Dispatch<'_>) -> Request<Full<Bytes>> {
-        Request::default()
-    }
-
-    fn classify(&self, _: &ProxiedRequest, _: &response::Parts) -> AnswerHead {
-        AnswerHead::Foreign
-    }
-
-    fn is_hop_by_hop(&self, _: &str) -> bool {
-        false
-    }
-}
-
-const REVOKE_MS: u64 = 5_000;
-
-fn router() -> Arc<ProxyState> {
-    let options = ProxyOptions {
-        node: "router".to_owned(),
-        zone: "a".to_owned(),
-        control: Vec::new(),
-        bounds: Bounds {
-            config_apply_ms: 2_000,
-            revoke_ms: REVOKE_MS,
-            fail_closed: true,
-            drain_ms: 2_000,
-            grace_ms: 8_000,
-            ack_ms: 4_000,
-            contact_ms: 3_000,
-            retry_ratio: 0.2,
-            retry_window_ms: 10_000,
-            retry_slack: 54.0,
-            lease_ms: 3_000,
-            version_ms: 8_000,
-            reuse_window_ms: 10_000,
-            quota: QuotaBounds {
-                window_ms: 8_000,
-                overage: 0.1,
-                slack: 110_000.0,
-            },
-        },
-        policy: Policy::ALL,
-    };
-    ProxyState::new(options, Box::new(Unspoken))
-}
-
 fn configuration() -> ServingConfiguration {
     ServingConfiguration {
         revision: 1,
@@ -138,7 +87,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_request_that_comes_before_the_first_lease_waits_for_it() {
-    let state = router();
+    let state = router(Vec::new());
     let starting = Arc::clone(&state);
     tokio::spawn(async move {
         sleep(Duration::from_millis(600)).await;
@@ -150,7 +99,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn without_a_lease_it_is_refused_while_time_is_left_for_another_try() {
-    let state = router();
+    let state = router(Vec::new());
     let begun = Instant::now();
     let refused = entry::admit(&state, &request()).await;
     assert_eq!(refused.err(), Some(RefusalReason::Unconfirmed));
@@ -162,7 +111,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_router_that_lost_its_lease_refuses_at_once() {
-    let state = router();
+    let state = router(Vec::new());
     confirm(&state);
     sleep(Duration::from_millis(REVOKE_MS)).await;
     let begun = Instant::now();
--- /dev/null
+++ b/crates/proxy/tests/support/mod.rs
@@ -0,0 +1,62 @@
+//! A router without a network.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, http::response};
+use railtack_proxy::{
+    AnswerHead, BackendProtocol, Dispatch, ProxiedRequest, ProxyOptions, ProxyState,
+};
+use railtack_serving::{Bounds, Policy, QuotaBounds};
+
+/// A back end's language that no test here speaks.
+struct Unspoken;
+
+impl BackendProtocol for Unspoken {
+    fn encode(&self, _: &Dispatch<'_>) -> Request<Full<Bytes>> {
+        Request::default()
+    }
+
+    fn classify(&self, _: &ProxiedRequest, _: &response::Parts) -> AnswerHead {
+        AnswerHead::Foreign
+    }
+
+    fn is_hop_by_hop(&self, _: &str) -> bool {
+        false
+    }
+}
+
+/// Time after which a revoked key may work no more, milliseconds.
+pub const REVOKE_MS: u64 = 5_000;
+
+/// A router that knows nothing yet, and the addresses of some control replicas.
+pub fn router(control: Vec<SocketAddr>) -> Arc<ProxyState> {
+    let options = ProxyOptions {
+        node: "router".to_owned(),
+        zone: "a".to_owned(),
+        control,
+        bounds: Bounds {
+            config_apply_ms: 2_000,
+            revoke_ms: REVOKE_MS,
+            fail_closed: true,
+            drain_ms: 2_000,
+            grace_ms: 8_000,
+            ack_ms: 4_000,
+            contact_ms: 3_000,
+            retry_ratio: 0.2,
+            retry_window_ms: 10_000,
+            retry_slack: 54.0,
+            lease_ms: 3_000,
+            version_ms: 8_000,
+            reuse_window_ms: 10_000,
+            quota: QuotaBounds {
+                window_ms: 8_000,
+                overage: 0.1,
+                slack: 110_000.0,
+            },
+        },
+        policy: Policy::ALL,
+    };
+    ProxyState::new(options, Box::new(Unspoken))
+}
--- a/crates/rpc/src/serving.rs
+++ b/crates/rpc/src/serving.rs
@@ -156,10 +156,17 @@
     pub known: Known,
     /// Time for which the answer may be held until something changes, milliseconds.
     pub wait_ms: u64,
+    /// Whether the router may serve from what it knows. One that may not is answered as soon as the state
+    /// here is confirmed.
+    pub has_lease: bool,
     /// What the router has met lately at back-end replicas.
     pub sightings: Vec<ReplicaSighting>,
 }
 
+/// Age of a confirmation from which it renews no lease, milliseconds: another control replica is asked.
+/// It is made several times in a second where the leader is reached.
+pub const CONFIRMATION_LIMIT_MS: u64 = 1_200;
+
 /// Answer to [`WatchRequest`].
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct WatchReply {
