--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -153,7 +153,8 @@
     )
 }
 
-async fn serves(prepared: &PreparedFleet) -> bool {
+/// Asks for a stream, which must be whole.
+async fn assert_serves(prepared: &PreparedFleet) {
     let caller = Caller::new(
         HttpClient::new(Duration::from_secs(2)),
         &prepared.documents.tenants[0].key,
@@ -162,7 +163,7 @@
     let question = prepared.documents.question(0, &mut random);
     let router = prepared.fleet.places.routers[0].listen;
     let finding = caller.ask(router, &question, AskShape::Stream).await;
-    matches!(finding, Finding::Whole { .. })
+    assert!(matches!(finding, Finding::Whole { .. }), "{finding:?}");
 }
 
 /// Gives `tenant-2` a template that `tenant-1` does not have.
@@ -235,12 +236,12 @@
         }
     }
     let slow = tokio::task::spawn_blocking(move || slow_client(router));
-    assert!(serves(&prepared).await);
+    assert_serves(&prepared).await;
     let answer = slow.await.expect("the slow client");
     assert!(answer.contains("slow_request"), "{answer}");
-    assert!(serves(&prepared).await);
+    assert_serves(&prepared).await;
     operators_errors(&prepared, folder.path()).await;
-    assert!(serves(&prepared).await);
+    assert_serves(&prepared).await;
 }
 
 /// Bad documents and races of operators change nothing and have their own exit codes.
