Ask again after a second what became of a batch

A leader that falls silent is replaced within an election; what says that a replica leaves must not wait for it longer than that. Twice the time was only what the storm needed that is mended since. Not measured.

--- a/crates/control/src/serving/registrar.rs
+++ b/crates/control/src/serving/registrar.rs
@@ -30,8 +30,8 @@
 
 /// Time in which callers expect an answer; they ask elsewhere after a second.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
-/// Time for one batch to be recorded. Its records wait here again after that.
-const BATCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for one batch to be recorded: some elections. Its records wait here again after that.
+const BATCH_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause after a batch that was not recorded.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Time between two tries at a replica whose address another one has.
