--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -20,9 +20,8 @@
 
 /// Entries in one append message.
 const APPEND_LIMIT: usize = 512;
-/// Bytes of commands in one append message. A member with half of a core reads and syncs that many in some
-/// 10 ms, far below an election timeout; 512 entries of 40 kB, which are registrations of 250 replicas
-/// each, kept members and leader from hearing of each other for seconds.
+/// Bytes of commands in one append message: some six batches of registrations of 40 kB. Without it a member
+/// that lags could be sent 512 of them, 20 MB, at once. What it buys was not measured by itself.
 const APPEND_BYTES: usize = 256 * 1024;
 
 /// Identity, timing and limits of a replica.
--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -25,9 +25,9 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(15);
 /// Part of the objective for which a request may wait for a replica before it is refused.
 const WAIT_DIVISOR: u64 = 5;
-/// Replicas that are looked at for a request. Each costs a router some microseconds: looking at 9,675 took
-/// a router with an eighth of a core 60 ms for each choice, in which no stream went on, and an account for
-/// each of them in its memory. Those that all routers favour least are never chosen anyway.
+/// Replicas that are looked at for a request. Each takes time, in which no stream goes on, and an account in
+/// the router's memory, so that a choice must not grow with the fleet. What it buys was not measured by
+/// itself. With fewer replicas than this nothing is left out.
 const CANDIDATES: usize = 256;
 /// Connections that a router may open to one replica if the configuration states no limit.
 const DEFAULT_CONNECTIONS: u32 = 32;
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -16,8 +16,8 @@
     pub known: Known,
     /// Routes, services and tenants; `None` before the first configuration.
     pub table: Option<Arc<RouteTable>>,
-    /// Replicas by identity. Views share what did not change: a copy of thousands for each news took a
-    /// router with an eighth of a core some 10 ms.
+    /// Replicas by identity. Views share what did not change: a copy for each news would take a time
+    /// that grows with the fleet. Not measured by itself.
     pub replicas: RedBlackTreeMapSync<String, Arc<ReplicaRecord>>,
     /// The version of weights that operators named for each model.
     pub weights: BTreeMap<String, u64>,
