Have a batch that is recorded again bring back no replica that has ended since

Cause: a batch of registrations whose outcome is not known in time is proposed again, and may be in the log twice. If two routers told of a replica's end between the two, the second record counted as a heartbeat in the same life: the replica was back, and its end was taken back from the request that ended it, which is then not quarantined. Change: a heartbeat carries the log position that was applied when it came; one that came before the removal of its replica is not recorded. Ruled out: a proposal of its own identity for each batch (the group would have to remember identities). Test: a_batch_that_is_recorded_again_does_not_bring_an_ended_replica_back, seen to fail.

--- a/crates/control/src/serving/handle.rs
+++ b/crates/control/src/serving/handle.rs
@@ -103,10 +103,11 @@
     /// together are several times as many.
     pub async fn heartbeat(
         &self,
-        record: ReplicaRecord,
+        mut record: ReplicaRecord,
         sequence: u64,
     ) -> Result<HeartbeatPlace, Unavailable> {
         let view = self.link.view();
+        record.changed_at = view.applied;
         let place = self.place_of(&view, &record.id);
         let is_newest = self.liveness.heartbeat(&record.id, sequence);
         if is_newest && needs_recording(&view, &record) {
--- a/crates/control/src/serving/registrations.rs
+++ b/crates/control/src/serving/registrations.rs
@@ -60,8 +60,9 @@
     /// Takes in what a replica says of itself, and who waits for what becomes of it; false if there is no
     /// place.
     pub fn offer(&mut self, record: ReplicaRecord, asker: Option<T>) -> bool {
-        let same = |known: &&mut Waiting<T>| known.record == record;
-        if let Some(known) = self.under_way.iter_mut().find(same) {
+        let under_way = self.under_way.iter_mut();
+        let mut same = under_way.filter(|known| says_the_same(&known.record, &record));
+        if let Some(known) = same.next() {
             known.askers.extend(asker);
             return true;
         }
@@ -160,6 +161,15 @@
     }
 }
 
+/// Whether two heartbeats differ at most by when they came.
+fn says_the_same(one: &ReplicaRecord, other: &ReplicaRecord) -> bool {
+    let moved = ReplicaRecord {
+        changed_at: one.changed_at,
+        ..other.clone()
+    };
+    *one == moved
+}
+
 /// What a replica said last; that it leaves is never taken back.
 fn newer(before: &ReplicaRecord, mut after: ReplicaRecord) -> ReplicaRecord {
     if before.state == ReplicaState::Leaving {
--- a/crates/control/src/serving_state.rs
+++ b/crates/control/src/serving_state.rs
@@ -226,7 +226,7 @@
     }
 
     fn register(&mut self, index: LogIndex, mut record: ReplicaRecord) -> Registration {
-        if self.has_departed(&record.id) {
+        if self.has_departed(&record.id) || self.was_removed_since(&record) {
             return Registration::Departed;
         }
         if let Some(known) = self.replicas.get(&record.id) {
@@ -284,6 +284,21 @@
         }
     }
 
+    /// Whether a replica's end was believed after the heartbeat that `record` comes from: a batch that is
+    /// recorded again, as its outcome was not known, says nothing new of it. Taken for a sign of life it
+    /// would bring the replica back, and take back what was found out about the request that ended it.
+    fn was_removed_since(&self, record: &ReplicaRecord) -> bool {
+        let heard_at = record.changed_at;
+        if heard_at == 0 || !self.reported_ends.has_removed(ReplicaKey::of(&record.id)) {
+            return false;
+        }
+        let removals = self
+            .departed
+            .range((heard_at.saturating_add(1), String::new())..);
+        let mut removed = removals.map(|(_, replica)| replica);
+        self.replicas.get(&record.id).is_none() && removed.any(|replica| *replica == record.id)
+    }
+
     /// Takes back what was recorded of the end of a replica that is there again in the same life.
     fn retract_end(&mut self, index: LogIndex, id: &str) {
         let replica = ReplicaKey::of(id);
--- a/crates/control/tests/serving_state.rs
+++ b/crates/control/tests/serving_state.rs
@@ -194,6 +194,30 @@
     }
 }
 
+/// A control replica that does not learn in time what became of a batch has it recorded again; between the
+/// two a replica of the batch may have ended.
+#[test]
+fn a_batch_that_is_recorded_again_does_not_bring_an_ended_replica_back() {
+    let heard_at = |position| {
+        let heartbeat = ReplicaRecord {
+            changed_at: position,
+            ..record("r", "h:1", 1)
+        };
+        ServingCommand::RegisterAll(vec![heartbeat])
+    };
+    let mut state = ServingState::default();
+    state.apply(2, heard_at(1));
+    state.apply(3, ended("r", Some("router-1")));
+    state.apply(4, ended("r", Some("router-2")));
+    state.apply(5, heard_at(1));
+    assert!(state.replicas().is_empty());
+    assert_eq!(state.quarantine().suspects().len(), 1);
+    // A heartbeat that came after its removal shows that it lives.
+    state.apply(6, heard_at(5));
+    assert_eq!(state.replicas().keys().collect::<Vec<_>>(), ["r"]);
+    assert!(state.quarantine().suspects().is_empty());
+}
+
 #[test]
 fn weights_only_rise_and_end_their_order() {
     let mut state = ServingState::default();
--- a/crates/serving/src/registry.rs
+++ b/crates/serving/src/registry.rs
@@ -61,7 +61,8 @@
     pub weights: Vec<HeldWeights>,
     /// Set while an order may be under way; such a replica gets no new work.
     pub order: Option<PendingOrder>,
-    /// Log position of the last change of this record.
+    /// Log position of the last change of this record. In a heartbeat, the position that was applied
+    /// when it came; 0 if that is not known.
     pub changed_at: u64,
 }
 
