Give prompts that share a first part a group of replicas where these are many

Cause: homes are drawn for the deepest shared part from all replicas. With 9,675 of them each of 2,336 second parts has a home of its own, and the first part (2,520 tokens) is read at each of them, or fetched from stores whose link all routers share; saves start only with a router's second prompt, four seconds on at 0.25 a second. Change: where a service has more than 256 replicas, the first part draws a group, sized by the busiest open work of the digest and by the share of tenants who share it, and the deepest part its home in it; what a home lacks is fetched from a member that is in use. Up to 256 replicas nothing changes.

--- a/crates/proxy/src/affinity.rs
+++ b/crates/proxy/src/affinity.rs
@@ -48,6 +48,11 @@
         self.steps.last().map(|(hash, _)| *hash)
     }
 
+    /// Hash of the first shared part.
+    pub fn first_key(&self) -> Option<u64> {
+        self.steps.first().map(|(hash, _)| *hash)
+    }
+
     /// Length of the longest shared beginning, tokens.
     pub fn shared_tokens(&self) -> u64 {
         self.steps.last().map_or(0, |(_, tokens)| *tokens)
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -19,12 +19,18 @@
 /// `docs/design/shifted-work.md`); between is not measured.
 pub const FEWEST_ROUTERS_FOR_SHARED_LOAD: u32 = 20;
 
+/// Time in which the most requests that were open lately count half as much: groups of replicas that are
+/// sized by them grow at once and shrink slowly, since each change moves homes.
+const BUSIEST_HALF_LIFE: Duration = Duration::from_secs(10);
+
 /// The digest received last.
 #[derive(Debug, Default)]
 pub struct FleetKnowledge {
     made_at: Option<Instant>,
     conditions: HashMap<ReplicaKey, ReplicaCondition>,
     dark: usize,
+    /// Most requests that were open at all replicas lately, and when that was told.
+    busiest: Option<(f64, Instant)>,
 }
 
 impl FleetKnowledge {
@@ -37,6 +43,12 @@
             .into_iter()
             .map(|condition| (condition.replica, condition))
             .collect();
+        let open = self
+            .conditions
+            .values()
+            .map(|told| u64::from(told.open_requests));
+        let open = open.sum::<u64>() as f64;
+        self.busiest = Some((open.max(self.busiest_faded(now)), now));
         let dark = self.conditions.values().filter(|told| told.is_dark);
         self.dark = dark.count();
         (self.dark != dark_before).then_some(self.dark)
@@ -48,6 +60,19 @@
             .is_some_and(|made_at| now.saturating_duration_since(made_at) < DIGEST_KEPT)
     }
 
+    /// Most requests that were open lately at all replicas of all services.
+    pub fn busiest_open_requests(&self, now: Instant) -> u64 {
+        self.busiest_faded(now).round() as u64
+    }
+
+    fn busiest_faded(&self, now: Instant) -> f64 {
+        let faded = self.busiest.map(|(open, at)| {
+            let age = now.saturating_duration_since(at);
+            open * 0.5_f64.powf(age.as_secs_f64() / BUSIEST_HALF_LIFE.as_secs_f64())
+        });
+        faded.unwrap_or_default()
+    }
+
     /// What is known of a replica; one that nobody uses has nothing open.
     pub fn condition(&self, replica: ReplicaKey) -> Option<&ReplicaCondition> {
         self.conditions.get(&replica)
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -13,6 +13,7 @@
 //! | is the tenant's quota used up? | [`quota`], by way of [`control_peers`] | |
 //! | which service? | [`split`] | yes |
 //! | which replica? | [`choice`], with [`affinity`], [`health`] and [`named`] | yes |
+//! | which replicas take prompts with this first part? | [`homes`] | yes |
 //! | what do all routers meet there? | [`fleet`] | yes |
 //! | will its first event be in time? | [`pace`] | yes |
 //! | is its prompt sent to the store? | [`saves`] | yes |
@@ -36,6 +37,7 @@
 pub mod events;
 pub mod fleet;
 pub mod health;
+pub mod homes;
 pub mod lease;
 pub mod metrics;
 pub mod named;
--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -14,6 +14,7 @@
     attempt::Target,
     choice::{self, Candidate, RequestSize, SharedLoad},
     fleet::{FEWEST_ROUTERS_FOR_SHARED_LOAD, FleetKnowledge},
+    homes::{Homes, SMALLEST_GROUP, Sharing, busy_replicas, group_size, leave_out, nested},
     pace::TokensAhead,
     pipeline::RequestRun,
     replicas::ReplicaTable,
@@ -78,8 +79,9 @@
         let table = view.table.as_ref().ok_or(NoTarget::Nobody)?;
         let configuration = table.configuration();
         let mut replicas = lock(&self.state.replicas);
-        let ranked = self.ready_ranked(&view);
-        let mut offers = self.offers(&ranked, &mut replicas, configuration);
+        let homes = self.ready_homes(&view, configuration);
+        let ranked = &homes.ranked;
+        let mut offers = self.offers(ranked, &mut replicas, configuration);
         let candidates: Vec<Candidate> = offers.iter().map(|offer| offer.candidate).collect();
         let chosen = choice::choose(&candidates, self.size(), rand::random());
         let (position, cost) = chosen.ok_or(NoTarget::Nobody)?;
@@ -87,7 +89,7 @@
             candidate,
             mut target,
         } = offers.swap_remove(position);
-        target.ahead = self.tokens_ahead(&candidate, &target, &ranked);
+        target.ahead = self.tokens_ahead(&candidate, &target, ranked);
         if let Some(retry_after) = self.late_refusal(target.ahead) {
             self.log
                 .considered(&target, &candidate, cost, view.known.through);
@@ -95,7 +97,7 @@
         }
         let store = self.store(configuration);
         target.fetch_from = self
-            .favoured_holder(&ranked, &mut replicas, &target.record)
+            .holder(&homes, &mut replicas, &target.record)
             .or_else(|| store.map(|store| store.address.clone()))
             .filter(|_| self.state.options.policy.fetch);
         drop(replicas);
@@ -147,36 +149,61 @@
     }
 
     /// Replicas that may run the request and were not asked yet, the favoured ones first: as many as are
-    /// looked at.
-    fn ready_ranked<'a>(&self, view: &'a ServingView) -> Vec<&'a Arc<ReplicaRecord>> {
+    /// looked at. Those from which no router hears anything are left out, so that all routers agree on who
+    /// stands in for them.
+    fn ready_homes<'a>(
+        &self,
+        view: &'a ServingView,
+        configuration: &ServingConfiguration,
+    ) -> Homes<'a> {
         let oldest = self.oldest_usable_weights();
-        let ready = view
-            .ready(&self.service)
-            .iter()
+        let ready = view.ready(&self.service).iter();
+        let ready: Vec<&Arc<ReplicaRecord>> = ready
             .filter(|record| record.order.is_none() && !self.tried.contains(&record.id))
-            .filter(|record| self.serves_model(record, oldest));
-        let mut ranked = self.ranked(ready.collect());
-        self.leave_out_dark(&mut ranked);
+            .filter(|record| self.serves_model(record, oldest))
+            .collect();
+        let now = Instant::now();
+        let fleet = self.state.current_fleet(now);
+        let fleet = fleet.as_deref();
+        let is_usable = |record: &ReplicaRecord| !fleet.is_some_and(|fleet| is_dark(fleet, record));
+        let policy = self.state.options.policy;
+        if policy.homes && policy.nested_homes && ready.len() > SMALLEST_GROUP {
+            let size = self.group_size(&ready, fleet, configuration, now);
+            let nested = nested(&self.path, &ready, size, is_usable);
+            if let Some(homes) = nested {
+                return homes;
+            }
+        }
+        let mut ranked = self.ranked(ready);
+        leave_out(&mut ranked, is_usable);
         ranked.truncate(CANDIDATES);
-        ranked
+        Homes {
+            ranked,
+            holders: Vec::new(),
+        }
     }
 
-    /// Leaves out the replicas from which no router hears anything, so that all routers agree on
-    /// who stands in for them. If there are no others, they are asked all the same.
-    fn leave_out_dark(&self, ranked: &mut Vec<&Arc<ReplicaRecord>>) {
-        let Some(fleet) = self.state.current_fleet(Instant::now()) else {
-            return;
-        };
-        if !fleet.any_dark() {
-            return;
-        }
-        let is_dark = |record: &Arc<ReplicaRecord>| {
-            let condition = fleet.condition(ReplicaKey::of(&record.id));
-            condition.is_some_and(|condition| condition.is_dark)
+    /// Replicas in the group of this prompt's first part.
+    fn group_size(
+        &self,
+        ready: &[&Arc<ReplicaRecord>],
+        fleet: Option<&FleetKnowledge>,
+        configuration: &ServingConfiguration,
+        now: Instant,
+    ) -> usize {
+        let open = fleet.map_or(0, |fleet| fleet.busiest_open_requests(now));
+        let slots = ready.first().map_or(1, |record| record.slots);
+        let tenants = &configuration.tenants;
+        let isolated = tenants.iter().filter(|tenant| tenant.isolated).count();
+        let sharing = Sharing {
+            sharers: if self.admitted.isolated {
+                1
+            } else {
+                tenants.len() - isolated
+            },
+            tenants: tenants.len(),
         };
-        if ranked.iter().any(|record| !is_dark(record)) {
-            ranked.retain(|record| !is_dark(record));
-        }
+        group_size(busy_replicas(open, slots), sharing)
     }
 
     /// What is known of each replica that may be sent the request now.
@@ -265,12 +292,11 @@
         }
     }
 
-    /// The replica that all routers favour, if another one was chosen and it has the same weights:
-    /// it is likely to keep what the chosen one lacks. The link of a store serves all replicas; what
-    /// they can hand to each other does not burden it.
-    fn favoured_holder(
+    /// Another replica that is likely to keep what the chosen one lacks, and has the same weights. The link
+    /// of a store serves all replicas; what they can hand to each other does not burden it.
+    fn holder(
         &self,
-        ranked: &[&Arc<ReplicaRecord>],
+        homes: &Homes<'_>,
         table: &mut ReplicaTable,
         chosen: &ReplicaRecord,
     ) -> Option<String> {
@@ -278,12 +304,25 @@
             return None;
         }
         let model = &self.request.prompt.as_ref()?.model;
-        let favoured = ranked.first()?;
         let now = Instant::now();
-        let usable = favoured.id != chosen.id
-            && favoured.version_of(model) == chosen.version_of(model)
-            && table.of(&favoured.id, now).allows(now);
-        usable.then(|| favoured.address.clone())
+        let mut is_source = |record: &ReplicaRecord| {
+            record.id != chosen.id
+                && record.version_of(model) == chosen.version_of(model)
+                && table.of(&record.id, now).allows(now)
+        };
+        let favoured = homes.ranked.first()?;
+        if is_source(favoured) {
+            return Some(favoured.address.clone());
+        }
+        let fleet = self.state.current_fleet(now);
+        let is_in_use = |record: &ReplicaRecord| {
+            let replica = ReplicaKey::of(&record.id);
+            fleet
+                .as_ref()
+                .is_some_and(|fleet| fleet.condition(replica).is_some())
+        };
+        let source = homes.first_part_source(is_in_use, is_source);
+        source.map(|record| record.address.clone())
     }
 
     /// Whether the store is to keep the prompt. What the replica was sent before was saved then.
@@ -344,6 +383,12 @@
     services.filter_map(|service| service.store.as_ref())
 }
 
+/// Whether no router hears anything from a replica though some wait for it.
+fn is_dark(fleet: &FleetKnowledge, record: &ReplicaRecord) -> bool {
+    let condition = fleet.condition(ReplicaKey::of(&record.id));
+    condition.is_some_and(|condition| condition.is_dark)
+}
+
 /// What all routers have open at a replica; one that the digest leaves out is not in use.
 fn shared_load(fleet: &FleetKnowledge, record: &ReplicaRecord) -> SharedLoad {
     let condition = fleet.condition(ReplicaKey::of(&record.id));
--- a/crates/serving/src/policy.rs
+++ b/crates/serving/src/policy.rs
@@ -10,6 +10,9 @@
 pub struct Policy {
     /// Prompts with the same beginning are sent to the replica that all routers favour for it.
     pub homes: bool,
+    /// Where replicas are many, those that take prompts with the same first part are a group, in which its
+    /// members fetch that part from each other.
+    pub nested_homes: bool,
     /// A router remembers what it sent to which replica.
     pub sent_prefixes: bool,
     /// A replica is told where to fetch what it lacks.
@@ -46,6 +49,7 @@
     /// Everything on, as shipped.
     pub const ALL: Self = Self {
         homes: true,
+        nested_homes: true,
         sent_prefixes: true,
         fetch: true,
         save: true,
