Find the group of a first part on a ring; keep homes of isolated tenants among all replicas

Tenants are not equal. Change: only first parts that all tenants share have groups. And a group is the next replicas on a ring of hashed identities, made once a view: each choice hashed all replicas and put them in order. Ruled out: larger groups for such tenants (their first part is then read at each member).

--- a/crates/lab/src/scale/command.rs
+++ b/crates/lab/src/scale/command.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     LabError,
-    scale::{Slope, cluster, decisions, state},
+    scale::{Slope, cluster, decisions, homes, state},
 };
 
 /// Measures one slope, or all.
@@ -14,6 +14,7 @@
         println!("== {}", slope.name());
         match slope {
             Slope::Decision => decisions::decisions(),
+            Slope::Homes => homes::homes(),
             Slope::Index => decisions::index(),
             Slope::Configuration => state::configuration(),
             Slope::Claims => state::claims(),
--- /dev/null
+++ b/crates/lab/src/scale/homes.rs
@@ -0,0 +1,98 @@
+//! A router's work for one prompt: its homes, and the choice among them.
+
+use std::{sync::Arc, time::Instant};
+
+use hdrhistogram::Histogram;
+use railtack_proxy::{
+    choice::{Candidate, RequestSize, SharedLoad, choose},
+    homes::{Homes, Ring, SMALLEST_GROUP, first_usable, nested},
+};
+use railtack_serving::{ReplicaRecord, ReplicaState};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::scale::times;
+
+/// Fleet sizes; the largest fleet that is planned for has half of the last one.
+const REPLICAS: [usize; 4] = [256, 1_000, 10_000, 20_000];
+/// Choices measured at each size.
+const CHOICES: usize = 5_000;
+
+fn record(number: usize) -> Arc<ReplicaRecord> {
+    Arc::new(ReplicaRecord {
+        id: format!("i-{number:010x}"),
+        service: "pool".to_owned(),
+        address: format!("10.0.0.1:{number}"),
+        zone: format!("zone-{}", number % 5),
+        slots: 16,
+        state: ReplicaState::Ready,
+        weights: Vec::new(),
+        order: None,
+        changed_at: 1,
+    })
+}
+
+fn candidate(rank: usize, record: &ReplicaRecord) -> Candidate {
+    Candidate {
+        same_zone: record.zone == "zone-0",
+        slots: record.slots,
+        capacity_tokens: 88_547,
+        shared_load: Some(SharedLoad::default()),
+        rank,
+        ..Candidate::default()
+    }
+}
+
+fn choice_among(homes: &Homes<'_>, seed: u64) -> Option<(usize, f64)> {
+    let size = RequestSize {
+        prompt_tokens: 9_190,
+        shared_tokens: 6_300,
+        routers: 985,
+    };
+    let ranked = homes.ranked.iter().enumerate();
+    let candidates: Vec<Candidate> = ranked
+        .map(|(rank, record)| candidate(rank, record))
+        .collect();
+    choose(&candidates, size, seed)
+}
+
+fn measured(mut choice: impl FnMut(u64, u64) -> Option<(usize, f64)>) -> Histogram<u64> {
+    let mut random = ChaCha8Rng::seed_from_u64(3);
+    let mut times = times();
+    for _ in 0..CHOICES {
+        let (first_part, home) = (random.random(), random.random());
+        let started = Instant::now();
+        std::hint::black_box(choice(first_part, home));
+        times.saturating_record(started.elapsed().as_nanos() as u64);
+    }
+    times
+}
+
+/// Time of a choice against the number of replicas: in the group of a first part, and among all replicas.
+pub fn homes() {
+    println!("replicas   ring us   group p50 us   p99 us   all p50 us   p99 us");
+    for replicas in REPLICAS {
+        let records: Vec<_> = (0..replicas).map(record).collect();
+        let started = Instant::now();
+        let ring = Ring::new(records.iter().cloned());
+        let made = started.elapsed();
+        let in_group = measured(|first_part, home| {
+            let candidates = ring.from(first_part);
+            choice_among(&nested(home, candidates, SMALLEST_GROUP, |_| true), home)
+        });
+        let among_all = measured(|_, home| {
+            let all = first_usable(ring.from(0), ring.len(), |_| true);
+            choice_among(&Homes::of_all(Some(home), all), home)
+        });
+        let micros =
+            |times: &Histogram<u64>, quantile| times.value_at_quantile(quantile) as f64 / 1e3;
+        println!(
+            "{replicas:>8}  {:>8.0}  {:>13.1}  {:>7.1}  {:>11.1}  {:>7.1}",
+            made.as_secs_f64() * 1e6,
+            micros(&in_group, 0.5),
+            micros(&in_group, 0.99),
+            micros(&among_all, 0.5),
+            micros(&among_all, 0.99),
+        );
+    }
+}
--- a/crates/proxy/src/affinity.rs
+++ b/crates/proxy/src/affinity.rs
@@ -4,9 +4,8 @@
 //! so that requests with the same beginning meet without any router asking another. Besides, each
 //! router remembers what it sent where.
 
-use std::{cmp::Reverse, collections::HashMap, sync::Arc};
+use std::collections::HashMap;
 
-use railtack_serving::ReplicaRecord;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -64,25 +63,6 @@
     xxh3_64_with_seed(replica.as_bytes(), key)
 }
 
-/// The replicas that all routers favour most for a key, in that order, and at most as many: putting all of
-/// thousands in order would take longer than looking at those that can be chosen.
-pub fn favoured(
-    key: u64,
-    replicas: Vec<&Arc<ReplicaRecord>>,
-    most: usize,
-) -> Vec<&Arc<ReplicaRecord>> {
-    let weighed = replicas.into_iter();
-    let mut weighed: Vec<(u64, &Arc<ReplicaRecord>)> = weighed
-        .map(|record| (rendezvous(key, &record.id), record))
-        .collect();
-    if weighed.len() > most {
-        weighed.select_nth_unstable_by_key(most, |(weight, _)| Reverse(*weight));
-        weighed.truncate(most);
-    }
-    weighed.sort_by_key(|(weight, _)| Reverse(*weight));
-    weighed.into_iter().map(|(_, record)| record).collect()
-}
-
 /// What this router has sent to which replica.
 #[derive(Clone, Debug, Default)]
 pub struct SentPrefixes {
--- a/crates/proxy/src/homes.rs
+++ b/crates/proxy/src/homes.rs
@@ -9,34 +9,29 @@
 //!
 //! *Weighed:* one working set for all prompts (first parts are then read by all of its members);
 //! homes for the deepest part alone, as below [`SMALLEST_GROUP`], where replicas are few and the memory of
-//! each of them is needed.
+//! each of them is needed; a small group for each tenant that shares nothing, sized by an equal share of the
+//! work. Tenants are not equal: with groups of two a large tenant's second parts did not fit its members, and
+//! on a day of 333 tenants 3.6 instead of 1.9 million tokens were read again. Prompts of such a tenant keep
+//! homes among all replicas.
 
-use std::sync::Arc;
+use std::{cmp::Reverse, sync::Arc};
 
 use railtack_serving::ReplicaRecord;
 
-use crate::affinity::{PrefixPath, favoured, rendezvous};
+use crate::affinity::rendezvous;
 
-/// Replicas from which on a service is divided into groups, and the size of a group of all tenants while
+/// Replicas from which on a service is divided into groups, and the size of a group while
 /// little is asked for. Up to here each beginning may need the memory of any replica.
 pub const SMALLEST_GROUP: usize = 256;
 /// Replicas in a group for each one that is kept busy: its members stand idle for most of the time, so that
 /// ten times the work in a few seconds finds free places before the group has grown, and unshared parts
 /// stay out of the way of shared ones.
 const REPLICAS_FOR_ONE_BUSY: usize = 8;
-/// Smallest group of a tenant that shares nothing: a home, and one that stands in for it.
-const SMALLEST_TENANT_GROUP: usize = 2;
 /// Members that are looked at for one that keeps the first part.
 const HOLDERS: usize = 16;
 
-/// How many tenants share what a request may share.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Sharing {
-    /// Tenants whose requests share parts with this one's.
-    pub sharers: usize,
-    /// All tenants.
-    pub tenants: usize,
-}
+/// Key by which replicas have their places on a ring; any number, the same in every router.
+const RING_KEY: u64 = 0;
 
 /// Replicas that are kept busy by all work of a service, rounded up to a power of two: routers whose
 /// figures differ a little agree on it.
@@ -46,16 +41,11 @@
     usize::try_from(rounded).unwrap_or(usize::MAX)
 }
 
-/// Replicas in the group of a first part. It is sized as if all requests of those who share it began with
-/// it, since how many do is not known to a router that sees one request in a second.
-pub fn group_size(busy_replicas: usize, sharing: Sharing) -> usize {
+/// Replicas in the group of a first part. It is sized as if all requests of the service began with it, since
+/// how many do is not known to a router that sees one request in a second.
+pub fn group_size(busy_replicas: usize) -> usize {
     let needed = busy_replicas.saturating_mul(REPLICAS_FOR_ONE_BUSY);
-    let of_all = needed.max(SMALLEST_GROUP);
-    let tenants = sharing.tenants.max(1);
-    let part = of_all
-        .saturating_mul(sharing.sharers.min(tenants))
-        .div_ceil(tenants);
-    part.max(SMALLEST_TENANT_GROUP)
+    needed.max(SMALLEST_GROUP)
 }
 
 /// The replicas that take prompts with one first part.
@@ -68,6 +58,17 @@
 }
 
 impl<'a> Homes<'a> {
+    /// The homes for a key among all replicas that may run a request; in any order without one.
+    pub fn of_all(home: Option<u64>, mut all: Vec<&'a Arc<ReplicaRecord>>) -> Self {
+        if let Some(home) = home {
+            all.sort_by_cached_key(|record| Reverse(rendezvous(home, &record.id)));
+        }
+        Self {
+            ranked: all,
+            holders: Vec::new(),
+        }
+    }
+
     /// Where the home finds the first part if it lacks it: at a member that some router has just met, or
     /// else at the one that all routers ask first.
     pub fn first_part_source(
@@ -81,34 +82,80 @@
     }
 }
 
-/// The homes for a prompt among `ready`, in a group of `size`. `is_usable` leaves out replicas on which all
-/// routers agree; if it leaves none, it is not gone by.
+/// The replicas of a service that take work, in the order of a hash of their identities. Made once for a view,
+/// so that finding a group takes a time that grows with the group and not with the fleet: 10,000 replicas
+/// were hashed and put in order for each request before.
+#[derive(Clone, Debug, Default)]
+pub struct Ring {
+    members: Vec<Member>,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    position: u64,
+    record: Arc<ReplicaRecord>,
+}
+
+impl Ring {
+    /// A ring of these replicas.
+    pub fn new(records: impl IntoIterator<Item = Arc<ReplicaRecord>>) -> Self {
+        let members = records.into_iter().map(|record| Member {
+            position: rendezvous(RING_KEY, &record.id),
+            record,
+        });
+        let mut members: Vec<Member> = members.collect();
+        members.sort_by(|one, other| {
+            let position = one.position.cmp(&other.position);
+            position.then_with(|| one.record.id.cmp(&other.record.id))
+        });
+        Self { members }
+    }
+
+    /// Replicas on it.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// All replicas once, from where a key falls.
+    pub fn from(&self, key: u64) -> impl Iterator<Item = &Arc<ReplicaRecord>> + Clone {
+        let start = self.members.partition_point(|member| member.position < key);
+        let (before, behind) = self.members.split_at(start);
+        behind.iter().chain(before).map(|member| &member.record)
+    }
+}
+
+/// The homes for a prompt whose group begins with the first of `candidates`, in a group of `size`. `is_usable`
+/// leaves out replicas on which all routers agree; if it leaves none, it is not gone by.
 pub fn nested<'a>(
-    path: &PrefixPath,
-    ready: &[&'a Arc<ReplicaRecord>],
+    home: u64,
+    candidates: impl Iterator<Item = &'a Arc<ReplicaRecord>> + Clone,
     size: usize,
     is_usable: impl Fn(&ReplicaRecord) -> bool,
-) -> Option<Homes<'a>> {
-    let first = path.first_key()?;
-    let home = path.key()?;
-    // A few more, for those that are left out.
-    let mut group = favoured(first, ready.to_vec(), size.saturating_mul(2));
-    leave_out(&mut group, is_usable);
-    group.truncate(size);
+) -> Homes<'a> {
+    let mut group = first_usable(candidates, size, is_usable);
     let holders = group.iter().copied().take(HOLDERS).collect();
-    group.sort_by_cached_key(|record| std::cmp::Reverse(rendezvous(home, &record.id)));
-    Some(Homes {
+    group.sort_by_cached_key(|record| Reverse(rendezvous(home, &record.id)));
+    Homes {
         ranked: group,
         holders,
-    })
+    }
 }
 
-/// Leaves out replicas that are not usable, unless there are no others.
-pub fn leave_out(
-    ranked: &mut Vec<&Arc<ReplicaRecord>>,
+/// The first usable ones of `candidates`, `most` at most; the first ones of all, if none is usable.
+pub fn first_usable<'a>(
+    candidates: impl Iterator<Item = &'a Arc<ReplicaRecord>> + Clone,
+    most: usize,
     is_usable: impl Fn(&ReplicaRecord) -> bool,
-) {
-    if ranked.iter().any(|record| is_usable(record)) {
-        ranked.retain(|record| is_usable(record));
+) -> Vec<&'a Arc<ReplicaRecord>> {
+    let usable = candidates.clone().filter(|record| is_usable(record));
+    let found: Vec<_> = usable.take(most).collect();
+    if found.is_empty() {
+        return candidates.take(most).collect();
     }
+    found
 }
--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -10,11 +10,11 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
-    affinity::{favoured, rendezvous},
+    affinity::rendezvous,
     attempt::Target,
     choice::{self, Candidate, RequestSize, SharedLoad},
     fleet::{FEWEST_ROUTERS_FOR_SHARED_LOAD, FleetKnowledge},
-    homes::{Homes, SMALLEST_GROUP, Sharing, busy_replicas, group_size, leave_out, nested},
+    homes::{Homes, SMALLEST_GROUP, busy_replicas, first_usable, group_size, nested},
     pace::TokensAhead,
     pipeline::RequestRun,
     replicas::ReplicaTable,
@@ -26,10 +26,6 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(15);
 /// Part of the objective for which a request may wait for a replica before it is refused.
 const WAIT_DIVISOR: u64 = 5;
-/// Replicas that are looked at for a request. Each takes time, in which no stream goes on, and an account in
-/// the router's memory, so that a choice must not grow with the fleet. What it buys was not measured by
-/// itself. With fewer replicas than this nothing is left out.
-const CANDIDATES: usize = 256;
 /// Connections that a router may open to one replica if the configuration states no limit.
 const DEFAULT_CONNECTIONS: u32 = 32;
 
@@ -156,54 +152,50 @@
         view: &'a ServingView,
         configuration: &ServingConfiguration,
     ) -> Homes<'a> {
+        let Some(ring) = view.ready(&self.service) else {
+            return Homes::default();
+        };
         let oldest = self.oldest_usable_weights();
-        let ready = view.ready(&self.service).iter();
-        let ready: Vec<&Arc<ReplicaRecord>> = ready
-            .filter(|record| record.order.is_none() && !self.tried.contains(&record.id))
-            .filter(|record| self.serves_model(record, oldest))
-            .collect();
+        let may_run = |record: &&Arc<ReplicaRecord>| {
+            let is_free = record.order.is_none() && !self.tried.contains(&record.id);
+            is_free && self.serves_model(record, oldest)
+        };
         let now = Instant::now();
         let fleet = self.state.current_fleet(now);
         let fleet = fleet.as_deref();
         let is_usable = |record: &ReplicaRecord| !fleet.is_some_and(|fleet| is_dark(fleet, record));
         let policy = self.state.options.policy;
-        if policy.homes && policy.nested_homes && ready.len() > SMALLEST_GROUP {
-            let size = self.group_size(&ready, fleet, configuration, now);
-            let nested = nested(&self.path, &ready, size, is_usable);
-            if let Some(homes) = nested {
-                return homes;
-            }
+        let home = self.path.key().filter(|_| policy.homes);
+        if ring.len() <= SMALLEST_GROUP {
+            let candidates = ring.from(0).filter(may_run);
+            let all = first_usable(candidates, SMALLEST_GROUP, is_usable);
+            return Homes::of_all(home, all);
         }
-        let mut ranked = self.ranked(ready);
-        leave_out(&mut ranked, is_usable);
-        ranked.truncate(CANDIDATES);
-        Homes {
-            ranked,
-            holders: Vec::new(),
+        let is_shared = policy.nested_homes && !self.admitted.isolated;
+        let first_part = self.path.first_key().filter(|_| is_shared);
+        if let (Some(home), Some(first_part)) = (home, first_part) {
+            let size = self.group_size(fleet, configuration, now);
+            let candidates = ring.from(first_part).filter(may_run);
+            return nested(home, candidates, size, is_usable);
         }
+        // Without a favoured one, those that are looked at are drawn.
+        let start = home.unwrap_or_else(rand::random);
+        let candidates = ring.from(start).filter(may_run);
+        Homes::of_all(None, first_usable(candidates, SMALLEST_GROUP, is_usable))
     }
 
     /// Replicas in the group of this prompt's first part.
     fn group_size(
         &self,
-        ready: &[&Arc<ReplicaRecord>],
         fleet: Option<&FleetKnowledge>,
         configuration: &ServingConfiguration,
         now: Instant,
     ) -> usize {
         let open = fleet.map_or(0, |fleet| fleet.busiest_open_requests(now));
-        let slots = ready.first().map_or(1, |record| record.slots);
-        let tenants = &configuration.tenants;
-        let isolated = tenants.iter().filter(|tenant| tenant.isolated).count();
-        let sharing = Sharing {
-            sharers: if self.admitted.isolated {
-                1
-            } else {
-                tenants.len() - isolated
-            },
-            tenants: tenants.len(),
-        };
-        group_size(busy_replicas(open, slots), sharing)
+        let service = configuration.service(&self.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let slots = engine.map_or(1, |engine| engine.slots);
+        group_size(busy_replicas(open, slots))
     }
 
     /// What is known of each replica that may be sent the request now.
@@ -280,18 +272,6 @@
         record.weights.is_empty() || held.is_some_and(|held| held >= oldest)
     }
 
-    /// The replicas in the order in which all routers favour them for this prompt's beginning: some more
-    /// than are looked at, as a few may be dark.
-    fn ranked<'a>(&self, ready: Vec<&'a Arc<ReplicaRecord>>) -> Vec<&'a Arc<ReplicaRecord>> {
-        let home = self.path.key().filter(|_| self.state.options.policy.homes);
-        // Without a favoured one, those that are looked at are drawn.
-        let drawn = (ready.len() > CANDIDATES).then(rand::random);
-        match home.or(drawn) {
-            Some(key) => favoured(key, ready, CANDIDATES * 2),
-            None => ready,
-        }
-    }
-
     /// Another replica that is likely to keep what the chosen one lacks, and has the same weights. The link
     /// of a store serves all replicas; what they can hand to each other does not burden it.
     fn holder(
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -9,6 +9,8 @@
 use railtack_serving::{ReplicaRecord, ReplicaState, RouteTable};
 use rpds::RedBlackTreeMapSync;
 
+use crate::homes::Ring;
+
 /// One consistent state; a newer one replaces it as a whole. It never goes back.
 #[derive(Clone, Debug, Default)]
 pub struct ServingView {
@@ -22,7 +24,7 @@
     /// The version of weights that operators named for each model.
     pub weights: BTreeMap<String, u64>,
     /// Replicas that take work, by service: found once for a view and not for each request.
-    ready: OnceLock<HashMap<String, Vec<Arc<ReplicaRecord>>>>,
+    ready: OnceLock<HashMap<String, Ring>>,
 }
 
 impl ServingView {
@@ -55,24 +57,22 @@
         Some(next)
     }
 
-    /// Replicas of a service that take work.
-    pub fn ready(&self, service: &str) -> &[Arc<ReplicaRecord>] {
+    /// Replicas of a service that take work; `None` if there are none.
+    pub fn ready(&self, service: &str) -> Option<&Ring> {
         let ready = self.ready.get_or_init(|| self.ready_by_service());
-        ready.get(service).map_or(&[], Vec::as_slice)
+        ready.get(service)
     }
 
-    fn ready_by_service(&self) -> HashMap<String, Vec<Arc<ReplicaRecord>>> {
-        let mut ready: HashMap<String, Vec<Arc<ReplicaRecord>>> = HashMap::new();
-        for record in self.replicas.values() {
-            if record.state != ReplicaState::Ready {
-                continue;
-            }
-            if let Some(known) = ready.get_mut(&record.service) {
-                known.push(Arc::clone(record));
-            } else {
-                ready.insert(record.service.clone(), vec![Arc::clone(record)]);
-            }
+    fn ready_by_service(&self) -> HashMap<String, Ring> {
+        let mut ready: HashMap<&str, Vec<Arc<ReplicaRecord>>> = HashMap::new();
+        let records = self.replicas.values();
+        for record in records.filter(|record| record.state == ReplicaState::Ready) {
+            let known = ready.entry(&record.service).or_default();
+            known.push(Arc::clone(record));
         }
-        ready
+        let rings = ready.into_iter();
+        rings
+            .map(|(service, records)| (service.to_owned(), Ring::new(records)))
+            .collect()
     }
 }
