Give each fleet of the lab a loopback address of its own

Cause: the lab draws ports by binding and releasing them on 127.0.0.1, where other fleets of the same test run draw theirs and every connection of the machine takes its near end. What took a port before its process listened kept that process from starting: one way to a router that is not ready within 20 s, as in the listed test a_prompt_that_ends_engines_is_refused_by_every_router (its logs were not kept). Change: an address of its own for each fleet, as the adapter's tests have; connections leave from the common one.

--- a/crates/lab/src/fleet/settings.rs
+++ b/crates/lab/src/fleet/settings.rs
@@ -5,6 +5,7 @@
     fs,
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
+    sync::atomic::{AtomicU32, Ordering},
 };
 
 use error_stack::{Report, ResultExt};
@@ -25,7 +26,7 @@
 impl ControlPlace {
     /// Takes free ports for one more replica.
     pub fn draw(replica: u32) -> Result<Self, Report<LabError>> {
-        let mut ports = PortDraw::default();
+        let mut ports = PortDraw::new();
         Ok(Self {
             replica,
             listen: ports.next()?,
@@ -83,7 +84,7 @@
 impl Places {
     /// Takes free ports. All are held open until the last is drawn, so that none is drawn twice.
     pub fn draw(shape: &FleetShape) -> Result<Self, Report<LabError>> {
-        let mut ports = PortDraw::default();
+        let mut ports = PortDraw::new();
         let platform = ports.next()?;
         let mut control = Vec::new();
         for replica in 1..=shape.control {
@@ -134,15 +135,36 @@
     }
 }
 
-#[derive(Default)]
+/// Fleets of this process, so that each has a loopback address of its own.
+static FLEETS: AtomicU32 = AtomicU32::new(0);
+
+/// Draws ports that stay free until the processes listen there. On an address that others use as well, a port
+/// that was drawn could be taken in between, by another fleet or as the near end of any connection; on one
+/// that only this fleet listens at, nobody takes it, as connections leave from the common address.
 struct PortDraw {
+    address: Ipv4Addr,
     held: Vec<TcpListener>,
 }
 
 impl PortDraw {
+    fn new() -> Self {
+        let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
+        // Each byte between 1 and 250.
+        let byte = |number: u32| (number % 250) as u8 + 1;
+        let address = Ipv4Addr::new(
+            127,
+            byte(std::process::id()),
+            byte(fleet / 250),
+            byte(fleet),
+        );
+        Self {
+            address,
+            held: Vec::new(),
+        }
+    }
+
     fn next(&mut self) -> Result<SocketAddr, Report<LabError>> {
-        let listener =
-            TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).change_context(LabError::Port)?;
+        let listener = TcpListener::bind((self.address, 0)).change_context(LabError::Port)?;
         let address = listener.local_addr().change_context(LabError::Port)?;
         self.held.push(listener);
         Ok(address)
