Lend no retry to a request before it is known whether replicas ended under it

A router's own retries are as before. Ruled out: no lent retries after broken connections (replicas that crash together are what they are for).

--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -339,12 +339,18 @@
         verdict::without_retry(facts)
     }
 
+    /// Borrows a retry from the leader. If connections broke under this request, first waits until it is
+    /// known whether their replicas ended: what is lent to all must not let one request end many of them.
     async fn borrows_retry(&self) -> bool {
         let policy = self.state.options.policy;
+        if !policy.retry || !policy.lent_retries {
+            return false;
+        }
         let objective = Duration::from_millis(self.admitted.route.objective_ms);
-        policy.retry
-            && policy.lent_retries
-            && quota::borrow_retry(&self.state, &self.service, objective).await
+        if self.broken > 0 {
+            replica_end::settled(&self.state, self.content, objective).await;
+        }
+        !self.may_end_another() && quota::borrow_retry(&self.state, &self.service, objective).await
     }
 
     /// Whether the request must not be sent to one more replica: it is quarantined, or will be if those
