Watch the port of a replica whose connection broke until it closes or stays open

Cause: a router looked once, in the moment in which the connections broke, whether the replica's port refuses. A process that ends closes its connections and its port one after the other; a port that closed 2 ms later counted as open, and the end was told only if another life registered within 8 s.

Change: the connection that comes up is held and watched, for 50 ms while requests wait to know, and for a second in the background. If it is closed the port is looked at again, three times at most. No request is sent over it meanwhile.

Ruled out: keeping that connection for requests at once, as before.

--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -25,7 +25,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     net::TcpStream,
-    task::AbortHandle,
+    task::{AbortHandle, JoinHandle},
     time::{Instant, timeout},
 };
 
@@ -49,6 +49,38 @@
     Unreachable,
 }
 
+/// What a look at a replica's port shows.
+#[derive(Debug)]
+pub enum PortState {
+    /// Nobody listens there.
+    Refuses,
+    /// Somebody does.
+    Open(OpenPort),
+    /// It cannot be told.
+    Untold,
+}
+
+/// A connection that shows whether a port stays open. No request is sent over it meanwhile: one that may
+/// not be repeated would be lost with a replica that is just ending.
+#[derive(Debug)]
+pub struct OpenPort {
+    connection: Connection,
+    task: JoinHandle<()>,
+}
+
+impl OpenPort {
+    /// Ends when the other side closes the connection.
+    pub async fn closed(&mut self) {
+        // How the connection ended makes no difference.
+        let _ = (&mut self.task).await;
+    }
+
+    /// The connection, for requests.
+    pub fn into_connection(self) -> Connection {
+        self.connection
+    }
+}
+
 /// Connections to one replica that rest.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -124,21 +156,19 @@
         if self.open_connections() >= limit {
             return Err(NoConnection::Limit);
         }
-        self.connect(address).await
+        let (connection, _) = self.connect(address).await?;
+        Ok(connection)
     }
 
-    /// Whether nobody listens at the replica's port; false if that cannot be told. A connection that
-    /// comes up is kept for the next request.
-    pub async fn port_refuses(&self, address: SocketAddr, limit: u32) -> bool {
+    /// Whether somebody listens at the replica's port.
+    pub async fn look_at_port(&self, address: SocketAddr, limit: u32) -> PortState {
         if self.open_connections() >= limit {
-            return false;
+            return PortState::Untold;
         }
         match self.connect(address).await {
-            Ok(connection) => {
-                self.put_back(connection);
-                false
-            }
-            Err(failure) => failure == NoConnection::Refused,
+            Ok((connection, task)) => PortState::Open(OpenPort { connection, task }),
+            Err(NoConnection::Refused) => PortState::Refuses,
+            Err(NoConnection::Limit | NoConnection::Unreachable) => PortState::Untold,
         }
     }
 
@@ -175,7 +205,11 @@
         None
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Connection, NoConnection> {
+    /// A new connection, and a handle that is done once that is closed.
+    async fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> Result<(Connection, JoinHandle<()>), NoConnection> {
         self.open.fetch_add(1, Ordering::Relaxed);
         let counted = OpenCount(Some(Arc::clone(&self.open)));
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
@@ -193,12 +227,13 @@
             // How it ended shows in the exchange that used it.
             let _ = connection.await;
         });
-        Ok(Connection {
+        let connection = Connection {
             sender,
             task: task.abort_handle(),
             open: counted.handed_on(),
             rest: Rest::UNSTATED,
-        })
+        };
+        Ok((connection, task))
     }
 
     fn resting(&self) -> MutexGuard<'_, Vec<Resting>> {
--- a/crates/proxy/src/replica_end.rs
+++ b/crates/proxy/src/replica_end.rs
@@ -18,6 +18,7 @@
 use crate::{
     attempt::Target,
     health::ExchangeEnd,
+    pool::{OpenPort, PortState},
     quarantine::{GATHERING, RECORD_LIMIT},
     state::{ProxyState, lock},
     view::ServingView,
@@ -32,6 +33,14 @@
 /// Part of the objective, as a divisor, for which a request waits while an end under it is looked into:
 /// what is left must do for its answer.
 const SETTLE_DIVISOR: u32 = 8;
+/// Time after a connection broke in which the replica's port may close while requests wait for that: some
+/// tens of milliseconds, as [`settled`] has them wait for.
+const AWAITED_CLOSE: Duration = Duration::from_millis(50);
+/// Time in which it may close while nobody waits; beside load a process that ends may be that slow.
+const LATEST_CLOSE: Duration = Duration::from_secs(1);
+/// Connections that are opened at most to see whether a port closes: a replica may also close them for
+/// reasons of its own.
+const PORT_LOOKS: u32 = 3;
 /// Time for one try to have something recorded.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause before the next try, while a leader is being elected.
@@ -154,14 +163,72 @@
 }
 
 async fn prove_end(state: &ProxyState, target: &Target, broke_at: Instant) -> Option<EndProof> {
-    let address = target.record.address.parse().ok()?;
-    let pool = &target.usage.pool;
-    if pool.port_refuses(address, target.connection_limit).await {
+    let mut port = PortWatch::new(target);
+    if port.closes(broke_at + AWAITED_CLOSE).await {
         return Some(EndProof::PortRefuses);
     }
     lock(&state.ends_met).stop_awaiting(&target.record.id);
     state.ends_settled.notify_waiters();
-    wait_for_successor(state, target, broke_at).await
+    tokio::select! {
+        proof = wait_for_successor(state, target, broke_at) => proof,
+        true = port.closes_or_serves(broke_at + LATEST_CLOSE) => Some(EndProof::PortRefuses),
+    }
+}
+
+/// A look at the port of a replica of which a connection broke. A process that ends closes its connections
+/// and its port one after the other, and a port that is looked at between is still open: a connection that
+/// came up there is closed with it. Looked at once, an end was not told when the port closed 2 ms after the
+/// connections, and one request ended ten replicas of ten.
+struct PortWatch<'a> {
+    target: &'a Target,
+    looks_left: u32,
+    /// The connection that came up last.
+    open: Option<OpenPort>,
+}
+
+impl<'a> PortWatch<'a> {
+    fn new(target: &'a Target) -> Self {
+        Self {
+            target,
+            looks_left: PORT_LOOKS,
+            open: None,
+        }
+    }
+
+    /// Whether the port refuses connections by `until`.
+    async fn closes(&mut self, until: Instant) -> bool {
+        let Ok(address) = self.target.record.address.parse() else {
+            return false;
+        };
+        let pool = &self.target.usage.pool;
+        loop {
+            if let Some(open) = &mut self.open {
+                if timeout_at(until, open.closed()).await.is_err() {
+                    return false;
+                }
+                self.open = None;
+            }
+            if self.looks_left == 0 {
+                return false;
+            }
+            self.looks_left -= 1;
+            let limit = self.target.connection_limit;
+            match pool.look_at_port(address, limit).await {
+                PortState::Refuses => return true,
+                PortState::Untold => return false,
+                PortState::Open(open) => self.open = Some(open),
+            }
+        }
+    }
+
+    /// The same; a connection that is still open then is kept for requests.
+    async fn closes_or_serves(mut self, until: Instant) -> bool {
+        let closes = self.closes(until).await;
+        if let Some(open) = self.open {
+            self.target.usage.pool.put_back(open.into_connection());
+        }
+        closes
+    }
 }
 
 async fn wait_for_successor(
