Keep a lease through a change that is not applied yet

Cause: of each voter only the last vouch was kept. A voter that has the next change in its log vouches for nothing that is in force at a router which has not applied it, so with each change a lease of five seconds was over at once until the change was applied, and /v1 refused requests as unconfirmed meanwhile.

Change: of each voter the latest moment is kept for each last entry it told of, as far as it says more than another one and is not over. The argument of the lease is the same: a majority had nothing beyond what is in force here when it was asked.

Ruled out: that the voters did not answer in time. The lease lasts ten confirmations, and the refusal came within a second of the change.

--- a/crates/router/src/lease.rs
+++ b/crates/router/src/lease.rs
@@ -11,11 +11,9 @@
 use railtack_consensus::{LogIndex, Millis, ReplicaId};
 use railtack_rpc::protocol::PollReply;
 
-#[derive(Clone, Copy, Debug)]
-struct Vouch {
-    asked_at: Millis,
-    last_configuration_index: LogIndex,
-}
+/// What one voter vouched for: by the last configuration entry that it told of, the latest moment at which
+/// it was asked then. Later moments belong to later entries; any other vouch says less than one that is kept.
+type Vouches = BTreeMap<LogIndex, Millis>;
 
 /// Tracks vouches. Pure: times are passed in, on one monotonic clock.
 #[derive(Clone, Debug)]
@@ -23,7 +21,7 @@
     duration: Millis,
     membership_index: LogIndex,
     voters: BTreeSet<ReplicaId>,
-    vouches: BTreeMap<ReplicaId, Vouch>,
+    vouches: BTreeMap<ReplicaId, Vouches>,
 }
 
 impl Lease {
@@ -77,17 +75,24 @@
         asked_at: Millis,
         last_configuration_index: LogIndex,
     ) {
-        let newer = self
-            .vouches
-            .get(&replica)
-            .is_none_or(|known| known.asked_at <= asked_at);
-        if self.voters.contains(&replica) && newer {
-            let vouch = Vouch {
-                asked_at,
-                last_configuration_index,
-            };
-            self.vouches.insert(replica, vouch);
+        if !self.voters.contains(&replica) {
+            return;
+        }
+        let vouches = self.vouches.entry(replica).or_default();
+        let mut told_no_more = vouches.range(..=last_configuration_index);
+        if told_no_more.any(|(_, known_at)| *known_at >= asked_at) {
+            return;
         }
+        // A voter that tells of a change before it is in force here still vouched, before that, for what is.
+        // With only its last vouch kept, a lease of five seconds was over with each change until that was
+        // applied, and requests were refused meanwhile.
+        let duration = self.duration;
+        vouches.retain(|index, known_at| {
+            let says_less = *index >= last_configuration_index && *known_at <= asked_at;
+            let is_over = *known_at + duration <= asked_at;
+            !says_less && !is_over
+        });
+        vouches.insert(last_configuration_index, asked_at);
     }
 
     /// When the lease ends if everything up to `applied` is in force; `None` if a majority does
@@ -96,8 +101,8 @@
         let mut moments: Vec<Millis> = self
             .vouches
             .values()
-            .filter(|vouch| vouch.last_configuration_index <= applied)
-            .map(|vouch| vouch.asked_at)
+            .filter_map(|vouches| vouches.range(..=applied).next_back())
+            .map(|(_, asked_at)| *asked_at)
             .collect();
         moments.sort_unstable_by(|left, right| right.cmp(left));
         let quorum = self.voters.len() / 2 + 1;
