Log what a declining replica asks for and how long it is left alone

The line now names the status, the time that the answer asks for (Retry-After, decoded by the adapter) and the pause that the replica is given after it; a counter, proxy_back_offs, counts such answers. No decision changes.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    backend::{AnswerHead, Dispatch},
+    backend::{AnswerHead, Dispatch, ReplicaNotice},
     health::ExchangeEnd,
     pace::TokensAhead,
     pool::{Connection, NoConnection},
@@ -64,6 +64,10 @@
     pub proof: ExchangeProof,
     /// For logs.
     pub cause: &'static str,
+    /// Status of the answer, if one came.
+    pub status: Option<u16>,
+    /// What the answer says of the replica.
+    pub notice: ReplicaNotice,
 }
 
 impl FailedExchange {
@@ -72,6 +76,17 @@
             end,
             proof: ExchangeProof::NotRun,
             cause,
+            status: None,
+            notice: ReplicaNotice::default(),
+        }
+    }
+
+    /// The same failure, with the answer that shows it.
+    fn answered(self, status: u16, notice: ReplicaNotice) -> Self {
+        Self {
+            status: Some(status),
+            notice,
+            ..self
         }
     }
 
@@ -89,6 +104,8 @@
             end: Some(ExchangeEnd::Broken),
             proof: ExchangeProof::MayHaveRun,
             cause,
+            status: None,
+            notice: ReplicaNotice::default(),
         }
     }
 }
@@ -192,18 +209,16 @@
     if classified != AnswerHead::WrongReplica {
         target.usage.note_heard(Instant::now());
     }
-    match classified {
-        AnswerHead::Answer => Ok(answer),
-        AnswerHead::Foreign => Err(FailedExchange::may_have_run("foreign answer")),
-        AnswerHead::NotRun => Err(FailedExchange::not_run(
-            Some(ExchangeEnd::Declined),
-            "declined",
-        )),
-        AnswerHead::WrongReplica => Err(FailedExchange::not_run(
-            Some(ExchangeEnd::Declined),
-            "wrong replica or weights",
-        )),
-    }
+    let failed = match classified {
+        AnswerHead::Answer => return Ok(answer),
+        AnswerHead::Foreign => FailedExchange::may_have_run("foreign answer"),
+        AnswerHead::NotRun => FailedExchange::not_run(Some(ExchangeEnd::Declined), "declined"),
+        AnswerHead::WrongReplica => {
+            FailedExchange::not_run(Some(ExchangeEnd::Declined), "wrong replica or weights")
+        }
+    };
+    let notice = state.backend.notice(&answer.head);
+    Err(failed.answered(answer.head.status.as_u16(), notice))
 }
 
 impl OpenAnswer {
--- a/crates/proxy/src/backend.rs
+++ b/crates/proxy/src/backend.rs
@@ -47,12 +47,21 @@
     Foreign,
 }
 
+/// What the head of an answer says of the replica itself, whatever became of the request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaNotice {
+    /// Time for which it wants no request from this router.
+    pub back_off: Option<Duration>,
+}
+
 /// The language of back ends.
 pub trait BackendProtocol: Send + Sync {
     /// The request to send.
     fn encode(&self, dispatch: &Dispatch<'_>) -> Request<Full<Bytes>>;
     /// What the head of an answer proves.
     fn classify(&self, request: &ProxiedRequest, head: &response::Parts) -> AnswerHead;
+    /// What the head of an answer says of the replica itself.
+    fn notice(&self, head: &response::Parts) -> ReplicaNotice;
     /// Whether a header of an answer concerns only one connection and is not passed on.
     fn is_hop_by_hop(&self, name: &str) -> bool;
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -60,7 +60,7 @@
 pub mod verdict;
 pub mod view;
 
-pub use backend::{AnswerHead, BackendProtocol, Dispatch};
+pub use backend::{AnswerHead, BackendProtocol, Dispatch, ReplicaNotice};
 pub use pipeline::handle;
 pub use request::{PromptSegment, PromptShape, ProxiedRequest};
 pub use state::{ProxyOptions, ProxyState, StopPlan};
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -50,6 +50,8 @@
     pub retries_denied: Counter,
     /// Requests refused because no leader told about their quota.
     pub quota_unanswered: Counter,
+    /// Answers in which a replica asked for no requests for a time.
+    pub back_offs: Counter,
     /// Replicas that ended while they had requests of this router.
     pub replica_ends: Counter,
     /// Requests that are sent to no replica because replicas ended under them.
@@ -80,6 +82,7 @@
             retries: Counter::default(),
             retries_denied: Counter::default(),
             quota_unanswered: Counter::default(),
+            back_offs: Counter::default(),
             replica_ends: Counter::default(),
             quarantined: Gauge::default(),
             resumed: Counter::default(),
@@ -113,6 +116,11 @@
             "Retries that the budget did not allow",
             self.retries_denied.clone(),
         );
+        registry.register(
+            "proxy_back_offs",
+            "Answers in which a replica asked for no requests for a time",
+            self.back_offs.clone(),
+        );
         registry.register(
             "proxy_quota_unanswered",
             "Requests refused because no leader told about their quota",
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -385,9 +385,15 @@
             replica = target.record.id.clone(),
             cause = failed.cause,
             proof = format!("{:?}", failed.proof),
+            status = failed.status.unwrap_or_default(),
+            back_off_ms = failed.notice.back_off.map_or(0, |time| time.as_millis() as u64),
+            paused_ms = target.usage.pause(Instant::now()).as_millis() as u64,
             known = self.state.view.load().known.through,
         });
         self.state.metrics.exchange_ended(failed.cause);
+        if failed.notice.back_off.is_some() {
+            self.state.metrics.back_offs.inc();
+        }
         failed
     }
 
--- a/crates/proxy/src/replicas.rs
+++ b/crates/proxy/src/replicas.rs
@@ -72,6 +72,11 @@
         self.load().health.allows(now)
     }
 
+    /// Time for which the replica is sent no work.
+    pub fn pause(&self, now: Instant) -> Duration {
+        self.load().health.pause(now)
+    }
+
     /// What this router has met at the replica lately; `None` if it has not used it.
     fn sighting(&self, replica: &str, now: Instant) -> Option<ReplicaSighting> {
         let heard_at = *lock(&self.heard_at);
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use hyper::{Request, http::response};
 use railtack_proxy::{
-    AnswerHead, BackendProtocol, Dispatch, ProxiedRequest, ProxyOptions, ProxyState,
+    AnswerHead, BackendProtocol, Dispatch, ProxiedRequest, ProxyOptions, ProxyState, ReplicaNotice,
 };
 use railtack_serving::{Bounds, Policy, QuotaBounds};
 
@@ -22,6 +22,10 @@
         AnswerHead::Foreign
     }
 
+    fn notice(&self, _: &response::Parts) -> ReplicaNotice {
+        ReplicaNotice::default()
+    }
+
     fn is_hop_by_hop(&self, _: &str) -> bool {
         false
     }
