Send a replica nothing in the time for which it asked for no requests

Cause: a declining answer was reduced to "declined". Its Retry-After was read nowhere; the replica was left alone for 120 ms, a pause that a good end of any other exchange took back.

Change: what a replica says of taking requests is kept apart from what requests meet there, by replica and until the time is over: a good end, a new view that leaves the replica out for a while, or pauses that are switched off do not touch it. It is looked at when a replica is chosen and again when the request has its connection. Where a group of many replicas is looked at, those that back off are replaced by others.

Ruled out: a longer pause after every refusal, which would guess what the replica says; a pause in the replica's account, which a view without the replica ends.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -141,6 +141,10 @@
             return Err(FailedExchange::not_run(None, "quarantined"));
         }
         let sent_at = Instant::now();
+        // The replica may have asked for rest while this request waited for its connection.
+        if !takes_requests(state, target, sent_at) {
+            return Err(FailedExchange::not_run(None, "backs off"));
+        }
         let sent = connection
             .sender
             .try_send_request(state.backend.encode(dispatch));
@@ -173,6 +177,11 @@
         || (state.options.policy.shared_view && lock(&state.fleet).heard_since(replica, sent_at))
 }
 
+fn takes_requests(state: &ProxyState, target: &Target, now: Instant) -> bool {
+    let replicas = lock(&state.replicas);
+    replicas.availability.takes(&target.record.id, now)
+}
+
 async fn connect(target: &Target, must_not_be_lost: bool) -> Result<Connection, FailedExchange> {
     let unreachable = || FailedExchange::not_run(Some(ExchangeEnd::Unreachable), "unreachable");
     let address = target.record.address.parse().map_err(|_| unreachable())?;
@@ -204,6 +213,8 @@
         reusable,
     };
     let classified = state.backend.classify(dispatch.request, &answer.head);
+    let notice = state.backend.notice(&answer.head);
+    take_notice(state, target, notice);
     // Another life may answer at the address before it is registered there. Taken for a sign of the former
     // one, such an answer would hide that that one has ended, and with it which request ended it.
     if classified != AnswerHead::WrongReplica {
@@ -217,10 +228,25 @@
             FailedExchange::not_run(Some(ExchangeEnd::Declined), "wrong replica or weights")
         }
     };
-    let notice = state.backend.notice(&answer.head);
     Err(failed.answered(answer.head.status.as_u16(), notice))
 }
 
+/// Takes in what a replica says of itself.
+fn take_notice(state: &ProxyState, target: &Target, notice: ReplicaNotice) {
+    let Some(back_off) = notice.back_off else {
+        return;
+    };
+    state.metrics.back_offs.inc();
+    spdlog::info!("replica asked for rest", kv: {
+        replica = target.record.id.clone(),
+        back_off_ms = back_off.as_millis() as u64,
+    });
+    let mut replicas = lock(&state.replicas);
+    replicas
+        .availability
+        .note(&target.record.id, notice, Instant::now());
+}
+
 impl OpenAnswer {
     /// Reads the whole body and gives the connection back.
     pub async fn read_whole(
--- a/crates/proxy/src/health.rs
+++ b/crates/proxy/src/health.rs
@@ -57,12 +57,6 @@
         self.paused_until.is_none_or(|until| now >= until)
     }
 
-    /// Time for which the replica is sent no work.
-    pub fn pause(&self, now: Instant) -> Duration {
-        let until = self.paused_until.unwrap_or(now);
-        until.saturating_duration_since(now)
-    }
-
     /// Share of recent exchanges that failed, faded by time.
     pub fn failure_rate(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.rated_at).as_secs_f64();
@@ -84,7 +78,7 @@
             }
             ExchangeEnd::Declined => {
                 self.unreachable_in_a_row = 0;
-                self.pause_for(DECLINED_PAUSE, now);
+                self.pause(DECLINED_PAUSE, now);
                 return;
             }
             ExchangeEnd::Failed => {
@@ -95,7 +89,7 @@
             ExchangeEnd::Unreachable => {
                 let pause = FIRST_PAUSE * 2_u32.pow(self.unreachable_in_a_row.min(5));
                 self.unreachable_in_a_row += 1;
-                self.pause_for(pause.min(LONGEST_PAUSE), now);
+                self.pause(pause.min(LONGEST_PAUSE), now);
                 1.0
             }
         };
@@ -104,7 +98,7 @@
         self.rated_at = now;
     }
 
-    fn pause_for(&mut self, pause: Duration, now: Instant) {
+    fn pause(&mut self, pause: Duration, now: Instant) {
         self.paused_until = self.paused_until.max(Some(now + pause));
     }
 }
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -387,13 +387,9 @@
             proof = format!("{:?}", failed.proof),
             status = failed.status.unwrap_or_default(),
             back_off_ms = failed.notice.back_off.map_or(0, |time| time.as_millis() as u64),
-            paused_ms = target.usage.pause(Instant::now()).as_millis() as u64,
             known = self.state.view.load().known.through,
         });
         self.state.metrics.exchange_ended(failed.cause);
-        if failed.notice.back_off.is_some() {
-            self.state.metrics.back_offs.inc();
-        }
         failed
     }
 
@@ -437,10 +433,14 @@
         if self.replicas_used > 0 {
             return self.fail(None);
         }
-        if let NoTarget::TooLate { retry_after } = cause {
-            let reason = RefusalReason::Overloaded;
+        let told = match cause {
+            NoTarget::TooLate { retry_after } => Some((RefusalReason::Overloaded, retry_after)),
+            NoTarget::BackingOff { opens_in } => Some((RefusalReason::BackingOff, opens_in)),
+            NoTarget::Nobody => None,
+        };
+        if let Some((reason, pause)) = told {
             self.log.end(reason.to_string());
-            return reason.response(Some(retry_after));
+            return reason.response(Some(pause));
         }
         let reason = if self.state.is_confirmed() {
             RefusalReason::NoReplica
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -45,6 +45,9 @@
     /// Its first event would come too late, and those of others later still.
     #[error("overloaded")]
     Overloaded,
+    /// All replicas that could run it asked for no requests for a time.
+    #[error("backing_off")]
+    BackingOff,
     /// No replica takes work.
     #[error("no_replica")]
     NoReplica,
@@ -77,6 +80,7 @@
             | Self::Stopping
             | Self::Quarantined
             | Self::Overloaded
+            | Self::BackingOff
             | Self::NoReplica
             | Self::Declined
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/proxy/src/replicas.rs
+++ b/crates/proxy/src/replicas.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     affinity::{PrefixPath, SentPrefixes},
+    availability::Availability,
     choice::{Candidate, SharedLoad},
     health::{ExchangeEnd, Health},
     pool::Pool,
@@ -72,11 +73,6 @@
         self.load().health.allows(now)
     }
 
-    /// Time for which the replica is sent no work.
-    pub fn pause(&self, now: Instant) -> Duration {
-        self.load().health.pause(now)
-    }
-
     /// What this router has met at the replica lately; `None` if it has not used it.
     fn sighting(&self, replica: &str, now: Instant) -> Option<ReplicaSighting> {
         let heard_at = *lock(&self.heard_at);
@@ -199,6 +195,8 @@
 pub struct ReplicaTable {
     uses: HashMap<String, Arc<ReplicaUse>>,
     sent: SentPrefixes,
+    /// What replicas said of taking requests; outlasts their accounts, which a view without them ends.
+    pub availability: Availability,
 }
 
 impl ReplicaTable {
@@ -256,8 +254,9 @@
             .collect()
     }
 
-    /// Closes connections that have rested for too long.
-    pub fn close_old(&self) {
+    /// Closes connections that have rested for too long, and forgets what holds no longer.
+    pub fn discard_old(&mut self, now: Instant) {
+        self.availability.forget_past(now);
         for replica in self.uses.values() {
             replica.pool.close_old();
         }
--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -12,6 +12,7 @@
 use crate::{
     affinity::rendezvous,
     attempt::Target,
+    availability::Availability,
     choice::{self, Candidate, RequestSize, SharedLoad},
     fleet::{FEWEST_ROUTERS_FOR_SHARED_LOAD, FleetKnowledge},
     homes::{Homes, SMALLEST_GROUP, busy_replicas, first_usable, group_size, nested},
@@ -34,6 +35,11 @@
 pub enum NoTarget {
     /// None takes work.
     Nobody,
+    /// All that could run it asked for no requests for a time.
+    BackingOff {
+        /// Time until the first of them takes requests again.
+        opens_in: Duration,
+    },
     /// The first event would come too late.
     TooLate {
         /// When the caller should come back.
@@ -56,8 +62,16 @@
         let mut changes = self.state.changes();
         loop {
             let chosen = self.choose();
-            let is_over = Instant::now() >= until || !self.state.is_confirmed();
-            if is_over || !matches!(chosen, Err(NoTarget::Nobody)) {
+            let now = Instant::now();
+            let is_over = now >= until || !self.state.is_confirmed();
+            let may_change = match chosen {
+                Err(NoTarget::Nobody) => true,
+                Err(NoTarget::BackingOff { opens_in }) => {
+                    opens_in <= until.saturating_duration_since(now)
+                }
+                Err(NoTarget::TooLate { .. }) | Ok(_) => false,
+            };
+            if is_over || !may_change {
                 return chosen;
             }
             let change = async {
@@ -75,12 +89,14 @@
         let table = view.table.as_ref().ok_or(NoTarget::Nobody)?;
         let configuration = table.configuration();
         let mut replicas = lock(&self.state.replicas);
-        let homes = self.ready_homes(&view, configuration);
+        let homes = self.ready_homes(&view, configuration, &replicas.availability);
         let ranked = &homes.ranked;
         let mut offers = self.offers(ranked, &mut replicas, configuration);
         let candidates: Vec<Candidate> = offers.iter().map(|offer| offer.candidate).collect();
         let chosen = choice::choose(&candidates, self.size(), rand::random());
-        let (position, cost) = chosen.ok_or(NoTarget::Nobody)?;
+        let Some((position, cost)) = chosen else {
+            return Err(without_offer(ranked, &replicas.availability));
+        };
         let Offer {
             candidate,
             mut target,
@@ -151,6 +167,7 @@
         &self,
         view: &'a ServingView,
         configuration: &ServingConfiguration,
+        availability: &Availability,
     ) -> Homes<'a> {
         let Some(ring) = view.ready(&self.service) else {
             return Homes::default();
@@ -163,7 +180,10 @@
         let now = Instant::now();
         let fleet = self.state.current_fleet(now);
         let fleet = fleet.as_deref();
-        let is_usable = |record: &ReplicaRecord| !fleet.is_some_and(|fleet| is_dark(fleet, record));
+        let is_usable = |record: &ReplicaRecord| {
+            let is_dark = fleet.is_some_and(|fleet| is_dark(fleet, record));
+            !is_dark && availability.takes(&record.id, now)
+        };
         let policy = self.state.options.policy;
         let home = self.path.key().filter(|_| policy.homes);
         if ring.len() <= SMALLEST_GROUP {
@@ -217,8 +237,9 @@
         for (rank, record) in ranked.iter().copied().enumerate() {
             let usage = table.of(&record.id, now);
             let shared = fleet.as_ref().map(|fleet| shared_load(fleet, record));
-            let rests = policy.pauses && !usage.allows(now);
-            if rests || !usage.pool.has_room(connection_limit) {
+            let takes = table.availability.takes(&record.id, now);
+            let is_paused = policy.pauses && !usage.allows(now);
+            if !takes || is_paused || !usage.pool.has_room(connection_limit) {
                 continue;
             }
             let known_tokens = table.sent().known_tokens(&record.id, &self.path);
@@ -363,8 +384,23 @@
     services.filter_map(|service| service.store.as_ref())
 }
 
+/// Why none of the replicas that were looked at is sent a request.
+fn without_offer(ranked: &[&Arc<ReplicaRecord>], availability: &Availability) -> NoTarget {
+    let now = Instant::now();
+    let waits = ranked
+        .iter()
+        .map(|record| availability.opens_in(&record.id, now));
+    match waits.min() {
+        Some(opens_in) if !opens_in.is_zero() => NoTarget::BackingOff { opens_in },
+        _ => NoTarget::Nobody,
+    }
+}
+
 /// Whether no router hears anything from a replica though some wait for it.
 fn is_dark(fleet: &FleetKnowledge, record: &ReplicaRecord) -> bool {
+    if !fleet.any_dark() {
+        return false;
+    }
     let condition = fleet.condition(ReplicaKey::of(&record.id));
     condition.is_some_and(|condition| condition.is_dark)
 }
--- /dev/null
+++ b/crates/proxy/tests/availability.rs
@@ -0,0 +1,73 @@
+//! What replicas say of whether they take requests from a router.
+
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+use railtack_proxy::{ReplicaNotice, availability::Availability};
+use tokio::time::Instant;
+
+const REPLICA: &str = "i-1";
+const OTHER: &str = "i-2";
+
+fn back_off(time: Duration) -> ReplicaNotice {
+    ReplicaNotice {
+        back_off: Some(time),
+    }
+}
+
+#[test]
+fn a_replica_takes_requests_again_when_its_time_is_over() {
+    let start = Instant::now();
+    let time = Duration::from_secs(3);
+    let mut availability = Availability::default();
+    assert!(availability.takes(REPLICA, start));
+    availability.note(REPLICA, back_off(time), start);
+    assert!(!availability.takes(REPLICA, start + time - Duration::from_millis(1)));
+    assert_eq!(
+        availability.opens_in(REPLICA, start + time / 3),
+        time * 2 / 3
+    );
+    assert!(availability.takes(OTHER, start));
+    assert!(availability.takes(REPLICA, start + time));
+}
+
+#[test]
+fn a_shorter_time_does_not_end_a_longer_one() {
+    let start = Instant::now();
+    let mut availability = Availability::default();
+    availability.note(REPLICA, back_off(Duration::from_secs(3)), start);
+    availability.note(REPLICA, back_off(Duration::from_secs(1)), start);
+    availability.note(REPLICA, ReplicaNotice::default(), start);
+    assert!(!availability.takes(REPLICA, start + Duration::from_secs(2)));
+}
+
+#[test]
+fn the_longest_time_there_is_can_be_asked_for() {
+    let start = Instant::now();
+    let mut availability = Availability::default();
+    availability.note(REPLICA, back_off(Duration::MAX), start);
+    assert!(!availability.takes(REPLICA, start + Duration::from_secs(3_600)));
+}
+
+quickcheck! {
+    /// Whatever several replicas ask for, and whenever it is looked at or tidied up, each is left alone
+    /// just until the latest moment that it named.
+    fn each_is_left_alone_until_the_latest_moment_it_named(notices: Vec<(u8, u16, u16)>) -> bool {
+        let start = Instant::now();
+        let mut availability = Availability::default();
+        let mut latest = [Duration::ZERO; 4];
+        let mut elapsed = Duration::ZERO;
+        notices.into_iter().all(|(replica, pause_ms, back_off_ms)| {
+            elapsed += Duration::from_millis(u64::from(pause_ms));
+            let now = start + elapsed;
+            availability.forget_past(now);
+            let asked = Duration::from_millis(u64::from(back_off_ms));
+            let replica = usize::from(replica) % latest.len();
+            latest[replica] = latest[replica].max(elapsed + asked);
+            availability.note(&replica.to_string(), back_off(asked), now);
+            latest.iter().enumerate().all(|(replica, until)| {
+                availability.opens_in(&replica.to_string(), now) == until.saturating_sub(elapsed)
+            })
+        })
+    }
+}
