Send nothing more to a replica whose answers say that it leaves

A replica that leaves says so in its answers, often before its heartbeat reaches the control group, and routers sent on until they were told.

Ruled out: telling the control group of it. Its own heartbeat does that, and a router may be out of touch.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -141,9 +141,9 @@
             return Err(FailedExchange::not_run(None, "quarantined"));
         }
         let sent_at = Instant::now();
-        // The replica may have asked for rest while this request waited for its connection.
+        // The replica may have asked for rest, or said that it leaves, while this request waited for its connection.
         if !takes_requests(state, target, sent_at) {
-            return Err(FailedExchange::not_run(None, "backs off"));
+            return Err(FailedExchange::not_run(None, "takes no requests"));
         }
         let sent = connection
             .sender
@@ -233,18 +233,21 @@
 
 /// Takes in what a replica says of itself.
 fn take_notice(state: &ProxyState, target: &Target, notice: ReplicaNotice) {
-    let Some(back_off) = notice.back_off else {
-        return;
-    };
-    state.metrics.back_offs.inc();
-    spdlog::info!("replica asked for rest", kv: {
-        replica = target.record.id.clone(),
-        back_off_ms = back_off.as_millis() as u64,
-    });
-    let mut replicas = lock(&state.replicas);
-    replicas
+    let replica = &target.record.id;
+    let now = Instant::now();
+    let leaves_now = lock(&state.replicas)
         .availability
-        .note(&target.record.id, notice, Instant::now());
+        .note(replica, notice, now);
+    if let Some(back_off) = notice.back_off {
+        state.metrics.back_offs.inc();
+        spdlog::info!("replica asked for rest", kv: {
+            replica = replica.clone(),
+            back_off_ms = back_off.as_millis() as u64,
+        });
+    }
+    if leaves_now {
+        spdlog::info!("replica says that it leaves", kv: { replica = replica.clone() });
+    }
 }
 
 impl OpenAnswer {
--- a/crates/proxy/src/backend.rs
+++ b/crates/proxy/src/backend.rs
@@ -52,6 +52,8 @@
 pub struct ReplicaNotice {
     /// Time for which it wants no request from this router.
     pub back_off: Option<Duration>,
+    /// Whether it is leaving: nothing more is to be sent there.
+    pub is_leaving: bool,
 }
 
 /// The language of back ends.
--- a/crates/proxy/src/targeting.rs
+++ b/crates/proxy/src/targeting.rs
@@ -389,7 +389,7 @@
     let now = Instant::now();
     let waits = ranked
         .iter()
-        .map(|record| availability.opens_in(&record.id, now));
+        .filter_map(|record| availability.opens_in(&record.id, now));
     match waits.min() {
         Some(opens_in) if !opens_in.is_zero() => NoTarget::BackingOff { opens_in },
         _ => NoTarget::Nobody,
--- a/crates/proxy/tests/availability.rs
+++ b/crates/proxy/tests/availability.rs
@@ -12,6 +12,7 @@
 fn back_off(time: Duration) -> ReplicaNotice {
     ReplicaNotice {
         back_off: Some(time),
+        is_leaving: false,
     }
 }
 
@@ -25,7 +26,7 @@
     assert!(!availability.takes(REPLICA, start + time - Duration::from_millis(1)));
     assert_eq!(
         availability.opens_in(REPLICA, start + time / 3),
-        time * 2 / 3
+        Some(time * 2 / 3)
     );
     assert!(availability.takes(OTHER, start));
     assert!(availability.takes(REPLICA, start + time));
@@ -49,6 +50,23 @@
     assert!(!availability.takes(REPLICA, start + Duration::from_secs(3_600)));
 }
 
+#[test]
+fn one_that_leaves_takes_nothing_more() {
+    let start = Instant::now();
+    let leaving = ReplicaNotice {
+        back_off: None,
+        is_leaving: true,
+    };
+    let mut availability = Availability::default();
+    assert!(availability.note(REPLICA, leaving, start), "news");
+    assert!(!availability.note(REPLICA, leaving, start), "no news");
+    availability.note(REPLICA, ReplicaNotice::default(), start);
+    let late = start + Duration::from_secs(60);
+    availability.forget_past(late);
+    assert_eq!(availability.opens_in(REPLICA, late), None);
+    assert!(!availability.takes(REPLICA, late));
+}
+
 quickcheck! {
     /// Whatever several replicas ask for, and whenever it is looked at or tidied up, each is left alone
     /// just until the latest moment that it named.
@@ -66,7 +84,7 @@
             latest[replica] = latest[replica].max(elapsed + asked);
             availability.note(&replica.to_string(), back_off(asked), now);
             latest.iter().enumerate().all(|(replica, until)| {
-                availability.opens_in(&replica.to_string(), now) == until.saturating_sub(elapsed)
+                availability.opens_in(&replica.to_string(), now) == Some(until.saturating_sub(elapsed))
             })
         })
     }
