Keep to the rest that back ends ask for on every other way to them

Change: one reader of Retry-After for all that send requests; engines keep the time in their present life, back ends of services apart from the list of them that is made anew twice a second, replicas that turn orders away at the giver of orders. A caller whose engines or back ends all rest is told when the first takes requests again.

Ruled out: dates in Retry-After, as clocks differ.

--- a/crates/backend-api/src/lib.rs
+++ b/crates/backend-api/src/lib.rs
@@ -252,6 +252,9 @@
     pub cached_tokens: u64,
     /// Answer tokens.
     pub output_tokens: u64,
+    /// Requests that arrived while the engine had asked for none.
+    #[serde(default)]
+    pub unwanted: u64,
 }
 
 /// A fenced order.
@@ -291,4 +294,7 @@
 pub struct ExecutionCounts {
     /// Executions of each key.
     pub by_key: std::collections::BTreeMap<String, u64>,
+    /// Requests that arrived while the service had asked for none.
+    #[serde(default)]
+    pub unwanted: u64,
 }
--- a/crates/control/src/serving/order_channel.rs
+++ b/crates/control/src/serving/order_channel.rs
@@ -1,6 +1,6 @@
 //! How orders reach back ends; an adapter implements it.
 
-use std::{future::Future, pin::Pin};
+use std::{future::Future, pin::Pin, time::Duration};
 
 use railtack_serving::{HeldWeights, PendingOrder, ReplicaRecord};
 
@@ -32,10 +32,21 @@
     Fenced,
     /// It refused for another reason, or is another replica.
     Refused,
+    /// It turned the order away, and wants nothing from this machine for so long.
+    BackOff(Duration),
     /// No answer; the order may be carried out.
     Unknown,
 }
 
+/// Why a back end gave no report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoReport {
+    /// It turned the question away, and wants nothing from this machine for so long.
+    BackOff(Duration),
+    /// No answer that could be read.
+    Unanswered,
+}
+
 /// What a back end says of its weights.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WeightsReport {
@@ -54,9 +65,11 @@
 
 /// How orders reach back ends; an adapter implements it.
 pub trait OrderChannel: Send + Sync {
-    /// Asks what a back end holds; `None` without an answer.
-    fn report<'a>(&'a self, replica: &'a ReplicaRecord)
-    -> ChannelFuture<'a, Option<WeightsReport>>;
+    /// Asks what a back end holds.
+    fn report<'a>(
+        &'a self,
+        replica: &'a ReplicaRecord,
+    ) -> ChannelFuture<'a, Result<WeightsReport, NoReport>>;
     /// Gives an order.
     fn order(&self, request: OrderRequest) -> ChannelFuture<'_, OrderAnswer>;
 }
--- a/crates/control/src/serving/order_giver.rs
+++ b/crates/control/src/serving/order_giver.rs
@@ -17,7 +17,7 @@
 use crate::{
     serving::{
         leader::LeaderLink,
-        order_channel::{OrderAnswer, OrderChannel, OrderRequest, WeightsReport},
+        order_channel::{NoReport, OrderAnswer, OrderChannel, OrderRequest, WeightsReport},
         watch::WatchServer,
         weights::RolloutStep,
     },
@@ -76,6 +76,15 @@
     given: HashMap<String, Instant>,
     /// Replicas that a task deals with.
     at_work: HashSet<String>,
+    /// Until when replicas asked for neither orders nor questions from this machine.
+    backs_off_until: HashMap<String, Instant>,
+}
+
+impl Work {
+    fn backs_off(&self, replica: &str, now: Instant) -> bool {
+        let until = self.backs_off_until.get(replica);
+        until.is_some_and(|until| now < *until)
+    }
 }
 
 impl OrderGiver {
@@ -105,17 +114,20 @@
         self.refused_token.load(Ordering::Relaxed)
     }
 
-    /// Reserves a replica for a task; false if one deals with it already.
+    /// Reserves a replica for a task; false if one deals with it already, or if it asked for rest.
     pub fn begin_work(&self, replica: &str) -> bool {
-        self.lock().at_work.insert(replica.to_owned())
+        let mut work = self.lock();
+        !work.backs_off(replica, Instant::now()) && work.at_work.insert(replica.to_owned())
     }
 
     /// Forgets replicas that are gone.
     pub fn forget_gone(&self, view: &NodeView) {
         let replicas = view.serving.replicas();
-        self.lock()
-            .given
+        let now = Instant::now();
+        let mut work = self.lock();
+        work.given
             .retain(|replica, _| replicas.contains_key(replica));
+        work.backs_off_until.retain(|_, until| now < *until);
     }
 
     /// Carries out a step for a replica that was reserved.
@@ -202,9 +214,30 @@
     }
 
     async fn report(&self, record: &ReplicaRecord) -> Option<WeightsReport> {
-        timeout(EXCHANGE_TIMEOUT, self.channel.report(record))
-            .await
-            .ok()?
+        let asked = timeout(EXCHANGE_TIMEOUT, self.channel.report(record));
+        match asked.await {
+            Ok(Ok(report)) => Some(report),
+            Ok(Err(NoReport::BackOff(time))) => {
+                self.note_back_off(record, time);
+                None
+            }
+            Ok(Err(NoReport::Unanswered)) | Err(_) => None,
+        }
+    }
+
+    /// A replica that turns this machine away is neither asked nor ordered until the time that it named is
+    /// over: it sheds load, and each try is one more request there.
+    fn note_back_off(&self, record: &ReplicaRecord, time: Duration) {
+        let now = Instant::now();
+        spdlog::info!("replica asked for rest from orders", kv: {
+            replica = record.id.clone(),
+            back_off_ms = time.as_millis() as u64,
+        });
+        let until = now + time;
+        let mut work = self.lock();
+        let known = work.backs_off_until.entry(record.id.clone());
+        let known = known.or_insert(until);
+        *known = until.max(*known);
     }
 
     async fn record_weights(&self, record: &ReplicaRecord, weights: Vec<HeldWeights>) {
@@ -240,8 +273,10 @@
         let answer = timeout(EXCHANGE_TIMEOUT, self.channel.order(request))
             .await
             .unwrap_or(OrderAnswer::Unknown);
-        if answer == OrderAnswer::Fenced {
-            self.note_refused(right);
+        match answer {
+            OrderAnswer::Fenced => self.note_refused(right),
+            OrderAnswer::BackOff(time) => self.note_back_off(record, time),
+            _ => {}
         }
         spdlog::info!("order given", kv: {
             replica = record.id.clone(),
--- /dev/null
+++ b/crates/emulator/src/back_off.rs
@@ -0,0 +1,51 @@
+//! Asking callers for no requests for a time, as a back end that sheds load does.
+
+use std::time::Duration;
+
+use hyper::{Response, header::RETRY_AFTER};
+use railtack_http::Body;
+use tokio::time::Instant;
+
+/// A stand-in that is to run a request with this text turns it away and asks for no more for
+/// [`BACK_OFF`].
+pub const BACK_OFF_TEXT: &str = "emulator: ask for no requests for a while";
+/// Time that it asks for.
+pub const BACK_OFF: Duration = Duration::from_secs(2);
+/// Time in which an answer reaches its caller, and what was on its way before arrives.
+const ON_THE_WAY: Duration = Duration::from_millis(200);
+
+/// What a stand-in asked of its callers, and whether they keep to it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BackOff {
+    asked_at: Option<Instant>,
+    unwanted: u64,
+}
+
+impl BackOff {
+    /// Notes a request that arrives; true if it is to be turned away.
+    pub fn turns_away(&mut self, content: &[u8]) -> bool {
+        let now = Instant::now();
+        let age = self.asked_at.map(|at| now.saturating_duration_since(at));
+        if age.is_some_and(|age| age > ON_THE_WAY && age < BACK_OFF) {
+            self.unwanted += 1;
+        }
+        let mut places = content.windows(BACK_OFF_TEXT.len());
+        let asks = places.any(|place| place == BACK_OFF_TEXT.as_bytes());
+        if asks {
+            self.asked_at = Some(now);
+        }
+        asks
+    }
+
+    /// Requests that arrived though none were wanted.
+    pub fn unwanted(&self) -> u64 {
+        self.unwanted
+    }
+}
+
+/// Adds the time to an answer that turns a request away.
+pub fn asking_for_rest(mut response: Response<Body>) -> Response<Body> {
+    let seconds = BACK_OFF.as_secs().into();
+    response.headers_mut().insert(RETRY_AFTER, seconds);
+    response
+}
--- a/crates/emulator/src/engine_server.rs
+++ b/crates/emulator/src/engine_server.rs
@@ -11,8 +11,8 @@
 use hyper::{Method, Request, Response, Uri, body::Incoming};
 use railtack_backend_api::{
     CacheListing, EngineError, EngineEvent, EngineEventKind, EngineRefusal, EngineRequest,
-    EngineStatus, Hex, OrderReply, OrderRequest, StreamEnd, StreamFrame, WeightsGrant,
-    WeightsRequest,
+    EngineStatus, EngineTotals, Hex, OrderReply, OrderRequest, StreamEnd, StreamFrame,
+    WeightsGrant, WeightsRequest,
 };
 use railtack_core::{CacheNamespace, EngineIncarnation, PrefixChain};
 use railtack_http::{Body, BodySender, body, read_body, streaming};
@@ -22,6 +22,7 @@
 
 use crate::{
     answer::{answer_seed, token_text},
+    back_off::{BackOff, asking_for_rest},
     end_under,
     engine::{EngineModel, NewSequence, StepOutcome, TokenOutput},
     event_feed::EventFeed,
@@ -56,6 +57,7 @@
     gate: Gate,
     streams: HashMap<u128, Stream>,
     feed: EventFeed,
+    back_off: BackOff,
 }
 
 /// A running engine.
@@ -90,6 +92,7 @@
             ),
             streams: HashMap::new(),
             feed,
+            back_off: BackOff::default(),
         };
         Self {
             settings: Arc::new(settings),
@@ -175,6 +178,10 @@
         let Some(request) = parsed else {
             return self.refuse(400, EngineRefusal::Malformed);
         };
+        let prompt = request.prompt.as_bytes();
+        if self.lock().back_off.turns_away(prompt) {
+            return asking_for_rest(self.refuse(503, EngineRefusal::QueueFull));
+        }
         if let Err(refusal) = self.submit(&request) {
             return self.refuse(409, refusal);
         }
@@ -313,7 +320,10 @@
             last_order_token: shared.gate.last_order_token,
             block_tokens: self.settings.costs.block_tokens,
             load: shared.model.load(),
-            totals: shared.model.totals(),
+            totals: EngineTotals {
+                unwanted: shared.back_off.unwanted(),
+                ..shared.model.totals()
+            },
         }
     }
 
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -4,6 +4,7 @@
 //! simulator and in real time by [`engine_server`].
 
 pub mod answer;
+pub mod back_off;
 pub mod cache;
 pub mod cli;
 pub mod engine;
@@ -14,6 +15,7 @@
 pub mod platform_server;
 pub mod service_server;
 
+pub use back_off::{BACK_OFF, BACK_OFF_TEXT};
 pub use errors::EmulatorError;
 
 /// A stand-in that runs a request with this text ends, as a back end does under a request that it
--- a/crates/emulator/src/service_server.rs
+++ b/crates/emulator/src/service_server.rs
@@ -10,7 +10,10 @@
 use railtack_http::{Body, body, read_body};
 use serde_json::json;
 
-use crate::end_under;
+use crate::{
+    back_off::{BackOff, asking_for_rest},
+    end_under,
+};
 
 /// Largest request body, bytes.
 const BODY_LIMIT: usize = 4 * 1024 * 1024;
@@ -25,6 +28,7 @@
     name: String,
     answer_time: Duration,
     counts: Arc<Mutex<ExecutionCounts>>,
+    back_off: Arc<Mutex<BackOff>>,
 }
 
 impl ServiceStandIn {
@@ -34,6 +38,7 @@
             name,
             answer_time,
             counts: Arc::default(),
+            back_off: Arc::default(),
         }
     }
 
@@ -52,6 +57,9 @@
         let Ok(content) = read_body(request.into_body(), BODY_LIMIT, BODY_TIMEOUT).await else {
             return body::json(400, &json!({ "error": "body" }));
         };
+        if self.turns_away(&content) {
+            return asking_for_rest(body::json(503, &json!({ "error": "busy" })));
+        }
         self.count(key.as_deref());
         end_under(&content);
         tokio::time::sleep(self.answer_time).await;
@@ -64,6 +72,14 @@
         body::json(200, &answer)
     }
 
+    fn turns_away(&self, content: &[u8]) -> bool {
+        let mut back_off = self.back_off.lock().unwrap_or_else(PoisonError::into_inner);
+        let turns_away = back_off.turns_away(content);
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        counts.unwanted = back_off.unwanted();
+        turns_away
+    }
+
     fn count(&self, key: Option<&str>) {
         let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(key) = key {
--- a/crates/lab/src/fleet/running.rs
+++ b/crates/lab/src/fleet/running.rs
@@ -300,6 +300,7 @@
             for (key, count) in counts.by_key {
                 *total.by_key.entry(key).or_default() += count;
             }
+            total.unwanted += counts.unwanted;
         }
         Ok(total)
     }
--- a/crates/proxy/src/availability.rs
+++ b/crates/proxy/src/availability.rs
@@ -8,12 +8,11 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use railtack_http::LONGEST_BACK_OFF;
 use tokio::time::Instant;
 
 use crate::backend::ReplicaNotice;
 
-/// Longest time that is reckoned with; keeps sums with any reading of the clock in range.
-const LONGEST_BACK_OFF: Duration = Duration::from_secs(365 * 24 * 3_600);
 /// Time after its last answer for which it is remembered that a replica leaves: it serves for many seconds
 /// after it has said so, and ends then.
 const LEAVING_KEPT: Duration = Duration::from_secs(300);
--- a/crates/router/src/completions.rs
+++ b/crates/router/src/completions.rs
@@ -32,6 +32,8 @@
 
 /// Steps of an answer that may wait for a slow caller before the engine's stream waits too.
 const ANSWER_BUFFER: usize = 64;
+/// Pause told to a caller whose model no engine runs, milliseconds.
+const NO_ENGINE_PAUSE_MS: u64 = 1_000;
 /// Smallest pause told to a refused caller, milliseconds.
 const SHORTEST_PAUSE_MS: u64 = 100;
 
@@ -183,13 +185,16 @@
         priority: job.priority,
         excluded: &[],
     };
-    let decision = lock(&state.scheduler).choose(shape, now, rand::random());
+    let scheduler = lock(&state.scheduler);
+    let decision = scheduler.choose(shape, now, rand::random());
     decision.ok_or_else(|| {
+        let opens_in = scheduler.opens_in(&job.key, now);
+        let pause_ms = opens_in.map_or(NO_ENGINE_PAUSE_MS, |wait| wait.div_ceil(1_000));
         let detail = format!(
             "no engine runs {} {}",
             job.key.model, job.key.weights_version
         );
-        Refusal::not_run(RefusalCode::NoBackend, detail).retry_after_ms(1_000)
+        Refusal::not_run(RefusalCode::NoBackend, detail).retry_after_ms(pause_ms)
     })
 }
 
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -15,8 +15,8 @@
 use railtack_core::{
     AttemptId, CacheNamespace, EngineIncarnation, PrefixChain, RequestId, TemplateName, TenantName,
 };
-use railtack_http::{SendError, lines, read_body};
-use railtack_routing::{Decision, EngineSlot, ModelKey, RequestShape};
+use railtack_http::{SendError, back_off, lines, read_body};
+use railtack_routing::{Decision, EngineSlot, Micros, ModelKey, RequestShape};
 use railtack_serving::ContentKey;
 use railtack_settings::documents::Priority;
 use tokio::{
@@ -341,6 +341,9 @@
     }
 
     async fn refused(&self, attempt: &Attempt, response: Response<Incoming>) -> AttemptEnd {
+        if let Some(time) = back_off(response.status(), response.headers()) {
+            self.note_back_off(attempt, time);
+        }
         let content = read_body(response.into_body(), REFUSAL_LIMIT, REFUSAL_TIMEOUT).await;
         let error = content
             .ok()
@@ -353,6 +356,21 @@
         AttemptEnd::Refused
     }
 
+    /// Notes that the engine asked for no requests for a time.
+    fn note_back_off(&self, attempt: &Attempt, time: Duration) {
+        let now = self.state.now_us();
+        let time_us = Micros::try_from(time.as_micros()).unwrap_or(Micros::MAX);
+        let mut scheduler = lock(&self.state.scheduler);
+        let view = scheduler.engines.view_mut(attempt.engine);
+        if view.incarnation == attempt.incarnation {
+            view.back_off(time_us, now);
+        }
+        spdlog::info!("engine asked for rest", kv: {
+            engine = view.id.to_string(),
+            back_off_ms = time.as_millis() as u64,
+        });
+    }
+
     /// Stops an attempt whose answer nobody waits for, without waiting for the engine.
     fn cancel(&self, attempt: &Attempt) {
         let uri = format!(
--- a/crates/router/src/services.rs
+++ b/crates/router/src/services.rs
@@ -10,11 +10,12 @@
     header::{CONTENT_TYPE, HeaderValue},
 };
 use railtack_core::{AttemptId, IdempotencyKey, RefusalCode, TemplateName, TenantName};
-use railtack_http::{Body, SendError, body, read_body, send_on_new_connection};
+use railtack_http::{Body, SendError, back_off, body, read_body, send_on_new_connection};
+use railtack_proxy::ReplicaNotice;
 use railtack_rpc::protocol::StoredAnswer;
 use railtack_serving::{ContentKey, RequestContent};
 use railtack_settings::documents::Target;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use xxhash_rust::xxh3::xxh3_128;
 
 use crate::{
@@ -32,6 +33,8 @@
 const KEY_LIMIT: usize = 255;
 /// Attempts at a request that may be repeated.
 const REPEATABLE_ATTEMPTS: u32 = 3;
+/// Pause told to a caller whose service has no back end that could be reached, milliseconds.
+const NO_BACK_END_PAUSE_MS: u64 = 1_000;
 /// Time for connecting to a back end.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest exchange with a service. Well below the age at which an unsettled claim counts as lost.
@@ -167,7 +170,7 @@
     Err(if may_have_run {
         Refusal::unknown(RefusalCode::BackendFailed, "the service failed")
     } else {
-        no_backend(&forwarded.service)
+        no_backend(state, &forwarded.service)
     })
 }
 
@@ -248,6 +251,9 @@
     let request = outgoing(forwarded)?;
     let exchange = async {
         let response = send_on_new_connection(address, request, CONNECT_TIMEOUT).await?;
+        if let Some(time) = back_off(response.status(), response.headers()) {
+            note_back_off(state, address, time);
+        }
         read_answer(response, forwarded.limit).await
     };
     let Ok(answered) = timeout(forwarded.limit, exchange).await else {
@@ -314,18 +320,50 @@
 }
 
 fn next_backend(state: &RouterState, service: &str) -> Option<SocketAddr> {
+    let now = Instant::now();
+    let mut available = lock(&state.back_ends_available);
+    available.forget_past(now);
     let mut services = lock(&state.services);
     let backends = services.get_mut(service)?;
-    if backends.live.is_empty() {
-        return None;
+    for _ in 0..backends.live.len() {
+        backends.next = (backends.next + 1) % backends.live.len();
+        let address = backends.live[backends.next];
+        if available.takes(&address.to_string(), now) {
+            return Some(address);
+        }
     }
-    backends.next = (backends.next + 1) % backends.live.len();
-    Some(backends.live[backends.next])
+    None
+}
+
+/// Notes that a back end asked for no calls for a time.
+fn note_back_off(state: &RouterState, address: SocketAddr, time: Duration) {
+    spdlog::info!("back end asked for rest", kv: {
+        address = address.to_string(),
+        back_off_ms = time.as_millis() as u64,
+    });
+    let notice = ReplicaNotice {
+        back_off: Some(time),
+        is_leaving: false,
+    };
+    let mut available = lock(&state.back_ends_available);
+    available.note(&address.to_string(), notice, Instant::now());
+}
+
+/// Milliseconds until the first back end of a service takes calls again, if all asked for rest.
+fn opens_in_ms(state: &RouterState, service: &str) -> Option<u64> {
+    let now = Instant::now();
+    let available = lock(&state.back_ends_available);
+    let services = lock(&state.services);
+    let live = services.get(service)?.live.iter();
+    let waits = live.filter_map(|address| available.opens_in(&address.to_string(), now));
+    let wait = waits.min()?.as_millis() as u64;
+    (wait > 0).then_some(wait)
 }
 
-fn no_backend(service: &str) -> Refusal {
-    let detail = format!("no back end of {service} could be reached");
-    Refusal::not_run(RefusalCode::NoBackend, detail).retry_after_ms(1_000)
+fn no_backend(state: &RouterState, service: &str) -> Refusal {
+    let detail = format!("no back end of {service} takes calls");
+    let pause_ms = opens_in_ms(state, service).unwrap_or(NO_BACK_END_PAUSE_MS);
+    Refusal::not_run(RefusalCode::NoBackend, detail).retry_after_ms(pause_ms)
 }
 
 fn fingerprint(forwarded: &Forwarded<'_>) -> u128 {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -15,7 +15,10 @@
 use railtack_consensus::{Millis, ReplicaId};
 use railtack_core::{EngineId, RefusalCode, TenantName};
 use railtack_http::HttpClient;
-use railtack_proxy::quarantine::{EndsMet, QuarantineKnowledge};
+use railtack_proxy::{
+    availability::Availability,
+    quarantine::{EndsMet, QuarantineKnowledge},
+};
 use railtack_routing::{Admission, Micros, RetryBudget, Scheduler, SchedulerOptions};
 use railtack_settings::{RouterSettings, router::WhenUnconfirmed};
 
@@ -50,6 +53,9 @@
     pub engine_addresses: Mutex<HashMap<EngineId, SocketAddr>>,
     /// Back ends of ordinary services by name.
     pub services: Mutex<HashMap<String, ServiceBackends>>,
+    /// Which back ends of ordinary services said that they take no calls, by their address. Kept apart from
+    /// the list of them, which is made anew twice a second.
+    pub back_ends_available: Mutex<Availability>,
     /// Limits and shares.
     pub admission: Mutex<Admission>,
     /// Retries that each tenant may still make.
@@ -96,6 +102,7 @@
             scheduler: Mutex::new(Scheduler::new(options)),
             engine_addresses: Mutex::default(),
             services: Mutex::default(),
+            back_ends_available: Mutex::default(),
             admission: Mutex::default(),
             retry_budgets: Mutex::default(),
             decisions: Mutex::default(),
--- a/crates/routing/src/engines.rs
+++ b/crates/routing/src/engines.rs
@@ -52,6 +52,9 @@
     pub sent_since_report: u32,
     /// Whether recent requests failed.
     pub breaker: CircuitBreaker,
+    /// Until when the engine asked for no requests; 0 if it did not. No other request's good end, and no
+    /// report, takes that back.
+    pub backs_off_until: Micros,
     /// Whether events were lost, so that the view of its cache may be wrong.
     pub suspect: bool,
 }
@@ -240,6 +243,7 @@
             open_requests: 0,
             sent_since_report: 0,
             breaker: CircuitBreaker::default(),
+            backs_off_until: 0,
             suspect: false,
         }
     }
@@ -264,6 +268,16 @@
         }
     }
 
+    /// Notes that the engine asked for no requests for a time.
+    pub fn back_off(&mut self, time: Micros, now: Micros) {
+        self.backs_off_until = self.backs_off_until.max(now.saturating_add(time));
+    }
+
+    /// Whether the engine takes requests, as far as it said.
+    pub fn takes_requests(&self, now: Micros) -> bool {
+        now >= self.backs_off_until
+    }
+
     /// Notes that a request ended.
     pub fn closed(&mut self) {
         self.open_requests = self.open_requests.saturating_sub(1);
--- a/crates/routing/src/scheduler.rs
+++ b/crates/routing/src/scheduler.rs
@@ -109,6 +109,16 @@
         Some(Decision { chosen, considered })
     }
 
+    /// Time until the first engine that could serve the request takes requests again; `None` if no engine
+    /// asked for rest.
+    pub fn opens_in(&self, key: &ModelKey, now: Micros) -> Option<Micros> {
+        let group = self.engines.group(key).iter();
+        let views = group.map(|member| self.engines.view(member.slot));
+        let resting = views.filter(|view| view.available && view.listed);
+        let waits = resting.map(|view| view.backs_off_until.saturating_sub(now));
+        waits.min().filter(|wait| *wait > 0)
+    }
+
     /// Notes that a prompt was sent to an engine: it will hold it long before its own events say
     /// so, and requests with the same beginning should follow it there.
     pub fn expect_cached(&mut self, engine: EngineSlot, chain: &PrefixChain) {
@@ -165,6 +175,7 @@
         let view = self.engines.view(engine);
         view.available
             && view.listed
+            && view.takes_requests(now)
             && view.breaker.allows(now)
             && !request.excluded.contains(&engine)
     }
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -133,6 +133,32 @@
     assert_eq!(choose(&scheduler, &chain, &[EngineSlot(2)]), None);
 }
 
+#[test]
+fn an_engine_that_asked_for_rest_is_not_chosen_in_that_life() {
+    const REST_US: u64 = 3_000_000;
+    let mut scheduler = scheduler(1);
+    let chain = chain("short");
+    scheduler
+        .engines
+        .view_mut(EngineSlot(0))
+        .back_off(REST_US, 0);
+    // Neither a good answer nor a report ends it.
+    scheduler.engines.view_mut(EngineSlot(0)).breaker.succeed();
+    scheduler
+        .engines
+        .report(EngineSlot(0), LoadReport::default(), 1);
+    scheduler.engines.update(describe(0, 1, 1));
+    assert_eq!(choose(&scheduler, &chain, &[]), None);
+    assert_eq!(
+        scheduler.opens_in(&key(1), REST_US / 3),
+        Some(REST_US * 2 / 3)
+    );
+    assert_eq!(scheduler.opens_in(&key(1), REST_US), None);
+    // What the former life asked for does not bind the next one.
+    scheduler.engines.update(describe(0, 2, 1));
+    assert_eq!(choose(&scheduler, &chain, &[]), Some(EngineSlot(0)));
+}
+
 #[test]
 fn a_new_life_or_new_weights_void_what_was_known() {
     let mut scheduler = scheduler(1);
