Know each life of a replica by its identity and its birth

Cause: a life was known by the identity alone. A replica that started again under it was taken for late until its count of heartbeats overtook the former one, stayed leaving or departed for ever once the former life had left, and what routers had been told by the former life bound it.

Change: a life is named by identity and birth, made where a heartbeat is read, and goes by that name wherever something rests on what a replica holds, said, counted or was ordered; what is sent to a replica names the identity alone. A later birth takes the place of the former life at once, without waiting for its silence; an earlier one is late, whatever its count, as long as the newer one or its removal is remembered (1,024). A leave that names no birth means the life that is known; one of a life that was never recorded ends the one before it (found by the property test). A report of another life is none.

Ruled out: comparing births with our clocks, which step; a field of its own for the identity, which would double it in each record.

One for a service that nobody names is not recorded, so it holds no address.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -32,6 +32,8 @@
     pub registrations: Counter,
     /// Heartbeats that were refused because too many replicas waited to be recorded.
     pub registrations_refused: Counter,
+    /// Heartbeats for a service that the configuration does not name.
+    pub registrations_unnamed: Counter,
     /// Messages to other replicas that were dropped because the peer was slow or away.
     pub dropped_messages: Counter,
     /// 1 while this replica leads.
@@ -62,6 +64,7 @@
             suspects: Gauge::default(),
             registrations: Counter::default(),
             registrations_refused: Counter::default(),
+            registrations_unnamed: Counter::default(),
             dropped_messages: Counter::default(),
             is_leader: Gauge::default(),
             term: Gauge::default(),
@@ -90,6 +93,11 @@
             "Heartbeats refused because too many replicas waited to be recorded",
             self.registrations_refused.clone(),
         );
+        registry.register(
+            "control_registrations_unnamed",
+            "Heartbeats for a service that the configuration does not name",
+            self.registrations_unnamed.clone(),
+        );
         registry.register(
             "control_quota_asked",
             "Parts of tenants' quotas asked for",
--- a/crates/control/src/serving/daemon.rs
+++ b/crates/control/src/serving/daemon.rs
@@ -122,7 +122,10 @@
         quotas: Arc::clone(&quotas),
     });
     tokio::spawn(quota::keep_ledger(quotas));
-    tokio::spawn(quarantine::keep_released(Arc::clone(&link), metrics));
+    tokio::spawn(quarantine::keep_released(
+        Arc::clone(&link),
+        metrics.clone(),
+    ));
     tokio::spawn(server::accept(listener, service));
     tokio::spawn(watch::keep_confirmed(Arc::clone(&watch)));
     tokio::spawn(formation::keep_joined(
@@ -156,6 +159,7 @@
         registrar,
         identity.replica,
         options.tolerance,
+        metrics,
     ))
 }
 
--- a/crates/control/src/serving/handle.rs
+++ b/crates/control/src/serving/handle.rs
@@ -10,6 +10,7 @@
 use railtack_serving::{FaultTolerance, HeldWeights, ReplicaKey, ReplicaRecord, ReplicaState};
 
 use crate::{
+    metrics::ControlMetrics,
     serving::{
         errors::Unavailable,
         leader::LeaderLink,
@@ -47,6 +48,16 @@
     registrar: Arc<Registrar>,
     replica: ReplicaId,
     tolerance: FaultTolerance,
+    metrics: ControlMetrics,
+}
+
+/// Whether a heartbeat comes from a replica of a service that is named, or that was when the replica was
+/// recorded. Before the first document none is named yet, and all are recorded.
+fn is_named(view: &NodeView, record: &ReplicaRecord) -> bool {
+    let serving = &view.serving;
+    let service = serving.configuration().service(&record.service);
+    let is_known = serving.replicas().contains_key(&record.id);
+    !serving.has_configuration() || service.is_some() || is_known
 }
 
 impl GroupHandle {
@@ -57,6 +68,7 @@
         registrar: Arc<Registrar>,
         replica: ReplicaId,
         tolerance: FaultTolerance,
+        metrics: ControlMetrics,
     ) -> Self {
         Self {
             link,
@@ -64,6 +76,7 @@
             registrar,
             replica,
             tolerance,
+            metrics,
         }
     }
 
@@ -107,6 +120,14 @@
         sequence: u64,
     ) -> Result<HeartbeatPlace, Unavailable> {
         let view = self.link.view();
+        if !is_named(&view, &record) {
+            self.metrics.registrations_unnamed.inc();
+            spdlog::info!("heartbeat for no service", kv: {
+                replica = record.id,
+                service = record.service,
+            });
+            return Ok(HeartbeatPlace::Here);
+        }
         record.changed_at = view.applied;
         let place = self.place_of(&view, &record.id);
         let is_newest = self.liveness.heartbeat(&record.id, sequence);
@@ -141,7 +162,8 @@
 
     /// Removes a replica that says that it leaves for good.
     pub async fn deregister(&self, replica: String) -> Result<(), Unavailable> {
-        if self.link.view().serving.has_departed(&replica) {
+        let view = self.link.view();
+        if view.serving.has_departed(view.serving.meant_life(&replica)) {
             return Ok(());
         }
         self.propose(ServingCommand::Deregister {
--- a/crates/control/src/serving_state.rs
+++ b/crates/control/src/serving_state.rs
@@ -11,6 +11,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use crate::serving_state::{
+    departed::Departed,
     quarantine::Quarantine,
     registry::{ReplicaMap, ReplicaRegistry},
     reported_ends::ReportedEnds,
@@ -21,19 +22,15 @@
     ServingUpdate,
 };
 use railtack_serving::{
-    HeldWeights, PendingOrder, ReplicaKey, ReplicaRecord, ReplicaState, ServingConfiguration,
+    HeldWeights, Life, PendingOrder, ReplicaKey, ReplicaRecord, ReplicaState, ServingConfiguration,
 };
-use rpds::RedBlackTreeSetSync;
 
+mod departed;
 pub mod quarantine;
 pub mod registry;
 mod reported_ends;
 mod stored;
 
-/// Replicas that have left and are remembered, so that their late messages do not revive them and
-/// routers can be told only what changed.
-const DEPARTED_KEPT: usize = 1_024;
-
 /// The right to give orders to back ends.
 #[derive(Clone, Debug, PartialEq, Eq, speedy::Readable, speedy::Writable)]
 struct OrderRight {
@@ -53,10 +50,7 @@
     configuration: Arc<ServingConfiguration>,
     configuration_at: LogIndex,
     replicas: ReplicaRegistry,
-    /// Replicas that have left, oldest first.
-    departed: RedBlackTreeSetSync<(LogIndex, String)>,
-    departed_ids: RedBlackTreeSetSync<String>,
-    departed_complete_after: LogIndex,
+    departed: Departed,
     weights: BTreeMap<String, u64>,
     changed_at: LogIndex,
     order_right: Option<OrderRight>,
@@ -85,9 +79,21 @@
         self.replicas.records()
     }
 
-    /// Whether a replica of this identity has left.
+    /// Whether a life has ended, or a newer one of its replica is known: what comes of it is late.
     pub fn has_departed(&self, replica: &str) -> bool {
-        self.departed_ids.contains(replica)
+        let life = Life::named(replica);
+        let present = self.replicas.life_of(life.replica);
+        let is_former = present.is_some_and(|present| Life::named(present).is_newer_than(&life));
+        is_former || self.departed.is_over(replica)
+    }
+
+    /// The life that a name means: of a replica that does not say in which of its lives it is, the one that
+    /// is known.
+    pub fn meant_life<'a>(&'a self, name: &'a str) -> &'a str {
+        if Life::named(name).born_ms.is_some() {
+            return name;
+        }
+        self.replicas.life_of(name).map_or(name, String::as_str)
     }
 
     /// The version of weights that operators named for each model.
@@ -175,7 +181,7 @@
         if known.through > self.changed_at || known.records_through >= self.changed_at {
             return None;
         }
-        let complete = known.through == 0 || known.through < self.departed_complete_after;
+        let complete = known.through == 0 || known.through < self.departed.complete_after();
         let (replicas, reached) = if complete {
             self.first_records(most_new)
         } else {
@@ -262,11 +268,7 @@
     }
 
     fn removed_after(&self, known: LogIndex) -> Vec<String> {
-        self.departed
-            .iter()
-            .filter(|(at, _)| *at > known)
-            .map(|(_, replica)| replica.clone())
-            .collect()
+        self.departed.after(known).cloned().collect()
     }
 
     fn named_weights(&self) -> Vec<HeldWeights> {
@@ -292,6 +294,7 @@
         if self.has_departed(&record.id) || self.was_removed_since(&record) {
             return Registration::Departed;
         }
+        self.end_former_life(index, &record.id);
         if let Some(known) = self.replicas.get(&record.id) {
             record = merged(known, record);
         } else if let Some(holder) = self.replicas.holder_of(&record.address) {
@@ -318,12 +321,30 @@
         Registration::Recorded
     }
 
+    /// Removes the life of a replica that a newer one follows: with it goes all that it said, held and was
+    /// ordered. It need not be silent first, as two at one address otherwise must; the replica itself says
+    /// which of its lives is the newer one.
+    fn end_former_life(&mut self, index: LogIndex, name: &str) {
+        let life = Life::named(name);
+        let Some(former) = self.replicas.life_of(life.replica).cloned() else {
+            return;
+        };
+        if life.is_newer_than(&Life::named(&former)) {
+            self.departed.end(&former);
+            self.remove(index, &former);
+        }
+    }
+
+    /// Removes a replica that leaves.
     fn deregister(&mut self, index: LogIndex, replica: &str) -> ServingOutcome {
-        if self.has_departed(replica) {
+        let leaving = self.meant_life(replica).to_owned();
+        if self.has_departed(&leaving) {
             return ServingOutcome::Done;
         }
-        self.departed_ids.insert_mut(replica.to_owned());
-        self.remove(index, replica);
+        // It may never have been recorded; the life before it is over all the same.
+        self.end_former_life(index, &leaving);
+        self.departed.end(&leaving);
+        self.remove(index, &leaving);
         ServingOutcome::Done
     }
 
@@ -355,10 +376,7 @@
         if heard_at == 0 || !self.reported_ends.has_removed(ReplicaKey::of(&record.id)) {
             return false;
         }
-        let removals = self
-            .departed
-            .range((heard_at.saturating_add(1), String::new())..);
-        let mut removed = removals.map(|(_, replica)| replica);
+        let mut removed = self.departed.after(heard_at);
         self.replicas.get(&record.id).is_none() && removed.any(|replica| *replica == record.id)
     }
 
@@ -375,14 +393,7 @@
     fn remove(&mut self, index: LogIndex, replica: &str) {
         self.replicas.remove(replica);
         self.changed_at = index;
-        self.departed.insert_mut((index, replica.to_owned()));
-        if self.departed.size() > DEPARTED_KEPT
-            && let Some(oldest) = self.departed.first().cloned()
-        {
-            self.departed.remove_mut(&oldest);
-            self.departed_ids.remove_mut(&oldest.1);
-            self.departed_complete_after = oldest.0;
-        }
+        self.departed.remove(index, replica);
     }
 
     fn name_weights(&mut self, index: LogIndex, named: HeldWeights) -> ServingOutcome {
--- a/crates/control/src/serving_state/registry.rs
+++ b/crates/control/src/serving_state/registry.rs
@@ -15,6 +15,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReplicaRegistry {
     records: ReplicaMap,
+    /// The life in which each replica is.
+    lives: RedBlackTreeMapSync<String, String>,
     /// Which replica has each address.
     holders: RedBlackTreeMapSync<String, String>,
     /// Replicas by the position of the last change of their records.
@@ -32,6 +34,11 @@
         self.records.get(replica)
     }
 
+    /// The life in which a replica is.
+    pub fn life_of(&self, replica: &str) -> Option<&String> {
+        self.lives.get(replica)
+    }
+
     /// The replica at an address.
     pub fn holder_of(&self, address: &str) -> Option<&String> {
         self.holders.get(address)
@@ -48,6 +55,8 @@
     pub fn keep(&mut self, record: ReplicaRecord) {
         self.remove(&record.id);
         let id = record.id.clone();
+        let replica = record.instance().to_owned();
+        self.lives.insert_mut(replica, id.clone());
         self.holders.insert_mut(record.address.clone(), id.clone());
         self.changes.insert_mut((record.changed_at, id.clone()));
         self.records.insert_mut(id, record);
@@ -61,6 +70,9 @@
         if self.holders.get(&record.address) == Some(&record.id) {
             self.holders.remove_mut(&record.address);
         }
+        if self.lives.get(record.instance()) == Some(&record.id) {
+            self.lives.remove_mut(record.instance());
+        }
         self.changes.remove_mut(&(record.changed_at, record.id));
         self.records.remove_mut(replica);
     }
--- a/crates/control/src/serving_state/stored.rs
+++ b/crates/control/src/serving_state/stored.rs
@@ -10,7 +10,10 @@
 use railtack_serving::{ReplicaRecord, ServingConfiguration};
 use speedy::{Context, Readable, Reader, Writable, Writer};
 
-use super::{OrderRight, ServingState, quarantine::Quarantine, reported_ends::ReportedEnds};
+use super::{
+    OrderRight, ServingState, departed::Departed, quarantine::Quarantine,
+    reported_ends::ReportedEnds,
+};
 
 #[derive(Readable, Writable)]
 struct StoredState {
@@ -40,9 +43,9 @@
             replicas: replicas
                 .map(|(id, record)| (id.clone(), record.clone()))
                 .collect(),
-            departed: state.departed.iter().cloned().collect(),
-            departed_ids: state.departed_ids.iter().cloned().collect(),
-            departed_complete_after: state.departed_complete_after,
+            departed: state.departed.removals().cloned().collect(),
+            departed_ids: state.departed.ended().cloned().collect(),
+            departed_complete_after: state.departed.complete_after(),
             weights: state.weights.clone(),
             changed_at: state.changed_at,
             order_right: state.order_right.clone(),
@@ -59,9 +62,11 @@
             configuration: Arc::new(stored.configuration),
             configuration_at: stored.configuration_at,
             replicas: stored.replicas.into_values().collect(),
-            departed: stored.departed.into_iter().collect(),
-            departed_ids: stored.departed_ids.into_iter().collect(),
-            departed_complete_after: stored.departed_complete_after,
+            departed: Departed::restored(
+                stored.departed,
+                stored.departed_ids,
+                stored.departed_complete_after,
+            ),
             weights: stored.weights,
             changed_at: stored.changed_at,
             order_right: stored.order_right,
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod configuration;
 pub mod content;
 pub mod errors;
+pub mod life;
 pub mod lookup;
 pub mod policy;
 pub mod quota;
@@ -20,6 +21,7 @@
 };
 pub use content::{ContentKey, RequestContent};
 pub use errors::ConfigurationError;
+pub use life::Life;
 pub use lookup::{KeyOwner, RouteTable};
 pub use policy::Policy;
 pub use quota::{Bucket, GrantTimes, QuotaBounds, QuotaUnit, TenantQuota};
--- a/crates/serving/src/registry.rs
+++ b/crates/serving/src/registry.rs
@@ -2,6 +2,8 @@
 
 use speedy::{Readable, Writable};
 
+use crate::life::Life;
+
 /// Whether a replica may get new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
 pub enum ReplicaState {
@@ -45,7 +47,7 @@
 /// One life of a back-end replica.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct ReplicaRecord {
-    /// Identity of this life; a restart has another.
+    /// Names this life, see [`Life`]; a restart has another, also under the same identity.
     pub id: String,
     /// Service that it belongs to.
     pub service: String,
@@ -67,6 +69,11 @@
 }
 
 impl ReplicaRecord {
+    /// Identity of the replica, the same in all its lives: what it goes by where something is sent to it.
+    pub fn instance(&self) -> &str {
+        Life::named(&self.id).replica
+    }
+
     /// Version of a model's weights that this replica holds.
     pub fn version_of(&self, model: &str) -> Option<u64> {
         self.weights
