Tell routers of a life that follows another with its record alone

Cause: the removal of each former life took one of the 1,024 places for lives that are remembered. 3,000 replicas that came back in two seconds had every router told the whole fleet of 10,000 anew.

Change: a record of a newer life ends the former ones of its replica at routers, and so does its removal; only removals are remembered.

Ruled out: more places, which hold only until a larger storm.

--- a/crates/control/src/serving_state.rs
+++ b/crates/control/src/serving_state.rs
@@ -294,7 +294,11 @@
         if self.has_departed(&record.id) || self.was_removed_since(&record) {
             return Registration::Departed;
         }
-        self.end_former_life(index, &record.id);
+        if let Some(former) = self.former_life(&record.id) {
+            // Routers take its end from the record of the newer life: with a removal of its own for each, a
+            // storm of 3,000 lives that follow others had every router told the whole fleet anew.
+            self.replicas.remove(&former);
+        }
         if let Some(known) = self.replicas.get(&record.id) {
             record = merged(known, record);
         } else if let Some(holder) = self.replicas.holder_of(&record.address) {
@@ -321,18 +325,14 @@
         Registration::Recorded
     }
 
-    /// Removes the life of a replica that a newer one follows: with it goes all that it said, held and was
-    /// ordered. It need not be silent first, as two at one address otherwise must; the replica itself says
-    /// which of its lives is the newer one.
-    fn end_former_life(&mut self, index: LogIndex, name: &str) {
+    /// The life that a newer one follows: with it goes all that it said, held and was ordered. It need not be
+    /// silent first, as one of two at one address otherwise must; the replica itself says which of its lives
+    /// is the newer one.
+    fn former_life(&self, name: &str) -> Option<String> {
         let life = Life::named(name);
-        let Some(former) = self.replicas.life_of(life.replica).cloned() else {
-            return;
-        };
-        if life.is_newer_than(&Life::named(&former)) {
-            self.departed.end(&former);
-            self.remove(index, &former);
-        }
+        let present = self.replicas.life_of(life.replica)?;
+        let is_former = life.is_newer_than(&Life::named(present));
+        is_former.then(|| present.clone())
     }
 
     /// Removes a replica that leaves.
@@ -342,7 +342,9 @@
             return ServingOutcome::Done;
         }
         // It may never have been recorded; the life before it is over all the same.
-        self.end_former_life(index, &leaving);
+        if let Some(former) = self.former_life(&leaving) {
+            self.replicas.remove(&former);
+        }
         self.departed.end(&leaving);
         self.remove(index, &leaving);
         ServingOutcome::Done
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -6,7 +6,7 @@
 };
 
 use railtack_rpc::serving::{Known, ServingUpdate};
-use railtack_serving::{ReplicaRecord, ReplicaState, RouteTable};
+use railtack_serving::{Life, ReplicaRecord, ReplicaState, RouteTable};
 use rpds::RedBlackTreeMapSync;
 
 use crate::homes::Ring;
@@ -45,9 +45,10 @@
             next.replicas = RedBlackTreeMapSync::default();
         }
         for replica in &update.removed {
-            next.replicas.remove_mut(replica);
+            next.end_lives_up_to(replica);
         }
         for record in update.replicas {
+            next.end_lives_up_to(&record.id);
             next.replicas
                 .insert_mut(record.id.clone(), Arc::new(record));
         }
@@ -57,6 +58,23 @@
         Some(next)
     }
 
+    /// Forgets a life of a replica and those before it, which are over with it: nothing else is told of them.
+    fn end_lives_up_to(&mut self, name: &str) {
+        let last = Life::named(name);
+        let lives = Life::names_of(last.replica);
+        let known = self.replicas.range(lives).map(|(name, _)| name);
+        let over = known.filter(|known| {
+            let life = Life::named(known);
+            life.replica == last.replica && life.born_ms <= last.born_ms
+        });
+        let over: Vec<String> = over.cloned().collect();
+        for life in over {
+            self.replicas.remove_mut(&life);
+        }
+        // One that does not say when it began is older than any that does.
+        self.replicas.remove_mut(last.replica);
+    }
+
     /// Replicas of a service that take work; `None` if there are none.
     pub fn ready(&self, service: &str) -> Option<&Ring> {
         let ready = self.ready.get_or_init(|| self.ready_by_service());
--- a/crates/serving/src/life.rs
+++ b/crates/serving/src/life.rs
@@ -5,7 +5,10 @@
 //! names the replica alone. Of two lives of a replica the one that began later is the newer one. That moment
 //! is read off the replica's own clock and compared with nothing else.
 
-use std::fmt::{self, Display, Formatter};
+use std::{
+    fmt::{self, Display, Formatter},
+    ops::Range,
+};
 
 /// Stands between the identity and the beginning in the name of a life. No identity holds it, since each
 /// comes in the path of a call.
@@ -39,6 +42,13 @@
         }
     }
 
+    /// Where the names of the lives of a replica that say when they began stand in an order of names.
+    pub fn names_of(replica: &str) -> Range<String> {
+        let first = format!("{replica}{SEPARATOR}");
+        let behind = format!("{replica}{}", char::from(SEPARATOR as u8 + 1));
+        first..behind
+    }
+
     /// Whether this is a newer life of the same replica than `other`.
     pub fn is_newer_than(&self, other: &Self) -> bool {
         self.replica == other.replica && self.born_ms > other.born_ms
