--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -88,13 +88,18 @@
             name: name.to_owned(),
             program,
             arguments: arguments.to_vec(),
-            log: folder.join(format!("{name}.log")),
+            log: Self::log_of(name, folder),
             child: None,
         };
         process.restart()?;
         Ok(process)
     }
 
+    /// Where the output of a process goes.
+    pub fn log_of(name: &str, folder: &Path) -> PathBuf {
+        folder.join(format!("{name}.log"))
+    }
+
     /// Starts the program again with the same arguments.
     pub fn restart(&mut self) -> Result<(), Report<LabError>> {
         let spawn_error = || LabError::Spawn {
--- a/crates/lab/src/fleet/running.rs
+++ b/crates/lab/src/fleet/running.rs
@@ -28,6 +28,8 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Pause between two looks at a starting process.
 const READY_PAUSE: Duration = Duration::from_millis(10);
+/// Lines of a process's log that are shown if it is not ready in time.
+const LINES_SHOWN: usize = 40;
 /// Time for one call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Tries of an operator's command while the fleet starts.
@@ -164,10 +166,24 @@
             }
             sleep(READY_PAUSE).await;
         }
-        Err(Report::new(LabError::NotReady {
+        let not_ready = LabError::NotReady {
             name: name.to_owned(),
             limit_ms: READY_TIMEOUT.as_millis() as u64,
-        }))
+        };
+        Err(Report::new(not_ready).attach(self.last_lines(name)))
+    }
+
+    /// The end of what a process has logged, for failures that are not seen again.
+    fn last_lines(&self, name: &str) -> String {
+        let log = LabProcess::log_of(name, &self.folder);
+        match fs::read_to_string(&log) {
+            Ok(text) => {
+                let lines: Vec<&str> = text.lines().rev().take(LINES_SHOWN).collect();
+                let lines: Vec<&str> = lines.into_iter().rev().collect();
+                format!("last lines of {name}:\n{}", lines.join("\n"))
+            }
+            Err(error) => format!("no log of {name}: {error}"),
+        }
     }
 
     /// Whether an address answers a path with success.
