End a former life also where another replica has the address of the newer one

Found on reading the change, then shown by the property test once its lives claim addresses that others have: the former life was gone from the group's records and no router was told.

--- a/crates/control/src/serving/handle.rs
+++ b/crates/control/src/serving/handle.rs
@@ -51,15 +51,6 @@
     metrics: ControlMetrics,
 }
 
-/// Whether a heartbeat comes from a replica of a service that is named, or that was when the replica was
-/// recorded. Before the first document none is named yet, and all are recorded.
-fn is_named(view: &NodeView, record: &ReplicaRecord) -> bool {
-    let serving = &view.serving;
-    let service = serving.configuration().service(&record.service);
-    let is_known = serving.replicas().contains_key(&record.id);
-    !serving.has_configuration() || service.is_some() || is_known
-}
-
 impl GroupHandle {
     /// A handle over `replica`, the one behind `link`.
     pub fn new(
@@ -206,3 +197,12 @@
         }
     }
 }
+
+/// Whether a heartbeat comes from a replica of a service that is named, or that was when the replica was
+/// recorded. Before the first document none is named yet, and all are recorded.
+fn is_named(view: &NodeView, record: &ReplicaRecord) -> bool {
+    let serving = &view.serving;
+    let service = serving.configuration().service(&record.service);
+    let is_known = serving.replicas().contains_key(&record.id);
+    !serving.has_configuration() || service.is_some() || is_known
+}
--- a/crates/control/src/serving_state.rs
+++ b/crates/control/src/serving_state.rs
@@ -294,20 +294,23 @@
         if self.has_departed(&record.id) || self.was_removed_since(&record) {
             return Registration::Departed;
         }
-        if let Some(former) = self.former_life(&record.id) {
-            // Routers take its end from the record of the newer life: with a removal of its own for each, a
-            // storm of 3,000 lives that follow others had every router told the whole fleet anew.
-            self.replicas.remove(&former);
-        }
+        let former = self.former_life(&record.id);
+        let holder = self.replicas.holder_of(&record.address).cloned();
         if let Some(known) = self.replicas.get(&record.id) {
             record = merged(known, record);
-        } else if let Some(holder) = self.replicas.holder_of(&record.address) {
+        } else if let Some(holder) = holder.filter(|holder| Some(holder) != former.as_ref()) {
             // Which of two that claim one address is alive cannot be told here: the one that is silent
-            // has to be removed first.
-            return Registration::AddressHeld {
-                holder: holder.clone(),
-            };
+            // has to be removed first. The former life of the one that claims it is over all the same.
+            if let Some(former) = former {
+                self.remove(index, &former);
+            }
+            return Registration::AddressHeld { holder };
         } else {
+            if let Some(former) = former {
+                // Routers take its end from the record of the newer life: with a removal of its own for
+                // each, a storm of 3,000 lives that follow others had every router told the whole fleet anew.
+                self.replicas.remove(&former);
+            }
             self.retract_end(index, &record.id);
         }
         record.order = record.order.take().filter(|order| {
--- a/crates/control/src/serving_state/departed.rs
+++ b/crates/control/src/serving_state/departed.rs
@@ -83,12 +83,9 @@
     }
 
     fn is_older_than_one_gone(&self, name: &str) -> bool {
-        let behind = Birth {
-            removed_at: LogIndex::MAX,
-            ..Birth::of(0, name)
-        };
-        let next = self.by_birth.range(behind.clone()..).next();
-        next.is_some_and(|birth| birth.replica == behind.replica)
+        let behind = Birth::of(LogIndex::MAX, name);
+        let next = self.by_birth.range(behind..).next();
+        next.is_some_and(|birth| birth.replica == Life::named(name).replica)
     }
 
     /// Lives that were removed after a position.
--- a/crates/lab/tests/lives.rs
+++ b/crates/lab/tests/lives.rs
@@ -95,8 +95,8 @@
 }
 
 quickcheck! {
-    /// Lives that follow each other, leave and fall silent while a router asks now and then: whenever it has
-    /// asked, it knows the lives that the group knows and no other.
+    /// Lives that follow each other, leave, fall silent and claim addresses that others have while a router
+    /// asks now and then: whenever it has asked, it knows the lives that the group knows and no other.
     fn a_router_follows_the_lives_of_replicas(steps: Vec<(u8, u8, bool)>) -> bool {
         let mut state = ServingState::default();
         let mut view = ServingView::default();
@@ -110,7 +110,7 @@
                 1 => ServingCommand::Expire { replica: name },
                 _ => {
                     let mut said = record(replica, born_ms);
-                    said.address = format!("10.0.0.{replica}:1");
+                    said.address = format!("10.0.0.{}:1", kind / 4 % 3);
                     ServingCommand::Register(said)
                 }
             });
