--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod errors;
 pub mod event_feed;
 pub mod gate;
+pub mod limit;
 pub mod platform_server;
 pub mod service_server;
 
--- /dev/null
+++ b/crates/emulator/src/limit.rs
@@ -0,0 +1,95 @@
+//! Naming a limit on requests, as a back end in need does, and judging whether its callers keep to it.
+//!
+//! The judge sees what the back end sees: when it named what, and when requests arrived, whoever sent them.
+
+use std::time::Duration;
+
+/// Span in which arrivals are counted; each one counts, wherever it begins.
+pub const WINDOW: Duration = Duration::from_secs(4);
+/// What may arrive in a window, as a multiple of what the limit allows in it.
+const LEEWAY: f64 = 1.5;
+/// Requests that may arrive beyond that.
+const SLACK: f64 = 5.0;
+/// Time after the first answer with a limit, or with a lower one, from which it binds all callers together.
+pub const BINDS_AFTER: Duration = Duration::from_secs(3);
+
+/// What a back end named and what arrived there; moments are times since a start.
+#[derive(Clone, Debug, Default)]
+pub struct LimitRecord {
+    /// What was named from each moment on, requests a second; `None` for nothing.
+    named: Vec<(Duration, Option<f64>)>,
+    arrivals: Vec<Duration>,
+}
+
+/// A window in which more arrived than the limit allows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BrokenWindow {
+    /// When its first request arrived.
+    pub begins_at: Duration,
+    /// Requests in it.
+    pub arrived: usize,
+    /// Requests that were allowed in it.
+    pub allowed: f64,
+}
+
+impl LimitRecord {
+    /// Notes that answers name this limit from now on, or none.
+    pub fn names(&mut self, limit_per_s: Option<f64>, now: Duration) {
+        self.named.push((now, limit_per_s));
+    }
+
+    /// Notes a request that arrives.
+    pub fn arrived(&mut self, now: Duration) {
+        self.arrivals.push(now);
+    }
+
+    /// Requests that arrived since a moment.
+    pub fn arrived_since(&self, since: Duration) -> usize {
+        self.arrivals.iter().filter(|at| **at >= since).count()
+    }
+
+    /// The first window in which more arrived than is allowed.
+    pub fn broken_window(&self) -> Option<BrokenWindow> {
+        let mut arrivals = self.arrivals.clone();
+        arrivals.sort();
+        let mut end = 0;
+        for (begin, begins_at) in arrivals.iter().enumerate() {
+            while end < arrivals.len() && arrivals[end] < *begins_at + WINDOW {
+                end += 1;
+            }
+            let arrived = end - begin;
+            let allowed = self.allowed_from(*begins_at);
+            if allowed.is_some_and(|allowed| arrived as f64 > allowed) {
+                return Some(BrokenWindow {
+                    begins_at: *begins_at,
+                    arrived,
+                    allowed: allowed.unwrap_or_default(),
+                });
+            }
+        }
+        None
+    }
+
+    /// Requests that are allowed in the window that begins at a moment; `None` for any number. What was named
+    /// before counts as long as what replaced it does not bind yet.
+    fn allowed_from(&self, begins_at: Duration) -> Option<f64> {
+        let ends_at = begins_at + WINDOW;
+        let mut largest: Option<f64> = Some(0.0);
+        let mut until = self.named.iter().skip(1).map(|(from, _)| *from);
+        if self
+            .named
+            .first()
+            .is_none_or(|(from, _)| begins_at < *from + BINDS_AFTER)
+        {
+            return None;
+        }
+        for (from, limit) in &self.named {
+            let replaced_at = until.next().unwrap_or(Duration::MAX);
+            let counts = *from < ends_at && replaced_at.saturating_add(BINDS_AFTER) > begins_at;
+            if counts {
+                largest = largest.zip(*limit).map(|(known, limit)| known.max(limit));
+            }
+        }
+        largest.map(|limit| LEEWAY * limit * WINDOW.as_secs_f64() + SLACK)
+    }
+}
--- /dev/null
+++ b/crates/emulator/tests/limit.rs
@@ -0,0 +1,87 @@
+//! The judge of limits, on records that keep and break them.
+
+use std::time::Duration;
+
+use railtack_emulator::limit::LimitRecord;
+
+fn at(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn record(named: &[(f64, Option<f64>)], arrivals: impl Iterator<Item = f64>) -> LimitRecord {
+    let mut record = LimitRecord::default();
+    for (from, limit) in named {
+        record.names(*limit, at(*from));
+    }
+    for arrival in arrivals {
+        record.arrived(at(arrival));
+    }
+    record
+}
+
+/// So many arrivals at equal distances from a moment on.
+fn arrivals(begin: f64, each: f64, count: usize) -> impl Iterator<Item = f64> {
+    (0..count).map(move |number| begin + number as f64 * each)
+}
+
+#[test]
+fn eleven_in_four_seconds_are_allowed_at_one_a_second_and_twelve_are_not() {
+    let named = [(0.0, Some(1.0))];
+    let kept = record(&named, arrivals(5.0, 0.1, 11));
+    assert_eq!(kept.broken_window(), None);
+    let broken = record(&named, arrivals(5.0, 0.1, 12));
+    let window = broken.broken_window().expect("a broken window");
+    assert_eq!((window.arrived, window.allowed), (12, 11.0));
+}
+
+#[test]
+fn a_limit_binds_three_seconds_after_it_was_named() {
+    let named = [(0.0, Some(1.0))];
+    assert_eq!(
+        record(&named, arrivals(0.0, 0.01, 290)).broken_window(),
+        None
+    );
+    assert!(
+        record(&named, arrivals(3.0, 0.01, 290))
+            .broken_window()
+            .is_some()
+    );
+}
+
+#[test]
+fn a_lower_limit_binds_three_seconds_later_and_a_higher_one_allows_more_at_once() {
+    let lowered = [(0.0, Some(40.0)), (10.0, Some(1.0))];
+    assert_eq!(
+        record(&lowered, arrivals(8.0, 0.03, 150)).broken_window(),
+        None
+    );
+    assert!(
+        record(&lowered, arrivals(13.0, 0.1, 12))
+            .broken_window()
+            .is_some()
+    );
+    let raised = [(0.0, Some(1.0)), (10.0, Some(40.0))];
+    assert_eq!(
+        record(&raised, arrivals(10.0, 0.03, 150)).broken_window(),
+        None
+    );
+}
+
+#[test]
+fn nothing_is_counted_while_no_limit_is_named() {
+    let named = [(0.0, Some(1.0)), (10.0, None), (20.0, Some(0.0))];
+    assert_eq!(
+        record(&named, arrivals(11.0, 0.01, 1_000)).broken_window(),
+        None
+    );
+    assert_eq!(record(&named, arrivals(24.0, 0.1, 5)).broken_window(), None);
+    assert!(
+        record(&named, arrivals(24.0, 0.1, 6))
+            .broken_window()
+            .is_some()
+    );
+    assert_eq!(
+        record(&[], arrivals(0.0, 0.01, 1_000)).broken_window(),
+        None
+    );
+}
