--- a/crates/backend-api/src/lib.rs
+++ b/crates/backend-api/src/lib.rs
@@ -18,6 +18,10 @@
 use railtack_core::{EngineId, EngineIncarnation, ModelName, WeightsVersion, ZoneName};
 use serde::{Deserialize, Serialize};
 
+/// Header of an answer: requests a second, a decimal number, that the engine or service which answers takes from
+/// all routers together, for as long as its answers say so.
+pub const REQUEST_LIMIT: &str = "x-railtack-request-limit";
+
 /// A block hash or attempt id as it travels in JSON: hexadecimal, because JSON numbers lose bits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Hex(pub u128);
@@ -255,6 +259,9 @@
     /// Requests that arrived while the engine had asked for none.
     #[serde(default)]
     pub unwanted: u64,
+    /// Requests beyond what the limit that it names allows in the first window that holds more.
+    #[serde(default)]
+    pub over_limit: u64,
 }
 
 /// A fenced order.
@@ -297,4 +304,7 @@
     /// Requests that arrived while the service had asked for none.
     #[serde(default)]
     pub unwanted: u64,
+    /// Requests beyond what the limit that it names allows in the first window that holds more.
+    #[serde(default)]
+    pub over_limit: u64,
 }
--- a/crates/emulator/src/back_off.rs
+++ b/crates/emulator/src/back_off.rs
@@ -6,6 +6,8 @@
 use railtack_http::Body;
 use tokio::time::Instant;
 
+use crate::holds;
+
 /// A stand-in that is to run a request with this text turns it away and asks for no more for
 /// [`BACK_OFF`].
 pub const BACK_OFF_TEXT: &str = "emulator: ask for no requests for a while";
@@ -29,8 +31,7 @@
         if age.is_some_and(|age| age > ON_THE_WAY && age < BACK_OFF) {
             self.unwanted += 1;
         }
-        let mut places = content.windows(BACK_OFF_TEXT.len());
-        let asks = places.any(|place| place == BACK_OFF_TEXT.as_bytes());
+        let asks = holds(content, BACK_OFF_TEXT);
         if asks {
             self.asked_at = Some(now);
         }
--- a/crates/emulator/src/engine_server.rs
+++ b/crates/emulator/src/engine_server.rs
@@ -27,6 +27,7 @@
     engine::{EngineModel, NewSequence, StepOutcome, TokenOutput},
     event_feed::EventFeed,
     gate::{Gate, GateChecks},
+    limit::LimitSpeaker,
 };
 
 /// Largest request body, bytes.
@@ -58,6 +59,7 @@
     streams: HashMap<u128, Stream>,
     feed: EventFeed,
     back_off: BackOff,
+    limit: LimitSpeaker,
 }
 
 /// A running engine.
@@ -93,6 +95,7 @@
             streams: HashMap::new(),
             feed,
             back_off: BackOff::default(),
+            limit: LimitSpeaker::default(),
         };
         Self {
             settings: Arc::new(settings),
@@ -178,11 +181,18 @@
         let Some(request) = parsed else {
             return self.refuse(400, EngineRefusal::Malformed);
         };
+        let prompt = request.prompt.as_bytes();
+        self.lock().limit.arrived(prompt);
+        let response = self.run_or_refuse(&request);
+        self.lock().limit.named_in(response)
+    }
+
+    fn run_or_refuse(&self, request: &EngineRequest) -> Response<Body> {
         let prompt = request.prompt.as_bytes();
         if self.lock().back_off.turns_away(prompt) {
             return asking_for_rest(self.refuse(503, EngineRefusal::QueueFull));
         }
-        if let Err(refusal) = self.submit(&request) {
+        if let Err(refusal) = self.submit(request) {
             return self.refuse(409, refusal);
         }
         self.work.notify_one();
@@ -322,6 +332,7 @@
             load: shared.model.load(),
             totals: EngineTotals {
                 unwanted: shared.back_off.unwanted(),
+                over_limit: shared.limit.over_limit(),
                 ..shared.model.totals()
             },
         }
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub use back_off::{BACK_OFF, BACK_OFF_TEXT};
 pub use errors::EmulatorError;
+pub use limit::LIMIT_TEXT;
 
 /// A stand-in that runs a request with this text ends, as a back end does under a request that it
 /// cannot bear.
@@ -27,9 +28,14 @@
 
 /// Ends the process if a request that it is to run holds [`FATAL_TEXT`].
 fn end_under(content: &[u8]) {
-    let mut places = content.windows(FATAL_TEXT.len());
-    if places.any(|place| place == FATAL_TEXT.as_bytes()) {
+    if holds(content, FATAL_TEXT) {
         eprintln!("ends under a request");
         std::process::exit(FATAL_EXIT);
     }
 }
+
+/// Whether a request has a stand-in do something, as a text in it says.
+fn holds(content: &[u8], text: &str) -> bool {
+    let mut places = content.windows(text.len());
+    places.any(|place| place == text.as_bytes())
+}
--- a/crates/emulator/src/limit.rs
+++ b/crates/emulator/src/limit.rs
@@ -4,6 +4,22 @@
 
 use std::time::Duration;
 
+use hyper::{
+    Response,
+    header::{HeaderName, HeaderValue},
+};
+use railtack_backend_api::REQUEST_LIMIT;
+use railtack_http::Body;
+use tokio::time::Instant;
+
+use crate::holds;
+
+/// A stand-in that gets a request with this text names a limit in its answers from then on, of
+/// [`LIMIT_PER_S`].
+pub const LIMIT_TEXT: &str = "emulator: name a limit on requests";
+/// Requests a second that it names.
+pub const LIMIT_PER_S: f64 = 1.0;
+
 /// Span in which arrivals are counted; each one counts, wherever it begins.
 pub const WINDOW: Duration = Duration::from_secs(4);
 /// What may arrive in a window, as a multiple of what the limit allows in it.
@@ -99,3 +115,50 @@
         largest.map(|limit| LEEWAY * limit * WINDOW.as_secs_f64() + SLACK)
     }
 }
+
+/// A stand-in's limit: what its answers name, and whether its callers keep to it.
+#[derive(Clone, Debug)]
+pub struct LimitSpeaker {
+    started: Instant,
+    record: LimitRecord,
+    names: Option<f64>,
+}
+
+impl Default for LimitSpeaker {
+    fn default() -> Self {
+        Self {
+            started: Instant::now(),
+            record: LimitRecord::default(),
+            names: None,
+        }
+    }
+}
+
+impl LimitSpeaker {
+    /// Notes a request that arrives.
+    pub fn arrived(&mut self, content: &[u8]) {
+        if holds(content, LIMIT_TEXT) {
+            self.names = Some(LIMIT_PER_S);
+            self.record.names(self.names);
+        }
+        self.record.arrived(self.started.elapsed());
+    }
+
+    /// Names the limit in an answer, if there is one.
+    pub fn named_in(&self, mut response: Response<Body>) -> Response<Body> {
+        let named = self.names.map(|per_s| per_s.to_string());
+        if let Some(value) = named.and_then(|text| HeaderValue::from_str(&text).ok()) {
+            let name = HeaderName::from_static(REQUEST_LIMIT);
+            response.headers_mut().insert(name, value);
+        }
+        response
+    }
+
+    /// Requests beyond what is allowed in the first window that holds more.
+    pub fn over_limit(&self) -> u64 {
+        let broken = self.record.broken_window();
+        broken.map_or(0, |window| {
+            (window.arrived as f64 - window.allowed).ceil() as u64
+        })
+    }
+}
--- a/crates/emulator/src/service_server.rs
+++ b/crates/emulator/src/service_server.rs
@@ -1,7 +1,7 @@
 //! An ordinary service with side effects, which counts every execution by key.
 
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -13,6 +13,7 @@
 use crate::{
     back_off::{BackOff, asking_for_rest},
     end_under,
+    limit::LimitSpeaker,
 };
 
 /// Largest request body, bytes.
@@ -29,6 +30,7 @@
     answer_time: Duration,
     counts: Arc<Mutex<ExecutionCounts>>,
     back_off: Arc<Mutex<BackOff>>,
+    limit: Arc<Mutex<LimitSpeaker>>,
 }
 
 impl ServiceStandIn {
@@ -39,14 +41,14 @@
             answer_time,
             counts: Arc::default(),
             back_off: Arc::default(),
+            limit: Arc::default(),
         }
     }
 
     /// Answers one request. Every request but a look at the counts is an execution.
     pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
         if request.method() == Method::GET && request.uri().path() == "/executions" {
-            let counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
-            return body::json(200, &*counts);
+            return body::json(200, &self.counted());
         }
         let path = request.uri().path().to_owned();
         let key = request
@@ -57,11 +59,17 @@
         let Ok(content) = read_body(request.into_body(), BODY_LIMIT, BODY_TIMEOUT).await else {
             return body::json(400, &json!({ "error": "body" }));
         };
-        if self.turns_away(&content) {
+        self.limit().arrived(&content);
+        let response = self.run_or_refuse(&path, key.as_deref(), &content).await;
+        self.limit().named_in(response)
+    }
+
+    async fn run_or_refuse(&self, path: &str, key: Option<&str>, content: &[u8]) -> Response<Body> {
+        if self.turns_away(content) {
             return asking_for_rest(body::json(503, &json!({ "error": "busy" })));
         }
-        self.count(key.as_deref());
-        end_under(&content);
+        self.count(key);
+        end_under(content);
         tokio::time::sleep(self.answer_time).await;
         let answer = json!({
             "service": self.name,
@@ -72,6 +80,19 @@
         body::json(200, &answer)
     }
 
+    fn counted(&self) -> ExecutionCounts {
+        let over_limit = self.limit().over_limit();
+        let counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        ExecutionCounts {
+            over_limit,
+            ..counts.clone()
+        }
+    }
+
+    fn limit(&self) -> MutexGuard<'_, LimitSpeaker> {
+        self.limit.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn turns_away(&self, content: &[u8]) -> bool {
         let mut back_off = self.back_off.lock().unwrap_or_else(PoisonError::into_inner);
         let turns_away = back_off.turns_away(content);
--- a/crates/lab/src/fleet/running.rs
+++ b/crates/lab/src/fleet/running.rs
@@ -317,6 +317,7 @@
                 *total.by_key.entry(key).or_default() += count;
             }
             total.unwanted += counts.unwanted;
+            total.over_limit += counts.over_limit;
         }
         Ok(total)
     }
