--- a/crates/emulator/src/engine_server.rs
+++ b/crates/emulator/src/engine_server.rs
@@ -6,30 +6,29 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use futures::SinkExt;
 use hyper::{Method, Request, Response, Uri, body::Incoming};
 use railtack_backend_api::{
-    CacheListing, EngineError, EngineEvent, EngineEventKind, EngineRefusal, EngineRequest,
-    EngineStatus, EngineTotals, Hex, OrderReply, OrderRequest, StreamEnd, StreamFrame,
-    WeightsGrant, WeightsRequest,
+    CacheListing, EngineError, EngineRefusal, EngineRequest, EngineStatus, EngineTotals, Hex,
+    OrderReply, OrderRequest, StreamEnd, WeightsGrant, WeightsRequest,
 };
 use railtack_core::{CacheNamespace, EngineIncarnation, PrefixChain};
-use railtack_http::{Body, BodySender, body, read_body, streaming};
+use railtack_http::{Body, body, read_body};
 use railtack_settings::emulator::EngineSettings;
-use serde::Serialize;
 use tokio::sync::Notify;
 
 use crate::{
-    answer::{answer_seed, token_text},
+    answer::answer_seed,
     back_off::{BackOff, asking_for_rest},
     end_under,
     engine::{EngineModel, NewSequence, StepOutcome, TokenOutput},
+    engine_server::streams::query_number,
     event_feed::EventFeed,
     gate::{Gate, GateChecks},
     limit::LimitSpeaker,
 };
 
+mod streams;
+
 /// Largest request body, bytes.
 const BODY_LIMIT: usize = 64 * 1024 * 1024;
 /// Time for a body to arrive.
@@ -251,72 +250,6 @@
         body::json(200, &serde_json::json!({}))
     }
 
-    fn stream_from(&self, attempt: u128, from: u32) -> Response<Body> {
-        let (sender, stream_body) = streaming();
-        tokio::spawn(self.clone().write_stream(attempt, from, sender));
-        body::with_type(200, "text/event-stream", stream_body)
-    }
-
-    async fn write_stream(self, attempt: u128, from: u32, mut sender: BodySender) {
-        let mut next = from;
-        loop {
-            let Some((frames, changed, ended)) = self.frames_from(attempt, next) else {
-                return;
-            };
-            // Asked for before the frames are sent, so that no change in between is missed.
-            let notified = changed.notified();
-            tokio::pin!(notified);
-            notified.as_mut().enable();
-            for frame in frames {
-                next = frame.sequence + 1;
-                if sender.send(event_line(&frame)).await.is_err() {
-                    return;
-                }
-            }
-            if ended {
-                return;
-            }
-            if self.has_frames_from(attempt, next) {
-                continue;
-            }
-            notified.await;
-        }
-    }
-
-    fn has_frames_from(&self, attempt: u128, next: u32) -> bool {
-        let shared = self.lock();
-        shared
-            .streams
-            .get(&attempt)
-            .is_none_or(|stream| stream.produced > next || stream.end.is_some())
-    }
-
-    fn frames_from(
-        &self,
-        attempt: u128,
-        next: u32,
-    ) -> Option<(Vec<StreamFrame>, Arc<Notify>, bool)> {
-        let shared = self.lock();
-        let stream = shared.streams.get(&attempt)?;
-        let mut frames: Vec<StreamFrame> = (next..stream.produced)
-            .map(|sequence| StreamFrame {
-                attempt: Hex(attempt),
-                sequence,
-                text: token_text(stream.seed, sequence),
-                end: None,
-            })
-            .collect();
-        if let Some(end) = stream.end {
-            frames.push(StreamFrame {
-                attempt: Hex(attempt),
-                sequence: stream.produced,
-                text: String::new(),
-                end: Some(end),
-            });
-        }
-        Some((frames, Arc::clone(&stream.changed), stream.end.is_some()))
-    }
-
     fn status(&self) -> EngineStatus {
         let shared = self.lock();
         EngineStatus {
@@ -352,47 +285,6 @@
         }
     }
 
-    fn events(&self, uri: &Uri) -> Response<Body> {
-        let after = query_number(uri, "after").unwrap_or(0);
-        let (sender, stream_body) = streaming();
-        tokio::spawn(self.clone().write_events(after, sender));
-        body::with_type(200, "application/x-ndjson", stream_body)
-    }
-
-    /// Sends new events and a load report at every interval, until the reader goes away.
-    async fn write_events(self, mut after: u64, mut sender: BodySender) {
-        let interval = Duration::from_millis(self.settings.reporting.load_interval_ms);
-        loop {
-            let mut events = self.lock().feed.after(after, self.now_us());
-            after = events.last().map_or(after, |event| event.sequence);
-            events.push(self.load_event(after));
-            for event in events {
-                if sender.send(json_line(&event)).await.is_err() {
-                    return;
-                }
-            }
-            if self.is_idle_and_draining() {
-                return;
-            }
-            tokio::time::sleep(interval).await;
-        }
-    }
-
-    /// Readers of events must not hold up a planned stop.
-    fn is_idle_and_draining(&self) -> bool {
-        let shared = self.lock();
-        shared.gate.draining && !shared.model.has_work()
-    }
-
-    fn load_event(&self, sequence: u64) -> EngineEvent {
-        let load = self.lock().model.load();
-        EngineEvent {
-            sequence,
-            incarnation: self.incarnation,
-            event: EngineEventKind::Load(load),
-        }
-    }
-
     async fn order(self, request: Request<Incoming>) -> Response<Body> {
         let content = read_body(request.into_body(), BODY_LIMIT, BODY_TIMEOUT).await;
         let parsed = content
@@ -493,25 +385,6 @@
     }
 }
 
-fn event_line(frame: &StreamFrame) -> Bytes {
-    let text = serde_json::to_string(frame).unwrap_or_default();
-    Bytes::from(format!("data: {text}\n\n"))
-}
-
-fn json_line<T: Serialize>(value: &T) -> Bytes {
-    let mut text = serde_json::to_string(value).unwrap_or_default();
-    text.push('\n');
-    Bytes::from(text)
-}
-
 fn parse_attempt(text: &str) -> Option<u128> {
     u128::from_str_radix(text, 16).ok()
 }
-
-fn query_number(uri: &Uri, name: &str) -> Option<u64> {
-    let pairs = uri.query()?.split('&');
-    pairs
-        .filter_map(|pair| pair.split_once('='))
-        .find(|(key, _)| *key == name)
-        .and_then(|(_, value)| value.parse().ok())
-}
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -23,17 +23,15 @@
     request_log::RequestLog,
     state::{ProxyState, lock},
     stream,
-    targeting::NoTarget,
     verdict::{self, ExchangeFacts, ExchangeProof, NextStep},
 };
 
+mod ending;
+
 /// Objectives after which an answer that may be had elsewhere is given up.
 const PATIENCE_OBJECTIVES: u64 = 2;
 /// Objectives after which a stream's first event is given up though its replica answers others.
 const BUSY_PATIENCE_OBJECTIVES: u32 = 4;
-/// Shortest pause that a refused caller is told, milliseconds.
-const SHORTEST_RETRY_MS: u64 = 150;
-
 /// Serves one request. Dropping the future, or the body of the response, cancels it.
 pub async fn handle(state: Arc<ProxyState>, request: ProxiedRequest) -> Response<Body> {
     let mut log = RequestLog::begin(&state, &request);
@@ -424,63 +422,6 @@
         }
         response
     }
-
-    fn without_target(
-        mut self,
-        failure: Option<Response<Body>>,
-        cause: NoTarget,
-    ) -> Response<Body> {
-        if let Some(failure) = failure {
-            self.log.end("replica_failure".to_owned());
-            return failure;
-        }
-        if self.replicas_used > 0 {
-            return self.fail(None);
-        }
-        let told = match cause {
-            NoTarget::TooLate { retry_after } => Some((RefusalReason::Overloaded, retry_after)),
-            NoTarget::BackingOff { opens_in } => Some((RefusalReason::BackingOff, opens_in)),
-            NoTarget::AtLimit(full) => {
-                let pause = self.state.return_pause(&self.service, full);
-                Some((RefusalReason::AtLimit, pause))
-            }
-            NoTarget::Nobody => None,
-        };
-        if let Some((reason, pause)) = told {
-            self.log.end(reason.to_string());
-            return reason.response(Some(pause));
-        }
-        let reason = if self.state.is_confirmed() {
-            RefusalReason::NoReplica
-        } else {
-            RefusalReason::Unconfirmed
-        };
-        self.refuse(reason)
-    }
-
-    fn refuse(mut self, reason: RefusalReason) -> Response<Body> {
-        let pause_ms = (self.admitted.route.objective_ms / 2).max(SHORTEST_RETRY_MS);
-        let (reason, pause) = match self.state.quarantine_pause(self.content) {
-            Some(pause) => (RefusalReason::Quarantined, pause),
-            None => (reason, Duration::from_millis(pause_ms)),
-        };
-        self.log.end(reason.to_string());
-        reason.response(Some(pause))
-    }
-
-    fn fail(mut self, failure: Option<Response<Body>>) -> Response<Body> {
-        if let Some(failure) = failure {
-            self.log.end("replica_failure".to_owned());
-            return failure;
-        }
-        let reason = if Instant::now() >= self.admitted.deadline {
-            RefusalReason::TimedOut
-        } else {
-            RefusalReason::AnswerLost
-        };
-        self.log.end(reason.to_string());
-        reason.response(None)
-    }
 }
 
 fn content_key(request: &ProxiedRequest, admitted: &Admitted) -> ContentKey {
