Leave a replica's connections to requests while its port is watched

Callers saw: where routers may open one connection to each replica, a replica that lives got no request from a router for up to a second after a connection to it broke. Cause: the connection that watches its port counted against the limit. Change: it does not count while it watches, and is kept for requests if there is room then; a port can be looked at also while the limit is reached. Ruled out: watching for less long (an end whose port closes late would not be told).

--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -61,7 +61,9 @@
 }
 
 /// A connection that shows whether a port stays open. No request is sent over it meanwhile: one that may
-/// not be repeated would be lost with a replica that is just ending.
+/// not be repeated would be lost with a replica that is just ending. Nor does it count against the limit of
+/// connections, which is one where routers are hundreds: a replica that lives would get no request from this
+/// router for up to a second.
 #[derive(Debug)]
 pub struct OpenPort {
     connection: Connection,
@@ -74,11 +76,6 @@
         // How the connection ended makes no difference.
         let _ = (&mut self.task).await;
     }
-
-    /// The connection, for requests.
-    pub fn into_connection(self) -> Connection {
-        self.connection
-    }
 }
 
 /// Connections to one replica that rest.
@@ -156,22 +153,32 @@
         if self.open_connections() >= limit {
             return Err(NoConnection::Limit);
         }
-        let (connection, _) = self.connect(address).await?;
+        let (connection, _) = connect(address, &self.open).await?;
         Ok(connection)
     }
 
     /// Whether somebody listens at the replica's port.
-    pub async fn look_at_port(&self, address: SocketAddr, limit: u32) -> PortState {
-        if self.open_connections() >= limit {
-            return PortState::Untold;
-        }
-        match self.connect(address).await {
+    pub async fn look_at_port(&self, address: SocketAddr) -> PortState {
+        let uncounted = Arc::default();
+        match connect(address, &uncounted).await {
             Ok((connection, task)) => PortState::Open(OpenPort { connection, task }),
             Err(NoConnection::Refused) => PortState::Refuses,
             Err(NoConnection::Limit | NoConnection::Unreachable) => PortState::Untold,
         }
     }
 
+    /// Keeps a watched connection for requests if fewer than `limit` are open.
+    pub fn keep_watched(&self, watched: OpenPort, limit: u32) {
+        if self.open_connections() >= limit {
+            return;
+        }
+        let mut connection = watched.connection;
+        self.open.fetch_add(1, Ordering::Relaxed);
+        let uncounted = std::mem::replace(&mut connection.open, Arc::clone(&self.open));
+        uncounted.fetch_sub(1, Ordering::Relaxed);
+        self.put_back(connection);
+    }
+
     /// Takes a connection back after a whole answer.
     pub fn put_back(&self, connection: Connection) {
         if connection.sender.is_closed() {
@@ -205,37 +212,6 @@
         None
     }
 
-    /// A new connection, and a handle that is done once that is closed.
-    async fn connect(
-        &self,
-        address: SocketAddr,
-    ) -> Result<(Connection, JoinHandle<()>), NoConnection> {
-        self.open.fetch_add(1, Ordering::Relaxed);
-        let counted = OpenCount(Some(Arc::clone(&self.open)));
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-            .await
-            .map_err(|_| NoConnection::Unreachable)?
-            .map_err(|error| match error.kind() {
-                io::ErrorKind::ConnectionRefused => NoConnection::Refused,
-                _ => NoConnection::Unreachable,
-            })?;
-        set_options(&stream).map_err(|_| NoConnection::Unreachable)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|_| NoConnection::Unreachable)?;
-        let task = tokio::spawn(async move {
-            // How it ended shows in the exchange that used it.
-            let _ = connection.await;
-        });
-        let connection = Connection {
-            sender,
-            task: task.abort_handle(),
-            open: counted.handed_on(),
-            rest: Rest::UNSTATED,
-        };
-        Ok((connection, task))
-    }
-
     fn resting(&self) -> MutexGuard<'_, Vec<Resting>> {
         self.resting.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -247,6 +223,37 @@
     }
 }
 
+/// A new connection, and a handle that is done once that is closed. It counts in `open`.
+async fn connect(
+    address: SocketAddr,
+    open: &Arc<AtomicU32>,
+) -> Result<(Connection, JoinHandle<()>), NoConnection> {
+    open.fetch_add(1, Ordering::Relaxed);
+    let counted = OpenCount(Some(Arc::clone(open)));
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_| NoConnection::Unreachable)?
+        .map_err(|error| match error.kind() {
+            io::ErrorKind::ConnectionRefused => NoConnection::Refused,
+            _ => NoConnection::Unreachable,
+        })?;
+    set_options(&stream).map_err(|_| NoConnection::Unreachable)?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|_| NoConnection::Unreachable)?;
+    let task = tokio::spawn(async move {
+        // How it ended shows in the exchange that used it.
+        let _ = connection.await;
+    });
+    let connection = Connection {
+        sender,
+        task: task.abort_handle(),
+        open: counted.handed_on(),
+        rest: Rest::UNSTATED,
+    };
+    Ok((connection, task))
+}
+
 /// Counts a connection that is being made, also if its maker is dropped.
 struct OpenCount(Option<Arc<AtomicU32>>);
 
--- a/crates/proxy/src/replica_end.rs
+++ b/crates/proxy/src/replica_end.rs
@@ -226,8 +226,7 @@
                 return false;
             }
             self.looks_left -= 1;
-            let limit = self.target.connection_limit;
-            match pool.look_at_port(address, limit).await {
+            match pool.look_at_port(address).await {
                 PortState::Refuses => return true,
                 PortState::Untold => return false,
                 PortState::Open(open) => self.open = Some(open),
@@ -239,7 +238,8 @@
     async fn closes_or_serves(mut self, until: Instant) -> bool {
         let closes = self.closes(until).await;
         if let Some(open) = self.open {
-            self.target.usage.pool.put_back(open.into_connection());
+            let limit = self.target.connection_limit;
+            self.target.usage.pool.keep_watched(open, limit);
         }
         closes
     }
