--- a/crates/lab/tests/back_off.rs
+++ b/crates/lab/tests/back_off.rs
@@ -1,55 +1,35 @@
 //! Back ends that ask for no requests for a time, in a fleet of real processes.
 
-use std::{net::SocketAddr, path::Path, time::Duration};
+mod support;
+
+use std::{path::Path, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::Request;
 use railtack_emulator::{BACK_OFF, BACK_OFF_TEXT};
-use railtack_http::HttpClient;
-use railtack_lab::{
-    demo::{self, FleetOptions, PreparedFleet},
-    fleet::{FleetKind, FleetShape, process},
-};
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
+use railtack_lab::demo::PreparedFleet;
 use serde_json::{Value, json};
+use support::{key, post, routers};
 use tokio::time::{Instant, sleep};
 
 /// Time between two requests.
 const PACE: Duration = Duration::from_millis(100);
 /// Time in which what was on its way has arrived.
 const SLACK: Duration = Duration::from_millis(300);
-const LIMIT: Duration = Duration::from_secs(10);
 
 async fn fleet(folder: &Path, seed: u64) -> PreparedFleet {
-    process::use_lab_binary(Path::new(env!("CARGO_BIN_EXE_railtack-lab")));
-    let mut shape = FleetShape::demonstration(FleetKind::Brasov);
-    shape.engines = 2;
-    shape.routers = 1;
-    shape.services = vec!["register-lookup"];
-    shape.service_replicas = 3;
-    let options = FleetOptions {
-        kind: FleetKind::Brasov,
-        seed,
-        folder: Some(folder.to_owned()),
-    };
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    demo::prepare(shape, &options, &mut random)
-        .await
-        .expect("a fleet")
+    support::fleet(folder, seed, |shape| {
+        shape.engines = 2;
+        shape.routers = 1;
+        shape.services = vec!["register-lookup"];
+        shape.service_replicas = 3;
+    })
+    .await
 }
 
 /// Sends a request; its status, and when the caller is to come back.
 async fn send(prepared: &PreparedFleet, path: &str, body: &Value) -> (u16, Option<Duration>) {
-    let router: SocketAddr = prepared.fleet.places.routers[0].listen;
-    let key = &prepared.documents.tenants[0].key;
-    let request = Request::post(format!("http://{router}{path}"))
-        .header("authorization", format!("Bearer {key}"))
-        .body(Full::new(Bytes::from(body.to_string())))
-        .expect("a request");
-    let client = HttpClient::new(LIMIT);
-    let response = client.send(request).await.expect("an answer");
+    let router = routers(prepared)[0];
+    let response = post(key(prepared), router, path, body).await;
+    let response = response.expect("an answer");
     let pause = response.headers().get("retry-after");
     let seconds = pause.and_then(|value| value.to_str().ok()?.parse().ok());
     (
--- a/crates/lab/tests/fatal_requests.rs
+++ b/crates/lab/tests/fatal_requests.rs
@@ -1,20 +1,19 @@
 //! A request under which engines or back ends end, in a fleet of real processes.
 
+mod support;
+
 use std::{net::SocketAddr, path::Path, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::Request;
 use railtack_emulator::FATAL_TEXT;
 use railtack_http::{HttpClient, read_body};
 use railtack_lab::{
-    demo::{self, FleetOptions, PreparedFleet},
-    fleet::{FleetKind, FleetShape, process},
+    demo::PreparedFleet,
     load::{Caller, Finding, caller::AskShape},
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
+use support::{LIMIT, key, post, routers};
 
 /// Engines, and back ends of each service. More than may end under one request.
 const BACK_ENDS: u32 = 8;
@@ -22,40 +21,20 @@
 const ENDS_ALLOWED: usize = 4;
 /// Time between two arrivals of the request; longer than routers take to hear of an end.
 const PAUSE: Duration = Duration::from_millis(700);
-const LIMIT: Duration = Duration::from_secs(10);
 
 async fn fleet(folder: &Path, seed: u64) -> PreparedFleet {
-    process::use_lab_binary(Path::new(env!("CARGO_BIN_EXE_railtack-lab")));
-    let mut shape = FleetShape::demonstration(FleetKind::Brasov);
-    shape.engines = BACK_ENDS;
-    shape.routers = 2;
-    shape.services = vec!["register-lookup"];
-    shape.service_replicas = BACK_ENDS;
-    let options = FleetOptions {
-        kind: FleetKind::Brasov,
-        seed,
-        folder: Some(folder.to_owned()),
-    };
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    demo::prepare(shape, &options, &mut random)
-        .await
-        .expect("a fleet")
-}
-
-fn routers(prepared: &PreparedFleet) -> Vec<SocketAddr> {
-    let places = &prepared.fleet.places.routers;
-    places.iter().map(|place| place.listen).collect()
+    support::fleet(folder, seed, |shape| {
+        shape.engines = BACK_ENDS;
+        shape.routers = 2;
+        shape.services = vec!["register-lookup"];
+        shape.service_replicas = BACK_ENDS;
+    })
+    .await
 }
 
 /// Sends a request; the code of the refusal, empty if there was none.
 async fn code(prepared: &PreparedFleet, router: SocketAddr, path: &str, body: &Value) -> String {
-    let key = &prepared.documents.tenants[0].key;
-    let request = Request::post(format!("http://{router}{path}"))
-        .header("authorization", format!("Bearer {key}"))
-        .body(Full::new(Bytes::from(body.to_string())))
-        .expect("a request");
-    let client = HttpClient::new(LIMIT);
-    let Ok(response) = client.send(request).await else {
+    let Some(response) = post(key(prepared), router, path, body).await else {
         return String::new();
     };
     let content = read_body(response.into_body(), 1 << 20, LIMIT).await;
@@ -98,8 +77,7 @@
         left >= BACK_ENDS as usize - ENDS_ALLOWED,
         "{left} engines are left"
     );
-    let key = &prepared.documents.tenants[0].key;
-    let caller = Caller::new(HttpClient::new(LIMIT), key);
+    let caller = Caller::new(HttpClient::new(LIMIT), key(&prepared));
     let question = prepared
         .documents
         .question(0, &mut ChaCha8Rng::seed_from_u64(1));
--- a/crates/lab/tests/limits.rs
+++ b/crates/lab/tests/limits.rs
@@ -3,59 +3,34 @@
 //! The same class as the incident of replicas behind an adapter: a bound on a sum over routers, here for the
 //! engines of `/v1` and the back ends of `/services`.
 
+mod support;
+
 use std::{net::SocketAddr, path::Path, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::Request;
 use railtack_emulator::{LIMIT_TEXT, limit::BINDS_AFTER};
-use railtack_http::HttpClient;
-use railtack_lab::{
-    demo::{self, FleetOptions, PreparedFleet},
-    fleet::{FleetKind, FleetShape, process},
-};
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
+use railtack_lab::demo::PreparedFleet;
 use serde_json::{Value, json};
+use support::{key, post, routers};
 use tokio::time::{Instant, sleep};
 
-const ROUTERS: u32 = 3;
 /// Time between two requests of one caller.
 const PACE: Duration = Duration::from_millis(100);
 /// Time in which some windows lie that a limit binds.
 const RUN: Duration = Duration::from_secs(9);
-const LIMIT: Duration = Duration::from_secs(10);
 
 async fn fleet(folder: &Path, seed: u64) -> PreparedFleet {
-    process::use_lab_binary(Path::new(env!("CARGO_BIN_EXE_railtack-lab")));
-    let mut shape = FleetShape::demonstration(FleetKind::Brasov);
-    shape.engines = 2;
-    shape.routers = ROUTERS;
-    shape.services = vec!["register-lookup"];
-    shape.service_replicas = 2;
-    let options = FleetOptions {
-        kind: FleetKind::Brasov,
-        seed,
-        folder: Some(folder.to_owned()),
-    };
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    demo::prepare(shape, &options, &mut random)
-        .await
-        .expect("a fleet")
-}
-
-fn routers(prepared: &PreparedFleet) -> Vec<SocketAddr> {
-    let places = &prepared.fleet.places.routers;
-    places.iter().map(|place| place.listen).collect()
+    support::fleet(folder, seed, |shape| {
+        shape.engines = 2;
+        shape.routers = 3;
+        shape.services = vec!["register-lookup"];
+        shape.service_replicas = 2;
+    })
+    .await
 }
 
 async fn status(key: &str, router: SocketAddr, path: &str, body: &Value) -> u16 {
-    let request = Request::post(format!("http://{router}{path}"))
-        .header("authorization", format!("Bearer {key}"))
-        .body(Full::new(Bytes::from(body.to_string())))
-        .expect("a request");
-    let response = HttpClient::new(LIMIT).send(request).await;
-    response.expect("an answer").status().as_u16()
+    let response = post(key, router, path, body).await.expect("an answer");
+    response.status().as_u16()
 }
 
 /// Callers of all routers send requests for a while; how many were not served.
@@ -66,7 +41,7 @@
     make: fn(u64) -> Value,
 ) -> usize {
     let callers = routers(prepared).into_iter().map(|router| {
-        let key = prepared.documents.tenants[0].key.clone();
+        let key = key(prepared).to_owned();
         tokio::spawn(async move {
             let mut refused = 0;
             let began = Instant::now();
@@ -94,7 +69,7 @@
     naming: Value,
     make: fn(u64) -> Value,
 ) {
-    let key = &prepared.documents.tenants[0].key;
+    let key = key(prepared);
     let router = routers(prepared)[0];
     assert_eq!(status(key, router, path, &make(0)).await, 200);
     assert_eq!(status(key, router, path, &naming).await, 200);
--- /dev/null
+++ b/crates/lab/tests/support/mod.rs
@@ -0,0 +1,61 @@
+//! Fleets of real processes, and callers' requests to them.
+
+#![allow(dead_code)]
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, body::Incoming};
+use railtack_http::HttpClient;
+use railtack_lab::{
+    demo::{self, FleetOptions, PreparedFleet},
+    fleet::{FleetKind, FleetShape, process},
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
+
+/// Time for one request.
+pub const LIMIT: Duration = Duration::from_secs(10);
+
+/// Starts a fleet in `folder`, of the demonstration's shape but for what `adapt` changes.
+pub async fn fleet(folder: &Path, seed: u64, adapt: fn(&mut FleetShape)) -> PreparedFleet {
+    process::use_lab_binary(Path::new(env!("CARGO_BIN_EXE_railtack-lab")));
+    let mut shape = FleetShape::demonstration(FleetKind::Brasov);
+    adapt(&mut shape);
+    let options = FleetOptions {
+        kind: FleetKind::Brasov,
+        seed,
+        folder: Some(folder.to_owned()),
+    };
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    demo::prepare(shape, &options, &mut random)
+        .await
+        .expect("a fleet")
+}
+
+/// Where callers reach the routers.
+pub fn routers(prepared: &PreparedFleet) -> Vec<SocketAddr> {
+    let places = &prepared.fleet.places.routers;
+    places.iter().map(|place| place.listen).collect()
+}
+
+/// The key of a tenant.
+pub fn key(prepared: &PreparedFleet) -> &str {
+    &prepared.documents.tenants[0].key
+}
+
+/// Sends a tenant's request; `None` if no head comes.
+pub async fn post(
+    key: &str,
+    router: SocketAddr,
+    path: &str,
+    body: &Value,
+) -> Option<Response<Incoming>> {
+    let request = Request::post(format!("http://{router}{path}"))
+        .header("authorization", format!("Bearer {key}"))
+        .body(Full::new(Bytes::from(body.to_string())))
+        .expect("a request");
+    HttpClient::new(LIMIT).send(request).await.ok()
+}
