Add a soak of real processes: signals, restarts and changes in series that overlap

railtack-lab soak draws a schedule from a seed (KILL and back, STOP and CONT, TERM and back, all routers at once, changes of configuration in quick succession; series of different processes overlap), carries it out on a fleet of real processes under load over connections that stay open until the process is gone, and judges whole answers, an end to each request, keyed requests against what ran, and that every router serves again.

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,6 +1,6 @@
 //! Command line of `railtack-lab`.
 
-use std::{ffi::OsString, ops::Range, path::PathBuf, process::ExitCode};
+use std::{ffi::OsString, ops::Range, path::PathBuf, process::ExitCode, time::Duration};
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use error_stack::{Report, ResultExt};
@@ -16,6 +16,7 @@
     fleet::FleetKind,
     scale::{self, Slope},
     simulate::{self, Mutant, Scenario, command::SimulateOptions},
+    soak::{self, command::SoakOptions},
 };
 
 fn command() -> Command {
@@ -40,6 +41,7 @@
                     .help("Which run; all, one after another, if absent"),
             ),
         )
+        .subcommand(soak_command())
         .subcommand(experiment_command())
         .subcommand(
             Command::new("replay")
@@ -145,6 +147,44 @@
         )
 }
 
+fn soak_command() -> Command {
+    Command::new("soak")
+        .about("Break real processes at random under load and check what is promised")
+        .arg(
+            Arg::new("seeds")
+                .long("seeds")
+                .value_name("FIRST..END")
+                .value_parser(parse_range)
+                .default_value("1..2")
+                .help("Seeds to run, each on a fleet of its own; the end is not included"),
+        )
+        .arg(
+            Arg::new("seconds")
+                .long("seconds")
+                .value_parser(value_parser!(u64).range(2..=86_400))
+                .default_value("10")
+                .help("Length of each run, without start and end"),
+        )
+        .arg(
+            Arg::new("keep")
+                .long("keep")
+                .value_name("FOLDER")
+                .value_parser(value_parser!(PathBuf))
+                .help("Where the logs of seeds that fail are kept; a temporary folder if absent"),
+        )
+}
+
+fn soak_options(matches: &ArgMatches) -> SoakOptions {
+    SoakOptions {
+        seeds: matches
+            .get_one::<Range<u64>>("seeds")
+            .cloned()
+            .unwrap_or_default(),
+        length: Duration::from_secs(matches.get_one("seconds").copied().unwrap_or_default()),
+        keep: matches.get_one::<PathBuf>("keep").cloned(),
+    }
+}
+
 fn path_argument(name: &'static str, value: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
         .value_name(value)
@@ -302,6 +342,7 @@
             let case = matches.get_one::<FaultCase>("case").copied();
             asynchronous(fault::command::run(case, fleet_options(matches)))
         }
+        Some(("soak", matches)) => asynchronous(soak::command::run(soak_options(matches))),
         Some(("scale", matches)) => {
             let slope = matches.get_one::<Slope>("slope").copied();
             asynchronous(scale::command::run(slope))
--- a/crates/lab/src/fault/keys.rs
+++ b/crates/lab/src/fault/keys.rs
@@ -1,7 +1,6 @@
 //! Requests that may not be repeated, with duplicates, under kills of routers and leaders.
 
 use std::{
-    collections::BTreeMap,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -9,7 +8,7 @@
 use error_stack::Report;
 use futures::{StreamExt, stream};
 use railtack_backend_api::{Machine, MachineKind};
-use railtack_core::{Execution, ZoneName};
+use railtack_core::ZoneName;
 use railtack_http::HttpClient;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -20,7 +19,10 @@
     demo::PreparedFleet,
     fault,
     fleet::{Fault, settings::ControlPlace},
-    load::{Caller, Finding},
+    load::{
+        Caller,
+        keyed::{KeyedRecord, key_name},
+    },
 };
 
 /// Distinct keys.
@@ -32,14 +34,6 @@
 /// Pause between faults.
 const FAULT_PAUSE: Duration = Duration::from_millis(400);
 
-/// What callers were told of a key.
-#[derive(Clone, Copy, Debug, Default)]
-struct Told {
-    whole: u64,
-    not_run: u64,
-    unknown: u64,
-}
-
 /// Sends every key once or several times, to different routers.
 pub async fn run(prepared: &mut PreparedFleet) -> Result<Vec<fault::Finding>, Report<LabError>> {
     let mut random = ChaCha8Rng::seed_from_u64(9);
@@ -56,7 +50,7 @@
     }
     list_phantom_service(prepared).await?;
     let total = arrivals.len();
-    let told: Arc<Mutex<BTreeMap<u64, Told>>> = Arc::default();
+    let told: Arc<Mutex<KeyedRecord>> = Arc::default();
     let client = HttpClient::new(CONNECT_TIMEOUT);
     let caller = Caller::new(client, &prepared.documents.tenants[0].key);
     let service = prepared.documents.service_names().1.to_owned();
@@ -77,10 +71,12 @@
                     let told = Arc::clone(&told);
                     let address = routers[router];
                     async move {
-                        let name = format!("key-{key}");
+                        let name = key_name(key);
                         let path = format!("once/{key}");
                         let finding = caller.call(address, &service, &path, Some(&name)).await;
-                        note(&told, key, &finding);
+                        told.lock()
+                            .unwrap_or_else(PoisonError::into_inner)
+                            .note(key, &finding);
                     }
                 })
                 .await;
@@ -92,30 +88,18 @@
     sleep(Duration::from_secs(1)).await;
     let executions = prepared.fleet.executions().await?.by_key;
     let told = told.lock().unwrap_or_else(PoisonError::into_inner);
-    let count_of = |key: u64| {
-        let name = format!("key-{key}");
-        executions.get(&name).copied().unwrap_or(0)
-    };
-    let twice = (0..KEYS).filter(|key| count_of(*key) > 1).count();
-    let untrue = told
-        .iter()
-        .filter(|(key, told)| told.not_run > 0 && count_of(**key) > 0)
-        .count();
-    let unfounded = told
-        .iter()
-        .filter(|(key, told)| told.whole > 0 && count_of(**key) != 1)
-        .count();
-    let sum = |part: fn(&Told) -> u64| told.values().map(part).sum::<u64>() as f64;
+    let judged = told.judge(&executions);
+    let (whole, not_run, unknown) = told.totals();
     Ok(vec![
         fault::Finding::report("keys", KEYS as f64),
         fault::Finding::report("arrivals", total as f64),
         fault::Finding::report("faults", faults as f64),
-        fault::Finding::report("answered", sum(|told| told.whole)),
-        fault::Finding::report("told not run", sum(|told| told.not_run)),
-        fault::Finding::report("told unknown", sum(|told| told.unknown)),
-        fault::Finding::at_most("keys executed twice", twice as f64, 0.0),
-        fault::Finding::at_most("untrue \"not run\"", untrue as f64, 0.0),
-        fault::Finding::at_most("answers without an execution", unfounded as f64, 0.0),
+        fault::Finding::report("answered", whole as f64),
+        fault::Finding::report("told not run", not_run as f64),
+        fault::Finding::report("told unknown", unknown as f64),
+        fault::Finding::at_most("keys executed twice", judged.ran_twice as f64, 0.0),
+        fault::Finding::at_most("untrue \"not run\"", judged.untrue_not_run as f64, 0.0),
+        fault::Finding::at_most("answers without an execution", judged.unfounded as f64, 0.0),
     ])
 }
 
@@ -135,19 +119,6 @@
     Ok(())
 }
 
-fn note(told: &Mutex<BTreeMap<u64, Told>>, key: u64, finding: &Finding) {
-    let mut told = told.lock().unwrap_or_else(PoisonError::into_inner);
-    let record = told.entry(key).or_default();
-    match finding {
-        Finding::Whole { .. } => record.whole += 1,
-        Finding::Refused {
-            execution: Execution::NotRun,
-            ..
-        } => record.not_run += 1,
-        _ => record.unknown += 1,
-    }
-}
-
 /// Kills a router or the leading control replica again and again while requests are sent.
 async fn inflict_until_done(
     prepared: &mut PreparedFleet,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod load;
 pub mod scale;
 pub mod simulate;
+pub mod soak;
 
 pub use errors::LabError;
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -2,8 +2,10 @@
 
 pub mod caller;
 pub mod documents;
+pub mod keyed;
 pub mod summary;
 
 pub use caller::{Caller, Finding};
 pub use documents::{LoadDocuments, ModelQuestion};
+pub use keyed::KeyedRecord;
 pub use summary::Summary;
--- /dev/null
+++ b/crates/lab/src/soak/command.rs
@@ -0,0 +1,70 @@
+//! `railtack-lab soak`.
+
+use std::{ops::Range, path::PathBuf, time::Duration};
+
+use error_stack::Report;
+
+use crate::{
+    LabError,
+    soak::run::{self, SoakReport},
+};
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct SoakOptions {
+    /// Seeds, each on a fleet of its own.
+    pub seeds: Range<u64>,
+    /// Length of each schedule.
+    pub length: Duration,
+    /// Where the logs of seeds that fail are kept.
+    pub keep: Option<PathBuf>,
+}
+
+/// Runs each seed, and tells how many passed.
+pub async fn run(options: SoakOptions) -> Result<(), Report<LabError>> {
+    let mut failed: u64 = 0;
+    let mut passed: u64 = 0;
+    for seed in options.seeds.clone() {
+        let folder = folder_of(&options, seed);
+        run::prepare_folder(&folder)?;
+        let report = run::soak(seed, options.length, &folder).await;
+        let holds = matches!(&report, Ok(report) if report.violations() == 0);
+        print(seed, &report);
+        if holds {
+            passed += 1;
+            // What is left of a folder does no harm.
+            let _ = std::fs::remove_dir_all(&folder);
+        } else {
+            failed += 1;
+            println!("  logs in {}", folder.display());
+        }
+    }
+    println!("{passed} passed, {failed} failed");
+    if failed > 0 {
+        return Err(Report::new(LabError::Violations { violations: failed }));
+    }
+    Ok(())
+}
+
+fn folder_of(options: &SoakOptions, seed: u64) -> PathBuf {
+    let name = format!("railtack-soak-{}-{seed}", std::process::id());
+    let parent = options.keep.clone().unwrap_or_else(std::env::temp_dir);
+    parent.join(name)
+}
+
+fn print(seed: u64, report: &Result<SoakReport, Report<LabError>>) {
+    match report {
+        Ok(report) => {
+            println!("seed {seed}: {} violations", report.violations());
+            for finding in &report.findings {
+                println!("  {finding}");
+            }
+            if report.violations() > 0 {
+                for (due, act) in &report.schedule.acts {
+                    println!("  {:>7.3} s  {act}", due.as_secs_f64());
+                }
+            }
+        }
+        Err(report) => println!("seed {seed}: {report:?}"),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/soak/run.rs
@@ -0,0 +1,291 @@
+//! Carrying a schedule out on a fleet under load, and judging what came of it.
+
+use std::{
+    net::SocketAddr,
+    path::Path,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use error_stack::{Report, ResultExt};
+use railtack_core::{EngineId, OperationId};
+use railtack_ctl::client::ControlClient;
+use railtack_http::HttpClient;
+use railtack_rpc::protocol::ConfigurationChange;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, sleep, sleep_until},
+};
+
+use crate::{
+    LabError,
+    demo::{self, FleetOptions, PreparedFleet},
+    fault::{Finding, background::BackgroundLoad},
+    fleet::{Fault, Fleet, FleetKind, FleetShape, LabProcess},
+    load::{
+        Caller, KeyedRecord,
+        caller::{self, AskShape},
+        keyed::key_name,
+    },
+    soak::schedule::{Act, FleetSize, Schedule, Target},
+};
+
+/// Callers that ask models at the same time, and callers of a service that may not be called twice.
+const ASKERS: usize = 8;
+const KEYED_CALLERS: usize = 4;
+/// Arrivals of one key at most, at different routers.
+const ARRIVALS: u64 = 3;
+/// Time for connecting to a router.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time in which a process that was told to stop ends, before it is killed.
+const STOPS_WITHIN: Duration = Duration::from_secs(12);
+/// Time after the schedule in which every router has to serve again: an engine counts as lost and is heard
+/// again, a leader is elected, and routers poll, each within a few seconds.
+const SERVES_WITHIN: Duration = Duration::from_secs(20);
+/// Pause between two looks at that.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+/// Time for changing the configuration; without a majority a change is given up.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What a soak showed.
+#[derive(Clone, Debug)]
+pub struct SoakReport {
+    /// What was done.
+    pub schedule: Schedule,
+    /// What was measured.
+    pub findings: Vec<Finding>,
+}
+
+impl SoakReport {
+    /// Promises that were broken.
+    pub fn violations(&self) -> usize {
+        self.findings.iter().filter(|one| !one.holds()).count()
+    }
+}
+
+/// Runs a soak of a length on a fleet of its own in `folder`.
+pub async fn soak(
+    seed: u64,
+    length: Duration,
+    folder: &Path,
+) -> Result<SoakReport, Report<LabError>> {
+    let shape = FleetShape::demonstration(FleetKind::Brasov);
+    let size = FleetSize {
+        routers: shape.routers as usize,
+        control: shape.control as usize,
+        engines: shape.engines as usize,
+    };
+    let schedule = Schedule::draw(seed, size, length);
+    let options = FleetOptions {
+        kind: FleetKind::Brasov,
+        seed,
+        folder: Some(folder.to_owned()),
+    };
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut prepared = demo::prepare(shape, &options, &mut random).await?;
+    let models = BackgroundLoad::start(&prepared, ASKERS, seed);
+    let keyed = KeyedLoad::start(&prepared, seed);
+    carry_out(&schedule, seed, &mut prepared.fleet).await?;
+    let served_again = serves_again(&prepared).await;
+    let asked = models.finish().await;
+    let told = keyed.finish().await;
+    let executions = prepared.fleet.executions().await?.by_key;
+    let judged = told.judge(&executions);
+    let (whole, not_run, unknown) = told.totals();
+    let findings = vec![
+        Finding::report("acts", schedule.acts.len() as f64),
+        Finding::report("whole answers of models", asked.summary.whole as f64),
+        Finding::report("streams that callers saw cut", asked.cut_off()),
+        Finding::report("keyed requests answered", whole as f64),
+        Finding::report("keyed requests told not run", not_run as f64),
+        Finding::report("keyed requests told neither", unknown as f64),
+        Finding::at_most(
+            "answers that looked whole and were not",
+            asked.summary.wrong.len() as f64,
+            0.0,
+        ),
+        Finding::at_most("requests without any end", asked.summary.lost as f64, 0.0),
+        Finding::at_most("keys executed twice", judged.ran_twice as f64, 0.0),
+        Finding::at_most("untrue \"not run\"", judged.untrue_not_run as f64, 0.0),
+        Finding::at_most("answers without an execution", judged.unfounded as f64, 0.0),
+        Finding::at_most(
+            "seconds until every router served again",
+            served_again,
+            SERVES_WITHIN.as_secs_f64(),
+        ),
+    ];
+    Ok(SoakReport { schedule, findings })
+}
+
+async fn carry_out(
+    schedule: &Schedule,
+    seed: u64,
+    fleet: &mut Fleet,
+) -> Result<(), Report<LabError>> {
+    let began_at = Instant::now();
+    let mut changes = Vec::new();
+    for (number, (due, act)) in schedule.acts.iter().enumerate() {
+        sleep_until(began_at + *due).await;
+        match act {
+            Act::Signal(target, fault) => inflict(process(fleet, *target), *fault).await?,
+            Act::Start(target) => start(process(fleet, *target)).await?,
+            Act::Change(count) => {
+                let operation = format!("soak-{seed}-{number}");
+                let addresses = fleet.places.control.iter().map(|place| place.listen);
+                let addresses: Vec<SocketAddr> = addresses.collect();
+                changes.push(tokio::spawn(change(addresses, operation, *count)));
+            }
+        }
+    }
+    for change in changes {
+        // One that found no majority changed nothing.
+        let _ = change.await;
+    }
+    Ok(())
+}
+
+fn process(fleet: &mut Fleet, target: Target) -> &mut LabProcess {
+    match target {
+        Target::Router(position) => &mut fleet.routers[position],
+        Target::Control(position) => &mut fleet.control[position],
+        Target::Engine(position) => &mut fleet.engines[position],
+    }
+}
+
+async fn inflict(process: &mut LabProcess, fault: Fault) -> Result<(), Report<LabError>> {
+    process.inflict(fault).await
+}
+
+async fn start(process: &mut LabProcess) -> Result<(), Report<LabError>> {
+    if process.id().is_some()
+        && process.wait(STOPS_WITHIN).await.is_none()
+        && process.id().is_some()
+    {
+        process.inflict(Fault::Kill).await?;
+    }
+    process.restart()
+}
+
+async fn change(addresses: Vec<SocketAddr>, operation: String, count: u64) {
+    let client = ControlClient::new(addresses);
+    for number in 0..count {
+        let change = ConfigurationChange::SetDrain {
+            // No engine has this number.
+            engine: EngineId(1_000_000),
+            drained: number.is_multiple_of(2),
+        };
+        let operation = OperationId(format!("{operation}-{number}"));
+        // Without a majority nothing changes.
+        let _ = tokio::time::timeout(CHANGE_TIMEOUT, client.configure(&operation, change)).await;
+    }
+}
+
+/// Seconds until each router has answered a question, from now on.
+async fn serves_again(prepared: &PreparedFleet) -> f64 {
+    let began_at = Instant::now();
+    let client = HttpClient::new(CONNECT_TIMEOUT);
+    let caller = Caller::new(client, &prepared.documents.tenants[0].key);
+    let question = prepared
+        .documents
+        .question(0, &mut ChaCha8Rng::seed_from_u64(0));
+    for place in &prepared.fleet.places.routers {
+        loop {
+            let finding = caller.ask(place.listen, &question, AskShape::Whole).await;
+            let is_served = matches!(finding, caller::Finding::Whole { .. });
+            if is_served || began_at.elapsed() > SERVES_WITHIN * 2 {
+                break;
+            }
+            sleep(LOOK_PAUSE).await;
+        }
+    }
+    began_at.elapsed().as_secs_f64()
+}
+
+/// Callers of a service that may not be called twice, each key once or several times at different routers.
+struct KeyedLoad {
+    shared: Arc<KeyedShared>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+struct KeyedShared {
+    stop: AtomicBool,
+    next_key: AtomicU64,
+    record: Mutex<KeyedRecord>,
+    caller: Caller,
+    service: String,
+    routers: Vec<SocketAddr>,
+}
+
+impl KeyedShared {
+    fn record(&self) -> MutexGuard<'_, KeyedRecord> {
+        self.record.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn call(&self, key: u64, router: usize) {
+        let address = self.routers[router % self.routers.len()];
+        let path = format!("once/{key}");
+        let name = key_name(key);
+        let finding = self
+            .caller
+            .call(address, &self.service, &path, Some(&name))
+            .await;
+        self.record().note(key, &finding);
+    }
+}
+
+impl KeyedLoad {
+    fn start(prepared: &PreparedFleet, seed: u64) -> Self {
+        let places = prepared.fleet.places.routers.iter();
+        let shared = Arc::new(KeyedShared {
+            stop: AtomicBool::new(false),
+            next_key: AtomicU64::new(0),
+            record: Mutex::default(),
+            caller: Caller::new(
+                HttpClient::new(CONNECT_TIMEOUT),
+                &prepared.documents.tenants[0].key,
+            ),
+            service: prepared.documents.service_names().1.to_owned(),
+            routers: places.map(|place| place.listen).collect(),
+        });
+        let callers = (0..KEYED_CALLERS as u64).map(|number| {
+            let shared = Arc::clone(&shared);
+            tokio::spawn(call_until_stopped(shared, seed ^ (number << 32)))
+        });
+        Self {
+            callers: callers.collect(),
+            shared,
+        }
+    }
+
+    async fn finish(self) -> KeyedRecord {
+        self.shared.stop.store(true, Ordering::Relaxed);
+        for caller in self.callers {
+            // A caller that panicked has told nothing.
+            let _ = caller.await;
+        }
+        self.shared.record().clone()
+    }
+}
+
+async fn call_until_stopped(shared: Arc<KeyedShared>, seed: u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    while !shared.stop.load(Ordering::Relaxed) {
+        let key = shared.next_key.fetch_add(1, Ordering::Relaxed);
+        let first = random.random_range(0..shared.routers.len());
+        let arrivals = (0..random.random_range(1..=ARRIVALS) as usize)
+            .map(|number| shared.call(key, first + number));
+        futures::future::join_all(arrivals).await;
+    }
+}
+
+/// The folder of one seed.
+pub fn prepare_folder(folder: &Path) -> Result<(), Report<LabError>> {
+    std::fs::create_dir_all(folder).change_context_lazy(|| LabError::File {
+        path: folder.to_owned(),
+    })
+}
