Go by a limit for a while that a new leader's digest does not name yet

A new leader knows of a limit only once a router that heard of it asks or tells. Routers that had it from digests alone sent without permits until then, up to about two seconds after a change of leaders (read in the code; the test of the digest fails without this). They go by it for three seconds more, and their questions tell the new leader.

--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -19,6 +19,11 @@
 /// `docs/design/shifted-work.md`); between is not measured.
 pub const FEWEST_ROUTERS_FOR_SHARED_LOAD: u32 = 20;
 
+/// Time for which a limit is gone by that digests do not name any more. A new leader knows of it only once a router
+/// asks, or tells what it heard itself, and those that have it from digests alone would send what they have until
+/// then; once it is over, their questions are answered so.
+const LIMIT_KEPT: Duration = Duration::from_millis(3_000);
+
 /// Time in which the most requests that were open lately count half as much: groups of replicas that are
 /// sized by them grow at once and shrink slowly, since each change moves homes.
 const BUSIEST_HALF_LIFE: Duration = Duration::from_secs(60);
@@ -28,8 +33,8 @@
 pub struct FleetKnowledge {
     made_at: Option<Instant>,
     conditions: HashMap<ReplicaKey, ReplicaCondition>,
-    /// Replicas that name a limit.
-    limited: HashMap<ReplicaKey, ToldLimit>,
+    /// Replicas that name a limit, each with the time at which a digest named it last.
+    limited: HashMap<ReplicaKey, (ToldLimit, Instant)>,
     dark: usize,
     /// Most requests that were open at all replicas lately, and when that was told.
     busiest: Option<(f64, Instant)>,
@@ -59,9 +64,11 @@
             let age = Duration::from_millis(u64::from(told.named_ms));
             let named_at = made_at.checked_sub(age).unwrap_or(made_at);
             let limit = told.limit;
-            (told.replica, ToldLimit { limit, named_at })
+            (told.replica, (ToldLimit { limit, named_at }, now))
         });
-        self.limited = limited.collect();
+        self.limited
+            .retain(|_, (_, told_at)| now < *told_at + LIMIT_KEPT);
+        self.limited.extend(limited);
         let open = self
             .conditions
             .values()
@@ -97,10 +104,10 @@
         self.conditions.get(&replica)
     }
 
-    /// The limit of a replica, as far as a digest tells that is new enough to go by.
+    /// The limit of a replica, as far as digests told lately.
     pub fn limit(&self, replica: ReplicaKey, now: Instant) -> Option<ToldLimit> {
-        let told = self.limited.get(&replica).copied()?;
-        self.is_current(now).then_some(told)
+        let (told, told_at) = self.limited.get(&replica).copied()?;
+        (now < told_at + LIMIT_KEPT).then_some(told)
     }
 
     /// Whether any replica is dark.
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -15,8 +15,11 @@
     split::Splitter,
     verdict::{ExchangeFacts, ExchangeProof, NextStep, next_step, without_retry},
 };
-use railtack_rpc::serving::{FleetDigest, ReplicaCondition, WatchReply};
-use railtack_serving::{ReplicaKey, RequestKind, Route, WeightedService};
+use railtack_rpc::{
+    permits::LimitedReplica,
+    serving::{FleetDigest, ReplicaCondition, WatchReply},
+};
+use railtack_serving::{ReplicaKey, RequestKind, RequestLimit, Route, WeightedService};
 use tokio::time::Instant;
 
 fn milliseconds(count: u64) -> Duration {
@@ -351,6 +354,36 @@
 
 /// One of three hundred routers sends a replica one request in a while; that it has one open there
 /// says nothing of how busy the replica is.
+#[test]
+fn a_limit_outlives_the_digests_that_name_it_by_the_time_that_a_new_leader_takes() {
+    let start = Instant::now();
+    let replica = ReplicaKey::of("a");
+    let limit = RequestLimit::per_s(1.2).expect("a limit");
+    let naming = FleetDigest {
+        limited: vec![LimitedReplica {
+            replica,
+            limit,
+            named_ms: 40,
+        }],
+        ..FleetDigest::default()
+    };
+    let mut fleet = FleetKnowledge::default();
+    assert_eq!(fleet.limit(replica, start), None);
+    fleet.take(naming, start);
+    let told = fleet.limit(replica, start).expect("a limit");
+    assert_eq!(
+        (told.limit, told.named_at),
+        (limit, start - milliseconds(40))
+    );
+    // That of a new leader names nothing yet.
+    fleet.take(FleetDigest::default(), start + milliseconds(500));
+    assert_eq!(
+        fleet.limit(replica, start + milliseconds(2_900)),
+        Some(told)
+    );
+    assert_eq!(fleet.limit(replica, start + milliseconds(3_000)), None);
+}
+
 #[test]
 fn a_shared_load_tells_more_than_a_routers_own_requests() {
     // Its beginning takes less than a hundredth of a replica's memory.
