Let a request go that the leader says needs no permit

A leader knows that a limit is over before digests stop naming it. Its word counted as no permit, so a request was chosen, withheld at its connection, and chosen again until the digests were done with it: a busy loop of questions, and up to some seconds for the caller. The word is kept like a permit, for as long. What is withheld is logged, and /services looks a limit up without making an entry.

--- a/crates/proxy/src/permits.rs
+++ b/crates/proxy/src/permits.rs
@@ -27,12 +27,13 @@
 /// Tries to tell it; the next question for a permit tells it too.
 const TELL_TRIES: u32 = 4;
 
-/// The right to send one request to a back end that names a limit.
+/// The right to send one request to a back end that names a limit, or the leader's word that it has none any more:
+/// digests may name it for longer.
 #[derive(Clone, Copy, Debug)]
 pub struct Permit {
     asked_at: BootInstant,
-    limit: RequestLimit,
-    stamp: PermitStamp,
+    /// The limit and the permit's name; `None` if there is no limit.
+    given: Option<(RequestLimit, PermitStamp)>,
 }
 
 impl Permit {
@@ -40,12 +41,20 @@
     fn is_fresh(&self) -> bool {
         self.asked_at.elapsed() <= GRANT_LIFE
     }
+
+    fn limit(&self) -> Option<RequestLimit> {
+        self.given.map(|(limit, _)| limit)
+    }
+
+    fn stamp(&self) -> Option<PermitStamp> {
+        self.given.map(|(_, stamp)| stamp)
+    }
 }
 
 /// What became of a question for a permit.
 #[derive(Clone, Copy, Debug)]
 pub enum Permission {
-    /// The request may be sent; with a permit, if the back end has a limit.
+    /// The request may be sent; with a permit, if the back end is known to have, or to have had, a limit.
     Given(Option<Permit>),
     /// It may not, before a moment that was noted.
     Withheld,
@@ -97,7 +106,12 @@
     let Some(known) = router.known_limit(life) else {
         return Permission::Given(None);
     };
-    let withheld = |limit, room_in| {
+    let withheld = |limit: RequestLimit, room_in: Duration| {
+        spdlog::info!("permit withheld", kv: {
+            replica = life.to_owned(),
+            per_s = limit.requests_per_s(),
+            room_in_ms = room_in.as_millis() as u64,
+        });
         router.note_withheld(life, limit, router.uptime() + room_in);
         Permission::Withheld
     };
@@ -118,15 +132,15 @@
     match router.ask_leader(question, limit).await {
         Some(PermitReply::Given { limit, stamp }) => Permission::Given(Some(Permit {
             asked_at,
-            limit,
-            stamp,
+            given: Some((limit, stamp)),
         })),
         Some(PermitReply::Withheld { limit, room_in_ms }) => {
             withheld(limit, Duration::from_millis(u64::from(room_in_ms)))
         }
         Some(PermitReply::Unlimited) => {
             limit_is_over(router, life, known.own);
-            Permission::Given(None)
+            let given = None;
+            Permission::Given(Some(Permit { asked_at, given }))
         }
         Some(PermitReply::NotLeader { .. }) | None => {
             router.note_unanswered(router.uptime() + UNANSWERED_PAUSE);
@@ -149,14 +163,14 @@
         StatedLimit::NotNamed => None,
         StatedLimit::Unreadable(_) => return,
     };
-    let differs = permit.is_some_and(|permit| Some(permit.limit) != limit);
+    let differs = permit.is_some_and(|permit| permit.limit() != limit);
     if !differs && !is_news {
         return;
     }
     let statement = LimitStatement {
         limit,
         age_ms: 0,
-        permit: permit.map(|permit| permit.stamp),
+        permit: permit.and_then(|permit| permit.stamp()),
     };
     tokio::spawn(tell(Arc::clone(router), life.to_owned(), statement));
 }
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -48,7 +48,10 @@
     }
 
     fn known_limit(&self, life: &str) -> Option<KnownLimit> {
-        let own = self.with_announced(life, |announced| announced.limit())?;
+        let own = match life.parse::<SocketAddr>() {
+            Ok(_) => lock(&self.back_ends_available).limit(life),
+            Err(_) => self.with_announced(life, |announced| announced.limit()),
+        }?;
         Some(KnownLimit {
             limit: own.limit,
             age: self.uptime().saturating_sub(own.named_at),
