--- a/crates/control/src/serving/limits.rs
+++ b/crates/control/src/serving/limits.rs
@@ -8,7 +8,7 @@
 //!
 //! Invariants, whichever routers know of a limit and whenever their questions arrive:
 //! - What is used of the permits of all terms in any window of [`WINDOW`] stays within
-//!   [`ALLOWED_SHARE`] of the limit and [`ALLOWED_REQUESTS`]; see [`bucket`].
+//!   [`ALLOWED_SHARE`] of the limit and [`ALLOWED_REQUESTS`]; what that is spent on stands at `bucket`.
 //! - A limit is raised or lifted only by the answer to a request whose permit was given after everything lower
 //!   had been heard. That order is certain, however late messages are, since no clocks are compared.
 //! - A new term gives nothing before it has heard of a limit, and no burst then.
