Add the incident's tests, which fail: a folder and messages of the build in production

The bytes were written by that build itself, by the program that lies beside them. What callers saw: no change was accepted and no request served once most control replicas ran the new build, nor after all did.

--- /dev/null
+++ b/crates/control/tests/former_build.rs
@@ -0,0 +1,177 @@
+//! Replacing the machines of a former build, one after the other.
+//!
+//! What was seen: once three of five control replicas ran the new build, no change was accepted any more, routers
+//! lost their leases, and what had been accepted could not be read back, also after all machines ran the new build.
+//! How: a new replica that opened the folder of the former one, was sent its log, or was elected, could not read the
+//! commands and the state in it, and gave up its term; routers of either build could not read the answers of the other.
+//! Cause: types were given new fields in the middle of their bytes, and new meanings to commands that were there, so
+//! that neither a record nor a message could be read by another build; nothing said which build wrote it.
+//! Proof: bytes that the former build itself wrote (`data/production`, with the program that wrote them) are read
+//! here; the whole is played by hand with the programs of both builds.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
+
+use railtack_consensus::{DiskId, ReplicaId};
+use railtack_control::{Replica, ReplicaOptions, configuration::RevisionCheck};
+use railtack_rpc::service::{ControlRequest, ControlResponse};
+use railtack_storage::FileMedia;
+use speedy::Readable;
+
+fn data() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/data/production")
+}
+
+fn message(name: &str) -> Vec<u8> {
+    fs::read(data().join("messages").join(name)).expect("a message of the former build")
+}
+
+fn request(name: &str) -> ControlRequest {
+    ControlRequest::read_from_buffer(&message(name))
+        .unwrap_or_else(|error| panic!("{name}: {error}"))
+}
+
+fn response(name: &str) -> ControlResponse {
+    ControlResponse::read_from_buffer(&message(name))
+        .unwrap_or_else(|error| panic!("{name}: {error}"))
+}
+
+fn options() -> ReplicaOptions {
+    ReplicaOptions {
+        cluster: "layouts".to_owned(),
+        replica: ReplicaId(1),
+        adopts_folder: true,
+        new_disk: DiskId(11),
+        election_timeout: 300,
+        heartbeat_interval: 50,
+        snapshot_entries: 10_000,
+        snapshot_bytes: 10_000_000,
+        claim_retention_ms: 60_000,
+        seed: 1,
+        check_disk_identity: true,
+        revision_check: RevisionCheck::Enforced,
+    }
+}
+
+fn copy_of_its_folder(name: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    // It is there only if an earlier run was ended.
+    let _ = fs::remove_dir_all(&folder);
+    fs::create_dir_all(&folder).expect("a folder");
+    for file in fs::read_dir(data().join("data")).expect("the folder of the former build") {
+        let file = file.expect("a file");
+        fs::copy(file.path(), folder.join(file.file_name())).expect("a copy");
+    }
+    folder
+}
+
+fn lead(replica: &mut Replica) {
+    let mut now = 0;
+    while !replica.leads_with_current_state() {
+        now += 10;
+        assert!(now < 10_000, "no leader");
+        replica.tick(now);
+        replica.advance().expect("advanced");
+    }
+}
+
+#[test]
+fn the_folder_of_a_former_build_is_opened_with_all_that_it_holds() {
+    let media = FileMedia::open(copy_of_its_folder("former-folder")).expect("a folder");
+    let mut replica = Replica::open(&media, options(), 0).expect("opened");
+    lead(&mut replica);
+    let serving = replica.state().serving();
+    assert_eq!(serving.content(), Some(b"document 4".as_slice()));
+    let tenants = &serving.configuration().tenants;
+    let names: Vec<&str> = tenants.iter().map(|tenant| tenant.name.as_str()).collect();
+    assert_eq!(names, ["registry", "counter"]);
+    assert_eq!(tenants[1].api_keys, ["key-2"]);
+    assert_eq!(serving.weights()["valuation"], 2);
+    let replicas: Vec<&str> = serving.replicas().keys().map(String::as_str).collect();
+    assert_eq!(replicas, ["r-3"]);
+    assert!(serving.has_departed("r-1"));
+    assert!(serving.has_departed("r-2"));
+}
+
+#[test]
+fn messages_of_a_former_build_are_read() {
+    let ControlRequest::Watch { request: watch } = request("watch-request") else {
+        panic!("no question");
+    };
+    assert_eq!(
+        (watch.router.as_str(), watch.known.through),
+        ("router-1", 7)
+    );
+    assert!(watch.known.is_whole() && watch.known.is_current());
+    assert_eq!((watch.wait_ms, watch.sightings.len()), (500, 1));
+
+    let ControlResponse::Watch(reply) = response("watch-reply") else {
+        panic!("no answer");
+    };
+    assert_eq!((reply.confirmed_age_ms, reply.routers), (Some(35), 2));
+    let update = reply.update.expect("an update");
+    assert!(update.known.is_whole() && update.complete);
+    assert_eq!((update.known.through, update.replicas.len()), (9, 1));
+    assert_eq!(
+        update.configuration.expect("a configuration").tenants.len(),
+        2
+    );
+    assert_eq!(reply.fleet.expect("a digest").replicas[0].open_requests, 5);
+
+    let ControlRequest::Alive { notice } = request("alive-notice") else {
+        panic!("no notice");
+    };
+    assert_eq!(notice.sender, "127.0.0.1:2");
+    assert_eq!((notice.routers.len(), notice.sightings.len()), (1, 1));
+
+    let ControlResponse::Alive(reply) = response("alive-reply") else {
+        panic!("no answer");
+    };
+    assert_eq!(
+        (reply.routers, reply.fleet.map(|fleet| fleet.age_ms)),
+        (2, Some(120))
+    );
+
+    let ControlRequest::Poll { request: poll } = request("poll-request") else {
+        panic!("no poll");
+    };
+    assert_eq!(
+        (poll.applied, poll.want_update, poll.quarantine_known),
+        (5, true, 0)
+    );
+
+    let ControlResponse::Poll(reply) = response("poll-reply") else {
+        panic!("no answer");
+    };
+    assert_eq!(
+        (
+            reply.last_configuration_index,
+            reply.routers,
+            reply.quarantine
+        ),
+        (5, 2, None)
+    );
+
+    assert!(matches!(
+        request("propose-request"),
+        ControlRequest::Propose { .. }
+    ));
+    assert!(matches!(
+        response("propose-reply"),
+        ControlResponse::Propose(_)
+    ));
+    assert!(matches!(
+        request("join-request"),
+        ControlRequest::Join { .. }
+    ));
+    assert!(matches!(
+        request("read-index-request"),
+        ControlRequest::ReadIndex {}
+    ));
+    assert!(matches!(
+        request("deliver-request"),
+        ControlRequest::Deliver { .. }
+    ));
+}
