--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -40,6 +40,10 @@
     pub registrations_unnamed: Counter,
     /// Messages to other replicas that were dropped because the peer was slow or away.
     pub dropped_messages: Counter,
+    /// Messages and requests to join of replicas whose build cannot do what the group does.
+    pub refused_below_level: Counter,
+    /// What the members of the group do together.
+    pub group_level: Gauge,
     /// 1 while this replica leads.
     pub is_leader: Gauge,
     /// Current term.
@@ -72,6 +76,8 @@
             registrations_refused: Counter::default(),
             registrations_unnamed: Counter::default(),
             dropped_messages: Counter::default(),
+            refused_below_level: Counter::default(),
+            group_level: Gauge::default(),
             is_leader: Gauge::default(),
             term: Gauge::default(),
             commit: Gauge::default(),
@@ -139,6 +145,16 @@
             "Messages to replicas dropped",
             self.dropped_messages.clone(),
         );
+        registry.register(
+            "control_refused_below_level",
+            "Messages of replicas whose build cannot do what the group does",
+            self.refused_below_level.clone(),
+        );
+        registry.register(
+            "control_group_level",
+            "What the members of the group do together",
+            self.group_level.clone(),
+        );
         registry.register(
             "control_is_leader",
             "1 while leading",
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -4,6 +4,7 @@
 //! waiting, then does one round of work: that is how many proposals share one sync.
 
 mod group;
+pub mod level;
 
 use std::{
     collections::BTreeMap,
@@ -15,17 +16,19 @@
 use error_stack::Report;
 use railtack_clock::BootInstant;
 use railtack_consensus::{LogIndex, Message, Millis, ProposeError, ReplicaId, Role};
+use railtack_rpc::Sender;
 use railtack_rpc::protocol::{
     Configuration, MembershipChange, MembershipReply, PollReply, PollRequest, Proposal,
     ProposeReply, ReplicaIdentity, StatusReply,
 };
 use railtack_rpc::serving::{JoinReply, JoinRequest, ReadIndexReply};
-use railtack_serving::FaultTolerance;
+use railtack_serving::{FaultTolerance, ServingConfiguration};
 use tokio::sync::{oneshot, watch};
 
 use crate::{
     errors::ControlError,
     metrics::ControlMetrics,
+    node::level::MemberLevels,
     peers::Peers,
     pending::PendingProposals,
     replica::{Advance, MembershipError, Replica},
@@ -44,7 +47,7 @@
 /// What the replica's thread is asked to do.
 pub enum Input {
     /// A message from another replica, and the address of its sender.
-    Deliver(Message, String),
+    Deliver(Message, Sender),
     /// Commit a change.
     Propose(Proposal, oneshot::Sender<ProposeReply>),
     /// Answer a router.
@@ -89,8 +92,8 @@
 
 impl NodeHandle {
     /// Hands a message over; it is dropped if the thread is far behind, as a network may do.
-    pub fn deliver(&self, message: Message, reply_to: String) {
-        let _ = self.inputs.try_send(Input::Deliver(message, reply_to));
+    pub fn deliver(&self, message: Message, sender: Sender) {
+        let _ = self.inputs.try_send(Input::Deliver(message, sender));
     }
 
     /// Asks a question and waits for the answer.
@@ -121,6 +124,9 @@
 /// Opens the replica from its folder; the time is that of the replica's clock.
 pub type OpenReplica = Box<dyn Fn(Millis) -> Result<Replica, Report<ControlError>> + Send>;
 
+/// Tells what a document's bytes mean; `None` if they cannot be read.
+pub type ReadDocument = fn(&[u8]) -> Option<ServingConfiguration>;
+
 /// How a replica's thread behaves.
 pub struct NodeOptions {
     /// Longest time between two rounds.
@@ -132,6 +138,8 @@
     pub tolerance: FaultTolerance,
     /// Opens the replica anew after its storage failed; without it the thread ends.
     pub reopen: Option<OpenReplica>,
+    /// Reads the document held, for what former builds did not take from it.
+    pub read_document: ReadDocument,
 }
 
 impl Default for NodeOptions {
@@ -141,6 +149,7 @@
             replace_silent_after: None,
             tolerance: FaultTolerance { machines: 0 },
             reopen: None,
+            read_document: |_| None,
         }
     }
 }
@@ -172,6 +181,7 @@
         reads: Vec::new(),
         joins: BTreeMap::new(),
         leaving: BTreeMap::new(),
+        levels: MemberLevels::default(),
     };
     thread::spawn(move || {
         let outcome = node.run_and_reopen(&receiver);
@@ -194,6 +204,7 @@
     joins: BTreeMap<ReplicaId, (JoinRequest, Millis)>,
     /// Members that are being stopped, and when they said so.
     leaving: BTreeMap<ReplicaId, Millis>,
+    levels: MemberLevels,
 }
 
 /// A reader that waits until this replica is known to have led after it asked.
@@ -274,6 +285,7 @@
         }
         self.answer_reads();
         self.keep_members(now);
+        self.keep_level(now);
         self.observe();
         self.publish_view();
         Ok(())
@@ -293,9 +305,12 @@
     fn handle(&mut self, input: Input) -> Result<(), Report<ControlError>> {
         let now = self.now();
         match input {
-            Input::Deliver(message, reply_to) => {
-                self.peers.learn(message.from, reply_to);
-                self.replica.receive(message, now);
+            Input::Deliver(message, sender) => {
+                self.levels.hear(message.from, sender.level, now);
+                if self.admits(message.from, sender.level) {
+                    self.peers.learn(message.from, sender.address);
+                    self.replica.receive(message, now);
+                }
             }
             Input::Propose(proposal, answer) => self.propose(&proposal, answer),
             Input::Poll(request, answer) => {
@@ -342,6 +357,11 @@
     }
 
     fn propose(&mut self, proposal: &Proposal, answer: oneshot::Sender<ProposeReply>) {
+        let group_level = self.group_level();
+        if !proposal.command.fits(group_level) {
+            let _ = answer.send(ProposeReply::LevelDiffers { group_level });
+            return;
+        }
         match self.replica.propose(proposal) {
             Ok(ticket) => {
                 self.pending.insert(ticket, answer);
@@ -389,6 +409,8 @@
             claims: self.replica.state().claims().len() as u64,
             members: raft.membership().members.clone(),
             routers: self.routers.statuses(self.now()),
+            group_level: self.group_level(),
+            member_levels: self.levels.said(),
         }
     }
 
--- a/crates/control/src/node/group.rs
+++ b/crates/control/src/node/group.rs
@@ -57,6 +57,9 @@
                 leader: self.leader_address(),
             };
         }
+        if !self.admits(request.replica, request.level) {
+            return JoinReply::NotLeader { leader: None };
+        }
         self.leaving.remove(&request.replica);
         self.joins.insert(request.replica, (request, now));
         JoinReply::Accepted
--- /dev/null
+++ b/crates/control/src/node/level.rs
@@ -0,0 +1,142 @@
+//! Keeping the group to what all its members can do.
+//!
+//! A member says with each message what its build can do; one that says nothing is of a build that can do the
+//! first level only, and cannot be asked. The level of the group is replicated state. The leader has it raised
+//! once all members, learners among them, have said that they can do more, and it never falls. Whoever cannot do
+//! it has to stay outside: it could not apply what stands in the log.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use railtack_consensus::{Membership, Millis, ReplicaId};
+use railtack_rpc::{
+    FeatureLevel,
+    protocol::{Command, Proposal},
+    serving::ServingCommand,
+};
+
+use super::Node;
+
+/// Time after which a raise is proposed again that was not applied, milliseconds.
+const RAISE_RETRY_MS: Millis = 1_000;
+
+/// What the builds of the members can do, as far as they said so.
+#[derive(Debug, Default)]
+pub struct MemberLevels {
+    said: BTreeMap<ReplicaId, (FeatureLevel, Millis)>,
+    leading_since: Option<Millis>,
+    proposed_at: Option<Millis>,
+    refused: BTreeSet<ReplicaId>,
+}
+
+impl MemberLevels {
+    /// Takes in what a message says of its sender's build.
+    pub fn hear(&mut self, member: ReplicaId, level: FeatureLevel, now: Millis) {
+        self.said.insert(member, (level, now));
+    }
+
+    /// Notes whether this replica leads.
+    pub fn note_lead(&mut self, leads: bool, now: Millis) {
+        if leads {
+            self.leading_since.get_or_insert(now);
+        } else {
+            self.leading_since = None;
+        }
+    }
+
+    /// While leading: what all members can do. One that has not been heard since the lead began may have been
+    /// replaced by another build.
+    pub fn common(&self, own: ReplicaId, membership: &Membership) -> FeatureLevel {
+        let Some(since) = self.leading_since else {
+            return FeatureLevel::FIRST;
+        };
+        let others = membership.members.iter();
+        let others = others.filter(|member| member.replica != own);
+        let levels = others.map(|member| match self.said.get(&member.replica) {
+            Some((level, at)) if *at >= since => *level,
+            _ => FeatureLevel::FIRST,
+        });
+        levels
+            .min()
+            .unwrap_or(FeatureLevel::OF_THIS_BUILD)
+            .min(FeatureLevel::OF_THIS_BUILD)
+    }
+
+    /// What each member said last.
+    pub fn said(&self) -> Vec<(ReplicaId, FeatureLevel)> {
+        let said = self.said.iter();
+        said.map(|(member, (level, _))| (*member, *level)).collect()
+    }
+
+    fn may_propose(&mut self, now: Millis) -> bool {
+        let is_due = self.proposed_at.is_none_or(|at| now >= at + RAISE_RETRY_MS);
+        if is_due {
+            self.proposed_at = Some(now);
+        }
+        is_due
+    }
+}
+
+impl Node {
+    /// Whether a replica can do what the group does. One that cannot is told nothing and is not listened to.
+    pub(super) fn admits(&mut self, replica: ReplicaId, level: FeatureLevel) -> bool {
+        let group_level = self.group_level();
+        if level >= group_level {
+            self.levels.refused.remove(&replica);
+            return true;
+        }
+        self.metrics.refused_below_level.inc();
+        if self.levels.refused.insert(replica) {
+            spdlog::warn!("replica refused: its build is below the group's level", kv: {
+                replica = replica.0,
+                level = level.0,
+                group_level = group_level.0,
+            });
+        }
+        false
+    }
+
+    pub(super) fn group_level(&self) -> FeatureLevel {
+        self.replica.state().serving().level()
+    }
+
+    /// While leading, raises the level once all members can do more.
+    pub(super) fn keep_level(&mut self, now: Millis) {
+        let leads = self.replica.leads_with_current_state();
+        self.levels.note_lead(leads, now);
+        let group_level = self.group_level();
+        self.metrics.group_level.set(i64::from(group_level.0));
+        let raft = self.replica.raft();
+        let level = self.levels.common(raft.replica(), raft.membership());
+        if level <= group_level || !self.levels.may_propose(now) {
+            return;
+        }
+        let proposal = Proposal {
+            at: 0,
+            command: Command::Serving(self.raise_to(level)),
+        };
+        // A refusal means that the lead is over; the next leader looks again.
+        if self.replica.propose(&proposal).is_ok() {
+            spdlog::info!("level of the group raised", kv: {
+                from = group_level.0,
+                to = level.0,
+                members = self.replica.raft().membership().members.len(),
+            });
+        }
+    }
+
+    fn raise_to(&self, level: FeatureLevel) -> ServingCommand {
+        let serving = self.replica.state().serving();
+        let read = serving.content().and_then(|content| {
+            let configuration = (self.options.read_document)(content);
+            if configuration.is_none() {
+                spdlog::warn!("document held cannot be read: its quotas come with the next one");
+            }
+            configuration
+        });
+        ServingCommand::RaiseLevel {
+            level,
+            revision: serving.configuration().revision,
+            quotas: read.map_or_else(Vec::new, |configuration| configuration.quotas()),
+        }
+    }
+}
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -306,6 +306,7 @@
             voters: membership.voters().map(voter_address).collect(),
             routers: 0,
             quarantine: self.quarantine_after(request.quarantine_known),
+            group_level: self.state.serving().level(),
         }
     }
 
@@ -448,7 +449,7 @@
     claim_retention_ms: u64,
 ) -> Result<ControlState, Report<ControlError>> {
     if snapshot.state.is_empty() {
-        return Ok(ControlState::new(claim_retention_ms));
+        return Ok(ControlState::unknown(claim_retention_ms));
     }
     ControlState::read_from_buffer(&snapshot.state).change_context(ControlError::UnknownRecord)
 }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -16,7 +16,7 @@
 use railtack_core::{EngineId, ModelName};
 use railtack_http::{HttpClient, ServeOptions, body, observability};
 use railtack_rpc::{
-    Control,
+    Control, FeatureLevel, Sender,
     codec::ServerCodec,
     permits::{PermitReply, PermitRequest},
     protocol::{
@@ -227,8 +227,8 @@
 }
 
 impl Control for ControlService {
-    async fn deliver(self, _: Context, message: Message, reply_to: String) {
-        self.handle.deliver(message, reply_to);
+    async fn deliver(self, _: Context, message: Message, sender: Sender) {
+        self.handle.deliver(message, sender);
     }
 
     async fn poll(self, _: Context, request: PollRequest) -> PollReply {
@@ -267,6 +267,8 @@
             claims: 0,
             members: Vec::new(),
             routers: Vec::new(),
+            group_level: FeatureLevel::FIRST,
+            member_levels: Vec::new(),
         })
     }
 
@@ -351,6 +353,7 @@
         routers: 0,
         update: None,
         fleet: None,
+        group_level: FeatureLevel::FIRST,
     }
 }
 
@@ -365,6 +368,7 @@
         voters: Vec::new(),
         routers: 0,
         quarantine: None,
+        group_level: FeatureLevel::FIRST,
     }
 }
 
--- a/crates/control/src/serving/daemon.rs
+++ b/crates/control/src/serving/daemon.rs
@@ -13,7 +13,7 @@
     configuration::RevisionCheck,
     errors::ControlError,
     metrics::ControlMetrics,
-    node::{self, NodeOptions},
+    node::{self, NodeOptions, ReadDocument},
     peers::Peers,
     replica::{Replica, ReplicaOptions},
     server::{self, ControlService, GroupServices},
@@ -70,6 +70,8 @@
     pub bounds: Bounds,
     /// Time between heartbeats of back-end replicas.
     pub replica_heartbeat: Duration,
+    /// Reads documents.
+    pub read_document: ReadDocument,
 }
 
 /// Starts the replica and its tasks; they run for as long as the process.
@@ -95,6 +97,7 @@
         replace_silent_after: Some(options.bounds.contact_ms + ELECTION_TIMEOUT_MS * 2),
         tolerance: options.tolerance,
         reopen: Some(Box::new(move |now| open(&reopened, now))),
+        read_document: options.read_document,
     };
     let (node, _) = node::start(replica, peers, metrics.clone(), started, node_options);
     let link = Arc::new(LeaderLink::new(node.clone(), options.listen.to_string()));
--- a/crates/control/src/serving/formation.rs
+++ b/crates/control/src/serving/formation.rs
@@ -9,7 +9,7 @@
 
 use railtack_consensus::{DiskId, ReplicaId};
 use railtack_rpc::{
-    call_deadline,
+    FeatureLevel, call_deadline,
     serving::{JoinReply, JoinRequest},
 };
 use tokio::time::{Instant, sleep};
@@ -49,6 +49,7 @@
                 replica,
                 disk,
                 address: link.own_address().to_owned(),
+                level: FeatureLevel::OF_THIS_BUILD,
             };
             ask_all(&link, &request, &view.voters, &seeds).await;
         }
--- a/crates/control/src/serving/handle.rs
+++ b/crates/control/src/serving/handle.rs
@@ -4,10 +4,12 @@
 
 use railtack_consensus::ReplicaId;
 use railtack_rpc::{
-    call_deadline,
+    FeatureLevel, call_deadline,
     serving::{ConfigurationDocument, ServingCommand, ServingOutcome},
 };
-use railtack_serving::{FaultTolerance, HeldWeights, ReplicaKey, ReplicaRecord, ReplicaState};
+use railtack_serving::{
+    FaultTolerance, HeldWeights, Life, ReplicaKey, ReplicaRecord, ReplicaState,
+};
 
 use crate::{
     metrics::ControlMetrics,
@@ -83,7 +85,8 @@
         document: ConfigurationDocument,
     ) -> Result<ServingOutcome, Unavailable> {
         self.require_formed()?;
-        self.propose(ServingCommand::PutDocument(document)).await
+        let level = self.link.view().serving.level();
+        self.propose(ServingCommand::put(document, level)).await
     }
 
     /// The newest document, as it was sent.
@@ -120,6 +123,7 @@
             return Ok(HeartbeatPlace::Here);
         }
         record.changed_at = view.applied;
+        record.id = known_name(&view, record.id);
         let place = self.place_of(&view, &record.id);
         let is_newest = self.liveness.heartbeat(&record.id, sequence);
         if is_newest && needs_recording(&view, &record) {
@@ -154,6 +158,7 @@
     /// Removes a replica that says that it leaves for good.
     pub async fn deregister(&self, replica: String) -> Result<(), Unavailable> {
         let view = self.link.view();
+        let replica = known_name(&view, replica);
         if view.serving.has_departed(view.serving.meant_life(&replica)) {
             return Ok(());
         }
@@ -198,6 +203,14 @@
     }
 }
 
+/// The name by which a group at this level knows a replica: at the first one its identity, whatever its life.
+fn known_name(view: &NodeView, name: String) -> String {
+    if view.serving.level() >= FeatureLevel::SHARED_GRANTS {
+        return name;
+    }
+    Life::named(&name).replica.to_owned()
+}
+
 /// Whether a heartbeat comes from a replica of a service that is named, or that was when the replica was
 /// recorded. Before the first document none is named yet, and all are recorded.
 fn is_named(view: &NodeView, record: &ReplicaRecord) -> bool {
--- a/crates/control/src/serving/liveness.rs
+++ b/crates/control/src/serving/liveness.rs
@@ -8,7 +8,7 @@
 
 use futures::future::join_all;
 use railtack_rpc::{
-    call_deadline,
+    FeatureLevel, call_deadline,
     permits::LimitedReplica,
     serving::{AliveNotice, AliveReply, FleetDigest, ReplicaSighting, ServingCommand, SignOfLife},
 };
@@ -127,13 +127,14 @@
     /// Takes in what another control replica has heard.
     pub fn take_notice(&self, notice: AliveNotice) -> AliveReply {
         let now = Instant::now();
+        let signs = notice.signs();
         let fleet = {
             let mut fleet = self.fleet();
             fleet.take_control(notice.sender, notice.sightings, now);
             fleet.digest(now)
         };
         let mut heard = self.lock();
-        for sign in notice.replicas {
+        for sign in signs {
             let age = Duration::from_millis(u64::from(sign.age_ms));
             let at = now.checked_sub(age).unwrap_or(now);
             let known = heard.replicas.entry(sign.replica).or_insert(at);
@@ -215,7 +216,13 @@
     /// What the leader has to be told, and the moment up to which it then knows what came here. Signs of
     /// life that it knows are not told again: told four times a second for two seconds each, those of
     /// 10,000 replicas would be 1.5 MB a second.
-    fn notice(&self, sender: &str, leader: &str) -> (AliveNotice, Instant) {
+    /// A leader of a build that knows the first level only reads identities.
+    fn notice(
+        &self,
+        sender: &str,
+        leader: &str,
+        group_level: FeatureLevel,
+    ) -> (AliveNotice, Instant) {
         let now = Instant::now();
         let sightings = self.fleet().own_sightings(now);
         let mut heard = self.lock();
@@ -227,6 +234,12 @@
             None => now.saturating_duration_since(at) < TOLD_FOR,
         };
         let beats = heard.beats.iter().filter(|(_, beat)| is_news(beat.at));
+        let names = beats.clone().map(|(replica, _)| replica.clone());
+        let identities = if group_level < FeatureLevel::SHARED_GRANTS {
+            names.collect()
+        } else {
+            Vec::new()
+        };
         let replicas = beats.map(|(replica, beat)| {
             let age = now.saturating_duration_since(beat.at);
             SignOfLife {
@@ -237,6 +250,7 @@
         let routers = heard.asking_here.iter();
         let recent = routers.filter(|(_, at)| at.elapsed() < TOLD_FOR);
         let notice = AliveNotice {
+            identities,
             replicas: replicas.collect(),
             routers: recent.map(|(router, _)| router.clone()).collect(),
             sender: sender.to_owned(),
@@ -375,16 +389,16 @@
                 join_all(silent.into_iter().map(|replica| remove(&link, replica))).await;
             }
         } else if let Some(leader) = view.leader {
-            tell(&link, &liveness, leader).await;
+            tell(&link, &liveness, leader, view.serving.level()).await;
         }
     }
 }
 
-async fn tell(link: &LeaderLink, liveness: &Liveness, leader: String) {
+async fn tell(link: &LeaderLink, liveness: &Liveness, leader: String, group_level: FeatureLevel) {
     let Some(connection) = link.connection(&leader) else {
         return;
     };
-    let (notice, through) = liveness.notice(link.own_address(), &leader);
+    let (notice, through) = liveness.notice(link.own_address(), &leader, group_level);
     let reply = connection
         .call(|client| async move { client.alive(call_deadline(NOTICE_TIMEOUT), notice).await })
         .await;
--- a/crates/control/src/serving/registrar.rs
+++ b/crates/control/src/serving/registrar.rs
@@ -8,7 +8,7 @@
 
 use futures::future::join_all;
 use railtack_rpc::{
-    call_deadline,
+    FeatureLevel, call_deadline,
     serving::{Registration, ServingCommand, ServingOutcome},
 };
 use railtack_serving::{ReplicaRecord, ReplicaState};
@@ -115,13 +115,12 @@
             return true;
         }
         let records = batch.len();
-        let command = ServingCommand::RegisterAll(batch);
-        match self.link.propose_patiently(command, BATCH_TIMEOUT).await {
-            Ok(ServingOutcome::Registered(outcomes)) => {
+        match self.propose(batch, view.serving.level()).await {
+            Ok(outcomes) => {
                 self.settle(outcomes).await;
                 true
             }
-            other => {
+            Err(cause) => {
                 let waiting = {
                     let mut registrations = self.lock();
                     registrations.retry();
@@ -130,13 +129,40 @@
                 spdlog::warn!("registrations delayed", kv: {
                     records,
                     waiting,
-                    outcome = format!("{other:?}"),
+                    cause = cause.to_string(),
                 });
                 false
             }
         }
     }
 
+    /// Has a batch recorded in one entry of the log, or one by one while the group has members that know no
+    /// batches.
+    async fn propose(
+        &self,
+        batch: Vec<ReplicaRecord>,
+        level: FeatureLevel,
+    ) -> Result<Vec<Registration>, Unavailable> {
+        if level < FeatureLevel::SHARED_GRANTS {
+            let proposals = batch.into_iter().map(|record| self.propose_one(record));
+            return join_all(proposals).await.into_iter().collect();
+        }
+        let command = ServingCommand::RegisterAll(batch);
+        match self.link.propose_patiently(command, BATCH_TIMEOUT).await? {
+            ServingOutcome::Registered(outcomes) => Ok(outcomes),
+            _ => Err(Unavailable::NoLeader),
+        }
+    }
+
+    async fn propose_one(&self, record: ReplicaRecord) -> Result<Registration, Unavailable> {
+        let command = ServingCommand::Register(record);
+        match self.link.propose_patiently(command, BATCH_TIMEOUT).await? {
+            ServingOutcome::UnknownReplica => Ok(Registration::Departed),
+            ServingOutcome::AddressHeld { holder } => Ok(Registration::AddressHeld { holder }),
+            _ => Ok(Registration::Recorded),
+        }
+    }
+
     async fn settle(&self, outcomes: Vec<Registration>) {
         let settled = self.lock().settle(outcomes);
         self.metrics.registrations.inc_by(settled.len() as u64);
--- a/crates/control/src/serving/watch.rs
+++ b/crates/control/src/serving/watch.rs
@@ -105,7 +105,9 @@
         let gathering = gathering_time(&request, asked_at.elapsed(), interval);
         sleep(gathering).await;
         let view = self.link.view();
-        let update = if request.takes_records {
+        let update = if !request.takes_parts {
+            view.serving.whole_update_after(known)
+        } else if request.takes_records {
             view.serving.update_after(known)
         } else {
             view.serving.changes_after(known)
@@ -118,6 +120,7 @@
             routers: self.liveness.routers(),
             update,
             fleet: self.liveness.fleet_digest(),
+            group_level: view.serving.level(),
         }
     }
 
--- a/crates/control/src/serving_state.rs
+++ b/crates/control/src/serving_state.rs
@@ -17,15 +17,20 @@
     reported_ends::ReportedEnds,
 };
 use railtack_consensus::LogIndex;
-use railtack_rpc::serving::{
-    ConfigurationDocument, Known, QuarantineUpdate, Registration, ServingCommand, ServingOutcome,
-    ServingUpdate,
+use railtack_rpc::{
+    FeatureLevel,
+    serving::{
+        ConfigurationDocument, Known, QuarantineUpdate, Registration, ServingCommand,
+        ServingOutcome, ServingUpdate,
+    },
 };
 use railtack_serving::{
     HeldWeights, Life, PendingOrder, ReplicaKey, ReplicaRecord, ReplicaState, ServingConfiguration,
+    TenantQuota,
 };
 
 mod departed;
+mod first_level;
 pub mod quarantine;
 pub mod registry;
 mod reported_ends;
@@ -43,9 +48,19 @@
 /// All records at once, of 140 bytes each, took longer than that from some 3,000 replicas on.
 const RECORDS_IN_ANSWER: usize = 512;
 
+/// What a router is told at most in one answer.
+#[derive(Clone, Copy)]
+struct AnswerLimits {
+    /// Records of replicas.
+    records: usize,
+    /// Records of replicas that the router was never told.
+    new_records: usize,
+}
+
 /// What routers serve from, and who may give orders. A copy shares what it can.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServingState {
+    level: FeatureLevel,
     content: Arc<Vec<u8>>,
     configuration: Arc<ServingConfiguration>,
     configuration_at: LogIndex,
@@ -58,7 +73,36 @@
     reported_ends: Arc<ReportedEnds>,
 }
 
+impl Default for ServingState {
+    /// The state of a new group, of which all members have this build.
+    fn default() -> Self {
+        Self::at(FeatureLevel::OF_THIS_BUILD)
+    }
+}
+
 impl ServingState {
+    /// An empty state of a group at a level.
+    pub fn at(level: FeatureLevel) -> Self {
+        Self {
+            level,
+            content: Arc::default(),
+            configuration: Arc::default(),
+            configuration_at: 0,
+            replicas: ReplicaRegistry::default(),
+            departed: Departed::default(),
+            weights: BTreeMap::new(),
+            changed_at: 0,
+            order_right: None,
+            quarantine: Arc::default(),
+            reported_ends: Arc::default(),
+        }
+    }
+
+    /// What the members of the group do together.
+    pub fn level(&self) -> FeatureLevel {
+        self.level
+    }
+
     /// The bytes of the document held; `None` before the first.
     pub fn content(&self) -> Option<&[u8]> {
         (self.configuration_at > 0).then_some(self.content.as_slice())
@@ -113,8 +157,22 @@
 
     /// Applies one committed command.
     pub fn apply(&mut self, index: LogIndex, command: ServingCommand) -> ServingOutcome {
+        // Some builds proposed what needs a level without raising it first; their groups had no other members.
+        self.level = self.level.max(command.needs_level());
         match command {
             ServingCommand::PutDocument(document) => self.put_document(index, document),
+            ServingCommand::PutDocumentWithQuotas {
+                mut document,
+                quotas,
+            } => {
+                document.configuration.set_quotas(quotas);
+                self.put_document(index, document)
+            }
+            ServingCommand::RaiseLevel {
+                level,
+                revision,
+                quotas,
+            } => self.raise_level(index, level, revision, quotas),
             ServingCommand::Register(record) => match self.register(index, record) {
                 Registration::Recorded => ServingOutcome::Done,
                 Registration::Departed => ServingOutcome::UnknownReplica,
@@ -167,25 +225,51 @@
     /// here. Everything but the records of replicas is told at once, and of these as many as one answer may
     /// hold.
     pub fn update_after(&self, known: Known) -> Option<ServingUpdate> {
-        self.update_with(known, RECORDS_IN_ANSWER)
+        let limits = AnswerLimits {
+            records: RECORDS_IN_ANSWER,
+            new_records: RECORDS_IN_ANSWER,
+        };
+        self.update_with(known, limits)
+    }
+
+    /// All that a router lacks, in one answer: for routers of a build that takes no parts, and that knows a
+    /// replica by its identity alone.
+    pub fn whole_update_after(&self, known: Known) -> Option<ServingUpdate> {
+        let limits = AnswerLimits {
+            records: usize::MAX,
+            new_records: usize::MAX,
+        };
+        let mut update = self.update_with(known, limits)?;
+        for record in &mut update.replicas {
+            record.id = record.instance().to_owned();
+        }
+        let ended = update.removed.into_iter();
+        let ended = ended.map(|name| Life::named(&name).replica.to_owned());
+        update.removed = ended
+            .filter(|replica| self.replicas.life_of(replica).is_none())
+            .collect();
+        Some(update)
     }
 
     /// The same without records that the router was never told.
     pub fn changes_after(&self, known: Known) -> Option<ServingUpdate> {
-        self.update_with(known, 0)
+        let limits = AnswerLimits {
+            records: RECORDS_IN_ANSWER,
+            new_records: 0,
+        };
+        self.update_with(known, limits)
             .filter(|update| update.known != known)
     }
 
-    /// What a router lacks, with so many records at most that it was never told.
-    fn update_with(&self, known: Known, most_new: usize) -> Option<ServingUpdate> {
+    fn update_with(&self, known: Known, limits: AnswerLimits) -> Option<ServingUpdate> {
         if known.through > self.changed_at || known.records_through >= self.changed_at {
             return None;
         }
         let complete = known.through == 0 || known.through < self.departed.complete_after();
         let (replicas, reached) = if complete {
-            self.first_records(most_new)
+            self.first_records(limits)
         } else {
-            self.records_after(known, most_new)
+            self.records_after(known, limits)
         };
         let configuration =
             (self.configuration_at > known.through).then(|| self.configuration().clone());
@@ -204,8 +288,9 @@
     }
 
     /// The first records for a router that knows none: nothing that it knows can be outdated.
-    fn first_records(&self, most: usize) -> (Vec<ReplicaRecord>, Known) {
-        let (records, records_through) = self.records_between(0, self.changed_at, most);
+    fn first_records(&self, limits: AnswerLimits) -> (Vec<ReplicaRecord>, Known) {
+        let (records, records_through) =
+            self.records_between(0, self.changed_at, limits.new_records);
         let reached = Known {
             through: self.changed_at,
             changes_through: self.changed_at,
@@ -216,14 +301,15 @@
 
     /// The records for one answer: first those that changed, and of those that the router was never told
     /// as many as there is room for.
-    fn records_after(&self, known: Known, most_new: usize) -> (Vec<ReplicaRecord>, Known) {
+    fn records_after(&self, known: Known, limits: AnswerLimits) -> (Vec<ReplicaRecord>, Known) {
         let (mut records, changes_through) =
-            self.records_between(known.changes_through, self.changed_at, RECORDS_IN_ANSWER);
+            self.records_between(known.changes_through, self.changed_at, limits.records);
         let was_whole = known.records_through >= known.changes_through;
         let mut records_through = known.records_through;
-        let room = RECORDS_IN_ANSWER
+        let room = limits
+            .records
             .saturating_sub(records.len())
-            .min(most_new);
+            .min(limits.new_records);
         if was_whole {
             records_through = changes_through;
         } else if changes_through == self.changed_at && room > 0 {
@@ -290,7 +376,30 @@
         ServingOutcome::Done
     }
 
+    /// Quotas of the document held come with the level from which on the group holds them.
+    fn raise_level(
+        &mut self,
+        index: LogIndex,
+        level: FeatureLevel,
+        revision: u64,
+        quotas: Vec<(String, TenantQuota)>,
+    ) -> ServingOutcome {
+        if level <= self.level || revision != self.configuration.revision {
+            return ServingOutcome::Superseded;
+        }
+        self.level = level;
+        self.changed_at = index;
+        if self.has_configuration() {
+            Arc::make_mut(&mut self.configuration).set_quotas(quotas);
+            self.configuration_at = index;
+        }
+        ServingOutcome::Done
+    }
+
     fn register(&mut self, index: LogIndex, mut record: ReplicaRecord) -> Registration {
+        if self.level < FeatureLevel::SHARED_GRANTS {
+            return self.register_at_first_level(index, record);
+        }
         if self.has_departed(&record.id) || self.was_removed_since(&record) {
             return Registration::Departed;
         }
@@ -313,6 +422,10 @@
             }
             self.retract_end(index, &record.id);
         }
+        self.keep_record(index, record)
+    }
+
+    fn keep_record(&mut self, index: LogIndex, mut record: ReplicaRecord) -> Registration {
         record.order = record.order.take().filter(|order| {
             let held = record.version_of(&order.model);
             held.is_none_or(|held| held < order.version)
--- a/crates/control/src/serving_state/stored.rs
+++ b/crates/control/src/serving_state/stored.rs
@@ -1,5 +1,6 @@
 //! The serving state as snapshots hold it: plain collections, in the layout of the first build, with
-//! what was added later at the end. A snapshot of an earlier build ends before it.
+//! what was added later at the end. A snapshot of a group at the first level ends before it, whichever build
+//! writes it.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -7,7 +8,8 @@
 };
 
 use railtack_consensus::LogIndex;
-use railtack_serving::{ReplicaRecord, ServingConfiguration};
+use railtack_rpc::FeatureLevel;
+use railtack_serving::{ReplicaRecord, ServingConfiguration, TenantQuota};
 use speedy::{Context, Readable, Reader, Writable, Writer};
 
 use super::{
@@ -28,9 +30,58 @@
     changed_at: LogIndex,
     order_right: Option<OrderRight>,
     #[speedy(default_on_eof)]
+    later: Later,
+}
+
+/// What the first level does not have.
+#[derive(Default)]
+struct Later(Option<LaterParts>);
+
+#[derive(Readable, Writable)]
+struct LaterParts {
     quarantine: Quarantine,
     #[speedy(default_on_eof)]
     reported_ends: ReportedEnds,
+    #[speedy(default_on_eof)]
+    level: StoredLevel,
+    #[speedy(default_on_eof)]
+    quotas: Vec<(String, TenantQuota)>,
+}
+
+/// The group's level. Builds that wrote these parts without one did all of that level.
+#[derive(Readable, Writable)]
+struct StoredLevel(FeatureLevel);
+
+impl Default for StoredLevel {
+    fn default() -> Self {
+        Self(FeatureLevel::SHARED_GRANTS)
+    }
+}
+
+impl From<&ServingState> for Later {
+    fn from(state: &ServingState) -> Self {
+        let has_parts = state.level > FeatureLevel::FIRST;
+        Self(has_parts.then(|| LaterParts {
+            quarantine: Quarantine::clone(&state.quarantine),
+            reported_ends: ReportedEnds::clone(&state.reported_ends),
+            level: StoredLevel(state.level),
+            quotas: state.configuration.quotas(),
+        }))
+    }
+}
+
+impl<C: Context> Writable<C> for Later {
+    fn write_to<T: ?Sized + Writer<C>>(&self, writer: &mut T) -> Result<(), C::Error> {
+        self.0
+            .as_ref()
+            .map_or(Ok(()), |parts| parts.write_to(writer))
+    }
+}
+
+impl<'a, C: Context> Readable<'a, C> for Later {
+    fn read_from<R: Reader<'a, C>>(reader: &mut R) -> Result<Self, C::Error> {
+        LaterParts::read_from(reader).map(|parts| Self(Some(parts)))
+    }
 }
 
 impl From<&ServingState> for StoredState {
@@ -49,17 +100,25 @@
             weights: state.weights.clone(),
             changed_at: state.changed_at,
             order_right: state.order_right.clone(),
-            quarantine: Quarantine::clone(&state.quarantine),
-            reported_ends: ReportedEnds::clone(&state.reported_ends),
+            later: Later::from(state),
         }
     }
 }
 
 impl From<StoredState> for ServingState {
     fn from(stored: StoredState) -> Self {
+        let later = stored.later.0.unwrap_or_else(|| LaterParts {
+            quarantine: Quarantine::default(),
+            reported_ends: ReportedEnds::default(),
+            level: StoredLevel(FeatureLevel::FIRST),
+            quotas: Vec::new(),
+        });
+        let mut configuration = stored.configuration;
+        configuration.set_quotas(later.quotas);
         Self {
+            level: later.level.0,
             content: Arc::new(stored.content),
-            configuration: Arc::new(stored.configuration),
+            configuration: Arc::new(configuration),
             configuration_at: stored.configuration_at,
             replicas: stored.replicas.into_values().collect(),
             departed: Departed::restored(
@@ -70,8 +129,8 @@
             weights: stored.weights,
             changed_at: stored.changed_at,
             order_right: stored.order_right,
-            quarantine: Arc::new(stored.quarantine),
-            reported_ends: Arc::new(stored.reported_ends),
+            quarantine: Arc::new(later.quarantine),
+            reported_ends: Arc::new(later.reported_ends),
         }
     }
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -7,9 +7,12 @@
 
 use railtack_consensus::LogIndex;
 use railtack_core::{EngineId, OperationId};
-use railtack_rpc::protocol::{
-    AcceptedChange, Command, Configuration, ConfigurationChange, ConfigurationUpdate, EngineOrder,
-    Outcome, Proposal, UnixMillis,
+use railtack_rpc::{
+    FeatureLevel,
+    protocol::{
+        AcceptedChange, Command, Configuration, ConfigurationChange, ConfigurationUpdate,
+        EngineOrder, Outcome, Proposal, UnixMillis,
+    },
 };
 use speedy::{Readable, Writable};
 
@@ -67,6 +70,14 @@
         }
     }
 
+    /// The state of a member that has not been sent any yet, so that it knows nothing of its group.
+    pub fn unknown(claim_retention_ms: u64) -> Self {
+        Self {
+            serving: ServingState::at(FeatureLevel::FIRST),
+            ..Self::new(claim_retention_ms)
+        }
+    }
+
     /// All configuration.
     pub fn configuration(&self) -> &Configuration {
         &self.configuration
--- /dev/null
+++ b/crates/control/tests/first_level.rs
@@ -0,0 +1,195 @@
+//! A group that has members of a former build, on one state whichever build applies a command.
+
+mod production_state;
+
+use production_state::ServingState as FormerState;
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use railtack_consensus::{DiskId, Member, Membership, ReplicaId};
+use railtack_control::{node::level::MemberLevels, serving_state::ServingState};
+use railtack_rpc::{
+    FeatureLevel,
+    serving::{ConfigurationDocument, ServingCommand, ServingOutcome},
+};
+use railtack_serving::{
+    HeldWeights, PendingOrder, QuotaUnit, ReplicaRecord, ReplicaState, ServingConfiguration,
+    TenantQuota, TenantShape,
+};
+use speedy::{Readable, Writable};
+
+const QUOTA: TenantQuota = TenantQuota {
+    unit: QuotaUnit::Requests,
+    rate_per_s: 5,
+    burst: 10,
+    unstated_tokens: 0,
+};
+
+fn document(revision: u64) -> ConfigurationDocument {
+    ConfigurationDocument {
+        revision,
+        content: revision.to_le_bytes().to_vec(),
+        configuration: ServingConfiguration {
+            revision,
+            tenants: vec![TenantShape {
+                name: "registry".to_owned(),
+                api_keys: vec!["key".to_owned()],
+                priority: None,
+                isolated: false,
+                quota: Some(QUOTA),
+            }],
+            ..ServingConfiguration::default()
+        },
+    }
+}
+
+/// A command that a member of any build may find in the log.
+#[derive(Clone, Debug)]
+struct AnyCommand(ServingCommand);
+
+impl Arbitrary for AnyCommand {
+    fn arbitrary(source: &mut Gen) -> Self {
+        let number = u64::arbitrary(source) % 6;
+        let model = "valuation".to_owned();
+        let version = u64::arbitrary(source) % 4;
+        let replica = format!("r-{number}");
+        let leaves = u8::arbitrary(source) % 4 == 0;
+        let record = ReplicaRecord {
+            id: replica.clone(),
+            service: "pool".to_owned(),
+            address: format!("10.0.0.1:{}", u64::arbitrary(source) % 4),
+            zone: "a".to_owned(),
+            slots: 4,
+            state: if leaves {
+                ReplicaState::Leaving
+            } else {
+                ReplicaState::Ready
+            },
+            weights: vec![HeldWeights {
+                model: model.clone(),
+                version,
+            }],
+            order: None,
+            changed_at: u64::arbitrary(source) % 9,
+        };
+        Self(match u8::arbitrary(source) % 9 {
+            0 => ServingCommand::PutDocument(document(number)),
+            1..=4 => ServingCommand::Register(record),
+            5 => ServingCommand::Deregister { replica },
+            6 => ServingCommand::Expire { replica },
+            7 => ServingCommand::BeginOrder {
+                token: u64::arbitrary(source) % 9,
+                replica,
+                order: PendingOrder { model, version },
+            },
+            _ if leaves => ServingCommand::AcquireOrders { holder: replica },
+            _ => ServingCommand::NameWeights(HeldWeights { model, version }),
+        })
+    }
+}
+
+/// As the log holds it.
+fn from_log(command: &ServingCommand) -> ServingCommand {
+    let bytes = command.write_to_vec().expect("encoded");
+    ServingCommand::read_from_buffer(&bytes).expect("decoded")
+}
+
+quickcheck! {
+    /// Members of both builds hold the same state after each command, down to the bytes of their snapshots.
+    fn members_of_both_builds_hold_one_state(commands: Vec<AnyCommand>) -> bool {
+        let mut former = FormerState::default();
+        let mut present = ServingState::at(FeatureLevel::FIRST);
+        commands.iter().enumerate().all(|(position, AnyCommand(command))| {
+            let index = position as u64 + 1;
+            let is_same_outcome =
+                former.apply(index, from_log(command)) == present.apply(index, from_log(command));
+            let same_bytes = former.write_to_vec().expect("encoded")
+                == present.write_to_vec().expect("encoded");
+            // One that is replaced, and back to the former build, goes on from the same state.
+            let bytes = former.write_to_vec().expect("encoded");
+            present = ServingState::read_from_buffer(&bytes).expect("decoded");
+            is_same_outcome && same_bytes
+        })
+    }
+}
+
+fn raise(revision: u64) -> ServingCommand {
+    ServingCommand::RaiseLevel {
+        level: FeatureLevel::OF_THIS_BUILD,
+        revision,
+        quotas: document(revision).configuration.quotas(),
+    }
+}
+
+#[test]
+fn quotas_come_into_force_with_the_level() {
+    let mut state = ServingState::at(FeatureLevel::FIRST);
+    let put = ServingCommand::put(document(3), state.level());
+    assert!(put.fits(FeatureLevel::FIRST));
+    state.apply(1, from_log(&put));
+    assert_eq!(state.configuration().tenants[0].quota, None);
+    // What was read of a document that is held no more raises nothing.
+    assert_eq!(state.apply(2, raise(2)), ServingOutcome::Superseded);
+    assert_eq!(state.level(), FeatureLevel::FIRST);
+    assert_eq!(state.apply(3, from_log(&raise(3))), ServingOutcome::Done);
+    assert_eq!(state.level(), FeatureLevel::OF_THIS_BUILD);
+    assert_eq!(state.configuration().tenants[0].quota, Some(QUOTA));
+    assert_eq!(state.apply(4, raise(3)), ServingOutcome::Superseded);
+    let bytes = state.write_to_vec().expect("encoded");
+    assert_eq!(
+        ServingState::read_from_buffer(&bytes).expect("decoded"),
+        state
+    );
+    // A document that was made before would take them back.
+    assert!(!put.fits(state.level()));
+    let put = ServingCommand::put(document(4), state.level());
+    state.apply(5, from_log(&put));
+    assert_eq!(state.configuration().tenants[0].quota, Some(QUOTA));
+}
+
+#[test]
+fn a_former_log_with_commands_above_the_first_level_is_applied_by_them() {
+    let mut state = ServingState::at(FeatureLevel::FIRST);
+    state.apply(1, ServingCommand::RegisterAll(Vec::new()));
+    assert_eq!(state.level(), FeatureLevel::SHARED_GRANTS);
+}
+
+fn membership(voters: u32, learners: u32) -> Membership {
+    let members = (1..=voters + learners).map(|number| Member {
+        replica: ReplicaId(number),
+        disk: DiskId(u64::from(number)),
+        address: format!("10.0.0.{number}:1"),
+        voter: number <= voters,
+    });
+    Membership {
+        members: members.collect(),
+    }
+}
+
+#[test]
+fn the_level_is_raised_only_once_all_members_have_said_that_they_can() {
+    let own = ReplicaId(1);
+    let high = FeatureLevel::OF_THIS_BUILD;
+    let group = membership(3, 1);
+    let mut levels = MemberLevels::default();
+    for member in 2..=4 {
+        levels.hear(ReplicaId(member), high, 10);
+    }
+    // What was said before the lead began may be out of date.
+    assert_eq!(levels.common(own, &group), FeatureLevel::FIRST);
+    levels.note_lead(true, 20);
+    assert_eq!(levels.common(own, &group), FeatureLevel::FIRST);
+    levels.hear(ReplicaId(2), high, 30);
+    levels.hear(ReplicaId(3), high, 30);
+    // The learner has said nothing.
+    assert_eq!(levels.common(own, &group), FeatureLevel::FIRST);
+    levels.hear(ReplicaId(4), high, 31);
+    assert_eq!(levels.common(own, &group), high);
+    // One is replaced by the former build again.
+    levels.hear(ReplicaId(3), FeatureLevel::FIRST, 40);
+    assert_eq!(levels.common(own, &group), FeatureLevel::FIRST);
+    levels.hear(ReplicaId(3), FeatureLevel(high.0 + 1), 50);
+    assert_eq!(levels.common(own, &group), high);
+    levels.note_lead(false, 60);
+    assert_eq!(levels.common(own, &group), FeatureLevel::FIRST);
+    levels.note_lead(true, 70);
+    assert_eq!(levels.common(own, &membership(1, 0)), high);
+}
--- a/crates/control/tests/former_build.rs
+++ b/crates/control/tests/former_build.rs
@@ -15,10 +15,13 @@
 };
 
 use railtack_consensus::{DiskId, ReplicaId};
-use railtack_control::{Replica, ReplicaOptions, configuration::RevisionCheck};
-use railtack_rpc::service::{ControlRequest, ControlResponse};
+use railtack_control::{ControlState, Replica, ReplicaOptions, configuration::RevisionCheck};
+use railtack_rpc::{
+    FeatureLevel,
+    service::{ControlRequest, ControlResponse},
+};
 use railtack_storage::FileMedia;
-use speedy::Readable;
+use speedy::{Readable, Writable};
 
 fn data() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/data/production")
@@ -175,3 +178,38 @@
         ControlRequest::Deliver { .. }
     ));
 }
+
+/// That build passes over what follows the message that it knows.
+#[test]
+fn what_is_written_begins_with_what_a_former_build_wrote() {
+    let requests = [
+        "watch-request",
+        "alive-notice",
+        "poll-request",
+        "propose-request",
+        "join-request",
+        "read-index-request",
+        "deliver-request",
+    ];
+    for name in requests {
+        let written = request(name).write_to_vec().expect("encoded");
+        assert!(written.starts_with(&message(name)), "{name}");
+    }
+    for name in ["watch-reply", "alive-reply", "poll-reply", "propose-reply"] {
+        let written = response(name).write_to_vec().expect("encoded");
+        assert!(written.starts_with(&message(name)), "{name}");
+    }
+    // What enters the log or a snapshot has nothing behind it either.
+    let proposed = request("propose-request").write_to_vec().expect("encoded");
+    assert_eq!(proposed, message("propose-request"));
+}
+
+#[test]
+fn a_former_state_is_written_as_it_was() {
+    let media = FileMedia::open(copy_of_its_folder("former-state")).expect("a folder");
+    let replica = Replica::open(&media, options(), 0).expect("opened");
+    let bytes = &replica.raft().log().snapshot().state;
+    let state = ControlState::read_from_buffer(bytes).expect("a state");
+    assert_eq!(state.serving().level(), FeatureLevel::FIRST);
+    assert_eq!(&state.write_to_vec().expect("encoded"), bytes);
+}
--- a/crates/control/tests/members.rs
+++ b/crates/control/tests/members.rs
@@ -4,7 +4,7 @@
 
 use railtack_consensus::{DiskId, Member, Membership, ReplicaId};
 use railtack_control::members::{MemberFacts, next_membership};
-use railtack_rpc::serving::JoinRequest;
+use railtack_rpc::{FeatureLevel, serving::JoinRequest};
 use railtack_serving::FaultTolerance;
 
 const LIMIT_MS: u64 = 4_000;
@@ -23,6 +23,7 @@
         replica: ReplicaId(number),
         disk: DiskId(u64::from(number)),
         address: format!("10.0.0.{address_of}:1"),
+        level: FeatureLevel::OF_THIS_BUILD,
     };
     (ReplicaId(number), request)
 }
--- /dev/null
+++ b/crates/control/tests/production_state/mod.rs
@@ -0,0 +1,219 @@
+//! The serving state as the first build that was in production applied commands, kept as it was: a judge of what
+//! today's builds do while such a build is a member of their group.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use railtack_consensus::LogIndex;
+use railtack_rpc::serving::{ConfigurationDocument, ServingCommand, ServingOutcome};
+use railtack_serving::{
+    HeldWeights, PendingOrder, ReplicaRecord, ReplicaState, ServingConfiguration,
+};
+use rpds::{RedBlackTreeMapSync, RedBlackTreeSetSync};
+
+mod stored;
+
+/// Replicas that have left and are remembered, so that their late messages do not revive them and
+/// routers can be told only what changed.
+const DEPARTED_KEPT: usize = 1_024;
+
+/// The right to give orders to back ends.
+#[derive(Clone, Debug, PartialEq, Eq, speedy::Readable, speedy::Writable)]
+struct OrderRight {
+    holder: String,
+    token: u64,
+}
+
+/// Back-end replicas by identity.
+pub type ReplicaMap = RedBlackTreeMapSync<String, ReplicaRecord>;
+
+/// What routers serve from, and who may give orders. A copy shares what it can.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ServingState {
+    content: Arc<Vec<u8>>,
+    configuration: Arc<ServingConfiguration>,
+    configuration_at: LogIndex,
+    replicas: ReplicaMap,
+    /// Replicas that have left, oldest first.
+    departed: RedBlackTreeSetSync<(LogIndex, String)>,
+    departed_ids: RedBlackTreeSetSync<String>,
+    departed_complete_after: LogIndex,
+    weights: BTreeMap<String, u64>,
+    changed_at: LogIndex,
+    order_right: Option<OrderRight>,
+}
+
+impl ServingState {
+    /// What the document held means.
+    pub fn configuration(&self) -> &ServingConfiguration {
+        &self.configuration
+    }
+
+    /// Whether a document is held.
+    pub fn has_configuration(&self) -> bool {
+        self.configuration_at > 0
+    }
+
+    /// Whether a replica of this identity has left.
+    pub fn has_departed(&self, replica: &str) -> bool {
+        self.departed_ids.contains(replica)
+    }
+
+    /// Applies one committed command.
+    pub fn apply(&mut self, index: LogIndex, command: ServingCommand) -> ServingOutcome {
+        match command {
+            ServingCommand::PutDocument(document) => self.put_document(index, document),
+            ServingCommand::Register(record) => self.register(index, record),
+            ServingCommand::Deregister { replica } => self.deregister(index, &replica),
+            ServingCommand::Expire { replica } => self.expire(index, &replica),
+            ServingCommand::NameWeights(named) => self.name_weights(index, named),
+            ServingCommand::AcquireOrders { holder } => self.acquire_orders(index, holder),
+            ServingCommand::BeginOrder {
+                token,
+                replica,
+                order,
+            } => self.begin_order(index, token, &replica, order),
+            unknown => panic!("that build cannot read {unknown:?}"),
+        }
+    }
+
+    fn put_document(&mut self, index: LogIndex, document: ConfigurationDocument) -> ServingOutcome {
+        if self.has_configuration() && document.revision <= self.configuration.revision {
+            return ServingOutcome::Superseded;
+        }
+        self.content = Arc::new(document.content);
+        self.configuration = Arc::new(document.configuration);
+        self.configuration_at = index;
+        self.changed_at = index;
+        ServingOutcome::Done
+    }
+
+    fn register(&mut self, index: LogIndex, mut record: ReplicaRecord) -> ServingOutcome {
+        if self.has_departed(&record.id) {
+            return ServingOutcome::UnknownReplica;
+        }
+        self.remove_former_at(index, &record);
+        if let Some(known) = self.replicas.get(&record.id) {
+            record = merged(known, record);
+        }
+        record.order = record.order.take().filter(|order| {
+            let held = record.version_of(&order.model);
+            held.is_none_or(|held| held < order.version)
+        });
+        // The same heartbeat may be recorded several times: it reaches several control replicas,
+        // and a proposal whose answer is late is made again. Only the first is told to routers.
+        if self.replicas.get(&record.id) == Some(&record) {
+            return ServingOutcome::Done;
+        }
+        record.changed_at = index;
+        self.changed_at = index;
+        self.replicas.insert_mut(record.id.clone(), record);
+        ServingOutcome::Done
+    }
+
+    /// A new life at the address of another one means that the other one has ended.
+    fn remove_former_at(&mut self, index: LogIndex, record: &ReplicaRecord) {
+        let former: Vec<String> = self
+            .replicas
+            .values()
+            .filter(|known| known.address == record.address && known.id != record.id)
+            .map(|known| known.id.clone())
+            .collect();
+        for replica in former {
+            self.deregister(index, &replica);
+        }
+    }
+
+    fn deregister(&mut self, index: LogIndex, replica: &str) -> ServingOutcome {
+        if self.has_departed(replica) {
+            return ServingOutcome::Done;
+        }
+        self.departed_ids.insert_mut(replica.to_owned());
+        self.remove(index, replica);
+        ServingOutcome::Done
+    }
+
+    fn expire(&mut self, index: LogIndex, replica: &str) -> ServingOutcome {
+        if !self.replicas.contains_key(replica) {
+            return ServingOutcome::UnknownReplica;
+        }
+        self.remove(index, replica);
+        ServingOutcome::Done
+    }
+
+    /// Removes a replica and remembers that, for routers that know it.
+    fn remove(&mut self, index: LogIndex, replica: &str) {
+        self.replicas.remove_mut(replica);
+        self.changed_at = index;
+        self.departed.insert_mut((index, replica.to_owned()));
+        if self.departed.size() > DEPARTED_KEPT
+            && let Some(oldest) = self.departed.first().cloned()
+        {
+            self.departed.remove_mut(&oldest);
+            self.departed_ids.remove_mut(&oldest.1);
+            self.departed_complete_after = oldest.0;
+        }
+    }
+
+    fn name_weights(&mut self, index: LogIndex, named: HeldWeights) -> ServingOutcome {
+        let known = self.weights.get(&named.model).copied().unwrap_or(0);
+        if named.version <= known {
+            return ServingOutcome::Superseded;
+        }
+        self.weights.insert(named.model, named.version);
+        self.changed_at = index;
+        ServingOutcome::Done
+    }
+
+    fn acquire_orders(&mut self, index: LogIndex, holder: String) -> ServingOutcome {
+        let former = self.order_right.take();
+        let taken_over = former.is_some_and(|former| former.holder != holder);
+        self.order_right = Some(OrderRight {
+            holder,
+            token: index,
+        });
+        ServingOutcome::OrdersAcquired {
+            token: index,
+            taken_over,
+        }
+    }
+
+    fn begin_order(
+        &mut self,
+        index: LogIndex,
+        token: u64,
+        replica: &str,
+        order: PendingOrder,
+    ) -> ServingOutcome {
+        let is_holder = self
+            .order_right
+            .as_ref()
+            .is_some_and(|right| right.token == token);
+        if !is_holder {
+            return ServingOutcome::NotHolder;
+        }
+        let Some(record) = self.replicas.get_mut(replica) else {
+            return ServingOutcome::UnknownReplica;
+        };
+        if record.order.as_ref() == Some(&order) {
+            return ServingOutcome::Done;
+        }
+        record.order = Some(order);
+        record.changed_at = index;
+        self.changed_at = index;
+        ServingOutcome::Done
+    }
+}
+
+/// Takes in what a replica says now without going back on what it said before.
+fn merged(known: &ReplicaRecord, mut said: ReplicaRecord) -> ReplicaRecord {
+    if known.state == ReplicaState::Leaving {
+        said.state = ReplicaState::Leaving;
+    }
+    for held in &mut said.weights {
+        let before = known.version_of(&held.model).unwrap_or(0);
+        held.version = held.version.max(before);
+    }
+    said.order = known.order.clone();
+    said.changed_at = known.changed_at;
+    said
+}
--- /dev/null
+++ b/crates/control/tests/production_state/stored.rs
@@ -0,0 +1,75 @@
+//! The serving state as snapshots hold it: plain collections, in the layout of the first build.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use railtack_consensus::LogIndex;
+use railtack_serving::{ReplicaRecord, ServingConfiguration};
+use speedy::{Context, Readable, Reader, Writable, Writer};
+
+use super::{OrderRight, ServingState};
+
+#[derive(Readable, Writable)]
+struct StoredState {
+    content: Vec<u8>,
+    configuration: ServingConfiguration,
+    configuration_at: LogIndex,
+    replicas: BTreeMap<String, ReplicaRecord>,
+    departed: BTreeSet<(LogIndex, String)>,
+    departed_ids: BTreeSet<String>,
+    departed_complete_after: LogIndex,
+    weights: BTreeMap<String, u64>,
+    changed_at: LogIndex,
+    order_right: Option<OrderRight>,
+}
+
+impl From<&ServingState> for StoredState {
+    fn from(state: &ServingState) -> Self {
+        let replicas = state.replicas.iter();
+        Self {
+            content: state.content.to_vec(),
+            configuration: state.configuration().clone(),
+            configuration_at: state.configuration_at,
+            replicas: replicas
+                .map(|(id, record)| (id.clone(), record.clone()))
+                .collect(),
+            departed: state.departed.iter().cloned().collect(),
+            departed_ids: state.departed_ids.iter().cloned().collect(),
+            departed_complete_after: state.departed_complete_after,
+            weights: state.weights.clone(),
+            changed_at: state.changed_at,
+            order_right: state.order_right.clone(),
+        }
+    }
+}
+
+impl From<StoredState> for ServingState {
+    fn from(stored: StoredState) -> Self {
+        Self {
+            content: Arc::new(stored.content),
+            configuration: Arc::new(stored.configuration),
+            configuration_at: stored.configuration_at,
+            replicas: stored.replicas.into_iter().collect(),
+            departed: stored.departed.into_iter().collect(),
+            departed_ids: stored.departed_ids.into_iter().collect(),
+            departed_complete_after: stored.departed_complete_after,
+            weights: stored.weights,
+            changed_at: stored.changed_at,
+            order_right: stored.order_right,
+        }
+    }
+}
+
+impl<C: Context> Writable<C> for ServingState {
+    fn write_to<T: ?Sized + Writer<C>>(&self, writer: &mut T) -> Result<(), C::Error> {
+        StoredState::from(self).write_to(writer)
+    }
+}
+
+impl<'a, C: Context> Readable<'a, C> for ServingState {
+    fn read_from<R: Reader<'a, C>>(reader: &mut R) -> Result<Self, C::Error> {
+        StoredState::read_from(reader).map(Self::from)
+    }
+}
--- a/crates/control/tests/watch.rs
+++ b/crates/control/tests/watch.rs
@@ -13,6 +13,7 @@
         router: "r".to_owned(),
         known: Known::all(known),
         takes_records: true,
+        takes_parts: true,
         wait_ms,
         has_lease: true,
         sightings: Vec::new(),
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -186,7 +186,7 @@
                     .await;
                 match reply {
                     Ok(ProposeReply::Done(outcome)) => return Ok(outcome),
-                    Ok(ProposeReply::NotLeader { .. }) => {}
+                    Ok(ProposeReply::NotLeader { .. } | ProposeReply::LevelDiffers { .. }) => {}
                     Ok(ProposeReply::Unknown) => maybe_changed = true,
                     Err(report) => {
                         let reached = report.current_context();
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -9,7 +9,10 @@
 use railtack_core::{EngineId, OperationId, Revision};
 use railtack_http::HttpClient;
 use railtack_router::decisions::DecisionRecord;
-use railtack_rpc::protocol::{ConfigurationChange, MembershipChange, Outcome};
+use railtack_rpc::{
+    FeatureLevel,
+    protocol::{ConfigurationChange, MembershipChange, Outcome},
+};
 
 use crate::{
     client::ControlClient,
@@ -26,6 +29,7 @@
     let statuses = client.statuses().await;
     let mut table = Table::new([
         "address", "replica", "term", "leader", "commit", "log", "revision", "claims", "routers",
+        "level", "builds",
     ]);
     let mut answered = 0;
     for (address, status) in statuses {
@@ -47,6 +51,8 @@
             status.revision.to_string(),
             status.claims.to_string(),
             status.routers.len().to_string(),
+            status.group_level.0.to_string(),
+            builds(&status.member_levels),
         ]);
     }
     table.print(format);
@@ -56,6 +62,13 @@
     Ok(())
 }
 
+/// What each member's build can do, as one replica has heard it.
+fn builds(levels: &[(ReplicaId, FeatureLevel)]) -> String {
+    let levels = levels.iter();
+    let levels = levels.map(|(member, level)| format!("{member}:{}", level.0));
+    levels.collect::<Vec<_>>().join(",")
+}
+
 /// Runs a command on the control replicas.
 pub async fn members(
     client: &ControlClient,
--- a/crates/proxy/src/control_peers.rs
+++ b/crates/proxy/src/control_peers.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use railtack_rpc::{ControlClient, ControlConnection, RpcError};
+use railtack_rpc::{ControlClient, ControlConnection, FeatureLevel, KnownLevel, RpcError};
 
 use crate::state::lock;
 
@@ -19,6 +19,7 @@
 #[derive(Debug, Default)]
 pub struct ControlPeers {
     known: Mutex<Known>,
+    level: KnownLevel,
 }
 
 #[derive(Debug, Default)]
@@ -28,6 +29,17 @@
 }
 
 impl ControlPeers {
+    /// Takes in what the group does together.
+    pub fn learn_level(&self, told: FeatureLevel) {
+        self.level.learn(told);
+    }
+
+    /// Whether the group grants parts and records ends. A member of a build that does not would close the
+    /// connection on a question that it cannot read.
+    pub fn grants(&self) -> bool {
+        self.level.get() >= FeatureLevel::SHARED_GRANTS
+    }
+
     /// Takes in the present control replicas.
     pub fn learn(&self, members: impl Iterator<Item = SocketAddr>) {
         let mut known = self.lock();
@@ -61,6 +73,9 @@
     where
         F: Future<Output = Result<T, RpcError>>,
     {
+        if !self.grants() {
+            return None;
+        }
         let connection = self.target()?;
         let asked = connection.address();
         match connection.call(call).await {
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -83,6 +83,7 @@
         let held = Duration::from_millis(reply.held_ms);
         targets.learn(address, &reply);
         state.control_peers.learn(targets.addresses());
+        state.control_peers.learn_level(reply.group_level);
         take_reply(&state, reply, asked_at);
         if is_current || brings_news {
             targets.prefer_zone(&state.options.zone, address);
@@ -147,6 +148,7 @@
         known,
         wait_ms: wait.as_millis() as u64,
         takes_records,
+        takes_parts: true,
         has_lease: lock(&state.lease).is_valid(BootInstant::now()),
         sightings: lock(&state.replicas).sightings(Instant::now()),
     };
--- a/crates/proxy/src/replica_end.rs
+++ b/crates/proxy/src/replica_end.rs
@@ -271,6 +271,10 @@
 /// Has the control group record something, asking leader after leader. What is recorded twice counts
 /// once.
 async fn record(state: &ProxyState, command: ServingCommand) {
+    if !state.control_peers.grants() {
+        spdlog::info!("report kept back: the group does not record it yet");
+        return;
+    }
     let Ok(_permit) = state.reports.try_acquire() else {
         spdlog::warn!("report dropped", kv: { waiting = REPORTS_AT_A_TIME });
         return;
@@ -311,7 +315,7 @@
             return true;
         }
         ProposeReply::NotLeader { leader } => state.control_peers.follow(asked, leader),
-        ProposeReply::Unknown => {}
+        ProposeReply::Unknown | ProposeReply::LevelDiffers { .. } => {}
     }
     false
 }
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -16,6 +16,7 @@
     verdict::{ExchangeFacts, ExchangeProof, NextStep, next_step, without_retry},
 };
 use railtack_rpc::{
+    FeatureLevel,
     permits::LimitedReplica,
     serving::{FleetDigest, ReplicaCondition, WatchReply},
 };
@@ -35,6 +36,7 @@
         routers: 1,
         update: None,
         fleet: None,
+        group_level: FeatureLevel::OF_THIS_BUILD,
     }
 }
 
--- a/crates/proxy/tests/entry.rs
+++ b/crates/proxy/tests/entry.rs
@@ -8,7 +8,10 @@
 use hyper::{HeaderMap, Method};
 use railtack_clock::BootInstant;
 use railtack_proxy::{ProxiedRequest, ProxyState, entry, refusal::RefusalReason};
-use railtack_rpc::serving::{Known, ServingUpdate, WatchReply};
+use railtack_rpc::{
+    FeatureLevel,
+    serving::{Known, ServingUpdate, WatchReply},
+};
 use railtack_serving::{
     CallerLimits, RequestKind, Route, ServiceShape, ServingConfiguration, WeightedService,
 };
@@ -81,6 +84,7 @@
         routers: 1,
         update: None,
         fleet: None,
+        group_level: FeatureLevel::OF_THIS_BUILD,
     };
     assert!(state.take_confirmation(&reply, BootInstant::now()));
 }
--- a/crates/router/src/control_link.rs
+++ b/crates/router/src/control_link.rs
@@ -9,7 +9,7 @@
 
 use railtack_consensus::ReplicaId;
 use railtack_rpc::{
-    ControlConnection, call_deadline,
+    ControlConnection, FeatureLevel, KnownLevel, call_deadline,
     permits::{PermitReply, PermitRequest},
     protocol::{Command, PollReply, PollRequest, Proposal, ProposeReply, VoterAddress},
 };
@@ -41,6 +41,7 @@
 pub struct ControlLink {
     connections: Mutex<Connections>,
     leader: Mutex<Option<SocketAddr>>,
+    level: KnownLevel,
 }
 
 impl ControlLink {
@@ -53,9 +54,16 @@
         Self {
             connections: Mutex::new(connections.collect()),
             leader: Mutex::new(None),
+            level: KnownLevel::default(),
         }
     }
 
+    /// Whether the group grants permits and records ends. A member of a build that does not would close the
+    /// connection on a question that it cannot read.
+    pub fn grants(&self) -> bool {
+        self.level.get() >= FeatureLevel::SHARED_GRANTS
+    }
+
     /// Follows a change of the voters.
     fn set_voters(&self, voters: &[VoterAddress]) {
         let mut connections = lock(&self.connections);
@@ -111,6 +119,9 @@
         question: PermitRequest,
         limit: Duration,
     ) -> Option<PermitReply> {
+        if !self.grants() {
+            return None;
+        }
         let deadline = Instant::now() + limit;
         for position in 0..PERMIT_TRIES {
             let connection = self.proposal_target(position)?;
@@ -256,6 +267,7 @@
     if let Some(told) = &reply.quarantine {
         quarantine::learn(state, told);
     }
+    state.control.level.learn(reply.group_level);
     if reply.voter {
         lock(&state.admission).set_routers(reply.routers);
     }
--- a/crates/router/src/proposal.rs
+++ b/crates/router/src/proposal.rs
@@ -37,9 +37,10 @@
     pub fn answered(&mut self, answer: ProposalAnswer) -> Option<Proposed> {
         match answer {
             ProposalAnswer::Reply(ProposeReply::Done(outcome)) => Some(Proposed::Done(outcome)),
-            ProposalAnswer::Reply(ProposeReply::NotLeader { .. }) | ProposalAnswer::Unreachable => {
-                None
-            }
+            ProposalAnswer::Reply(
+                ProposeReply::NotLeader { .. } | ProposeReply::LevelDiffers { .. },
+            )
+            | ProposalAnswer::Unreachable => None,
             ProposalAnswer::Reply(ProposeReply::Unknown) | ProposalAnswer::NoAnswer => {
                 self.may_be_proposed = true;
                 None
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -113,6 +113,10 @@
 }
 
 async fn record(state: &RouterState, command: ServingCommand) {
+    if !state.control.grants() {
+        spdlog::info!("report kept back: the group does not record it yet");
+        return;
+    }
     let proposed = state
         .control
         .propose(Command::Serving(command), RECORD_LIMIT)
--- /dev/null
+++ b/crates/rpc/src/layout/watch.rs
@@ -0,0 +1,229 @@
+//! Questions of routers and their answers.
+
+use railtack_consensus::LogIndex;
+use railtack_serving::{HeldWeights, ReplicaRecord, ServingConfiguration, TenantQuota};
+use speedy::{Context, Readable, Reader, Writable, Writer};
+
+use crate::{
+    level::FeatureLevel,
+    permits::LimitedReplica,
+    serving::{
+        FleetDigest, Known, QuarantineUpdate, ReplicaCondition, ReplicaSighting, ServingUpdate,
+        WatchReply, WatchRequest,
+    },
+};
+
+#[derive(Readable, Writable)]
+struct WireRequest {
+    router: String,
+    known: LogIndex,
+    wait_ms: u64,
+    sightings: Vec<ReplicaSighting>,
+    #[speedy(default_on_eof)]
+    later: Option<LaterRequest>,
+}
+
+#[derive(Readable, Writable)]
+struct LaterRequest {
+    known: Known,
+    takes_records: bool,
+    has_lease: bool,
+}
+
+impl From<&WatchRequest> for WireRequest {
+    fn from(request: &WatchRequest) -> Self {
+        Self {
+            router: request.router.clone(),
+            known: request.known.wholly(),
+            wait_ms: request.wait_ms,
+            sightings: request.sightings.clone(),
+            later: request.takes_parts.then_some(LaterRequest {
+                known: request.known,
+                takes_records: request.takes_records,
+                has_lease: request.has_lease,
+            }),
+        }
+    }
+}
+
+impl From<WireRequest> for WatchRequest {
+    fn from(wire: WireRequest) -> Self {
+        let takes_parts = wire.later.is_some();
+        let later = wire.later.unwrap_or(LaterRequest {
+            known: Known::all(wire.known),
+            takes_records: true,
+            has_lease: true,
+        });
+        Self {
+            router: wire.router,
+            known: later.known,
+            wait_ms: wire.wait_ms,
+            takes_records: later.takes_records,
+            has_lease: later.has_lease,
+            takes_parts,
+            sightings: wire.sightings,
+        }
+    }
+}
+
+#[derive(Readable, Writable)]
+struct WireReply {
+    confirmed_age_ms: Option<u64>,
+    held_ms: u64,
+    zone: String,
+    members: Vec<String>,
+    routers: u32,
+    update: Option<WireUpdate>,
+    fleet: Option<WireDigest>,
+    #[speedy(default_on_eof)]
+    later: Option<LaterReply>,
+}
+
+#[derive(Readable, Writable)]
+struct WireUpdate {
+    through: LogIndex,
+    configuration: Option<ServingConfiguration>,
+    complete: bool,
+    replicas: Vec<ReplicaRecord>,
+    removed: Vec<String>,
+    weights: Vec<HeldWeights>,
+}
+
+#[derive(Readable, Writable)]
+struct WireDigest {
+    age_ms: u32,
+    replicas: Vec<ReplicaCondition>,
+}
+
+#[derive(Readable, Writable)]
+struct LaterReply {
+    group_level: FeatureLevel,
+    limited: Vec<LimitedReplica>,
+    update: Option<LaterUpdate>,
+}
+
+#[derive(Readable, Writable)]
+struct LaterUpdate {
+    known: Known,
+    quarantine: Option<QuarantineUpdate>,
+    quotas: Vec<(String, TenantQuota)>,
+}
+
+impl From<&WatchReply> for WireReply {
+    fn from(reply: &WatchReply) -> Self {
+        let limited = reply.fleet.as_ref().map(|fleet| fleet.limited.clone());
+        Self {
+            confirmed_age_ms: reply.confirmed_age_ms,
+            held_ms: reply.held_ms,
+            zone: reply.zone.clone(),
+            members: reply.members.clone(),
+            routers: reply.routers,
+            update: reply.update.as_ref().map(WireUpdate::from),
+            fleet: reply.fleet.as_ref().map(|fleet| WireDigest {
+                age_ms: fleet.age_ms,
+                replicas: fleet.replicas.clone(),
+            }),
+            later: Some(LaterReply {
+                group_level: reply.group_level,
+                limited: limited.unwrap_or_default(),
+                update: reply.update.as_ref().map(LaterUpdate::from),
+            }),
+        }
+    }
+}
+
+impl From<&ServingUpdate> for WireUpdate {
+    fn from(update: &ServingUpdate) -> Self {
+        Self {
+            through: update.known.through,
+            configuration: update.configuration.clone(),
+            complete: update.complete,
+            replicas: update.replicas.clone(),
+            removed: update.removed.clone(),
+            weights: update.weights.clone(),
+        }
+    }
+}
+
+impl From<&ServingUpdate> for LaterUpdate {
+    fn from(update: &ServingUpdate) -> Self {
+        let configuration = update.configuration.as_ref();
+        Self {
+            known: update.known,
+            quarantine: update.quarantine.clone(),
+            quotas: configuration
+                .map(ServingConfiguration::quotas)
+                .unwrap_or_default(),
+        }
+    }
+}
+
+impl From<WireReply> for WatchReply {
+    fn from(wire: WireReply) -> Self {
+        let group_level = wire.later.as_ref().map(|later| later.group_level);
+        let (limited, later_update) = wire
+            .later
+            .map_or((Vec::new(), None), |later| (later.limited, later.update));
+        Self {
+            confirmed_age_ms: wire.confirmed_age_ms,
+            held_ms: wire.held_ms,
+            zone: wire.zone,
+            members: wire.members,
+            routers: wire.routers,
+            update: wire.update.map(|update| update.with(later_update)),
+            fleet: wire.fleet.map(|fleet| FleetDigest {
+                age_ms: fleet.age_ms,
+                replicas: fleet.replicas,
+                limited,
+            }),
+            group_level: group_level.unwrap_or_default(),
+        }
+    }
+}
+
+impl WireUpdate {
+    fn with(self, later: Option<LaterUpdate>) -> ServingUpdate {
+        let later = later.unwrap_or_else(|| LaterUpdate {
+            known: Known::all(self.through),
+            quarantine: None,
+            quotas: Vec::new(),
+        });
+        let mut configuration = self.configuration;
+        if let Some(configuration) = &mut configuration {
+            configuration.set_quotas(later.quotas);
+        }
+        ServingUpdate {
+            known: later.known,
+            configuration,
+            complete: self.complete,
+            replicas: self.replicas,
+            removed: self.removed,
+            weights: self.weights,
+            quarantine: later.quarantine,
+        }
+    }
+}
+
+impl<C: Context> Writable<C> for WatchRequest {
+    fn write_to<T: ?Sized + Writer<C>>(&self, writer: &mut T) -> Result<(), C::Error> {
+        WireRequest::from(self).write_to(writer)
+    }
+}
+
+impl<'a, C: Context> Readable<'a, C> for WatchRequest {
+    fn read_from<R: Reader<'a, C>>(reader: &mut R) -> Result<Self, C::Error> {
+        WireRequest::read_from(reader).map(Self::from)
+    }
+}
+
+impl<C: Context> Writable<C> for WatchReply {
+    fn write_to<T: ?Sized + Writer<C>>(&self, writer: &mut T) -> Result<(), C::Error> {
+        WireReply::from(self).write_to(writer)
+    }
+}
+
+impl<'a, C: Context> Readable<'a, C> for WatchReply {
+    fn read_from<R: Reader<'a, C>>(reader: &mut R) -> Result<Self, C::Error> {
+        WireReply::read_from(reader).map(Self::from)
+    }
+}
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -2,11 +2,14 @@
 
 pub mod codec;
 pub mod connection;
+pub mod layout;
+pub mod level;
 pub mod permits;
 pub mod protocol;
 pub mod service;
 pub mod serving;
 
 pub use connection::{ConnectionError, ControlConnection, call_deadline};
+pub use level::{FeatureLevel, KnownLevel, Sender};
 pub use service::{Control, ControlClient};
 pub use tarpc::client::RpcError;
--- a/crates/rpc/src/protocol.rs
+++ b/crates/rpc/src/protocol.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 use speedy::{Readable, Writable};
 
-use crate::serving::QuarantineUpdate;
+use crate::{level::FeatureLevel, serving::QuarantineUpdate};
 
 /// Milliseconds since 1970-01-01 UTC on the sender's clock.
 pub type UnixMillis = u64;
@@ -62,6 +62,14 @@
 }
 
 impl Command {
+    /// Whether a group at a level takes this.
+    pub fn fits(&self, level: FeatureLevel) -> bool {
+        match self {
+            Self::Serving(command) => command.fits(level),
+            _ => true,
+        }
+    }
+
     /// Whether routers must have applied this before they may confirm their configuration.
     pub fn is_configuration(&self) -> bool {
         matches!(self, Self::Configure { .. })
@@ -192,6 +200,11 @@
     },
     /// The command was appended, and it is not known whether it will commit. A resend is safe.
     Unknown,
+    /// At its level the group takes no such command, or takes it in another form; nothing was appended.
+    LevelDiffers {
+        /// What the group does together.
+        group_level: FeatureLevel,
+    },
 }
 
 /// A stored document with the revision that last changed it.
@@ -239,6 +252,7 @@
     /// Whether to send what is missing; asked of one replica at a time.
     pub want_update: bool,
     /// Log position of the last change of the quarantine that the router knows.
+    #[speedy(default_on_eof)]
     pub quarantine_known: LogIndex,
 }
 
@@ -261,7 +275,11 @@
     /// Routers that this replica has heard from lately.
     pub routers: u32,
     /// Requests under which back ends have ended, if that changed.
+    #[speedy(default_on_eof)]
     pub quarantine: Option<QuarantineUpdate>,
+    /// What the group does together.
+    #[speedy(default_on_eof)]
+    pub group_level: FeatureLevel,
 }
 
 /// A voter and where to reach it.
@@ -324,6 +342,12 @@
     pub members: Vec<Member>,
     /// Routers heard from lately, with the position up to which each has applied configuration.
     pub routers: Vec<RouterStatus>,
+    /// What the group does together, as far as this replica has applied it.
+    #[speedy(default_on_eof)]
+    pub group_level: FeatureLevel,
+    /// What each member's build can do, as this replica has heard it.
+    #[speedy(default_on_eof)]
+    pub member_levels: Vec<(ReplicaId, FeatureLevel)>,
 }
 
 /// A router, as a control replica knows it.
--- a/crates/rpc/src/service.rs
+++ b/crates/rpc/src/service.rs
@@ -3,6 +3,7 @@
 use railtack_consensus::{Message, ReplicaId};
 use speedy::{Readable, Writable};
 
+use crate::level::Sender;
 use crate::permits::{PermitReply, PermitRequest};
 use crate::protocol::{
     Configuration, MembershipChange, MembershipReply, PollReply, PollRequest, Proposal,
@@ -17,8 +18,8 @@
 #[tarpc::service(derive = [Clone, Readable, Writable])]
 pub trait Control {
     /// Delivers a message of the replicated log. A replica that is not a member yet learns from
-    /// `reply_to` where its answers go.
-    async fn deliver(message: Message, reply_to: String);
+    /// `sender` where its answers go.
+    async fn deliver(message: Message, sender: Sender);
     /// Tells whether a router's configuration is current and sends what it lacks.
     async fn poll(request: PollRequest) -> PollReply;
     /// Commits a change.
--- a/crates/rpc/src/serving.rs
+++ b/crates/rpc/src/serving.rs
@@ -5,10 +5,11 @@
 use railtack_consensus::{DiskId, LogIndex, ReplicaId};
 use railtack_serving::{
     ContentKey, HeldWeights, PendingOrder, ReplicaKey, ReplicaRecord, ServingConfiguration,
+    TenantQuota,
 };
 use speedy::{Readable, Writable};
 
-use crate::permits::LimitedReplica;
+use crate::{level::FeatureLevel, permits::LimitedReplica};
 
 /// A whole configuration document as an operator sent it, with what it means.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
@@ -79,6 +80,61 @@
     },
     /// Records what several back-end replicas say of themselves, in one entry of the log.
     RegisterAll(Vec<ReplicaRecord>),
+    /// Raises what the group does together. Proposed only once all members have said that they can.
+    RaiseLevel {
+        /// The level.
+        level: FeatureLevel,
+        /// The document held, by its version; nothing happens if another one is held by now.
+        revision: u64,
+        /// The quotas of that document, which a group at the first level does not hold.
+        quotas: Vec<(String, TenantQuota)>,
+    },
+    /// Takes a whole document, like [`Self::PutDocument`], with the quotas of its tenants.
+    PutDocumentWithQuotas {
+        /// The document.
+        document: ConfigurationDocument,
+        /// Quotas by tenant.
+        quotas: Vec<(String, TenantQuota)>,
+    },
+}
+
+impl ServingCommand {
+    /// Takes a whole document, in a form that all members of a group at `level` can apply.
+    pub fn put(document: ConfigurationDocument, level: FeatureLevel) -> Self {
+        if level < FeatureLevel::SHARED_GRANTS {
+            return Self::PutDocument(document);
+        }
+        let quotas = document.configuration.quotas();
+        Self::PutDocumentWithQuotas { document, quotas }
+    }
+
+    /// Whether a group at a level takes this. A document without its quotas, made while the group did not hold
+    /// any, would take them back once it does.
+    pub fn fits(&self, level: FeatureLevel) -> bool {
+        let lacks_quotas = matches!(self, Self::PutDocument(_));
+        let is_outdated = lacks_quotas && level >= FeatureLevel::SHARED_GRANTS;
+        self.needs_level() <= level && !is_outdated
+    }
+
+    /// The level of a group that may hold this in its log.
+    pub fn needs_level(&self) -> FeatureLevel {
+        match self {
+            Self::PutDocument(_)
+            | Self::Register(_)
+            | Self::Deregister { .. }
+            | Self::Expire { .. }
+            | Self::NameWeights(_)
+            | Self::AcquireOrders { .. }
+            | Self::BeginOrder { .. } => FeatureLevel::FIRST,
+            // All members can apply it once it is proposed; it is what makes the others possible.
+            Self::RaiseLevel { .. } => FeatureLevel::FIRST,
+            Self::RecordEnd { .. }
+            | Self::ClearContents { .. }
+            | Self::ReleaseContent { .. }
+            | Self::RegisterAll(_)
+            | Self::PutDocumentWithQuotas { .. } => FeatureLevel::SHARED_GRANTS,
+        }
+    }
 }
 
 /// What a change did.
@@ -152,6 +208,13 @@
         self.changes_through >= self.through
     }
 
+    /// Position up to which nothing at all is lacking; 0 if it cannot be said.
+    pub fn wholly(self) -> LogIndex {
+        self.through
+            .min(self.changes_through)
+            .min(self.records_through)
+    }
+
     /// Whether a router may serve from it: it is current, and some replicas are known if there are any.
     pub fn may_be_served_from(self) -> bool {
         self.is_current() && self.records_through > 0
@@ -164,7 +227,7 @@
 }
 
 /// A router's question: what changed since, and is it current?
-#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WatchRequest {
     /// Names the router.
     pub router: String,
@@ -178,6 +241,8 @@
     /// Whether the router may serve from what it knows. One that may not is answered as soon as the state
     /// here is confirmed.
     pub has_lease: bool,
+    /// Whether the records may come in parts. A build that does not know of parts is told all at once.
+    pub takes_parts: bool,
     /// What the router has met lately at back-end replicas.
     pub sightings: Vec<ReplicaSighting>,
 }
@@ -187,7 +252,7 @@
 pub const CONFIRMATION_LIMIT_MS: u64 = 1_200;
 
 /// Answer to [`WatchRequest`].
-#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WatchReply {
     /// How long before this answer the state was known to hold everything committed,
     /// milliseconds; `None` if that was never so.
@@ -204,6 +269,8 @@
     pub update: Option<ServingUpdate>,
     /// What all routers together meet at the replicas; `None` if it is not known, or too old.
     pub fleet: Option<FleetDigest>,
+    /// What the group does together: what needs more is asked of none of its members.
+    pub group_level: FeatureLevel,
 }
 
 /// What one router, or all routers that ask one control replica, have met at one back-end replica
@@ -232,6 +299,7 @@
     /// Replicas that are in use or dark.
     pub replicas: Vec<ReplicaCondition>,
     /// Replicas that name a limit on requests; 12 bytes each, and none for all others.
+    #[speedy(default_on_eof)]
     pub limited: Vec<LimitedReplica>,
 }
 
@@ -313,6 +381,9 @@
     pub disk: DiskId,
     /// Its internal address.
     pub address: String,
+    /// The highest level that its build can do.
+    #[speedy(default_on_eof)]
+    pub level: FeatureLevel,
 }
 
 /// Answer to [`JoinRequest`].
@@ -412,14 +483,33 @@
 /// Signs of life that a control replica took for the leader.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
 pub struct AliveNotice {
-    /// Back-end replicas heard from since the last notice that was answered.
-    pub replicas: Vec<SignOfLife>,
+    /// Identities of the back-end replicas, for a leader whose build reads these alone; empty once the
+    /// group is above the first level.
+    pub identities: Vec<String>,
     /// Names of the routers.
     pub routers: Vec<String>,
     /// Internal address of the control replica that tells this.
     pub sender: String,
     /// What the routers that ask it have met, added up by replica.
     pub sightings: Vec<ReplicaSighting>,
+    /// Back-end replicas heard from since the last notice that was answered.
+    #[speedy(default_on_eof)]
+    pub replicas: Vec<SignOfLife>,
+}
+
+impl AliveNotice {
+    /// The signs of life: of a sender whose build tells identities alone, each as old as the notice.
+    pub fn signs(&self) -> Vec<SignOfLife> {
+        if !self.replicas.is_empty() {
+            return self.replicas.clone();
+        }
+        let identities = self.identities.iter();
+        let signs = identities.map(|identity| SignOfLife {
+            replica: ReplicaKey::of(identity),
+            age_ms: 0,
+        });
+        signs.collect()
+    }
 }
 
 /// Answer to [`AliveNotice`].
--- a/crates/serving/src/configuration.rs
+++ b/crates/serving/src/configuration.rs
@@ -118,7 +118,9 @@
     pub priority: Option<u8>,
     /// Whether it shares no cached prompt memory with other tenants.
     pub isolated: bool,
-    /// What it may use, over all routers; `None` for no limit.
+    /// What it may use, over all routers; `None` for no limit. It has no place of its own among the bytes of a
+    /// configuration, whose layout builds without quotas read too: what holds one tells its quotas beside it.
+    #[speedy(skip)]
     pub quota: Option<TenantQuota>,
 }
 
@@ -162,6 +164,21 @@
 }
 
 impl ServingConfiguration {
+    /// The quotas by tenant.
+    pub fn quotas(&self) -> Vec<(String, TenantQuota)> {
+        let tenants = self.tenants.iter();
+        let limited = tenants.filter_map(|tenant| Some((tenant.name.clone(), tenant.quota?)));
+        limited.collect()
+    }
+
+    /// Gives these tenants their quotas, and takes that of all others.
+    pub fn set_quotas(&mut self, quotas: Vec<(String, TenantQuota)>) {
+        let quotas: BTreeMap<String, TenantQuota> = quotas.into_iter().collect();
+        for tenant in &mut self.tenants {
+            tenant.quota = quotas.get(&tenant.name).copied();
+        }
+    }
+
     /// The first fault, if there is one.
     pub fn validate(&self) -> Result<(), ConfigurationError> {
         let services = self.checked_services()?;
