--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -5,11 +5,12 @@
     DiskId, Entry, LogIndex, Member, Membership, Message, Millis, Payload, ProposeError, Raft,
     RaftOptions, Recovered, ReplicaId, Role, Snapshot, Term,
 };
+use railtack_rpc::layout::read_proposal;
 use railtack_rpc::protocol::{
     ConfigurationUpdate, MembershipChange, Outcome, PollReply, PollRequest, Proposal, VoterAddress,
 };
 use railtack_rpc::serving::QuarantineUpdate;
-use speedy::{Readable, Writable};
+use speedy::Writable;
 
 use crate::{
     configuration::RevisionCheck,
@@ -348,8 +349,7 @@
         let Payload::Command(bytes) = entry.payload else {
             return Ok(None);
         };
-        let proposal =
-            Proposal::read_from_buffer(&bytes).change_context(ControlError::UnknownRecord)?;
+        let proposal = read_proposal(&bytes).change_context(ControlError::UnknownRecord)?;
         let outcome = self
             .state
             .apply(entry.index, proposal, self.options.revision_check);
@@ -403,8 +403,9 @@
 
 fn is_configuration(entry: &Entry) -> bool {
     match &entry.payload {
-        Payload::Command(bytes) => Proposal::read_from_buffer(bytes)
-            .is_ok_and(|proposal| proposal.command.is_configuration()),
+        Payload::Command(bytes) => {
+            read_proposal(bytes).is_ok_and(|proposal| proposal.command.is_configuration())
+        }
         _ => false,
     }
 }
@@ -451,5 +452,5 @@
     if snapshot.state.is_empty() {
         return Ok(ControlState::unknown(claim_retention_ms));
     }
-    ControlState::read_from_buffer(&snapshot.state).change_context(ControlError::UnknownRecord)
+    ControlState::read_stored(&snapshot.state).change_context(ControlError::UnknownRecord)
 }
--- a/crates/control/src/serving_state.rs
+++ b/crates/control/src/serving_state.rs
@@ -36,6 +36,8 @@
 mod reported_ends;
 mod stored;
 
+pub(crate) use stored::StoredWithInlineQuotas;
+
 /// The right to give orders to back ends.
 #[derive(Clone, Debug, PartialEq, Eq, speedy::Readable, speedy::Writable)]
 struct OrderRight {
--- a/crates/control/src/serving_state/stored.rs
+++ b/crates/control/src/serving_state/stored.rs
@@ -8,7 +8,7 @@
 };
 
 use railtack_consensus::LogIndex;
-use railtack_rpc::FeatureLevel;
+use railtack_rpc::{FeatureLevel, layout::InlineConfiguration};
 use railtack_serving::{ReplicaRecord, ServingConfiguration, TenantQuota};
 use speedy::{Context, Readable, Reader, Writable, Writer};
 
@@ -18,9 +18,9 @@
 };
 
 #[derive(Readable, Writable)]
-struct StoredState {
+struct StoredState<Shape> {
     content: Vec<u8>,
-    configuration: ServingConfiguration,
+    configuration: Shape,
     configuration_at: LogIndex,
     replicas: BTreeMap<String, ReplicaRecord>,
     departed: BTreeSet<(LogIndex, String)>,
@@ -84,7 +84,7 @@
     }
 }
 
-impl From<&ServingState> for StoredState {
+impl From<&ServingState> for StoredState<ServingConfiguration> {
     fn from(state: &ServingState) -> Self {
         let replicas = state.replicas.records().iter();
         Self {
@@ -105,8 +105,36 @@
     }
 }
 
-impl From<StoredState> for ServingState {
-    fn from(stored: StoredState) -> Self {
+/// The layout in which the quotas of tenants stand within the configuration.
+#[derive(Readable)]
+pub(crate) struct StoredWithInlineQuotas(StoredState<InlineConfiguration>);
+
+impl From<StoredWithInlineQuotas> for ServingState {
+    fn from(stored: StoredWithInlineQuotas) -> Self {
+        let configuration = ServingConfiguration::from(stored.0.configuration);
+        let quotas = configuration.quotas();
+        let mut later = stored.0.later;
+        if let Some(parts) = &mut later.0 {
+            parts.quotas = quotas;
+        }
+        Self::from(StoredState {
+            content: stored.0.content,
+            configuration,
+            configuration_at: stored.0.configuration_at,
+            replicas: stored.0.replicas,
+            departed: stored.0.departed,
+            departed_ids: stored.0.departed_ids,
+            departed_complete_after: stored.0.departed_complete_after,
+            weights: stored.0.weights,
+            changed_at: stored.0.changed_at,
+            order_right: stored.0.order_right,
+            later,
+        })
+    }
+}
+
+impl From<StoredState<ServingConfiguration>> for ServingState {
+    fn from(stored: StoredState<ServingConfiguration>) -> Self {
         let later = stored.later.0.unwrap_or_else(|| LaterParts {
             quarantine: Quarantine::default(),
             reported_ends: ReportedEnds::default(),
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -9,6 +9,7 @@
 use railtack_core::{EngineId, OperationId};
 use railtack_rpc::{
     FeatureLevel,
+    layout::{LayoutError, read_exactly},
     protocol::{
         AcceptedChange, Command, Configuration, ConfigurationChange, ConfigurationUpdate,
         EngineOrder, Outcome, Proposal, UnixMillis,
@@ -19,7 +20,7 @@
 use crate::{
     claims::ClaimTable,
     configuration::{ChangeRefused, RevisionCheck, apply_change},
-    serving_state::ServingState,
+    serving_state::{ServingState, StoredWithInlineQuotas},
 };
 
 /// Outcomes of operations that are kept for resends.
@@ -45,6 +46,40 @@
     outcome: Outcome,
 }
 
+/// The state in a layout in which the quotas of tenants stand within the configuration that routers serve from.
+#[derive(Readable)]
+struct InlineQuotas {
+    configuration: Configuration,
+    configuration_index: LogIndex,
+    operations: BTreeMap<OperationId, RecordedOperation>,
+    operation_order: BTreeMap<LogIndex, OperationId>,
+    claims: ClaimTable,
+    orders: BTreeMap<EngineId, IssuedOrder>,
+    clock: UnixMillis,
+    claim_retention_ms: u64,
+    recent_changes: BTreeMap<LogIndex, AcceptedChange>,
+    changes_complete_after: LogIndex,
+    serving: StoredWithInlineQuotas,
+}
+
+impl From<InlineQuotas> for ControlState {
+    fn from(stored: InlineQuotas) -> Self {
+        Self {
+            configuration: stored.configuration,
+            configuration_index: stored.configuration_index,
+            operations: stored.operations,
+            operation_order: stored.operation_order,
+            claims: stored.claims,
+            orders: stored.orders,
+            clock: stored.clock,
+            claim_retention_ms: stored.claim_retention_ms,
+            recent_changes: stored.recent_changes,
+            changes_complete_after: stored.changes_complete_after,
+            serving: stored.serving.into(),
+        }
+    }
+}
+
 /// Everything that the control replicas agree on.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
 pub struct ControlState {
@@ -78,6 +113,15 @@
         }
     }
 
+    /// Reads a state as a snapshot holds it, in any layout that a build has written.
+    pub fn read_stored(bytes: &[u8]) -> Result<Self, LayoutError> {
+        read_exactly::<Self>(bytes).or_else(|first| {
+            read_exactly::<InlineQuotas>(bytes)
+                .map(Self::from)
+                .map_err(|_| first)
+        })
+    }
+
     /// All configuration.
     pub fn configuration(&self) -> &Configuration {
         &self.configuration
--- a/crates/control/tests/former_build.rs
+++ b/crates/control/tests/former_build.rs
@@ -18,17 +18,18 @@
 use railtack_control::{ControlState, Replica, ReplicaOptions, configuration::RevisionCheck};
 use railtack_rpc::{
     FeatureLevel,
+    layout::read_proposal,
     service::{ControlRequest, ControlResponse},
 };
 use railtack_storage::FileMedia;
 use speedy::{Readable, Writable};
 
 fn data() -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/data/production")
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/data")
 }
 
 fn message(name: &str) -> Vec<u8> {
-    fs::read(data().join("messages").join(name)).expect("a message of the former build")
+    fs::read(data().join("production/messages").join(name)).expect("a message of the former build")
 }
 
 fn request(name: &str) -> ControlRequest {
@@ -58,12 +59,14 @@
     }
 }
 
-fn copy_of_its_folder(name: &str) -> PathBuf {
+fn copy_of_folder(build: &str, name: &str) -> PathBuf {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     // It is there only if an earlier run was ended.
     let _ = fs::remove_dir_all(&folder);
     fs::create_dir_all(&folder).expect("a folder");
-    for file in fs::read_dir(data().join("data")).expect("the folder of the former build") {
+    for file in
+        fs::read_dir(data().join(build).join("data")).expect("the folder of the former build")
+    {
         let file = file.expect("a file");
         fs::copy(file.path(), folder.join(file.file_name())).expect("a copy");
     }
@@ -82,7 +85,7 @@
 
 #[test]
 fn the_folder_of_a_former_build_is_opened_with_all_that_it_holds() {
-    let media = FileMedia::open(copy_of_its_folder("former-folder")).expect("a folder");
+    let media = FileMedia::open(copy_of_folder("production", "former-folder")).expect("a folder");
     let mut replica = Replica::open(&media, options(), 0).expect("opened");
     lead(&mut replica);
     let serving = replica.state().serving();
@@ -206,10 +209,46 @@
 
 #[test]
 fn a_former_state_is_written_as_it_was() {
-    let media = FileMedia::open(copy_of_its_folder("former-state")).expect("a folder");
+    let media = FileMedia::open(copy_of_folder("production", "former-state")).expect("a folder");
     let replica = Replica::open(&media, options(), 0).expect("opened");
     let bytes = &replica.raft().log().snapshot().state;
     let state = ControlState::read_from_buffer(bytes).expect("a state");
     assert_eq!(state.serving().level(), FeatureLevel::FIRST);
     assert_eq!(&state.write_to_vec().expect("encoded"), bytes);
 }
+
+/// Builds after it wrote each tenant's quota behind the tenant, without saying so.
+#[test]
+fn the_folder_of_a_build_with_quotas_among_the_tenants_is_opened() {
+    let folder = copy_of_folder("inline_quotas", "inline-quotas");
+    let media = FileMedia::open(folder).expect("a folder");
+    let mut replica = Replica::open(&media, options(), 0).expect("opened");
+    let snapshot = replica.state().serving();
+    assert_eq!(snapshot.content(), Some(b"document 3".as_slice()));
+    assert_eq!(snapshot.level(), FeatureLevel::SHARED_GRANTS);
+    lead(&mut replica);
+    let serving = replica.state().serving();
+    assert_eq!(serving.content(), Some(b"document 4".as_slice()));
+    let tenants = &serving.configuration().tenants;
+    let quotas: Vec<u64> = tenants
+        .iter()
+        .filter_map(|tenant| Some(tenant.quota?.burst))
+        .collect();
+    assert_eq!(quotas, [700, 700]);
+    assert_eq!(tenants[1].api_keys, ["key-2"]);
+    let replicas: Vec<&str> = serving.replicas().keys().map(String::as_str).collect();
+    assert_eq!(replicas, ["r-2", "r-3"]);
+    assert!(serving.has_departed("r-1"));
+}
+
+/// A build that is older than the disk must not take what it cannot read for nothing.
+#[test]
+fn what_follows_a_known_layout_is_an_error() {
+    let mut bytes = message("propose-request");
+    let mut command = bytes.split_off(4);
+    assert!(read_proposal(&command).is_ok());
+    command.push(0);
+    assert!(read_proposal(&command).is_err());
+    command.truncate(command.len() - 2);
+    assert!(read_proposal(&command).is_err());
+}
--- a/crates/rpc/src/codec.rs
+++ b/crates/rpc/src/codec.rs
@@ -120,7 +120,9 @@
         let Some(bytes) = self.frames.decode(buffer)? else {
             return Ok(None);
         };
-        let frame = ServerFrame::<Resp>::read_from_buffer(&bytes)?;
+        let frame = ServerFrame::<Resp>::read_from_buffer(&bytes).inspect_err(|error| {
+            log_unread("answer", &bytes, error);
+        })?;
         let message = frame
             .message
             .map_err(|detail| ServerError::new(io::ErrorKind::Other, detail));
@@ -161,7 +163,10 @@
         let Some(bytes) = self.frames.decode(buffer)? else {
             return Ok(None);
         };
-        let message = match ClientFrame::<Req>::read_from_buffer(&bytes)? {
+        let frame = ClientFrame::<Req>::read_from_buffer(&bytes).inspect_err(|error| {
+            log_unread("request", &bytes, error);
+        })?;
+        let message = match frame {
             ClientFrame::Request {
                 id,
                 remaining_us,
@@ -184,6 +189,15 @@
     }
 }
 
+/// The connection ends on a message that cannot be read, so there is one line for each connection.
+fn log_unread(message: &'static str, bytes: &[u8], error: &speedy::Error) {
+    spdlog::warn!("message not read: its sender may be of another build", kv: {
+        message,
+        bytes = bytes.len(),
+        cause = error.to_string(),
+    });
+}
+
 fn write_frame<T: Writable<LittleEndian>>(
     frames: &mut LengthDelimitedCodec,
     frame: &T,
--- a/crates/rpc/src/layout/watch.rs
+++ b/crates/rpc/src/layout/watch.rs
@@ -13,7 +13,7 @@
     },
 };
 
-#[derive(Readable, Writable)]
+#[derive(Readable)]
 struct WireRequest {
     router: String,
     known: LogIndex,
@@ -30,13 +30,22 @@
     has_lease: bool,
 }
 
-impl From<&WatchRequest> for WireRequest {
-    fn from(request: &WatchRequest) -> Self {
+#[derive(Writable)]
+struct WrittenRequest<'a> {
+    router: &'a str,
+    known: LogIndex,
+    wait_ms: u64,
+    sightings: &'a [ReplicaSighting],
+    later: Option<LaterRequest>,
+}
+
+impl<'a> From<&'a WatchRequest> for WrittenRequest<'a> {
+    fn from(request: &'a WatchRequest) -> Self {
         Self {
-            router: request.router.clone(),
+            router: &request.router,
             known: request.known.wholly(),
             wait_ms: request.wait_ms,
-            sightings: request.sightings.clone(),
+            sightings: &request.sightings,
             later: request.takes_parts.then_some(LaterRequest {
                 known: request.known,
                 takes_records: request.takes_records,
@@ -66,7 +75,7 @@
     }
 }
 
-#[derive(Readable, Writable)]
+#[derive(Readable)]
 struct WireReply {
     confirmed_age_ms: Option<u64>,
     held_ms: u64,
@@ -79,7 +88,7 @@
     later: Option<LaterReply>,
 }
 
-#[derive(Readable, Writable)]
+#[derive(Readable)]
 struct WireUpdate {
     through: LogIndex,
     configuration: Option<ServingConfiguration>,
@@ -89,68 +98,111 @@
     weights: Vec<HeldWeights>,
 }
 
-#[derive(Readable, Writable)]
+#[derive(Readable)]
 struct WireDigest {
     age_ms: u32,
     replicas: Vec<ReplicaCondition>,
 }
 
-#[derive(Readable, Writable)]
+#[derive(Readable)]
 struct LaterReply {
     group_level: FeatureLevel,
     limited: Vec<LimitedReplica>,
     update: Option<LaterUpdate>,
 }
 
-#[derive(Readable, Writable)]
+#[derive(Readable)]
 struct LaterUpdate {
     known: Known,
     quarantine: Option<QuarantineUpdate>,
     quotas: Vec<(String, TenantQuota)>,
 }
 
-impl From<&WatchReply> for WireReply {
-    fn from(reply: &WatchReply) -> Self {
-        let limited = reply.fleet.as_ref().map(|fleet| fleet.limited.clone());
+#[derive(Writable)]
+struct WrittenReply<'a> {
+    confirmed_age_ms: Option<u64>,
+    held_ms: u64,
+    zone: &'a str,
+    members: &'a [String],
+    routers: u32,
+    update: Option<WrittenUpdate<'a>>,
+    fleet: Option<WrittenDigest<'a>>,
+    later: Option<WrittenLater<'a>>,
+}
+
+#[derive(Writable)]
+struct WrittenUpdate<'a> {
+    through: LogIndex,
+    configuration: Option<&'a ServingConfiguration>,
+    complete: bool,
+    replicas: &'a [ReplicaRecord],
+    removed: &'a [String],
+    weights: &'a [HeldWeights],
+}
+
+#[derive(Writable)]
+struct WrittenDigest<'a> {
+    age_ms: u32,
+    replicas: &'a [ReplicaCondition],
+}
+
+#[derive(Writable)]
+struct WrittenLater<'a> {
+    group_level: FeatureLevel,
+    limited: &'a [LimitedReplica],
+    update: Option<WrittenLaterUpdate<'a>>,
+}
+
+#[derive(Writable)]
+struct WrittenLaterUpdate<'a> {
+    known: Known,
+    quarantine: Option<&'a QuarantineUpdate>,
+    quotas: Vec<(String, TenantQuota)>,
+}
+
+impl<'a> From<&'a WatchReply> for WrittenReply<'a> {
+    fn from(reply: &'a WatchReply) -> Self {
+        let update = reply.update.as_ref();
+        let fleet = reply.fleet.as_ref();
         Self {
             confirmed_age_ms: reply.confirmed_age_ms,
             held_ms: reply.held_ms,
-            zone: reply.zone.clone(),
-            members: reply.members.clone(),
+            zone: &reply.zone,
+            members: &reply.members,
             routers: reply.routers,
-            update: reply.update.as_ref().map(WireUpdate::from),
-            fleet: reply.fleet.as_ref().map(|fleet| WireDigest {
+            update: update.map(WrittenUpdate::from),
+            fleet: fleet.map(|fleet| WrittenDigest {
                 age_ms: fleet.age_ms,
-                replicas: fleet.replicas.clone(),
+                replicas: &fleet.replicas,
             }),
-            later: Some(LaterReply {
+            later: Some(WrittenLater {
                 group_level: reply.group_level,
-                limited: limited.unwrap_or_default(),
-                update: reply.update.as_ref().map(LaterUpdate::from),
+                limited: fleet.map_or(&[], |fleet| &fleet.limited),
+                update: update.map(WrittenLaterUpdate::from),
             }),
         }
     }
 }
 
-impl From<&ServingUpdate> for WireUpdate {
-    fn from(update: &ServingUpdate) -> Self {
+impl<'a> From<&'a ServingUpdate> for WrittenUpdate<'a> {
+    fn from(update: &'a ServingUpdate) -> Self {
         Self {
             through: update.known.through,
-            configuration: update.configuration.clone(),
+            configuration: update.configuration.as_ref(),
             complete: update.complete,
-            replicas: update.replicas.clone(),
-            removed: update.removed.clone(),
-            weights: update.weights.clone(),
+            replicas: &update.replicas,
+            removed: &update.removed,
+            weights: &update.weights,
         }
     }
 }
 
-impl From<&ServingUpdate> for LaterUpdate {
-    fn from(update: &ServingUpdate) -> Self {
+impl<'a> From<&'a ServingUpdate> for WrittenLaterUpdate<'a> {
+    fn from(update: &'a ServingUpdate) -> Self {
         let configuration = update.configuration.as_ref();
         Self {
             known: update.known,
-            quarantine: update.quarantine.clone(),
+            quarantine: update.quarantine.as_ref(),
             quotas: configuration
                 .map(ServingConfiguration::quotas)
                 .unwrap_or_default(),
@@ -206,7 +258,7 @@
 
 impl<C: Context> Writable<C> for WatchRequest {
     fn write_to<T: ?Sized + Writer<C>>(&self, writer: &mut T) -> Result<(), C::Error> {
-        WireRequest::from(self).write_to(writer)
+        WrittenRequest::from(self).write_to(writer)
     }
 }
 
@@ -218,7 +270,7 @@
 
 impl<C: Context> Writable<C> for WatchReply {
     fn write_to<T: ?Sized + Writer<C>>(&self, writer: &mut T) -> Result<(), C::Error> {
-        WireReply::from(self).write_to(writer)
+        WrittenReply::from(self).write_to(writer)
     }
 }
 
