Let the soak replace a former build by the present one

A control replica that is started again has the present build from then on; a router has either of both, drawn from the seed. An empty wrapper around LabProcess::inflict goes.

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -172,6 +172,13 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("Where the logs of seeds that fail are kept; a temporary folder if absent"),
         )
+        .arg(
+            Arg::new("former")
+                .long("former")
+                .value_name("PATH")
+                .value_parser(value_parser!(PathBuf))
+                .help("The lab of a former build, with which the fleets begin; what is started again is replaced"),
+        )
 }
 
 fn soak_options(matches: &ArgMatches) -> SoakOptions {
@@ -182,6 +189,7 @@
             .unwrap_or_default(),
         length: Duration::from_secs(matches.get_one("seconds").copied().unwrap_or_default()),
         keep: matches.get_one::<PathBuf>("keep").cloned(),
+        former: matches.get_one::<PathBuf>("former").cloned(),
     }
 }
 
--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -74,6 +74,8 @@
     arguments: Vec<String>,
     log: PathBuf,
     child: Option<Child>,
+    /// The lab of another build, whose programs are started from now on.
+    other_lab: Option<PathBuf>,
 }
 
 impl LabProcess {
@@ -90,6 +92,7 @@
             arguments: arguments.to_vec(),
             log: Self::log_of(name, folder),
             child: None,
+            other_lab: None,
         };
         process.restart()?;
         Ok(process)
@@ -100,6 +103,11 @@
         folder.join(format!("{name}.log"))
     }
 
+    /// Has the programs of another build's lab started from the next start on.
+    pub fn replace_by(&mut self, lab: &Path) {
+        self.other_lab = Some(lab.to_owned());
+    }
+
     /// Starts the program again with the same arguments.
     pub fn restart(&mut self) -> Result<(), Report<LabError>> {
         let spawn_error = || LabError::Spawn {
@@ -107,7 +115,11 @@
         };
         let log = open_log(&self.log)?;
         let errors = log.try_clone().change_context_lazy(spawn_error)?;
-        let child = command(self.program)
+        let command = match &self.other_lab {
+            Some(lab) => Ok(command_of(lab, self.program)),
+            None => command(self.program),
+        };
+        let child = command
             .change_context_lazy(spawn_error)?
             .args(&self.arguments)
             .stdin(Stdio::null())
@@ -164,12 +176,17 @@
 
 /// A command that runs a program of the lab's binary.
 pub fn command(program: Program) -> std::io::Result<Command> {
-    let mut command = match LAB_BINARY.get() {
-        Some(path) => Command::new(path),
-        None => Command::new(std::env::current_exe()?),
+    let lab = match LAB_BINARY.get() {
+        Some(path) => path.clone(),
+        None => std::env::current_exe()?,
     };
+    Ok(command_of(&lab, program))
+}
+
+fn command_of(lab: &Path, program: Program) -> Command {
+    let mut command = Command::new(lab);
     command.arg("process").arg(program.name());
-    Ok(command)
+    command
 }
 
 fn open_log(path: &Path) -> Result<File, Report<LabError>> {
--- a/crates/lab/src/soak/command.rs
+++ b/crates/lab/src/soak/command.rs
@@ -2,11 +2,11 @@
 
 use std::{ops::Range, path::PathBuf, time::Duration};
 
-use error_stack::Report;
+use error_stack::{Report, ResultExt};
 
 use crate::{
     LabError,
-    soak::run::{self, SoakReport},
+    soak::run::{self, Builds, SoakReport},
 };
 
 /// What to run.
@@ -18,16 +18,19 @@
     pub length: Duration,
     /// Where the logs of seeds that fail are kept.
     pub keep: Option<PathBuf>,
+    /// The lab of a former build that the fleets begin with.
+    pub former: Option<PathBuf>,
 }
 
 /// Runs each seed, and tells how many passed.
 pub async fn run(options: SoakOptions) -> Result<(), Report<LabError>> {
+    let builds = builds(&options)?;
     let mut failed: u64 = 0;
     let mut passed: u64 = 0;
     for seed in options.seeds.clone() {
         let folder = folder_of(&options, seed);
         run::prepare_folder(&folder)?;
-        let report = run::soak(seed, options.length, &folder).await;
+        let report = run::soak(seed, options.length, &folder, builds.as_ref()).await;
         let holds = matches!(&report, Ok(report) if report.violations() == 0);
         print(seed, &report);
         if holds {
@@ -46,6 +49,16 @@
     Ok(())
 }
 
+fn builds(options: &SoakOptions) -> Result<Option<Builds>, Report<LabError>> {
+    let Some(former) = options.former.clone() else {
+        return Ok(None);
+    };
+    let present = std::env::current_exe().change_context(LabError::Spawn {
+        name: "soak".to_owned(),
+    })?;
+    Ok(Some(Builds { former, present }))
+}
+
 fn folder_of(options: &SoakOptions, seed: u64) -> PathBuf {
     let name = format!("railtack-soak-{}-{seed}", std::process::id());
     let parent = options.keep.clone().unwrap_or_else(std::env::temp_dir);
--- a/crates/lab/src/soak/run.rs
+++ b/crates/lab/src/soak/run.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    path::Path,
+    path::{Path, PathBuf},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -26,7 +26,7 @@
     LabError,
     demo::{self, FleetOptions, PreparedFleet},
     fault::{Finding, background::BackgroundLoad},
-    fleet::{Fault, Fleet, FleetKind, FleetShape, LabProcess},
+    fleet::{Fault, Fleet, FleetKind, FleetShape, LabProcess, process},
     load::{
         Caller, KeyedRecord,
         caller::{self, AskShape},
@@ -68,12 +68,29 @@
     }
 }
 
-/// Runs a soak of a length on a fleet of its own in `folder`.
+/// Two builds of the programs in one fleet, each by the path of its lab. The fleet begins with the former one. A
+/// control replica that is started again has the present one from then on; a router has either of both.
+#[derive(Clone, Debug)]
+pub struct Builds {
+    /// The build that the fleet begins with.
+    pub former: PathBuf,
+    /// The build that takes its place.
+    pub present: PathBuf,
+}
+
+/// One start of a router in so many has the former build.
+const PUT_BACK: u32 = 3;
+
+/// Runs a soak of a length on a fleet of its own in `folder`, of one build, or of two.
 pub async fn soak(
     seed: u64,
     length: Duration,
     folder: &Path,
+    builds: Option<&Builds>,
 ) -> Result<SoakReport, Report<LabError>> {
+    if let Some(builds) = builds {
+        process::use_lab_binary(&builds.former);
+    }
     let shape = FleetShape::demonstration(FleetKind::Brasov);
     let size = FleetSize {
         routers: shape.routers as usize,
@@ -90,7 +107,7 @@
     let mut prepared = demo::prepare(shape, &options, &mut random).await?;
     let models = BackgroundLoad::start(&prepared, ASKERS, seed);
     let keyed = KeyedLoad::start(&prepared, seed);
-    carry_out(&schedule, seed, &mut prepared.fleet).await?;
+    carry_out(&schedule, seed, &mut prepared.fleet, builds).await?;
     let served_again = serves_again(&prepared).await;
     let asked = models.finish().await;
     let told = keyed.finish().await;
@@ -126,14 +143,22 @@
     schedule: &Schedule,
     seed: u64,
     fleet: &mut Fleet,
+    builds: Option<&Builds>,
 ) -> Result<(), Report<LabError>> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
     let began_at = Instant::now();
     let mut changes = Vec::new();
     for (number, (due, act)) in schedule.acts.iter().enumerate() {
         sleep_until(began_at + *due).await;
         match act {
-            Act::Signal(target, fault) => inflict(process(fleet, *target), *fault).await?,
-            Act::Start(target) => start(process(fleet, *target)).await?,
+            Act::Signal(target, fault) => process_of(fleet, *target).inflict(*fault).await?,
+            Act::Start(target) => {
+                let process = process_of(fleet, *target);
+                if let Some(builds) = builds {
+                    choose_build(process, *target, builds, &mut random);
+                }
+                start(process).await?;
+            }
             Act::Change(count) => {
                 let operation = format!("soak-{seed}-{number}");
                 let addresses = fleet.places.control.iter().map(|place| place.listen);
@@ -149,7 +174,22 @@
     Ok(())
 }
 
-fn process(fleet: &mut Fleet, target: Target) -> &mut LabProcess {
+fn choose_build(
+    process: &mut LabProcess,
+    target: Target,
+    builds: &Builds,
+    random: &mut ChaCha8Rng,
+) {
+    let is_put_back = random.random_ratio(1, PUT_BACK);
+    match target {
+        // The stand-ins are not what is replaced.
+        Target::Engine(_) => {}
+        Target::Router(_) if is_put_back => process.replace_by(&builds.former),
+        Target::Router(_) | Target::Control(_) => process.replace_by(&builds.present),
+    }
+}
+
+fn process_of(fleet: &mut Fleet, target: Target) -> &mut LabProcess {
     match target {
         Target::Router(position) => &mut fleet.routers[position],
         Target::Control(position) => &mut fleet.control[position],
@@ -157,10 +197,6 @@
     }
 }
 
-async fn inflict(process: &mut LabProcess, fault: Fault) -> Result<(), Report<LabError>> {
-    process.inflict(fault).await
-}
-
 async fn start(process: &mut LabProcess) -> Result<(), Report<LabError>> {
     if process.id().is_some()
         && process.wait(STOPS_WITHIN).await.is_none()
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -20,7 +20,9 @@
 async fn nothing_is_broken(seed: u64) {
     process::use_lab_binary(Path::new(env!("CARGO_BIN_EXE_railtack-lab")));
     let folder = tempfile::tempdir().expect("a folder");
-    let report = run::soak(seed, LENGTH, folder.path()).await.expect("a run");
+    let report = run::soak(seed, LENGTH, folder.path(), None)
+        .await
+        .expect("a run");
     let broken: Vec<_> = report.findings.iter().filter(|one| !one.holds()).collect();
     assert!(
         broken.is_empty(),
