Have a stand-in without a limit judge nothing

The emulator copied and sorted all arrivals for each look at its status, also where no limit was ever named, and kept them all. They count from the first limit on; what the next answer names is held once.

--- a/crates/emulator/src/limit.rs
+++ b/crates/emulator/src/limit.rs
@@ -56,6 +56,16 @@
         self.names = limit_per_s;
     }
 
+    /// What the next answer names, requests a second; `None` for nothing.
+    pub fn next_named(&self) -> Option<f64> {
+        self.names
+    }
+
+    /// Whether a limit was ever named, or is with the next answer.
+    pub fn names_any(&self) -> bool {
+        self.names.is_some() || !self.named.is_empty()
+    }
+
     /// Notes a request that arrives, and is answered.
     pub fn arrived(&mut self, now: Duration) {
         self.arrivals.push(now);
@@ -72,6 +82,9 @@
 
     /// The first window in which more arrived than is allowed.
     pub fn broken_window(&self) -> Option<BrokenWindow> {
+        if self.named.is_empty() {
+            return None;
+        }
         let mut arrivals = self.arrivals.clone();
         arrivals.sort();
         let mut end = 0;
@@ -121,7 +134,6 @@
 pub struct LimitSpeaker {
     started: Instant,
     record: LimitRecord,
-    names: Option<f64>,
 }
 
 impl Default for LimitSpeaker {
@@ -129,24 +141,24 @@
         Self {
             started: Instant::now(),
             record: LimitRecord::default(),
-            names: None,
         }
     }
 }
 
 impl LimitSpeaker {
-    /// Notes a request that arrives.
+    /// Notes a request that arrives; those before the first limit count for nothing.
     pub fn arrived(&mut self, content: &[u8]) {
         if holds(content, LIMIT_TEXT) {
-            self.names = Some(LIMIT_PER_S);
-            self.record.names(self.names);
+            self.record.names(Some(LIMIT_PER_S));
+        }
+        if self.record.names_any() {
+            self.record.arrived(self.started.elapsed());
         }
-        self.record.arrived(self.started.elapsed());
     }
 
     /// Names the limit in an answer, if there is one.
     pub fn named_in(&self, mut response: Response<Body>) -> Response<Body> {
-        let named = self.names.map(|per_s| per_s.to_string());
+        let named = self.record.next_named().map(|per_s| per_s.to_string());
         if let Some(value) = named.and_then(|text| HeaderValue::from_str(&text).ok()) {
             let name = HeaderName::from_static(REQUEST_LIMIT);
             response.headers_mut().insert(name, value);
