--- a/crates/lab/src/soak/run.rs
+++ b/crates/lab/src/soak/run.rs
@@ -107,10 +107,12 @@
     let mut prepared = demo::prepare(shape, &options, &mut random).await?;
     let models = BackgroundLoad::start(&prepared, ASKERS, seed);
     let keyed = KeyedLoad::start(&prepared, seed);
-    carry_out(&schedule, seed, &mut prepared.fleet, builds).await?;
+    let carried_out = carry_out(&schedule, seed, &mut prepared.fleet, builds).await;
     let served_again = serves_again(&prepared).await;
+    // Callers end with their fleet also where the schedule could not be carried out.
     let asked = models.finish().await;
     let told = keyed.finish().await;
+    carried_out?;
     let executions = prepared.fleet.executions().await?.by_key;
     let judged = told.judge(&executions);
     let (whole, not_run, unknown) = told.totals();
