Hold no request for a retry that a group at the first level does not lend

Beside control replicas of a former build a router asked nobody, but paused and tried again for a part of the request's objective each time its own retries were used up.

railtackctl status names the builds of present members only.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -410,7 +410,7 @@
             members: raft.membership().members.clone(),
             routers: self.routers.statuses(self.now()),
             group_level: self.group_level(),
-            member_levels: self.levels.said(),
+            member_levels: self.levels.said(raft.membership()),
         }
     }
 
--- a/crates/control/src/node/level.rs
+++ b/crates/control/src/node/level.rs
@@ -61,10 +61,14 @@
             .min(FeatureLevel::OF_THIS_BUILD)
     }
 
-    /// What each member said last.
-    pub fn said(&self) -> Vec<(ReplicaId, FeatureLevel)> {
-        let said = self.said.iter();
-        said.map(|(member, (level, _))| (*member, *level)).collect()
+    /// What each other member said last; those that were not heard yet are left out.
+    pub fn said(&self, membership: &Membership) -> Vec<(ReplicaId, FeatureLevel)> {
+        let members = membership.members.iter();
+        let said = members.filter_map(|member| {
+            let (level, _) = self.said.get(&member.replica)?;
+            Some((member.replica, *level))
+        });
+        said.collect()
     }
 
     fn may_propose(&mut self, now: Millis) -> bool {
--- a/crates/proxy/src/quota.rs
+++ b/crates/proxy/src/quota.rs
@@ -91,6 +91,10 @@
 /// Borrows a retry from the leader for a request to `service`; false if none is lent, or no leader answers
 /// soon. A router of hundreds has less than one retry of its own in a window.
 pub async fn borrow_retry(state: &ProxyState, service: &str, objective: Duration) -> bool {
+    // Asking again would only hold the request.
+    if !state.control_peers.grants() {
+        return false;
+    }
     let until = Instant::now() + objective / WAIT_DIVISOR;
     let question = QuotaRequest {
         subject: QuotaSubject::Retries {
