--- /dev/null
+++ b/crates/control/src/serving_state/updates.rs
@@ -0,0 +1,167 @@
+//! What a router is told: what changed after what it knows, in answers of a bounded size.
+
+use railtack_consensus::LogIndex;
+use railtack_rpc::serving::{Known, ServingUpdate};
+use railtack_serving::{HeldWeights, Life, ReplicaRecord};
+
+use super::ServingState;
+
+/// Records of replicas after which an answer to a router ends, bytes of some 70 kB: a router's link of
+/// 10 Mbit/s carries them in 60 ms, and an answer that does not come within its time is lost as a whole.
+/// All records at once, of 140 bytes each, took longer than that from some 3,000 replicas on.
+const RECORDS_IN_ANSWER: usize = 512;
+
+/// What a router is told at most in one answer.
+#[derive(Clone, Copy)]
+struct AnswerLimits {
+    /// Records of replicas.
+    records: usize,
+    /// Records of replicas that the router was never told.
+    new_records: usize,
+}
+
+impl ServingState {
+    /// What a router lacks that knows so much; `None` if nothing, or if it knows more than is applied
+    /// here. Everything but the records of replicas is told at once, and of these as many as one answer may
+    /// hold.
+    pub fn update_after(&self, known: Known) -> Option<ServingUpdate> {
+        let limits = AnswerLimits {
+            records: RECORDS_IN_ANSWER,
+            new_records: RECORDS_IN_ANSWER,
+        };
+        self.update_with(known, limits)
+    }
+
+    /// The same without records that the router was never told.
+    pub fn changes_after(&self, known: Known) -> Option<ServingUpdate> {
+        let limits = AnswerLimits {
+            records: RECORDS_IN_ANSWER,
+            new_records: 0,
+        };
+        self.update_with(known, limits)
+            .filter(|update| update.known != known)
+    }
+
+    /// All that a router lacks, in one answer: for routers of a build that takes no parts, and that knows a
+    /// replica by its identity alone.
+    pub fn whole_update_after(&self, known: Known) -> Option<ServingUpdate> {
+        let limits = AnswerLimits {
+            records: usize::MAX,
+            new_records: usize::MAX,
+        };
+        let mut update = self.update_with(known, limits)?;
+        for record in &mut update.replicas {
+            record.id = record.instance().to_owned();
+        }
+        let ended = update.removed.into_iter();
+        let ended = ended.map(|name| Life::named(&name).replica.to_owned());
+        update.removed = ended
+            .filter(|replica| self.replicas.life_of(replica).is_none())
+            .collect();
+        Some(update)
+    }
+
+    fn update_with(&self, known: Known, limits: AnswerLimits) -> Option<ServingUpdate> {
+        if known.through > self.changed_at || known.records_through >= self.changed_at {
+            return None;
+        }
+        let complete = known.through == 0 || known.through < self.departed.complete_after();
+        let (replicas, reached) = if complete {
+            self.first_records(limits)
+        } else {
+            self.records_after(known, limits)
+        };
+        let configuration =
+            (self.configuration_at > known.through).then(|| self.configuration().clone());
+        let quarantine = Some(self.quarantine.told())
+            .filter(|told| told.changed_at > known.through)
+            .cloned();
+        Some(ServingUpdate {
+            known: reached,
+            configuration,
+            complete,
+            replicas,
+            removed: self.removed_after(known.through),
+            weights: self.named_weights(),
+            quarantine,
+        })
+    }
+
+    /// The first records for a router that knows none: nothing that it knows can be outdated.
+    fn first_records(&self, limits: AnswerLimits) -> (Vec<ReplicaRecord>, Known) {
+        let (records, records_through) =
+            self.records_between(0, self.changed_at, limits.new_records);
+        let reached = Known {
+            through: self.changed_at,
+            changes_through: self.changed_at,
+            records_through,
+        };
+        (records, reached)
+    }
+
+    /// The records for one answer: first those that changed, and of those that the router was never told
+    /// as many as there is room for.
+    fn records_after(&self, known: Known, limits: AnswerLimits) -> (Vec<ReplicaRecord>, Known) {
+        let (mut records, changes_through) =
+            self.records_between(known.changes_through, self.changed_at, limits.records);
+        let was_whole = known.records_through >= known.changes_through;
+        let mut records_through = known.records_through;
+        let room = limits
+            .records
+            .saturating_sub(records.len())
+            .min(limits.new_records);
+        if was_whole {
+            records_through = changes_through;
+        } else if changes_through == self.changed_at && room > 0 {
+            let (others, told_through) =
+                self.records_between(known.records_through, known.changes_through, room);
+            records.extend(others);
+            // With the last of them, the router knows all.
+            records_through = if told_through == known.changes_through {
+                changes_through
+            } else {
+                told_through
+            };
+        }
+        let reached = Known {
+            through: self.changed_at,
+            changes_through,
+            records_through,
+        };
+        (records, reached)
+    }
+
+    /// Records that changed last after one position and up to another, in the order of their changes, and
+    /// the position up to which these are all; some more than `most`, as those of one position stay together.
+    fn records_between(
+        &self,
+        after: LogIndex,
+        through: LogIndex,
+        most: usize,
+    ) -> (Vec<ReplicaRecord>, LogIndex) {
+        let mut records: Vec<ReplicaRecord> = Vec::new();
+        for record in self.replicas.changed_after(after) {
+            if record.changed_at > through {
+                break;
+            }
+            let last = records.last().map_or(after, |last| last.changed_at);
+            if records.len() >= most && record.changed_at > last {
+                return (records, last);
+            }
+            records.push(record.clone());
+        }
+        (records, through)
+    }
+
+    fn removed_after(&self, known: LogIndex) -> Vec<String> {
+        self.departed.after(known).cloned().collect()
+    }
+
+    fn named_weights(&self) -> Vec<HeldWeights> {
+        let named = self.weights.iter().map(|(model, version)| HeldWeights {
+            model: model.clone(),
+            version: *version,
+        });
+        named.collect()
+    }
+}
