Split the selection of replicas by job

One file ranked replicas, collected costs, chose sources of cached prefixes and waited. Ranking and candidates, and sources and stores, are modules of their own; nothing else changes.

--- /dev/null
+++ b/crates/proxy/src/selection/candidates.rs
@@ -0,0 +1,181 @@
+//! Ranks the replicas that can run a request and collects the inputs to their costs.
+
+use std::sync::Arc;
+
+use railtack_serving::{Availability, ReplicaKey, ReplicaRecord, ServingConfiguration};
+use tokio::time::Instant;
+
+use super::shared_load;
+use crate::{
+    attempt::Target,
+    fleet_view::{FleetView, MIN_ROUTERS_FOR_SHARED_LOAD},
+    homes::{Homes, MIN_GROUP_SIZE, busy_replicas, group_homes, group_size, take_usable},
+    pipeline::RequestRun,
+    prefill_latency::PrefillBacklog,
+    replicas::ReplicaTable,
+    scoring::Candidate,
+    view::ServingView,
+};
+
+/// Connections one router may open to a replica if the configuration sets no limit.
+const DEFAULT_CONNECTIONS: u32 = 32;
+
+/// A replica that may be sent the request, and the inputs to its cost.
+pub(super) struct EligibleReplica {
+    pub(super) candidate: Candidate,
+    pub(super) target: Target,
+}
+
+impl RequestRun {
+    /// Returns the replicas that can run the request and were not tried yet, in order of
+    /// preference. Replicas that are unresponsive to all routers are left out, so that every router
+    /// picks the same substitutes.
+    pub(super) fn home_replicas<'a>(
+        &self,
+        view: &'a ServingView,
+        configuration: &ServingConfiguration,
+        availability: &Availability,
+    ) -> Homes<'a> {
+        let Some(ring) = view.ready(&self.service) else {
+            return Homes::default();
+        };
+        let oldest_weights = self.oldest_usable_weights();
+        let can_run = |record: &&Arc<ReplicaRecord>| {
+            let is_free = record.order.is_none() && !self.tried.contains(&record.id);
+            is_free && self.serves_model(record, oldest_weights)
+        };
+        let now = Instant::now();
+        let uptime = self.state.uptime();
+        let fleet = self.state.current_fleet(now);
+        let fleet = fleet.as_deref();
+        let is_usable = |record: &ReplicaRecord| {
+            let is_unresponsive = fleet.is_some_and(|fleet| is_unresponsive(fleet, record));
+            !is_unresponsive && availability.accepts_requests(&record.id, uptime)
+        };
+        let policy = self.state.options.policy;
+        let home = self.path.key().filter(|_| policy.homes);
+        if ring.len() <= MIN_GROUP_SIZE {
+            let candidates = ring.iter_from(0).filter(can_run);
+            let all = take_usable(candidates, MIN_GROUP_SIZE, is_usable);
+            return Homes::of_all(home, all);
+        }
+        let uses_groups = policy.nested_homes && !self.admitted.isolated;
+        let first_segment = self.path.first_segment_key().filter(|_| uses_groups);
+        if let (Some(home), Some(first_segment)) = (home, first_segment) {
+            let size = self.group_size(fleet, configuration, now);
+            let candidates = ring.iter_from(first_segment).filter(can_run);
+            return group_homes(home, candidates, size, is_usable);
+        }
+        // Without a prefix, the search starts at a random position.
+        let start = home.unwrap_or_else(rand::random);
+        let candidates = ring.iter_from(start).filter(can_run);
+        Homes::of_all(None, take_usable(candidates, MIN_GROUP_SIZE, is_usable))
+    }
+
+    /// Returns the size of the replica group for this prompt's first segment.
+    fn group_size(
+        &self,
+        fleet: Option<&FleetView>,
+        configuration: &ServingConfiguration,
+        now: Instant,
+    ) -> usize {
+        let open = fleet.map_or(0, |fleet| fleet.peak_open_requests(now));
+        let service = configuration.service(&self.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let slots = engine.map_or(1, |engine| engine.slots);
+        group_size(busy_replicas(open, slots))
+    }
+
+    /// Returns the ranked replicas that accept a request now, each with its load and cached prefix.
+    pub(super) fn eligible_replicas(
+        &self,
+        ranked: &[&Arc<ReplicaRecord>],
+        table: &mut ReplicaTable,
+        configuration: &ServingConfiguration,
+    ) -> Vec<EligibleReplica> {
+        let now = Instant::now();
+        let uptime = self.state.uptime();
+        let policy = self.state.options.policy;
+        let connection_limit = self.connection_limit(configuration);
+        let capacity_tokens = self.capacity_tokens(configuration);
+        let fleet = self
+            .state
+            .current_fleet(now)
+            .filter(|_| self.routers() >= MIN_ROUTERS_FOR_SHARED_LOAD);
+        let mut eligible = Vec::with_capacity(ranked.len());
+        for (rank, record) in ranked.iter().copied().enumerate() {
+            let handle = table.handle(&record.id, now);
+            let shared = fleet.as_ref().map(|fleet| shared_load(fleet, record));
+            let accepts = table.availability.accepts_requests(&record.id, uptime);
+            let is_paused = policy.pauses && !handle.is_available(now);
+            if !accepts || is_paused || !handle.pool.has_capacity(connection_limit) {
+                continue;
+            }
+            let cached_tokens = table.sent().cached_tokens(&record.id, &self.path);
+            let mut candidate = Candidate {
+                same_zone: !policy.zone || record.zone == self.state.options.zone,
+                slots: record.slots,
+                capacity_tokens,
+                ..Candidate::default()
+            };
+            if policy.sent_prefixes {
+                candidate.cached_tokens = cached_tokens;
+            }
+            if policy.homes {
+                candidate.rank = rank;
+            }
+            eligible.push(EligibleReplica {
+                candidate: handle.fill_candidate(candidate, policy, shared, now),
+                target: Target {
+                    record: Arc::clone(record),
+                    handle,
+                    connection_limit,
+                    cached_tokens: candidate.cached_tokens,
+                    backlog: PrefillBacklog::default(),
+                    fetch_from: None,
+                    save_to: None,
+                    permit: None,
+                },
+            });
+        }
+        eligible
+    }
+
+    fn oldest_usable_weights(&self) -> u64 {
+        let prompt = self.request.prompt.as_ref();
+        prompt.map_or(0, |prompt| self.state.oldest_usable_weights(&prompt.model))
+    }
+
+    /// Whether the replica holds usable weights of the requested model.
+    fn serves_model(&self, record: &ReplicaRecord, oldest_weights: u64) -> bool {
+        let Some(prompt) = &self.request.prompt else {
+            return true;
+        };
+        let held = record.version_of(&prompt.model);
+        record.weights.is_empty() || held.is_some_and(|held| held >= oldest_weights)
+    }
+
+    fn capacity_tokens(&self, configuration: &ServingConfiguration) -> u64 {
+        let service = configuration.service(&self.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        engine.map_or(0, |engine| engine.kv_capacity_tokens)
+    }
+
+    fn connection_limit(&self, configuration: &ServingConfiguration) -> u32 {
+        let service = configuration.service(&self.service);
+        let configured = service.map_or(0, |service| service.max_connections);
+        if configured == 0 {
+            return DEFAULT_CONNECTIONS;
+        }
+        (configured / self.routers().max(1)).max(1)
+    }
+}
+
+/// Whether routers wait for responses of the replica and none of them has received any.
+fn is_unresponsive(fleet: &FleetView, record: &ReplicaRecord) -> bool {
+    if !fleet.any_unresponsive() {
+        return false;
+    }
+    let condition = fleet.condition(ReplicaKey::of(&record.id));
+    condition.is_some_and(|condition| condition.is_unresponsive)
+}
