Agree on the messages and types for decisions under load

Routers will report how fast replicas read and generate, the leader will return relative speeds with the digest, and requests for quota will state their urgency. The new fields stand at the end of four messages, are written only when they have entries, and belong to feature level 2; a message without them keeps the bytes of the previous builds (test current_layout: 16 old messages and 5 new ones). Nothing sends them yet.

--- a/crates/control/src/serving/fleet.rs
+++ b/crates/control/src/serving/fleet.rs
@@ -151,6 +151,7 @@
             age_ms: 0,
             replicas: conditions.collect(),
             limited: self.limited_replicas.clone(),
+            speeds: Vec::new(),
         };
         self.digest = Some((digest, now));
         changes
--- a/crates/control/src/serving/liveness.rs
+++ b/crates/control/src/serving/liveness.rs
@@ -269,6 +269,7 @@
             routers: recent.map(|(router, _)| router.clone()).collect(),
             sender: sender.to_owned(),
             observations,
+            paces: Vec::new(),
         };
         (report, now)
     }
--- a/crates/control/tests/current_layout.rs
+++ b/crates/control/tests/current_layout.rs
@@ -9,9 +9,10 @@
 };
 use speedy::{Readable, Writable};
 
-fn files(folder: &str) -> Vec<(String, Vec<u8>)> {
+fn files(level: &str, folder: &str) -> Vec<(String, Vec<u8>)> {
     let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR"))
-        .join("tests/data/shared_grants")
+        .join("tests/data")
+        .join(level)
         .join(folder);
     let files = fs::read_dir(folder).expect("a folder").map(|file| {
         let file = file.expect("a file");
@@ -25,22 +26,29 @@
 /// where the receiver may lack them, and get test data in a new folder; the existing data stays.
 #[test]
 fn message_layouts_are_unchanged() {
-    let files = files("messages");
-    assert_eq!(files.len(), 16);
-    for (name, bytes) in files {
-        let written = if name.ends_with("-request") || name == "alive-notice" {
-            ControlRequest::read_from_buffer(&bytes).map(|read| read.write_to_vec())
-        } else {
-            ControlResponse::read_from_buffer(&bytes).map(|read| read.write_to_vec())
-        };
-        let written = written.unwrap_or_else(|error| panic!("{name}: {error}"));
-        assert_eq!(written.expect("encoded"), bytes, "{name}");
+    for (level, count) in [("shared_grants", 16), ("load_reports", 5)] {
+        let files = files(level, "messages");
+        assert_eq!(files.len(), count, "{level}");
+        for (name, bytes) in files {
+            assert_eq!(rewritten(&name, &bytes), bytes, "{level}/{name}");
+        }
     }
 }
 
+/// Reads a message and writes it again.
+fn rewritten(name: &str, bytes: &[u8]) -> Vec<u8> {
+    let written = if name.ends_with("-request") || name == "alive-notice" {
+        ControlRequest::read_from_buffer(bytes).map(|read| read.write_to_vec())
+    } else {
+        ControlResponse::read_from_buffer(bytes).map(|read| read.write_to_vec())
+    };
+    let written = written.unwrap_or_else(|error| panic!("{name}: {error}"));
+    written.expect("encoded")
+}
+
 #[test]
 fn stored_layouts_are_unchanged() {
-    for (name, bytes) in files("stored") {
+    for (name, bytes) in files("shared_grants", "stored") {
         let written = if name == "state" {
             let state = ControlState::read_stored(&bytes).expect("a state");
             state.write_to_vec()
--- a/crates/control/tests/watch.rs
+++ b/crates/control/tests/watch.rs
@@ -17,6 +17,7 @@
         wait_ms,
         has_lease: true,
         observations: Vec::new(),
+        paces: Vec::new(),
     }
 }
 
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -152,6 +152,7 @@
         accepts_partial: true,
         has_lease: lock(&state.lease).is_valid(BootInstant::now()),
         observations: lock(&state.replicas).observations(Instant::now()),
+        paces: Vec::new(),
     };
     connection
         .call(|client| async move {
--- /dev/null
+++ b/crates/proxy/src/load.rs
@@ -0,0 +1,8 @@
+//! Estimates and decisions under load. Pure: values, times and seeds are passed in, and no module depends on
+//! the state of the router or on the pipeline of a request.
+//!
+//! | decision | module |
+//! |---|---|
+//! | expected latencies of a prompt at a replica | [`estimate`] |
+
+pub mod estimate;
--- a/crates/proxy/src/quota.rs
+++ b/crates/proxy/src/quota.rs
@@ -61,6 +61,7 @@
         },
         declared_tokens: request.declared_tokens,
         max_wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+        urgency: None,
     };
     loop {
         match request_grant(state, &grant_request, until).await {
@@ -99,6 +100,7 @@
         },
         declared_tokens: None,
         max_wait_ms: 0,
+        urgency: None,
     };
     loop {
         match request_grant(state, &grant_request, until).await {
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -516,6 +516,7 @@
     };
     let digest = FleetDigest {
         limited: Vec::new(),
+        speeds: Vec::new(),
         age_ms: 1_000,
         replicas: vec![condition("a", false), condition("b", true)],
     };
--- a/crates/proxy/tests/homes.rs
+++ b/crates/proxy/tests/homes.rs
@@ -271,6 +271,7 @@
     let start = Instant::now();
     let digest = |open_requests| FleetDigest {
         limited: Vec::new(),
+        speeds: Vec::new(),
         age_ms: 0,
         replicas: vec![ReplicaCondition {
             replica: ReplicaKey(1),
--- a/crates/rpc/src/layout.rs
+++ b/crates/rpc/src/layout.rs
@@ -6,6 +6,8 @@
 //! remove fields of a released layout.
 
 mod inline_quotas;
+mod load;
+mod trailing;
 mod watch;
 
 pub use inline_quotas::{InlineConfiguration, LayoutError, read_exactly, read_proposal};
--- a/crates/rpc/src/layout/watch.rs
+++ b/crates/rpc/src/layout/watch.rs
@@ -4,12 +4,13 @@
 use railtack_serving::{ModelWeights, ReplicaRecord, ServingConfiguration, TenantQuota};
 use speedy::{Context, Readable, Reader, Writable, Writer};
 
+use super::trailing::Trailing;
 use crate::{
     level::FeatureLevel,
     permits::LimitedReplica,
     serving::{
-        FleetDigest, QuarantineUpdate, ReplicaCondition, ReplicaObservation, ServingUpdate,
-        WatchPosition, WatchReply, WatchRequest,
+        FleetDigest, QuarantineUpdate, ReplicaCondition, ReplicaObservation, ReplicaPace,
+        ReplicaSpeed, ServingUpdate, WatchPosition, WatchReply, WatchRequest,
     },
 };
 
@@ -21,6 +22,8 @@
     observations: Vec<ReplicaObservation>,
     #[speedy(default_on_eof)]
     later: Option<LaterRequest>,
+    #[speedy(default_on_eof)]
+    paces: Vec<ReplicaPace>,
 }
 
 #[derive(Readable, Writable)]
@@ -37,6 +40,7 @@
     wait_ms: u64,
     observations: &'a [ReplicaObservation],
     later: Option<LaterRequest>,
+    paces: Trailing<'a, ReplicaPace>,
 }
 
 impl<'a> From<&'a WatchRequest> for WrittenRequest<'a> {
@@ -51,6 +55,7 @@
                 wants_records: request.wants_records,
                 has_lease: request.has_lease,
             }),
+            paces: Trailing(&request.paces),
         }
     }
 }
@@ -71,6 +76,7 @@
             has_lease: later.has_lease,
             accepts_partial,
             observations: wire.observations,
+            paces: wire.paces,
         }
     }
 }
@@ -86,6 +92,8 @@
     fleet: Option<WireDigest>,
     #[speedy(default_on_eof)]
     later: Option<LaterReply>,
+    #[speedy(default_on_eof)]
+    speeds: Vec<ReplicaSpeed>,
 }
 
 #[derive(Readable)]
@@ -128,6 +136,7 @@
     update: Option<WrittenUpdate<'a>>,
     fleet: Option<WrittenDigest<'a>>,
     later: Option<WrittenLater<'a>>,
+    speeds: Trailing<'a, ReplicaSpeed>,
 }
 
 #[derive(Writable)]
@@ -180,6 +189,7 @@
                 limited: fleet.map_or(&[], |fleet| &fleet.limited),
                 update: update.map(WrittenLaterUpdate::from),
             }),
+            speeds: Trailing(fleet.map_or(&[], |fleet| &fleet.speeds)),
         }
     }
 }
@@ -227,6 +237,7 @@
                 age_ms: fleet.age_ms,
                 replicas: fleet.replicas,
                 limited,
+                speeds: wire.speeds,
             }),
             group_level: group_level.unwrap_or_default(),
         }
--- a/crates/rpc/src/level.rs
+++ b/crates/rpc/src/level.rs
@@ -19,8 +19,11 @@
     /// is silent, requests under which replicas crashed are recorded, and the leader grants quotas, shared
     /// retries and permits.
     pub const SHARED_GRANTS: Self = Self(1);
+    /// Routers report how fast back ends read and generate, the leader returns relative speeds, and requests
+    /// for quota state their urgency.
+    pub const LOAD_REPORTS: Self = Self(2);
     /// Highest level that this build supports.
-    pub const SUPPORTED: Self = Self::SHARED_GRANTS;
+    pub const SUPPORTED: Self = Self::LOAD_REPORTS;
 }
 
 /// Highest feature level of the group that a router has received.
--- a/crates/rpc/src/serving.rs
+++ b/crates/rpc/src/serving.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use railtack_consensus::{DiskId, LogIndex, ReplicaId};
-use railtack_serving::{ContentKey, ModelWeights, ReplicaKey, ReplicaRecord, ServingConfiguration};
+use railtack_serving::{
+    ContentKey, ModelWeights, RelativeSpeed, ReplicaKey, ReplicaRecord, ServingConfiguration,
+};
 use speedy::{Readable, Writable};
 
 use crate::{level::FeatureLevel, permits::LimitedReplica};
@@ -58,7 +60,7 @@
 }
 
 /// Request of a router for the changes since a position, and for a confirmation that it is current.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct WatchRequest {
     /// Name of the router.
     pub router: String,
@@ -76,6 +78,8 @@
     pub accepts_partial: bool,
     /// Recent observations of back-end replicas by the router.
     pub observations: Vec<ReplicaObservation>,
+    /// Recent paces of back-end replicas; empty below [`FeatureLevel::LOAD_REPORTS`].
+    pub paces: Vec<ReplicaPace>,
 }
 
 /// Age from which a confirmation no longer renews a lease, milliseconds. The router then switches to another
@@ -122,16 +126,44 @@
     pub stalled_routers: u16,
 }
 
+/// Decayed sums over the recent streams of one back-end replica, by one router or by all routers connected to
+/// one control replica. Sums of several reporters are added; a report replaces the previous one of its sender.
+#[derive(Clone, Copy, Debug, PartialEq, Readable, Writable)]
+pub struct ReplicaPace {
+    /// Key of the replica.
+    pub replica: ReplicaKey,
+    /// Number of first events.
+    pub first_events: f32,
+    /// Prompt tokens that were prefilled before them, those of prompts ahead in the queue included.
+    pub prefilled_tokens: f32,
+    /// Time from sending the prompts to their first events, milliseconds.
+    pub first_event_ms: f32,
+    /// Number of gaps between events.
+    pub gaps: f32,
+    /// Duration of the gaps, milliseconds.
+    pub gap_ms: f32,
+}
+
+/// Relative speed of one back-end replica, as derived by the leader from the paces of all routers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct ReplicaSpeed {
+    /// Key of the replica.
+    pub replica: ReplicaKey,
+    /// Its speed.
+    pub speed: RelativeSpeed,
+}
+
 /// Combined observations of the back-end replicas by all routers.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct FleetDigest {
     /// Age of the digest when the message was sent, milliseconds.
     pub age_ms: u32,
     /// Replicas that are in use or unresponsive.
     pub replicas: Vec<ReplicaCondition>,
     /// Replicas that advertise a request limit.
-    #[speedy(default_on_eof)]
     pub limited: Vec<LimitedReplica>,
+    /// Replicas whose speed is not the usual one; empty below [`FeatureLevel::LOAD_REPORTS`].
+    pub speeds: Vec<ReplicaSpeed>,
 }
 
 /// Combined observations of one replica by all routers.
@@ -260,8 +292,21 @@
     },
 }
 
+/// Urgency of a request for quota, and the identity by which it is recognized when its caller returns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct QuotaUrgency {
+    /// Priority of the request; 0 is the most urgent.
+    pub priority: u8,
+    /// Latency objective of its route, milliseconds.
+    pub objective_ms: u32,
+    /// Time until the deadline of the request, milliseconds.
+    pub time_left_ms: u32,
+    /// Key of the request's content; identical when the caller repeats it.
+    pub content: ContentKey,
+}
+
 /// Request of a router for a grant from a quota.
-#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct QuotaRequest {
     /// Quota from which the grant is requested.
     pub subject: QuotaSubject,
@@ -269,6 +314,8 @@
     pub declared_tokens: Option<u64>,
     /// Maximum time for which the request may wait for its grant, milliseconds.
     pub max_wait_ms: u32,
+    /// Urgency of the request; `None` below [`FeatureLevel::LOAD_REPORTS`].
+    pub urgency: Option<QuotaUrgency>,
 }
 
 /// Reply to [`QuotaRequest`].
@@ -311,7 +358,7 @@
 }
 
 /// Heartbeats and observations that a control replica received, reported to the leader.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct LivenessReport {
     /// Incarnation ids of the back-end replicas, for a leader of a build that reads only these; empty once
     /// the group is above the first feature level.
@@ -323,8 +370,10 @@
     /// Observations of its routers, combined by back-end replica.
     pub observations: Vec<ReplicaObservation>,
     /// Heartbeats received since the last report that got a reply.
-    #[speedy(default_on_eof)]
     pub replicas: Vec<ReplicaHeartbeat>,
+    /// Paces reported by its routers, added up by back-end replica; empty below
+    /// [`FeatureLevel::LOAD_REPORTS`].
+    pub paces: Vec<ReplicaPace>,
 }
 
 impl LivenessReport {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod registry;
 pub mod retries;
 pub mod settings;
+pub mod speed;
 
 pub use availability::{
     AdvertisedLimit, AdvertisedState, Availability, BackendSignals, MonotonicTime, SignalChanges,
@@ -33,3 +34,4 @@
 pub use quota::{Bucket, GrantTimes, QuotaBounds, QuotaUnit, TenantQuota};
 pub use registry::{ModelWeights, PendingOrder, ReplicaKey, ReplicaRecord, ReplicaState};
 pub use settings::{Bounds, FaultTolerance};
+pub use speed::RelativeSpeed;
--- a/crates/serving/src/policy.rs
+++ b/crates/serving/src/policy.rs
@@ -46,6 +46,22 @@
     pub first_lease_wait: bool,
     /// Relies on the keep-alive time that a replica advertises for every request.
     pub stated_rest: bool,
+    /// Grants a tenant's quota by urgency and cost instead of in the order of arrival.
+    pub quota_urgency: bool,
+    /// Sets capacity aside for a refused request until the time at which it was told to return.
+    pub kept_returns: bool,
+    /// Places prompts and estimates latencies by the measured speeds of replicas.
+    pub replica_speeds: bool,
+    /// Selects replicas by expected latency where replicas differ in speed or queue prompts.
+    pub expected_time: bool,
+    /// Serves requests late, at a lower priority, instead of refusing them.
+    pub late_service: bool,
+    /// Restores shared prefixes after the loss of replicas from other holders and the store.
+    pub prefix_recovery: bool,
+    /// Adapts the number of concurrent loads of weights to the load of the service.
+    pub paced_rollout: bool,
+    /// Prefers replicas that hold the newest weights during a rollout.
+    pub newest_weights: bool,
 }
 
 impl Policy {
@@ -69,6 +85,14 @@
         busy_patience: true,
         first_lease_wait: true,
         stated_rest: true,
+        quota_urgency: true,
+        kept_returns: true,
+        replica_speeds: true,
+        expected_time: true,
+        late_service: true,
+        prefix_recovery: true,
+        paced_rollout: true,
+        newest_weights: true,
     };
 }
 
