--- a/crates/proxy/src/fleet_view.rs
+++ b/crates/proxy/src/fleet_view.rs
@@ -7,7 +7,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use railtack_rpc::serving::{FleetDigest, ReplicaCondition};
-use railtack_serving::{ReplicaKey, RequestLimit};
+use railtack_serving::{RelativeSpeed, ReplicaKey, RequestLimit};
 use tokio::time::Instant;
 
 /// Maximum age of a usable digest; load changes within seconds.
@@ -33,6 +33,8 @@
     conditions: HashMap<ReplicaKey, ReplicaCondition>,
     /// Rate-limited replicas, with the time at which a digest last contained each.
     limited: HashMap<ReplicaKey, (DigestLimit, Instant)>,
+    /// Replicas whose speed is not the usual one. Speeds change slowly and are kept without a current digest.
+    speeds: HashMap<ReplicaKey, RelativeSpeed>,
     unresponsive: usize,
     /// Peak of open requests at all replicas, and the time at which it was updated.
     peak: Option<(f64, Instant)>,
@@ -57,6 +59,8 @@
             .into_iter()
             .map(|condition| (condition.replica, condition))
             .collect();
+        let speeds = digest.speeds.iter();
+        self.speeds = speeds.map(|entry| (entry.replica, entry.speed)).collect();
         let digest_at = self.digest_at.unwrap_or(now);
         let limited = digest.limited.into_iter().map(|entry| {
             let age = Duration::from_millis(u64::from(entry.advertised_age_ms));
@@ -114,6 +118,16 @@
         self.conditions.get(&replica)
     }
 
+    /// Returns the speed of a replica according to the last digest.
+    pub fn speed(&self, replica: ReplicaKey) -> RelativeSpeed {
+        self.speeds.get(&replica).copied().unwrap_or_default()
+    }
+
+    /// Whether any replica has another speed than the usual one.
+    pub fn any_unusual_speed(&self) -> bool {
+        !self.speeds.is_empty()
+    }
+
     /// Returns the limit of a replica, if a recent digest contained one.
     pub fn limit(&self, replica: ReplicaKey, now: Instant) -> Option<DigestLimit> {
         let (entry, received_at) = self.limited.get(&replica).copied()?;
