Probe the port of an ended back end until it closes

What callers saw: beside load, /v1 did not report crashes of back ends, so a fatal request went on to all of them and was quarantined too late; the service had no back end left. Cause: the port was looked at once, and a process that exits closes its connections before its port. Test port_closes fails with one probe.

--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -4,7 +4,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use railtack_core::{EngineId, EngineIncarnation, RefusalCode};
-use railtack_http::client::is_port_closed;
+use railtack_http::client::port_closes_within;
 use railtack_proxy::quarantine::{REPORT_BATCH_DELAY, REPORT_TIMEOUT};
 use railtack_rpc::{
     protocol::{Command, Outcome},
@@ -19,8 +19,8 @@
     state::{RouterState, lock},
 };
 
-/// Timeout of the connection attempt that checks whether a port is closed.
-const PORT_CHECK_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time in which the port of a back end that exits closes after its connections.
+const PORT_CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// One incarnation of an engine or back end.
 #[derive(Clone, Debug)]
@@ -87,7 +87,7 @@
 }
 
 async fn check_crashed(state: &RouterState, incarnation: &BackendIncarnation) {
-    let has_ended = is_port_closed(incarnation.address, PORT_CHECK_TIMEOUT).await;
+    let has_ended = port_closes_within(incarnation.address, PORT_CHECK_TIMEOUT).await;
     spdlog::info!("replica looked at after a connection broke", kv: {
         replica = incarnation.id.clone(),
         address = incarnation.address.to_string(),
