Give the leader's quotas a folder of their own

Cause: the ledger gets neighbours (urgency, returns), and its server is one of several modules of one job. Change: the server moves to serving/quota/mod.rs and the ledger beside it; only paths change. The seven tests of control/tests/quota pass.

--- a/crates/control/src/serving/mod.rs
+++ b/crates/control/src/serving/mod.rs
@@ -9,7 +9,7 @@
 //! | [`formation`] | bootstraps the group and joins it |
 //! | [`handle`] | interface for adapters: documents, registrations, target weights |
 //! | [`leader`] | client of the leader: proposals and linearizable reads |
-//! | [`ledger`], [`quota`] | quotas of tenants and shared retries (the ledger is pure) |
+//! | [`quota`] | quotas of tenants and shared retries (its ledger is pure) |
 //! | [`limits`], [`permits`] | permits for back ends that advertise a limit (the former is pure) |
 //! | [`quarantine`] | releases quarantined requests after a time |
 //! | [`liveness`] | heartbeats of back-end replicas and requests of routers |
@@ -25,7 +25,6 @@
 pub mod formation;
 pub mod handle;
 pub mod leader;
-pub mod ledger;
 pub mod limits;
 pub mod liveness;
 pub mod order_channel;
--- a/crates/control/src/serving/quota.rs
+++ b/crates/control/src/serving/quota/mod.rs
@@ -21,10 +21,12 @@
 use crate::{
     metrics::ControlMetrics,
     node::NodeHandle,
-    serving::ledger::{LedgerReply, QuotaLedger, Withdrawal},
+    serving::quota::ledger::{LedgerReply, QuotaLedger, Withdrawal},
     view::NodeView,
 };
 
+pub mod ledger;
+
 /// Maximum age of the last confirmation of leadership for granting quotas. The leader is confirmed
 /// with each heartbeat of 100 ms. For this time, a previous leader may grant beside a new one.
 pub const MAX_LEADERSHIP_CONFIRMATION_AGE: Duration = Duration::from_millis(250);
--- a/crates/control/tests/quota.rs
+++ b/crates/control/tests/quota.rs
@@ -5,9 +5,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use railtack_control::serving::{
+use railtack_control::serving::quota::{
+    MAX_LEADERSHIP_CONFIRMATION_AGE, grant_times,
     ledger::{LedgerReply, QuotaLedger, Withdrawal},
-    quota::{MAX_LEADERSHIP_CONFIRMATION_AGE, grant_times},
 };
 use railtack_rpc::serving::GRANT_TTL;
 use railtack_serving::{QuotaBounds, QuotaUnit, TenantQuota};
--- a/crates/lab/tests/shared_retries.rs
+++ b/crates/lab/tests/shared_retries.rs
@@ -5,9 +5,9 @@
 
 use std::time::Duration;
 
-use railtack_control::serving::{
+use railtack_control::serving::quota::{
+    grant_times,
     ledger::{LedgerReply, QuotaLedger, Withdrawal},
-    quota::grant_times,
 };
 use railtack_proxy::budget::{BudgetRule, RetryBudget};
 use railtack_serving::{
