Grant quotas by urgency, and keep the times told to refused callers

Callers saw: a tenant at its quota had its commands and short questions refused, although commands cost next to nothing, and was told to return in 8 s in the median, which callers don't wait. Cause: a request may wait an eighth of its objective for its grant, so long prompts, which wait longest, hold the bucket where only they are granted. The cost of refused requests was added to all later delays until the refill had covered it, though most of these callers never returned, and a caller that did return was a newcomer.

Change: the ledger keeps the recent demand of an account by kind (priority and objective). A request is granted only if it leaves what the more urgent bring within their longest wait, and no larger shortfall than others of its urgency accept. What costs little against the quota counts as the most urgent, up to a quarter of the refill. A refused request that is recognized by its content gets capacity set aside until its return, from half of the refill; the bucket itself is charged as before. One kind of request is decided as before.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -3,14 +3,23 @@
 use std::sync::atomic::AtomicU64;
 
 use prometheus_client::{
+    encoding::EncodeLabelSet,
     metrics::{
         counter::Counter,
+        family::Family,
         gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
     registry::Registry,
 };
 
+/// Label of requests for a tenant's quota.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct PriorityLabel {
+    /// Priority, 0 to 9; 10 if the router states none.
+    pub priority: u8,
+}
+
 /// Metrics shared by the replica's thread and its services.
 #[derive(Clone, Debug)]
 pub struct ControlMetrics {
@@ -24,6 +33,18 @@
     pub quota_requests: Counter,
     /// Quota requests that were rejected.
     pub quota_rejected: Counter,
+    /// Requests of tenants that were granted quota, by priority.
+    pub quota_granted_by_priority: Family<PriorityLabel, Counter>,
+    /// Requests of tenants that were refused quota, by priority.
+    pub quota_rejected_by_priority: Family<PriorityLabel, Counter>,
+    /// Refused callers for which capacity was set aside.
+    pub quota_promises: Counter,
+    /// Of these, callers that returned in time and were granted it.
+    pub quota_promises_kept: Counter,
+    /// Of these, callers that returned in time and were refused.
+    pub quota_promises_broken: Counter,
+    /// Of these, callers that did not return in time.
+    pub quota_promises_lapsed: Counter,
     /// Permit requests for back ends with a limit.
     pub permit_requests: Counter,
     /// Permit requests that were denied.
@@ -69,6 +90,12 @@
             polls: Counter::default(),
             quota_requests: Counter::default(),
             quota_rejected: Counter::default(),
+            quota_granted_by_priority: Family::default(),
+            quota_rejected_by_priority: Family::default(),
+            quota_promises: Counter::default(),
+            quota_promises_kept: Counter::default(),
+            quota_promises_broken: Counter::default(),
+            quota_promises_lapsed: Counter::default(),
             permit_requests: Counter::default(),
             permits_denied: Counter::default(),
             quarantined: Gauge::default(),
@@ -121,6 +148,36 @@
             "Parts of tenants' quotas refused",
             self.quota_rejected.clone(),
         );
+        registry.register(
+            "control_quota_granted_by_priority",
+            "Requests of tenants that were granted quota",
+            self.quota_granted_by_priority.clone(),
+        );
+        registry.register(
+            "control_quota_refused_by_priority",
+            "Requests of tenants that were refused quota",
+            self.quota_rejected_by_priority.clone(),
+        );
+        registry.register(
+            "control_quota_promises",
+            "Refused callers for which capacity was set aside",
+            self.quota_promises.clone(),
+        );
+        registry.register(
+            "control_quota_promises_kept",
+            "Promised callers that returned in time and were granted quota",
+            self.quota_promises_kept.clone(),
+        );
+        registry.register(
+            "control_quota_promises_broken",
+            "Promised callers that returned in time and were refused",
+            self.quota_promises_broken.clone(),
+        );
+        registry.register(
+            "control_quota_promises_lapsed",
+            "Promised callers that did not return in time",
+            self.quota_promises_lapsed.clone(),
+        );
         registry.register(
             "control_permits_asked",
             "Permits for back ends with a limit asked for",
--- a/crates/control/src/serving/quota/ledger.rs
+++ b/crates/control/src/serving/quota/ledger.rs
@@ -3,26 +3,19 @@
 //!
 //! Each term has a ledger of its own, which starts with empty buckets except in the first term of a
 //! group. A request may be granted capacity that the bucket refills shortly. It then waits, and
-//! later requests queue up behind it, so that small requests do not starve a large one.
+//! later requests queue up behind it, so that small requests do not starve a large one. Requests of
+//! several urgencies leave room to each other, see [`super::urgency`] and [`super::promises`].
 //!
 //! Invariant: what the ledgers of all terms grant within any window fits into
 //! [`QuotaBounds::bucket`]. A new term adds no burst.
 
 use std::{collections::HashMap, time::Duration};
 
+use railtack_rpc::serving::QuotaUrgency;
 use railtack_serving::{Bucket, GrantTimes, QuotaBounds, TenantQuota};
 use tokio::time::Instant;
 
-/// Token bucket of one account.
-#[derive(Clone, Copy, Debug)]
-struct BucketState {
-    quota: TenantQuota,
-    /// Available capacity; negative while granted requests wait for it.
-    level: f64,
-    /// Cost of refused requests that have not retried yet.
-    pending_retry_cost: f64,
-    updated_at: Instant,
-}
+use super::{account::Account, promises::PromiseCounts};
 
 /// Decision on one request for quota.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -52,14 +45,16 @@
     pub cost: u64,
     /// Longest time for which the request may wait.
     pub max_wait: Duration,
+    /// Urgency of the request, if its router states one.
+    pub urgency: Option<QuotaUrgency>,
 }
 
-/// Buckets of all accounts in one term of the leader.
+/// Accounts in one term of the leader.
 #[derive(Clone, Debug)]
 pub struct QuotaLedger {
     bounds: QuotaBounds,
     times: GrantTimes,
-    buckets: HashMap<String, BucketState>,
+    accounts: HashMap<String, Account>,
     started_at: Instant,
     /// Whether buckets start full, as in the first term of a group, when nothing has been granted
     /// before.
@@ -72,7 +67,7 @@
         Self {
             bounds,
             times,
-            buckets: HashMap::new(),
+            accounts: HashMap::new(),
             started_at: now,
             starts_full: false,
         }
@@ -87,72 +82,43 @@
     }
 
     /// Withdraws the cost of a request if the bucket holds it, or will hold it within the request's
-    /// wait.
+    /// wait, and if enough remains for more urgent requests and for those that were told to return.
     pub fn withdraw(&mut self, withdrawal: Withdrawal<'_>, now: Instant) -> LedgerReply {
         let bucket = self.bounds.bucket(&withdrawal.quota, self.times);
         // The current usage does not predict the usage beyond one window.
         let max_retry_after = Duration::from_millis(self.bounds.window_ms);
-        let state = self.bucket_state(&withdrawal, bucket, now);
-        let cost = withdrawal.cost as f64;
-        // A request larger than the bucket is granted when the bucket is full.
-        let needed = cost.min(bucket.capacity);
-        let shortfall = (needed - state.level).max(0.0);
-        let wait = refill_time(shortfall, bucket);
-        if wait <= withdrawal.max_wait {
-            state.level -= cost;
-            return LedgerReply::Granted { wait };
-        }
-        let retry_after =
-            refill_time(shortfall + state.pending_retry_cost, bucket).min(max_retry_after);
-        state.pending_retry_cost += cost;
-        LedgerReply::Refused {
-            retry_after,
-            level: state.level,
-        }
+        let account = self.account(&withdrawal, bucket, now);
+        account.decide(&withdrawal, bucket, max_retry_after, now)
+    }
+
+    /// Returns the outcomes of promises since the last call.
+    pub fn take_promise_counts(&mut self, account: &str) -> PromiseCounts {
+        let account = self.accounts.get_mut(account);
+        account
+            .map(Account::take_promise_counts)
+            .unwrap_or_default()
     }
 
-    fn bucket_state(
+    fn account(
         &mut self,
         withdrawal: &Withdrawal<'_>,
         bucket: Bucket,
         now: Instant,
-    ) -> &mut BucketState {
-        let new_state = BucketState {
-            quota: withdrawal.quota,
-            level: if self.starts_full {
-                bucket.capacity
-            } else {
-                0.0
-            },
-            pending_retry_cost: 0.0,
-            updated_at: self.started_at,
+    ) -> &mut Account {
+        let level = if self.starts_full {
+            bucket.capacity
+        } else {
+            0.0
         };
-        let state = self
-            .buckets
+        let account = self
+            .accounts
             .entry(withdrawal.account.to_owned())
-            .or_insert(new_state);
-        if state.quota != withdrawal.quota {
-            // The quota changed at an unknown time since the last request, so the smaller bucket
-            // applies.
-            let previous_bucket = self.bounds.bucket(&state.quota, self.times);
-            state.refill(previous_bucket.min(bucket), now);
-            state.quota = withdrawal.quota;
+            .or_insert_with(|| Account::new(withdrawal.quota, level, self.started_at));
+        if account.quota() != withdrawal.quota {
+            let previous_bucket = self.bounds.bucket(&account.quota(), self.times);
+            account.change_quota(withdrawal.quota, previous_bucket.min(bucket), now);
         }
-        state.refill(bucket, now);
-        state
+        account.refill(bucket, now);
+        account
     }
 }
-
-impl BucketState {
-    fn refill(&mut self, bucket: Bucket, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.updated_at);
-        let refilled = bucket.rate_per_s * elapsed.as_secs_f64();
-        self.level = (self.level + refilled).min(bucket.capacity);
-        self.pending_retry_cost = (self.pending_retry_cost - refilled).max(0.0);
-        self.updated_at = self.updated_at.max(now);
-    }
-}
-
-fn refill_time(shortfall: f64, bucket: Bucket) -> Duration {
-    Duration::from_secs_f64(shortfall / bucket.rate_per_s)
-}
--- a/crates/control/src/serving/quota/mod.rs
+++ b/crates/control/src/serving/quota/mod.rs
@@ -4,6 +4,13 @@
 //! All routers send their requests to the leader, so one ledger accounts for all grants before they
 //! are used. Equal shares per router would be smaller than one long request, and usage reported
 //! after the fact would let a tenant exceed its quota several times.
+//!
+//! | module | job (all pure) |
+//! |---|---|
+//! | [`ledger`] | accounts of one term |
+//! | `account` | bucket of a tenant, decision on a request |
+//! | [`urgency`] | demand by kind of request, what the less urgent leave to the others |
+//! | [`promises`] | capacity set aside for refused callers until they return |
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -19,19 +26,29 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    metrics::ControlMetrics,
+    metrics::{ControlMetrics, PriorityLabel},
     node::NodeHandle,
-    serving::quota::ledger::{LedgerReply, QuotaLedger, Withdrawal},
+    serving::quota::{
+        ledger::{LedgerReply, QuotaLedger, Withdrawal},
+        promises::PromiseCounts,
+    },
     view::NodeView,
 };
 
+mod account;
 pub mod ledger;
+pub mod promises;
+pub mod urgency;
 
 /// Maximum age of the last confirmation of leadership for granting quotas. The leader is confirmed
 /// with each heartbeat of 100 ms. For this time, a previous leader may grant beside a new one.
 pub const MAX_LEADERSHIP_CONFIRMATION_AGE: Duration = Duration::from_millis(250);
 /// Term of a group's first leader.
 const FIRST_TERM: u64 = 1;
+/// Least urgent priority.
+const LAST_PRIORITY: u8 = 9;
+/// Label of requests whose router states no priority.
+const UNKNOWN_PRIORITY: u8 = LAST_PRIORITY + 1;
 /// Interval of the check for a new term.
 const TERM_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -121,6 +138,7 @@
             quota,
             cost: quota.cost(request.declared_tokens),
             max_wait: Duration::from_millis(u64::from(request.max_wait_ms)),
+            urgency: request.urgency,
         };
         let decision = self.withdraw(view.term, &request.subject, withdrawal);
         self.reply(decision, &withdrawal, view.term)
@@ -158,7 +176,30 @@
         let ledger = self
             .ledgers_for_term(&mut ledgers, term, now)
             .ledger_for(subject);
-        ledger.withdraw(withdrawal, now)
+        let reply = ledger.withdraw(withdrawal, now);
+        let counts = ledger.take_promise_counts(withdrawal.account);
+        drop(ledgers);
+        if matches!(subject, QuotaSubject::Tenant { .. }) {
+            self.record(&reply, counts, &withdrawal);
+        }
+        reply
+    }
+
+    fn record(&self, reply: &LedgerReply, counts: PromiseCounts, withdrawal: &Withdrawal<'_>) {
+        let metrics = &self.metrics;
+        let stated = withdrawal.urgency.map(|urgency| urgency.priority);
+        let label = PriorityLabel {
+            priority: stated.map_or(UNKNOWN_PRIORITY, |priority| priority.min(LAST_PRIORITY)),
+        };
+        let by_priority = match reply {
+            LedgerReply::Granted { .. } => &metrics.quota_granted_by_priority,
+            LedgerReply::Refused { .. } => &metrics.quota_rejected_by_priority,
+        };
+        by_priority.get_or_create(&label).inc();
+        metrics.quota_promises.inc_by(counts.made);
+        metrics.quota_promises_kept.inc_by(counts.kept);
+        metrics.quota_promises_broken.inc_by(counts.broken);
+        metrics.quota_promises_lapsed.inc_by(counts.lapsed);
     }
 
     /// Returns the ledgers of the given term, replacing those of another term.
--- a/crates/control/tests/quota.rs
+++ b/crates/control/tests/quota.rs
@@ -170,6 +170,7 @@
             quota,
             cost: request.cost,
             max_wait: Duration::from_millis(100),
+            urgency: None,
         };
         let wait_ms = match leader.ledger.withdraw(withdrawal, at(start, now_ms)) {
             LedgerReply::Granted { wait } => wait.as_millis() as u64,
@@ -297,6 +298,7 @@
         quota: quota(100_000, 100_000),
         cost,
         max_wait: Duration::from_millis(100),
+        urgency: None,
     };
     ledger.withdraw(withdrawal, now)
 }
@@ -389,6 +391,7 @@
         quota: quota(1_000_000, 1_000_000),
         cost: 50_000,
         max_wait: Duration::from_millis(100),
+        urgency: None,
     };
     let decision = ledger.withdraw(raised, now);
     assert!(
--- a/crates/lab/tests/shared_retries.rs
+++ b/crates/lab/tests/shared_retries.rs
@@ -88,6 +88,7 @@
             quota,
             cost: quota.cost(None),
             max_wait: Duration::ZERO,
+            urgency: None,
         };
         matches!(
             self.ledger.withdraw(withdrawal, now),
--- a/crates/rpc/src/serving.rs
+++ b/crates/rpc/src/serving.rs
@@ -305,6 +305,32 @@
     pub content: ContentKey,
 }
 
+/// Fraction of its objective for which a request may wait for its grant.
+pub const GRANT_WAIT_DIVISOR: u32 = 8;
+/// Fraction of their remaining time for which refused callers wait before they return.
+const RETURN_WAIT_DIVISOR: u32 = 3;
+/// Time that a refusal and the returning request take on their way.
+const RETURN_TRANSIT: Duration = Duration::from_millis(50);
+
+impl QuotaUrgency {
+    /// Usual longest wait for a grant of requests with this objective.
+    pub fn usual_wait(&self) -> Duration {
+        Duration::from_millis(u64::from(self.objective_ms)) / GRANT_WAIT_DIVISOR
+    }
+
+    /// Longest time after which the caller still returns if it is refused.
+    pub fn patience(&self) -> Duration {
+        let time_left = Duration::from_millis(u64::from(self.time_left_ms));
+        time_left.saturating_sub(RETURN_TRANSIT) / RETURN_WAIT_DIVISOR
+    }
+
+    /// Whether capacity is set aside for a caller that was told to return after `retry_after`. Others are told
+    /// times beyond their patience, unless the group caps these.
+    pub fn is_promised(&self, retry_after: Duration) -> bool {
+        self.content != ContentKey::default() && retry_after <= self.patience()
+    }
+}
+
 /// Request of a router for a grant from a quota.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct QuotaRequest {
