--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -49,7 +49,7 @@
         log.record_outcome(reason.to_string());
         return reason.response(Some(pause));
     }
-    if let Err(refusal) = quota::acquire(&state, &request, &admitted).await {
+    if let Err(refusal) = quota::acquire(&state, &request, &admitted, log.content).await {
         log.record_outcome(refusal.reason.to_string());
         return refusal.reason.response(refusal.retry_after);
     }
@@ -376,10 +376,7 @@
     /// Acquires quota for one more run. An attempt that did not run has not used its quota yet.
     pub async fn acquire_quota_for_retry(&self, proof: ExchangeProof) -> bool {
         let quota_unused = matches!(proof, ExchangeProof::Withheld | ExchangeProof::NotRun);
-        quota_unused
-            || quota::acquire(&self.state, &self.request, &self.admitted)
-                .await
-                .is_ok()
+        quota_unused || quota::acquire_for_retry(&self.state, &self.request, &self.admitted).await
     }
 
     /// Records and logs the failure of an exchange.
--- a/crates/proxy/src/quota.rs
+++ b/crates/proxy/src/quota.rs
@@ -9,8 +9,11 @@
 use railtack_clock::BootInstant;
 use railtack_rpc::{
     call_context,
-    serving::{GRANT_TTL, QuotaReply, QuotaRequest, QuotaSubject},
+    serving::{
+        GRANT_TTL, GRANT_WAIT_DIVISOR, QuotaReply, QuotaRequest, QuotaSubject, QuotaUrgency,
+    },
 };
+use railtack_serving::{ContentKey, Policy};
 use tokio::time::{Instant, sleep};
 
 use crate::{
@@ -21,8 +24,6 @@
 const GRANT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Pause between calls while a leader is being elected.
 const GRANT_RETRY_INTERVAL: Duration = Duration::from_millis(30);
-/// Divisor of the objective that gives the longest wait for a grant.
-const MAX_WAIT_DIVISOR: u32 = 8;
 /// Divisor of the objective after which a request counts as late, for example after a restart.
 const LATE_DIVISOR: u32 = 2;
 /// Divisor of the remaining time that gives the longest wait of a late request. Late requests reach
@@ -42,11 +43,25 @@
     pub retry_after: Option<Duration>,
 }
 
-/// Acquires the quota grant of an admitted request; returns at once if its tenant has no quota.
+/// Acquires the quota grant for one more run of a request. Its caller is not told a time to return, so
+/// no capacity is set aside for it.
+pub async fn acquire_for_retry(
+    state: &ProxyState,
+    request: &ProxiedRequest,
+    admitted: &Admitted,
+) -> bool {
+    acquire(state, request, admitted, ContentKey::default())
+        .await
+        .is_ok()
+}
+
+/// Acquires the quota grant of an admitted request; returns at once if its tenant has no quota. If it is
+/// refused, `content` identifies it when its caller returns.
 pub async fn acquire(
     state: &ProxyState,
     request: &ProxiedRequest,
     admitted: &Admitted,
+    content: ContentKey,
 ) -> Result<(), QuotaRefusal> {
     let (Some(tenant), true) = (&admitted.tenant, admitted.has_quota) else {
         return Ok(());
@@ -60,8 +75,8 @@
             name: tenant.clone(),
         },
         declared_tokens: request.declared_tokens,
-        max_wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
-        urgency: None,
+        max_wait_ms: milliseconds(wait),
+        urgency: urgency(state, admitted, content),
     };
     loop {
         match request_grant(state, &grant_request, until).await {
@@ -93,7 +108,7 @@
     if !state.control_peers.supports_grants() {
         return false;
     }
-    let until = Instant::now() + objective / MAX_WAIT_DIVISOR;
+    let until = Instant::now() + objective / GRANT_WAIT_DIVISOR;
     let grant_request = QuotaRequest {
         subject: QuotaSubject::Retries {
             service: service.to_owned(),
@@ -114,11 +129,45 @@
     }
 }
 
+/// Returns the urgency to state to the leader, as far as the switches allow it.
+fn urgency(state: &ProxyState, admitted: &Admitted, content: ContentKey) -> Option<QuotaUrgency> {
+    let Policy {
+        quota_urgency,
+        kept_returns,
+        ..
+    } = state.options.policy;
+    let is_stated = quota_urgency || kept_returns;
+    if !is_stated || !state.control_peers.supports_quota_urgency() {
+        return None;
+    }
+    let objective = Duration::from_millis(admitted.route.objective_ms);
+    let time_left = admitted.deadline.saturating_duration_since(Instant::now());
+    Some(QuotaUrgency {
+        priority: admitted.priority,
+        // Without an objective, the leader does not distinguish kinds of requests.
+        objective_ms: if quota_urgency {
+            milliseconds(objective)
+        } else {
+            0
+        },
+        time_left_ms: milliseconds(time_left),
+        content: if kept_returns {
+            content
+        } else {
+            ContentKey::default()
+        },
+    })
+}
+
+fn milliseconds(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Returns the longest time for which a request may wait for its grant.
 fn max_wait(received: Instant, deadline: Instant, objective: Duration) -> Duration {
     let now = Instant::now();
     if now.saturating_duration_since(received) < objective / LATE_DIVISOR {
-        objective / MAX_WAIT_DIVISOR
+        objective / GRANT_WAIT_DIVISOR
     } else {
         deadline.saturating_duration_since(now) / LATE_MAX_WAIT_DIVISOR
     }
@@ -159,6 +208,8 @@
             level,
             term,
         } => {
+            let retry_after = Duration::from_millis(u64::from(retry_after_ms));
+            let urgency = grant_request.urgency.as_ref();
             spdlog::info!("quota exhausted", kv: {
                 subject = format!("{:?}", grant_request.subject),
                 stated_tokens = grant_request.declared_tokens.unwrap_or_default(),
@@ -169,8 +220,11 @@
                 term,
                 age_ms = requested_at.elapsed().as_millis() as u64,
                 retry_after_ms,
+                priority = urgency.map(|urgency| i32::from(urgency.priority)).unwrap_or(-1),
+                // Whether the leader set capacity aside until then.
+                is_promised = urgency.is_some_and(|urgency| urgency.is_promised(retry_after)),
             });
-            GrantOutcome::Refused(Duration::from_millis(u64::from(retry_after_ms)))
+            GrantOutcome::Refused(retry_after)
         }
         QuotaReply::NotLeader { leader } => {
             state.control_peers.follow_redirect(address, leader);
