--- a/crates/control/tests/quota_returns.rs
+++ b/crates/control/tests/quota_returns.rs
@@ -127,7 +127,7 @@
 
 /// Sends `surge` in a quarter of a second to a tenant that is at its quota; refused callers return once, at
 /// the time they were told or when their patience ends. Newcomers keep coming beside them.
-fn serve_surge(surge: u64, newcomers_per_ms: f64, seed: u64) -> Outcome {
+fn serve_surge(surge: u64, newcomers_per_ms: f64, newcomer_priority: u8, seed: u64) -> Outcome {
     let mut random = StdRng::seed_from_u64(seed);
     let mut desk = Desk::new();
     let mut outcome = Outcome::default();
@@ -150,7 +150,10 @@
         for _ in 0..arrivals {
             content += 1;
             let cost = random.random_range(1_000..19_000);
-            let request = Request::long_prompt(content, cost);
+            let mut request = Request::long_prompt(content, cost);
+            if now_ms >= 2_250 {
+                request.priority = newcomer_priority;
+            }
             let LedgerReply::Refused { retry_after, .. } = desk.ask(request, now_ms) else {
                 continue;
             };
@@ -172,7 +175,7 @@
 #[test]
 fn promised_callers_are_served_when_they_return() {
     for seed in 0..20 {
-        let outcome = serve_surge(500, 0.08, seed);
+        let outcome = serve_surge(500, 0.08, 2, seed);
         assert!(outcome.refused > 300, "seed {seed}: {outcome:?}");
         // Half of the refill within their patience of 1.3 s, of some 10,000 tokens each.
         assert!(outcome.promised > 40, "seed {seed}: {outcome:?}");
@@ -184,12 +187,19 @@
 #[test]
 fn newcomers_do_not_take_what_was_promised() {
     for seed in 0..20 {
-        let outcome = serve_surge(500, 0.25, seed);
+        let outcome = serve_surge(500, 0.25, 2, seed);
         assert!(outcome.promised > 100, "seed {seed}: {outcome:?}");
         assert_eq!(outcome.kept, outcome.promised, "seed {seed}: {outcome:?}");
     }
 }
 
+/// The tests notice a ledger that grants promised capacity to newcomers, as it does to more urgent ones.
+#[test]
+fn newcomers_that_ignore_promises_are_detected() {
+    let outcome = serve_surge(500, 0.25, 0, 0);
+    assert!(outcome.kept < outcome.promised, "{outcome:?}");
+}
+
 /// Load: a surge that a quota bears within a second; nobody is told a time beyond it.
 #[test]
 fn the_first_refused_are_told_the_time_of_the_refill() {
--- a/crates/control/tests/quota_urgency.rs
+++ b/crates/control/tests/quota_urgency.rs
@@ -226,6 +226,19 @@
     }
 }
 
+/// The tests notice a ledger without a reserve: where no router states an urgency, long prompts keep the
+/// others out.
+#[test]
+fn a_missing_reserve_is_detected() {
+    let unstated = [LONG_PROMPTS, QUESTIONS, COMMANDS].map(|traffic| Traffic {
+        priority: None,
+        ..traffic
+    });
+    let served = run(&unstated, 0);
+    assert!(served[1].share() < 0.5, "{served:?}");
+    assert!(served[2].share() < 0.5, "{served:?}");
+}
+
 /// A priority above the documented range counts as the last one.
 #[test]
 fn a_priority_out_of_range_is_the_least_urgent() {
