Log the outcomes of promises to refused callers

At most once a second, the leader tells how many promises it made and how many were kept, broken or lapsed. Delays stay within one window of the quota as before.

--- a/crates/control/src/serving/quota/account.rs
+++ b/crates/control/src/serving/quota/account.rs
@@ -240,7 +240,9 @@
                 return time;
             }
         }
-        spread(time, content).max(patience + RETRY_RESOLUTION)
+        let beyond_patience = patience + RETRY_RESOLUTION;
+        let retry_after = spread(time, content).max(beyond_patience);
+        retry_after.min(max_retry_after)
     }
 
     /// Returns the time until there is room for the request behind the promises to requests of the same or
--- a/crates/control/src/serving/quota/mod.rs
+++ b/crates/control/src/serving/quota/mod.rs
@@ -11,6 +11,7 @@
 //! | `account` | bucket of a tenant, decision on a request |
 //! | [`urgency`] | demand by kind of request, what the less urgent leave to the others |
 //! | [`promises`] | capacity set aside for refused callers until they return |
+//! | `report` | log line about these promises |
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -31,6 +32,7 @@
     serving::quota::{
         ledger::{LedgerReply, QuotaLedger, Withdrawal},
         promises::PromiseCounts,
+        report::PromiseReport,
     },
     view::NodeView,
 };
@@ -38,6 +40,7 @@
 mod account;
 pub mod ledger;
 pub mod promises;
+mod report;
 pub mod urgency;
 
 /// Maximum age of the last confirmation of leadership for granting quotas. The leader is confirmed
@@ -67,6 +70,7 @@
     tenants: QuotaLedger,
     /// Shared retries by service.
     retries: QuotaLedger,
+    promises: PromiseReport,
 }
 
 impl TermLedgers {
@@ -80,6 +84,7 @@
             term,
             tenants: new_ledger(bounds.quota, grant_times(), now),
             retries: new_ledger(shared_retry_bounds(bounds), grant_times(), now),
+            promises: PromiseReport::new(now),
         }
     }
 
@@ -173,11 +178,11 @@
     ) -> LedgerReply {
         let mut ledgers = self.lock();
         let now = Instant::now();
-        let ledger = self
-            .ledgers_for_term(&mut ledgers, term, now)
-            .ledger_for(subject);
+        let term_ledgers = self.ledgers_for_term(&mut ledgers, term, now);
+        let ledger = term_ledgers.ledger_for(subject);
         let reply = ledger.withdraw(withdrawal, now);
         let counts = ledger.take_promise_counts(withdrawal.account);
+        term_ledgers.promises.add(counts);
         drop(ledgers);
         if matches!(subject, QuotaSubject::Tenant { .. }) {
             self.record(&reply, counts, &withdrawal);
@@ -250,9 +255,25 @@
             has_confirmed_leadership(&view, server.started).then_some(view.term)
         };
         if let Some(term) = leader_term {
+            let now = Instant::now();
             let mut ledgers = server.lock();
-            server.ledgers_for_term(&mut ledgers, term, Instant::now());
+            let term_ledgers = server.ledgers_for_term(&mut ledgers, term, now);
+            let counts = term_ledgers.promises.take_due(now);
+            drop(ledgers);
+            if let Some(counts) = counts {
+                log_promises(term, counts);
+            }
         }
         sleep(TERM_CHECK_INTERVAL).await;
     }
 }
+
+fn log_promises(term: u64, counts: PromiseCounts) {
+    spdlog::info!("quota promises", kv: {
+        term,
+        made = counts.made,
+        kept = counts.kept,
+        broken = counts.broken,
+        lapsed = counts.lapsed,
+    });
+}
--- a/crates/control/src/serving/quota/promises.rs
+++ b/crates/control/src/serving/quota/promises.rs
@@ -10,9 +10,9 @@
 
 use super::urgency::Rank;
 
-/// Time after which a promise lapses if its caller does not return. It covers a new connection and
-/// the admission at another router.
-pub const PROMISE_GRACE: Duration = Duration::from_millis(500);
+/// Time after which a promise lapses if its caller does not return. It covers a new connection,
+/// the admission at another router and a repeated call to the leader.
+pub const PROMISE_GRACE: Duration = Duration::from_millis(300);
 /// Maximum number of open promises of one account; with 512, a decision takes microseconds and an
 /// account some 40 KB. Further callers are told a time without a promise.
 pub const MAX_PROMISES: usize = 512;
--- a/crates/control/tests/quota_returns.rs
+++ b/crates/control/tests/quota_returns.rs
@@ -332,7 +332,7 @@
     let mut promised = 0;
     for content in 1..20_000 {
         let request = Request {
-            time_left_ms: 60_000,
+            time_left_ms: 20_000,
             ..Request::long_prompt(content, 3_000)
         };
         if let LedgerReply::Refused { retry_after, .. } = desk.ask(request, 2_000) {
