--- a/crates/proxy/src/quota.rs
+++ b/crates/proxy/src/quota.rs
@@ -129,33 +129,36 @@
     }
 }
 
-/// Returns the urgency to state to the leader, as far as the switches allow it.
+/// Returns the urgency to state to the leader; `None` if the group does not read it.
 fn urgency(state: &ProxyState, admitted: &Admitted, content: ContentKey) -> Option<QuotaUrgency> {
-    let Policy {
-        quota_urgency,
-        kept_returns,
-        ..
-    } = state.options.policy;
-    let is_stated = quota_urgency || kept_returns;
-    if !is_stated || !state.control_peers.supports_quota_urgency() {
+    if !state.control_peers.supports_quota_urgency() {
         return None;
     }
-    let objective = Duration::from_millis(admitted.route.objective_ms);
-    let time_left = admitted.deadline.saturating_duration_since(Instant::now());
-    Some(QuotaUrgency {
+    let urgency = QuotaUrgency {
         priority: admitted.priority,
+        objective_ms: milliseconds(Duration::from_millis(admitted.route.objective_ms)),
+        time_left_ms: milliseconds(admitted.deadline.saturating_duration_since(Instant::now())),
+        content,
+    };
+    stated_urgency(state.options.policy, urgency)
+}
+
+/// Returns the part of a request's urgency that the switches allow to state.
+pub fn stated_urgency(policy: Policy, urgency: QuotaUrgency) -> Option<QuotaUrgency> {
+    let is_stated = policy.quota_urgency || policy.kept_returns;
+    is_stated.then(|| QuotaUrgency {
         // Without an objective, the leader does not distinguish kinds of requests.
-        objective_ms: if quota_urgency {
-            milliseconds(objective)
+        objective_ms: if policy.quota_urgency {
+            urgency.objective_ms
         } else {
             0
         },
-        time_left_ms: milliseconds(time_left),
-        content: if kept_returns {
-            content
+        content: if policy.kept_returns {
+            urgency.content
         } else {
             ContentKey::default()
         },
+        ..urgency
     })
 }
 
--- /dev/null
+++ b/crates/proxy/tests/quota_urgency.rs
@@ -0,0 +1,59 @@
+//! What a router states of a request's urgency to the leader.
+
+mod support;
+
+use railtack_proxy::quota::stated_urgency;
+use railtack_rpc::{FeatureLevel, serving::QuotaUrgency};
+use railtack_serving::{ContentKey, Policy};
+use support::router;
+
+const URGENCY: QuotaUrgency = QuotaUrgency {
+    priority: 2,
+    objective_ms: 400,
+    time_left_ms: 4_000,
+    content: ContentKey(7),
+};
+
+#[test]
+fn everything_is_stated_by_default() {
+    assert_eq!(stated_urgency(Policy::ALL, URGENCY), Some(URGENCY));
+}
+
+#[test]
+fn each_switch_leaves_out_its_part() {
+    let without_urgency = Policy {
+        quota_urgency: false,
+        ..Policy::ALL
+    };
+    let without_returns = Policy {
+        kept_returns: false,
+        ..Policy::ALL
+    };
+    let neither = Policy {
+        quota_urgency: false,
+        ..without_returns
+    };
+    let returning = stated_urgency(without_urgency, URGENCY);
+    assert_eq!(
+        returning.map(|urgency| (urgency.objective_ms, urgency.content)),
+        Some((0, ContentKey(7)))
+    );
+    let urgent = stated_urgency(without_returns, URGENCY);
+    assert_eq!(
+        urgent.map(|urgency| (urgency.objective_ms, urgency.content)),
+        Some((400, ContentKey::default()))
+    );
+    assert_eq!(stated_urgency(neither, URGENCY), None);
+}
+
+/// A member of a previous build may lead the group and would not expect the urgency.
+#[test]
+fn nothing_is_stated_below_the_level_of_load_reports() {
+    let state = router(Vec::new());
+    state
+        .control_peers
+        .update_level(FeatureLevel::SHARED_GRANTS);
+    assert!(!state.control_peers.supports_quota_urgency());
+    state.control_peers.update_level(FeatureLevel::LOAD_REPORTS);
+    assert!(state.control_peers.supports_quota_urgency());
+}
