Decide on a quota without refill

A refill of zero gave an infinite time, on which the conversion panicked (seen with the new test). The platform's adapter reads a rate of zero as no limit, so no caller met it.

--- a/crates/control/src/serving/quota/account.rs
+++ b/crates/control/src/serving/quota/account.rs
@@ -286,6 +286,10 @@
     time.mul_f64(1.0 + step * SPREAD_SHARE)
 }
 
+/// Time in which `shortfall` is refilled; the maximum without a refill.
 fn refill_time(shortfall: f64, rate_per_s: f64) -> Duration {
-    Duration::from_secs_f64(shortfall / rate_per_s)
+    if shortfall <= 0.0 {
+        return Duration::ZERO;
+    }
+    Duration::try_from_secs_f64(shortfall / rate_per_s).unwrap_or(Duration::MAX)
 }
--- a/crates/control/tests/quota_returns.rs
+++ b/crates/control/tests/quota_returns.rs
@@ -341,3 +341,33 @@
     }
     assert!((400..=512).contains(&promised), "{promised}");
 }
+
+/// A quota whose refill is set to zero grants what its bucket holds, and promises nothing.
+#[test]
+fn a_quota_without_refill_promises_nothing() {
+    let bounds = QuotaBounds {
+        window_ms: 8_000,
+        overage: 0.0,
+        slack: 0.0,
+    };
+    let start = Instant::now();
+    let mut ledger = QuotaLedger::with_full_buckets(bounds, grant_times(), start);
+    let mut granted = 0;
+    for content in 1..20 {
+        let request = Request::long_prompt(content, 10_000);
+        let withdrawal = Withdrawal {
+            quota: TenantQuota {
+                burst: 50_000,
+                ..quota(0)
+            },
+            ..request.withdrawal(0)
+        };
+        match ledger.withdraw(withdrawal, start) {
+            LedgerReply::Granted { .. } => granted += 1,
+            LedgerReply::Refused { retry_after, .. } => {
+                assert!(!request.is_promised(retry_after), "{retry_after:?}");
+            }
+        }
+    }
+    assert_eq!(granted, 5);
+}
