--- a/crates/control/src/serving/quota/mod.rs
+++ b/crates/control/src/serving/quota/mod.rs
@@ -11,6 +11,7 @@
 //! | `account` | bucket of a tenant, decision on a request |
 //! | [`urgency`] | demand by kind of request, what the less urgent leave to the others |
 //! | [`promises`] | capacity set aside for refused callers until they return |
+//! | `sizes` | demand by cost of request |
 //! | `report` | log line about these promises |
 
 use std::{
@@ -41,6 +42,7 @@
 pub mod ledger;
 pub mod promises;
 mod report;
+mod sizes;
 pub mod urgency;
 
 /// Maximum age of the last confirmation of leadership for granting quotas. The leader is confirmed
--- a/crates/control/src/serving/quota/urgency.rs
+++ b/crates/control/src/serving/quota/urgency.rs
@@ -9,16 +9,16 @@
 use railtack_rpc::serving::QuotaUrgency;
 use tokio::time::Instant;
 
-/// Time constant of the decay of recent demand; several times the waits that the reserve covers.
-const DEMAND_DECAY: Duration = Duration::from_secs(1);
+use super::sizes::{DemandBySize, RecentDemand};
+
 /// Time for which a kind is remembered after its last request.
 const KIND_MEMORY: Duration = Duration::from_secs(10);
 /// Maximum number of kinds of one account; a tenant uses a few routes.
 const MAX_KINDS: usize = 16;
 /// Share of the shortest wait within which the cost of a small request is refilled.
 const SMALL_WAIT_SHARE: f64 = 1.0 / 32.0;
-/// Share of the refill up to which small requests are preferred. Beyond it, they are no longer small
-/// together, and would keep large ones out.
+/// Share of the refill up to which small requests are preferred, the smallest first. Beyond it, they are no
+/// longer small together, and would keep large ones out.
 const MAX_SMALL_DEMAND: f64 = 0.25;
 /// Least urgent priority.
 const LAST_PRIORITY: u8 = 9;
@@ -57,33 +57,6 @@
     }
 }
 
-/// Demand that decays exponentially.
-#[derive(Clone, Copy, Debug)]
-struct RecentDemand {
-    /// Units per second.
-    rate: f64,
-    updated_at: Instant,
-}
-
-impl RecentDemand {
-    fn new(now: Instant) -> Self {
-        Self {
-            rate: 0.0,
-            updated_at: now,
-        }
-    }
-
-    fn rate_at(&self, now: Instant) -> f64 {
-        let elapsed = now.saturating_duration_since(self.updated_at);
-        self.rate * (-elapsed.as_secs_f64() / DEMAND_DECAY.as_secs_f64()).exp()
-    }
-
-    fn add(&mut self, cost: f64, now: Instant) {
-        self.rate = self.rate_at(now) + cost / DEMAND_DECAY.as_secs_f64();
-        self.updated_at = self.updated_at.max(now);
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct KindDemand {
     kind: Kind,
@@ -127,6 +100,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct DemandByKind {
     kinds: Vec<KindDemand>,
+    sizes: DemandBySize,
 }
 
 impl DemandByKind {
@@ -176,16 +150,21 @@
         self.kinds.iter().any(|other| Some(other.kind) != kind)
     }
 
-    fn rank_by_cost(&self, kind: Option<Kind>, cost: f64, rate_per_s: f64, now: Instant) -> Rank {
+    fn rank_by_cost(
+        &mut self,
+        kind: Option<Kind>,
+        cost: f64,
+        rate_per_s: f64,
+        now: Instant,
+    ) -> Rank {
         let rank = kind.map_or(Rank::UNKNOWN, |kind| kind.rank);
+        let demand_up_to_cost = self.sizes.record(cost, now);
         let waits = self.kinds.iter().map(|demand| demand.kind.usual_wait);
         let Some(shortest_wait) = waits.min().filter(|_| self.has_other_kinds(kind)) else {
             return rank;
         };
         let max_cost = rate_per_s * shortest_wait.as_secs_f64() * SMALL_WAIT_SHARE;
-        let small_demands = self.kinds.iter().map(|demand| demand.small.rate_at(now));
-        let small_demand: f64 = small_demands.sum();
-        if cost <= max_cost && small_demand <= rate_per_s * MAX_SMALL_DEMAND {
+        if cost <= max_cost && demand_up_to_cost <= rate_per_s * MAX_SMALL_DEMAND {
             Rank::SMALL
         } else {
             rank
--- a/crates/control/tests/quota_urgency.rs
+++ b/crates/control/tests/quota_urgency.rs
@@ -26,11 +26,11 @@
     QuotaLedger::new(bounds, grant_times(), start)
 }
 
-fn quota() -> TenantQuota {
+fn quota(rate_per_s: u64) -> TenantQuota {
     TenantQuota {
         unit: QuotaUnit::Tokens,
-        rate_per_s: RATE_PER_S,
-        burst: RATE_PER_S,
+        rate_per_s,
+        burst: rate_per_s,
         default_tokens: 200,
     }
 }
@@ -66,7 +66,7 @@
 };
 
 impl Traffic {
-    fn withdrawal(&self, cost: u64, content: ContentKey) -> Withdrawal<'static> {
+    fn withdrawal(&self, cost: u64, rate_per_s: u64, content: ContentKey) -> Withdrawal<'static> {
         let urgency = self.priority.map(|priority| QuotaUrgency {
             priority,
             objective_ms: self.objective_ms,
@@ -75,7 +75,7 @@
         });
         Withdrawal {
             account: "office",
-            quota: quota(),
+            quota: quota(rate_per_s),
             cost,
             max_wait: Duration::from_millis(u64::from(self.objective_ms)) / GRANT_WAIT_DIVISOR,
             urgency,
@@ -96,11 +96,24 @@
     }
 }
 
-/// Sends the traffics to one ledger; counts what was granted after the warm-up.
 fn run(traffics: &[Traffic], seed: u64) -> Vec<Served> {
+    run_at(RATE_PER_S, traffics, Callers::Unrecognized, seed)
+}
+
+/// Whether refused callers are recognized when they return, so that capacity is set aside for them. None
+/// returns.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Callers {
+    Recognized,
+    Unrecognized,
+}
+
+/// Sends the traffics to one ledger; counts what was granted after the warm-up.
+fn run_at(rate_per_s: u64, traffics: &[Traffic], callers: Callers, seed: u64) -> Vec<Served> {
     let mut random = StdRng::seed_from_u64(seed);
     let start = Instant::now();
     let mut ledger = ledger(start);
+    let mut content = 0;
     let mut served = vec![Served::default(); traffics.len()];
     for now_ms in 0..RUN_MS {
         for (traffic, served) in traffics.iter().zip(&mut served) {
@@ -114,7 +127,8 @@
                     continue;
                 }
                 let cost = random.random_range(traffic.cost.0..=traffic.cost.1);
-                let withdrawal = traffic.withdrawal(cost, ContentKey::default());
+                content += u128::from(callers == Callers::Recognized);
+                let withdrawal = traffic.withdrawal(cost, rate_per_s, ContentKey(content));
                 let now = start + Duration::from_millis(now_ms);
                 let reply = ledger.withdraw(withdrawal, now);
                 if now_ms < WARM_UP_MS {
@@ -226,6 +240,23 @@
     }
 }
 
+/// Load: questions that are small one by one, but not together, beside commands that cost far less. Refused
+/// callers were promised all that the tenant's priority leaves.
+#[test]
+fn many_small_questions_do_not_keep_commands_out() {
+    let questions = Traffic {
+        priority: Some(2),
+        per_s: 330,
+        cost: (900, 1_170),
+        ..QUESTIONS
+    };
+    for seed in 0..20 {
+        let traffics = [LONG_PROMPTS, questions, COMMANDS];
+        let served = run_at(RATE_PER_S, &traffics, Callers::Recognized, seed);
+        assert!(served[2].share() > 0.98, "seed {seed}: {served:?}");
+    }
+}
+
 /// The tests notice a ledger without a reserve: where no router states an urgency, long prompts keep the
 /// others out.
 #[test]
