--- a/crates/control/src/serving/quota.rs
+++ b/crates/control/src/serving/quota/mod.rs
@@ -4,6 +4,15 @@
 //! All routers send their requests to the leader, so one ledger accounts for all grants before they
 //! are used. Equal shares per router would be smaller than one long request, and usage reported
 //! after the fact would let a tenant exceed its quota several times.
+//!
+//! | module | job (all pure) |
+//! |---|---|
+//! | [`ledger`] | accounts of one term |
+//! | `account` | bucket of a tenant, decision on a request |
+//! | [`urgency`] | demand by kind of request, what the less urgent leave to the others |
+//! | [`promises`] | capacity set aside for refused callers until they return |
+//! | `sizes` | demand by cost of request |
+//! | `report` | log line about these promises |
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -19,17 +28,32 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    metrics::ControlMetrics,
+    metrics::{ControlMetrics, PriorityLabel},
     node::NodeHandle,
-    serving::ledger::{LedgerReply, QuotaLedger, Withdrawal},
+    serving::quota::{
+        ledger::{LedgerReply, QuotaLedger, Withdrawal},
+        promises::PromiseCounts,
+        report::PromiseReport,
+    },
     view::NodeView,
 };
 
+mod account;
+pub mod ledger;
+pub mod promises;
+mod report;
+mod sizes;
+pub mod urgency;
+
 /// Maximum age of the last confirmation of leadership for granting quotas. The leader is confirmed
 /// with each heartbeat of 100 ms. For this time, a previous leader may grant beside a new one.
 pub const MAX_LEADERSHIP_CONFIRMATION_AGE: Duration = Duration::from_millis(250);
 /// Term of a group's first leader.
 const FIRST_TERM: u64 = 1;
+/// Least urgent priority.
+const LAST_PRIORITY: u8 = 9;
+/// Label of requests whose router states no priority.
+const UNKNOWN_PRIORITY: u8 = LAST_PRIORITY + 1;
 /// Interval of the check for a new term.
 const TERM_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -48,6 +72,7 @@
     tenants: QuotaLedger,
     /// Shared retries by service.
     retries: QuotaLedger,
+    promises: PromiseReport,
 }
 
 impl TermLedgers {
@@ -61,6 +86,7 @@
             term,
             tenants: new_ledger(bounds.quota, grant_times(), now),
             retries: new_ledger(shared_retry_bounds(bounds), grant_times(), now),
+            promises: PromiseReport::new(now),
         }
     }
 
@@ -119,6 +145,7 @@
             quota,
             cost: quota.cost(request.declared_tokens),
             max_wait: Duration::from_millis(u64::from(request.max_wait_ms)),
+            urgency: request.urgency,
         };
         let decision = self.withdraw(view.term, &request.subject, withdrawal);
         self.reply(decision, &withdrawal, view.term)
@@ -153,10 +180,33 @@
     ) -> LedgerReply {
         let mut ledgers = self.lock();
         let now = Instant::now();
-        let ledger = self
-            .ledgers_for_term(&mut ledgers, term, now)
-            .ledger_for(subject);
-        ledger.withdraw(withdrawal, now)
+        let term_ledgers = self.ledgers_for_term(&mut ledgers, term, now);
+        let ledger = term_ledgers.ledger_for(subject);
+        let reply = ledger.withdraw(withdrawal, now);
+        let counts = ledger.take_promise_counts(withdrawal.account);
+        term_ledgers.promises.add(counts);
+        drop(ledgers);
+        if matches!(subject, QuotaSubject::Tenant { .. }) {
+            self.record(&reply, counts, &withdrawal);
+        }
+        reply
+    }
+
+    fn record(&self, reply: &LedgerReply, counts: PromiseCounts, withdrawal: &Withdrawal<'_>) {
+        let metrics = &self.metrics;
+        let stated = withdrawal.urgency.map(|urgency| urgency.priority);
+        let label = PriorityLabel {
+            priority: stated.map_or(UNKNOWN_PRIORITY, |priority| priority.min(LAST_PRIORITY)),
+        };
+        let by_priority = match reply {
+            LedgerReply::Granted { .. } => &metrics.quota_granted_by_priority,
+            LedgerReply::Refused { .. } => &metrics.quota_rejected_by_priority,
+        };
+        by_priority.get_or_create(&label).inc();
+        metrics.quota_promises.inc_by(counts.made);
+        metrics.quota_promises_kept.inc_by(counts.kept);
+        metrics.quota_promises_broken.inc_by(counts.broken);
+        metrics.quota_promises_lapsed.inc_by(counts.lapsed);
     }
 
     /// Returns the ledgers of the given term, replacing those of another term.
@@ -207,9 +257,25 @@
             has_confirmed_leadership(&view, server.started).then_some(view.term)
         };
         if let Some(term) = leader_term {
+            let now = Instant::now();
             let mut ledgers = server.lock();
-            server.ledgers_for_term(&mut ledgers, term, Instant::now());
+            let term_ledgers = server.ledgers_for_term(&mut ledgers, term, now);
+            let counts = term_ledgers.promises.take_due(now);
+            drop(ledgers);
+            if let Some(counts) = counts {
+                log_promises(term, counts);
+            }
         }
         sleep(TERM_CHECK_INTERVAL).await;
     }
 }
+
+fn log_promises(term: u64, counts: PromiseCounts) {
+    spdlog::info!("quota promises", kv: {
+        term,
+        made = counts.made,
+        kept = counts.kept,
+        broken = counts.broken,
+        lapsed = counts.lapsed,
+    });
+}
