Report the paces of replicas from the routers

Replicas of one service may differ in speed, and no router knows: homes are spread evenly, so the slow replicas hold as many prompts as the fast ones. A router now adds up first events and gaps between events by replica, decayed over 15 s, and reports the sums every two seconds once the group is at the level of load reports and the switch replica_speeds is on. Gaps of slow readers and stalls are left out. Nothing uses the reports yet; built and checked, not yet measured.

--- a/crates/proxy/src/control_peers.rs
+++ b/crates/proxy/src/control_peers.rs
@@ -39,6 +39,11 @@
         self.level.get() >= FeatureLevel::SHARED_GRANTS
     }
 
+    /// Whether the group supports paces, speeds and urgencies.
+    pub fn supports_load_reports(&self) -> bool {
+        self.level.get() >= FeatureLevel::LOAD_REPORTS
+    }
+
     /// Sets the members of the group; keeps connections to existing members.
     pub fn set_members(&self, members: impl Iterator<Item = SocketAddr>) {
         let mut peers = self.lock();
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -14,13 +14,14 @@
 use railtack_clock::BootInstant;
 use railtack_rpc::{
     ControlConnection, call_context,
-    serving::{MAX_CONFIRMATION_AGE_MS, ServingUpdate, WatchReply, WatchRequest},
+    serving::{MAX_CONFIRMATION_AGE_MS, ReplicaPace, ServingUpdate, WatchReply, WatchRequest},
 };
 use tokio::time::{Instant, sleep};
 
 use crate::{
     fleet_view::MIN_ROUTERS_FOR_SHARED_LOAD,
     limits,
+    load::pace::ReportTimer,
     state::{ProxyState, lock},
 };
 
@@ -48,6 +49,7 @@
 pub async fn run_watch(state: Arc<ProxyState>, seeds: impl Fn() -> Vec<SocketAddr> + Send) {
     let mut targets = ControlTargets::new(seeds());
     let mut failures_in_a_row = 0;
+    let mut pace_timer = ReportTimer::default();
     loop {
         let Some(address) = targets.current() else {
             sleep(MIN_FAILURE_PAUSE).await;
@@ -56,7 +58,8 @@
         };
         let requested_at = BootInstant::now();
         let wants_records = targets.is_settled(&state.options.zone, address);
-        let reply = watch(&state, targets.connection(address), wants_records).await;
+        let paces = due_paces(&state, &mut pace_timer);
+        let reply = watch(&state, targets.connection(address), wants_records, paces).await;
         let Some(reply) = reply else {
             if failures_in_a_row == 0 {
                 spdlog::warn!("control lost", kv: { address = address.to_string() });
@@ -136,10 +139,21 @@
     hold_time.clamp(MIN_HOLD_TIME, MAX_HOLD_TIME)
 }
 
+/// Returns the paces of replicas if a report of them is due.
+fn due_paces(state: &ProxyState, timer: &mut ReportTimer) -> Vec<ReplicaPace> {
+    let is_enabled = state.options.policy.replica_speeds;
+    let now = Instant::now();
+    if !is_enabled || !state.control_peers.supports_load_reports() || !timer.take_due(now) {
+        return Vec::new();
+    }
+    lock(&state.replicas).paces(now)
+}
+
 async fn watch(
     state: &ProxyState,
     connection: Arc<ControlConnection>,
     wants_records: bool,
+    paces: Vec<ReplicaPace>,
 ) -> Option<WatchReply> {
     let position = state.view.load().position;
     // Replies are only held if there is nothing to send; missing records arrive immediately.
@@ -152,7 +166,7 @@
         accepts_partial: true,
         has_lease: lock(&state.lease).is_valid(BootInstant::now()),
         observations: lock(&state.replicas).observations(Instant::now()),
-        paces: Vec::new(),
+        paces,
     };
     connection
         .call(|client| async move {
--- a/crates/proxy/src/load.rs
+++ b/crates/proxy/src/load.rs
@@ -4,5 +4,7 @@
 //! | decision | module |
 //! |---|---|
 //! | expected latencies of a prompt at a replica | [`estimate`] |
+//! | sums that tell the speed of a replica | [`pace`] |
 
 pub mod estimate;
+pub mod pace;
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -109,6 +109,11 @@
 }
 
 impl RequestRun {
+    /// Whether the request has a prompt, so that its replica is an engine.
+    pub fn has_prompt(&self) -> bool {
+        self.path.prompt_tokens > 0
+    }
+
     fn new(
         state: Arc<ProxyState>,
         request: ProxiedRequest,
--- a/crates/proxy/src/replicas.rs
+++ b/crates/proxy/src/replicas.rs
@@ -6,14 +6,16 @@
     time::Duration,
 };
 
-use railtack_rpc::serving::ReplicaObservation;
+use railtack_rpc::serving::{ReplicaObservation, ReplicaPace};
 use railtack_serving::{Availability, MonotonicTime, Policy, ReplicaKey};
 use tokio::time::Instant;
 
 use crate::{
     affinity::{PrefixPath, SentPrefixes},
     health::{ExchangeOutcome, Health},
+    load::pace::{self, Gap, PaceSums},
     pool::Pool,
+    prefill_latency::PrefillBacklog,
     scoring::{Candidate, SharedLoad},
     state::lock,
     view::ServingView,
@@ -32,6 +34,7 @@
     pub pool: Pool,
     load: Mutex<Load>,
     last_response_at: Mutex<Instant>,
+    pace: Mutex<PaceSums>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -54,9 +57,20 @@
                 health: Health::new(now),
             }),
             last_response_at: Mutex::new(now),
+            pace: Mutex::default(),
         }
     }
 
+    /// Records a first event that arrived `waited` after its prompt was sent.
+    pub fn record_first_event(&self, backlog: PrefillBacklog, waited: Duration, now: Instant) {
+        lock(&self.pace).record_first_event(backlog, waited, now);
+    }
+
+    /// Records a gap between two events of a stream that began with a prompt.
+    pub fn record_gap(&self, gap: Gap, now: Instant) {
+        lock(&self.pace).record_gap(gap.length, gap.unread, now);
+    }
+
     /// Records that data was received from the replica on any connection.
     pub fn record_response(&self, now: Instant) {
         *lock(&self.last_response_at) = now;
@@ -258,6 +272,16 @@
             .collect()
     }
 
+    /// Returns the paces of the replicas that recently ran prompts of this router.
+    pub fn paces(&self, now: Instant) -> Vec<ReplicaPace> {
+        let handles = self.handles.iter();
+        let paces = handles.filter_map(|(replica, handle)| {
+            let sums = *lock(&handle.pace);
+            sums.report(ReplicaKey::of(replica), now)
+        });
+        pace::bounded_report(paces.collect())
+    }
+
     /// Closes expired connections and removes expired signals.
     pub fn remove_expired(&mut self, now: MonotonicTime) {
         self.availability.remove_expired(now);
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -17,6 +17,7 @@
     crash_detection,
     events::EventBuffer,
     health::ExchangeOutcome,
+    load::pace::GapTimer,
     pipeline::{ActiveExchange, ExchangeStep, RequestRun},
     retry_decision::ExchangeProof,
 };
@@ -48,6 +49,10 @@
                     active.open.prefill_done();
                     let (backlog, waited) = (active.target.backlog, active.open.elapsed());
                     run.state.record_first_event(&run.service, backlog, waited);
+                    if run.has_prompt() {
+                        let handle = &active.target.handle;
+                        handle.record_first_event(backlog, waited, Instant::now());
+                    }
                     run.log.record_first_byte();
                     let first = FirstEvents {
                         events,
@@ -84,6 +89,7 @@
     let relay = Relay {
         pending: Some(first.events).filter(|events| !events.is_empty()),
         ended: first.ended,
+        gaps: GapTimer::started(Instant::now()),
         buffer: first.buffer,
         active: Some(active),
         run,
@@ -153,6 +159,7 @@
     buffer: EventBuffer,
     pending: Option<Bytes>,
     ended: bool,
+    gaps: GapTimer,
 }
 
 impl Relay {
@@ -165,6 +172,7 @@
         if self.ended {
             return self.finish();
         }
+        let asked_at = Instant::now();
         loop {
             let deadline = self.silence_deadline();
             let mut active = self.active.take()?;
@@ -176,6 +184,7 @@
                         return self.abort("event too large");
                     }
                     if !events.is_empty() {
+                        self.record_gap(asked_at);
                         return Some(Ok(events));
                     }
                 }
@@ -198,6 +207,15 @@
         }
     }
 
+    fn record_gap(&mut self, asked_at: Instant) {
+        let now = Instant::now();
+        let gap = self.gaps.event(asked_at, now);
+        let active = self.active.as_ref().filter(|_| self.run.has_prompt());
+        if let (Some(gap), Some(active)) = (gap, active) {
+            active.target.handle.record_gap(gap, now);
+        }
+    }
+
     /// Returns the time at which a silent stream is abandoned.
     fn silence_deadline(&self) -> Instant {
         let deadline = self.run.admitted.deadline;
@@ -260,6 +278,7 @@
                     replica = active.target.record.id.clone(),
                     last_event = self.buffer.last_event().unwrap_or_default(),
                 });
+                self.gaps = GapTimer::default();
                 self.active = Some(active);
                 return Some(());
             }
