Derive the speeds of replicas at the leader

Routers report paces, but nothing tells them which replica is slow. The digest carries the speeds other than the usual one. A follower holds those of the last digest and goes on with them as leader. Implausible sums are dropped, counted and logged once.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -3,14 +3,23 @@
 use std::sync::atomic::AtomicU64;
 
 use prometheus_client::{
+    encoding::EncodeLabelSet,
     metrics::{
         counter::Counter,
+        family::Family,
         gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
     registry::Registry,
 };
 
+/// Labels of the replicas of one speed.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct SpeedLabels {
+    /// Steps above the usual speed, -4 to 4.
+    pub steps: i64,
+}
+
 /// Metrics shared by the replica's thread and its services.
 #[derive(Clone, Debug)]
 pub struct ControlMetrics {
@@ -57,6 +66,11 @@
     pub claims: Gauge<u64, AtomicU64>,
     /// Number of voters in this replica's latest membership.
     pub voters: Gauge<u64, AtomicU64>,
+    /// Implausible paces of back-end replicas that were dropped.
+    pub dropped_paces: Counter,
+    /// On the leader: back-end replicas by speed, in steps of a factor of 1.4 from the usual one; without those of
+    /// the usual speed.
+    pub replica_speeds: Family<SpeedLabels, Gauge>,
     /// Time for writing and syncing the log, seconds.
     pub sync_seconds: Histogram,
 }
@@ -85,6 +99,8 @@
             revision: Gauge::default(),
             claims: Gauge::default(),
             voters: Gauge::default(),
+            dropped_paces: Counter::default(),
+            replica_speeds: Family::default(),
             sync_seconds: Histogram::new(exponential_buckets(0.000_5, 2.0, 14)),
         }
     }
@@ -170,6 +186,16 @@
         );
         registry.register("control_claims", "Claims kept", self.claims.clone());
         registry.register("control_voters", "Voters of the group", self.voters.clone());
+        registry.register(
+            "control_dropped_paces",
+            "Implausible paces of back-end replicas dropped",
+            self.dropped_paces.clone(),
+        );
+        registry.register(
+            "control_replica_speeds",
+            "Back-end replicas by steps of speed above the usual one",
+            self.replica_speeds.clone(),
+        );
         registry.register(
             "control_sync_seconds",
             "Time for writing and syncing the log",
--- a/crates/control/src/serving/daemon.rs
+++ b/crates/control/src/serving/daemon.rs
@@ -101,7 +101,7 @@
     };
     let (node, _) = node::start(replica, peers, metrics.clone(), started, node_options);
     let leader_client = Arc::new(LeaderClient::new(node.clone(), options.listen.to_string()));
-    let liveness = Arc::new(Liveness::new(options.replica_heartbeat));
+    let liveness = Arc::new(Liveness::new(options.replica_heartbeat, metrics.clone()));
     let watch = Arc::new(WatchServer::new(
         Arc::clone(&leader_client),
         Arc::clone(&liveness),
--- a/crates/control/src/serving/fleet.rs
+++ b/crates/control/src/serving/fleet.rs
@@ -15,7 +15,7 @@
 };
 
 use railtack_rpc::permits::LimitedReplica;
-use railtack_rpc::serving::{FleetDigest, ReplicaCondition, ReplicaObservation};
+use railtack_rpc::serving::{FleetDigest, ReplicaCondition, ReplicaObservation, ReplicaSpeed};
 use railtack_serving::ReplicaKey;
 use tokio::time::Instant;
 
@@ -53,6 +53,8 @@
     unresponsive_since: BTreeMap<ReplicaKey, Instant>,
     /// Replicas that advertise a limit, for the next digest.
     limited_replicas: Vec<LimitedReplica>,
+    /// Replicas whose speed is not the usual one, for the next digest.
+    speeds: Vec<ReplicaSpeed>,
     /// The digest that was last built or received, and when.
     digest: Option<(FleetDigest, Instant)>,
 }
@@ -117,6 +119,11 @@
         self.limited_replicas = limited_replicas;
     }
 
+    /// On the leader: sets the replicas whose speed is not the usual one.
+    pub fn set_speeds(&mut self, speeds: Vec<ReplicaSpeed>) {
+        self.speeds = speeds;
+    }
+
     /// On the leader: builds the digest of all observations at the `known` replicas, which send
     /// heartbeats every `heartbeat_interval`. Returns the changes of responsiveness.
     pub fn build_digest(
@@ -151,7 +158,7 @@
             age_ms: 0,
             replicas: conditions.collect(),
             limited: self.limited_replicas.clone(),
-            speeds: Vec::new(),
+            speeds: self.speeds.clone(),
         };
         self.digest = Some((digest, now));
         changes
--- a/crates/control/src/serving/liveness.rs
+++ b/crates/control/src/serving/liveness.rs
@@ -11,12 +11,17 @@
 use railtack_serving::ReplicaKey;
 use tokio::time::Instant;
 
-use crate::serving::{fleet::FleetView, leader::LeaderClient};
+use crate::{
+    metrics::ControlMetrics,
+    serving::{fleet::FleetView, leader::LeaderClient},
+};
 
 mod digest;
 mod reports;
+mod speeds;
 
 pub use reports::run_reports;
+use speeds::SpeedState;
 
 /// Heartbeats that a replica may miss and still count as alive.
 const MAX_MISSED_WHILE_ALIVE: u32 = 2;
@@ -35,6 +40,7 @@
 pub struct Liveness {
     state: Mutex<LivenessState>,
     fleet: Mutex<FleetView>,
+    speeds: Mutex<SpeedState>,
     /// Heartbeat interval of back-end replicas.
     heartbeat_interval: Duration,
 }
@@ -67,10 +73,11 @@
 
 impl Liveness {
     /// Creates the state for replicas that send heartbeats at this interval.
-    pub fn new(heartbeat_interval: Duration) -> Self {
+    pub fn new(heartbeat_interval: Duration, metrics: ControlMetrics) -> Self {
         Self {
             state: Mutex::default(),
             fleet: Mutex::default(),
+            speeds: Mutex::new(SpeedState::new(metrics)),
             heartbeat_interval,
         }
     }
--- a/crates/control/src/serving/liveness/digest.rs
+++ b/crates/control/src/serving/liveness/digest.rs
@@ -44,9 +44,11 @@
             });
             known.collect()
         };
+        let speeds = self.evaluate_speeds(view, &known, now);
         let changes = {
             let mut fleet = self.fleet();
             fleet.set_limited(limited);
+            fleet.set_speeds(speeds);
             fleet.build_digest(&known, heartbeat_interval, now)
         };
         for change in changes {
--- a/crates/control/src/serving/liveness/reports.rs
+++ b/crates/control/src/serving/liveness/reports.rs
@@ -30,6 +30,8 @@
     pub fn merge_report(&self, report: LivenessReport) -> LivenessReply {
         let now = Instant::now();
         let heartbeats = report.heartbeats();
+        self.speeds()
+            .record_control_report(&report.sender, report.paces, now);
         let fleet = {
             let mut fleet = self.fleet();
             fleet.record_control_report(report.sender, report.observations, now);
@@ -63,6 +65,7 @@
     ) -> (LivenessReport, Instant) {
         let now = Instant::now();
         let observations = self.fleet().local_observations(now);
+        let paces = self.speeds().due_report(group_level, now);
         let mut state = self.lock();
         state.leading_since = None;
         let last_report = state
@@ -99,7 +102,7 @@
             routers: recent.map(|(router, _)| router.clone()).collect(),
             sender: sender.to_owned(),
             observations,
-            paces: Vec::new(),
+            paces,
         };
         (report, now)
     }
@@ -110,6 +113,9 @@
         state.last_report = Some((leader, through));
         state.leader_router_count = reply.routers;
         drop(state);
+        if let Some(fleet) = &reply.fleet {
+            self.speeds().adopt(&fleet.speeds);
+        }
         self.fleet().set_digest(reply.fleet, Instant::now());
     }
 }
--- a/crates/control/src/serving/mod.rs
+++ b/crates/control/src/serving/mod.rs
@@ -13,6 +13,7 @@
 //! | [`limits`], [`permits`] | permits for back ends that advertise a limit (the former is pure) |
 //! | [`quarantine`] | releases quarantined requests after a time |
 //! | [`liveness`] | heartbeats of back-end replicas and requests of routers |
+//! | [`replica_speeds`] | derives relative speeds of back-end replicas (pure) |
 //! | [`rollout_driver`], [`order_dispatcher`] | execute the rollout of weights |
 //! | [`order_channel`] | transport of orders to back ends |
 //! | [`rollout_plan`] | plans the next steps of a rollout (pure) |
@@ -35,6 +36,7 @@
 pub mod quota;
 pub mod registrar;
 pub mod registration_queue;
+pub mod replica_speeds;
 pub mod rollout_driver;
 pub mod rollout_plan;
 pub mod watch;
--- /dev/null
+++ b/crates/control/src/serving/replica_speeds/model.rs
@@ -0,0 +1,99 @@
+//! Derives the speeds of a service's replicas from their paces.
+//!
+//! Two measures are compared. Prompts: the prefilled tokens by time to the first event. Gaps: the events by time
+//! between them. Each is distorted by load in its own way: the queue of a prompt is known, but somewhat old, and a
+//! gap also holds the pieces of other prompts. A replica counts as faster or slower only as far as both measures
+//! say so.
+
+use super::reports::PaceTotal;
+
+/// First events required to measure a replica. The mean of so many is certain to about a sixth of a step.
+const MIN_FIRST_EVENTS: f64 = 30.0;
+/// Gaps required to measure a replica. Gaps of one stream depend on each other.
+const MIN_GAPS: f64 = 100.0;
+/// Measured replicas required to tell the usual speed.
+const MIN_MEASURED: usize = 3;
+/// Share of the time to a first event that counts as prefill at least, however long a gap is.
+const MIN_PREFILL_SHARE: f64 = 0.5;
+
+/// A replica's sums, and the factor by which it was found faster than usual before.
+#[derive(Clone, Copy, Debug)]
+pub struct Sample {
+    /// Sums over all reporters.
+    pub total: PaceTotal,
+    /// Factor found before; 1 for none.
+    pub known_ratio: f64,
+}
+
+/// Factors by which a replica is faster than usual.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Measurement {
+    /// Factor by first events.
+    pub by_first_events: f64,
+    /// Factor by gaps.
+    pub by_gaps: f64,
+}
+
+impl Measurement {
+    /// Returns the factor that both measures confirm: the one nearer to 1, and 1 if they contradict each other.
+    pub fn confirmed_ratio(self) -> f64 {
+        let (first, gaps) = (self.by_first_events.ln(), self.by_gaps.ln());
+        if first.signum() != gaps.signum() {
+            return 1.0;
+        }
+        let nearer = if first.abs() < gaps.abs() {
+            first
+        } else {
+            gaps
+        };
+        nearer.exp()
+    }
+}
+
+/// Returns the measurement of each sample with enough events; all `None` if too few have.
+pub fn measure(samples: &[Sample]) -> Vec<Option<Measurement>> {
+    let measured = samples
+        .iter()
+        .filter(|sample| has_enough_events(&sample.total));
+    if measured.clone().count() < MIN_MEASURED {
+        return vec![None; samples.len()];
+    }
+    let usual = |pace: fn(&PaceTotal) -> f64| {
+        let paces = measured
+            .clone()
+            .map(|sample| pace(&sample.total) / sample.known_ratio);
+        median(paces.collect())
+    };
+    let (usual_first, usual_gaps) = (usual(first_event_pace), usual(gap_pace));
+    let measurements = samples.iter().map(|sample| {
+        has_enough_events(&sample.total).then(|| Measurement {
+            by_first_events: first_event_pace(&sample.total) / usual_first,
+            by_gaps: gap_pace(&sample.total) / usual_gaps,
+        })
+    });
+    measurements.collect()
+}
+
+fn has_enough_events(total: &PaceTotal) -> bool {
+    let is_counted = total.first_events >= MIN_FIRST_EVENTS && total.gaps >= MIN_GAPS;
+    is_counted && total.prefilled_tokens > 0.0 && total.first_event_ms > 0.0 && total.gap_ms > 0.0
+}
+
+/// Prefilled tokens per millisecond. After its prefill, a prompt waits about one gap for its first event.
+fn first_event_pace(total: &PaceTotal) -> f64 {
+    let gaps_ms = total.first_events * total.gap_ms / total.gaps;
+    let prefill_ms = (total.first_event_ms - gaps_ms).max(total.first_event_ms * MIN_PREFILL_SHARE);
+    total.prefilled_tokens / prefill_ms
+}
+
+/// Events per millisecond and stream.
+fn gap_pace(total: &PaceTotal) -> f64 {
+    total.gaps / total.gap_ms
+}
+
+/// Returns the middle value, the lower one of two, so that it is the pace of a real replica.
+fn median(mut values: Vec<f64>) -> f64 {
+    let middle = values.len().saturating_sub(1) / 2;
+    let (_, median, _) = values.select_nth_unstable_by(middle, f64::total_cmp);
+    *median
+}
--- a/crates/control/src/serving/watch.rs
+++ b/crates/control/src/serving/watch.rs
@@ -82,6 +82,8 @@
         let observations = std::mem::take(&mut request.observations);
         self.liveness
             .record_observations(&request.router, observations);
+        let paces = std::mem::take(&mut request.paces);
+        self.liveness.record_paces(&request.router, paces);
         self.update_times(|times| times.last_request_at = Some(received_at));
         let deadline = received_at + Duration::from_millis(request.wait_ms.min(MAX_WAIT_MS));
         let mut receiver = self.leader_client.node().view();
