Weigh homes by the speeds of replicas, on evidence that grows with the samples

At a service of which a third is slow, evenly spread homes leave a third of the prompts there, and short streams that run beside them are late by gaps. Homes are now placed by weighted rendezvous hashing: a slow replica weighs its ratio, a fast one the root of it, since it has no more KV cache than the others. With all speeds usual, the ranking is the former one; a changed step of one replica moves only homes to or from it.

Routers and control replicas report every second, and a speed changes after three evaluations that find it off its step by a margin that shrinks with the first events it rests on.

--- a/crates/control/src/serving/liveness/speeds.rs
+++ b/crates/control/src/serving/liveness/speeds.rs
@@ -132,6 +132,7 @@
             steps = change.after.steps(),
             by_first_events = change.measurement.by_first_events,
             by_gaps = change.measurement.by_gaps,
+            first_events = change.measurement.first_events,
         });
     }
     let unlogged = changes.len().saturating_sub(MAX_LOGGED_CHANGES);
--- a/crates/control/src/serving/replica_speeds.rs
+++ b/crates/control/src/serving/replica_speeds.rs
@@ -23,10 +23,13 @@
 use crate::serving::fleet::KnownReplica;
 
 /// Interval of the reports to the leader and of the leader's evaluations. Routers report as often.
-const INTERVAL: Duration = Duration::from_secs(2);
-/// Steps by which a measured speed must differ from the current one to change it. Half a step would be nearer
-/// to another one; the rest is a margin for chance.
-const MIN_CHANGE_STEPS: f64 = 0.75;
+const INTERVAL: Duration = Duration::from_secs(1);
+/// Steps from which a measured speed is nearer to another one than to the current one.
+const NEARER_STEPS: f64 = 0.5;
+/// Further steps by which it must differ to change the current one, times the root of the first events that it
+/// rests on. Times to first events vary by about four fifths of their mean, or 2.3 steps; the margin is one and
+/// a half of that.
+const CHANCE_STEPS: f64 = 3.5;
 /// Evaluations in a row that must find the change.
 const EVALUATIONS_TO_CHANGE: u32 = 3;
 
@@ -174,7 +177,8 @@
     fn update(&mut self, measurement: Measurement) -> Option<(RelativeSpeed, RelativeSpeed)> {
         let ratio = measurement.confirmed_ratio();
         let nearest = RelativeSpeed::from_ratio(ratio);
-        if steps_between(self.current, ratio) < MIN_CHANGE_STEPS || nearest == self.current {
+        let min_change = NEARER_STEPS + CHANCE_STEPS / measurement.first_events.sqrt();
+        if steps_between(self.current, ratio) < min_change || nearest == self.current {
             self.found = None;
             self.evaluations = 0;
             return None;
--- a/crates/control/src/serving/replica_speeds/model.rs
+++ b/crates/control/src/serving/replica_speeds/model.rs
@@ -7,10 +7,10 @@
 
 use super::reports::PaceTotal;
 
-/// First events required to measure a replica. The mean of so many is certain to about a sixth of a step.
-const MIN_FIRST_EVENTS: f64 = 30.0;
+/// First events required to measure a replica.
+const MIN_FIRST_EVENTS: f64 = 10.0;
 /// Gaps required to measure a replica. Gaps of one stream depend on each other.
-const MIN_GAPS: f64 = 100.0;
+const MIN_GAPS: f64 = 50.0;
 /// Measured replicas required to tell the usual speed.
 const MIN_MEASURED: usize = 3;
 /// Share of the time to a first event that counts as prefill at least, however long a gap is.
@@ -32,6 +32,8 @@
     pub by_first_events: f64,
     /// Factor by gaps.
     pub by_gaps: f64,
+    /// Number of first events that the former rests on.
+    pub first_events: f64,
 }
 
 impl Measurement {
@@ -69,6 +71,7 @@
         has_enough_events(&sample.total).then(|| Measurement {
             by_first_events: first_event_pace(&sample.total) / usual_first,
             by_gaps: gap_pace(&sample.total) / usual_gaps,
+            first_events: sample.total.first_events,
         })
     });
     measurements.collect()
--- a/crates/control/src/serving/replica_speeds/reports.rs
+++ b/crates/control/src/serving/replica_speeds/reports.rs
@@ -9,8 +9,8 @@
 use railtack_serving::ReplicaKey;
 use tokio::time::Instant;
 
-/// Age at which a report expires: three reports of a router or control replica.
-const REPORT_TTL: Duration = Duration::from_millis(6_500);
+/// Age at which a report expires: a few intervals of the reports, so that a lost one does no harm.
+const REPORT_TTL: Duration = Duration::from_millis(5_000);
 /// Largest plausible count of first events or gaps of one replica in one report.
 const MAX_COUNT: f32 = 1e7;
 /// Largest plausible time to a first event, milliseconds.
--- a/crates/proxy/src/affinity.rs
+++ b/crates/proxy/src/affinity.rs
@@ -13,6 +13,8 @@
 
 /// Maximum number of remembered pairs of replica and prefix.
 const MAX_SENT_PREFIXES: usize = 16_384;
+/// Number of hash values.
+const HASH_RANGE: f64 = 18_446_744_073_709_551_616.0;
 
 /// Shared prefixes of a prompt, shortest first.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -63,6 +65,14 @@
     xxh3_64_with_seed(replica.as_bytes(), key)
 }
 
+/// Returns the cost of a replica for a key; the lowest is preferred. A replica is the first choice for a share of the
+/// keys that is proportional to its weight. Replicas of one weight are ordered as by [`rendezvous`], and another
+/// weight of a replica changes only its own cost.
+pub fn weighted_cost(key: u64, replica: &str, weight: f64) -> f64 {
+    let position = (rendezvous(key, replica) as f64 + 0.5) / HASH_RANGE;
+    -position.ln() / weight
+}
+
 /// Prefixes that this router has sent to each replica.
 #[derive(Clone, Debug, Default)]
 pub struct SentPrefixes {
--- a/crates/proxy/src/homes.rs
+++ b/crates/proxy/src/homes.rs
@@ -14,9 +14,9 @@
 
 use std::{cmp::Reverse, sync::Arc};
 
-use railtack_serving::ReplicaRecord;
+use railtack_serving::{RelativeSpeed, ReplicaRecord};
 
-use crate::affinity::rendezvous;
+use crate::affinity::{rendezvous, weighted_cost};
 
 /// Fleet size above which a service is divided into groups, and the smallest size of a group.
 pub const MIN_GROUP_SIZE: usize = 256;
@@ -48,6 +48,16 @@
     size
 }
 
+/// Returns the weight of a replica of the given speed among the homes.
+///
+/// A slow replica is home to as many prompts as it can read in its time. A fast one has no more KV cache than the
+/// others: it gets the root of its ratio, so that even the fastest is home to no more than twice the usual
+/// number. Prompts that need no cache can use the rest of its speed.
+pub fn home_weight(speed: RelativeSpeed) -> f64 {
+    let ratio = speed.ratio();
+    ratio.min(ratio.sqrt())
+}
+
 /// Replicas for prompts that share a first segment.
 #[derive(Clone, Debug, Default)]
 pub struct Homes<'a> {
@@ -70,6 +80,21 @@
         }
     }
 
+    /// Ranks the replicas again, so that the share of keys for which a replica is the home is proportional to its
+    /// weight. With equal weights the ranking by rendezvous hashing stays as it is.
+    #[must_use]
+    pub fn weighted(mut self, home: u64, weight: impl Fn(&ReplicaRecord) -> f64) -> Self {
+        let costs = self.ranked.iter().copied().map(|record| {
+            let cost = weighted_cost(home, &record.id, weight(record));
+            (cost, record)
+        });
+        let mut costs: Vec<_> = costs.collect();
+        // The sort is stable: equal costs keep their order.
+        costs.sort_by(|(one, _), (other, _)| one.total_cmp(other));
+        self.ranked = costs.into_iter().map(|(_, record)| record).collect();
+        self
+    }
+
     /// Returns a group member in use from which `home` can fetch the first segment. A home that is
     /// in use itself already caches the segment.
     pub fn prefix_source(
--- a/crates/proxy/src/selection/candidates.rs
+++ b/crates/proxy/src/selection/candidates.rs
@@ -9,11 +9,14 @@
 use crate::{
     attempt::Target,
     fleet_view::{FleetView, MIN_ROUTERS_FOR_SHARED_LOAD},
-    homes::{Homes, MIN_GROUP_SIZE, busy_replicas, group_homes, group_size, take_usable},
+    homes::{
+        Homes, MIN_GROUP_SIZE, busy_replicas, group_homes, group_size, home_weight, take_usable,
+    },
     pipeline::RequestRun,
     prefill_latency::PrefillBacklog,
     replicas::ReplicaTable,
     scoring::Candidate,
+    state::lock,
     view::ServingView,
 };
 
@@ -46,8 +49,8 @@
         };
         let now = Instant::now();
         let uptime = self.state.uptime();
-        let fleet = self.state.current_fleet(now);
-        let fleet = fleet.as_deref();
+        let fleet_guard = self.state.current_fleet(now);
+        let fleet = fleet_guard.as_deref();
         let is_usable = |record: &ReplicaRecord| {
             let is_unresponsive = fleet.is_some_and(|fleet| is_unresponsive(fleet, record));
             !is_unresponsive && availability.accepts_requests(&record.id, uptime)
@@ -57,14 +60,17 @@
         if ring.len() <= MIN_GROUP_SIZE {
             let candidates = ring.iter_from(0).filter(can_run);
             let all = take_usable(candidates, MIN_GROUP_SIZE, is_usable);
-            return Homes::of_all(home, all);
+            drop(fleet_guard);
+            return self.weigh(Homes::of_all(home, all), home);
         }
         let uses_groups = policy.nested_homes && !self.admitted.isolated;
         let first_segment = self.path.first_segment_key().filter(|_| uses_groups);
         if let (Some(home), Some(first_segment)) = (home, first_segment) {
             let size = self.group_size(fleet, configuration, now);
             let candidates = ring.iter_from(first_segment).filter(can_run);
-            return group_homes(home, candidates, size, is_usable);
+            let homes = group_homes(home, candidates, size, is_usable);
+            drop(fleet_guard);
+            return self.weigh(homes, Some(home));
         }
         // Without a prefix, the search starts at a random position.
         let start = home.unwrap_or_else(rand::random);
@@ -72,6 +78,20 @@
         Homes::of_all(None, take_usable(candidates, MIN_GROUP_SIZE, is_usable))
     }
 
+    /// Weighs homes by the speeds of replicas. Where all have the usual speed, the homes stay as they are.
+    fn weigh<'a>(&self, homes: Homes<'a>, home: Option<u64>) -> Homes<'a> {
+        let Some(home) = home.filter(|_| self.state.options.policy.replica_speeds) else {
+            return homes;
+        };
+        let fleet = lock(&self.state.fleet);
+        if !fleet.any_unusual_speed() {
+            return homes;
+        }
+        homes.weighted(home, |record| {
+            home_weight(fleet.speed(ReplicaKey::of(&record.id)))
+        })
+    }
+
     /// Returns the size of the replica group for this prompt's first segment.
     fn group_size(
         &self,
--- a/crates/proxy/tests/homes.rs
+++ b/crates/proxy/tests/homes.rs
@@ -10,15 +10,15 @@
     time::Duration,
 };
 
-use quickcheck::quickcheck;
+use quickcheck::{TestResult, quickcheck};
 use railtack_proxy::{
     PromptInfo, PromptSegment,
     affinity::{PrefixPath, rendezvous},
     fleet_view::FleetView,
-    homes::{Homes, MIN_GROUP_SIZE, Ring, busy_replicas, group_homes, group_size},
+    homes::{Homes, MIN_GROUP_SIZE, Ring, busy_replicas, group_homes, group_size, home_weight},
 };
-use railtack_rpc::serving::{FleetDigest, ReplicaCondition};
-use railtack_serving::{ReplicaKey, ReplicaRecord, ReplicaState};
+use railtack_rpc::serving::{FleetDigest, ReplicaCondition, ReplicaSpeed};
+use railtack_serving::{RelativeSpeed, ReplicaKey, ReplicaRecord, ReplicaState};
 use tokio::time::Instant;
 
 const FLEET: usize = 9_675;
@@ -293,6 +293,77 @@
     assert!(fleet.peak_open_requests(much_later) < 40);
 }
 
+/// Homes of a segment among `records`, weighed by the given steps of speed.
+fn weighted_homes<'a>(
+    records: &'a [Arc<ReplicaRecord>],
+    steps: &HashMap<String, i8>,
+    second: u64,
+) -> Vec<&'a Arc<ReplicaRecord>> {
+    let homes = Homes::of_all(Some(home_key(second)), records.iter().collect());
+    let weight = |record: &ReplicaRecord| {
+        let steps = steps.get(&record.id).copied().unwrap_or_default();
+        home_weight(RelativeSpeed::from_ratio((f64::from(steps) / 2.0).exp2()))
+    };
+    homes.weighted(home_key(second), weight).ranked
+}
+
+/// Guards against two thirds of the prompts on the slow replicas, whose streams then pause for long.
+#[test]
+fn faster_replicas_are_home_to_more_prompts() {
+    let records: Vec<_> = (0..90).map(record).collect();
+    let fast = records.iter().skip(2).step_by(3);
+    let steps: HashMap<String, i8> = fast.map(|record| (record.id.clone(), 3)).collect();
+    let segments = 20_000;
+    let on_fast = (0..segments).filter(|second| {
+        let home = weighted_homes(&records, &steps, *second)[0];
+        steps.contains_key(&home.id)
+    });
+    let share = on_fast.count() as f64 / segments as f64;
+    let weight = home_weight(RelativeSpeed::from_ratio(2.83));
+    let expected = weight / (weight + 2.0);
+    assert!(
+        (share - expected).abs() < 0.02,
+        "{share} instead of {expected}"
+    );
+}
+
+/// Guards against routers that send one prefix to different replicas.
+#[test]
+fn all_routers_find_the_same_weighted_homes() {
+    let records: Vec<_> = (0..90).map(record).collect();
+    let reversed: Vec<_> = records.iter().rev().cloned().collect();
+    let steps = (0..30).map(|number| (format!("i-{}", number * 3), (number % 9) as i8 - 4));
+    let steps: HashMap<String, i8> = steps.collect();
+    for second in 0..200 {
+        let one = weighted_homes(&records, &steps, second);
+        let other = weighted_homes(&reversed, &steps, second);
+        assert_eq!(one, other);
+    }
+}
+
+/// Guards against homes that move when a digest is lost or late: speeds change slowly and are kept.
+#[test]
+fn speeds_outlast_the_digest() {
+    let start = Instant::now();
+    let fast = ReplicaSpeed {
+        replica: ReplicaKey(1),
+        speed: RelativeSpeed::from_ratio(2.0),
+    };
+    let mut fleet = FleetView::default();
+    assert!(!fleet.any_unusual_speed());
+    let digest = FleetDigest {
+        speeds: vec![fast],
+        ..FleetDigest::default()
+    };
+    fleet.apply(digest, start);
+    let later = start + Duration::from_secs(60);
+    assert!(!fleet.is_current(later));
+    assert_eq!(fleet.speed(ReplicaKey(1)), fast.speed);
+    assert_eq!(fleet.speed(ReplicaKey(2)), RelativeSpeed::USUAL);
+    fleet.apply(FleetDigest::default(), later);
+    assert!(!fleet.any_unusual_speed());
+}
+
 quickcheck! {
     /// Every view has homes for every prompt, and all of them are in the view.
     fn any_view_has_homes(numbers: HashSet<u16>, second: u64, size: u8) -> bool {
@@ -305,4 +376,48 @@
         homes.ranked.len() == expected
             && homes.ranked.iter().all(|record| known.contains(&record.id))
     }
+
+    /// Where all replicas have one speed, the ranking is that of rendezvous hashing.
+    fn equal_weights_keep_the_ranking(numbers: HashSet<u16>, second: u64, steps: i8) -> bool {
+        let second = second % SECOND_SEGMENTS;
+        let records: Vec<_> = numbers.iter().map(|number| record(usize::from(*number))).collect();
+        let unweighted = Homes::of_all(Some(home_key(second)), records.iter().collect()).ranked;
+        let equal = records.iter().map(|record| (record.id.clone(), steps % 5));
+        let none = HashMap::new();
+        weighted_homes(&records, &equal.collect(), second) == unweighted
+            && weighted_homes(&records, &none, second) == unweighted
+    }
+
+    /// A changed step of one replica moves homes only to or from it, and only in the direction of the change.
+    fn a_changed_step_moves_only_homes_of_its_replica(
+        numbers: HashSet<u16>,
+        steps: Vec<i8>,
+        changed: usize,
+        step: i8
+    ) -> TestResult {
+        let records: Vec<_> = numbers.iter().map(|number| record(usize::from(*number))).collect();
+        if records.is_empty() || steps.is_empty() {
+            return TestResult::discard();
+        }
+        let speeds = records.iter().zip(steps.iter().cycle());
+        let before: HashMap<String, i8> =
+            speeds.map(|(record, steps)| (record.id.clone(), steps % 5)).collect();
+        let changed = &records[changed % records.len()].id;
+        let mut after = before.clone();
+        let step = step % 5;
+        let is_faster = step > before[changed];
+        after.insert(changed.clone(), step);
+        let is_right = (0..50).all(|second| {
+            let was = weighted_homes(&records, &before, second);
+            let is = weighted_homes(&records, &after, second);
+            let without = |ranked: &[&Arc<ReplicaRecord>]| -> Vec<String> {
+                let others = ranked.iter().filter(|record| record.id != *changed);
+                others.map(|record| record.id.clone()).collect()
+            };
+            let moved_to = is[0].id == *changed;
+            let moved = was[0].id != is[0].id;
+            without(&was) == without(&is) && (!moved || moved_to == is_faster)
+        });
+        TestResult::from_bool(is_right)
+    }
 }
