Change a speed only as far as both measures say so since the last change

A speed that lies between the two measures now stays.

Tests: a_slow_replica_keeps_its_step_when_its_load_changes, seen to fail with the former rule.

--- a/crates/control/src/serving/replica_speeds.rs
+++ b/crates/control/src/serving/replica_speeds.rs
@@ -175,7 +175,7 @@
 impl LearnedSpeed {
     /// Applies a measurement; returns the previous and the new speed if it changed.
     fn update(&mut self, measurement: Measurement) -> Option<(RelativeSpeed, RelativeSpeed)> {
-        let ratio = measurement.confirmed_ratio();
+        let ratio = measurement.confirmed_ratio(self.current.ratio());
         let nearest = RelativeSpeed::from_ratio(ratio);
         let min_change = NEARER_STEPS + CHANCE_STEPS / measurement.first_events.sqrt();
         if steps_between(self.current, ratio) < min_change || nearest == self.current {
