--- a/crates/proxy/src/control_peers.rs
+++ b/crates/proxy/src/control_peers.rs
@@ -39,8 +39,8 @@
         self.level.get() >= FeatureLevel::SHARED_GRANTS
     }
 
-    /// Whether the group grants quotas by urgency.
-    pub fn supports_quota_urgency(&self) -> bool {
+    /// Whether the group supports paces, speeds and urgencies.
+    pub fn supports_load_reports(&self) -> bool {
         self.level.get() >= FeatureLevel::LOAD_REPORTS
     }
 
--- a/crates/proxy/src/quota.rs
+++ b/crates/proxy/src/quota.rs
@@ -131,7 +131,7 @@
 
 /// Returns the urgency to state to the leader; `None` if the group does not read it.
 fn urgency(state: &ProxyState, admitted: &Admitted, content: ContentKey) -> Option<QuotaUrgency> {
-    if !state.control_peers.supports_quota_urgency() {
+    if !state.control_peers.supports_load_reports() {
         return None;
     }
     let urgency = QuotaUrgency {
--- a/crates/proxy/tests/quota_urgency.rs
+++ b/crates/proxy/tests/quota_urgency.rs
@@ -53,7 +53,7 @@
     state
         .control_peers
         .update_level(FeatureLevel::SHARED_GRANTS);
-    assert!(!state.control_peers.supports_quota_urgency());
+    assert!(!state.control_peers.supports_load_reports());
     state.control_peers.update_level(FeatureLevel::LOAD_REPORTS);
-    assert!(state.control_peers.supports_quota_urgency());
+    assert!(state.control_peers.supports_load_reports());
 }
