Estimate the latencies of a service's replicas from streams

Callers of short prompts were refused behind 23,000 queued tokens although 92 tokens a millisecond and an objective of 400 ms leave time for them: the waiting time was divided by the tokens, so the fixed part of a first event made each token several times too long while little was queued.

The estimate fits a fixed part and a time per token together, at the usual speed, and bounds what one sample counts for.

--- a/crates/proxy/src/load.rs
+++ b/crates/proxy/src/load.rs
@@ -3,6 +3,7 @@
 //!
 //! | decision | module |
 //! |---|---|
-//! | expected latencies of a prompt at a replica | [`estimate`] |
+//! | expected latencies of a prompt at a replica | [`estimate`], [`fit`] |
 
 pub mod estimate;
+pub mod fit;
--- /dev/null
+++ b/crates/proxy/src/load/fit.rs
@@ -0,0 +1,146 @@
+//! Running fits of latencies that bound the influence of single samples. Pure.
+
+use tokio::time::Instant;
+
+/// Half-life of samples of a line, seconds. The latencies of an engine change slowly; what changes within
+/// seconds is the queue, which is an input.
+const HALF_LIFE_S: f64 = 20.0;
+/// Decayed number of samples required before a line or level is used.
+const MIN_SAMPLES: f64 = 12.0;
+/// Standard deviation of the sampled tokens from which the time per token can be told from the fixed time.
+const MIN_SPREAD_TOKENS: f64 = 800.0;
+/// Tokens at which a sample weighs half: the queue is known with an error that grows with it.
+const HALF_WEIGHT_TOKENS: f64 = 4_000.0;
+/// Multiple of the usual value above which a sample counts as that multiple, so that a few long waits do not
+/// move the fit.
+const MAX_SAMPLE_RATIO: f64 = 3.0;
+/// Samples from which the usual value is known well enough to bound the next one.
+const MIN_SAMPLES_TO_BOUND: f64 = 4.0;
+/// Step towards a larger sample of an upper level.
+const RISE: f64 = 0.09;
+/// Step towards a smaller sample of an upper level; a ninth of [`RISE`], so that the level lies above nine in
+/// ten samples or nearly so.
+const FALL: f64 = 0.01;
+
+/// Seconds by tokens.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Line {
+    /// Seconds without any token; not negative.
+    pub fixed: f64,
+    /// Seconds per token; not negative.
+    pub per_token: f64,
+}
+
+/// Decayed least squares of seconds by tokens.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LineFit {
+    samples: f64,
+    weight: f64,
+    tokens: f64,
+    seconds: f64,
+    tokens_squared: f64,
+    tokens_seconds: f64,
+    updated_at: Option<Instant>,
+}
+
+impl LineFit {
+    /// Records the seconds that were measured for a number of tokens.
+    pub fn record(&mut self, tokens: f64, seconds: f64, now: Instant) {
+        self.decay(now);
+        let seconds = seconds.min(self.bound(tokens));
+        let weight = HALF_WEIGHT_TOKENS / (HALF_WEIGHT_TOKENS + tokens);
+        self.samples += 1.0;
+        self.weight += weight;
+        self.tokens += weight * tokens;
+        self.seconds += weight * seconds;
+        self.tokens_squared += weight * tokens * tokens;
+        self.tokens_seconds += weight * tokens * seconds;
+    }
+
+    /// Returns the line; `None` while there are too few samples or they are too much alike.
+    pub fn line(&self) -> Option<Line> {
+        if self.samples < MIN_SAMPLES {
+            return None;
+        }
+        let mean_tokens = self.tokens / self.weight;
+        let mean_seconds = self.seconds / self.weight;
+        let variance = self.tokens_squared / self.weight - mean_tokens * mean_tokens;
+        if variance < MIN_SPREAD_TOKENS * MIN_SPREAD_TOKENS {
+            return None;
+        }
+        let covariance = self.tokens_seconds / self.weight - mean_tokens * mean_seconds;
+        let per_token = (covariance / variance).max(0.0);
+        let fixed = mean_seconds - per_token * mean_tokens;
+        if fixed >= 0.0 {
+            return Some(Line { fixed, per_token });
+        }
+        Some(Line {
+            fixed: 0.0,
+            per_token: self.tokens_seconds / self.tokens_squared,
+        })
+    }
+
+    fn decay(&mut self, now: Instant) {
+        let age = self
+            .updated_at
+            .map_or(0.0, |at| now.saturating_duration_since(at).as_secs_f64());
+        let factor = 0.5_f64.powf(age / HALF_LIFE_S);
+        let sums = [
+            &mut self.samples,
+            &mut self.weight,
+            &mut self.tokens,
+            &mut self.seconds,
+            &mut self.tokens_squared,
+            &mut self.tokens_seconds,
+        ];
+        for sum in sums {
+            *sum *= factor;
+        }
+        self.updated_at = Some(now);
+    }
+
+    /// Returns the most seconds that a sample counts for.
+    fn bound(&self, tokens: f64) -> f64 {
+        if self.samples < MIN_SAMPLES_TO_BOUND {
+            return f64::INFINITY;
+        }
+        let usual = self.line().map_or_else(
+            || self.proportional(tokens),
+            |line| line.fixed + line.per_token * tokens,
+        );
+        MAX_SAMPLE_RATIO * usual
+    }
+
+    /// Returns the mean seconds, longer in proportion for more tokens than usual.
+    fn proportional(&self, tokens: f64) -> f64 {
+        let share_of_usual = tokens * self.weight / self.tokens.max(1.0);
+        self.seconds / self.weight * share_of_usual.max(1.0)
+    }
+}
+
+/// Level that most samples stay below.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct UpperLevel {
+    level: f64,
+    samples: u32,
+}
+
+impl UpperLevel {
+    /// Records a sample.
+    pub fn record(&mut self, sample: f64) {
+        self.samples = self.samples.saturating_add(1);
+        if f64::from(self.samples) <= MIN_SAMPLES {
+            // The mean of the first samples is where the level starts.
+            self.level += (sample - self.level) / f64::from(self.samples);
+            return;
+        }
+        let difference = sample.min(self.level * MAX_SAMPLE_RATIO) - self.level;
+        let step = if difference > 0.0 { RISE } else { FALL };
+        self.level += difference * step;
+    }
+
+    /// Returns the level; `None` while there are too few samples.
+    pub fn level(&self) -> Option<f64> {
+        (f64::from(self.samples) >= MIN_SAMPLES).then_some(self.level)
+    }
+}
