Record first events and gaps of streams in the estimate of their service

The estimate gets the load at which a prompt was sent, and the load of the replica at each gap. Open requests also count their whole prompts, from which the tokens held at a replica are told.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -13,6 +13,7 @@
 use crate::{
     backend::{Dispatch, ResponseClass},
     health::ExchangeOutcome,
+    load::estimate::ReplicaLoad,
     permits::{self, Permit},
     pool::{ConnectError, Connection},
     prefill_latency::PrefillBacklog,
@@ -39,6 +40,8 @@
     pub cached_tokens: u64,
     /// Prompt tokens to be prefilled before the first event.
     pub backlog: PrefillBacklog,
+    /// Load of the replica when it was selected.
+    pub load: ReplicaLoad,
     /// Address of a peer or store that probably caches the prefix, `ip:port`.
     pub fetch_from: Option<String>,
     /// Address of the store to which the prompt is saved, `ip:port`.
--- /dev/null
+++ b/crates/proxy/src/estimates.rs
@@ -0,0 +1,58 @@
+//! Latencies of all services, learned from this router's own streams.
+
+use std::{collections::HashMap, sync::Mutex, time::Duration};
+
+use tokio::time::Instant;
+
+use crate::{
+    load::estimate::{ReplicaLoad, ServiceEstimate},
+    state::lock,
+};
+
+/// Estimates by name of the service.
+#[derive(Debug, Default)]
+pub struct Estimates {
+    by_service: Mutex<HashMap<String, ServiceEstimate>>,
+}
+
+impl Estimates {
+    /// Returns the estimate of a service; one without samples if there was none.
+    pub fn get(&self, service: &str) -> ServiceEstimate {
+        let estimates = lock(&self.by_service);
+        estimates.get(service).copied().unwrap_or_default()
+    }
+
+    /// Records the time from sending a prompt to its first event. `load` is that of the replica when the prompt
+    /// was sent.
+    pub fn record_first_event(
+        &self,
+        service: &str,
+        uncached_tokens: u64,
+        load: ReplicaLoad,
+        waited: Duration,
+    ) {
+        self.update(service, |estimate| {
+            estimate.record_first_event(uncached_tokens, load, waited, Instant::now());
+        });
+    }
+
+    /// Records a gap between two events of a stream at a replica with the given load.
+    pub fn record_gap(&self, service: &str, load: ReplicaLoad, gap: Duration) {
+        self.update(service, |estimate| {
+            estimate.record_gap(load, gap, Instant::now());
+        });
+    }
+
+    /// Removes the services for which `is_kept` returns false.
+    pub fn retain(&self, is_kept: impl Fn(&str) -> bool) {
+        lock(&self.by_service).retain(|service, _| is_kept(service));
+    }
+
+    fn update(&self, service: &str, record: impl FnOnce(&mut ServiceEstimate)) {
+        let mut estimates = lock(&self.by_service);
+        if let Some(known) = estimates.get_mut(service) {
+            return record(known);
+        }
+        record(estimates.entry(service.to_owned()).or_default());
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -20,7 +20,7 @@
 //! | decide whether to save the prompt to the store | [`store_budget`] | yes |
 //! | space out the retries of rate-limited callers | [`retry_pacing`] | yes |
 //! | decide whether to retry | [`retry_decision`], [`budget`] | yes |
-//! | estimate latencies and decide under load | [`load`] | yes |
+//! | estimate latencies and decide under load | [`load`] (pure), [`estimates`] | |
 //! | combine these for one request | [`selection`] | |
 //! | acquire a connection | [`pool`], [`idle_limit`] (pure) | |
 //! | run one exchange with a replica | [`attempt`] | |
@@ -37,6 +37,7 @@
 pub mod control_watch;
 pub mod crash_detection;
 pub mod entry;
+pub mod estimates;
 pub mod events;
 pub mod fleet_view;
 pub mod health;
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -17,7 +17,7 @@
     health::ExchangeOutcome,
     quota,
     refusal::RefusalReason,
-    replicas::{OpenRequest, Suspicion},
+    replicas::{OpenPrompt, OpenRequest, Suspicion},
     request::ProxiedRequest,
     request_log::RequestLog,
     retry_decision::{self, ExchangeFacts, ExchangeProof, NextStep},
@@ -210,7 +210,11 @@
         last_event: Option<u64>,
     ) -> Result<ActiveExchange, FailedExchange> {
         let cached_tokens = target.cached_tokens;
-        let open = OpenRequest::begin(Arc::clone(&target.handle), target.backlog.uncached_tokens);
+        let prompt = OpenPrompt {
+            prompt_tokens: self.path.prompt_tokens,
+            uncached_tokens: target.backlog.uncached_tokens,
+        };
+        let open = OpenRequest::begin(Arc::clone(&target.handle), prompt);
         self.state
             .metrics
             .prompt_tokens
--- a/crates/proxy/src/replicas.rs
+++ b/crates/proxy/src/replicas.rs
@@ -40,9 +40,31 @@
     /// Time since which at least one request has been open.
     busy_since: Instant,
     pending_prefill_tokens: u64,
+    /// Prompt tokens of all open requests.
+    prompt_tokens: u64,
     health: Health,
 }
 
+/// Open requests of this router at a replica.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OwnLoad {
+    /// Number of requests.
+    pub open_requests: u32,
+    /// Prompt tokens of the requests that have not produced an event yet.
+    pub pending_prefill_tokens: u64,
+    /// Prompt tokens of all requests.
+    pub prompt_tokens: u64,
+}
+
+/// Sizes of the prompt of an open request, tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OpenPrompt {
+    /// Length of the prompt.
+    pub prompt_tokens: u64,
+    /// Part of the prompt that is presumably not cached.
+    pub uncached_tokens: u64,
+}
+
 impl ReplicaHandle {
     fn new(now: Instant) -> Self {
         Self {
@@ -51,6 +73,7 @@
                 open_requests: 0,
                 busy_since: now,
                 pending_prefill_tokens: 0,
+                prompt_tokens: 0,
                 health: Health::new(now),
             }),
             last_response_at: Mutex::new(now),
@@ -67,6 +90,16 @@
         *lock(&self.last_response_at) > since
     }
 
+    /// Returns this router's open requests at the replica.
+    pub fn own_load(&self) -> OwnLoad {
+        let load = self.load();
+        OwnLoad {
+            open_requests: load.open_requests,
+            pending_prefill_tokens: load.pending_prefill_tokens,
+            prompt_tokens: load.prompt_tokens,
+        }
+    }
+
     /// Whether the replica is not in back-off after failures.
     pub fn is_available(&self, now: Instant) -> bool {
         self.load().health.is_available(now)
@@ -146,12 +179,13 @@
 pub struct OpenRequest {
     replica: Arc<ReplicaHandle>,
     pending_prefill_tokens: u64,
+    prompt_tokens: u64,
     started_at: Instant,
 }
 
 impl OpenRequest {
-    /// Starts accounting for a request of which `pending_prefill_tokens` must be prefilled.
-    pub fn begin(replica: Arc<ReplicaHandle>, pending_prefill_tokens: u64) -> Self {
+    /// Starts accounting for a request.
+    pub fn begin(replica: Arc<ReplicaHandle>, prompt: OpenPrompt) -> Self {
         let started_at = Instant::now();
         {
             let mut load = replica.load();
@@ -159,11 +193,13 @@
                 load.busy_since = started_at;
             }
             load.open_requests += 1;
-            load.pending_prefill_tokens += pending_prefill_tokens;
+            load.pending_prefill_tokens += prompt.uncached_tokens;
+            load.prompt_tokens += prompt.prompt_tokens;
         }
         Self {
             replica,
-            pending_prefill_tokens,
+            pending_prefill_tokens: prompt.uncached_tokens,
+            prompt_tokens: prompt.prompt_tokens,
             started_at,
         }
     }
@@ -188,6 +224,7 @@
         self.prefill_done();
         let mut load = self.replica.load();
         load.open_requests = load.open_requests.saturating_sub(1);
+        load.prompt_tokens = load.prompt_tokens.saturating_sub(self.prompt_tokens);
     }
 }
 
--- a/crates/proxy/src/selection.rs
+++ b/crates/proxy/src/selection.rs
@@ -8,23 +8,24 @@
     time::Duration,
 };
 
-use railtack_serving::{Availability, MonotonicTime, ReplicaKey, ReplicaRecord, RequestLimit};
+use railtack_serving::{Availability, MonotonicTime, ReplicaRecord, RequestLimit};
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
     attempt::Target,
-    fleet_view::FleetView,
     permits::{self, PermitDecision},
     pipeline::RequestRun,
     prefill_latency::PrefillBacklog,
-    scoring::{self, Candidate, RequestSize, SharedLoad},
+    scoring::{self, Candidate, RequestSize},
     state::lock,
 };
 
 mod candidates;
+mod loads;
 mod sources;
 
 use candidates::EligibleReplica;
+use loads::shared_load;
 
 /// Interval at which an unsuccessful selection is repeated if the view does not change.
 const POLL_INTERVAL: Duration = Duration::from_millis(15);
@@ -134,6 +135,7 @@
             mut target,
         } = eligible.swap_remove(position);
         target.backlog = self.prefill_backlog(&candidate, &target, ranked);
+        target.load = self.replica_load(&target.record, &target.handle);
         if let Some(retry_after) = self.overload_retry_after(target.backlog) {
             self.log
                 .record_candidate(&target, &candidate, cost, view.position.state);
@@ -249,12 +251,3 @@
         per_s,
     })
 }
-
-/// Returns the load of all routers at a replica; a replica missing from the digest is idle.
-fn shared_load(fleet: &FleetView, record: &ReplicaRecord) -> SharedLoad {
-    let condition = fleet.condition(ReplicaKey::of(&record.id));
-    condition.map_or_else(SharedLoad::default, |condition| SharedLoad {
-        open_requests: u32::from(condition.open_requests),
-        pending_prefill_tokens: u64::from(condition.pending_prefill_tokens),
-    })
-}
--- a/crates/proxy/src/selection/candidates.rs
+++ b/crates/proxy/src/selection/candidates.rs
@@ -5,11 +5,12 @@
 use railtack_serving::{Availability, ReplicaKey, ReplicaRecord, ServingConfiguration};
 use tokio::time::Instant;
 
-use super::shared_load;
+use super::loads::shared_load;
 use crate::{
     attempt::Target,
     fleet_view::{FleetView, MIN_ROUTERS_FOR_SHARED_LOAD},
     homes::{Homes, MIN_GROUP_SIZE, busy_replicas, group_homes, group_size, take_usable},
+    load::estimate::ReplicaLoad,
     pipeline::RequestRun,
     prefill_latency::PrefillBacklog,
     replicas::ReplicaTable,
@@ -132,6 +133,7 @@
                     connection_limit,
                     cached_tokens: candidate.cached_tokens,
                     backlog: PrefillBacklog::default(),
+                    load: ReplicaLoad::default(),
                     fetch_from: None,
                     save_to: None,
                     permit: None,
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -25,6 +25,7 @@
     budget::{BudgetRule, RetryBudget},
     control_peers::ControlPeers,
     crash_detection,
+    estimates::Estimates,
     fleet_view::FleetView,
     lease::Lease,
     metrics::ProxyMetrics,
@@ -90,6 +91,8 @@
     retry_pacers: Mutex<HashMap<String, RetryPacer>>,
     save_budget: Mutex<SaveBudget>,
     weight_versions: Mutex<WeightVersions>,
+    /// Latencies of each service.
+    pub estimates: Estimates,
     prefill_latencies: Mutex<HashMap<String, PrefillLatency>>,
     view_changed: watch::Sender<u64>,
     shutdown: Mutex<Option<ShutdownPlan>>,
@@ -161,6 +164,7 @@
             retry_pacers: Mutex::default(),
             save_budget: Mutex::default(),
             weight_versions: Mutex::default(),
+            estimates: Estimates::default(),
             prefill_latencies: Mutex::default(),
             view_changed,
             shutdown: Mutex::default(),
@@ -185,6 +189,8 @@
             let configuration = table.configuration();
             lock(&self.prefill_latencies)
                 .retain(|service, _| configuration.service(service).is_some());
+            self.estimates
+                .retain(|service| configuration.service(service).is_some());
             lock(&self.retry_pacers).retain(|service, _| configuration.service(service).is_some());
             let routes = &configuration.routes;
             lock(&self.splitter).retain(|name| routes.iter().any(|route| route.name == name));
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -48,6 +48,7 @@
                     active.open.prefill_done();
                     let (backlog, waited) = (active.target.backlog, active.open.elapsed());
                     run.state.record_first_event(&run.service, backlog, waited);
+                    run.record_first_event(&active.target, waited);
                     run.log.record_first_byte();
                     let first = FirstEvents {
                         events,
@@ -84,6 +85,7 @@
     let relay = Relay {
         pending: Some(first.events).filter(|events| !events.is_empty()),
         ended: first.ended,
+        last_events_at: Some(Instant::now()),
         buffer: first.buffer,
         active: Some(active),
         run,
@@ -153,6 +155,8 @@
     buffer: EventBuffer,
     pending: Option<Bytes>,
     ended: bool,
+    /// Arrival of the last events from the current replica; `None` before the first.
+    last_events_at: Option<Instant>,
 }
 
 impl Relay {
@@ -171,6 +175,9 @@
             match next_chunk(&mut active, deadline).await {
                 Chunk::Data(bytes) => {
                     let events = self.buffer.push(&bytes);
+                    if !events.is_empty() {
+                        self.record_gap(&active);
+                    }
                     self.active = Some(active);
                     if self.buffer.is_oversized() {
                         return self.abort("event too large");
@@ -198,6 +205,14 @@
         }
     }
 
+    /// Records the time since the last events of the same replica.
+    fn record_gap(&mut self, active: &ActiveExchange) {
+        let now = Instant::now();
+        if let Some(before) = self.last_events_at.replace(now) {
+            self.run.record_gap(&active.target, now - before);
+        }
+    }
+
     /// Returns the time at which a silent stream is abandoned.
     fn silence_deadline(&self) -> Instant {
         let deadline = self.run.admitted.deadline;
@@ -239,6 +254,7 @@
         self.run.record_failure(&active.target, failed);
         drop(active);
         self.buffer.discard_partial();
+        self.last_events_at = None;
         while self.run.acquire_resume_retry().await {
             if !self
                 .run
