Select replicas by expected time where prompts queue or speeds differ

Callers of short questions, read in 9 ms, had their first event after 306 ms in the median under a flood of long prompts: they stayed at their two preferred replicas whatever was queued there. Prompts with a long shared prefix stayed at their home however long that took.

Candidates are now compared by expected time: the queue, the own prefill, gaps beyond the route's objective, memory that is lacking, zone and failures. The choice by shares stands unless another of a few candidates, drawn by the request's seed from its ranking, is faster by a margin; and altogether without samples, without a queue at replicas of one speed, or with policy.expected_time off. Refused requests log their prefix and weights, which were set after the check only.

--- a/crates/proxy/src/fleet_view.rs
+++ b/crates/proxy/src/fleet_view.rs
@@ -10,6 +10,8 @@
 use railtack_serving::{RelativeSpeed, ReplicaKey, RequestLimit};
 use tokio::time::Instant;
 
+use crate::{load::estimate::ReplicaLoad, replicas::OwnLoad, scoring::SharedLoad};
+
 /// Maximum age of a usable digest; load changes within seconds.
 const DIGEST_MAX_AGE: Duration = Duration::from_millis(3_000);
 
@@ -118,6 +120,31 @@
         self.conditions.get(&replica)
     }
 
+    /// Returns the load of all routers at a replica; a replica missing from the digest is idle.
+    pub fn shared_load(&self, replica: ReplicaKey) -> SharedLoad {
+        let condition = self.condition(replica);
+        condition.map_or_else(SharedLoad::default, |condition| SharedLoad {
+            open_requests: u32::from(condition.open_requests),
+            pending_prefill_tokens: u64::from(condition.pending_prefill_tokens),
+        })
+    }
+
+    /// Returns the load of a replica, without the tokens that it holds. This router's own requests are the
+    /// newer part of it, and all of it if the digest is outdated or `now` is `None`.
+    pub fn load(&self, replica: ReplicaKey, own: OwnLoad, now: Option<Instant>) -> ReplicaLoad {
+        let is_current = now.is_some_and(|now| self.is_current(now));
+        let shared = Some(self.shared_load(replica)).filter(|_| is_current);
+        let shared = shared.unwrap_or_default();
+        ReplicaLoad {
+            queued_tokens: shared
+                .pending_prefill_tokens
+                .max(own.pending_prefill_tokens),
+            open_requests: shared.open_requests.max(own.open_requests),
+            held_tokens: 0,
+            speed: self.speed(replica),
+        }
+    }
+
     /// Returns the speed of a replica according to the last digest.
     pub fn speed(&self, replica: ReplicaKey) -> RelativeSpeed {
         self.speeds.get(&replica).copied().unwrap_or_default()
--- a/crates/proxy/src/load.rs
+++ b/crates/proxy/src/load.rs
@@ -4,6 +4,9 @@
 //! | decision | module |
 //! |---|---|
 //! | expected latencies of a prompt at a replica | [`estimate`], [`fit`] |
+//! | replica with the shortest expected time, among a few | [`choice`], [`candidates`] |
 
+pub mod candidates;
+pub mod choice;
 pub mod estimate;
 pub mod fit;
--- a/crates/proxy/src/request_log.rs
+++ b/crates/proxy/src/request_log.rs
@@ -6,8 +6,9 @@
 use tokio::time::Instant;
 
 use crate::{
-    admission::Admitted, attempt::Target, prefill_latency::PrefillBacklog, request::ProxiedRequest,
-    scoring::Candidate, state::ProxyState,
+    admission::Admitted, affinity::PrefixPath, attempt::Target, load::choice::Choice,
+    prefill_latency::PrefillBacklog, request::ProxiedRequest, scoring::Candidate,
+    state::ProxyState,
 };
 
 /// Collects the fields of a request's log line and writes it on drop, even if the caller
@@ -27,12 +28,12 @@
     /// Inputs to the selection of the replica.
     candidate: Candidate,
     /// Hash of the longest shared prefix of the prompt.
-    pub prefix: u64,
+    prefix: u64,
     /// Length of the longest shared prefix, tokens.
-    pub shared_tokens: u64,
+    shared_tokens: u64,
     /// Version of the weights that the replica must hold.
     pub weights: u64,
-    cost: f64,
+    choice: Choice,
     backlog: PrefillBacklog,
     /// Address from which the replica fetches cached prefixes; empty if none.
     fetch_from: String,
@@ -60,7 +61,7 @@
             shared_tokens: 0,
             prefix: 0,
             weights: 0,
-            cost: 0.0,
+            choice: Choice::default(),
             backlog: PrefillBacklog::default(),
             fetch_from: String::new(),
             attempts: 0,
@@ -77,30 +78,29 @@
         self.revision = admitted.revision;
     }
 
+    /// Records the shared prefix of the prompt.
+    pub fn record_prompt(&mut self, path: &PrefixPath) {
+        self.prefix = path.key().unwrap_or_default();
+        self.shared_tokens = path.shared_tokens();
+    }
+
     /// Records a replica and the inputs to its selection.
     pub fn record_candidate(
         &mut self,
         target: &Target,
         candidate: &Candidate,
-        cost: f64,
+        choice: &Choice,
         known: u64,
     ) {
         self.replica.clone_from(&target.record.id);
         self.candidate = *candidate;
-        self.cost = cost;
+        self.choice = *choice;
         self.known = known;
         self.backlog = target.backlog;
     }
 
     /// Records the selected replica and logs repeated selections.
-    pub fn record_selection(
-        &mut self,
-        target: &Target,
-        candidate: &Candidate,
-        cost: f64,
-        known: u64,
-    ) {
-        self.record_candidate(target, candidate, cost, known);
+    pub fn record_selection(&mut self, target: &Target) {
         self.fetch_from = target.fetch_from.clone().unwrap_or_default();
         self.attempts += 1;
         // The final line only shows the last selection.
@@ -111,8 +111,9 @@
                 replica = self.replica.clone(),
                 kept_tokens = self.candidate.cached_tokens,
                 rank = self.candidate.rank,
-                cost = self.cost,
-                known,
+                cost = self.choice.cost,
+                chosen_by = self.choice.rule.name(),
+                known = self.known,
             });
         }
     }
@@ -146,6 +147,7 @@
             .outcome
             .take()
             .unwrap_or_else(|| "caller_gone".to_owned());
+        let expected = self.choice.expected.unwrap_or_default();
         self.state.metrics.open_requests.dec();
         self.state.metrics.record_request_end(self.kind, &outcome);
         spdlog::info!("request", kv: {
@@ -171,7 +173,10 @@
             unread_mean = self.backlog.mean_queued_tokens,
             fetch_from = self.fetch_from.clone(),
             weights = self.weights,
-            cost = self.cost,
+            cost = self.choice.cost,
+            chosen_by = self.choice.rule.name(),
+            expected_first_ms = expected.first_event.as_millis() as u64,
+            expected_gap_ms = expected.gap.as_millis() as u64,
             attempts = self.attempts,
             first_byte_ms = self.first_byte.map_or(0, |waited| waited.as_millis() as u64),
             total_ms = self.received.elapsed().as_millis() as u64,
--- a/crates/proxy/src/scoring.rs
+++ b/crates/proxy/src/scoring.rs
@@ -4,6 +4,8 @@
 //! the uncached prompt takes, and penalties for zone, rank and failures. The cheapest candidate
 //! wins; ties are broken by the seed.
 
+use crate::load::estimate::ReplicaLoad;
+
 /// Cost of a replica in another zone.
 const OTHER_ZONE_COST: f64 = 0.06;
 /// Cost by rank in the order of preference. Lower-ranked replicas have to fetch or recompute the
@@ -65,6 +67,10 @@
     pub rank: usize,
     /// Decayed share of recent exchanges that failed, 0 to 1.
     pub failure_rate: f64,
+    /// Load by which the expected time is estimated.
+    pub load: ReplicaLoad,
+    /// Whether the replica can fetch the shared prefix from the prompt's home.
+    pub can_fetch: bool,
 }
 
 /// Size of the request, and the number of routers competing for replicas.
@@ -155,17 +161,20 @@
 }
 
 fn cost(candidate: &Candidate, size: RequestSize) -> f64 {
+    load_cost(candidate, size)
+        + prefill_cost(candidate, size)
+        + rank_cost(candidate, size)
+        + penalty(candidate)
+}
+
+/// Returns the cost of a candidate's zone and of its failures.
+pub fn penalty(candidate: &Candidate) -> f64 {
     let zone = if candidate.same_zone {
         0.0
     } else {
         OTHER_ZONE_COST
     };
-    let failures = candidate.failure_rate * FAILURE_COST;
-    load_cost(candidate, size)
-        + prefill_cost(candidate, size)
-        + zone
-        + rank_cost(candidate, size)
-        + failures
+    zone + candidate.failure_rate * FAILURE_COST
 }
 
 /// Cost of sending a prompt to a replica other than its home.
--- a/crates/proxy/src/selection.rs
+++ b/crates/proxy/src/selection.rs
@@ -13,10 +13,11 @@
 
 use crate::{
     attempt::Target,
+    load::choice::{self, Choice, Needs},
     permits::{self, PermitDecision},
     pipeline::RequestRun,
     prefill_latency::PrefillBacklog,
-    scoring::{self, Candidate, RequestSize},
+    scoring::{Candidate, RequestSize},
     state::lock,
 };
 
@@ -122,8 +123,7 @@
         let ranked = &homes.ranked;
         let mut eligible = self.eligible_replicas(ranked, &mut replicas, configuration);
         let candidates: Vec<Candidate> = eligible.iter().map(|entry| entry.candidate).collect();
-        let chosen = scoring::choose(&candidates, self.request_size(), rand::random());
-        let Some((position, cost)) = chosen else {
+        let Some(choice) = self.choose(&candidates, rand::random()) else {
             return Err(no_eligible_cause(
                 ranked,
                 &replicas.availability,
@@ -133,12 +133,14 @@
         let EligibleReplica {
             candidate,
             mut target,
-        } = eligible.swap_remove(position);
-        target.backlog = self.prefill_backlog(&candidate, &target, ranked);
-        target.load = self.replica_load(&target.record, &target.handle);
+        } = eligible.swap_remove(choice.position);
+        target.backlog = self.prefill_backlog(&candidate, &choice, &target, ranked);
+        target.load = candidate.load;
+        self.log.record_prompt(&self.path);
+        self.log.weights = self.expected_weights(&target.record).unwrap_or_default();
+        self.log
+            .record_candidate(&target, &candidate, &choice, view.position.state);
         if let Some(retry_after) = self.overload_retry_after(target.backlog) {
-            self.log
-                .record_candidate(&target, &candidate, cost, view.position.state);
             return Err(NoTarget::TooLate { retry_after });
         }
         let store = self.store(configuration);
@@ -150,11 +152,7 @@
         target.save_to = store
             .filter(|_| self.should_save(target.cached_tokens, configuration))
             .map(|store| store.address.clone());
-        self.log
-            .record_selection(&target, &candidate, cost, view.position.state);
-        self.log.prefix = self.path.key().unwrap_or_default();
-        self.log.shared_tokens = self.path.shared_tokens();
-        self.log.weights = self.expected_weights(&target.record).unwrap_or_default();
+        self.log.record_selection(&target);
         Ok(target)
     }
 
@@ -163,10 +161,11 @@
     fn prefill_backlog(
         &self,
         candidate: &Candidate,
+        choice: &Choice,
         target: &Target,
         ranked: &[&Arc<ReplicaRecord>],
     ) -> PrefillBacklog {
-        let uncached_tokens = scoring::uncached_tokens(candidate, self.request_size());
+        let uncached_tokens = choice.uncached_tokens;
         let Some(fleet) = self.state.current_fleet(Instant::now()) else {
             return PrefillBacklog {
                 uncached_tokens,
@@ -196,6 +195,24 @@
             .overload_retry_after(&self.service, backlog, objective)
     }
 
+    fn choose(&self, candidates: &[Candidate], seed: u64) -> Option<Choice> {
+        let estimate = self.state.estimates.get(&self.service);
+        let estimate = Some(&estimate).filter(|_| self.state.options.policy.expected_time);
+        choice::choose(candidates, &self.needs(), estimate, seed)
+    }
+
+    fn needs(&self) -> Needs {
+        let route = &self.admitted.route;
+        let prompt = self.request.prompt.as_ref();
+        Needs {
+            size: self.request_size(),
+            objective: Duration::from_millis(route.objective_ms),
+            gap_objective: Duration::from_millis(route.gap_objective_ms),
+            gaps: choice::counted_gaps(prompt.map_or(0, |prompt| prompt.max_output_tokens)),
+            speeds_differ: lock(&self.state.fleet).any_unusual_speed(),
+        }
+    }
+
     fn request_size(&self) -> RequestSize {
         RequestSize {
             prompt_tokens: self.path.prompt_tokens,
--- a/crates/proxy/src/selection/candidates.rs
+++ b/crates/proxy/src/selection/candidates.rs
@@ -140,6 +140,10 @@
                 },
             });
         }
+        drop(fleet);
+        if self.learns_latencies() {
+            self.fill_loads(&mut eligible, ranked, table);
+        }
         eligible
     }
 
--- a/crates/proxy/src/selection/loads.rs
+++ b/crates/proxy/src/selection/loads.rs
@@ -1,16 +1,17 @@
 //! Loads of replicas as this router knows them, and the latencies that it measures under them.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use railtack_serving::{ReplicaKey, ReplicaRecord};
 use tokio::time::Instant;
 
+use super::candidates::EligibleReplica;
 use crate::{
     attempt::Target,
     fleet_view::FleetView,
     load::estimate::ReplicaLoad,
     pipeline::RequestRun,
-    replicas::{OwnLoad, ReplicaHandle},
+    replicas::{OwnLoad, ReplicaTable},
     scoring::SharedLoad,
     state::lock,
 };
@@ -18,7 +19,7 @@
 impl RequestRun {
     /// Records the time from sending the prompt to its first event.
     pub fn record_first_event(&self, target: &Target, waited: Duration) {
-        if self.path.prompt_tokens == 0 {
+        if !self.learns_latencies() {
             return;
         }
         let uncached_tokens = target.backlog.uncached_tokens;
@@ -28,47 +29,76 @@
 
     /// Records a gap between two events of the stream.
     pub fn record_gap(&self, target: &Target, gap: Duration) {
-        if self.path.prompt_tokens == 0 {
+        if !self.learns_latencies() {
             return;
         }
-        let load = self.replica_load(&target.record, &target.handle);
+        let own = target.handle.own_load();
+        let load = self.replica_load(&lock(&self.state.fleet), &target.record, own);
         self.state.estimates.record_gap(&self.service, load, gap);
     }
 
-    /// Returns the load of a replica now.
-    pub(super) fn replica_load(
+    /// Whether expected times are used for this request.
+    pub(super) fn learns_latencies(&self) -> bool {
+        self.state.options.policy.expected_time && self.path.prompt_tokens > 0
+    }
+
+    /// Adds to the candidates what their expected times depend on.
+    pub(super) fn fill_loads(
         &self,
-        record: &ReplicaRecord,
-        handle: &ReplicaHandle,
-    ) -> ReplicaLoad {
-        let own = handle.own_load();
-        let shared = self
-            .state
-            .current_fleet(Instant::now())
-            .map_or_else(SharedLoad::default, |fleet| shared_load(&fleet, record));
-        let speed = lock(&self.state.fleet).speed(ReplicaKey::of(&record.id));
-        ReplicaLoad {
-            queued_tokens: shared
-                .pending_prefill_tokens
-                .max(own.pending_prefill_tokens),
-            open_requests: shared.open_requests.max(own.open_requests),
-            held_tokens: held_tokens(own, shared),
-            speed,
+        eligible: &mut [EligibleReplica],
+        ranked: &[&Arc<ReplicaRecord>],
+        table: &mut ReplicaTable,
+    ) {
+        let own: Vec<OwnLoad> = eligible
+            .iter()
+            .map(|entry| entry.target.handle.own_load())
+            .collect();
+        let mean = mean_prompt_tokens(&own);
+        let home = self.fetchable_home(ranked, table);
+        let fleet = lock(&self.state.fleet);
+        for (entry, own) in eligible.iter_mut().zip(own) {
+            let record = &entry.target.record;
+            let mut load = self.replica_load(&fleet, record, own);
+            load.held_tokens = mean * u64::from(load.open_requests);
+            entry.candidate.load = load;
+            entry.candidate.can_fetch = home.is_some_and(|home| self.can_fetch(record, home));
         }
     }
+
+    /// Returns the load of a replica, without the tokens that it holds.
+    fn replica_load(&self, fleet: &FleetView, record: &ReplicaRecord, own: OwnLoad) -> ReplicaLoad {
+        let is_used = self.state.options.policy.shared_view;
+        let now = Some(Instant::now()).filter(|_| is_used);
+        fleet.load(ReplicaKey::of(&record.id), own, now)
+    }
+
+    /// Returns the home from which other replicas can fetch the shared prefix.
+    fn fetchable_home<'a>(
+        &self,
+        ranked: &[&'a Arc<ReplicaRecord>],
+        table: &mut ReplicaTable,
+    ) -> Option<&'a ReplicaRecord> {
+        let is_used = self.state.options.policy.fetch && self.path.shared_tokens() > 0;
+        let home = ranked.first().filter(|_| is_used)?;
+        let now = Instant::now();
+        let is_available = table.handle(&home.id, now).is_available(now);
+        is_available.then_some(home)
+    }
+
+    /// Whether a replica can fetch the shared prefix from its home; it is bound to the weights.
+    fn can_fetch(&self, record: &ReplicaRecord, home: &ReplicaRecord) -> bool {
+        record.id != home.id && self.expected_weights(record) == self.expected_weights(home)
+    }
 }
 
-/// Returns the prompt tokens of all routers' open requests, if they resemble those of this router.
-fn held_tokens(own: OwnLoad, shared: SharedLoad) -> u64 {
-    let mean = own.prompt_tokens / u64::from(own.open_requests.max(1));
-    mean * u64::from(shared.open_requests.max(own.open_requests))
+/// Returns the mean prompt of this router's open requests. Requests of other routers are assumed to resemble them.
+fn mean_prompt_tokens(own: &[OwnLoad]) -> u64 {
+    let tokens: u64 = own.iter().map(|load| load.prompt_tokens).sum();
+    let requests: u64 = own.iter().map(|load| u64::from(load.open_requests)).sum();
+    tokens / requests.max(1)
 }
 
 /// Returns the load of all routers at a replica; a replica missing from the digest is idle.
 pub(super) fn shared_load(fleet: &FleetView, record: &ReplicaRecord) -> SharedLoad {
-    let condition = fleet.condition(ReplicaKey::of(&record.id));
-    condition.map_or_else(SharedLoad::default, |condition| SharedLoad {
-        open_requests: u32::from(condition.open_requests),
-        pending_prefill_tokens: u64::from(condition.pending_prefill_tokens),
-    })
+    fleet.shared_load(ReplicaKey::of(&record.id))
 }
