Leave a home only if its first event is at risk and the prefix is known to be there

A prompt with a long prefix now stays while its first event is expected within half its objective, needs a gain of a quarter of it, and leaves only if this router sent the prefix to the home on its present weights.

--- a/crates/proxy/src/affinity.rs
+++ b/crates/proxy/src/affinity.rs
@@ -52,6 +52,11 @@
         self.prefixes.first().map(|(hash, _)| *hash)
     }
 
+    /// Returns the length of the part of the prompt that no other request shares, tokens.
+    pub fn unshared_tokens(&self) -> u64 {
+        self.prompt_tokens.saturating_sub(self.shared_tokens())
+    }
+
     /// Returns the length of the longest shared prefix, tokens.
     pub fn shared_tokens(&self) -> u64 {
         self.prefixes.last().map_or(0, |(_, tokens)| *tokens)
--- a/crates/proxy/src/load/choice.rs
+++ b/crates/proxy/src/load/choice.rs
@@ -21,7 +21,9 @@
 /// Divisor of the objective by which another replica must be faster for a prompt that is soon prefilled.
 const SHORT_PROMPT_MARGIN_DIVISOR: f64 = 32.0;
 /// The same for another prompt. A second copy of its prefix takes memory that other prefixes lose.
-const MARGIN_DIVISOR: f64 = 8.0;
+const MARGIN_DIVISOR: f64 = 4.0;
+/// Divisor of the objective up to which the first event of such a prompt is safely in time, so that it stays.
+const IN_TIME_DIVISOR: f64 = 2.0;
 
 /// Time to fetch a token from a peer, as a share of the time to prefill it. Links carry a token in less; the rest
 /// covers sources that evicted a part.
@@ -157,6 +159,13 @@
     fn best(&self, former: usize, seed: u64) -> Option<Choice> {
         let kept = self.price(former)?;
         let is_short = self.is_soon_prefilled(&self.candidates[former]);
+        let unchanged = Choice {
+            rule: Rule::TimeSame,
+            ..kept
+        };
+        if !is_short && kept.cost < milliseconds(self.needs.objective) / IN_TIME_DIVISOR {
+            return Some(unchanged);
+        }
         let drawn = candidates::draw(self.candidates, self.needs.size, is_short, seed);
         let others = drawn.into_iter().filter(|position| *position != former);
         let fastest = others
@@ -164,10 +173,7 @@
             .min_by(|left, right| left.cost.total_cmp(&right.cost));
         let is_faster = |other: &Choice| kept.cost - other.cost > self.margin_ms(is_short);
         let moved = fastest.filter(is_faster);
-        Some(moved.unwrap_or(Choice {
-            rule: Rule::TimeSame,
-            ..kept
-        }))
+        Some(moved.unwrap_or(unchanged))
     }
 
     /// Whether the whole prompt is prefilled in a small part of the objective at the usual speed, and its shared
--- a/crates/proxy/src/load/estimate.rs
+++ b/crates/proxy/src/load/estimate.rs
@@ -18,7 +18,7 @@
     pub queued_tokens: u64,
     /// Requests that the replica runs or queues.
     pub open_requests: u32,
-    /// Tokens of KV cache that running requests hold; 0 if unknown.
+    /// Tokens of KV cache that running requests hold besides shared prefixes; 0 if unknown.
     pub held_tokens: u64,
     /// Speed of the replica.
     pub speed: RelativeSpeed,
--- a/crates/proxy/src/load/fit.rs
+++ b/crates/proxy/src/load/fit.rs
@@ -2,9 +2,9 @@
 
 use tokio::time::Instant;
 
-/// Half-life of samples of a line, seconds. The latencies of an engine change slowly; what changes within
-/// seconds is the queue, which is an input.
-const HALF_LIFE_S: f64 = 20.0;
+/// Half-life of samples of a line, seconds. How long a queue of the digest lasts changes with the load: within
+/// seconds, a queue that was gone when the prompt arrived becomes one that is replaced as it is prefilled.
+const HALF_LIFE_S: f64 = 5.0;
 /// Decayed number of samples required before a line or level is used.
 const MIN_SAMPLES: f64 = 12.0;
 /// Standard deviation of the sampled tokens from which the time per token can be told from the fixed time.
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -211,7 +211,7 @@
     ) -> Result<ActiveExchange, FailedExchange> {
         let cached_tokens = target.cached_tokens;
         let prompt = OpenPrompt {
-            prompt_tokens: self.path.prompt_tokens,
+            unshared_tokens: self.path.unshared_tokens(),
             uncached_tokens: target.backlog.uncached_tokens,
         };
         let open = OpenRequest::begin(Arc::clone(&target.handle), prompt);
--- a/crates/proxy/src/replicas.rs
+++ b/crates/proxy/src/replicas.rs
@@ -40,8 +40,8 @@
     /// Time since which at least one request has been open.
     busy_since: Instant,
     pending_prefill_tokens: u64,
-    /// Prompt tokens of all open requests.
-    prompt_tokens: u64,
+    /// Prompt tokens of all open requests that no other request shares.
+    unshared_tokens: u64,
     health: Health,
 }
 
@@ -52,15 +52,15 @@
     pub open_requests: u32,
     /// Prompt tokens of the requests that have not produced an event yet.
     pub pending_prefill_tokens: u64,
-    /// Prompt tokens of all requests.
-    pub prompt_tokens: u64,
+    /// Prompt tokens of all requests that no other request shares.
+    pub unshared_tokens: u64,
 }
 
 /// Sizes of the prompt of an open request, tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OpenPrompt {
-    /// Length of the prompt.
-    pub prompt_tokens: u64,
+    /// Part of the prompt that no other request shares.
+    pub unshared_tokens: u64,
     /// Part of the prompt that is presumably not cached.
     pub uncached_tokens: u64,
 }
@@ -73,7 +73,7 @@
                 open_requests: 0,
                 busy_since: now,
                 pending_prefill_tokens: 0,
-                prompt_tokens: 0,
+                unshared_tokens: 0,
                 health: Health::new(now),
             }),
             last_response_at: Mutex::new(now),
@@ -96,7 +96,7 @@
         OwnLoad {
             open_requests: load.open_requests,
             pending_prefill_tokens: load.pending_prefill_tokens,
-            prompt_tokens: load.prompt_tokens,
+            unshared_tokens: load.unshared_tokens,
         }
     }
 
@@ -179,7 +179,7 @@
 pub struct OpenRequest {
     replica: Arc<ReplicaHandle>,
     pending_prefill_tokens: u64,
-    prompt_tokens: u64,
+    unshared_tokens: u64,
     started_at: Instant,
 }
 
@@ -194,12 +194,12 @@
             }
             load.open_requests += 1;
             load.pending_prefill_tokens += prompt.uncached_tokens;
-            load.prompt_tokens += prompt.prompt_tokens;
+            load.unshared_tokens += prompt.unshared_tokens;
         }
         Self {
             replica,
             pending_prefill_tokens: prompt.uncached_tokens,
-            prompt_tokens: prompt.prompt_tokens,
+            unshared_tokens: prompt.unshared_tokens,
             started_at,
         }
     }
@@ -224,7 +224,7 @@
         self.prefill_done();
         let mut load = self.replica.load();
         load.open_requests = load.open_requests.saturating_sub(1);
-        load.prompt_tokens = load.prompt_tokens.saturating_sub(self.prompt_tokens);
+        load.unshared_tokens = load.unshared_tokens.saturating_sub(self.unshared_tokens);
     }
 }
 
--- a/crates/proxy/src/selection/loads.rs
+++ b/crates/proxy/src/selection/loads.rs
@@ -53,7 +53,7 @@
             .iter()
             .map(|entry| entry.target.handle.own_load())
             .collect();
-        let mean = mean_prompt_tokens(&own);
+        let mean = mean_unshared_tokens(&own);
         let home = self.fetchable_home(ranked, table);
         let fleet = lock(&self.state.fleet);
         for (entry, own) in eligible.iter_mut().zip(own) {
@@ -72,7 +72,8 @@
         fleet.load(ReplicaKey::of(&record.id), own, now)
     }
 
-    /// Returns the home from which other replicas can fetch the shared prefix.
+    /// Returns the home if this router sent it the shared prefix, so that other replicas can fetch it there.
+    /// Elsewhere it may be lost, with its replica or with former weights, and would be prefilled once more.
     fn fetchable_home<'a>(
         &self,
         ranked: &[&'a Arc<ReplicaRecord>],
@@ -82,7 +83,8 @@
         let home = ranked.first().filter(|_| is_used)?;
         let now = Instant::now();
         let is_available = table.handle(&home.id, now).is_available(now);
-        is_available.then_some(home)
+        let sent_tokens = table.sent().cached_tokens(&home.id, &self.path);
+        (is_available && sent_tokens >= self.path.shared_tokens()).then_some(home)
     }
 
     /// Whether a replica can fetch the shared prefix from its home; it is bound to the weights.
@@ -91,9 +93,10 @@
     }
 }
 
-/// Returns the mean prompt of this router's open requests. Requests of other routers are assumed to resemble them.
-fn mean_prompt_tokens(own: &[OwnLoad]) -> u64 {
-    let tokens: u64 = own.iter().map(|load| load.prompt_tokens).sum();
+/// Returns the mean of the unshared tokens of this router's open prompts; those of other routers are assumed to
+/// resemble them.
+fn mean_unshared_tokens(own: &[OwnLoad]) -> u64 {
+    let tokens: u64 = own.iter().map(|load| load.unshared_tokens).sum();
     let requests: u64 = own.iter().map(|load| u64::from(load.open_requests)).sum();
     tokens / requests.max(1)
 }
