Bound single long waits more tightly, and not at all once they are common

A sample now counts for at most twice the usual wait; once a fifth of the samples are above that, latencies have changed and all count in full.

--- a/crates/proxy/src/load/fit.rs
+++ b/crates/proxy/src/load/fit.rs
@@ -11,9 +11,11 @@
 const MIN_SPREAD_TOKENS: f64 = 800.0;
 /// Tokens at which a sample weighs half: the queue is known with an error that grows with it.
 const HALF_WEIGHT_TOKENS: f64 = 4_000.0;
-/// Multiple of the usual value above which a sample counts as that multiple, so that a few long waits do not
+/// Multiple of the usual value above which a sample counts as that multiple, so that a few long waits hardly
 /// move the fit.
-const MAX_SAMPLE_RATIO: f64 = 3.0;
+const MAX_SAMPLE_RATIO: f64 = 2.0;
+/// Share of samples above the bound from which they are not few: latencies have changed, and all count in full.
+const MAX_BOUNDED_SHARE: f64 = 0.2;
 /// Samples from which the usual value is known well enough to bound the next one.
 const MIN_SAMPLES_TO_BOUND: f64 = 4.0;
 /// Step towards a larger sample of an upper level.
@@ -35,6 +37,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LineFit {
     samples: f64,
+    /// Decayed number of samples above the bound.
+    above_bound: f64,
     weight: f64,
     tokens: f64,
     seconds: f64,
@@ -47,7 +51,7 @@
     /// Records the seconds that were measured for a number of tokens.
     pub fn record(&mut self, tokens: f64, seconds: f64, now: Instant) {
         self.decay(now);
-        let seconds = seconds.min(self.bound(tokens));
+        let seconds = self.bounded(tokens, seconds);
         let weight = HALF_WEIGHT_TOKENS / (HALF_WEIGHT_TOKENS + tokens);
         self.samples += 1.0;
         self.weight += weight;
@@ -87,6 +91,7 @@
         let factor = 0.5_f64.powf(age / HALF_LIFE_S);
         let sums = [
             &mut self.samples,
+            &mut self.above_bound,
             &mut self.weight,
             &mut self.tokens,
             &mut self.seconds,
@@ -99,16 +104,24 @@
         self.updated_at = Some(now);
     }
 
-    /// Returns the most seconds that a sample counts for.
-    fn bound(&self, tokens: f64) -> f64 {
+    /// Returns the seconds that a sample counts for.
+    fn bounded(&mut self, tokens: f64, seconds: f64) -> f64 {
         if self.samples < MIN_SAMPLES_TO_BOUND {
-            return f64::INFINITY;
+            return seconds;
         }
         let usual = self.line().map_or_else(
             || self.proportional(tokens),
             |line| line.fixed + line.per_token * tokens,
         );
-        MAX_SAMPLE_RATIO * usual
+        let bound = MAX_SAMPLE_RATIO * usual;
+        if seconds <= bound {
+            return seconds;
+        }
+        self.above_bound += 1.0;
+        if self.above_bound > self.samples * MAX_BOUNDED_SHARE {
+            return seconds;
+        }
+        bound
     }
 
     /// Returns the mean seconds, longer in proportion for more tokens than usual.
--- a/crates/proxy/tests/estimate.rs
+++ b/crates/proxy/tests/estimate.rs
@@ -109,6 +109,19 @@
     assert!(after > before.mul_f64(1.7), "{before:?} {after:?}");
 }
 
+/// Load: a flood begins, and queues that were gone when a prompt arrived last now.
+#[test]
+fn a_change_of_most_latencies_shows_within_seconds() {
+    let mut samples = Samples::new().mixed(60);
+    for index in 0..40 {
+        let uncached = if index % 2 == 0 { 628 } else { 2_890 };
+        samples.first_event(uncached, load(index % 5 * 1_000, 1.0), 8.0);
+    }
+    let expected = samples.expect(2_890, load(2_000, 1.0)).first_event;
+    let before_ms = FIXED_MS + 4_890.0 / TOKENS_PER_MS;
+    assert!(expected > milliseconds(before_ms * 3.0), "{expected:?}");
+}
+
 /// Load: a few prompts of a day wait for seconds, for example for a preempted request.
 #[test]
 fn a_few_long_waits_hardly_move_the_estimate() {
