Learn the longest gap of a stream instead of all its gaps

The gap before the last event is short, and a prompt with two events has no other: most samples were such gaps. A response is late by its longest gap, which is what is recorded now, for streams of four events or more. The test fails without that bound.

--- a/crates/proxy/src/estimates.rs
+++ b/crates/proxy/src/estimates.rs
@@ -36,7 +36,7 @@
         });
     }
 
-    /// Records a gap between two events of a stream at a replica with the given load.
+    /// Records the longest gap between two events of a stream; `load` is that of the replica at its end.
     pub fn record_gap(&self, service: &str, load: ReplicaLoad, gap: Duration) {
         self.update(service, |estimate| {
             estimate.record_gap(load, gap, Instant::now());
--- a/crates/proxy/src/load.rs
+++ b/crates/proxy/src/load.rs
@@ -3,10 +3,11 @@
 //!
 //! | decision | module |
 //! |---|---|
-//! | expected latencies of a prompt at a replica | [`estimate`], [`fit`] |
+//! | expected latencies of a prompt at a replica | [`estimate`], [`fit`], [`longest_gap`] |
 //! | replica with the shortest expected time, among a few | [`choice`], [`candidates`] |
 
 pub mod candidates;
 pub mod choice;
 pub mod estimate;
 pub mod fit;
+pub mod longest_gap;
--- a/crates/proxy/src/load/estimate.rs
+++ b/crates/proxy/src/load/estimate.rs
@@ -29,7 +29,7 @@
 pub struct Expectation {
     /// Time from sending the prompt to its first event.
     pub first_event: Duration,
-    /// Longest usual gap between two events of the stream; zero while no gaps were seen.
+    /// Longest gap between two events that is usual for a stream; zero while no gaps were seen.
     pub gap: Duration,
 }
 
@@ -38,9 +38,9 @@
 pub struct ServiceEstimate {
     /// Seconds to the first event by prefilled tokens.
     first_event: LineFit,
-    /// Gaps at replicas without queued prompts, seconds.
+    /// Longest gaps of streams at replicas without queued prompts, seconds.
     idle_gap: UpperLevel,
-    /// Gaps at replicas that prefill for at least as long as a gap, seconds.
+    /// The same at replicas that prefill for at least as long as a gap.
     prefill_gap: UpperLevel,
 }
 
@@ -59,7 +59,7 @@
         self.first_event.record(tokens, seconds, now);
     }
 
-    /// Records a gap between two events of a stream at a replica with the given load.
+    /// Records the longest gap between two events of a stream; `load` is that of the replica at its end.
     pub fn record_gap(&mut self, load: ReplicaLoad, gap: Duration, _now: Instant) {
         let gap_s = gap.as_secs_f64() * load.speed.ratio();
         if load.queued_tokens == 0 {
--- a/crates/proxy/src/load/fit.rs
+++ b/crates/proxy/src/load/fit.rs
@@ -19,10 +19,10 @@
 /// Samples from which the usual value is known well enough to bound the next one.
 const MIN_SAMPLES_TO_BOUND: f64 = 4.0;
 /// Step towards a larger sample of an upper level.
-const RISE: f64 = 0.09;
-/// Step towards a smaller sample of an upper level; a ninth of [`RISE`], so that the level lies above nine in
-/// ten samples or nearly so.
-const FALL: f64 = 0.01;
+const RISE: f64 = 0.06;
+/// Step towards a smaller sample of an upper level; a third of [`RISE`], so that the level lies above about three
+/// in four samples.
+const FALL: f64 = 0.02;
 
 /// Seconds by tokens.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/proxy/src/selection/loads.rs
+++ b/crates/proxy/src/selection/loads.rs
@@ -9,7 +9,7 @@
 use crate::{
     attempt::Target,
     fleet_view::FleetView,
-    load::estimate::ReplicaLoad,
+    load::{estimate::ReplicaLoad, longest_gap::LongestGap},
     pipeline::RequestRun,
     replicas::{OwnLoad, ReplicaTable},
     scoring::SharedLoad,
@@ -27,14 +27,21 @@
         estimates.record_first_event(&self.service, uncached_tokens, target.load, waited);
     }
 
-    /// Records a gap between two events of the stream.
-    pub fn record_gap(&self, target: &Target, gap: Duration) {
-        if !self.learns_latencies() {
-            return;
+    /// Adds a gap between two events to the longest one of the stream.
+    pub fn add_gap(&self, longest: &mut LongestGap, target: &Target, gap: Duration) {
+        if self.learns_latencies() {
+            longest.record(gap, || {
+                let own = target.handle.own_load();
+                self.replica_load(&lock(&self.state.fleet), &target.record, own)
+            });
+        }
+    }
+
+    /// Records the longest gap of a stream that ended.
+    pub fn record_longest_gap(&self, longest: LongestGap) {
+        if let Some((gap, load)) = longest.get() {
+            self.state.estimates.record_gap(&self.service, load, gap);
         }
-        let own = target.handle.own_load();
-        let load = self.replica_load(&lock(&self.state.fleet), &target.record, own);
-        self.state.estimates.record_gap(&self.service, load, gap);
     }
 
     /// Whether expected times are used for this request.
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -17,6 +17,7 @@
     crash_detection,
     events::EventBuffer,
     health::ExchangeOutcome,
+    load::longest_gap::LongestGap,
     pipeline::{ActiveExchange, ExchangeStep, RequestRun},
     retry_decision::ExchangeProof,
 };
@@ -86,6 +87,7 @@
         pending: Some(first.events).filter(|events| !events.is_empty()),
         ended: first.ended,
         last_events_at: Some(Instant::now()),
+        longest_gap: LongestGap::default(),
         buffer: first.buffer,
         active: Some(active),
         run,
@@ -157,6 +159,8 @@
     ended: bool,
     /// Arrival of the last events from the current replica; `None` before the first.
     last_events_at: Option<Instant>,
+    /// Longest gap at the current replica.
+    longest_gap: LongestGap,
 }
 
 impl Relay {
@@ -209,7 +213,8 @@
     fn record_gap(&mut self, active: &ActiveExchange) {
         let now = Instant::now();
         if let Some(before) = self.last_events_at.replace(now) {
-            self.run.record_gap(&active.target, now - before);
+            let longest = &mut self.longest_gap;
+            self.run.add_gap(longest, &active.target, now - before);
         }
     }
 
@@ -229,6 +234,7 @@
         if let Some(active) = self.active.take() {
             self.run
                 .record_outcome(&active.target, ExchangeOutcome::Good);
+            self.run.record_longest_gap(self.longest_gap);
             crash_detection::request_succeeded(&self.run.state, self.run.content);
             if active.response.reusable {
                 let handle = &active.target.handle;
@@ -255,6 +261,7 @@
         drop(active);
         self.buffer.discard_partial();
         self.last_events_at = None;
+        self.longest_gap = LongestGap::default();
         while self.run.acquire_resume_retry().await {
             if !self
                 .run
--- a/crates/proxy/tests/estimate.rs
+++ b/crates/proxy/tests/estimate.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use railtack_proxy::load::estimate::{Expectation, ReplicaLoad, ServiceEstimate};
+use railtack_proxy::load::{
+    estimate::{Expectation, ReplicaLoad, ServiceEstimate},
+    longest_gap::LongestGap,
+};
 use railtack_serving::RelativeSpeed;
 use tokio::time::Instant;
 
@@ -180,6 +183,19 @@
     assert_near(short_queue, IDLE_GAP_MS + 10.0);
 }
 
+/// Load: long prompts with two events each, of which the second holds a single token, among longer streams.
+#[test]
+fn streams_of_few_events_do_not_tell_the_longest_gap() {
+    let mut short = LongestGap::default();
+    short.record(milliseconds(5.0), || load(0, 1.0));
+    assert_eq!(short.get(), None);
+    let mut long = LongestGap::default();
+    for (gap_ms, queued) in [(40.0, 0), (180.0, 20_000), (30.0, 0), (5.0, 0)] {
+        long.record(milliseconds(gap_ms), || load(queued, 1.0));
+    }
+    assert_eq!(long.get(), Some((milliseconds(180.0), load(20_000, 1.0))));
+}
+
 /// Load: a stream that pauses for seconds once, for example for a preemption.
 #[test]
 fn a_single_pause_hardly_moves_the_gap() {
