--- a/crates/proxy/src/selection/loads.rs
+++ b/crates/proxy/src/selection/loads.rs
@@ -44,9 +44,11 @@
         }
     }
 
-    /// Whether expected times are used for this request.
+    /// Whether expected times are used for this request, by the choice of the replica or by the decision that
+    /// it is late.
     pub(super) fn learns_latencies(&self) -> bool {
-        self.state.options.policy.expected_time && self.path.prompt_tokens > 0
+        let policy = self.state.options.policy;
+        self.path.prompt_tokens > 0 && (policy.expected_time || policy.late_service)
     }
 
     /// Adds to the candidates what their expected times depend on.
