--- a/crates/proxy/src/replicas.rs
+++ b/crates/proxy/src/replicas.rs
@@ -43,9 +43,31 @@
     /// Time since which at least one request has been open.
     busy_since: Instant,
     pending_prefill_tokens: u64,
+    /// Prompt tokens of all open requests that no other request shares.
+    unshared_tokens: u64,
     health: Health,
 }
 
+/// Open requests of this router at a replica.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OwnLoad {
+    /// Number of requests.
+    pub open_requests: u32,
+    /// Prompt tokens of the requests that have not produced an event yet.
+    pub pending_prefill_tokens: u64,
+    /// Prompt tokens of all requests that no other request shares.
+    pub unshared_tokens: u64,
+}
+
+/// Sizes of the prompt of an open request, tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OpenPrompt {
+    /// Part of the prompt that no other request shares.
+    pub unshared_tokens: u64,
+    /// Part of the prompt that is presumably not cached.
+    pub uncached_tokens: u64,
+}
+
 impl ReplicaHandle {
     fn new(now: Instant) -> Self {
         Self {
@@ -54,6 +76,7 @@
                 open_requests: 0,
                 busy_since: now,
                 pending_prefill_tokens: 0,
+                unshared_tokens: 0,
                 health: Health::new(now),
             }),
             last_response_at: Mutex::new(now),
@@ -81,6 +104,16 @@
         *lock(&self.last_response_at) > since
     }
 
+    /// Returns this router's open requests at the replica.
+    pub fn own_load(&self) -> OwnLoad {
+        let load = self.load();
+        OwnLoad {
+            open_requests: load.open_requests,
+            pending_prefill_tokens: load.pending_prefill_tokens,
+            unshared_tokens: load.unshared_tokens,
+        }
+    }
+
     /// Whether the replica is not in back-off after failures.
     pub fn is_available(&self, now: Instant) -> bool {
         self.load().health.is_available(now)
@@ -160,12 +193,13 @@
 pub struct OpenRequest {
     replica: Arc<ReplicaHandle>,
     pending_prefill_tokens: u64,
+    unshared_tokens: u64,
     started_at: Instant,
 }
 
 impl OpenRequest {
-    /// Starts accounting for a request of which `pending_prefill_tokens` must be prefilled.
-    pub fn begin(replica: Arc<ReplicaHandle>, pending_prefill_tokens: u64) -> Self {
+    /// Starts accounting for a request.
+    pub fn begin(replica: Arc<ReplicaHandle>, prompt: OpenPrompt) -> Self {
         let started_at = Instant::now();
         {
             let mut load = replica.load();
@@ -173,11 +207,13 @@
                 load.busy_since = started_at;
             }
             load.open_requests += 1;
-            load.pending_prefill_tokens += pending_prefill_tokens;
+            load.pending_prefill_tokens += prompt.uncached_tokens;
+            load.unshared_tokens += prompt.unshared_tokens;
         }
         Self {
             replica,
-            pending_prefill_tokens,
+            pending_prefill_tokens: prompt.uncached_tokens,
+            unshared_tokens: prompt.unshared_tokens,
             started_at,
         }
     }
@@ -202,6 +238,7 @@
         self.prefill_done();
         let mut load = self.replica.load();
         load.open_requests = load.open_requests.saturating_sub(1);
+        load.unshared_tokens = load.unshared_tokens.saturating_sub(self.unshared_tokens);
     }
 }
 
--- a/crates/proxy/src/selection/candidates.rs
+++ b/crates/proxy/src/selection/candidates.rs
@@ -5,13 +5,14 @@
 use railtack_serving::{Availability, ReplicaKey, ReplicaRecord, ServingConfiguration};
 use tokio::time::Instant;
 
-use super::shared_load;
+use super::loads::shared_load;
 use crate::{
     attempt::Target,
     fleet_view::{FleetView, MIN_ROUTERS_FOR_SHARED_LOAD},
     homes::{
         Homes, MIN_GROUP_SIZE, busy_replicas, group_homes, group_size, home_weight, take_usable,
     },
+    load::estimate::ReplicaLoad,
     pipeline::RequestRun,
     prefill_latency::PrefillBacklog,
     replicas::ReplicaTable,
@@ -152,12 +153,17 @@
                     connection_limit,
                     cached_tokens: candidate.cached_tokens,
                     backlog: PrefillBacklog::default(),
+                    load: ReplicaLoad::default(),
                     fetch_from: None,
                     save_to: None,
                     permit: None,
                 },
             });
         }
+        drop(fleet);
+        if self.learns_latencies() {
+            self.fill_loads(&mut eligible, ranked, table);
+        }
         eligible
     }
 
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -17,7 +17,7 @@
     crash_detection,
     events::EventBuffer,
     health::ExchangeOutcome,
-    load::pace::GapTimer,
+    load::{longest_gap::LongestGap, pace::GapTimer},
     pipeline::{ActiveExchange, ExchangeStep, RequestRun},
     retry_decision::ExchangeProof,
 };
@@ -49,6 +49,7 @@
                     active.open.prefill_done();
                     let (backlog, waited) = (active.target.backlog, active.open.elapsed());
                     run.state.record_first_event(&run.service, backlog, waited);
+                    run.record_first_event(&active.target, waited);
                     if run.has_prompt() {
                         let handle = &active.target.handle;
                         handle.record_first_event(backlog, waited, Instant::now());
@@ -90,6 +91,7 @@
         pending: Some(first.events).filter(|events| !events.is_empty()),
         ended: first.ended,
         gaps: GapTimer::started(Instant::now()),
+        longest_gap: LongestGap::default(),
         buffer: first.buffer,
         active: Some(active),
         run,
@@ -160,6 +162,8 @@
     pending: Option<Bytes>,
     ended: bool,
     gaps: GapTimer,
+    /// Longest gap at the current replica.
+    longest_gap: LongestGap,
 }
 
 impl Relay {
@@ -213,6 +217,8 @@
         let active = self.active.as_ref().filter(|_| self.run.has_prompt());
         if let (Some(gap), Some(active)) = (gap, active) {
             active.target.handle.record_gap(gap, now);
+            let longest = &mut self.longest_gap;
+            self.run.add_gap(longest, &active.target, gap.length);
         }
     }
 
@@ -232,6 +238,7 @@
         if let Some(active) = self.active.take() {
             self.run
                 .record_outcome(&active.target, ExchangeOutcome::Good);
+            self.run.record_longest_gap(self.longest_gap);
             crash_detection::request_succeeded(&self.run.state, self.run.content);
             if active.response.reusable {
                 let handle = &active.target.handle;
@@ -279,6 +286,7 @@
                     last_event = self.buffer.last_event().unwrap_or_default(),
                 });
                 self.gaps = GapTimer::default();
+                self.longest_gap = LongestGap::default();
                 self.active = Some(active);
                 return Some(());
             }
