Serve late prompts at the lowest priority instead of refusing all of them

While a service is overloaded, every prompt that would exceed its objective was refused, also where callers wait for many times the objective. A late answer is worth something to them.

A prompt is now answered in one of three ways: in time, late (sent at the lowest priority, within a bound on the memory that late prompts hold) or refused, when its deadline would be missed or late prompts have no room. A caller that returns after a refusal is served late rather than refused again. Refused callers are given consecutive times, spaced by the rate at which the service prefills. Late prompts are not counted in the queue that routers report, so that they refuse nobody.

Not measured yet.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -20,7 +20,7 @@
 //! | decide whether to save the prompt to the store | [`store_budget`] | yes |
 //! | space out the retries of rate-limited callers | [`retry_pacing`] | yes |
 //! | decide whether to retry | [`retry_decision`], [`budget`] | yes |
-//! | estimate latencies and decide under load | [`load`] | yes |
+//! | estimate latencies and decide under load | [`load`] (pure), [`overload`] (state by service) | |
 //! | combine these for one request | [`selection`] | |
 //! | acquire a connection | [`pool`], [`idle_limit`] (pure) | |
 //! | run one exchange with a replica | [`attempt`] | |
@@ -46,6 +46,7 @@
 pub mod limits;
 pub mod load;
 pub mod metrics;
+pub mod overload;
 pub mod permits;
 pub mod pipeline;
 pub mod pool;
--- a/crates/proxy/src/load.rs
+++ b/crates/proxy/src/load.rs
@@ -4,5 +4,13 @@
 //! | decision | module |
 //! |---|---|
 //! | expected latencies of a prompt at a replica | [`estimate`] |
+//! | part of a queue that is more urgent than a prompt | [`urgency_mix`] |
+//! | in time, late or refused | [`admission`], with [`late_requests`] |
+//! | when refused callers return | [`return_times`], with [`retry_slots`] |
 
+pub mod admission;
 pub mod estimate;
+pub mod late_requests;
+pub mod retry_slots;
+pub mod return_times;
+pub mod urgency_mix;
--- /dev/null
+++ b/crates/proxy/src/load/admission.rs
@@ -0,0 +1,157 @@
+//! Decides whether a prompt is served in time, served late, or refused. Pure.
+//!
+//! If more prompts arrive than the replicas can prefill, all of them queue and miss their objectives. A late
+//! prompt is therefore sent at the lowest priority, where it only uses what timely ones leave, and refused if
+//! it would miss its deadline or take too much memory.
+
+use std::time::Duration;
+
+/// Priority of late prompts, less urgent than that of any route.
+pub const LATE_PRIORITY: u8 = u8::MAX;
+/// Largest priority value of a route that makes a difference.
+pub const LEAST_URGENT: u8 = 9;
+
+/// Expected time, in objectives, above which a prompt is not in time. Queue lengths are about a second old, so
+/// a lower value would affect prompts that would be in time.
+const LATE_ABOVE_OBJECTIVES: f64 = 1.5;
+/// The same for the mean of the service's replicas: a queue at a single replica is not an overload.
+const OVERLOAD_ABOVE_OBJECTIVES: f64 = 0.75;
+/// Divisor of the objective; prompts that are prefilled in less are always sent, since leaving them out would
+/// free no capacity.
+const SHORT_PROMPT_DIVISOR: u32 = 16;
+/// Divisor of the objective up to which the prompt's own prefill counts, so that a long prompt is not late for
+/// its length alone.
+const MAX_OWN_PREFILL_DIVISOR: u32 = 4;
+/// Part of the time between the objective and the deadline within which the most urgent late prompts must be
+/// expected to start. The rest covers newer timely prompts, which are served first.
+const MOST_URGENT_LATE_SHARE: f64 = 0.75;
+/// The same for the least urgent ones, which leave room earlier.
+const LEAST_URGENT_LATE_SHARE: f64 = 0.25;
+/// Divisor of the service's memory; late prompts hold no more than this part of it.
+const LATE_MEMORY_DIVISOR: u64 = 4;
+/// Time by which a returning caller's timeout is at least shorter than the route's: half of the shortest retry
+/// delay.
+const MIN_RETURN_TIME: Duration = Duration::from_millis(75);
+
+/// What a caller needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerNeeds {
+    /// Objective of the route for the first event.
+    pub objective: Duration,
+    /// Time until the deadline.
+    pub time_left: Duration,
+    /// Priority of the request; 0 is the most urgent.
+    pub priority: u8,
+    /// Whether the caller returns after a refusal.
+    pub is_returning: bool,
+}
+
+/// Expected time from sending a prompt to its first event.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ExpectedFirstEvent {
+    /// At the selected replica, after queued prompts that are at least as urgent.
+    pub selected: Duration,
+    /// The same at a replica with the service's mean queue.
+    pub mean: Duration,
+    /// At the selected replica after all queued prompts, also late ones.
+    pub after_all: Duration,
+    /// Prefill time of the prompt itself, a part of the other three.
+    pub own: Duration,
+}
+
+/// Memory that late prompts of this router may hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LateRoom {
+    /// Tokens of the router's late prompts in progress.
+    pub held_tokens: u64,
+    /// Tokens that the router's late prompts may hold; `None` if the memory of replicas is unknown.
+    pub max_tokens: Option<u64>,
+    /// Tokens of the prompt and of its longest output.
+    pub request_tokens: u64,
+}
+
+/// Answer to a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It is sent at its own priority.
+    InTime,
+    /// It is sent at [`LATE_PRIORITY`].
+    Late,
+    /// It is not sent; the caller is told when to return.
+    Refused,
+}
+
+impl Answer {
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::InTime => "in_time",
+            Self::Late => "late",
+            Self::Refused => "refused",
+        }
+    }
+}
+
+/// Decides the answer to a prompt. Without an expectation it is sent.
+pub fn decide(needs: &CallerNeeds, expected: Option<ExpectedFirstEvent>, room: LateRoom) -> Answer {
+    let Some(expected) = expected else {
+        return Answer::InTime;
+    };
+    let is_short = expected.own < needs.objective / SHORT_PROMPT_DIVISOR;
+    if is_short || !is_overloaded(needs, &expected) {
+        return Answer::InTime;
+    }
+    if expected.after_all > latest_start(needs) {
+        return Answer::Refused;
+    }
+    // Refusing a caller twice costs it its answer; it holds memory for a shorter time than others.
+    if needs.is_returning || room.has_room() {
+        Answer::Late
+    } else {
+        Answer::Refused
+    }
+}
+
+/// Whether a caller with this timeout returns after a refusal. Callers declare the time that they have left, at
+/// first usually at least the route's timeout.
+pub fn is_returning(client_timeout: Option<Duration>, route_timeout: Duration) -> bool {
+    client_timeout.is_some_and(|timeout| timeout.saturating_add(MIN_RETURN_TIME) <= route_timeout)
+}
+
+/// Returns the memory, in tokens, that the late prompts of one router may hold.
+pub fn late_memory(capacity_tokens: u64, replicas: usize, routers: u32) -> Option<u64> {
+    let total = capacity_tokens.checked_mul(replicas as u64)?;
+    (total > 0).then(|| total / LATE_MEMORY_DIVISOR / u64::from(routers.max(1)))
+}
+
+impl LateRoom {
+    /// Whether one more late prompt has room. One prompt always has, so that a large fleet of routers can use
+    /// its part.
+    fn has_room(&self) -> bool {
+        let held = self.held_tokens.saturating_add(self.request_tokens);
+        let is_within = self.max_tokens.is_none_or(|max| held <= max);
+        self.held_tokens == 0 || is_within
+    }
+}
+
+/// Whether the prompt would be late, and not only at one replica.
+fn is_overloaded(needs: &CallerNeeds, expected: &ExpectedFirstEvent) -> bool {
+    let objective = needs.objective.min(needs.time_left);
+    let own = expected.own.min(objective / MAX_OWN_PREFILL_DIVISOR);
+    let counted = |total: Duration| (total.saturating_sub(expected.own) + own).as_secs_f64();
+    let objective_s = objective.as_secs_f64();
+    counted(expected.selected) > objective_s * LATE_ABOVE_OBJECTIVES
+        && counted(expected.mean) > objective_s * OVERLOAD_ABOVE_OBJECTIVES
+}
+
+/// Returns the longest expected time to the first event with which a late prompt is still sent.
+fn latest_start(needs: &CallerNeeds) -> Duration {
+    if needs.is_returning {
+        return needs.time_left;
+    }
+    let urgency = f64::from(needs.priority.min(LEAST_URGENT)) / f64::from(LEAST_URGENT);
+    let share =
+        MOST_URGENT_LATE_SHARE - urgency * (MOST_URGENT_LATE_SHARE - LEAST_URGENT_LATE_SHARE);
+    let objective = needs.objective.min(needs.time_left);
+    objective + (needs.time_left - objective).mul_f64(share)
+}
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -14,6 +14,8 @@
 };
 use railtack_serving::{ReplicaRecord, ReplicaState, RequestKind};
 
+use crate::load::admission::{Answer, LEAST_URGENT};
+
 /// Labels of a counter by outcome.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct OutcomeLabels {
@@ -30,6 +32,15 @@
     pub outcome: String,
 }
 
+/// Labels of the counter of answers under load.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AnswerLabels {
+    /// `in_time`, `late` or `refused`.
+    pub answer: &'static str,
+    /// Priority of the request, at most [`LEAST_URGENT`].
+    pub priority: u8,
+}
+
 /// Labels of the replica gauge.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ReplicaLabels {
@@ -42,6 +53,8 @@
 pub struct ProxyMetrics {
     /// Requests by kind of route and outcome.
     pub requests: Family<RequestLabels, Counter>,
+    /// Prompts by answer under load and priority.
+    pub load_answers: Family<AnswerLabels, Counter>,
     /// Exchanges with replicas by outcome.
     pub exchanges: Family<OutcomeLabels, Counter>,
     /// Retries sent.
@@ -84,6 +97,7 @@
     fn default() -> Self {
         Self {
             requests: Family::default(),
+            load_answers: Family::default(),
             exchanges: Family::default(),
             retries: Counter::default(),
             retries_denied: Counter::default(),
@@ -114,6 +128,11 @@
             "Requests by kind of route and outcome",
             self.requests.clone(),
         );
+        registry.register(
+            "proxy_load_answers",
+            "Prompts by answer under load and priority",
+            self.load_answers.clone(),
+        );
         registry.register(
             "proxy_exchanges",
             "Exchanges with replicas by outcome",
@@ -211,6 +230,15 @@
         self.requests.get_or_create(&labels).inc();
     }
 
+    /// Counts the answer to a prompt under load.
+    pub fn record_answer(&self, answer: Answer, priority: u8) {
+        let labels = AnswerLabels {
+            answer: answer.name(),
+            priority: priority.min(LEAST_URGENT),
+        };
+        self.load_answers.get_or_create(&labels).inc();
+    }
+
     /// Updates the number of replicas in each state.
     pub fn set_replicas<'a>(&self, records: impl Iterator<Item = &'a ReplicaRecord>) {
         let mut counts = [("ready", 0), ("loading", 0), ("leaving", 0)];
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -15,6 +15,7 @@
     backend::Dispatch,
     crash_detection, entry,
     health::ExchangeOutcome,
+    load::{admission::LATE_PRIORITY, late_requests::LateRequest},
     quota,
     refusal::RefusalReason,
     replicas::{OpenRequest, Suspicion},
@@ -94,6 +95,8 @@
     pub tried: Vec<String>,
     replicas_used: u32,
     declined: u32,
+    /// Accounting of a request that is served late; `None` if it is in time.
+    pub late: Option<LateRequest>,
     /// Exchanges whose connection broke while the replica ran the request.
     broken_connections: u32,
 }
@@ -134,6 +137,7 @@
             tried: Vec::new(),
             replicas_used: 0,
             declined: 0,
+            late: None,
             broken_connections: 0,
         }
     }
@@ -210,7 +214,15 @@
         last_event: Option<u64>,
     ) -> Result<ActiveExchange, FailedExchange> {
         let cached_tokens = target.cached_tokens;
-        let open = OpenRequest::begin(Arc::clone(&target.handle), target.backlog.uncached_tokens);
+        let uncached_tokens = target.backlog.uncached_tokens;
+        // Late prompts wait for timely ones and are no queue to them.
+        let queued_tokens = if self.late.is_some() {
+            0
+        } else {
+            uncached_tokens
+        };
+        let open = OpenRequest::begin(Arc::clone(&target.handle), queued_tokens);
+        self.record_sent_tokens(queued_tokens);
         self.state
             .metrics
             .prompt_tokens
@@ -229,7 +241,7 @@
                 .deadline
                 .saturating_duration_since(Instant::now()),
             tenant: self.admitted.tenant.as_deref(),
-            priority: self.admitted.priority,
+            priority: self.priority(),
             expected_weights: self.expected_weights(&target.record),
             cache_namespace: namespace.as_deref(),
             fetch_from: target.fetch_from.as_deref(),
@@ -266,13 +278,30 @@
         })
     }
 
+    /// Returns the priority of the request at replicas; late ones have the lowest.
+    fn priority(&self) -> u8 {
+        match self.late {
+            Some(_) => LATE_PRIORITY,
+            None => self.admitted.priority,
+        }
+    }
+
+    fn record_sent_tokens(&self, uncached_tokens: u64) {
+        let mut overload = lock(&self.state.overload);
+        let service = overload.service(&self.service);
+        service
+            .mix
+            .record(self.admitted.priority, uncached_tokens, Instant::now());
+    }
+
     /// Returns the time at which a response is abandoned: the deadline, or earlier if another
     /// replica can be tried.
     pub fn response_deadline(&self) -> Instant {
         let route = &self.admitted.route;
         let can_retry_elsewhere =
             route.kind.is_retryable() && self.replicas_used + 1 < route.max_attempts;
-        if !can_retry_elsewhere {
+        // A late prompt is expected to wait, and would wait as long elsewhere.
+        if !can_retry_elsewhere || self.late.is_some() {
             return self.admitted.deadline;
         }
         let timeout = Duration::from_millis(route.objective_ms * RESPONSE_TIMEOUT_OBJECTIVES);
--- a/crates/proxy/src/pipeline/final_response.rs
+++ b/crates/proxy/src/pipeline/final_response.rs
@@ -38,6 +38,7 @@
         };
         if let Some((reason, pause)) = refusal {
             self.log.record_outcome(reason.to_string());
+            self.log.retry_after = Some(pause);
             return reason.response(Some(pause));
         }
         let reason = if self.state.is_confirmed() {
--- a/crates/proxy/src/prefill_latency.rs
+++ b/crates/proxy/src/prefill_latency.rs
@@ -58,6 +58,15 @@
         self.updated_at = Some(now);
     }
 
+    /// Returns the expected time to the first event; `None` while there are too few samples.
+    pub fn first_event(&self, uncached_tokens: u64, queued_tokens: u64) -> Option<Duration> {
+        if self.tokens < MIN_SAMPLE_TOKENS {
+            return None;
+        }
+        let tokens = uncached_tokens.saturating_add(queued_tokens) as f64;
+        Duration::try_from_secs_f64(tokens * self.wait_s / self.tokens).ok()
+    }
+
     /// Returns the retry delay if the prompt is to be refused; `None` if it is to be sent.
     pub fn retry_after(&self, backlog: PrefillBacklog, objective: Duration) -> Option<Duration> {
         if self.tokens < MIN_SAMPLE_TOKENS {
--- a/crates/proxy/src/request_log.rs
+++ b/crates/proxy/src/request_log.rs
@@ -6,8 +6,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    admission::Admitted, attempt::Target, prefill_latency::PrefillBacklog, request::ProxiedRequest,
-    scoring::Candidate, state::ProxyState,
+    admission::Admitted, attempt::Target, load::admission::Answer, prefill_latency::PrefillBacklog,
+    request::ProxiedRequest, scoring::Candidate, state::ProxyState,
 };
 
 /// Collects the fields of a request's log line and writes it on drop, even if the caller
@@ -36,6 +36,11 @@
     backlog: PrefillBacklog,
     /// Address from which the replica fetches cached prefixes; empty if none.
     fetch_from: String,
+    answer: Option<Answer>,
+    expected: Duration,
+    /// Delay after which a refused caller is told to return.
+    pub retry_after: Option<Duration>,
+    priority: u8,
     attempts: u32,
     first_byte: Option<Duration>,
     outcome: Option<String>,
@@ -63,6 +68,10 @@
             cost: 0.0,
             backlog: PrefillBacklog::default(),
             fetch_from: String::new(),
+            answer: None,
+            expected: Duration::ZERO,
+            retry_after: None,
+            priority: 0,
             attempts: 0,
             first_byte: None,
             outcome: None,
@@ -75,6 +84,7 @@
         self.kind = Some(admitted.route.kind);
         self.tenant = admitted.tenant.clone().unwrap_or_default();
         self.revision = admitted.revision;
+        self.priority = admitted.priority;
     }
 
     /// Records a replica and the inputs to its selection.
@@ -92,15 +102,14 @@
         self.backlog = target.backlog;
     }
 
-    /// Records the selected replica and logs repeated selections.
-    pub fn record_selection(
-        &mut self,
-        target: &Target,
-        candidate: &Candidate,
-        cost: f64,
-        known: u64,
-    ) {
-        self.record_candidate(target, candidate, cost, known);
+    /// Records the answer under load and the expected time to the first event.
+    pub fn record_answer(&mut self, answer: Answer, expected: Duration) {
+        self.answer = Some(answer);
+        self.expected = expected;
+    }
+
+    /// Records that the selected replica is used, and logs repeated selections.
+    pub fn record_selection(&mut self, target: &Target) {
         self.fetch_from = target.fetch_from.clone().unwrap_or_default();
         self.attempts += 1;
         // The final line only shows the last selection.
@@ -112,7 +121,7 @@
                 kept_tokens = self.candidate.cached_tokens,
                 rank = self.candidate.rank,
                 cost = self.cost,
-                known,
+                known = self.known,
             });
         }
     }
@@ -148,6 +157,9 @@
             .unwrap_or_else(|| "caller_gone".to_owned());
         self.state.metrics.open_requests.dec();
         self.state.metrics.record_request_end(self.kind, &outcome);
+        if let Some(answer) = self.answer {
+            self.state.metrics.record_answer(answer, self.priority);
+        }
         spdlog::info!("request", kv: {
             request = self.request.clone(),
             content = self.content.to_string(),
@@ -172,6 +184,9 @@
             fetch_from = self.fetch_from.clone(),
             weights = self.weights,
             cost = self.cost,
+            answer = self.answer.map_or("", Answer::name),
+            expected_ms = self.expected.as_millis() as u64,
+            retry_after_ms = self.retry_after.map_or(0, |delay| delay.as_millis() as u64),
             attempts = self.attempts,
             first_byte_ms = self.first_byte.map_or(0, |waited| waited.as_millis() as u64),
             total_ms = self.received.elapsed().as_millis() as u64,
--- a/crates/proxy/src/retry_pacing.rs
+++ b/crates/proxy/src/retry_pacing.rs
@@ -8,6 +8,8 @@
 
 use railtack_serving::MonotonicTime;
 
+use crate::load::retry_slots::RetrySlots;
+
 /// Longest retry delay; limits change within seconds.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
 /// Minimum rate used for the spacing, requests per second.
@@ -16,8 +18,7 @@
 /// Retry times assigned to the callers of one service.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RetryPacer {
-    /// Earliest retry time of the next caller.
-    next: MonotonicTime,
+    slots: RetrySlots,
 }
 
 impl RetryPacer {
@@ -31,14 +32,11 @@
         routers: u32,
         seed: u64,
     ) -> Duration {
-        let at = self.next.max(now + available_in);
-        let pause = at.saturating_sub(now);
-        if pause > MAX_RETRY_AFTER {
+        let spacing = Duration::from_secs_f64(f64::from(routers.max(1)) / per_s.max(MIN_RATE));
+        let slot = self.slots.take(now, available_in, spacing, MAX_RETRY_AFTER);
+        slot.unwrap_or_else(|_| {
             let part = seed as f64 / u64::MAX as f64;
-            return MAX_RETRY_AFTER.mul_f64(0.5 + part / 2.0);
-        }
-        let spacing = f64::from(routers.max(1)) / per_s.max(MIN_RATE);
-        self.next = at + Duration::from_secs_f64(spacing);
-        pause
+            MAX_RETRY_AFTER.mul_f64(0.5 + part / 2.0)
+        })
     }
 }
--- a/crates/proxy/src/selection.rs
+++ b/crates/proxy/src/selection.rs
@@ -16,12 +16,12 @@
     fleet_view::FleetView,
     permits::{self, PermitDecision},
     pipeline::RequestRun,
-    prefill_latency::PrefillBacklog,
     scoring::{self, Candidate, RequestSize, SharedLoad},
     state::lock,
 };
 
 mod candidates;
+mod overload;
 mod sources;
 
 use candidates::EligibleReplica;
@@ -113,6 +113,9 @@
     }
 
     fn select(&mut self) -> Result<Target, NoTarget> {
+        if self.tried.is_empty() {
+            self.late = None;
+        }
         let view = self.state.view.load_full();
         let table = view.table.as_ref().ok_or(NoTarget::NoneAvailable)?;
         let configuration = table.configuration();
@@ -134,10 +137,17 @@
             mut target,
         } = eligible.swap_remove(position);
         target.backlog = self.prefill_backlog(&candidate, &target, ranked);
-        if let Some(retry_after) = self.overload_retry_after(target.backlog) {
-            self.log
-                .record_candidate(&target, &candidate, cost, view.position.state);
-            return Err(NoTarget::TooLate { retry_after });
+        self.log
+            .record_candidate(&target, &candidate, cost, view.position.state);
+        self.log.prefix = self.path.key().unwrap_or_default();
+        self.log.shared_tokens = self.path.shared_tokens();
+        self.log.weights = self.expected_weights(&target.record).unwrap_or_default();
+        if let Some(verdict) = self.judge_under_load(&target, &candidate, ranked.len()) {
+            self.log.record_answer(verdict.answer, verdict.expected);
+            self.late = verdict.late;
+            if let Some(retry_after) = verdict.retry_after {
+                return Err(NoTarget::TooLate { retry_after });
+            }
         }
         let store = self.store(configuration);
         target.fetch_from = self
@@ -148,52 +158,10 @@
         target.save_to = store
             .filter(|_| self.should_save(target.cached_tokens, configuration))
             .map(|store| store.address.clone());
-        self.log
-            .record_selection(&target, &candidate, cost, view.position.state);
-        self.log.prefix = self.path.key().unwrap_or_default();
-        self.log.shared_tokens = self.path.shared_tokens();
-        self.log.weights = self.expected_weights(&target.record).unwrap_or_default();
+        self.log.record_selection(&target);
         Ok(target)
     }
 
-    /// Returns the prompt tokens to be prefilled before the first event at the target, and the mean
-    /// of the ranked replicas.
-    fn prefill_backlog(
-        &self,
-        candidate: &Candidate,
-        target: &Target,
-        ranked: &[&Arc<ReplicaRecord>],
-    ) -> PrefillBacklog {
-        let uncached_tokens = scoring::uncached_tokens(candidate, self.request_size());
-        let Some(fleet) = self.state.current_fleet(Instant::now()) else {
-            return PrefillBacklog {
-                uncached_tokens,
-                queued_tokens: candidate.pending_prefill_tokens,
-                mean_queued_tokens: 0,
-            };
-        };
-        let pending = |record: &ReplicaRecord| shared_load(&fleet, record).pending_prefill_tokens;
-        let sum: u64 = ranked.iter().map(|record| pending(record)).sum();
-        PrefillBacklog {
-            uncached_tokens,
-            queued_tokens: pending(&target.record).max(candidate.pending_prefill_tokens),
-            mean_queued_tokens: sum / ranked.len().max(1) as u64,
-        }
-    }
-
-    /// Returns the retry delay if the first event would exceed the objective. Retries and resumed
-    /// streams are never refused here.
-    fn overload_retry_after(&self, backlog: PrefillBacklog) -> Option<Duration> {
-        let is_new = self.tried.is_empty() && self.request.last_event.is_none();
-        let is_stream = self.admitted.route.kind.is_stream();
-        if !is_new || !is_stream || self.path.prompt_tokens == 0 {
-            return None;
-        }
-        let objective = Duration::from_millis(self.admitted.route.objective_ms);
-        self.state
-            .overload_retry_after(&self.service, backlog, objective)
-    }
-
     fn request_size(&self) -> RequestSize {
         RequestSize {
             prompt_tokens: self.path.prompt_tokens,
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -27,7 +27,9 @@
     crash_detection,
     fleet_view::FleetView,
     lease::Lease,
+    load::estimate::ReplicaLoad,
     metrics::ProxyMetrics,
+    overload::OverloadTable,
     prefill_latency::{PrefillBacklog, PrefillLatency},
     quarantine::{CrashTracker, QuarantineChange, QuarantineState},
     replicas::ReplicaTable,
@@ -91,6 +93,8 @@
     save_budget: Mutex<SaveBudget>,
     weight_versions: Mutex<WeightVersions>,
     prefill_latencies: Mutex<HashMap<String, PrefillLatency>>,
+    /// State for answers under overload.
+    pub overload: Mutex<OverloadTable>,
     view_changed: watch::Sender<u64>,
     shutdown: Mutex<Option<ShutdownPlan>>,
     started: BootInstant,
@@ -162,6 +166,7 @@
             save_budget: Mutex::default(),
             weight_versions: Mutex::default(),
             prefill_latencies: Mutex::default(),
+            overload: Mutex::default(),
             view_changed,
             shutdown: Mutex::default(),
             started: BootInstant::now(),
@@ -185,6 +190,7 @@
             let configuration = table.configuration();
             lock(&self.prefill_latencies)
                 .retain(|service, _| configuration.service(service).is_some());
+            lock(&self.overload).retain(|service| configuration.service(service).is_some());
             lock(&self.retry_pacers).retain(|service, _| configuration.service(service).is_some());
             let routes = &configuration.routes;
             lock(&self.splitter).retain(|name| routes.iter().any(|route| route.name == name));
@@ -313,6 +319,18 @@
             .retry_after(backlog, objective)
     }
 
+    /// Returns the expected time to the first event of a prompt at a replica with the given load.
+    pub fn expected_first_event(
+        &self,
+        service: &str,
+        uncached_tokens: u64,
+        load: ReplicaLoad,
+    ) -> Option<Duration> {
+        lock(&self.prefill_latencies)
+            .get(service)?
+            .first_event(uncached_tokens, load.queued_tokens)
+    }
+
     /// Returns the retry delay for a service whose replicas have reached their rate limits.
     pub fn limit_retry_after(&self, service: &str, exhausted: ExhaustedLimits) -> Duration {
         let routers = self.routers.load(Ordering::Relaxed);
