--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -18,7 +18,7 @@
     load::{admission::LATE_PRIORITY, late_requests::LateRequest},
     quota,
     refusal::RefusalReason,
-    replicas::{OpenRequest, Suspicion},
+    replicas::{OpenPrompt, OpenRequest, Suspicion},
     request::ProxiedRequest,
     request_log::RequestLog,
     retry_decision::{self, ExchangeFacts, ExchangeProof, NextStep},
@@ -221,7 +221,11 @@
         } else {
             uncached_tokens
         };
-        let open = OpenRequest::begin(Arc::clone(&target.handle), queued_tokens);
+        let prompt = OpenPrompt {
+            prompt_tokens: self.path.prompt_tokens,
+            uncached_tokens: queued_tokens,
+        };
+        let open = OpenRequest::begin(Arc::clone(&target.handle), prompt);
         self.record_sent_tokens(queued_tokens);
         self.state
             .metrics
--- a/crates/proxy/src/selection/overload.rs
+++ b/crates/proxy/src/selection/overload.rs
@@ -2,10 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use railtack_serving::{ReplicaKey, ReplicaRecord};
+use railtack_serving::ReplicaRecord;
 use tokio::time::Instant;
 
-use super::shared_load;
+use super::loads::shared_load;
 use crate::{
     attempt::Target,
     load::{
@@ -78,7 +78,7 @@
             return Some(self.judge_by_objective(target.backlog));
         }
         let needs = self.caller_needs();
-        let expected = self.expected_first_event(target, candidate, replicas);
+        let expected = self.expected_first_event(target, replicas);
         let answer = admission::decide(&needs, expected, self.late_room(candidate, replicas));
         let expected = expected.unwrap_or_default();
         Some(Verdict {
@@ -126,12 +126,7 @@
         }
     }
 
-    fn expected_first_event(
-        &self,
-        target: &Target,
-        candidate: &Candidate,
-        replicas: usize,
-    ) -> Option<ExpectedFirstEvent> {
+    fn expected_first_event(&self, target: &Target, replicas: usize) -> Option<ExpectedFirstEvent> {
         let backlog = target.backlog;
         let (ahead, mean_ahead, late) = {
             let mut overload = lock(&self.state.overload);
@@ -144,7 +139,6 @@
                 late,
             )
         };
-        let load = self.replica_load(target, candidate);
         let expect = |uncached_tokens, queued_tokens, load: ReplicaLoad| {
             let load = ReplicaLoad {
                 queued_tokens,
@@ -154,27 +148,15 @@
                 .expected_first_event(&self.service, uncached_tokens, load)
         };
         let uncached = backlog.uncached_tokens;
-        let at_target = |queued| expect(uncached, queued, load);
+        let at_target = |queued| expect(uncached, queued, target.load);
         Some(ExpectedFirstEvent {
             selected: at_target(ahead)?,
             mean: expect(uncached, mean_ahead, ReplicaLoad::default())?,
             after_all: at_target(backlog.queued_tokens + late)?,
-            own: at_target(0)?.saturating_sub(expect(0, 0, load)?),
+            own: at_target(0)?.saturating_sub(expect(0, 0, target.load)?),
         })
     }
 
-    fn replica_load(&self, target: &Target, candidate: &Candidate) -> ReplicaLoad {
-        let key = ReplicaKey::of(&target.record.id);
-        let fleet = self.state.current_fleet(Instant::now());
-        let shared_open = candidate.shared_load.map_or(0, |load| load.open_requests);
-        ReplicaLoad {
-            queued_tokens: target.backlog.queued_tokens,
-            open_requests: shared_open.max(candidate.open_requests),
-            held_tokens: 0,
-            speed: fleet.map(|fleet| fleet.speed(key)).unwrap_or_default(),
-        }
-    }
-
     fn late_room(&self, candidate: &Candidate, replicas: usize) -> LateRoom {
         let mut overload = lock(&self.state.overload);
         LateRoom {
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -25,6 +25,7 @@
     budget::{BudgetRule, RetryBudget},
     control_peers::ControlPeers,
     crash_detection,
+    estimates::Estimates,
     fleet_view::FleetView,
     lease::Lease,
     load::estimate::ReplicaLoad,
@@ -92,6 +93,8 @@
     retry_pacers: Mutex<HashMap<String, RetryPacer>>,
     save_budget: Mutex<SaveBudget>,
     weight_versions: Mutex<WeightVersions>,
+    /// Latencies of each service.
+    pub estimates: Estimates,
     prefill_latencies: Mutex<HashMap<String, PrefillLatency>>,
     /// State for answers under overload.
     pub overload: Mutex<OverloadTable>,
@@ -165,6 +168,7 @@
             retry_pacers: Mutex::default(),
             save_budget: Mutex::default(),
             weight_versions: Mutex::default(),
+            estimates: Estimates::default(),
             prefill_latencies: Mutex::default(),
             overload: Mutex::default(),
             view_changed,
@@ -191,6 +195,8 @@
             lock(&self.prefill_latencies)
                 .retain(|service, _| configuration.service(service).is_some());
             lock(&self.overload).retain(|service| configuration.service(service).is_some());
+            self.estimates
+                .retain(|service| configuration.service(service).is_some());
             lock(&self.retry_pacers).retain(|service, _| configuration.service(service).is_some());
             let routes = &configuration.routes;
             lock(&self.splitter).retain(|name| routes.iter().any(|route| route.name == name));
@@ -326,9 +332,14 @@
         uncached_tokens: u64,
         load: ReplicaLoad,
     ) -> Option<Duration> {
-        lock(&self.prefill_latencies)
-            .get(service)?
-            .first_event(uncached_tokens, load.queued_tokens)
+        let expectation = self.estimates.get(service).expect(uncached_tokens, load);
+        expectation
+            .map(|expected| expected.first_event)
+            .or_else(|| {
+                lock(&self.prefill_latencies)
+                    .get(service)?
+                    .first_event(uncached_tokens, load.queued_tokens)
+            })
     }
 
     /// Returns the retry delay for a service whose replicas have reached their rate limits.
