--- a/crates/proxy/src/load/admission.rs
+++ b/crates/proxy/src/load/admission.rs
@@ -6,15 +6,15 @@
 
 use std::time::Duration;
 
+use railtack_serving::Policy;
+
 /// Priority of late prompts, less urgent than that of any route.
 pub const LATE_PRIORITY: u8 = u8::MAX;
 /// Largest priority value of a route that makes a difference.
 pub const LEAST_URGENT: u8 = 9;
 
-/// Expected time, in objectives, above which a prompt is not in time. Queue lengths are about a second old, so
-/// a lower value would affect prompts that would be in time.
-const LATE_ABOVE_OBJECTIVES: f64 = 1.5;
-/// The same for the mean of the service's replicas: a queue at a single replica is not an overload.
+/// Expected time of the mean of the service's replicas, in objectives, above which the service is overloaded: a
+/// queue at a single replica is not an overload.
 const OVERLOAD_ABOVE_OBJECTIVES: f64 = 0.75;
 /// Divisor of the objective; prompts that are prefilled in less are always sent, since leaving them out would
 /// free no capacity.
@@ -33,6 +33,28 @@
 /// delay.
 const MIN_RETURN_TIME: Duration = Duration::from_millis(75);
 
+/// Rule by which prompts are answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerRule {
+    /// Every prompt is sent.
+    SendAll,
+    /// A prompt that would exceed its objective is refused, by [`crate::prefill_latency`].
+    RefuseLate,
+    /// [`decide`].
+    ThreeAnswers,
+}
+
+impl AnswerRule {
+    /// Returns the rule of a policy.
+    pub fn of(policy: Policy) -> Self {
+        match (policy.refuse_late, policy.late_service) {
+            (false, _) => Self::SendAll,
+            (true, false) => Self::RefuseLate,
+            (true, true) => Self::ThreeAnswers,
+        }
+    }
+}
+
 /// What a caller needs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerNeeds {
@@ -97,7 +119,7 @@
     let Some(expected) = expected else {
         return Answer::InTime;
     };
-    let is_short = expected.own < needs.objective / SHORT_PROMPT_DIVISOR;
+    let is_short = expected.own < needs.reachable_objective() / SHORT_PROMPT_DIVISOR;
     if is_short || !is_overloaded(needs, &expected) {
         return Answer::InTime;
     }
@@ -124,6 +146,13 @@
     (total > 0).then(|| total / LATE_MEMORY_DIVISOR / u64::from(routers.max(1)))
 }
 
+impl CallerNeeds {
+    /// Returns the time within which the first event is of full use.
+    fn reachable_objective(&self) -> Duration {
+        self.objective.min(self.time_left)
+    }
+}
+
 impl LateRoom {
     /// Whether one more late prompt has room. One prompt always has, so that a large fleet of routers can use
     /// its part.
@@ -136,12 +165,11 @@
 
 /// Whether the prompt would be late, and not only at one replica.
 fn is_overloaded(needs: &CallerNeeds, expected: &ExpectedFirstEvent) -> bool {
-    let objective = needs.objective.min(needs.time_left);
+    let objective = needs.reachable_objective();
     let own = expected.own.min(objective / MAX_OWN_PREFILL_DIVISOR);
-    let counted = |total: Duration| (total.saturating_sub(expected.own) + own).as_secs_f64();
-    let objective_s = objective.as_secs_f64();
-    counted(expected.selected) > objective_s * LATE_ABOVE_OBJECTIVES
-        && counted(expected.mean) > objective_s * OVERLOAD_ABOVE_OBJECTIVES
+    let counted = |total: Duration| total.saturating_sub(expected.own) + own;
+    counted(expected.selected) > objective
+        && counted(expected.mean) > objective.mul_f64(OVERLOAD_ABOVE_OBJECTIVES)
 }
 
 /// Returns the longest expected time to the first event with which a late prompt is still sent.
@@ -152,6 +180,6 @@
     let urgency = f64::from(needs.priority.min(LEAST_URGENT)) / f64::from(LEAST_URGENT);
     let share =
         MOST_URGENT_LATE_SHARE - urgency * (MOST_URGENT_LATE_SHARE - LEAST_URGENT_LATE_SHARE);
-    let objective = needs.objective.min(needs.time_left);
+    let objective = needs.reachable_objective();
     objective + (needs.time_left - objective).mul_f64(share)
 }
--- a/crates/proxy/src/selection/overload.rs
+++ b/crates/proxy/src/selection/overload.rs
@@ -9,7 +9,7 @@
 use crate::{
     attempt::Target,
     load::{
-        admission::{self, Answer, CallerNeeds, ExpectedFirstEvent, LateRoom},
+        admission::{self, Answer, AnswerRule, CallerNeeds, ExpectedFirstEvent, LateRoom},
         estimate::ReplicaLoad,
         late_requests::LateRequest,
         return_times::RefusedPrompt,
@@ -70,24 +70,26 @@
         if !is_new || !is_stream || self.path.prompt_tokens == 0 {
             return None;
         }
-        let policy = self.state.options.policy;
-        if !policy.refuse_late {
-            return None;
-        }
-        if !policy.late_service {
-            return Some(self.judge_by_objective(target.backlog));
+        match AnswerRule::of(self.state.options.policy) {
+            AnswerRule::SendAll => None,
+            AnswerRule::RefuseLate => Some(self.judge_by_objective(target.backlog)),
+            AnswerRule::ThreeAnswers => Some(self.judge(target, candidate, replicas)),
         }
+    }
+
+    /// Judges a prompt by its expected time and what its caller needs.
+    fn judge(&self, target: &Target, candidate: &Candidate, replicas: usize) -> Verdict {
         let needs = self.caller_needs();
         let expected = self.expected_first_event(target, replicas);
         let answer = admission::decide(&needs, expected, self.late_room(candidate, replicas));
         let expected = expected.unwrap_or_default();
-        Some(Verdict {
+        Verdict {
             answer,
             expected: expected.selected,
             late: (answer == Answer::Late).then(|| self.begin_late()),
             retry_after: (answer == Answer::Refused)
                 .then(|| self.return_time(&needs, &expected, replicas)),
-        })
+        }
     }
 
     /// Refuses a prompt that would exceed its objective, by the time that prompts took lately.
