--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -222,7 +222,7 @@
             uncached_tokens
         };
         let prompt = OpenPrompt {
-            prompt_tokens: self.path.prompt_tokens,
+            unshared_tokens: self.path.unshared_tokens(),
             uncached_tokens: queued_tokens,
         };
         let open = OpenRequest::begin(Arc::clone(&target.handle), prompt);
--- a/crates/proxy/src/request_log.rs
+++ b/crates/proxy/src/request_log.rs
@@ -6,8 +6,14 @@
 use tokio::time::Instant;
 
 use crate::{
-    admission::Admitted, attempt::Target, load::admission::Answer, prefill_latency::PrefillBacklog,
-    request::ProxiedRequest, scoring::Candidate, state::ProxyState,
+    admission::Admitted,
+    affinity::PrefixPath,
+    attempt::Target,
+    load::{admission::Answer, choice::Choice},
+    prefill_latency::PrefillBacklog,
+    request::ProxiedRequest,
+    scoring::Candidate,
+    state::ProxyState,
 };
 
 /// Collects the fields of a request's log line and writes it on drop, even if the caller
@@ -27,12 +33,12 @@
     /// Inputs to the selection of the replica.
     candidate: Candidate,
     /// Hash of the longest shared prefix of the prompt.
-    pub prefix: u64,
+    prefix: u64,
     /// Length of the longest shared prefix, tokens.
-    pub shared_tokens: u64,
+    shared_tokens: u64,
     /// Version of the weights that the replica must hold.
     pub weights: u64,
-    cost: f64,
+    choice: Choice,
     backlog: PrefillBacklog,
     /// Address from which the replica fetches cached prefixes; empty if none.
     fetch_from: String,
@@ -41,6 +47,8 @@
     /// Delay after which a refused caller is told to return.
     pub retry_after: Option<Duration>,
     priority: u8,
+    /// Time from the arrival to the deadline.
+    timeout: Duration,
     attempts: u32,
     first_byte: Option<Duration>,
     outcome: Option<String>,
@@ -65,13 +73,14 @@
             shared_tokens: 0,
             prefix: 0,
             weights: 0,
-            cost: 0.0,
+            choice: Choice::default(),
             backlog: PrefillBacklog::default(),
             fetch_from: String::new(),
             answer: None,
             expected: Duration::ZERO,
             retry_after: None,
             priority: 0,
+            timeout: Duration::ZERO,
             attempts: 0,
             first_byte: None,
             outcome: None,
@@ -85,6 +94,13 @@
         self.tenant = admitted.tenant.clone().unwrap_or_default();
         self.revision = admitted.revision;
         self.priority = admitted.priority;
+        self.timeout = admitted.deadline.saturating_duration_since(self.received);
+    }
+
+    /// Records the shared prefix of the prompt.
+    pub fn record_prompt(&mut self, path: &PrefixPath) {
+        self.prefix = path.key().unwrap_or_default();
+        self.shared_tokens = path.shared_tokens();
     }
 
     /// Records a replica and the inputs to its selection.
@@ -92,12 +108,12 @@
         &mut self,
         target: &Target,
         candidate: &Candidate,
-        cost: f64,
+        choice: &Choice,
         known: u64,
     ) {
         self.replica.clone_from(&target.record.id);
         self.candidate = *candidate;
-        self.cost = cost;
+        self.choice = *choice;
         self.known = known;
         self.backlog = target.backlog;
     }
@@ -120,7 +136,8 @@
                 replica = self.replica.clone(),
                 kept_tokens = self.candidate.cached_tokens,
                 rank = self.candidate.rank,
-                cost = self.cost,
+                cost = self.choice.cost,
+                chosen_by = self.choice.rule.name(),
                 known = self.known,
             });
         }
@@ -155,6 +172,7 @@
             .outcome
             .take()
             .unwrap_or_else(|| "caller_gone".to_owned());
+        let expected = self.choice.expected.unwrap_or_default();
         self.state.metrics.open_requests.dec();
         self.state.metrics.record_request_end(self.kind, &outcome);
         if let Some(answer) = self.answer {
@@ -183,9 +201,13 @@
             unread_mean = self.backlog.mean_queued_tokens,
             fetch_from = self.fetch_from.clone(),
             weights = self.weights,
-            cost = self.cost,
+            cost = self.choice.cost,
+            chosen_by = self.choice.rule.name(),
+            expected_first_ms = expected.first_event.as_millis() as u64,
+            expected_gap_ms = expected.gap.as_millis() as u64,
+            timeout_ms = self.timeout.as_millis() as u64,
             answer = self.answer.map_or("", Answer::name),
-            expected_ms = self.expected.as_millis() as u64,
+            answer_expected_ms = self.expected.as_millis() as u64,
             retry_after_ms = self.retry_after.map_or(0, |delay| delay.as_millis() as u64),
             attempts = self.attempts,
             first_byte_ms = self.first_byte.map_or(0, |waited| waited.as_millis() as u64),
--- a/crates/proxy/src/selection/overload.rs
+++ b/crates/proxy/src/selection/overload.rs
@@ -10,13 +10,14 @@
     attempt::Target,
     load::{
         admission::{self, Answer, AnswerRule, CallerNeeds, ExpectedFirstEvent, LateRoom},
+        choice::Choice,
         estimate::ReplicaLoad,
         late_requests::LateRequest,
         return_times::RefusedPrompt,
     },
     pipeline::RequestRun,
     prefill_latency::PrefillBacklog,
-    scoring::{self, Candidate},
+    scoring::Candidate,
     state::lock,
 };
 
@@ -37,10 +38,11 @@
     pub(super) fn prefill_backlog(
         &self,
         candidate: &Candidate,
+        choice: &Choice,
         target: &Target,
         ranked: &[&Arc<ReplicaRecord>],
     ) -> PrefillBacklog {
-        let uncached_tokens = scoring::uncached_tokens(candidate, self.request_size());
+        let uncached_tokens = choice.uncached_tokens;
         let Some(fleet) = self.state.current_fleet(Instant::now()) else {
             return PrefillBacklog {
                 uncached_tokens,
