--- a/crates/proxy/src/load/admission.rs
+++ b/crates/proxy/src/load/admission.rs
@@ -13,8 +13,10 @@
 /// Largest priority value of a route that makes a difference.
 pub const LEAST_URGENT: u8 = 9;
 
-/// Expected time of the mean of the service's replicas, in objectives, above which the service is overloaded: a
-/// queue at a single replica is not an overload.
+/// Expected time, in objectives, above which a prompt is not in time. Queue lengths are about a second old, and a
+/// prompt that is late for a wrong estimate may wait much longer than a little.
+const LATE_ABOVE_OBJECTIVES: f64 = 1.5;
+/// The same for the mean of the service's replicas: a queue at a single replica is not an overload.
 const OVERLOAD_ABOVE_OBJECTIVES: f64 = 0.75;
 /// Divisor of the objective; prompts that are prefilled in less are always sent, since leaving them out would
 /// free no capacity.
@@ -24,9 +26,9 @@
 const MAX_OWN_PREFILL_DIVISOR: u32 = 4;
 /// Part of the time between the objective and the deadline within which the most urgent late prompts must be
 /// expected to start. The rest covers newer timely prompts, which are served first.
-const MOST_URGENT_LATE_SHARE: f64 = 0.75;
+const MOST_URGENT_LATE_SHARE: f64 = 0.5;
 /// The same for the least urgent ones, which leave room earlier.
-const LEAST_URGENT_LATE_SHARE: f64 = 0.25;
+const LEAST_URGENT_LATE_SHARE: f64 = 0.1;
 /// Divisor of the service's memory; late prompts hold no more than this part of it.
 const LATE_MEMORY_DIVISOR: u64 = 4;
 /// Time by which a returning caller's timeout is at least shorter than the route's: half of the shortest retry
@@ -168,7 +170,7 @@
     let objective = needs.reachable_objective();
     let own = expected.own.min(objective / MAX_OWN_PREFILL_DIVISOR);
     let counted = |total: Duration| total.saturating_sub(expected.own) + own;
-    counted(expected.selected) > objective
+    counted(expected.selected) > objective.mul_f64(LATE_ABOVE_OBJECTIVES)
         && counted(expected.mean) > objective.mul_f64(OVERLOAD_ABOVE_OBJECTIVES)
 }
 
