Recognise returning callers by a clearly shorter time only

Since 75 ms less counted as a return, nearly every caller did, and neither the margin by urgency nor the bound on memory applied to late prompts. A caller now counts as returning below four fifths: one that has waited a third has two thirds left.

--- a/crates/proxy/src/load/admission.rs
+++ b/crates/proxy/src/load/admission.rs
@@ -31,9 +31,9 @@
 const LEAST_URGENT_LATE_SHARE: f64 = 0.1;
 /// Divisor of the service's memory; late prompts hold no more than this part of it.
 const LATE_MEMORY_DIVISOR: u64 = 4;
-/// Time by which a returning caller's timeout is at least shorter than the route's: half of the shortest retry
-/// delay.
-const MIN_RETURN_TIME: Duration = Duration::from_millis(75);
+/// Part of the route's timeout that a returning caller declares at most. Callers also declare somewhat less at
+/// first; one who has waited as long as callers do, a third, has two thirds left.
+const MAX_RETURNING_SHARE: f64 = 0.8;
 
 /// Rule by which prompts are answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -136,10 +136,10 @@
     }
 }
 
-/// Whether a caller with this timeout returns after a refusal. Callers declare the time that they have left, at
-/// first usually at least the route's timeout.
+/// Whether a caller with this timeout returns after a refusal. Callers declare the time that they have left; one
+/// who returns after a short delay cannot be told from a new one.
 pub fn is_returning(client_timeout: Option<Duration>, route_timeout: Duration) -> bool {
-    client_timeout.is_some_and(|timeout| timeout.saturating_add(MIN_RETURN_TIME) <= route_timeout)
+    client_timeout.is_some_and(|timeout| timeout < route_timeout.mul_f64(MAX_RETURNING_SHARE))
 }
 
 /// Returns the memory, in tokens, that the late prompts of one router may hold.
