Send late prompts one at a time while they are not served

Room cannot be told from the queue alone. Where most late prompts of a router end without an event, it now sends one at a time and refuses the others, who may then return.

A caller that returns after a refusal keeps its priority. It was told when to return, and at the lowest priority it would often have been refused and then not served.

--- a/crates/proxy/src/load/admission.rs
+++ b/crates/proxy/src/load/admission.rs
@@ -90,6 +90,8 @@
     pub held_tokens: u64,
     /// Tokens that the router's late prompts may hold; `None` if the memory of replicas is unknown.
     pub max_tokens: Option<u64>,
+    /// Whether late prompts have been served lately.
+    pub are_served: bool,
     /// Tokens of the prompt and of its longest output.
     pub request_tokens: u64,
 }
@@ -99,7 +101,7 @@
 pub enum Answer {
     /// It is sent at its own priority.
     InTime,
-    /// It is sent at [`LATE_PRIORITY`].
+    /// It is sent at [`LATE_PRIORITY`], or at its own if the caller returns after a refusal.
     Late,
     /// It is not sent; the caller is told when to return.
     Refused,
@@ -157,11 +159,11 @@
 
 impl LateRoom {
     /// Whether one more late prompt has room. One prompt always has, so that a large fleet of routers can use
-    /// its part.
+    /// its part, and sees when late prompts are served again.
     fn has_room(&self) -> bool {
         let held = self.held_tokens.saturating_add(self.request_tokens);
         let is_within = self.max_tokens.is_none_or(|max| held <= max);
-        self.held_tokens == 0 || is_within
+        self.held_tokens == 0 || (self.are_served && is_within)
     }
 }
 
