--- a/crates/proxy/src/request_log.rs
+++ b/crates/proxy/src/request_log.rs
@@ -6,8 +6,13 @@
 use tokio::time::Instant;
 
 use crate::{
-    admission::Admitted, affinity::PrefixPath, attempt::Target, load::choice::Choice,
-    prefill_latency::PrefillBacklog, request::ProxiedRequest, scoring::Candidate,
+    admission::Admitted,
+    affinity::PrefixPath,
+    attempt::Target,
+    load::{admission::Answer, choice::Choice},
+    prefill_latency::PrefillBacklog,
+    request::ProxiedRequest,
+    scoring::Candidate,
     state::ProxyState,
 };
 
@@ -37,6 +42,13 @@
     backlog: PrefillBacklog,
     /// Address from which the replica fetches cached prefixes; empty if none.
     fetch_from: String,
+    answer: Option<Answer>,
+    expected: Duration,
+    /// Delay after which a refused caller is told to return.
+    pub retry_after: Option<Duration>,
+    priority: u8,
+    /// Time from the arrival to the deadline.
+    timeout: Duration,
     attempts: u32,
     first_byte: Option<Duration>,
     outcome: Option<String>,
@@ -64,6 +76,11 @@
             choice: Choice::default(),
             backlog: PrefillBacklog::default(),
             fetch_from: String::new(),
+            answer: None,
+            expected: Duration::ZERO,
+            retry_after: None,
+            priority: 0,
+            timeout: Duration::ZERO,
             attempts: 0,
             first_byte: None,
             outcome: None,
@@ -76,6 +93,8 @@
         self.kind = Some(admitted.route.kind);
         self.tenant = admitted.tenant.clone().unwrap_or_default();
         self.revision = admitted.revision;
+        self.priority = admitted.priority;
+        self.timeout = admitted.deadline.saturating_duration_since(self.received);
     }
 
     /// Records the shared prefix of the prompt.
@@ -99,7 +118,13 @@
         self.backlog = target.backlog;
     }
 
-    /// Records the selected replica and logs repeated selections.
+    /// Records the answer under load and the expected time to the first event.
+    pub fn record_answer(&mut self, answer: Answer, expected: Duration) {
+        self.answer = Some(answer);
+        self.expected = expected;
+    }
+
+    /// Records that the selected replica is used, and logs repeated selections.
     pub fn record_selection(&mut self, target: &Target) {
         self.fetch_from = target.fetch_from.clone().unwrap_or_default();
         self.attempts += 1;
@@ -150,6 +175,9 @@
         let expected = self.choice.expected.unwrap_or_default();
         self.state.metrics.open_requests.dec();
         self.state.metrics.record_request_end(self.kind, &outcome);
+        if let Some(answer) = self.answer {
+            self.state.metrics.record_answer(answer, self.priority);
+        }
         spdlog::info!("request", kv: {
             request = self.request.clone(),
             content = self.content.to_string(),
@@ -177,6 +205,10 @@
             chosen_by = self.choice.rule.name(),
             expected_first_ms = expected.first_event.as_millis() as u64,
             expected_gap_ms = expected.gap.as_millis() as u64,
+            timeout_ms = self.timeout.as_millis() as u64,
+            answer = self.answer.map_or("", Answer::name),
+            answer_expected_ms = self.expected.as_millis() as u64,
+            retry_after_ms = self.retry_after.map_or(0, |delay| delay.as_millis() as u64),
             attempts = self.attempts,
             first_byte_ms = self.first_byte.map_or(0, |waited| waited.as_millis() as u64),
             total_ms = self.received.elapsed().as_millis() as u64,
--- a/crates/proxy/src/selection.rs
+++ b/crates/proxy/src/selection.rs
@@ -16,17 +16,16 @@
     load::choice::{self, Choice, Needs},
     permits::{self, PermitDecision},
     pipeline::RequestRun,
-    prefill_latency::PrefillBacklog,
     scoring::{Candidate, RequestSize},
     state::lock,
 };
 
 mod candidates;
 mod loads;
+mod overload;
 mod sources;
 
 use candidates::EligibleReplica;
-use loads::shared_load;
 
 /// Interval at which an unsuccessful selection is repeated if the view does not change.
 const POLL_INTERVAL: Duration = Duration::from_millis(15);
@@ -115,6 +114,9 @@
     }
 
     fn select(&mut self) -> Result<Target, NoTarget> {
+        if self.tried.is_empty() {
+            self.late = None;
+        }
         let view = self.state.view.load_full();
         let table = view.table.as_ref().ok_or(NoTarget::NoneAvailable)?;
         let configuration = table.configuration();
@@ -140,8 +142,12 @@
         self.log.weights = self.expected_weights(&target.record).unwrap_or_default();
         self.log
             .record_candidate(&target, &candidate, &choice, view.position.state);
-        if let Some(retry_after) = self.overload_retry_after(target.backlog) {
-            return Err(NoTarget::TooLate { retry_after });
+        if let Some(verdict) = self.judge_under_load(&target, &candidate, ranked.len()) {
+            self.log.record_answer(verdict.answer, verdict.expected);
+            self.late = verdict.late;
+            if let Some(retry_after) = verdict.retry_after {
+                return Err(NoTarget::TooLate { retry_after });
+            }
         }
         let store = self.store(configuration);
         target.fetch_from = self
@@ -156,45 +162,6 @@
         Ok(target)
     }
 
-    /// Returns the prompt tokens to be prefilled before the first event at the target, and the mean
-    /// of the ranked replicas.
-    fn prefill_backlog(
-        &self,
-        candidate: &Candidate,
-        choice: &Choice,
-        target: &Target,
-        ranked: &[&Arc<ReplicaRecord>],
-    ) -> PrefillBacklog {
-        let uncached_tokens = choice.uncached_tokens;
-        let Some(fleet) = self.state.current_fleet(Instant::now()) else {
-            return PrefillBacklog {
-                uncached_tokens,
-                queued_tokens: candidate.pending_prefill_tokens,
-                mean_queued_tokens: 0,
-            };
-        };
-        let pending = |record: &ReplicaRecord| shared_load(&fleet, record).pending_prefill_tokens;
-        let sum: u64 = ranked.iter().map(|record| pending(record)).sum();
-        PrefillBacklog {
-            uncached_tokens,
-            queued_tokens: pending(&target.record).max(candidate.pending_prefill_tokens),
-            mean_queued_tokens: sum / ranked.len().max(1) as u64,
-        }
-    }
-
-    /// Returns the retry delay if the first event would exceed the objective. Retries and resumed
-    /// streams are never refused here.
-    fn overload_retry_after(&self, backlog: PrefillBacklog) -> Option<Duration> {
-        let is_new = self.tried.is_empty() && self.request.last_event.is_none();
-        let is_stream = self.admitted.route.kind.is_stream();
-        if !is_new || !is_stream || self.path.prompt_tokens == 0 {
-            return None;
-        }
-        let objective = Duration::from_millis(self.admitted.route.objective_ms);
-        self.state
-            .overload_retry_after(&self.service, backlog, objective)
-    }
-
     fn choose(&self, candidates: &[Candidate], seed: u64) -> Option<Choice> {
         let estimate = self.state.estimates.get(&self.service);
         let estimate = Some(&estimate).filter(|_| self.state.options.policy.expected_time);
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -28,7 +28,9 @@
     estimates::Estimates,
     fleet_view::FleetView,
     lease::Lease,
+    load::estimate::ReplicaLoad,
     metrics::ProxyMetrics,
+    overload::OverloadTable,
     prefill_latency::{PrefillBacklog, PrefillLatency},
     quarantine::{CrashTracker, QuarantineChange, QuarantineState},
     replicas::ReplicaTable,
@@ -94,6 +96,8 @@
     /// Latencies of each service.
     pub estimates: Estimates,
     prefill_latencies: Mutex<HashMap<String, PrefillLatency>>,
+    /// State for answers under overload.
+    pub overload: Mutex<OverloadTable>,
     view_changed: watch::Sender<u64>,
     shutdown: Mutex<Option<ShutdownPlan>>,
     started: BootInstant,
@@ -166,6 +170,7 @@
             weight_versions: Mutex::default(),
             estimates: Estimates::default(),
             prefill_latencies: Mutex::default(),
+            overload: Mutex::default(),
             view_changed,
             shutdown: Mutex::default(),
             started: BootInstant::now(),
@@ -189,6 +194,7 @@
             let configuration = table.configuration();
             lock(&self.prefill_latencies)
                 .retain(|service, _| configuration.service(service).is_some());
+            lock(&self.overload).retain(|service| configuration.service(service).is_some());
             self.estimates
                 .retain(|service| configuration.service(service).is_some());
             lock(&self.retry_pacers).retain(|service, _| configuration.service(service).is_some());
@@ -319,6 +325,23 @@
             .retry_after(backlog, objective)
     }
 
+    /// Returns the expected time to the first event of a prompt at a replica with the given load.
+    pub fn expected_first_event(
+        &self,
+        service: &str,
+        uncached_tokens: u64,
+        load: ReplicaLoad,
+    ) -> Option<Duration> {
+        let expectation = self.estimates.get(service).expect(uncached_tokens, load);
+        expectation
+            .map(|expected| expected.first_event)
+            .or_else(|| {
+                lock(&self.prefill_latencies)
+                    .get(service)?
+                    .first_event(uncached_tokens, load.queued_tokens)
+            })
+    }
+
     /// Returns the retry delay for a service whose replicas have reached their rate limits.
     pub fn limit_retry_after(&self, service: &str, exhausted: ExhaustedLimits) -> Duration {
         let routers = self.routers.load(Ordering::Relaxed);
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -48,11 +48,17 @@
                 if !events.is_empty() {
                     active.open.prefill_done();
                     let (backlog, waited) = (active.target.backlog, active.open.elapsed());
-                    run.state.record_first_event(&run.service, backlog, waited);
-                    run.record_first_event(&active.target, waited);
-                    if run.has_prompt() {
-                        let handle = &active.target.handle;
-                        handle.record_first_event(backlog, waited, Instant::now());
+                    match &mut run.late {
+                        // Late prompts wait for others on purpose.
+                        Some(late) => late.record_first_event(Instant::now()),
+                        None => {
+                            run.state.record_first_event(&run.service, backlog, waited);
+                            run.record_first_event(&active.target, waited);
+                            if run.has_prompt() {
+                                let handle = &active.target.handle;
+                                handle.record_first_event(backlog, waited, Instant::now());
+                            }
+                        }
                     }
                     run.log.record_first_byte();
                     let first = FirstEvents {
