--- a/crates/proxy/src/load/pace.rs
+++ b/crates/proxy/src/load/pace.rs
@@ -23,8 +23,8 @@
 const MAX_UNREAD_SHARE: f64 = 0.25;
 /// Number of gaps from which a pace is reported; fewer are not worth their bytes.
 const MIN_REPORTED_GAPS: f64 = 1.0;
-/// Maximum number of replicas in one report, which bounds its size in a large fleet: 7 KB.
-const MAX_REPORTED: usize = 256;
+/// Maximum number of replicas in one report, which bounds its size in a large fleet: 3 KB.
+const MAX_REPORTED: usize = 128;
 /// Interval of the reports. Reports are whole sums, so a lost one is made up for by the next.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
--- a/crates/proxy/tests/pace.rs
+++ b/crates/proxy/tests/pace.rs
@@ -117,8 +117,8 @@
         gap_ms: 1.0,
     };
     let report = bounded_report((0..5_000).map(pace).collect());
-    assert_eq!(report.len(), 256);
-    assert!(report.iter().all(|pace| pace.gaps >= 4_744.0));
+    assert_eq!(report.len(), 128);
+    assert!(report.iter().all(|pace| pace.gaps >= 4_872.0));
     let few: Vec<_> = (0..90).map(pace).collect();
     assert_eq!(bounded_report(few.clone()), few);
 }
