Take a lightly loaded replica for no faster one

To count as faster than usual, a replica must now seem so by a further step.

Test: a_lightly_loaded_replica_of_usual_speed_keeps_the_usual_step, seen to fail without the further step.

--- a/crates/control/src/serving/replica_speeds.rs
+++ b/crates/control/src/serving/replica_speeds.rs
@@ -30,6 +30,10 @@
 /// rests on. Times to first events vary by about four fifths of their mean, or 2.3 steps; the margin is one and
 /// a half of that.
 const CHANCE_STEPS: f64 = 3.5;
+/// Further steps by which a replica must seem faster than usual. With little load, both measures seem faster, by
+/// the share of time that others spend on the prompts of their queue; a replica wrongly found fast would get homes
+/// for which it lacks the cache.
+const LIGHT_LOAD_STEPS: f64 = 1.0;
 /// Evaluations in a row that must find the change.
 const EVALUATIONS_TO_CHANGE: u32 = 3;
 
@@ -177,8 +181,8 @@
     fn update(&mut self, measurement: Measurement) -> Option<(RelativeSpeed, RelativeSpeed)> {
         let ratio = measurement.confirmed_ratio(self.current.ratio());
         let nearest = RelativeSpeed::from_ratio(ratio);
-        let min_change = NEARER_STEPS + CHANCE_STEPS / measurement.first_events.sqrt();
-        if steps_between(self.current, ratio) < min_change || nearest == self.current {
+        let is_clear = steps_between(self.current, ratio) >= self.min_change(nearest, measurement);
+        if !is_clear || nearest == self.current {
             self.found = None;
             self.evaluations = 0;
             return None;
@@ -198,6 +202,18 @@
         Some((before.current, nearest))
     }
 
+    /// Returns the distance, in steps, from which a measurement changes the speed to `found`.
+    fn min_change(&self, found: RelativeSpeed, measurement: Measurement) -> f64 {
+        let chance = CHANCE_STEPS / measurement.first_events.sqrt();
+        let is_faster_than_usual = found > self.current && found > RelativeSpeed::USUAL;
+        let light_load = if is_faster_than_usual {
+            LIGHT_LOAD_STEPS
+        } else {
+            0.0
+        };
+        NEARER_STEPS + chance + light_load
+    }
+
     fn is_worth_keeping(&self) -> bool {
         self.current != RelativeSpeed::USUAL || self.found.is_some()
     }
--- a/crates/control/tests/replica_speeds.rs
+++ b/crates/control/tests/replica_speeds.rs
@@ -200,6 +200,22 @@
     assert_eq!(leader.observe(&replicas, 50), []);
 }
 
+/// Guards against homes that move to a replica because it had few: with a short queue, prompts and gaps seem faster.
+#[test]
+fn a_lightly_loaded_replica_of_usual_speed_keeps_the_usual_step() {
+    let loaded = Replica {
+        queued_tokens: 2_000.0,
+        // The interleaved generation of the other streams counts for no tokens.
+        overstated_tokens: -1_500.0,
+        prefill_share: 0.5,
+        ..USUAL
+    };
+    let mut replicas = vec![loaded; REPLICAS as usize];
+    replicas[12] = USUAL;
+    let mut leader = Leader::new();
+    assert_eq!(leader.observe(&replicas, 50), []);
+}
+
 /// Guards against a replica that is throttled in the middle of the day.
 #[test]
 fn a_replica_that_slows_down_is_found_and_no_other_changes() {
