Serve late rather than refuse, from the objective on

The bound by outcome and the priority of returning callers are taken out. A prompt is late from one objective on, the margins are wider, and late prompts may hold half of the memory: replicas preempt them first.

--- a/crates/proxy/src/load/admission.rs
+++ b/crates/proxy/src/load/admission.rs
@@ -13,10 +13,8 @@
 /// Largest priority value of a route that makes a difference.
 pub const LEAST_URGENT: u8 = 9;
 
-/// Expected time, in objectives, above which a prompt is not in time. Queue lengths are about a second old, and a
-/// prompt that is late for a wrong estimate may wait much longer than a little.
-const LATE_ABOVE_OBJECTIVES: f64 = 1.5;
-/// The same for the mean of the service's replicas: a queue at a single replica is not an overload.
+/// Expected time of the mean of the service's replicas, in objectives, above which the service is overloaded: a
+/// queue at a single replica is not an overload.
 const OVERLOAD_ABOVE_OBJECTIVES: f64 = 0.75;
 /// Divisor of the objective; prompts that are prefilled in less are always sent, since leaving them out would
 /// free no capacity.
@@ -26,11 +24,11 @@
 const MAX_OWN_PREFILL_DIVISOR: u32 = 4;
 /// Part of the time between the objective and the deadline within which the most urgent late prompts must be
 /// expected to start. The rest covers newer timely prompts, which are served first.
-const MOST_URGENT_LATE_SHARE: f64 = 0.5;
+const MOST_URGENT_LATE_SHARE: f64 = 0.9;
 /// The same for the least urgent ones, which leave room earlier.
-const LEAST_URGENT_LATE_SHARE: f64 = 0.1;
+const LEAST_URGENT_LATE_SHARE: f64 = 0.5;
 /// Divisor of the service's memory; late prompts hold no more than this part of it.
-const LATE_MEMORY_DIVISOR: u64 = 4;
+const LATE_MEMORY_DIVISOR: u64 = 2;
 /// Part of the route's timeout that a returning caller declares at most. Callers also declare somewhat less at
 /// first; one who has waited as long as callers do, a third, has two thirds left.
 const MAX_RETURNING_SHARE: f64 = 0.8;
@@ -90,8 +88,6 @@
     pub held_tokens: u64,
     /// Tokens that the router's late prompts may hold; `None` if the memory of replicas is unknown.
     pub max_tokens: Option<u64>,
-    /// Whether late prompts have been served lately.
-    pub are_served: bool,
     /// Tokens of the prompt and of its longest output.
     pub request_tokens: u64,
 }
@@ -101,7 +97,7 @@
 pub enum Answer {
     /// It is sent at its own priority.
     InTime,
-    /// It is sent at [`LATE_PRIORITY`], or at its own if the caller returns after a refusal.
+    /// It is sent at [`LATE_PRIORITY`].
     Late,
     /// It is not sent; the caller is told when to return.
     Refused,
@@ -159,11 +155,11 @@
 
 impl LateRoom {
     /// Whether one more late prompt has room. One prompt always has, so that a large fleet of routers can use
-    /// its part, and sees when late prompts are served again.
+    /// its part.
     fn has_room(&self) -> bool {
         let held = self.held_tokens.saturating_add(self.request_tokens);
         let is_within = self.max_tokens.is_none_or(|max| held <= max);
-        self.held_tokens == 0 || (self.are_served && is_within)
+        self.held_tokens == 0 || is_within
     }
 }
 
@@ -172,7 +168,7 @@
     let objective = needs.reachable_objective();
     let own = expected.own.min(objective / MAX_OWN_PREFILL_DIVISOR);
     let counted = |total: Duration| total.saturating_sub(expected.own) + own;
-    counted(expected.selected) > objective.mul_f64(LATE_ABOVE_OBJECTIVES)
+    counted(expected.selected) > objective
         && counted(expected.mean) > objective.mul_f64(OVERLOAD_ABOVE_OBJECTIVES)
 }
 
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -221,9 +221,6 @@
         } else {
             uncached_tokens
         };
-        if let Some(late) = &mut self.late {
-            late.record_sent();
-        }
         let prompt = OpenPrompt {
             unshared_tokens: self.path.unshared_tokens(),
             uncached_tokens: queued_tokens,
--- a/crates/proxy/src/selection/overload.rs
+++ b/crates/proxy/src/selection/overload.rs
@@ -88,8 +88,7 @@
         Verdict {
             answer,
             expected: expected.selected,
-            // Returning callers keep their priority: a time to return was a promise.
-            late: (answer == Answer::Late && !needs.is_returning).then(|| self.begin_late()),
+            late: (answer == Answer::Late).then(|| self.begin_late()),
             retry_after: (answer == Answer::Refused)
                 .then(|| self.return_time(&needs, &expected, replicas)),
         }
@@ -164,11 +163,9 @@
 
     fn late_room(&self, candidate: &Candidate, replicas: usize) -> LateRoom {
         let mut overload = lock(&self.state.overload);
-        let late = &overload.service(&self.service).late;
         LateRoom {
-            held_tokens: late.tokens(),
+            held_tokens: overload.service(&self.service).late.tokens(),
             max_tokens: admission::late_memory(candidate.capacity_tokens, replicas, self.routers()),
-            are_served: late.are_served(Instant::now()),
             request_tokens: self.held_tokens(),
         }
     }
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -47,13 +47,10 @@
                 if !events.is_empty() {
                     active.open.prefill_done();
                     let (backlog, waited) = (active.target.backlog, active.open.elapsed());
-                    match &mut run.late {
-                        // Late prompts wait for others on purpose.
-                        Some(late) => late.record_first_event(Instant::now()),
-                        None => {
-                            run.state.record_first_event(&run.service, backlog, waited);
-                            run.record_first_event(&active.target, waited);
-                        }
+                    // Late prompts wait for others on purpose.
+                    if run.late.is_none() {
+                        run.state.record_first_event(&run.service, backlog, waited);
+                        run.record_first_event(&active.target, waited);
                     }
                     run.log.record_first_byte();
                     let first = FirstEvents {
