--- a/crates/proxy/src/load.rs
+++ b/crates/proxy/src/load.rs
@@ -3,7 +3,7 @@
 //!
 //! | decision | module |
 //! |---|---|
-//! | expected latencies of a prompt at a replica | [`estimate`], [`fit`] |
+//! | expected latencies of a prompt at a replica | [`estimate`], [`fit`], [`longest_gap`] |
 //! | replica with the shortest expected time, among a few | [`choice`], [`candidates`] |
 //! | part of a queue that is more urgent than a prompt | [`urgency_mix`] |
 //! | in time, late or refused | [`admission`], with [`late_requests`] |
@@ -15,6 +15,7 @@
 pub mod estimate;
 pub mod fit;
 pub mod late_requests;
+pub mod longest_gap;
 pub mod retry_slots;
 pub mod return_times;
 pub mod urgency_mix;
