Prefer replicas with the newest weights during a rollout

Callers got answers made on replaced weights for as long as a rollout took: routers treated all usable versions alike, and a prompt left its home only while that loaded.

While replicas of a service hold different versions, prompts prefer those with the newest one as far as these carry the load: open requests against half of their slots, queued prompt tokens against a sixteenth of their caches, from the digest. The share of prompts grows in eighths with the number of reloaded replicas, and the hash of the prompt decides whether it is among them, so routers agree. Without a rollout or a digest, and for streams that continue elsewhere, nothing changes. Switch: policy.newest_weights.

--- a/crates/proxy/src/load.rs
+++ b/crates/proxy/src/load.rs
@@ -4,5 +4,7 @@
 //! | decision | module |
 //! |---|---|
 //! | expected latencies of a prompt at a replica | [`estimate`] |
+//! | preference for the newest weights during a rollout | [`weights`] |
 
 pub mod estimate;
+pub mod weights;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -50,6 +50,8 @@
     pub retries_denied: Counter,
     /// Requests refused because no leader replied about their quota.
     pub quota_unanswered: Counter,
+    /// Selections that preferred replicas with the newest weights during a rollout.
+    pub newest_weights_preferred: Counter,
     /// Responses in which a replica requested a back-off period.
     pub back_offs: Counter,
     /// Responses in which a replica advertised a rate limit.
@@ -88,6 +90,7 @@
             retries: Counter::default(),
             retries_denied: Counter::default(),
             quota_unanswered: Counter::default(),
+            newest_weights_preferred: Counter::default(),
             back_offs: Counter::default(),
             advertised_limits: Counter::default(),
             permits_denied: Counter::default(),
@@ -125,6 +128,11 @@
             "Retries that the budget did not allow",
             self.retries_denied.clone(),
         );
+        registry.register(
+            "proxy_newest_weights_preferred",
+            "Selections that preferred replicas with the newest weights during a rollout",
+            self.newest_weights_preferred.clone(),
+        );
         registry.register(
             "proxy_back_offs",
             "Answers in which a replica asked for no requests for a time",
--- a/crates/proxy/src/selection/candidates.rs
+++ b/crates/proxy/src/selection/candidates.rs
@@ -9,7 +9,8 @@
 use crate::{
     attempt::Target,
     fleet_view::{FleetView, MIN_ROUTERS_FOR_SHARED_LOAD},
-    homes::{Homes, MIN_GROUP_SIZE, busy_replicas, group_homes, group_size, take_usable},
+    homes::{Homes, MIN_GROUP_SIZE, Ring, busy_replicas, group_homes, group_size, take_usable},
+    load::weights::{RolloutProgress, ServiceLoad, newest_first},
     pipeline::RequestRun,
     prefill_latency::PrefillBacklog,
     replicas::ReplicaTable,
@@ -54,22 +55,54 @@
         };
         let policy = self.state.options.policy;
         let home = self.path.key().filter(|_| policy.homes);
+        let service_load = |start| service_load(ring, start, fleet?, configuration, &self.service);
         if ring.len() <= MIN_GROUP_SIZE {
             let candidates = ring.iter_from(0).filter(can_run);
             let all = take_usable(candidates, MIN_GROUP_SIZE, is_usable);
-            return Homes::of_all(home, all);
+            let homes = Homes::of_all(home, all);
+            return self.prefer_newest_weights(homes, || service_load(0));
         }
         let uses_groups = policy.nested_homes && !self.admitted.isolated;
         let first_segment = self.path.first_segment_key().filter(|_| uses_groups);
         if let (Some(home), Some(first_segment)) = (home, first_segment) {
             let size = self.group_size(fleet, configuration, now);
             let candidates = ring.iter_from(first_segment).filter(can_run);
-            return group_homes(home, candidates, size, is_usable);
+            let homes = group_homes(home, candidates, size, is_usable);
+            return self.prefer_newest_weights(homes, || service_load(first_segment));
         }
         // Without a prefix, the search starts at a random position.
         let start = home.unwrap_or_else(rand::random);
         let candidates = ring.iter_from(start).filter(can_run);
-        Homes::of_all(None, take_usable(candidates, MIN_GROUP_SIZE, is_usable))
+        let homes = Homes::of_all(None, take_usable(candidates, MIN_GROUP_SIZE, is_usable));
+        self.prefer_newest_weights(homes, || service_load(start))
+    }
+
+    /// Ranks the replicas with the newest weights first if a rollout is under way and this prompt is among
+    /// those that these replicas can carry. A stream that continues elsewhere keeps its order.
+    fn prefer_newest_weights<'a>(
+        &self,
+        mut homes: Homes<'a>,
+        service_load: impl FnOnce() -> Option<ServiceLoad>,
+    ) -> Homes<'a> {
+        let has_begun = self.request.last_event.is_some();
+        if !self.state.options.policy.newest_weights || has_begun {
+            return homes;
+        }
+        let Some(prompt) = &self.request.prompt else {
+            return homes;
+        };
+        let Some(progress) = RolloutProgress::of(&homes.ranked, &prompt.model) else {
+            return homes;
+        };
+        let Some(load) = service_load() else {
+            return homes;
+        };
+        let key = self.path.key().unwrap_or_else(rand::random);
+        if progress.preferred_share(&load).includes(key) {
+            newest_first(&mut homes.ranked, &prompt.model, progress.newest_version);
+            self.state.metrics.newest_weights_preferred.inc();
+        }
+        homes
     }
 
     /// Returns the size of the replica group for this prompt's first segment.
@@ -171,6 +204,29 @@
     }
 }
 
+/// Returns the load of the ready replicas of a service from `start` on the ring, at most of one group, those that
+/// load weights included.
+fn service_load(
+    ring: &Ring,
+    start: u64,
+    fleet: &FleetView,
+    configuration: &ServingConfiguration,
+    service: &str,
+) -> Option<ServiceLoad> {
+    let engine = configuration.service(service)?.engine.as_ref()?;
+    let mut total = ServiceLoad {
+        slots: engine.slots,
+        kv_capacity_tokens: engine.kv_capacity_tokens,
+        ..ServiceLoad::default()
+    };
+    for record in ring.iter_from(start).take(MIN_GROUP_SIZE) {
+        let load = shared_load(fleet, record);
+        total.open_requests += u64::from(load.open_requests);
+        total.pending_prefill_tokens += load.pending_prefill_tokens;
+    }
+    Some(total)
+}
+
 /// Whether routers wait for responses of the replica and none of them has received any.
 fn is_unresponsive(fleet: &FleetView, record: &ReplicaRecord) -> bool {
     if !fleet.any_unresponsive() {
