Let the number of concurrent loads of weights follow the load

Callers saw answers on replaced weights while replicas that could not load took up the loads of others: with 23 of 90 replicas unresponsive, the other 67 had the newest weights 8.5 s after the version was named, with some ten loading at a time. Orders went out in the order of ids, also to replicas with many streams, which then continued on replaced weights.

The leader now plans from the digest: unresponsive replicas neither hold back others nor come before them; of equally old replicas, those with the fewest open requests load first; the number of loads is the one that finishes soonest by the measured durations, less where open requests need the replicas, and at least what finishes in half of the bound. Without a digest the plan is the former one.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -59,6 +59,13 @@
     pub voters: Gauge<u64, AtomicU64>,
     /// Time for writing and syncing the log, seconds.
     pub sync_seconds: Histogram,
+    /// Replicas with a pending order to load weights.
+    pub rollout_loads: Gauge,
+    /// Loads that the leader does not begin because of the load of the service, although the rollout would then
+    /// finish sooner.
+    pub rollout_loads_held_back: Gauge,
+    /// Duration of a rollout, from its first step to the newest weights at all replicas, seconds.
+    pub rollout_seconds: Histogram,
 }
 
 impl Default for ControlMetrics {
@@ -86,6 +93,9 @@
             claims: Gauge::default(),
             voters: Gauge::default(),
             sync_seconds: Histogram::new(exponential_buckets(0.000_5, 2.0, 14)),
+            rollout_loads: Gauge::default(),
+            rollout_loads_held_back: Gauge::default(),
+            rollout_seconds: Histogram::new(exponential_buckets(0.5, 2.0, 10)),
         }
     }
 }
@@ -175,5 +185,20 @@
             "Time for writing and syncing the log",
             self.sync_seconds.clone(),
         );
+        registry.register(
+            "control_rollout_loads",
+            "Replicas with a pending order to load weights",
+            self.rollout_loads.clone(),
+        );
+        registry.register(
+            "control_rollout_loads_held_back",
+            "Loads of weights that the load of the service holds back",
+            self.rollout_loads_held_back.clone(),
+        );
+        registry.register(
+            "control_rollout_seconds",
+            "Duration of a rollout of weights",
+            self.rollout_seconds.clone(),
+        );
     }
 }
--- a/crates/control/src/serving/mod.rs
+++ b/crates/control/src/serving/mod.rs
@@ -15,7 +15,8 @@
 //! | [`liveness`] | heartbeats of back-end replicas and requests of routers |
 //! | [`rollout_driver`], [`order_dispatcher`] | execute the rollout of weights |
 //! | [`order_channel`] | transport of orders to back ends |
-//! | [`rollout_plan`] | plans the next steps of a rollout (pure) |
+//! | [`rollout_monitor`] | measures loads of weights, reports the progress of rollouts |
+//! | [`rollout_plan`], [`rollout_pace`] | plan the next steps of a rollout and the number of concurrent loads (pure) |
 //! | [`registration_queue`], [`registrar`] | record back-end replicas in batches (the former is pure) |
 //! | [`watch`] | replies to watch requests of routers |
 
@@ -36,6 +37,8 @@
 pub mod registrar;
 pub mod registration_queue;
 pub mod rollout_driver;
+pub mod rollout_monitor;
+pub mod rollout_pace;
 pub mod rollout_plan;
 pub mod watch;
 
