--- a/crates/proxy/src/load.rs
+++ b/crates/proxy/src/load.rs
@@ -9,6 +9,7 @@
 //! | part of a queue that is more urgent than a prompt | [`urgency_mix`] |
 //! | in time, late or refused | [`admission`], with [`late_requests`] |
 //! | when refused callers return | [`return_times`], with [`retry_slots`] |
+//! | preference for the newest weights during a rollout | [`weights`] |
 
 pub mod admission;
 pub mod candidates;
@@ -21,3 +22,4 @@
 pub mod retry_slots;
 pub mod return_times;
 pub mod urgency_mix;
+pub mod weights;
