--- a/crates/proxy/src/load/admission.rs
+++ b/crates/proxy/src/load/admission.rs
@@ -28,7 +28,7 @@
 /// The same for the least urgent ones, which leave room earlier.
 const LEAST_URGENT_LATE_SHARE: f64 = 0.5;
 /// Divisor of the service's memory; late prompts hold no more than this part of it.
-const LATE_MEMORY_DIVISOR: u64 = 2;
+const LATE_MEMORY_DIVISOR: u64 = 8;
 /// Part of the route's timeout that a returning caller declares at most. Callers also declare somewhat less at
 /// first; one who has waited as long as callers do, a third, has two thirds left.
 const MAX_RETURNING_SHARE: f64 = 0.8;
