--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -97,7 +97,8 @@
     /// Loads that the leader does not begin because of the load of the service, although the rollout would then
     /// finish sooner.
     pub rollout_loads_held_back: Gauge,
-    /// Duration of a rollout, from its first step to the newest weights at all replicas, seconds.
+    /// Time from when this leader first saw a ready replica with older weights until it saw none, seconds; it
+    /// starts anew with a new leader and covers overlapping versions together.
     pub rollout_seconds: Histogram,
 }
 
--- a/crates/control/src/serving/quota/account.rs
+++ b/crates/control/src/serving/quota/account.rs
@@ -15,7 +15,8 @@
 /// Share of the refill that may be promised to refused callers. The other half stays with newcomers, so
 /// that a surge does not delay all later requests by the time that callers are willing to wait.
 const PROMISED_SHARE: f64 = 0.5;
-/// Share of the refill that more urgent requests must leave for promises to be made.
+/// Share of the refill that more urgent requests must leave for promises to be made. With less, the time until
+/// there is room is too long and too uncertain to promise.
 const MIN_SPARE_SHARE: f64 = 0.05;
 /// Resolution of the times that callers are told.
 const RETRY_RESOLUTION: Duration = Duration::from_millis(1);
@@ -125,7 +126,8 @@
             return granted;
         }
         let claim = self.claim(withdrawal, bucket, now);
-        // The caller came before its time, or with another request of the same content.
+        // An early caller, or another one with the same content, is decided as a newcomer, but its own promise does
+        // not count against it.
         if let Some(promise) = promise.filter(|promise| promise.due > now) {
             self.promises.remove(promise.content);
             if let Some(granted) = self.grant(&claim, now) {
@@ -226,9 +228,9 @@
         let (Some(urgency), Some(content)) = (urgency, content_of(withdrawal)) else {
             return self.unrecognized_retry_after(claim).min(max_retry_after);
         };
-        let time = self.time_of_room(claim, max_retry_after, now);
-        let patience = urgency.patience();
-        if time <= patience.min(max_retry_after) {
+        let time = self.time_of_room(claim, now);
+        let max_return_delay = urgency.max_return_delay();
+        if let Some(time) = time.filter(|time| *time <= max_return_delay.min(max_retry_after)) {
             let promise = Promise {
                 content,
                 rank: claim.rank,
@@ -240,27 +242,26 @@
                 return time;
             }
         }
-        let beyond_patience = patience + RETRY_RESOLUTION;
-        let retry_after = spread(time, content).max(beyond_patience);
-        retry_after.min(max_retry_after)
+        // A delay beyond the one that the caller accepts tells its router that nothing is set aside.
+        let beyond_return_delay = max_return_delay + RETRY_RESOLUTION;
+        let told = time.map_or(max_retry_after, |time| spread(time, content));
+        told.max(beyond_return_delay).min(max_retry_after)
     }
 
     /// Returns the time until there is room for the request behind the promises to requests of the same or
-    /// a higher urgency.
-    fn time_of_room(&self, claim: &Claim, max_retry_after: Duration, now: Instant) -> Duration {
+    /// a higher urgency; `None` if more urgent requests leave almost no refill.
+    fn time_of_room(&self, claim: &Claim, now: Instant) -> Option<Duration> {
         let spare = claim.spare_per_s();
         if spare < claim.bucket.rate_per_s * MIN_SPARE_SHARE {
-            return max_retry_after;
+            return None;
         }
         let missing = (claim.needed + claim.lowest_level() - self.level).max(0.0);
         let promised = self.promises.cost_up_to(claim.rank);
         let refilled = refill_time(missing + promised / PROMISED_SHARE, spare);
         let last_due = self.promises.last_due(claim.rank).unwrap_or(now);
-        let time = refilled
-            .max(last_due.saturating_duration_since(now))
-            .min(max_retry_after);
-        let milliseconds = time.as_micros().div_ceil(RETRY_RESOLUTION.as_micros());
-        Duration::from_millis(milliseconds as u64).max(RETRY_RESOLUTION)
+        let time = refilled.max(last_due.saturating_duration_since(now));
+        let milliseconds = u64::try_from(time.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX);
+        Some(Duration::from_millis(milliseconds).max(RETRY_RESOLUTION))
     }
 
     /// Returns the delay of a caller that is not recognized when it returns: those refused before it are
@@ -283,7 +284,8 @@
 /// Spreads callers that are told the same time, so that they do not return together.
 fn spread(time: Duration, content: ContentKey) -> Duration {
     let step = (content.0 % SPREAD_STEPS) as f64 / SPREAD_STEPS as f64;
-    time.mul_f64(1.0 + step * SPREAD_SHARE)
+    let longest = Duration::from_secs(3_600);
+    time.min(longest).mul_f64(1.0 + step * SPREAD_SHARE)
 }
 
 /// Time in which `shortfall` is refilled; the maximum without a refill.
--- a/crates/control/src/serving/quota/promises.rs
+++ b/crates/control/src/serving/quota/promises.rs
@@ -13,8 +13,8 @@
 /// Time after which a promise lapses if its caller does not return. It covers a new connection,
 /// the admission at another router and a repeated call to the leader.
 pub const PROMISE_GRACE: Duration = Duration::from_millis(300);
-/// Maximum number of open promises of one account; with 512, a decision takes microseconds and an
-/// account some 40 KB. Further callers are told a time without a promise.
+/// Maximum number of open promises of one account, which bounds its memory and the scan on each decision.
+/// Further callers are told a time without a promise.
 pub const MAX_PROMISES: usize = 512;
 
 /// Capacity set aside for one refused request.
@@ -37,7 +37,7 @@
 pub struct PromiseCounts {
     /// Promises made.
     pub made: u64,
-    /// Promises whose caller returned in time and was granted its capacity.
+    /// Promises whose caller returned, early or in time, and was granted its capacity.
     pub kept: u64,
     /// Promises whose caller returned in time and was refused.
     pub broken: u64,
--- a/crates/control/src/serving/replica_speeds.rs
+++ b/crates/control/src/serving/replica_speeds.rs
@@ -26,10 +26,9 @@
 const INTERVAL: Duration = Duration::from_secs(1);
 /// Steps from which a measured speed is nearer to another one than to the current one.
 const NEARER_STEPS: f64 = 0.5;
-/// Further steps by which it must differ to change the current one, times the root of the first events that it
-/// rests on. Times to first events vary by about four fifths of their mean, or 2.3 steps; the margin is one and
-/// a half of that.
-const CHANCE_STEPS: f64 = 3.5;
+/// Further steps by which it must differ to change the current one, divided by the square root of the first events
+/// that it rests on: one and a half standard errors, if times to first events vary by four fifths of their mean.
+const NOISE_STEPS: f64 = 3.5;
 /// Further steps by which a replica must seem faster than usual. With little load, both measures seem faster, by
 /// the share of time that others spend on the prompts of their queue; a replica wrongly found fast would get homes
 /// for which it lacks the cache.
@@ -204,14 +203,14 @@
 
     /// Returns the distance, in steps, from which a measurement changes the speed to `found`.
     fn min_change(&self, found: RelativeSpeed, measurement: Measurement) -> f64 {
-        let chance = CHANCE_STEPS / measurement.first_events.sqrt();
+        let noise = NOISE_STEPS / measurement.first_events.sqrt();
         let is_faster_than_usual = found > self.current && found > RelativeSpeed::USUAL;
         let light_load = if is_faster_than_usual {
             LIGHT_LOAD_STEPS
         } else {
             0.0
         };
-        NEARER_STEPS + chance + light_load
+        NEARER_STEPS + noise + light_load
     }
 
     fn is_worth_keeping(&self) -> bool {
--- a/crates/control/src/serving/rollout_monitor.rs
+++ b/crates/control/src/serving/rollout_monitor.rs
@@ -199,7 +199,7 @@
             return;
         }
         self.logged.insert(pace.model.clone(), (limit.reason, now));
-        spdlog::info!("rollout pace changed", kv: {
+        spdlog::info!("rollout limit changed", kv: {
             model = pace.model.clone(),
             loads = limit.loads,
             fastest = limit.fastest,
--- a/crates/control/src/serving/rollout_pace.rs
+++ b/crates/control/src/serving/rollout_pace.rs
@@ -30,7 +30,7 @@
 /// Factor on the duration of a load that the only responsive replica is given.
 const LAST_REPLICA_MARGIN: f64 = 2.0;
 
-/// Loads of a replica's weights that run at the same time are counted in groups of this size.
+/// Numbers of concurrent loads are averaged in groups of this size, so that each group gets samples.
 const CONCURRENCY_STEP: usize = 4;
 
 /// Conditions of replicas in the current digest.
@@ -102,7 +102,8 @@
 /// Measured durations of loads, by the number that ran at the same time.
 #[derive(Clone, Debug, Default)]
 pub struct LoadDurations {
-    /// Average duration from the order to the new weights, milliseconds.
+    /// Average time from the acceptance of the order by the replica until the new weights are recorded,
+    /// milliseconds.
     by_concurrency: BTreeMap<usize, f64>,
     /// Average time for which a replica serves no requests in addition to its load, milliseconds.
     preparation_ms: Option<f64>,
@@ -178,7 +179,7 @@
     }
 }
 
-/// Why fewer replicas load than would finish the rollout soonest.
+/// What determines the number of concurrent loads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LoadLimitReason {
     /// The fastest rollout.
--- a/crates/control/tests/quota_returns.rs
+++ b/crates/control/tests/quota_returns.rs
@@ -160,7 +160,7 @@
             let is_promised = request.is_promised(retry_after);
             outcome.refused += 1;
             outcome.promised += u64::from(is_promised);
-            let patience = request.urgency().patience();
+            let max_return_delay = request.urgency().max_return_delay();
             let returns_ms = now_ms + retry_after.min(patience).as_millis() as u64 + TRANSIT_MS;
             returns
                 .entry(returns_ms)
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -181,7 +181,10 @@
 fn apply_reply(state: &Arc<ProxyState>, mut reply: WatchReply, requested_at: BootInstant) {
     let was_confirmed = state.is_confirmed();
     state.routers.store(reply.routers, Ordering::Relaxed);
-    if let Some(digest) = reply.fleet.take() {
+    if let Some(mut digest) = reply.fleet.take() {
+        if !state.options.policy.replica_speeds {
+            digest.speeds.clear();
+        }
         if let Some(unresponsive) = lock(&state.fleet).apply(digest, Instant::now()) {
             spdlog::info!("unresponsive replicas changed", kv: { dark = unresponsive });
         }
--- a/crates/proxy/src/estimates.rs
+++ b/crates/proxy/src/estimates.rs
@@ -39,7 +39,7 @@
     /// Records the longest gap between two events of a stream; `load` is that of the replica at its end.
     pub fn record_gap(&self, service: &str, load: ReplicaLoad, gap: Duration) {
         self.update(service, |estimate| {
-            estimate.record_gap(load, gap, Instant::now());
+            estimate.record_gap(load, gap);
         });
     }
 
--- a/crates/proxy/src/load.rs
+++ b/crates/proxy/src/load.rs
@@ -1,5 +1,5 @@
-//! Estimates and decisions under load. Pure: values, times and seeds are passed in, and no module depends on
-//! the state of the router or on the pipeline of a request.
+//! Estimates and decisions under load. Pure except for [`late_requests`]: values, times and seeds are passed in, and
+//! no module depends on the state of the router or on the pipeline of a request.
 //!
 //! | decision | module |
 //! |---|---|
--- a/crates/proxy/src/load/admission.rs
+++ b/crates/proxy/src/load/admission.rs
@@ -27,7 +27,8 @@
 const MOST_URGENT_LATE_SHARE: f64 = 0.9;
 /// The same for the least urgent ones, which leave room earlier.
 const LEAST_URGENT_LATE_SHARE: f64 = 0.5;
-/// Divisor of the service's memory; late prompts hold no more than this part of it.
+/// Divisor of the KV cache of all replicas of the service; late prompts hold no more than this part of it, so that
+/// they displace neither cached prefixes nor requests in progress.
 const LATE_MEMORY_DIVISOR: u64 = 8;
 /// Part of the route's timeout that a returning caller declares at most. Callers also declare somewhat less at
 /// first; one who has waited as long as callers do, a third, has two thirds left.
@@ -77,7 +78,8 @@
     pub mean: Duration,
     /// At the selected replica after all queued prompts, also late ones.
     pub after_all: Duration,
-    /// Prefill time of the prompt itself, a part of the other three.
+    /// Prefill time of the prompt itself at the selected replica: a part of `selected` and `after_all`, and about
+    /// as much of `mean`, which is at the usual speed.
     pub own: Duration,
 }
 
--- a/crates/proxy/src/load/choice.rs
+++ b/crates/proxy/src/load/choice.rs
@@ -15,7 +15,7 @@
 };
 
 /// Divisor of the objective above which the queue at the chosen replica counts.
-const QUEUE_DIVISOR: f64 = 8.0;
+const MIN_QUEUE_OBJECTIVE_DIVISOR: f64 = 8.0;
 /// Divisor of the objective within which a prompt is soon prefilled.
 const SHORT_PROMPT_DIVISOR: f64 = 16.0;
 /// Divisor of the objective by which another replica must be faster for a prompt that is soon prefilled.
@@ -59,8 +59,9 @@
     /// By shares of slots and KV cache.
     #[default]
     Shares,
-    /// By expected time, which confirmed the choice by shares.
-    TimeSame,
+    /// By expected time; the choice by shares stands, since it is in time or no drawn candidate is faster by the
+    /// margin.
+    TimeUnchanged,
     /// By expected time.
     Time,
 }
@@ -70,7 +71,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Shares => "shares",
-            Self::TimeSame => "time_same",
+            Self::TimeUnchanged => "time_unchanged",
             Self::Time => "time",
         }
     }
@@ -81,7 +82,8 @@
 pub struct Choice {
     /// Position among the candidates.
     pub position: usize,
-    /// Cost by shares, or expected milliseconds if `rule` is by time.
+    /// Cost by shares; if `rule` is by time, milliseconds: expected first event, excess of gaps, missing memory and
+    /// penalties.
     pub cost: f64,
     /// Prompt tokens that the replica has to prefill.
     pub uncached_tokens: u64,
@@ -102,7 +104,7 @@
     let (position, cost) = scoring::choose(candidates, needs.size, seed)?;
     let candidate = &candidates[position];
     let uncached_tokens = scoring::uncached_tokens(candidate, needs.size);
-    let mut former = Choice {
+    let mut by_shares = Choice {
         position,
         cost,
         uncached_tokens,
@@ -110,19 +112,19 @@
         rule: Rule::Shares,
     };
     let Some(estimate) = estimate else {
-        return Some(former);
+        return Some(by_shares);
     };
-    former.expected = estimate.expect(uncached_tokens, candidate.load);
-    let faster = former
+    by_shares.expected = estimate.expect(uncached_tokens, candidate.load);
+    let faster = by_shares
         .expected
-        .filter(|expected| needs.is_urged(estimate, candidate, *expected))
+        .filter(|expected| needs.should_compare_times(estimate, candidate, *expected))
         .and_then(|_| Comparison::new(candidates, needs, estimate).best(position, seed));
-    Some(faster.unwrap_or(former))
+    Some(faster.unwrap_or(by_shares))
 }
 
 impl Needs {
     /// Whether time can tell replicas apart for this request.
-    fn is_urged(
+    fn should_compare_times(
         &self,
         estimate: &ServiceEstimate,
         chosen: &Candidate,
@@ -133,7 +135,8 @@
         }
         let load = chosen.load;
         let queue = estimate.prefill_time(load.queued_tokens, load.speed);
-        let queue_counts = queue.is_some_and(|queue| queue > self.objective.div_f64(QUEUE_DIVISOR));
+        let queue_counts =
+            queue.is_some_and(|queue| queue > self.objective.div_f64(MIN_QUEUE_OBJECTIVE_DIVISOR));
         let gaps_count = !self.gap_objective.is_zero() && expected.gap > self.gap_objective;
         self.speeds_differ || queue_counts || gaps_count
     }
@@ -155,21 +158,21 @@
         }
     }
 
-    /// Returns the fastest of a few candidates; the one at `former` unless another is faster by a margin.
-    fn best(&self, former: usize, seed: u64) -> Option<Choice> {
-        let kept = self.price(former)?;
-        let is_short = self.is_soon_prefilled(&self.candidates[former]);
+    /// Returns the fastest of a few candidates; the one at `by_shares` unless another is faster by a margin.
+    fn best(&self, by_shares: usize, seed: u64) -> Option<Choice> {
+        let kept = self.with_time_cost(by_shares)?;
+        let is_short = self.is_short_prompt(&self.candidates[by_shares]);
         let unchanged = Choice {
-            rule: Rule::TimeSame,
+            rule: Rule::TimeUnchanged,
             ..kept
         };
         if !is_short && kept.cost < milliseconds(self.needs.objective) / IN_TIME_DIVISOR {
             return Some(unchanged);
         }
         let drawn = candidates::draw(self.candidates, self.needs.size, is_short, seed);
-        let others = drawn.into_iter().filter(|position| *position != former);
+        let others = drawn.into_iter().filter(|position| *position != by_shares);
         let fastest = others
-            .filter_map(|position| self.price(position))
+            .filter_map(|position| self.with_time_cost(position))
             .min_by(|left, right| left.cost.total_cmp(&right.cost));
         let is_faster = |other: &Choice| kept.cost - other.cost > self.margin_ms(is_short);
         let moved = fastest.filter(is_faster);
@@ -178,7 +181,7 @@
 
     /// Whether the whole prompt is prefilled in a small part of the objective at the usual speed, and its shared
     /// prefix takes little memory.
-    fn is_soon_prefilled(&self, candidate: &Candidate) -> bool {
+    fn is_short_prompt(&self, candidate: &Candidate) -> bool {
         if self.needs.size.is_pinned(candidate.capacity_tokens) {
             return false;
         }
@@ -199,12 +202,12 @@
     }
 
     /// Returns a candidate with its cost in milliseconds.
-    fn price(&self, position: usize) -> Option<Choice> {
+    fn with_time_cost(&self, position: usize) -> Option<Choice> {
         let candidate = self.candidates.get(position)?;
         let load = candidate.load;
         let uncached_tokens = self.uncached_tokens(candidate);
         let expected = self.estimate.expect(uncached_tokens, load)?;
-        let lacking = self.lacking_tokens(candidate, load);
+        let lacking = self.missing_memory_tokens(candidate, load);
         let lacking_ms = milliseconds(self.estimate.prefill_time(lacking, load.speed)?);
         let penalty_ms = scoring::penalty(candidate) * milliseconds(self.needs.objective);
         let cost = milliseconds(expected.first_event)
@@ -244,7 +247,7 @@
 
     /// Returns the tokens for which the candidate lacks memory: the prompt waits until as many are free, or
     /// preempts requests that are then prefilled again.
-    fn lacking_tokens(&self, candidate: &Candidate, load: ReplicaLoad) -> u64 {
+    fn missing_memory_tokens(&self, candidate: &Candidate, load: ReplicaLoad) -> u64 {
         if candidate.capacity_tokens == 0 || load.held_tokens == 0 {
             return 0;
         }
--- a/crates/proxy/src/load/estimate.rs
+++ b/crates/proxy/src/load/estimate.rs
@@ -60,7 +60,7 @@
     }
 
     /// Records the longest gap between two events of a stream; `load` is that of the replica at its end.
-    pub fn record_gap(&mut self, load: ReplicaLoad, gap: Duration, _now: Instant) {
+    pub fn record_gap(&mut self, load: ReplicaLoad, gap: Duration) {
         let gap_s = gap.as_secs_f64() * load.speed.ratio();
         if load.queued_tokens == 0 {
             self.idle_gap.record(gap_s);
--- a/crates/proxy/src/load/fit.rs
+++ b/crates/proxy/src/load/fit.rs
@@ -131,7 +131,7 @@
     }
 }
 
-/// Level that most samples stay below.
+/// Level above the mean of the samples, which rises faster than it falls.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct UpperLevel {
     level: f64,
--- a/crates/proxy/src/load/return_times.rs
+++ b/crates/proxy/src/load/return_times.rs
@@ -13,7 +13,7 @@
 /// Shortest retry delay; a shorter one would cost a connection and change nothing.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Divisor of the time left that gives the time after which callers return at the latest, whatever they are told.
-const PATIENCE_DIVISOR: u32 = 3;
+const RETURN_DELAY_DIVISOR: u32 = 3;
 /// Part of that time that is left for the way to the caller and back.
 const TRANSIT_SHARE: f64 = 0.1;
 /// Divisor of the objective that may remain queued when a caller returns.
@@ -56,12 +56,12 @@
             .saturating_sub(prompt.objective / REMAINING_DIVISOR);
         let earliest = queue.max(MIN_RETRY_AFTER);
         let spacing = prompt.spacing();
-        let patience = prompt.patience();
-        match self.slots.take(now, earliest, spacing, patience) {
+        let max_return_delay = prompt.max_return_delay();
+        match self.slots.take(now, earliest, spacing, max_return_delay) {
             // Within its slot at random, since the slots of all routers start at the same time.
             Ok(delay) => {
                 let jittered = delay + spacing.mul_f64(seed as f64 / u64::MAX as f64);
-                jittered.min(patience.max(delay))
+                jittered.min(max_return_delay.max(delay))
             }
             Err(delay) => delay,
         }
@@ -76,7 +76,7 @@
     }
 
     /// Returns the time for which the caller waits.
-    fn patience(&self) -> Duration {
-        (self.time_left / PATIENCE_DIVISOR).mul_f64(1.0 - TRANSIT_SHARE)
+    fn max_return_delay(&self) -> Duration {
+        (self.time_left / RETURN_DELAY_DIVISOR).mul_f64(1.0 - TRANSIT_SHARE)
     }
 }
--- a/crates/proxy/src/selection.rs
+++ b/crates/proxy/src/selection.rs
@@ -142,10 +142,10 @@
         self.log.weights = self.expected_weights(&target.record).unwrap_or_default();
         self.log
             .record_candidate(&target, &candidate, &choice, view.position.state);
-        if let Some(verdict) = self.judge_under_load(&target, &candidate, ranked.len()) {
-            self.log.record_answer(verdict.answer, verdict.expected);
-            self.late = verdict.late;
-            if let Some(retry_after) = verdict.retry_after {
+        if let Some(outcome) = self.admit_under_load(&target, &candidate, ranked.len()) {
+            self.log.record_answer(outcome.answer, outcome.expected);
+            self.late = outcome.late;
+            if let Some(retry_after) = outcome.retry_after {
                 return Err(NoTarget::TooLate { retry_after });
             }
         }
--- a/crates/proxy/src/selection/candidates.rs
+++ b/crates/proxy/src/selection/candidates.rs
@@ -10,8 +10,7 @@
     attempt::Target,
     fleet_view::{FleetView, MIN_ROUTERS_FOR_SHARED_LOAD},
     homes::{
-        Homes, MIN_GROUP_SIZE, Ring, busy_replicas, group_homes, group_size, home_weight,
-        take_usable,
+        Homes, MIN_GROUP_SIZE, busy_replicas, group_homes, group_size, home_weight, take_usable,
     },
     load::{
         estimate::ReplicaLoad,
@@ -62,16 +61,17 @@
         };
         let policy = self.state.options.policy;
         let home = self.path.key().filter(|_| policy.homes);
-        let service_load = |start| {
+        let service_load = |start, size| {
             let fleet = self.state.current_fleet(now)?;
-            service_load(ring, start, &fleet, configuration, &self.service)
+            let replicas = ring.iter_from(start).take(size);
+            service_load(replicas, &fleet, configuration, &self.service)
         };
         if ring.len() <= MIN_GROUP_SIZE {
             let candidates = ring.iter_from(0).filter(can_run);
             let all = take_usable(candidates, MIN_GROUP_SIZE, is_usable);
             drop(fleet_guard);
             let homes = self.weigh(Homes::of_all(home, all), home);
-            return self.prefer_newest_weights(homes, || service_load(0));
+            return self.prefer_newest_weights(homes, || service_load(0, MIN_GROUP_SIZE));
         }
         let uses_groups = policy.nested_homes && !self.admitted.isolated;
         let first_segment = self.path.first_segment_key().filter(|_| uses_groups);
@@ -81,14 +81,14 @@
             let homes = group_homes(home, candidates, size, is_usable);
             drop(fleet_guard);
             let homes = self.weigh(homes, Some(home));
-            return self.prefer_newest_weights(homes, || service_load(first_segment));
+            return self.prefer_newest_weights(homes, || service_load(first_segment, size));
         }
         // Without a prefix, the search starts at a random position.
         let start = home.unwrap_or_else(rand::random);
         let candidates = ring.iter_from(start).filter(can_run);
         let homes = Homes::of_all(None, take_usable(candidates, MIN_GROUP_SIZE, is_usable));
         drop(fleet_guard);
-        self.prefer_newest_weights(homes, || service_load(start))
+        self.prefer_newest_weights(homes, || service_load(start, MIN_GROUP_SIZE))
     }
 
     /// Ranks the replicas with the newest weights first if a rollout is under way and this prompt is among
@@ -237,11 +237,9 @@
     }
 }
 
-/// Returns the load of the ready replicas of a service from `start` on the ring, at most of one group, those that
-/// load weights included.
-fn service_load(
-    ring: &Ring,
-    start: u64,
+/// Returns the load of ready replicas of a service, those that load weights included.
+fn service_load<'a>(
+    replicas: impl Iterator<Item = &'a Arc<ReplicaRecord>>,
     fleet: &FleetView,
     configuration: &ServingConfiguration,
     service: &str,
@@ -252,7 +250,7 @@
         kv_capacity_tokens: engine.kv_capacity_tokens,
         ..ServiceLoad::default()
     };
-    for record in ring.iter_from(start).take(MIN_GROUP_SIZE) {
+    for record in replicas {
         let load = shared_load(fleet, record);
         total.open_requests += u64::from(load.open_requests);
         total.pending_prefill_tokens += load.pending_prefill_tokens;
--- a/crates/proxy/src/selection/overload.rs
+++ b/crates/proxy/src/selection/overload.rs
@@ -22,7 +22,7 @@
 };
 
 /// Answer to a prompt, and what it entails.
-pub(super) struct Verdict {
+pub(super) struct AdmissionOutcome {
     pub(super) answer: Answer,
     /// Expected time to the first event; zero without an estimate.
     pub(super) expected: Duration,
@@ -59,14 +59,14 @@
         }
     }
 
-    /// Judges a new prompt of a stream before it is sent to the target. Retries keep the answer of the first
+    /// Admits or refuses a new prompt of a stream before it is sent to the target. Retries keep the answer of the first
     /// attempt, and resumed streams are never refused here.
-    pub(super) fn judge_under_load(
+    pub(super) fn admit_under_load(
         &self,
         target: &Target,
         candidate: &Candidate,
         replicas: usize,
-    ) -> Option<Verdict> {
+    ) -> Option<AdmissionOutcome> {
         let is_new = self.tried.is_empty() && self.request.last_event.is_none();
         let is_stream = self.admitted.route.kind.is_stream();
         if !is_new || !is_stream || self.path.prompt_tokens == 0 {
@@ -74,18 +74,25 @@
         }
         match AnswerRule::of(self.state.options.policy) {
             AnswerRule::SendAll => None,
-            AnswerRule::RefuseLate => Some(self.judge_by_objective(target.backlog)),
-            AnswerRule::ThreeAnswers => Some(self.judge(target, candidate, replicas)),
+            AnswerRule::RefuseLate => Some(self.admit_by_prefill_latency(target.backlog)),
+            AnswerRule::ThreeAnswers => {
+                Some(self.admit_by_expected_time(target, candidate, replicas))
+            }
         }
     }
 
-    /// Judges a prompt by its expected time and what its caller needs.
-    fn judge(&self, target: &Target, candidate: &Candidate, replicas: usize) -> Verdict {
+    /// Admits or refuses a prompt by its expected time and what its caller needs.
+    fn admit_by_expected_time(
+        &self,
+        target: &Target,
+        candidate: &Candidate,
+        replicas: usize,
+    ) -> AdmissionOutcome {
         let needs = self.caller_needs();
         let expected = self.expected_first_event(target, replicas);
         let answer = admission::decide(&needs, expected, self.late_room(candidate, replicas));
         let expected = expected.unwrap_or_default();
-        Verdict {
+        AdmissionOutcome {
             answer,
             expected: expected.selected,
             late: (answer == Answer::Late).then(|| self.begin_late()),
@@ -95,12 +102,12 @@
     }
 
     /// Refuses a prompt that would exceed its objective, by the time that prompts took lately.
-    fn judge_by_objective(&self, backlog: PrefillBacklog) -> Verdict {
+    fn admit_by_prefill_latency(&self, backlog: PrefillBacklog) -> AdmissionOutcome {
         let objective = Duration::from_millis(self.admitted.route.objective_ms);
         let retry_after = self
             .state
             .overload_retry_after(&self.service, backlog, objective);
-        Verdict {
+        AdmissionOutcome {
             answer: retry_after.map_or(Answer::InTime, |_| Answer::Refused),
             expected: Duration::ZERO,
             late: None,
--- a/crates/proxy/tests/admission_under_load.rs
+++ b/crates/proxy/tests/admission_under_load.rs
@@ -229,10 +229,10 @@
 /// Load: late prompts fill their part of the memory.
 #[test]
 fn late_prompts_hold_a_bounded_part_of_the_memory() {
-    // Half of 100 replicas with 100,000 tokens each, for 50 routers.
-    assert_eq!(late_memory(100_000, 100, 50), Some(100_000));
+    // An eighth of 100 replicas with 100,000 tokens each, for 50 routers.
+    assert_eq!(late_memory(100_000, 100, 50), Some(25_000));
     assert_eq!(late_memory(0, 100, 50), None);
-    assert_eq!(late_memory(100_000, 1, 0), Some(50_000));
+    assert_eq!(late_memory(100_000, 1, 0), Some(12_500));
     let requests = LateRequests::default();
     let queue = behind(milliseconds(900), Duration::ZERO);
     let answer = |requests: &LateRequests| {
--- a/crates/proxy/tests/choice.rs
+++ b/crates/proxy/tests/choice.rs
@@ -32,8 +32,8 @@
         let (uncached, queued) = (600 + index % 3 * 1_200, index % 5 * 3_000);
         let waited = FIXED + Duration::from_millis((uncached + queued) / TOKENS_PER_MS);
         estimate.record_first_event(uncached, load(queued), waited, now);
-        estimate.record_gap(load(0), IDLE_GAP, now);
-        estimate.record_gap(load(FLOOD), PREFILL_GAP, now);
+        estimate.record_gap(load(0), IDLE_GAP);
+        estimate.record_gap(load(FLOOD), PREFILL_GAP);
     }
     estimate
 }
@@ -153,7 +153,10 @@
         gap_objective: Duration::ZERO,
         ..strict
     };
-    assert_eq!(chosen(&candidates, &first_only, 0).rule, Rule::TimeSame);
+    assert_eq!(
+        chosen(&candidates, &first_only, 0).rule,
+        Rule::TimeUnchanged
+    );
 }
 
 /// Load: one shared prefix gets much of the traffic, and its home cannot keep up.
--- a/crates/proxy/tests/estimate.rs
+++ b/crates/proxy/tests/estimate.rs
@@ -53,7 +53,7 @@
 
     fn gap(&mut self, load: ReplicaLoad, gap_ms: f64) {
         let gap = milliseconds(gap_ms / load.speed.ratio());
-        self.estimate.record_gap(load, gap, self.now);
+        self.estimate.record_gap(load, gap);
     }
 
     fn mixed(mut self, count: u64) -> Self {
--- a/crates/rpc/src/serving.rs
+++ b/crates/rpc/src/serving.rs
@@ -305,9 +305,9 @@
     pub content: ContentKey,
 }
 
-/// Fraction of its objective for which a request may wait for its grant.
+/// Divisor of the route's objective that gives the longest wait of a request for its grant.
 pub const GRANT_WAIT_DIVISOR: u32 = 8;
-/// Fraction of their remaining time for which refused callers wait before they return.
+/// Divisor of the time left that gives the longest delay after which a refused caller is presumed to return.
 const RETURN_WAIT_DIVISOR: u32 = 3;
 /// Time that a refusal and the returning request take on their way.
 const RETURN_TRANSIT: Duration = Duration::from_millis(50);
@@ -319,15 +319,15 @@
     }
 
     /// Longest time after which the caller still returns if it is refused.
-    pub fn patience(&self) -> Duration {
+    pub fn max_return_delay(&self) -> Duration {
         let time_left = Duration::from_millis(u64::from(self.time_left_ms));
         time_left.saturating_sub(RETURN_TRANSIT) / RETURN_WAIT_DIVISOR
     }
 
     /// Whether capacity is set aside for a caller that was told to return after `retry_after`. Others are told
-    /// times beyond their patience, unless the group caps these.
+    /// times beyond that delay, unless the group caps these.
     pub fn is_promised(&self, retry_after: Duration) -> bool {
-        self.content != ContentKey::default() && retry_after <= self.patience()
+        self.content != ContentKey::default() && retry_after <= self.max_return_delay()
     }
 }
 
