--- a/crates/control/tests/quota_returns.rs
+++ b/crates/control/tests/quota_returns.rs
@@ -161,7 +161,8 @@
             outcome.refused += 1;
             outcome.promised += u64::from(is_promised);
             let max_return_delay = request.urgency().max_return_delay();
-            let returns_ms = now_ms + retry_after.min(max_return_delay).as_millis() as u64 + TRANSIT_MS;
+            let returns_ms =
+                now_ms + retry_after.min(max_return_delay).as_millis() as u64 + TRANSIT_MS;
             returns
                 .entry(returns_ms)
                 .or_default()
