Use one constant for the least urgent priority, and name steps of the selection

The value stood in three places. Choosing a replica and attaching the sources of its prefixes are functions of their own. Comments, the glossary's terms and the names of tests follow; nothing else changes.

--- a/crates/control/src/serving/quota/mod.rs
+++ b/crates/control/src/serving/quota/mod.rs
@@ -22,7 +22,7 @@
 use railtack_clock::BootInstant;
 use railtack_rpc::serving::{GRANT_TTL, QuotaReply, QuotaRequest, QuotaSubject};
 use railtack_serving::{
-    Bounds, GrantTimes, TenantQuota,
+    Bounds, GrantTimes, LEAST_URGENT_PRIORITY, TenantQuota,
     retries::{shared_retry_bounds, shared_retry_quota},
 };
 use tokio::time::{Instant, sleep};
@@ -50,10 +50,8 @@
 pub const MAX_LEADERSHIP_CONFIRMATION_AGE: Duration = Duration::from_millis(250);
 /// Term of a group's first leader.
 const FIRST_TERM: u64 = 1;
-/// Least urgent priority.
-const LAST_PRIORITY: u8 = 9;
 /// Label of requests whose router states no priority.
-const UNKNOWN_PRIORITY: u8 = LAST_PRIORITY + 1;
+const UNKNOWN_PRIORITY: u8 = LEAST_URGENT_PRIORITY + 1;
 /// Interval of the check for a new term.
 const TERM_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -196,7 +194,9 @@
         let metrics = &self.metrics;
         let stated = withdrawal.urgency.map(|urgency| urgency.priority);
         let label = PriorityLabel {
-            priority: stated.map_or(UNKNOWN_PRIORITY, |priority| priority.min(LAST_PRIORITY)),
+            priority: stated.map_or(UNKNOWN_PRIORITY, |priority| {
+                priority.min(LEAST_URGENT_PRIORITY)
+            }),
         };
         let by_priority = match reply {
             LedgerReply::Granted { .. } => &metrics.quota_granted_by_priority,
--- a/crates/control/src/serving/quota/urgency.rs
+++ b/crates/control/src/serving/quota/urgency.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use railtack_rpc::serving::QuotaUrgency;
+use railtack_serving::LEAST_URGENT_PRIORITY;
 use tokio::time::Instant;
 
 use super::sizes::{DemandBySize, RecentDemand};
@@ -20,8 +21,6 @@
 /// Share of the refill up to which small requests are preferred, the smallest first. Beyond it, they are no
 /// longer small together, and would keep large ones out.
 const MAX_SMALL_DEMAND: f64 = 0.25;
-/// Least urgent priority.
-const LAST_PRIORITY: u8 = 9;
 
 /// Position in the order of urgency; lower is more urgent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -31,10 +30,10 @@
     /// Requests that cost little against the quota: refusing them frees nothing.
     pub const SMALL: Self = Self(0);
     /// Requests of unknown urgency, the least urgent.
-    pub const UNKNOWN: Self = Self(LAST_PRIORITY + 2);
+    pub const UNKNOWN: Self = Self(LEAST_URGENT_PRIORITY + 2);
 
     fn of_priority(priority: u8) -> Self {
-        Self(1 + priority.min(LAST_PRIORITY))
+        Self(1 + priority.min(LEAST_URGENT_PRIORITY))
     }
 }
 
--- a/crates/control/src/serving/replica_speeds.rs
+++ b/crates/control/src/serving/replica_speeds.rs
@@ -1,7 +1,7 @@
 //! Relative speeds of back-end replicas, from the paces that all routers report. Pure: times are passed in.
 //!
 //! Control replicas add up the paces of their routers for the leader. The leader compares the replicas of each
-//! service with its middle and sends the speeds other than the usual one with the digest. Routers place prompts by
+//! service with its median and sends the speeds other than the usual one with the digest. Routers place prompts by
 //! the speeds, so a speed changes in steps, and only on clear and lasting evidence.
 //!
 //! A follower holds the speeds of the last digest and continues with them if it becomes the leader, so that a
--- a/crates/control/tests/quota_returns.rs
+++ b/crates/control/tests/quota_returns.rs
@@ -72,13 +72,13 @@
 }
 
 /// One ledger in virtual time.
-struct Desk {
+struct TestLedger {
     ledger: QuotaLedger,
     start: Instant,
     rate_per_s: u64,
 }
 
-impl Desk {
+impl TestLedger {
     fn new() -> Self {
         let bounds = QuotaBounds {
             window_ms: 8_000,
@@ -129,14 +129,14 @@
 /// the time they were told or when their patience ends. Newcomers keep coming beside them.
 fn serve_surge(surge: u64, newcomers_per_ms: f64, newcomer_priority: u8, seed: u64) -> Outcome {
     let mut random = StdRng::seed_from_u64(seed);
-    let mut desk = Desk::new();
+    let mut ledger = TestLedger::new();
     let mut outcome = Outcome::default();
     let mut returns: BTreeMap<u64, Vec<(Request, bool)>> = BTreeMap::new();
     let mut content = 0;
-    desk.exhaust(2_000);
+    ledger.exhaust(2_000);
     for now_ms in 2_000..8_000 {
         for (request, is_promised) in returns.remove(&now_ms).unwrap_or_default() {
-            let is_granted = desk.is_granted(request, now_ms);
+            let is_granted = ledger.is_granted(request, now_ms);
             outcome.kept += u64::from(is_promised && is_granted);
         }
         let arrivals = if now_ms < 2_250 {
@@ -154,7 +154,7 @@
             if now_ms >= 2_250 {
                 request.priority = newcomer_priority;
             }
-            let LedgerReply::Refused { retry_after, .. } = desk.ask(request, now_ms) else {
+            let LedgerReply::Refused { retry_after, .. } = ledger.ask(request, now_ms) else {
                 continue;
             };
             let is_promised = request.is_promised(retry_after);
@@ -204,12 +204,12 @@
 /// Load: a surge that a quota bears within a second; nobody is told a time beyond it.
 #[test]
 fn the_first_refused_are_told_the_time_of_the_refill() {
-    let mut desk = Desk::new();
-    let (_, retry_after) = desk.exhaust(2_000);
+    let mut ledger = TestLedger::new();
+    let (_, retry_after) = ledger.exhaust(2_000);
     assert!(retry_after < Duration::from_millis(50), "{retry_after:?}");
     let others: Vec<Duration> = (0..30)
         .filter_map(
-            |content| match desk.ask(Request::long_prompt(content + 1, 10_000), 2_000) {
+            |content| match ledger.ask(Request::long_prompt(content + 1, 10_000), 2_000) {
                 LedgerReply::Refused { retry_after, .. } => Some(retry_after),
                 LedgerReply::Granted { .. } => None,
             },
@@ -226,9 +226,9 @@
 /// Load: a flood of one priority; callers of a more urgent one are told earlier times.
 #[test]
 fn the_more_urgent_are_told_earlier_times() {
-    let mut desk = Desk::new();
-    desk.exhaust(2_000);
-    let mut told = |request| match desk.ask(request, 2_000) {
+    let mut ledger = TestLedger::new();
+    ledger.exhaust(2_000);
+    let mut told = |request| match ledger.ask(request, 2_000) {
         LedgerReply::Refused { retry_after, .. } => retry_after,
         LedgerReply::Granted { .. } => Duration::ZERO,
     };
@@ -246,22 +246,22 @@
 /// A caller that ignores the time it was told neither gains by it nor gets a second promise.
 #[test]
 fn a_caller_that_returns_early_keeps_its_time() {
-    let mut desk = Desk::new();
-    desk.exhaust(2_000);
+    let mut ledger = TestLedger::new();
+    ledger.exhaust(2_000);
     for content in 1..20 {
-        desk.ask(Request::long_prompt(content, 10_000), 2_000);
+        ledger.ask(Request::long_prompt(content, 10_000), 2_000);
     }
     let early = Request::long_prompt(100, 10_000);
     let LedgerReply::Refused {
         retry_after: first, ..
-    } = desk.ask(early, 2_000)
+    } = ledger.ask(early, 2_000)
     else {
         panic!("granted");
     };
     let LedgerReply::Refused {
         retry_after: second,
         ..
-    } = desk.ask(early, 2_005)
+    } = ledger.ask(early, 2_005)
     else {
         panic!("granted early");
     };
@@ -271,14 +271,14 @@
 /// Load: no refused caller returns. What is set aside for them is used by others after the grace.
 #[test]
 fn promises_lapse_when_callers_stay_away() {
-    let mut desk = Desk::new();
-    desk.exhaust(2_000);
+    let mut ledger = TestLedger::new();
+    ledger.exhaust(2_000);
     for content in 1..60 {
-        desk.ask(Request::long_prompt(content, 10_000), 2_000);
+        ledger.ask(Request::long_prompt(content, 10_000), 2_000);
     }
     let granted = (0..4_000_u64)
         .filter(|ms| {
-            desk.is_granted(
+            ledger.is_granted(
                 Request::long_prompt(1_000 + u128::from(*ms), 10_000),
                 2_000 + ms,
             )
@@ -292,33 +292,33 @@
 /// A promise is good for one request.
 #[test]
 fn a_promise_is_kept_once() {
-    let mut desk = Desk::new();
-    let (request, retry_after) = desk.exhaust(2_000);
+    let mut ledger = TestLedger::new();
+    let (request, retry_after) = ledger.exhaust(2_000);
     let due_ms = 2_000 + retry_after.as_millis() as u64 + TRANSIT_MS;
-    assert!(desk.is_granted(request, due_ms));
+    assert!(ledger.is_granted(request, due_ms));
     // The bucket is at its limit again.
-    desk.exhaust(due_ms);
-    assert!(!desk.is_granted(request, due_ms));
+    ledger.exhaust(due_ms);
+    assert!(!ledger.is_granted(request, due_ms));
 }
 
 /// A change of the quota ends all promises; a quota that is far lower is not exceeded for their sake.
 #[test]
 fn promises_lapse_when_the_quota_changes() {
-    let mut desk = Desk::new();
-    desk.exhaust(2_000);
+    let mut ledger = TestLedger::new();
+    ledger.exhaust(2_000);
     let mut refused = Vec::new();
     for content in 1..60 {
         let request = Request::long_prompt(content, 10_000);
-        if let LedgerReply::Refused { retry_after, .. } = desk.ask(request, 2_000) {
+        if let LedgerReply::Refused { retry_after, .. } = ledger.ask(request, 2_000) {
             refused.push((request, retry_after));
         }
     }
-    desk.rate_per_s = RATE_PER_S / 20;
-    desk.ask(Request::long_prompt(1_000, 10_000), 2_010);
+    ledger.rate_per_s = RATE_PER_S / 20;
+    ledger.ask(Request::long_prompt(1_000, 10_000), 2_010);
     let granted = refused
         .iter()
         .filter(|(request, retry_after)| {
-            desk.is_granted(*request, 2_010 + retry_after.as_millis() as u64)
+            ledger.is_granted(*request, 2_010 + retry_after.as_millis() as u64)
         })
         .count();
     // 50,000 tokens a second for at most 1.5 s.
@@ -328,15 +328,15 @@
 /// The number of promises is bounded, whatever callers send.
 #[test]
 fn the_number_of_promises_is_bounded() {
-    let mut desk = Desk::new();
-    desk.exhaust(2_000);
+    let mut ledger = TestLedger::new();
+    ledger.exhaust(2_000);
     let mut promised = 0;
     for content in 1..20_000 {
         let request = Request {
             time_left_ms: 20_000,
             ..Request::long_prompt(content, 3_000)
         };
-        if let LedgerReply::Refused { retry_after, .. } = desk.ask(request, 2_000) {
+        if let LedgerReply::Refused { retry_after, .. } = ledger.ask(request, 2_000) {
             promised += u64::from(request.is_promised(retry_after));
         }
     }
@@ -376,16 +376,16 @@
 /// Load: a flood far beyond the quota, of callers that could wait for longer than the window.
 #[test]
 fn no_more_is_promised_than_is_refilled_within_the_window() {
-    let mut desk = Desk::new();
+    let mut ledger = TestLedger::new();
     let mut promised = 0;
     let mut last_due = Duration::ZERO;
-    desk.exhaust(2_000);
+    ledger.exhaust(2_000);
     for content in 0..400 {
         let request = Request {
             time_left_ms: 60_000,
             ..Request::long_prompt(content, 100_000)
         };
-        let LedgerReply::Refused { retry_after, .. } = desk.ask(request, 2_000) else {
+        let LedgerReply::Refused { retry_after, .. } = ledger.ask(request, 2_000) else {
             continue;
         };
         // The longest delay that is told is the window, which promises nothing.
@@ -397,5 +397,5 @@
     assert!(promised > 0);
     assert!(promised <= 8 * RATE_PER_S, "{promised} until {last_due:?}");
     // The bucket is full when the promises have lapsed, and newcomers are granted at once.
-    assert!(desk.is_granted(Request::long_prompt(1_000, 10_000), 12_000));
+    assert!(ledger.is_granted(Request::long_prompt(1_000, 10_000), 12_000));
 }
--- a/crates/proxy/src/load/admission.rs
+++ b/crates/proxy/src/load/admission.rs
@@ -6,12 +6,10 @@
 
 use std::time::Duration;
 
-use railtack_serving::Policy;
+use railtack_serving::{LEAST_URGENT_PRIORITY, Policy};
 
 /// Priority of late prompts, less urgent than that of any route.
 pub const LATE_PRIORITY: u8 = u8::MAX;
-/// Largest priority value of a route that makes a difference.
-pub const LEAST_URGENT: u8 = 9;
 
 /// Expected time of the mean of the service's replicas, in objectives, above which the service is overloaded: a
 /// queue at a single replica is not an overload.
@@ -204,7 +202,8 @@
     if needs.is_returning {
         return needs.time_left;
     }
-    let urgency = f64::from(needs.priority.min(LEAST_URGENT)) / f64::from(LEAST_URGENT);
+    let urgency =
+        f64::from(needs.priority.min(LEAST_URGENT_PRIORITY)) / f64::from(LEAST_URGENT_PRIORITY);
     let share =
         MOST_URGENT_LATE_SHARE - urgency * (MOST_URGENT_LATE_SHARE - LEAST_URGENT_LATE_SHARE);
     let objective = needs.reachable_objective();
--- a/crates/proxy/src/load/urgency_mix.rs
+++ b/crates/proxy/src/load/urgency_mix.rs
@@ -5,15 +5,14 @@
 
 use std::time::Duration;
 
+use railtack_serving::LEAST_URGENT_PRIORITY;
 use tokio::time::Instant;
 
-use super::admission::LEAST_URGENT;
-
 /// Half-life of the sums; the mix of routes changes within seconds when a wave begins.
 const HALF_LIFE: Duration = Duration::from_secs(5);
 /// Tokens sent before the parts are used.
 const MIN_SAMPLE_TOKENS: f64 = 20_000.0;
-const PRIORITIES: usize = LEAST_URGENT as usize + 1;
+const PRIORITIES: usize = LEAST_URGENT_PRIORITY as usize + 1;
 
 /// Decayed sums of the uncached tokens sent by priority.
 #[derive(Clone, Copy, Debug, Default)]
@@ -48,5 +47,5 @@
 }
 
 fn index(priority: u8) -> usize {
-    usize::from(priority.min(LEAST_URGENT))
+    usize::from(priority.min(LEAST_URGENT_PRIORITY))
 }
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -12,9 +12,9 @@
     },
     registry::Registry,
 };
-use railtack_serving::{ReplicaRecord, ReplicaState, RequestKind};
+use railtack_serving::{LEAST_URGENT_PRIORITY, ReplicaRecord, ReplicaState, RequestKind};
 
-use crate::load::admission::{Answer, LEAST_URGENT};
+use crate::load::admission::Answer;
 
 /// Labels of a counter by outcome.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -37,7 +37,7 @@
 pub struct AnswerLabels {
     /// `in_time`, `late` or `refused`.
     pub answer: &'static str,
-    /// Priority of the request, at most [`LEAST_URGENT`].
+    /// Priority of the request, at most [`LEAST_URGENT_PRIORITY`].
     pub priority: u8,
 }
 
@@ -242,7 +242,7 @@
     pub fn record_answer(&self, answer: Answer, priority: u8) {
         let labels = AnswerLabels {
             answer: answer.name(),
-            priority: priority.min(LEAST_URGENT),
+            priority: priority.min(LEAST_URGENT_PRIORITY),
         };
         self.load_answers.get_or_create(&labels).inc();
     }
--- a/crates/proxy/src/selection.rs
+++ b/crates/proxy/src/selection.rs
@@ -149,15 +149,9 @@
                 return Err(NoTarget::TooLate { retry_after });
             }
         }
-        let store = self.store(configuration);
-        target.fetch_from = self
-            .fetch_source(&homes, &mut replicas, &target.record)
-            .or_else(|| store.map(|store| store.address.clone()))
-            .filter(|_| self.state.options.policy.fetch);
+        let peer = self.fetch_source(&homes, &mut replicas, &target.record);
         drop(replicas);
-        target.save_to = store
-            .filter(|_| self.should_save(target.cached_tokens, configuration))
-            .map(|store| store.address.clone());
+        self.set_prefix_sources(&mut target, peer, configuration);
         self.log.record_selection(&target);
         Ok(target)
     }
--- a/crates/proxy/src/selection/sources.rs
+++ b/crates/proxy/src/selection/sources.rs
@@ -3,9 +3,28 @@
 use railtack_serving::{ReplicaKey, ReplicaRecord, ServingConfiguration, StoreConfig};
 use tokio::time::Instant;
 
-use crate::{affinity::rendezvous, homes::Homes, pipeline::RequestRun, replicas::ReplicaTable};
+use crate::{
+    affinity::rendezvous, attempt::Target, homes::Homes, pipeline::RequestRun,
+    replicas::ReplicaTable,
+};
 
 impl RequestRun {
+    /// Sets from where the target fetches cached prefixes, `peer` or else the store, and whether it saves the prompt.
+    pub(super) fn set_prefix_sources(
+        &self,
+        target: &mut Target,
+        peer: Option<String>,
+        configuration: &ServingConfiguration,
+    ) {
+        let store = self.store(configuration);
+        target.fetch_from = peer
+            .or_else(|| store.map(|store| store.address.clone()))
+            .filter(|_| self.state.options.policy.fetch);
+        target.save_to = store
+            .filter(|_| self.should_save(target.cached_tokens, configuration))
+            .map(|store| store.address.clone());
+    }
+
     /// Returns a replica with the same weights that probably caches what the chosen one lacks.
     /// Peers are preferred over the store, whose link is shared by all replicas.
     pub(super) fn fetch_source(
@@ -42,11 +61,7 @@
     /// Whether the prompt is to be saved to the store. A prefix that was sent to this replica
     /// before has been considered for saving already. Prompts are spread over all stores, so their
     /// total capacity bounds the saves.
-    pub(super) fn should_save(
-        &self,
-        cached_tokens: u64,
-        configuration: &ServingConfiguration,
-    ) -> bool {
+    fn should_save(&self, cached_tokens: u64, configuration: &ServingConfiguration) -> bool {
         let capacity_tokens = stores(configuration)
             .map(|store| store.capacity_tokens)
             .sum();
@@ -55,10 +70,7 @@
     }
 
     /// Returns the store for this prompt's prefix; every router picks the same one.
-    pub(super) fn store<'a>(
-        &self,
-        configuration: &'a ServingConfiguration,
-    ) -> Option<&'a StoreConfig> {
+    fn store<'a>(&self, configuration: &'a ServingConfiguration) -> Option<&'a StoreConfig> {
         let key = self.path.key()?;
         stores(configuration).max_by_key(|store| rendezvous(key, &store.address))
     }
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -171,7 +171,7 @@
         if self.ended {
             return self.finish();
         }
-        let asked_at = Instant::now();
+        let polled_at = Instant::now();
         loop {
             let deadline = self.silence_deadline();
             let mut active = self.active.take()?;
@@ -183,7 +183,7 @@
                         return self.abort("event too large");
                     }
                     if !events.is_empty() {
-                        self.record_gap(asked_at);
+                        self.record_gap(polled_at);
                         return Some(Ok(events));
                     }
                 }
@@ -206,9 +206,9 @@
         }
     }
 
-    fn record_gap(&mut self, asked_at: Instant) {
+    fn record_gap(&mut self, polled_at: Instant) {
         let now = Instant::now();
-        let gap = self.gaps.event(asked_at, now);
+        let gap = self.gaps.event(polled_at, now);
         let active = self.active.as_ref().filter(|_| self.run.has_prompt());
         if let (Some(gap), Some(active)) = (gap, active) {
             active.target.handle.record_gap(gap, now);
--- a/crates/serving/src/configuration.rs
+++ b/crates/serving/src/configuration.rs
@@ -6,6 +6,9 @@
 
 use crate::{errors::ConfigurationError, quota::TenantQuota};
 
+/// Least urgent priority; larger values count as this one.
+pub const LEAST_URGENT_PRIORITY: u8 = 9;
+
 /// Retry semantics of the requests of a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
 pub enum RequestKind {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -22,8 +22,8 @@
     AdvertisedLimit, AdvertisedState, Availability, BackendSignals, MonotonicTime, SignalChanges,
 };
 pub use configuration::{
-    CallerLimits, EngineConfig, RequestKind, Route, ServiceConfig, ServingConfiguration,
-    StoreConfig, TenantConfig, WeightedService,
+    CallerLimits, EngineConfig, LEAST_URGENT_PRIORITY, RequestKind, Route, ServiceConfig,
+    ServingConfiguration, StoreConfig, TenantConfig, WeightedService,
 };
 pub use content::{ContentKey, RequestContent};
 pub use errors::ConfigurationError;
