--- a/crates/proxy/src/selection.rs
+++ b/crates/proxy/src/selection.rs
@@ -1,6 +1,6 @@
 //! Selects the replica for a request and the sources it fetches cached prefixes from.
 //!
-//! Replicas are ranked by [`homes`](crate::homes), compared by [`scoring`], and reserved by
+//! Replicas are ranked by [`homes`](crate::homes), compared by [`choice`], and reserved by
 //! [`permits`] if they advertise a rate limit.
 
 use std::{
