Prefer the newest weights only where the shared view is used

The load of the service comes from the shared view, which choices use from 20 routers on; below that, homes stay as before.

--- a/crates/proxy/src/selection/candidates.rs
+++ b/crates/proxy/src/selection/candidates.rs
@@ -62,7 +62,10 @@
         let policy = self.state.options.policy;
         let home = self.path.key().filter(|_| policy.homes);
         let service_load = |start, size| {
-            let fleet = self.state.current_fleet(now)?;
+            let fleet = self
+                .state
+                .current_fleet(now)
+                .filter(|_| self.routers() >= MIN_ROUTERS_FOR_SHARED_LOAD)?;
             let replicas = ring.iter_from(start).take(size);
             service_load(replicas, &fleet, configuration, &self.service)
         };
