Share the decay of sums, and read the estimate of a service once per decision

The decision in time, late or refused read the estimate of its service six times, each with a lock and a copy; it reads it once now, and the load of the candidates reads the clock once. A function that only called FleetView::shared_load is gone. Quota tests share their bounds and quotas; their assertions and figures are as before.

Behaviour is meant to be unchanged.

--- a/crates/control/tests/quota.rs
+++ b/crates/control/tests/quota.rs
@@ -4,6 +4,8 @@
 //!
 //! Runs use virtual time. Each mutant removes one safeguard and must be detected.
 
+mod support;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -14,8 +16,9 @@
     ledger::{LedgerReply, QuotaLedger, Withdrawal},
 };
 use railtack_rpc::serving::{GRANT_TTL, GRANT_WAIT_DIVISOR, QuotaUrgency};
-use railtack_serving::{ContentKey, QuotaBounds, QuotaUnit, TenantQuota};
+use railtack_serving::{ContentKey, TenantQuota};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
+use support::{at, bounds, quota};
 use tokio::time::Instant;
 
 const SEEDS: u64 = 3_000;
@@ -26,6 +29,8 @@
 const RUN_MS: u64 = 24_000;
 const ROUTERS: u32 = 300;
 const TENANT: &str = "office";
+/// Tolerated usage above the quota, tokens.
+const SLACK: f64 = 110_000.0;
 
 /// A safeguard that is removed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,27 +51,6 @@
     PromisesGrantedTwice,
 }
 
-fn bounds() -> QuotaBounds {
-    QuotaBounds {
-        window_ms: 8_000,
-        overage: 0.1,
-        slack: 110_000.0,
-    }
-}
-
-fn quota(rate_per_s: u64, burst: u64) -> TenantQuota {
-    TenantQuota {
-        unit: QuotaUnit::Tokens,
-        rate_per_s,
-        burst,
-        default_tokens: 200,
-    }
-}
-
-fn at(start: Instant, milliseconds: u64) -> Instant {
-    start + Duration::from_millis(milliseconds)
-}
-
 /// A control replica that is the leader, or believes that it is.
 struct Leader {
     ledger: QuotaLedger,
@@ -154,9 +138,13 @@
             previous.last_confirmation_ms = Some(now_ms.saturating_sub(confirmation_age));
         }
         let began = at(self.start, now_ms);
-        let mut ledger = QuotaLedger::new(bounds(), grant_times(), began);
+        let mut ledger = QuotaLedger::new(bounds(SLACK), grant_times(), began);
         if self.mutant == Mutant::FullBucketsAtNewTerm {
-            ledger = QuotaLedger::new(bounds(), grant_times(), began - Duration::from_secs(60));
+            ledger = QuotaLedger::new(
+                bounds(SLACK),
+                grant_times(),
+                began - Duration::from_secs(60),
+            );
         }
         self.leaders.push(Leader {
             ledger,
@@ -346,7 +334,7 @@
     /// The first window that exceeds its bound: its start, the cost and the bound.
     fn violated_window(&mut self) -> Option<(u64, f64, f64)> {
         self.usages.sort_by_key(|used| used.at_ms);
-        let window = bounds().window_ms;
+        let window = bounds(SLACK).window_ms;
         let mut end = 0;
         let mut sum = 0.0;
         for begin in 0..self.usages.len() {
@@ -366,7 +354,7 @@
 
     /// The bound on a window; a lower quota applies one window after its change.
     fn bound(&self, began_ms: u64, window_ms: u64) -> f64 {
-        let bounds = bounds();
+        let bounds = bounds(SLACK);
         let mut largest: f64 = 0.0;
         for (position, (from_ms, quota)) in self.quotas.iter().enumerate() {
             let until_ms = self
--- a/crates/control/tests/quota_ledger.rs
+++ b/crates/control/tests/quota_ledger.rs
@@ -1,37 +1,21 @@
 //! Single decisions of the ledger of tenant quotas, for requests without urgency.
 
+mod support;
+
 use std::time::Duration;
 
 use railtack_control::serving::quota::{
     grant_times,
     ledger::{LedgerReply, QuotaLedger, Withdrawal},
 };
-use railtack_serving::{QuotaBounds, QuotaUnit, TenantQuota};
+
 use rand::{RngExt, SeedableRng, rngs::StdRng};
+use support::{at, bounds, quota};
 use tokio::time::Instant;
 
 const TENANT: &str = "office";
-
-fn bounds() -> QuotaBounds {
-    QuotaBounds {
-        window_ms: 8_000,
-        overage: 0.1,
-        slack: 110_000.0,
-    }
-}
-
-fn quota(rate_per_s: u64, burst: u64) -> TenantQuota {
-    TenantQuota {
-        unit: QuotaUnit::Tokens,
-        rate_per_s,
-        burst,
-        default_tokens: 200,
-    }
-}
-
-fn at(start: Instant, milliseconds: u64) -> Instant {
-    start + Duration::from_millis(milliseconds)
-}
+/// Tolerated usage above the quota, tokens.
+const SLACK: f64 = 110_000.0;
 
 fn withdraw(ledger: &mut QuotaLedger, cost: u64, now: Instant) -> LedgerReply {
     let withdrawal = Withdrawal {
@@ -47,7 +31,7 @@
 #[test]
 fn requests_below_the_quota_are_granted() {
     let start = Instant::now();
-    let mut ledger = QuotaLedger::new(bounds(), grant_times(), start);
+    let mut ledger = QuotaLedger::new(bounds(SLACK), grant_times(), start);
     let mut random = StdRng::seed_from_u64(7);
     let mut now_ms = 2_000.0;
     let mut refused = 0;
@@ -64,7 +48,7 @@
 #[test]
 fn small_requests_do_not_starve_a_large_one() {
     let start = Instant::now();
-    let mut ledger = QuotaLedger::new(bounds(), grant_times(), start);
+    let mut ledger = QuotaLedger::new(bounds(SLACK), grant_times(), start);
     let mut now = at(start, 5_000);
     while matches!(withdraw(&mut ledger, 5_000, now), LedgerReply::Granted { wait } if wait.is_zero())
     {
@@ -87,7 +71,7 @@
 #[test]
 fn refused_callers_get_increasing_retry_delays() {
     let start = Instant::now();
-    let mut ledger = QuotaLedger::new(bounds(), grant_times(), start);
+    let mut ledger = QuotaLedger::new(bounds(SLACK), grant_times(), start);
     let now = at(start, 5_000);
     let mut retry_delays = Vec::new();
     for _ in 0..60 {
@@ -105,8 +89,8 @@
 #[test]
 fn the_first_ledger_starts_full_and_later_ones_empty() {
     let start = Instant::now();
-    let mut first = QuotaLedger::with_full_buckets(bounds(), grant_times(), start);
-    let mut later = QuotaLedger::new(bounds(), grant_times(), start);
+    let mut first = QuotaLedger::with_full_buckets(bounds(SLACK), grant_times(), start);
+    let mut later = QuotaLedger::new(bounds(SLACK), grant_times(), start);
     let granted = |ledger: &mut QuotaLedger| {
         matches!(
             withdraw(ledger, 90_000, start),
@@ -120,7 +104,7 @@
 #[test]
 fn a_raised_quota_is_usable_at_once() {
     let start = Instant::now();
-    let mut ledger = QuotaLedger::new(bounds(), grant_times(), start);
+    let mut ledger = QuotaLedger::new(bounds(SLACK), grant_times(), start);
     let mut now = at(start, 5_000);
     while matches!(
         withdraw(&mut ledger, 20_000, now),
--- a/crates/control/tests/quota_returns.rs
+++ b/crates/control/tests/quota_returns.rs
@@ -1,6 +1,8 @@
 //! Callers that a quota refused and that return at the time they were told: capacity that was promised is
 //! there, and only that is promised.
 
+mod support;
+
 use std::{collections::BTreeMap, time::Duration};
 
 use railtack_control::serving::quota::{
@@ -8,23 +10,15 @@
     ledger::{LedgerReply, QuotaLedger, Withdrawal},
 };
 use railtack_rpc::serving::{GRANT_WAIT_DIVISOR, QuotaUrgency};
-use railtack_serving::{ContentKey, QuotaBounds, QuotaUnit, TenantQuota};
+use railtack_serving::{ContentKey, QuotaBounds, TenantQuota};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
+use support::{bounds, quota};
 use tokio::time::Instant;
 
 const RATE_PER_S: u64 = 1_000_000;
 /// Time that a refusal and the returning request take.
 const TRANSIT_MS: u64 = 15;
 
-fn quota(rate_per_s: u64) -> TenantQuota {
-    TenantQuota {
-        unit: QuotaUnit::Tokens,
-        rate_per_s,
-        burst: rate_per_s,
-        default_tokens: 200,
-    }
-}
-
 /// A request, with the route's objective and the caller's remaining time.
 #[derive(Clone, Copy)]
 struct Request {
@@ -58,7 +52,7 @@
     fn withdrawal(&self, rate_per_s: u64) -> Withdrawal<'static> {
         Withdrawal {
             account: "office",
-            quota: quota(rate_per_s),
+            quota: quota(rate_per_s, rate_per_s),
             cost: self.cost,
             max_wait: Duration::from_millis(u64::from(self.objective_ms)) / GRANT_WAIT_DIVISOR,
             urgency: Some(self.urgency()),
@@ -80,14 +74,9 @@
 
 impl TestLedger {
     fn new() -> Self {
-        let bounds = QuotaBounds {
-            window_ms: 8_000,
-            overage: 0.1,
-            slack: 0.0,
-        };
         let start = Instant::now();
         Self {
-            ledger: QuotaLedger::new(bounds, grant_times(), start),
+            ledger: QuotaLedger::new(bounds(0.0), grant_times(), start),
             start,
             rate_per_s: RATE_PER_S,
         }
@@ -359,7 +348,7 @@
         let withdrawal = Withdrawal {
             quota: TenantQuota {
                 burst: 50_000,
-                ..quota(0)
+                ..quota(0, 0)
             },
             ..request.withdrawal(0)
         };
--- a/crates/control/tests/quota_urgency.rs
+++ b/crates/control/tests/quota_urgency.rs
@@ -1,6 +1,8 @@
 //! Quotas of tenants that send requests of several urgencies: the urgent get through, and the rest use
 //! what these leave.
 
+mod support;
+
 use std::time::Duration;
 
 use railtack_control::serving::quota::{
@@ -8,8 +10,9 @@
     ledger::{LedgerReply, QuotaLedger, Withdrawal},
 };
 use railtack_rpc::serving::{GRANT_WAIT_DIVISOR, QuotaUrgency};
-use railtack_serving::{ContentKey, QuotaBounds, QuotaUnit, TenantQuota};
+use railtack_serving::ContentKey;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
+use support::{bounds, quota};
 use tokio::time::Instant;
 
 const RATE_PER_S: u64 = 1_000_000;
@@ -18,21 +21,7 @@
 const RUN_MS: u64 = 8_000;
 
 fn ledger(start: Instant) -> QuotaLedger {
-    let bounds = QuotaBounds {
-        window_ms: 8_000,
-        overage: 0.1,
-        slack: 0.0,
-    };
-    QuotaLedger::new(bounds, grant_times(), start)
-}
-
-fn quota(rate_per_s: u64) -> TenantQuota {
-    TenantQuota {
-        unit: QuotaUnit::Tokens,
-        rate_per_s,
-        burst: rate_per_s,
-        default_tokens: 200,
-    }
+    QuotaLedger::new(bounds(0.0), grant_times(), start)
 }
 
 /// Requests of one route.
@@ -75,7 +64,7 @@
         });
         Withdrawal {
             account: "office",
-            quota: quota(rate_per_s),
+            quota: quota(rate_per_s, rate_per_s),
             cost,
             max_wait: Duration::from_millis(u64::from(self.objective_ms)) / GRANT_WAIT_DIVISOR,
             urgency,
--- a/crates/proxy/src/estimates.rs
+++ b/crates/proxy/src/estimates.rs
@@ -6,9 +6,32 @@
 
 use crate::{
     load::estimate::{ReplicaLoad, ServiceEstimate},
+    prefill_latency::PrefillLatency,
     state::lock,
 };
 
+/// What is known of the time to the first event of a service's prompts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FirstEventEstimate {
+    /// The fitted estimate.
+    pub estimate: ServiceEstimate,
+    /// The mean time per token, used while the estimate has too few samples of different sizes.
+    pub latency: PrefillLatency,
+}
+
+impl FirstEventEstimate {
+    /// Returns the expected time to the first event of a prompt at a replica with the given load.
+    pub fn expect(&self, uncached_tokens: u64, load: ReplicaLoad) -> Option<Duration> {
+        let expectation = self.estimate.expect(uncached_tokens, load);
+        expectation
+            .map(|expected| expected.first_event)
+            .or_else(|| {
+                self.latency
+                    .first_event(uncached_tokens, load.queued_tokens)
+            })
+    }
+}
+
 /// Estimates by name of the service.
 #[derive(Debug, Default)]
 pub struct Estimates {
--- a/crates/proxy/src/fleet_view.rs
+++ b/crates/proxy/src/fleet_view.rs
@@ -10,7 +10,9 @@
 use railtack_serving::{RelativeSpeed, ReplicaKey, RequestLimit};
 use tokio::time::Instant;
 
-use crate::{load::estimate::ReplicaLoad, replicas::OwnLoad, scoring::SharedLoad};
+use crate::{
+    decay::remaining_share, load::estimate::ReplicaLoad, replicas::OwnLoad, scoring::SharedLoad,
+};
 
 /// Maximum age of a usable digest; load changes within seconds.
 const DIGEST_MAX_AGE: Duration = Duration::from_millis(3_000);
@@ -110,7 +112,7 @@
     fn decayed_peak(&self, now: Instant) -> f64 {
         let decayed = self.peak.map(|(open, at)| {
             let age = now.saturating_duration_since(at);
-            open * 0.5_f64.powf(age.as_secs_f64() / PEAK_HALF_LIFE.as_secs_f64())
+            open * remaining_share(age, PEAK_HALF_LIFE)
         });
         decayed.unwrap_or_default()
     }
--- a/crates/proxy/src/health.rs
+++ b/crates/proxy/src/health.rs
@@ -4,6 +4,8 @@
 
 use tokio::time::Instant;
 
+use crate::decay::remaining_share;
+
 /// First pause after a replica was unreachable; doubled by each further failure in a row.
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 /// Longest pause.
@@ -12,8 +14,8 @@
 const DECLINED_PAUSE: Duration = Duration::from_millis(120);
 /// Weight of the latest outcome in the failure rate.
 const LATEST_WEIGHT: f64 = 0.2;
-/// Half-life of the failure rate, seconds; lets a failing replica receive requests again.
-const HALF_LIFE_S: f64 = 4.0;
+/// Half-life of the failure rate; lets a failing replica receive requests again.
+const HALF_LIFE: Duration = Duration::from_secs(4);
 
 /// Outcome of an exchange with a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,8 +61,8 @@
 
     /// Returns the share of recent exchanges that failed, decayed over time.
     pub fn failure_rate(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.rated_at).as_secs_f64();
-        self.failure_rate * 0.5_f64.powf(age / HALF_LIFE_S)
+        let age = now.saturating_duration_since(self.rated_at);
+        self.failure_rate * remaining_share(age, HALF_LIFE)
     }
 
     /// Whether the replica has been unreachable since its last response.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod control_peers;
 pub mod control_watch;
 pub mod crash_detection;
+pub mod decay;
 pub mod entry;
 pub mod estimates;
 pub mod events;
--- a/crates/proxy/src/load/fit.rs
+++ b/crates/proxy/src/load/fit.rs
@@ -1,10 +1,14 @@
 //! Running fits of latencies that bound the influence of single samples. Pure.
 
+use std::time::Duration;
+
 use tokio::time::Instant;
 
-/// Half-life of samples of a line, seconds. How long a queue of the digest lasts changes with the load: within
+use crate::decay::remaining_share;
+
+/// Half-life of samples of a line. How long a queue of the digest lasts changes with the load: within
 /// seconds, a queue that was gone when the prompt arrived becomes one that is replaced as it is prefilled.
-const HALF_LIFE_S: f64 = 5.0;
+const HALF_LIFE: Duration = Duration::from_secs(5);
 /// Decayed number of samples required before a line or level is used.
 const MIN_SAMPLES: f64 = 12.0;
 /// Standard deviation of the sampled tokens from which the time per token can be told from the fixed time.
@@ -87,8 +91,8 @@
     fn decay(&mut self, now: Instant) {
         let age = self
             .updated_at
-            .map_or(0.0, |at| now.saturating_duration_since(at).as_secs_f64());
-        let factor = 0.5_f64.powf(age / HALF_LIFE_S);
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let factor = remaining_share(age, HALF_LIFE);
         let sums = [
             &mut self.samples,
             &mut self.above_bound,
--- a/crates/proxy/src/load/pace.rs
+++ b/crates/proxy/src/load/pace.rs
@@ -9,11 +9,11 @@
 use railtack_serving::ReplicaKey;
 use tokio::time::Instant;
 
-use crate::prefill_latency::PrefillBacklog;
+use crate::{decay::remaining_share, prefill_latency::PrefillBacklog};
 
-/// Half-life of the sums, seconds. It covers enough streams to tell a step of speed from chance; a router sends
+/// Half-life of the sums. It covers enough streams to tell a step of speed from chance; a router sends
 /// a prompt to a given replica only every few seconds.
-const HALF_LIFE_S: f64 = 15.0;
+const HALF_LIFE: Duration = Duration::from_secs(15);
 /// Longest recorded gap. A longer one shows a stall or a lost packet instead of the speed.
 const MAX_GAP: Duration = Duration::from_millis(1_000);
 /// Longest recorded time to a first event, for the same reason.
@@ -81,7 +81,7 @@
         if age.is_zero() {
             return;
         }
-        let factor = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE_S);
+        let factor = remaining_share(age, HALF_LIFE);
         self.first_events *= factor;
         self.prefilled_tokens *= factor;
         self.first_event_ms *= factor;
--- a/crates/proxy/src/load/urgency_mix.rs
+++ b/crates/proxy/src/load/urgency_mix.rs
@@ -8,6 +8,8 @@
 use railtack_serving::LEAST_URGENT_PRIORITY;
 use tokio::time::Instant;
 
+use crate::decay::remaining_share;
+
 /// Half-life of the sums; the mix of routes changes within seconds when a wave begins.
 const HALF_LIFE: Duration = Duration::from_secs(5);
 /// Tokens sent before the parts are used.
@@ -27,7 +29,7 @@
         let age = self
             .updated_at
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        let decay = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        let decay = remaining_share(age, HALF_LIFE);
         for sum in &mut self.tokens {
             *sum *= decay;
         }
--- a/crates/proxy/src/prefill_latency.rs
+++ b/crates/proxy/src/prefill_latency.rs
@@ -8,8 +8,10 @@
 
 use tokio::time::Instant;
 
-/// Half-life of samples, seconds; load changes within seconds.
-const HALF_LIFE_S: f64 = 5.0;
+use crate::decay::remaining_share;
+
+/// Half-life of samples; load changes within seconds.
+const HALF_LIFE: Duration = Duration::from_secs(5);
 /// Prefilled tokens required before the latency is used.
 const MIN_SAMPLE_TOKENS: f64 = 20_000.0;
 /// Expected latency, in objectives, above which a prompt is refused. The queue length is about a
@@ -51,7 +53,7 @@
         let age = self
             .updated_at
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        let decay = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE_S);
+        let decay = remaining_share(age, HALF_LIFE);
         self.wait_s = self.wait_s * decay + waited.as_secs_f64();
         self.tokens =
             self.tokens * decay + (backlog.uncached_tokens + backlog.queued_tokens) as f64;
--- a/crates/proxy/src/selection/candidates.rs
+++ b/crates/proxy/src/selection/candidates.rs
@@ -5,7 +5,6 @@
 use railtack_serving::{Availability, ReplicaKey, ReplicaRecord, ServingConfiguration};
 use tokio::time::Instant;
 
-use super::loads::shared_load;
 use crate::{
     attempt::Target,
     fleet_view::{FleetView, MIN_ROUTERS_FOR_SHARED_LOAD},
@@ -169,7 +168,9 @@
         let mut eligible = Vec::with_capacity(ranked.len());
         for (rank, record) in ranked.iter().copied().enumerate() {
             let handle = table.handle(&record.id, now);
-            let shared = fleet.as_ref().map(|fleet| shared_load(fleet, record));
+            let shared = fleet
+                .as_ref()
+                .map(|fleet| fleet.shared_load(ReplicaKey::of(&record.id)));
             let accepts = table.availability.accepts_requests(&record.id, uptime);
             let is_paused = policy.pauses && !handle.is_available(now);
             if !accepts || is_paused || !handle.pool.has_capacity(connection_limit) {
@@ -254,7 +255,7 @@
         ..ServiceLoad::default()
     };
     for record in replicas {
-        let load = shared_load(fleet, record);
+        let load = fleet.shared_load(ReplicaKey::of(&record.id));
         total.open_requests += u64::from(load.open_requests);
         total.pending_prefill_tokens += load.pending_prefill_tokens;
     }
--- a/crates/proxy/src/selection/loads.rs
+++ b/crates/proxy/src/selection/loads.rs
@@ -8,11 +8,9 @@
 use super::candidates::EligibleReplica;
 use crate::{
     attempt::Target,
-    fleet_view::FleetView,
-    load::{estimate::ReplicaLoad, longest_gap::LongestGap, pace::Gap},
+    load::{longest_gap::LongestGap, pace::Gap},
     pipeline::RequestRun,
     replicas::{OwnLoad, ReplicaTable},
-    scoring::SharedLoad,
     state::lock,
 };
 
@@ -48,7 +46,9 @@
         if self.learns_latencies() && !gap.is_of_slow_reader() {
             longest.record(gap.length, || {
                 let own = target.handle.own_load();
-                self.replica_load(&lock(&self.state.fleet), &target.record, own)
+                let now = self.shared_view_time();
+                let replica = ReplicaKey::of(&target.record.id);
+                lock(&self.state.fleet).load(replica, own, now)
             });
         }
     }
@@ -80,21 +80,21 @@
             .collect();
         let mean = mean_unshared_tokens(&own);
         let home = self.fetchable_home(ranked, table);
+        let now = self.shared_view_time();
         let fleet = lock(&self.state.fleet);
         for (entry, own) in eligible.iter_mut().zip(own) {
             let record = &entry.target.record;
-            let mut load = self.replica_load(&fleet, record, own);
+            let mut load = fleet.load(ReplicaKey::of(&record.id), own, now);
             load.held_tokens = mean * u64::from(load.open_requests);
             entry.candidate.load = load;
             entry.candidate.can_fetch = home.is_some_and(|home| self.can_fetch(record, home));
         }
     }
 
-    /// Returns the load of a replica, without the tokens that it holds.
-    fn replica_load(&self, fleet: &FleetView, record: &ReplicaRecord, own: OwnLoad) -> ReplicaLoad {
+    /// Returns the time at which the digest must be current to be used; `None` if it is not used at all.
+    fn shared_view_time(&self) -> Option<Instant> {
         let is_used = self.state.options.policy.shared_view;
-        let now = Some(Instant::now()).filter(|_| is_used);
-        fleet.load(ReplicaKey::of(&record.id), own, now)
+        is_used.then(Instant::now)
     }
 
     /// Returns the home if this router sent it the shared prefix, so that other replicas can fetch it there.
@@ -125,8 +125,3 @@
     let requests: u64 = own.iter().map(|load| u64::from(load.open_requests)).sum();
     tokens / requests.max(1)
 }
-
-/// Returns the load of all routers at a replica; a replica missing from the digest is idle.
-pub(super) fn shared_load(fleet: &FleetView, record: &ReplicaRecord) -> SharedLoad {
-    fleet.shared_load(ReplicaKey::of(&record.id))
-}
--- a/crates/proxy/src/selection/overload.rs
+++ b/crates/proxy/src/selection/overload.rs
@@ -2,10 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use railtack_serving::ReplicaRecord;
+use railtack_serving::{ReplicaKey, ReplicaRecord};
 use tokio::time::Instant;
 
-use super::loads::shared_load;
 use crate::{
     attempt::Target,
     load::{
@@ -50,7 +49,10 @@
                 mean_queued_tokens: 0,
             };
         };
-        let pending = |record: &ReplicaRecord| shared_load(&fleet, record).pending_prefill_tokens;
+        let pending = |record: &ReplicaRecord| {
+            let load = fleet.shared_load(ReplicaKey::of(&record.id));
+            load.pending_prefill_tokens
+        };
         let sum: u64 = ranked.iter().map(|record| pending(record)).sum();
         PrefillBacklog {
             uncached_tokens,
@@ -151,13 +153,13 @@
                 late,
             )
         };
+        let estimate = self.state.first_event_estimate(&self.service);
         let expect = |uncached_tokens, queued_tokens, load: ReplicaLoad| {
             let load = ReplicaLoad {
                 queued_tokens,
                 ..load
             };
-            self.state
-                .expected_first_event(&self.service, uncached_tokens, load)
+            estimate.expect(uncached_tokens, load)
         };
         let uncached = backlog.uncached_tokens;
         let at_target = |queued| expect(uncached, queued, target.load);
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -25,10 +25,9 @@
     budget::{BudgetRule, RetryBudget},
     control_peers::ControlPeers,
     crash_detection,
-    estimates::Estimates,
+    estimates::{Estimates, FirstEventEstimate},
     fleet_view::FleetView,
     lease::Lease,
-    load::estimate::ReplicaLoad,
     metrics::ProxyMetrics,
     overload::OverloadTable,
     prefill_latency::{PrefillBacklog, PrefillLatency},
@@ -325,21 +324,13 @@
             .retry_after(backlog, objective)
     }
 
-    /// Returns the expected time to the first event of a prompt at a replica with the given load.
-    pub fn expected_first_event(
-        &self,
-        service: &str,
-        uncached_tokens: u64,
-        load: ReplicaLoad,
-    ) -> Option<Duration> {
-        let expectation = self.estimates.get(service).expect(uncached_tokens, load);
-        expectation
-            .map(|expected| expected.first_event)
-            .or_else(|| {
-                lock(&self.prefill_latencies)
-                    .get(service)?
-                    .first_event(uncached_tokens, load.queued_tokens)
-            })
+    /// Returns what is known of the time to the first event of a service's prompts.
+    pub fn first_event_estimate(&self, service: &str) -> FirstEventEstimate {
+        let latency = lock(&self.prefill_latencies).get(service).copied();
+        FirstEventEstimate {
+            estimate: self.estimates.get(service),
+            latency: latency.unwrap_or_default(),
+        }
     }
 
     /// Returns the retry delay for a service whose replicas have reached their rate limits.
