Exclude process starts while a fleet allocates its ports

Seen: a process of a test fleet was not ready within 20 s.

Cause: the end of its log says "Address already in use" for a port that had just been allocated. A process that another test of the same binary starts holds copies of the allocation's listeners between fork and exec.

Change: allocations and process starts exclude each other; a start returns once the process runs its own program. The loopback address of a fleet carries two bytes of the process id instead of one.

--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -2,9 +2,10 @@
 
 use std::{
     fs::{self, File},
+    io,
     path::{Path, PathBuf},
-    process::Stdio,
-    sync::OnceLock,
+    process::{ExitStatus, Output, Stdio},
+    sync::{OnceLock, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard},
     time::Duration,
 };
 
@@ -126,7 +127,7 @@
             .stdout(log)
             .stderr(errors)
             .kill_on_drop(true)
-            .spawn()
+            .spawn_locked()
             .change_context_lazy(spawn_error)?;
         self.child = Some(child);
         Ok(())
@@ -146,7 +147,7 @@
         let status = Command::new("kill")
             .arg(format!("-{}", fault.signal()))
             .arg(id.to_string())
-            .status()
+            .status_locked()
             .await
             .change_context_lazy(failed)?;
         if !status.success() {
@@ -171,6 +172,51 @@
     }
 }
 
+/// Excludes process starts while ports are allocated. A new process holds the listeners of its parent until it
+/// runs its own program, so that a port would stay in use after its listener is closed.
+static PROCESS_STARTS: RwLock<()> = RwLock::new(());
+
+/// Blocks process starts until the guard is dropped.
+pub fn block_starts() -> RwLockWriteGuard<'static, ()> {
+    PROCESS_STARTS
+        .write()
+        .unwrap_or_else(PoisonError::into_inner)
+}
+
+fn wait_until_starts_are_allowed() -> RwLockReadGuard<'static, ()> {
+    PROCESS_STARTS
+        .read()
+        .unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Starts of processes that exclude port allocation.
+pub trait StartProcess {
+    /// Starts the process. Returns once it runs its own program.
+    fn spawn_locked(&mut self) -> io::Result<Child>;
+
+    /// Starts the process and waits until it exits.
+    fn status_locked(&mut self) -> impl Future<Output = io::Result<ExitStatus>> + Send;
+
+    /// Starts the process, waits until it exits, and returns its output.
+    fn output_locked(&mut self) -> impl Future<Output = io::Result<Output>> + Send;
+}
+
+impl StartProcess for Command {
+    fn spawn_locked(&mut self) -> io::Result<Child> {
+        let _guard = wait_until_starts_are_allowed();
+        self.spawn()
+    }
+
+    async fn status_locked(&mut self) -> io::Result<ExitStatus> {
+        self.spawn_locked()?.wait().await
+    }
+
+    async fn output_locked(&mut self) -> io::Result<Output> {
+        self.stdout(Stdio::piped()).stderr(Stdio::piped());
+        self.spawn_locked()?.wait_with_output().await
+    }
+}
+
 static LAB_BINARY: OnceLock<PathBuf> = OnceLock::new();
 
 /// Sets the path of the lab binary, for tests, which run in another binary. Only the first call has an effect.
--- a/crates/lab/src/fleet/running.rs
+++ b/crates/lab/src/fleet/running.rs
@@ -19,7 +19,7 @@
     LabError,
     fleet::{
         FleetShape, LabProcess,
-        process::{self, Program},
+        process::{self, Program, StartProcess},
         settings::{ControlEndpoints, Endpoints, SettingsWriter},
     },
 };
@@ -278,7 +278,7 @@
             .arg(self.endpoints.control_list())
             .args(arguments)
             .stdin(Stdio::null())
-            .output()
+            .output_locked()
             .await
             .change_context_lazy(|| failed(-1))?;
         if output.status.success() {
@@ -378,7 +378,7 @@
         .arg("--settings")
         .arg(settings)
         .arg("initialize")
-        .status()
+        .status_locked()
         .await
         .change_context_lazy(|| failed(-1))?;
     if status.success() {
--- a/crates/lab/src/fleet/settings.rs
+++ b/crates/lab/src/fleet/settings.rs
@@ -5,12 +5,18 @@
     fs,
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
-    sync::atomic::{AtomicU32, Ordering},
+    sync::{
+        RwLockWriteGuard,
+        atomic::{AtomicU32, Ordering},
+    },
 };
 
 use error_stack::{Report, ResultExt};
 
-use crate::{LabError, fleet::FleetShape};
+use crate::{
+    LabError,
+    fleet::{FleetShape, process},
+};
 
 /// Addresses of one control replica.
 #[derive(Clone, Debug)]
@@ -139,7 +145,7 @@
     }
 }
 
-/// Number of the next fleet of this process. It determines the loopback address of the fleet.
+/// Number of the next fleet of this process. With the process id, it determines the loopback address of the fleet.
 static NEXT_FLEET: AtomicU32 = AtomicU32::new(0);
 
 /// Allocates ports that stay free until the processes listen there. At a shared address another fleet or an
@@ -148,6 +154,8 @@
 struct PortAllocator {
     address: Ipv4Addr,
     held: Vec<TcpListener>,
+    /// Dropped after the listeners.
+    _starts_blocked: RwLockWriteGuard<'static, ()>,
 }
 
 impl PortAllocator {
@@ -155,15 +163,12 @@
         let fleet = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
         // Each byte between 1 and 250.
         let byte = |number: u32| (number % 250) as u8 + 1;
-        let address = Ipv4Addr::new(
-            127,
-            byte(std::process::id()),
-            byte(fleet / 250),
-            byte(fleet),
-        );
+        let process = std::process::id();
+        let address = Ipv4Addr::new(127, byte(process / 250), byte(process), byte(fleet));
         Self {
             address,
             held: Vec::new(),
+            _starts_blocked: process::block_starts(),
         }
     }
 
