--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,6 +1,6 @@
 //! HTTP client for back ends and the platform.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
@@ -11,7 +11,7 @@
     rt::{TokioExecutor, TokioIo},
 };
 use serde::de::DeserializeOwned;
-use tokio::{io::AsyncReadExt, net::TcpStream, time::timeout};
+use tokio::{net::TcpStream, time::timeout};
 
 use crate::{
     body::read_body,
@@ -21,8 +21,6 @@
 /// Maximum size of a JSON response, bytes.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 const MAX_IDLE_PER_HOST: usize = 64;
-/// Connections opened to find out whether a port closes.
-const MAX_PORT_PROBES: u32 = 3;
 
 /// HTTP client with a connection pool.
 #[derive(Clone, Debug)]
@@ -105,32 +103,6 @@
     }
 }
 
-/// Whether the port at `address` refuses connections, now or within `time_limit`.
-///
-/// An exiting process closes its connections and its listening port one after the other, and a
-/// connection accepted in between is closed with the port. So an accepted connection is kept, and
-/// the port is probed again when it closes.
-pub async fn port_closes_within(address: SocketAddr, time_limit: Duration) -> bool {
-    timeout(time_limit, port_closes(address))
-        .await
-        .unwrap_or(false)
-}
-
-async fn port_closes(address: SocketAddr) -> bool {
-    for _ in 0..MAX_PORT_PROBES {
-        match TcpStream::connect(address).await {
-            Ok(stream) => wait_until_closed(stream).await,
-            Err(error) => return error.kind() == io::ErrorKind::ConnectionRefused,
-        }
-    }
-    false
-}
-
-async fn wait_until_closed(mut stream: TcpStream) {
-    let mut unexpected = [0; 256];
-    while matches!(stream.read(&mut unexpected).await, Ok(length) if length > 0) {}
-}
-
 /// Sends one request on a new connection.
 ///
 /// If a pooled connection is closed while a request is written, it is unknown whether the request
--- a/crates/lab/tests/fatal_requests.rs
+++ b/crates/lab/tests/fatal_requests.rs
@@ -8,12 +8,14 @@
 use railtack_http::{HttpClient, read_body};
 use railtack_lab::{
     demo::PreparedFleet,
+    fleet::Fault,
     load::{CallOutcome, Caller, caller::ResponseMode},
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 use support::{REQUEST_TIMEOUT, post, router_addresses, tenant_key};
+use tokio::time::Instant;
 
 /// Number of engines, and of back ends of each service. One request must not crash all of them.
 const BACK_ENDS: u32 = 8;
@@ -51,6 +53,30 @@
         .to_owned()
 }
 
+/// Time in which the routers must quarantine a request that is sent without a pause.
+const QUARANTINE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Sends the fatal request to the routers in turn, without a pause, until all of them refuse it in a row.
+async fn send_without_pause(prepared: &PreparedFleet, path: &str, body: &Value) {
+    let routers = router_addresses(prepared);
+    let started_at = Instant::now();
+    let mut refused_in_a_row = 0;
+    let mut round = 0;
+    while refused_in_a_row < routers.len() {
+        assert!(
+            started_at.elapsed() < QUARANTINE_TIMEOUT,
+            "the routers did not quarantine the request"
+        );
+        let code = refusal_code(prepared, routers[round % routers.len()], path, body).await;
+        refused_in_a_row = if code == "quarantined" {
+            refused_in_a_row + 1
+        } else {
+            0
+        };
+        round += 1;
+    }
+}
+
 /// Sends the fatal request to the routers in turn until all of them refuse it in a row.
 async fn send_until_quarantined(prepared: &PreparedFleet, path: &str, body: &Value) {
     let routers = router_addresses(prepared);
@@ -153,3 +179,76 @@
         assert_eq!(codes.last().map(String::as_str), Some(""), "{codes:?}");
     }
 }
+
+fn fatal_prompt() -> Value {
+    json!({ "template": "counter-answer", "prompt": CRASH_TRIGGER, "max_tokens": 4 })
+}
+
+async fn count_crashed_engines(prepared: &PreparedFleet) -> usize {
+    BACK_ENDS as usize - prepared.fleet.engine_statuses().await.len()
+}
+
+/// Guards against a request that is sent to further engines before the first crash is recorded.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_fatal_prompt_sent_without_a_pause_ends_few_engines() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let prepared = start_fleet(folder.path(), 23).await;
+    send_without_pause(&prepared, "/v1/completions", &fatal_prompt()).await;
+    let crashed = count_crashed_engines(&prepared).await;
+    assert!(crashed <= MAX_CRASHES, "{crashed} engines crashed");
+}
+
+/// Freezes the leader of the control group for a time that starts before the request is first sent.
+async fn check_with_frozen_leader(seed: u64, frozen_for: Duration) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut prepared = start_fleet(folder.path(), seed).await;
+    let leader = prepared.fleet.leader().await.expect("a leader");
+    let mut control = prepared.fleet.control.remove(leader);
+    control.inject(Fault::Freeze).await.expect("a signal");
+    let thaw = async {
+        tokio::time::sleep(frozen_for).await;
+        control.inject(Fault::Thaw).await.expect("a signal");
+    };
+    let fatal = fatal_prompt();
+    tokio::join!(
+        thaw,
+        send_without_pause(&prepared, "/v1/completions", &fatal)
+    );
+    let crashed = count_crashed_engines(&prepared).await;
+    assert!(crashed <= MAX_CRASHES, "{crashed} engines crashed");
+}
+
+/// Guards against a report that takes an election until it is recorded.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_fatal_prompt_ends_few_engines_although_the_leader_is_frozen() {
+    for (seed, frozen_ms) in [(24, 500), (25, 1_000), (26, 3_000)] {
+        check_with_frozen_leader(seed, Duration::from_millis(frozen_ms)).await;
+    }
+}
+
+/// Copies that arrive at one router while the first crash is not recorded yet.
+const HELD_COPIES: usize = 7;
+
+/// Guards against copies that are all sent to further engines as soon as the first crash is recorded.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn held_copies_of_a_fatal_prompt_end_one_engine_at_a_time() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut prepared = start_fleet(folder.path(), 27).await;
+    let leader = prepared.fleet.leader().await.expect("a leader");
+    let mut control = prepared.fleet.control.remove(leader);
+    control.inject(Fault::Freeze).await.expect("a signal");
+    let fatal = fatal_prompt();
+    let router = router_addresses(&prepared)[0];
+    let send_copy = || refusal_code(&prepared, router, "/v1/completions", &fatal);
+    let held_copies = async {
+        while count_crashed_engines(&prepared).await == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        futures::future::join_all((0..HELD_COPIES).map(|_| send_copy())).await
+    };
+    tokio::join!(send_copy(), held_copies);
+    control.inject(Fault::Thaw).await.expect("a signal");
+    let crashed = count_crashed_engines(&prepared).await;
+    assert!(crashed <= MAX_CRASHES, "{crashed} engines crashed");
+    send_without_pause(&prepared, "/v1/completions", &fatal).await;
+}
--- /dev/null
+++ b/crates/proxy/src/crash_checks.rs
@@ -0,0 +1,404 @@
+//! Checks whether replicas have crashed under requests, and reports their crashes to the control group.
+//!
+//! A broken connection alone proves nothing: responses get lost and connections are reset while the
+//! replica keeps running. A replica has crashed if its port refuses connections or if another
+//! incarnation has registered at its address.
+//!
+//! Until it is settled whether a replica crashed under a request, and until the control group has recorded
+//! the crash, the request is not sent to another replica: otherwise a request that crashes replicas would
+//! reach several before any router refuses it. All data planes use these checks; [`CrashCheckHost`] is what
+//! they provide.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use railtack_rpc::{
+    protocol::Outcome,
+    serving::{QuarantineUpdate, ServingCommand, ServingOutcome},
+};
+use railtack_serving::{ContentKey, ReplicaKey};
+use tokio::{
+    sync::{Notify, Semaphore},
+    time::{Instant, sleep, timeout_at},
+};
+
+use crate::{
+    crash_tracker::{CrashCheck, CrashTracker, RunDecision},
+    pool::ProbeConnection,
+    port_probe::PortProbe,
+    quarantine::QuarantineState,
+    state::lock,
+};
+
+/// Time to wait for a new incarnation at the address if the port gives no proof. A restarted
+/// replica registers some seconds after the crash.
+pub const SUCCESSOR_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time in which the port may close after the connections; a process may exit slowly under load.
+pub const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Divisor of the time in which a request should be answered that gives its longest wait for a crash check.
+/// The remaining time must suffice for its response.
+const CHECK_DIVISOR: u32 = 8;
+/// The same for a request that is suspected already, or under which a replica crashed that is not recorded yet:
+/// few are, and it may crash the next replica.
+const SUSPECT_DIVISOR: u32 = 2;
+/// Longest wait of any request; longer than the control group is expected to be without a leader.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+/// Time in which the other connections to a crashed replica break as well; they share one report.
+const REPORT_BATCH_DELAY: Duration = Duration::from_millis(15);
+/// Time after which an unrecorded report is dropped.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pause before the next proposal while a leader is being elected.
+const PROPOSE_RETRY_INTERVAL: Duration = Duration::from_millis(60);
+/// Timeout of one proposal of a report to a control replica. Shorter than an election, because a report follows
+/// changes of leader.
+pub const PROPOSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum number of reports that are proposed at the same time; further ones wait.
+const MAX_CONCURRENT_REPORTS: usize = 64;
+
+/// Proof that a replica has crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashProof {
+    /// Its port refuses connections.
+    PortRefuses,
+    /// Another incarnation has registered at its address.
+    Succeeded,
+}
+
+/// Whether a request may be sent to a replica after the checks that concern it.
+#[derive(Debug)]
+pub enum SendDecision {
+    /// It may be sent, unless it is quarantined. While a copy of a suspected request holds its run, no other copy
+    /// is sent.
+    Allowed(Option<SuspectRun>),
+    /// A replica crashed under it. Either the control group did not record the crash in time, or another copy was
+    /// running all the time.
+    Unsettled,
+}
+
+/// The only copy of a suspected request that runs at this router. Ends when dropped.
+#[derive(Debug)]
+pub struct SuspectRun {
+    checks: Arc<CrashChecks>,
+    content: ContentKey,
+}
+
+impl Drop for SuspectRun {
+    fn drop(&mut self) {
+        lock(&self.checks.tracker).end_run(self.content);
+        self.checks.progress.notify_waiters();
+    }
+}
+
+/// What crash checks need from a data plane.
+pub trait CrashCheckHost: Send + Sync + Sized + 'static {
+    /// One incarnation of a replica.
+    type Replica: Clone + Send + Sync + 'static;
+
+    /// Time after a broken connection in which the port may close while requests wait for the check.
+    const BLOCKING_CLOSE_TIMEOUT: Duration;
+
+    /// Returns the checks of this data plane.
+    fn crash_checks(&self) -> &Arc<CrashChecks>;
+
+    /// Returns the unique id of the incarnation.
+    fn id(replica: &Self::Replica) -> &str;
+
+    /// Returns the listen address; `None` if it is invalid.
+    fn address(replica: &Self::Replica) -> Option<SocketAddr>;
+
+    /// Waits until another incarnation has registered at the address. Returns false if the replica proves to be
+    /// alive or no incarnation registers in time.
+    fn wait_for_successor(
+        &self,
+        replica: &Self::Replica,
+        broken_at: Instant,
+    ) -> impl Future<Output = bool> + Send;
+
+    /// Takes over a connection that was opened to check the port and is still open.
+    fn adopt_connection(&self, replica: &Self::Replica, connection: ProbeConnection);
+
+    /// Stops sending to a crashed replica until its next incarnation registers.
+    fn mark_crashed(&self, replica: &Self::Replica);
+
+    /// Returns the name under which this router reports that the replica is gone; `None` if its report must not
+    /// remove the replica.
+    fn reporter(&self, replica: &Self::Replica) -> Option<String>;
+
+    /// Whether the control group can record reports.
+    fn supports_reports(&self) -> bool;
+
+    /// Proposes a command once. Attempts are numbered, so that each can go to another control replica while the
+    /// leader is unknown. Returns `None` if the command may not be recorded.
+    fn propose(
+        &self,
+        command: ServingCommand,
+        attempt: usize,
+    ) -> impl Future<Output = Option<Outcome>> + Send;
+
+    /// Applies an update of the quarantine.
+    fn apply_quarantine(&self, update: &QuarantineUpdate);
+}
+
+/// Crash checks and quarantine of one router.
+#[derive(Debug)]
+pub struct CrashChecks {
+    tracker: Mutex<CrashTracker>,
+    /// Requests that the control group has quarantined.
+    pub quarantine: Mutex<QuarantineState>,
+    /// Notified when a check ends or its requests need not wait any longer.
+    progress: Notify,
+    report_slots: Semaphore,
+}
+
+impl Default for CrashChecks {
+    fn default() -> Self {
+        Self {
+            tracker: Mutex::default(),
+            quarantine: Mutex::default(),
+            progress: Notify::new(),
+            report_slots: Semaphore::new(MAX_CONCURRENT_REPORTS),
+        }
+    }
+}
+
+impl CrashChecks {
+    /// Returns the retry delay of a quarantined request; `None` if it is not quarantined.
+    pub fn quarantine_retry_after(&self, content: ContentKey) -> Option<Duration> {
+        lock(&self.quarantine).retry_after(content, Instant::now())
+    }
+
+    /// Waits while a crash that involves this request is being checked or reported, here or, if the request is
+    /// suspected, by other routers, and while another copy of a suspected request runs. A request that is repeated
+    /// thus risks one replica at a time. The wait is bounded by a part of `time`, in which the request should be
+    /// answered.
+    pub async fn wait(self: &Arc<Self>, content: ContentKey, time: Duration) -> SendDecision {
+        let started_at = Instant::now();
+        loop {
+            let notified = self.progress.notified();
+            tokio::pin!(notified);
+            // Enabled before the state is read, so that no notification is missed.
+            notified.as_mut().enable();
+            match self.try_begin(content, started_at, time) {
+                Begin::Hold { until } => {
+                    // The state is checked again after a notification as well as after a timeout.
+                    let _ = timeout_at(until, notified).await;
+                }
+                Begin::Decided(decision) => return decision,
+            }
+        }
+    }
+
+    /// Decides whether a request that has waited since `started_at` is held back any longer.
+    fn try_begin(
+        self: &Arc<Self>,
+        content: ContentKey,
+        started_at: Instant,
+        time: Duration,
+    ) -> Begin {
+        let now = Instant::now();
+        let suspect_wait_end = started_at + (time / SUSPECT_DIVISOR).min(MAX_WAIT);
+        let quarantine = lock(&self.quarantine);
+        let is_suspected = quarantine.is_suspected(content);
+        let mut tracker = lock(&self.tracker);
+        match tracker.pending_check(content) {
+            Some(CrashCheck::Unrecorded { since }) => {
+                return Begin::hold_or_refuse(suspect_wait_end.min(since + MAX_WAIT), now);
+            }
+            Some(CrashCheck::InProgress) => {
+                let check_wait_end = started_at + (time / CHECK_DIVISOR).min(MAX_WAIT);
+                let until = if is_suspected {
+                    suspect_wait_end
+                } else {
+                    check_wait_end
+                };
+                if now < until {
+                    return Begin::Hold { until };
+                }
+            }
+            None => {}
+        }
+        let reports_complete_at = quarantine.reports_complete_at(content, now);
+        if let Some(complete_at) = reports_complete_at.filter(|_| now < suspect_wait_end) {
+            let until = complete_at.min(suspect_wait_end);
+            return Begin::Hold { until };
+        }
+        match tracker.begin_run(content, is_suspected, now) {
+            RunDecision::Unsuspected => Begin::Decided(SendDecision::Allowed(None)),
+            RunDecision::Alone => {
+                let run = SuspectRun {
+                    checks: Arc::clone(self),
+                    content,
+                };
+                Begin::Decided(SendDecision::Allowed(Some(run)))
+            }
+            RunDecision::Busy => Begin::hold_or_refuse(suspect_wait_end, now),
+        }
+    }
+}
+
+/// Whether a request is held back any longer.
+enum Begin {
+    /// Until this time, or until a check makes progress.
+    Hold { until: Instant },
+    /// No longer.
+    Decided(SendDecision),
+}
+
+impl Begin {
+    fn hold_or_refuse(until: Instant, now: Instant) -> Self {
+        if now < until {
+            Self::Hold { until }
+        } else {
+            Self::Decided(SendDecision::Unsettled)
+        }
+    }
+}
+
+/// Records that the connection of a running request broke, and checks in the background whether the
+/// replica has crashed.
+pub fn connection_broken<H: CrashCheckHost>(
+    host: &Arc<H>,
+    replica: &H::Replica,
+    content: ContentKey,
+) {
+    let now = Instant::now();
+    let is_first =
+        lock(&host.crash_checks().tracker).record_broken_connection(H::id(replica), content, now);
+    if is_first {
+        tokio::spawn(check(Arc::clone(host), replica.clone(), now));
+    }
+}
+
+/// Records that a request completed, and reports it to the control group if the request is
+/// suspected or quarantined: copies that were open when it was quarantined may prove it harmless.
+pub fn request_succeeded<H: CrashCheckHost>(host: &Arc<H>, content: ContentKey) {
+    let checks = host.crash_checks();
+    lock(&checks.tracker).record_success(content, Instant::now());
+    if lock(&checks.quarantine).should_report_success(content) {
+        let contents = vec![content];
+        spdlog::info!("suspected request ran well", kv: { content = content.to_string() });
+        let host = Arc::clone(host);
+        let command = ServingCommand::ClearSuspects { contents };
+        tokio::spawn(async move { propose_until_recorded(&*host, command).await });
+    }
+}
+
+/// Checks a replica until a check covers the last broken connection or proves a crash, and reports the crash.
+async fn check<H: CrashCheckHost>(host: Arc<H>, replica: H::Replica, first_broken_at: Instant) {
+    let checks = host.crash_checks();
+    let id = H::id(&replica);
+    let mut broken_at = first_broken_at;
+    loop {
+        let proof = find_proof(&*host, &replica, broken_at).await;
+        spdlog::info!("replica looked at after a connection broke", kv: {
+            replica = id.to_owned(),
+            proof = format!("{proof:?}"),
+            looked_ms = broken_at.elapsed().as_millis() as u64,
+        });
+        if let Some(proof) = proof {
+            lock(&checks.tracker).record_crash(id, Instant::now());
+            checks.progress.notify_waiters();
+            host.mark_crashed(&replica);
+            sleep(REPORT_BATCH_DELAY).await;
+            report_crash(&*host, &replica, proof).await;
+            return;
+        }
+        let next = lock(&checks.tracker).end_check(id, broken_at);
+        checks.progress.notify_waiters();
+        match next {
+            Some(next_broken_at) => broken_at = next_broken_at,
+            None => return,
+        }
+    }
+}
+
+async fn find_proof<H: CrashCheckHost>(
+    host: &H,
+    replica: &H::Replica,
+    broken_at: Instant,
+) -> Option<CrashProof> {
+    let checks = host.crash_checks();
+    let mut port = PortProbe::new(H::address(replica)?);
+    if port.refuses(broken_at + H::BLOCKING_CLOSE_TIMEOUT).await {
+        return Some(CrashProof::PortRefuses);
+    }
+    lock(&checks.tracker).stop_blocking(H::id(replica));
+    checks.progress.notify_waiters();
+    let port_refuses = async move {
+        let refuses = port.refuses(broken_at + CLOSE_TIMEOUT).await;
+        if let Some(connection) = port.into_connection() {
+            host.adopt_connection(replica, connection);
+        }
+        refuses
+    };
+    tokio::select! {
+        biased;
+        true = port_refuses => Some(CrashProof::PortRefuses),
+        is_succeeded = host.wait_for_successor(replica, broken_at) => {
+            is_succeeded.then_some(CrashProof::Succeeded)
+        }
+    }
+}
+
+/// Reports a crashed replica to the control group, with all requests it may have crashed on.
+async fn report_crash<H: CrashCheckHost>(host: &H, replica: &H::Replica, proof: CrashProof) {
+    let checks = host.crash_checks();
+    let id = H::id(replica);
+    let reporter = host.reporter(replica);
+    let mut requests = 0;
+    let mut is_recorded = true;
+    loop {
+        let contents = lock(&checks.tracker).take_unreported(id);
+        requests += contents.len();
+        let command = ServingCommand::RecordCrash {
+            replica: ReplicaKey::of(id),
+            contents,
+            reporter: reporter.clone(),
+        };
+        is_recorded &= propose_until_recorded(host, command).await;
+        // Connections that broke meanwhile are reported next.
+        if lock(&checks.tracker).remove(id) {
+            break;
+        }
+    }
+    checks.progress.notify_waiters();
+    spdlog::info!("replica crash reported", kv: {
+        replica = id.to_owned(),
+        proof = format!("{proof:?}"),
+        requests,
+        hears_others = reporter.is_some(),
+        recorded = is_recorded,
+    });
+}
+
+/// Proposes a command until it is recorded, following changes of leader. Recording is idempotent. Returns false
+/// if it is not recorded.
+async fn propose_until_recorded<H: CrashCheckHost>(host: &H, command: ServingCommand) -> bool {
+    if !host.supports_reports() {
+        spdlog::info!("report skipped: not supported at the group's feature level");
+        return false;
+    }
+    let until = Instant::now() + REPORT_TIMEOUT;
+    let slots = &host.crash_checks().report_slots;
+    let Ok(Ok(_slot)) = timeout_at(until, slots.acquire()).await else {
+        spdlog::warn!("report dropped: too many pending reports", kv: { waiting = MAX_CONCURRENT_REPORTS });
+        return false;
+    };
+    for attempt in 0.. {
+        if Instant::now() >= until {
+            break;
+        }
+        if let Some(outcome) = host.propose(command.clone(), attempt).await {
+            if let Outcome::Serving(ServingOutcome::CrashRecorded(update)) = outcome {
+                host.apply_quarantine(&update);
+            }
+            return true;
+        }
+        sleep(PROPOSE_RETRY_INTERVAL).await;
+    }
+    spdlog::warn!("report timed out", kv: { after_s = REPORT_TIMEOUT.as_secs() });
+    false
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,7 +9,7 @@
 //! | confirm that the configuration is current | [`lease`], updated by [`control_watch`] | yes |
 //! | resolve route, tenant and deadline | [`admission`] | yes |
 //! | admit the request, wait for the first lease, or refuse | [`entry`] | |
-//! | refuse requests that crash replicas | [`quarantine`] (pure), [`crash_detection`] | |
+//! | refuse requests that crash replicas | [`quarantine`] and [`crash_tracker`] (pure), [`crash_checks`] with [`port_probe`], [`crash_detection`] | |
 //! | acquire a part of the tenant's quota | [`quota`], through [`control_peers`] | |
 //! | select the service | [`weighted_split`] | yes |
 //! | select the replica | [`scoring`], with [`affinity`], [`health`], [`weight_versions`] and [`railtack_serving::availability`] | yes |
@@ -35,7 +35,9 @@
 pub mod budget;
 pub mod control_peers;
 pub mod control_watch;
+pub mod crash_checks;
 pub mod crash_detection;
+pub mod crash_tracker;
 pub mod decay;
 pub mod entry;
 pub mod estimates;
@@ -52,6 +54,7 @@
 pub mod permits;
 pub mod pipeline;
 pub mod pool;
+pub mod port_probe;
 pub mod prefill_latency;
 pub mod quarantine;
 pub mod quota;
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -4,7 +4,6 @@
 
 use hyper::Response;
 use railtack_http::Body;
-use railtack_rpc::serving::CRASHES_TO_QUARANTINE;
 use railtack_serving::{ContentKey, RequestContent};
 use tokio::time::Instant;
 
@@ -13,26 +12,31 @@
     affinity::PrefixPath,
     attempt::{self, FailedExchange, HeadDeadline, OpenResponse, Target},
     backend::Dispatch,
+    crash_checks::{self, SendDecision, SuspectRun},
     crash_detection, entry,
     health::ExchangeOutcome,
     load::{admission::LATE_PRIORITY, late_requests::LateRequest},
     quota,
-    refusal::RefusalReason,
+    refusal::{Refusal, RefusalReason},
     replicas::{OpenPrompt, OpenRequest, Suspicion},
     request::ProxiedRequest,
     request_log::RequestLog,
-    retry_decision::{self, ExchangeFacts, ExchangeProof, NextStep},
+    retry_decision::{ExchangeProof, NextStep},
     state::{ProxyState, lock},
     stream,
 };
 
 mod final_response;
+mod retry;
 
 /// Number of objectives after which a response is abandoned if another replica can be tried.
 const RESPONSE_TIMEOUT_OBJECTIVES: u64 = 2;
 /// Number of objectives after which the first event of a stream is abandoned although the replica
 /// responds to other requests.
 const BUSY_TIMEOUT_OBJECTIVES: u32 = 4;
+/// Retry delay of a request under which a replica crashed, while it is not settled whether it may be sent again.
+const UNSETTLED_RETRY: Duration = Duration::from_secs(1);
+
 /// Serves one request. Dropping the future or the response body cancels it.
 pub async fn handle(state: Arc<ProxyState>, request: ProxiedRequest) -> Response<Body> {
     let mut log = RequestLog::begin(&state, &request);
@@ -45,11 +49,13 @@
     };
     log.record_admission(&admitted);
     log.content = content_key(&request, &admitted);
-    if let Some(pause) = quarantine_retry_after(&state, &admitted, log.content).await {
-        let reason = RefusalReason::Quarantined;
-        log.record_outcome(reason.to_string());
-        return reason.response(Some(pause));
-    }
+    let suspect_run = match check_crashes(&state, &admitted, log.content).await {
+        Ok(run) => run,
+        Err(refusal) => {
+            log.record_outcome(refusal.reason.to_string());
+            return refusal.reason.response(refusal.retry_after);
+        }
+    };
     if let Err(refusal) = quota::acquire(&state, &request, &admitted, log.content).await {
         log.record_outcome(refusal.reason.to_string());
         return refusal.reason.response(refusal.retry_after);
@@ -60,19 +66,33 @@
         .unwrap_or_default()
         .to_owned();
     state.record_request(&service);
-    let run = RequestRun::new(state, request, admitted, service, log);
+    let run = RequestRun {
+        suspect_run,
+        ..RequestRun::new(state, request, admitted, service, log)
+    };
     run.run().await
 }
 
-/// Returns the retry delay if the request is quarantined; waits for pending crash checks first.
-async fn quarantine_retry_after(
+/// Waits for pending crash checks. Refuses the request if it is quarantined, or if a replica crashed under it and
+/// that is not settled in time.
+async fn check_crashes(
     state: &ProxyState,
     admitted: &Admitted,
     content: ContentKey,
-) -> Option<Duration> {
+) -> Result<Option<SuspectRun>, Refusal> {
     let objective = Duration::from_millis(admitted.route.objective_ms);
-    crash_detection::wait_for_crash_checks(state, content, objective).await;
-    state.quarantine_retry_after(content)
+    let decision = state.crash_checks.wait(content, objective).await;
+    let refusal = |reason, retry_after| Refusal {
+        reason,
+        retry_after: Some(retry_after),
+    };
+    if let Some(pause) = state.quarantine_retry_after(content) {
+        return Err(refusal(RefusalReason::Quarantined, pause));
+    }
+    match decision {
+        SendDecision::Allowed(run) => Ok(run),
+        SendDecision::Unsettled => Err(refusal(RefusalReason::CrashUnsettled, UNSETTLED_RETRY)),
+    }
 }
 
 /// A request in progress, with the state of its attempts.
@@ -99,6 +119,8 @@
     pub late: Option<LateRequest>,
     /// Exchanges whose connection broke while the replica ran the request.
     broken_connections: u32,
+    /// Run of this copy, if the request is suspected.
+    suspect_run: Option<SuspectRun>,
 }
 
 /// An exchange whose response is being received.
@@ -144,6 +166,7 @@
             declined: 0,
             late: None,
             broken_connections: 0,
+            suspect_run: None,
         }
     }
 
@@ -202,7 +225,7 @@
             ExchangeOutcome::Good
         };
         self.record_outcome(&target, outcome);
-        crash_detection::request_succeeded(&self.state, self.content);
+        crash_checks::request_succeeded(&self.state, self.content);
         let response = self.build_response(head, railtack_http::full(content));
         if failed && self.admitted.route.kind.is_retryable() {
             return Ok(ExchangeStep::Failure(response));
@@ -336,87 +359,6 @@
         }
     }
 
-    /// Whether another replica may continue the stream. Withdraws a retry from the budget.
-    pub async fn acquire_resume_retry(&mut self) -> bool {
-        self.state.options.policy.resume
-            && self.next_step(ExchangeProof::MayHaveRun).await == NextStep::Retry
-    }
-
-    /// Whether the route allows the stream to be continued at one more replica.
-    pub fn can_resume(&self) -> bool {
-        let route = &self.admitted.route;
-        self.state.options.policy.resume
-            && route.kind.is_retryable()
-            && self.replicas_used < route.max_attempts
-    }
-
-    async fn next_step(&self, proof: ExchangeProof) -> NextStep {
-        let facts = ExchangeFacts {
-            proof,
-            is_retryable: self.admitted.route.kind.is_retryable(),
-            replicas_used: self.replicas_used,
-            max_attempts: self.admitted.route.max_attempts,
-            declined: self.declined,
-            in_time: Instant::now() < self.admitted.deadline && self.state.is_confirmed(),
-        };
-        let step = retry_decision::next_step(facts);
-        if step != NextStep::Retry {
-            return step;
-        }
-        if self.may_crash_another() {
-            return retry_decision::without_retry(facts);
-        }
-        if proof == ExchangeProof::Withheld {
-            return step;
-        }
-        let is_local = self.state.try_withdraw_retry(&self.service);
-        let in_budget = is_local || self.acquire_shared_retry().await;
-        spdlog::info!("retry", kv: {
-            request = self.request.id.clone(),
-            in_budget,
-            is_lent = in_budget && !is_local,
-            // The replica of the failed exchange.
-            replica = self.tried.last().cloned().unwrap_or_default(),
-            proof = format!("{proof:?}"),
-            replicas_used = self.replicas_used,
-            declined = self.declined,
-        });
-        if in_budget {
-            self.state.metrics.retries.inc();
-            return step;
-        }
-        self.state.metrics.retries_denied.inc();
-        retry_decision::without_retry(facts)
-    }
-
-    /// Acquires a shared retry from the leader. After a broken connection, first waits for the crash
-    /// check: shared retries must not let one request crash many replicas.
-    async fn acquire_shared_retry(&self) -> bool {
-        let policy = self.state.options.policy;
-        if !policy.retry || !policy.lent_retries {
-            return false;
-        }
-        let objective = Duration::from_millis(self.admitted.route.objective_ms);
-        if self.broken_connections > 0 {
-            crash_detection::wait_for_crash_checks(&self.state, self.content, objective).await;
-        }
-        !self.may_crash_another()
-            && quota::acquire_shared_retry(&self.state, &self.service, objective).await
-    }
-
-    /// Whether the request must not be sent to another replica, because it is quarantined or its
-    /// connections broke so often that it would be if those replicas crashed.
-    fn may_crash_another(&self) -> bool {
-        let reached_crash_limit = self.broken_connections >= CRASHES_TO_QUARANTINE;
-        reached_crash_limit || self.state.quarantine_retry_after(self.content).is_some()
-    }
-
-    /// Acquires quota for one more run. An attempt that did not run has not used its quota yet.
-    pub async fn acquire_quota_for_retry(&self, proof: ExchangeProof) -> bool {
-        let quota_unused = matches!(proof, ExchangeProof::Withheld | ExchangeProof::NotRun);
-        quota_unused || quota::acquire_for_retry(&self.state, &self.request, &self.admitted).await
-    }
-
     /// Records and logs the failure of an exchange.
     pub fn record_failure(&mut self, target: &Target, failed: FailedExchange) -> FailedExchange {
         if let Some(outcome) = failed.outcome {
--- a/crates/proxy/src/quota.rs
+++ b/crates/proxy/src/quota.rs
@@ -17,7 +17,10 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    admission::Admitted, refusal::RefusalReason, request::ProxiedRequest, state::ProxyState,
+    admission::Admitted,
+    refusal::{Refusal, RefusalReason},
+    request::ProxiedRequest,
+    state::ProxyState,
 };
 
 /// Timeout of one call; a failed leader must not use up the request's time.
@@ -34,15 +37,6 @@
 /// Minimum time to find a leader.
 const MIN_LEADER_SEARCH: Duration = Duration::from_millis(200);
 
-/// Refusal of a request without a quota grant.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct QuotaRefusal {
-    /// Reason reported to the caller.
-    pub reason: RefusalReason,
-    /// Time after which the caller should retry.
-    pub retry_after: Option<Duration>,
-}
-
 /// Acquires the quota grant for one more run of a request. Its caller is not told a time to return, so
 /// no capacity is set aside for it.
 pub async fn acquire_for_retry(
@@ -62,7 +56,7 @@
     request: &ProxiedRequest,
     admitted: &Admitted,
     content: ContentKey,
-) -> Result<(), QuotaRefusal> {
+) -> Result<(), Refusal> {
     let (Some(tenant), true) = (&admitted.tenant, admitted.has_quota) else {
         return Ok(());
     };
@@ -83,7 +77,7 @@
         match request_grant(state, &grant_request, until).await {
             GrantOutcome::Granted => return Ok(()),
             GrantOutcome::Refused(retry_after) => {
-                return Err(QuotaRefusal {
+                return Err(Refusal {
                     reason: RefusalReason::QuotaUsed,
                     retry_after: Some(retry_after),
                 });
@@ -91,7 +85,7 @@
             GrantOutcome::Unanswered => {
                 if Instant::now() + GRANT_RETRY_INTERVAL >= until {
                     state.metrics.quota_unanswered.inc();
-                    return Err(QuotaRefusal {
+                    return Err(Refusal {
                         reason: RefusalReason::QuotaUnknown,
                         retry_after: Some(search_time),
                     });
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -42,6 +42,9 @@
     /// The request is quarantined because replicas crashed on it.
     #[error("quarantined")]
     Quarantined,
+    /// A replica crashed under the request, and it is not settled whether it may be sent again.
+    #[error("crash_unsettled")]
+    CrashUnsettled,
     /// The service is overloaded: the first event would be late.
     #[error("overloaded")]
     Overloaded,
@@ -68,6 +71,15 @@
     TimedOut,
 }
 
+/// Refusal of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Reason reported to the caller.
+    pub reason: RefusalReason,
+    /// Time after which the caller should retry.
+    pub retry_after: Option<Duration>,
+}
+
 impl RefusalReason {
     /// Returns the HTTP status. 429 and 503 guarantee that the request has not run and never will.
     pub fn status(self) -> StatusCode {
@@ -82,6 +94,7 @@
             | Self::QuotaUnknown
             | Self::Stopping
             | Self::Quarantined
+            | Self::CrashUnsettled
             | Self::Overloaded
             | Self::BackingOff
             | Self::AtLimit
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -14,24 +14,21 @@
 use railtack_clock::BootInstant;
 use railtack_rpc::serving::{QuarantineUpdate, WatchReply};
 use railtack_serving::{Bounds, CallerLimits, ContentKey, MonotonicTime, Policy};
-use tokio::{
-    sync::{Notify, Semaphore, watch},
-    time::Instant,
-};
+use tokio::{sync::watch, time::Instant};
 
 use crate::{
     affinity::PrefixPath,
     backend::BackendProtocol,
     budget::{BudgetRule, RetryBudget},
     control_peers::ControlPeers,
-    crash_detection,
+    crash_checks::CrashChecks,
     estimates::{Estimates, FirstEventEstimate},
     fleet_view::FleetView,
     lease::Lease,
     metrics::ProxyMetrics,
     overload::OverloadTable,
     prefill_latency::{PrefillBacklog, PrefillLatency},
-    quarantine::{CrashTracker, QuarantineChange, QuarantineState},
+    quarantine::QuarantineChange,
     replicas::ReplicaTable,
     retry_pacing::RetryPacer,
     selection::ExhaustedLimits,
@@ -74,14 +71,8 @@
     pub splitter: Mutex<TrafficSplitter>,
     /// Connections to the control replicas, for calls to the leader.
     pub control_peers: ControlPeers,
-    /// Requests quarantined by the control group.
-    pub quarantine: Mutex<QuarantineState>,
-    /// Replica crashes seen by this router's requests.
-    pub crash_tracker: Mutex<CrashTracker>,
-    /// Notified when a crash check finishes or may take long.
-    pub crash_checks_done: Notify,
-    /// Limits concurrent reports to the control group.
-    pub report_slots: Semaphore,
+    /// Crash checks of replicas, and the quarantine.
+    pub crash_checks: Arc<CrashChecks>,
     /// Metrics of the data plane.
     pub metrics: ProxyMetrics,
     /// Number of live routers; 0 while unknown.
@@ -156,10 +147,7 @@
             fleet: Mutex::default(),
             splitter: Mutex::default(),
             control_peers: ControlPeers::default(),
-            quarantine: Mutex::default(),
-            crash_tracker: Mutex::default(),
-            crash_checks_done: Notify::new(),
-            report_slots: crash_detection::report_slots(),
+            crash_checks: Arc::default(),
             metrics: ProxyMetrics::default(),
             routers: AtomicU32::new(0),
             budgets: Mutex::default(),
@@ -206,7 +194,7 @@
 
     /// Applies a quarantine update from the control group.
     pub fn apply_quarantine(&self, update: &QuarantineUpdate) {
-        let mut quarantine = lock(&self.quarantine);
+        let mut quarantine = lock(&self.crash_checks.quarantine);
         for change in quarantine.apply(update, Instant::now()) {
             let (event, content) = match change {
                 QuarantineChange::Quarantined(content) => ("request quarantined", content),
@@ -221,7 +209,7 @@
 
     /// Returns the retry delay of a quarantined request; `None` if it is not quarantined.
     pub fn quarantine_retry_after(&self, content: ContentKey) -> Option<Duration> {
-        lock(&self.quarantine).retry_after(content, Instant::now())
+        self.crash_checks.quarantine_retry_after(content)
     }
 
     /// Subscribes to new views.
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     attempt::FailedExchange,
-    crash_detection,
+    crash_checks,
     events::EventBuffer,
     health::ExchangeOutcome,
     load::{longest_gap::LongestGap, pace::GapTimer},
@@ -234,7 +234,7 @@
             self.run
                 .record_outcome(&active.target, ExchangeOutcome::Good);
             self.run.record_longest_gap(self.longest_gap);
-            crash_detection::request_succeeded(&self.run.state, self.run.content);
+            crash_checks::request_succeeded(&self.run.state, self.run.content);
             if active.response.reusable {
                 let handle = &active.target.handle;
                 handle.pool.release(active.response.connection);
--- /dev/null
+++ b/crates/proxy/tests/crash_checks.rs
@@ -0,0 +1,180 @@
+//! Crash checks with a replica whose port is closed and a control group that records when the test says so.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use railtack_proxy::{
+    crash_checks::{self, CrashCheckHost, CrashChecks, SendDecision},
+    pool::ProbeConnection,
+};
+use railtack_rpc::{
+    protocol::Outcome,
+    serving::{QuarantineUpdate, ServingCommand, ServingOutcome},
+};
+use railtack_serving::ContentKey;
+use tokio::{net::TcpListener, sync::watch, time::Instant};
+
+const FATAL: ContentKey = ContentKey(1);
+const OTHER: ContentKey = ContentKey(2);
+/// Time in which a request should be answered; longer than any test.
+const TIME: Duration = Duration::from_secs(600);
+
+#[derive(Clone)]
+struct Replica {
+    id: &'static str,
+    address: SocketAddr,
+}
+
+/// A data plane whose reports are recorded while `is_recording` is true.
+struct Host {
+    checks: Arc<CrashChecks>,
+    is_recording: watch::Sender<bool>,
+    attempts: AtomicUsize,
+    recorded: Mutex<Vec<ServingCommand>>,
+}
+
+impl Host {
+    fn new() -> Arc<Self> {
+        Arc::new(Self {
+            checks: Arc::default(),
+            is_recording: watch::Sender::new(false),
+            attempts: AtomicUsize::new(0),
+            recorded: Mutex::default(),
+        })
+    }
+
+    fn spawn_wait(&self, content: ContentKey) -> tokio::task::JoinHandle<SendDecision> {
+        let checks = Arc::clone(&self.checks);
+        tokio::spawn(async move { checks.wait(content, TIME).await })
+    }
+
+    async fn until_report_was_tried(&self) {
+        while self.attempts.load(Ordering::Relaxed) < 2 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+impl CrashCheckHost for Host {
+    type Replica = Replica;
+
+    const BLOCKING_CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+    fn crash_checks(&self) -> &Arc<CrashChecks> {
+        &self.checks
+    }
+
+    fn id(replica: &Replica) -> &str {
+        replica.id
+    }
+
+    fn address(replica: &Replica) -> Option<SocketAddr> {
+        Some(replica.address)
+    }
+
+    async fn wait_for_successor(&self, _: &Replica, _: Instant) -> bool {
+        false
+    }
+
+    fn adopt_connection(&self, _: &Replica, _: ProbeConnection) {}
+
+    fn mark_crashed(&self, _: &Replica) {}
+
+    fn reporter(&self, _: &Replica) -> Option<String> {
+        None
+    }
+
+    fn supports_reports(&self) -> bool {
+        true
+    }
+
+    async fn propose(&self, command: ServingCommand, _: usize) -> Option<Outcome> {
+        self.attempts.fetch_add(1, Ordering::Relaxed);
+        if !*self.is_recording.borrow() {
+            return None;
+        }
+        self.recorded.lock().expect("a lock").push(command);
+        let update = QuarantineUpdate::default();
+        Some(Outcome::Serving(ServingOutcome::CrashRecorded(update)))
+    }
+
+    fn apply_quarantine(&self, _: &QuarantineUpdate) {}
+}
+
+async fn crashed_replica(id: &'static str) -> Replica {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    Replica { id, address }
+}
+
+/// Guards against a request that goes on to another replica because a report takes several attempts.
+#[tokio::test]
+async fn a_request_is_held_until_the_crash_under_it_is_recorded() {
+    let host = Host::new();
+    crash_checks::connection_broken(&host, &crashed_replica("r").await, FATAL);
+    let held = host.spawn_wait(FATAL);
+    host.until_report_was_tried().await;
+    assert!(!held.is_finished());
+    let other = host.checks.wait(OTHER, TIME).await;
+    assert!(matches!(other, SendDecision::Allowed(None)), "{other:?}");
+    host.is_recording.send_replace(true);
+    let decision = held.await.expect("a decision");
+    assert!(
+        matches!(decision, SendDecision::Allowed(Some(_))),
+        "{decision:?}"
+    );
+    assert_eq!(host.recorded.lock().expect("a lock").len(), 1);
+}
+
+/// Guards against a request that is sent although nobody else knows of the crash under it.
+#[tokio::test]
+async fn a_request_is_refused_if_the_crash_under_it_is_not_recorded_in_time() {
+    let host = Host::new();
+    crash_checks::connection_broken(&host, &crashed_replica("r").await, FATAL);
+    host.until_report_was_tried().await;
+    let decision = host.checks.wait(FATAL, Duration::from_millis(1)).await;
+    assert!(matches!(decision, SendDecision::Unsettled), "{decision:?}");
+}
+
+/// Guards against copies that are all sent as soon as the crash under the first one is recorded.
+#[tokio::test]
+async fn copies_of_a_suspected_request_run_one_at_a_time() {
+    let host = Host::new();
+    host.is_recording.send_replace(true);
+    crash_checks::connection_broken(&host, &crashed_replica("r").await, FATAL);
+    let first = host.checks.wait(FATAL, TIME).await;
+    let second = host.checks.wait(FATAL, Duration::from_millis(1)).await;
+    assert!(matches!(second, SendDecision::Unsettled), "{second:?}");
+    let third = host.spawn_wait(FATAL);
+    drop(first);
+    let third = third.await.expect("a decision");
+    assert!(matches!(third, SendDecision::Allowed(Some(_))), "{third:?}");
+    // A copy that completes ends the suspicion.
+    crash_checks::request_succeeded(&host, FATAL);
+    let fourth = host.checks.wait(FATAL, TIME).await;
+    assert!(matches!(fourth, SendDecision::Allowed(None)), "{fourth:?}");
+}
+
+/// Guards against a lost report of a request whose connection breaks while the crash is being reported.
+#[tokio::test]
+async fn a_connection_that_breaks_during_the_report_is_reported() {
+    let host = Host::new();
+    let replica = crashed_replica("r").await;
+    crash_checks::connection_broken(&host, &replica, FATAL);
+    host.until_report_was_tried().await;
+    crash_checks::connection_broken(&host, &replica, OTHER);
+    host.is_recording.send_replace(true);
+    host.checks.wait(OTHER, TIME).await;
+    let recorded = host.recorded.lock().expect("a lock");
+    let mut reported = recorded.iter().flat_map(|command| match command {
+        ServingCommand::RecordCrash { contents, .. } => contents.clone(),
+        _ => Vec::new(),
+    });
+    assert!(reported.any(|content| content == OTHER), "{recorded:?}");
+}
--- a/crates/http/tests/port_closes.rs
+++ b/crates/proxy/tests/port_probe.rs
@@ -2,8 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use railtack_http::client::port_closes_within;
-use tokio::net::TcpListener;
+use railtack_proxy::port_probe::PortProbe;
+use tokio::{net::TcpListener, time::Instant};
 
 const TIME_LIMIT: Duration = Duration::from_secs(5);
 
@@ -13,6 +13,12 @@
     (listener, address)
 }
 
+async fn port_closes_within(address: SocketAddr, time_limit: Duration) -> bool {
+    PortProbe::new(address)
+        .refuses(Instant::now() + time_limit)
+        .await
+}
+
 /// An exiting process still accepts a connection while it closes its others.
 #[tokio::test]
 async fn a_port_that_closes_after_a_connection_was_accepted_is_closed() {
--- a/crates/proxy/tests/quarantine.rs
+++ b/crates/proxy/tests/quarantine.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use railtack_proxy::quarantine::{
-    CrashTracker, QuarantineChange, QuarantineState, REPORT_SETTLE_TIME,
+use railtack_proxy::{
+    crash_tracker::CrashTracker,
+    quarantine::{QuarantineChange, QuarantineState, REPORT_SETTLE_TIME},
 };
 use railtack_rpc::serving::{QUARANTINE_DURATION, QuarantineUpdate};
 use railtack_serving::ContentKey;
@@ -127,3 +128,33 @@
     tracker.record_broken_connection("s", OTHER, start + Duration::from_secs(100));
     assert_eq!(tracker.take_unreported("s"), [OTHER]);
 }
+
+/// Guards against a broken connection that a running check does not cover and whose crash is never looked for.
+#[test]
+fn a_connection_that_breaks_during_a_check_is_checked_again() {
+    let start = Instant::now();
+    let mut tracker = CrashTracker::default();
+    tracker.record_broken_connection("r", OTHER, start);
+    let later = start + Duration::from_millis(900);
+    tracker.record_broken_connection("r", FATAL, later);
+    assert_eq!(tracker.end_check("r", start), Some(later));
+    assert_eq!(tracker.take_unreported("r"), [OTHER, FATAL]);
+    assert_eq!(tracker.end_check("r", later), None);
+    assert!(
+        tracker.record_broken_connection("r", FATAL, later),
+        "a new check"
+    );
+}
+
+/// Guards against the removal of a request that was added after the last look at the requests to report.
+#[test]
+fn records_with_unreported_requests_are_not_removed() {
+    let now = Instant::now();
+    let mut tracker = CrashTracker::default();
+    tracker.record_broken_connection("r", FATAL, now);
+    assert_eq!(tracker.take_unreported("r"), [FATAL]);
+    tracker.record_broken_connection("r", OTHER, now);
+    assert!(!tracker.remove("r"));
+    assert_eq!(tracker.take_unreported("r"), [OTHER]);
+    assert!(tracker.remove("r"));
+}
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -24,6 +24,8 @@
     NotSent,
     /// The connection to the engine was lost; the request may have run.
     Lost,
+    /// The engine reported nothing for too long; the request may have run.
+    Silent,
     /// The caller disconnected.
     ClientDisconnected,
     /// The deadline passed.
@@ -38,6 +40,7 @@
             Self::Refused => "Refused",
             Self::NotSent => "NotSent",
             Self::Lost => "Lost",
+            Self::Silent => "Silent",
             Self::ClientDisconnected => "CallerGone",
             Self::DeadlineExceeded => "TooLate",
         }
@@ -87,7 +90,7 @@
                 return self.fail(RefusalCode::DeadlineExceeded, "the deadline passed");
             }
             AttemptOutcome::Refused | AttemptOutcome::NotSent => true,
-            AttemptOutcome::Lost => {
+            AttemptOutcome::Lost | AttemptOutcome::Silent => {
                 self.may_have_run = true;
                 self.lost += 1;
                 // After this many failures, the request itself is the likely cause.
--- a/crates/router/src/control_link.rs
+++ b/crates/router/src/control_link.rs
@@ -8,6 +8,7 @@
 };
 
 use railtack_consensus::ReplicaId;
+use railtack_proxy::crash_checks::CrashCheckHost;
 use railtack_rpc::{
     ControlConnection, FeatureLevel, GroupLevel, call_context,
     permits::{PermitReply, PermitRequest},
@@ -18,7 +19,6 @@
 
 use crate::{
     proposal::{ProposalAttempts, ProposalOutcome, ReplicaResponse},
-    quarantine,
     state::{RouterState, lock},
 };
 
@@ -95,12 +95,11 @@
         let mut attempts = ProposalAttempts::default();
         let mut position = 0;
         while Instant::now() < deadline {
-            let Some(connection) = self.proposal_target(position) else {
+            let attempt = self.propose_once(&command, position, PROPOSE_TIMEOUT);
+            let Some(response) = attempt.await else {
                 break;
             };
             position += 1;
-            let response = send_proposal(&connection, &command).await;
-            self.update_leader(&connection, &response);
             if let Some(outcome) = attempts.record(response) {
                 return outcome;
             }
@@ -109,6 +108,20 @@
         attempts.outcome_at_deadline()
     }
 
+    /// Sends a command to the leader if it is known, otherwise to the replica at `position`. Returns `None` if no
+    /// replica is known.
+    pub async fn propose_once(
+        &self,
+        command: &Command,
+        position: usize,
+        timeout: Duration,
+    ) -> Option<ReplicaResponse> {
+        let connection = self.proposal_target(position)?;
+        let response = send_proposal(&connection, command, timeout).await;
+        self.update_leader(&connection, &response);
+        Some(response)
+    }
+
     /// Reports a rate limit to the leader and, if `request.wants_permit`, requests a permit. Follows
     /// redirects to the leader within `timeout`. Returns `None` if no leader replied.
     pub async fn request_permit(
@@ -177,18 +190,18 @@
     }
 }
 
-async fn send_proposal(connection: &ControlConnection, command: &Command) -> ReplicaResponse {
+async fn send_proposal(
+    connection: &ControlConnection,
+    command: &Command,
+    timeout: Duration,
+) -> ReplicaResponse {
     // The replica that accepts the proposal sets the time.
     let proposal = Proposal {
         at: 0,
         command: command.clone(),
     };
     let reply = connection
-        .call(|client| async move {
-            client
-                .propose(call_context(PROPOSE_TIMEOUT), proposal)
-                .await
-        })
+        .call(|client| async move { client.propose(call_context(timeout), proposal).await })
         .await;
     match reply {
         Ok(reply) => ReplicaResponse::Reply(reply),
@@ -247,7 +260,7 @@
         router: state.settings.router_id,
         applied: state.resolved.load().applied,
         want_update,
-        quarantine_known: lock(&state.quarantine).changed_at(),
+        quarantine_known: lock(&state.crash_checks.quarantine).changed_at(),
     };
     let reply = connection
         .call(|client| async move { client.poll(call_context(POLL_TIMEOUT), request).await })
@@ -269,7 +282,7 @@
             });
     }
     if let Some(update) = &reply.quarantine {
-        quarantine::apply_update(state, update);
+        state.apply_quarantine(update);
     }
     state.control.group_level.raise(reply.group_level);
     if reply.voter {
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -12,7 +12,10 @@
 use railtack_core::{
     AttemptId, CacheNamespace, EngineIncarnation, PrefixChain, RequestId, TemplateName, TenantName,
 };
-use railtack_proxy::permits::{Permit, PermitDecision};
+use railtack_proxy::{
+    crash_checks::SuspectRun,
+    permits::{Permit, PermitDecision},
+};
 use railtack_routing::{Decision, EngineSlot, ModelKey, RoutingRequest};
 use railtack_serving::ContentKey;
 use railtack_settings::documents::Priority;
@@ -24,6 +27,7 @@
     decisions::{CandidateRecord, DecisionRecord},
     limits,
     quarantine::{self, BackendIncarnation, engine_incarnation_id},
+    refusal::Refusal,
     relay::{EndMarker, Relay},
     request_log::RequestLog,
     responses::ResponseEvent,
@@ -120,12 +124,13 @@
     async fn run_attempts(&mut self) -> Option<ResponseEvent> {
         let mut first_decision = self.job.first_decision.clone();
         loop {
+            let _run = match self.check_crashes().await {
+                Ok(run) => run,
+                Err(refusal) => return final_event(self.attempts.fail_with(refusal)),
+            };
             let Some(decision) = first_decision.take().or_else(|| self.choose()) else {
                 return final_event(self.no_engine_outcome());
             };
-            if let Some(refusal) = quarantine::refusal(self.state, self.job.content_key) {
-                return final_event(self.attempts.fail_with(refusal));
-            }
             let Some(permit) = self.acquire_permit(&decision).await else {
                 // The denial was recorded, so the next decision skips this engine.
                 continue;
@@ -145,6 +150,12 @@
         }
     }
 
+    /// Waits until no crash under this request is unsettled, or refuses it.
+    async fn check_crashes(&self) -> Result<Option<SuspectRun>, Refusal> {
+        let time_left = self.job.deadline.saturating_duration_since(Instant::now());
+        quarantine::check_crashes(self.state, self.job.content_key, time_left).await
+    }
+
     fn choose(&self) -> Option<Decision> {
         let request = RoutingRequest {
             key: &self.job.model_key,
@@ -209,6 +220,7 @@
             AttemptOutcome::ClientDisconnected
                 | AttemptOutcome::DeadlineExceeded
                 | AttemptOutcome::Lost
+                | AttemptOutcome::Silent
         );
         if may_still_run {
             self.cancel(&attempt);
@@ -222,9 +234,13 @@
             AttemptOutcome::Completed(_) => {
                 quarantine::record_success(self.state, self.job.content_key)
             }
-            AttemptOutcome::Lost => {
+            AttemptOutcome::Lost | AttemptOutcome::Silent => {
                 let incarnation = self.incarnation_of(attempt);
-                quarantine::record_broken_connection(self.state, incarnation, self.job.content_key);
+                quarantine::record_broken_connection(
+                    self.state,
+                    &incarnation,
+                    self.job.content_key,
+                );
             }
             _ => {}
         }
@@ -256,6 +272,7 @@
         BackendIncarnation {
             id: engine_incarnation_id(id, attempt.incarnation),
             address: attempt.address,
+            engine: Some((attempt.engine, attempt.incarnation)),
         }
     }
 
@@ -293,7 +310,10 @@
         let mut scheduler = lock(&self.state.scheduler);
         let view = scheduler.engines.view_mut(attempt.engine);
         view.record_closed();
-        if matches!(outcome, AttemptOutcome::Lost | AttemptOutcome::NotSent) {
+        if matches!(
+            outcome,
+            AttemptOutcome::Lost | AttemptOutcome::Silent | AttemptOutcome::NotSent
+        ) {
             view.breaker.record_failure(now);
         }
         if attempt.awaiting_first_token {
--- a/crates/router/src/dispatch/exchange.rs
+++ b/crates/router/src/dispatch/exchange.rs
@@ -40,7 +40,7 @@
         let engine = attempt.engine;
         tokio::select! {
             end = self.exchange_frames(attempt, request) => end,
-            () = wait_until_silent(state, engine) => AttemptOutcome::Lost,
+            () = wait_until_silent(state, engine) => AttemptOutcome::Silent,
         }
     }
 
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -1,26 +1,35 @@
 //! Quarantine of requests that crash engines or back ends: refuses requests that the control group
-//! has quarantined, and reports crashes under this router's requests to the control group.
+//! has quarantined, and checks and reports crashes under this router's requests.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use railtack_core::{EngineId, EngineIncarnation, RefusalCode};
-use railtack_http::client::port_closes_within;
-use railtack_proxy::quarantine::{REPORT_BATCH_DELAY, REPORT_TIMEOUT};
+use railtack_proxy::{
+    crash_checks::{
+        self, CLOSE_TIMEOUT, CrashCheckHost, CrashChecks, PROPOSE_TIMEOUT, SUCCESSOR_TIMEOUT,
+        SendDecision, SuspectRun,
+    },
+    pool::ProbeConnection,
+};
+use railtack_routing::EngineSlot;
 use railtack_rpc::{
-    protocol::{Command, Outcome},
-    serving::{QuarantineUpdate, ServingCommand, ServingOutcome},
+    protocol::{Command, Outcome, ProposeReply},
+    serving::{QuarantineUpdate, ServingCommand},
 };
-use railtack_serving::{ContentKey, ReplicaKey};
-use tokio::time::{Instant, sleep};
+use railtack_serving::ContentKey;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::{
-    proposal::ProposalOutcome,
+    proposal::ReplicaResponse,
     refusal::Refusal,
     state::{RouterState, lock},
 };
 
-/// Time in which the port of a back end that exits closes after its connections.
-const PORT_CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+/// Retry delay of a request under which a back end crashed, while it is not settled whether it may be sent again,
+/// milliseconds.
+const UNSETTLED_RETRY_MS: u64 = 1_000;
+/// Interval at which the engine's view is checked for a new incarnation.
+const SUCCESSOR_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// One incarnation of an engine or back end.
 #[derive(Clone, Debug)]
@@ -29,6 +38,8 @@
     pub id: String,
     /// Listen address.
     pub address: SocketAddr,
+    /// The engine; `None` for a back end of an HTTP service, which reports no incarnation.
+    pub engine: Option<(EngineSlot, EngineIncarnation)>,
 }
 
 /// Returns the unique id of an engine's incarnation.
@@ -38,100 +49,145 @@
 
 /// Returns the refusal for a quarantined request; `None` if it is not quarantined.
 pub fn refusal(state: &RouterState, content: ContentKey) -> Option<Refusal> {
-    let delay = lock(&state.quarantine).retry_after(content, Instant::now())?;
+    let delay = state.crash_checks.quarantine_retry_after(content)?;
     let detail = "back ends ended under this request, one after the other";
     let refusal = Refusal::not_run(RefusalCode::Quarantined, detail);
     Some(refusal.retry_after_ms(delay.as_millis() as u64))
 }
 
-/// Applies an update of the control group's quarantine list.
-pub fn apply_update(state: &RouterState, update: &QuarantineUpdate) {
-    let mut quarantine = lock(&state.quarantine);
-    for change in quarantine.apply(update, Instant::now()) {
-        spdlog::info!("quarantine changed", kv: {
-            change = format!("{change:?}"),
-            changed_at = update.changed_at,
-        });
+/// Waits for the crash checks that concern a request, for a part of `time`, in which it should be answered.
+/// Refuses it if it is quarantined, or if a back end crashed under it and that is not settled in time. A suspected
+/// request must hold the returned run while it is sent to a back end.
+pub async fn check_crashes(
+    state: &RouterState,
+    content: ContentKey,
+    time: Duration,
+) -> Result<Option<SuspectRun>, Refusal> {
+    let decision = state.crash_checks.wait(content, time).await;
+    if let Some(refusal) = refusal(state, content) {
+        return Err(refusal);
+    }
+    match decision {
+        SendDecision::Allowed(run) => Ok(run),
+        SendDecision::Unsettled => {
+            let detail = "a back end ended under this request, and it is not settled whether it may be sent again";
+            let refusal = Refusal::not_run(RefusalCode::ControlUnavailable, detail);
+            Err(refusal.retry_after_ms(UNSETTLED_RETRY_MS))
+        }
     }
-    state
-        .metrics
-        .quarantined
-        .set(quarantine.quarantined() as i64);
 }
 
 /// Records that a back end completed a request, and reports this to the control group if the request
 /// is suspected.
 pub fn record_success(state: &Arc<RouterState>, content: ContentKey) {
-    lock(&state.crash_tracker).record_success(content, Instant::now());
-    if lock(&state.quarantine).should_report_success(content) {
-        let state = Arc::clone(state);
-        let contents = vec![content];
-        tokio::spawn(
-            async move { propose(&state, ServingCommand::ClearSuspects { contents }).await },
-        );
-    }
+    crash_checks::request_succeeded(state, content);
 }
 
 /// Records a broken connection to a back end that was running a request. Checks in the background
-/// whether the back end has exited, i.e. whether its port refuses connections.
+/// whether the back end has exited.
 pub fn record_broken_connection(
     state: &Arc<RouterState>,
-    incarnation: BackendIncarnation,
+    incarnation: &BackendIncarnation,
     content: ContentKey,
 ) {
-    if lock(&state.crash_tracker).record_broken_connection(&incarnation.id, content, Instant::now())
-    {
-        let state = Arc::clone(state);
-        tokio::spawn(async move { check_crashed(&state, &incarnation).await });
-    }
+    crash_checks::connection_broken(state, incarnation, content);
 }
 
-async fn check_crashed(state: &RouterState, incarnation: &BackendIncarnation) {
-    let has_ended = port_closes_within(incarnation.address, PORT_CHECK_TIMEOUT).await;
-    spdlog::info!("replica looked at after a connection broke", kv: {
-        replica = incarnation.id.clone(),
-        address = incarnation.address.to_string(),
-        has_ended,
-    });
-    if has_ended {
-        state.metrics.backend_crashes.inc();
-        sleep(REPORT_BATCH_DELAY).await;
-        report_crash(state, incarnation).await;
+impl CrashCheckHost for RouterState {
+    type Replica = BackendIncarnation;
+
+    // An engine keeps a stream whose connection broke, and the stream is resumed. A request whose connection is
+    // lost for good has probably met a crash.
+    const BLOCKING_CLOSE_TIMEOUT: Duration = CLOSE_TIMEOUT;
+
+    fn crash_checks(&self) -> &Arc<CrashChecks> {
+        &self.crash_checks
     }
-    lock(&state.crash_tracker).remove(&incarnation.id);
-}
 
-async fn report_crash(state: &RouterState, incarnation: &BackendIncarnation) {
-    loop {
-        let contents = lock(&state.crash_tracker).take_unreported(&incarnation.id);
-        if contents.is_empty() {
-            return;
+    fn id(incarnation: &BackendIncarnation) -> &str {
+        &incarnation.id
+    }
+
+    fn address(incarnation: &BackendIncarnation) -> Option<SocketAddr> {
+        Some(incarnation.address)
+    }
+
+    async fn wait_for_successor(
+        &self,
+        incarnation: &BackendIncarnation,
+        broken_at: Instant,
+    ) -> bool {
+        let Some((engine, former)) = incarnation.engine else {
+            sleep_until(broken_at + CLOSE_TIMEOUT).await;
+            return false;
+        };
+        let broken_at_us = self.now_us();
+        let until = broken_at + SUCCESSOR_TIMEOUT;
+        while Instant::now() < until {
+            let (current, last_seen_at) = {
+                let scheduler = lock(&self.scheduler);
+                let view = scheduler.engines.view(engine);
+                (view.incarnation, view.last_seen_at)
+            };
+            if current != former {
+                return true;
+            }
+            if last_seen_at > broken_at_us {
+                return false;
+            }
+            sleep(SUCCESSOR_POLL_INTERVAL).await;
         }
-        let replica = ReplicaKey::of(&incarnation.id);
-        let command = ServingCommand::RecordCrash {
-            replica,
-            contents,
-            // No reporter is needed: the platform lists engines and back ends.
-            reporter: None,
+        false
+    }
+
+    fn adopt_connection(&self, _: &BackendIncarnation, connection: ProbeConnection) {
+        // The HTTP client opens its own connections.
+        drop(connection);
+    }
+
+    fn mark_crashed(&self, incarnation: &BackendIncarnation) {
+        self.metrics.backend_crashes.inc();
+        let Some((engine, crashed)) = incarnation.engine else {
+            return;
         };
-        propose(state, command).await;
+        let mut scheduler = lock(&self.scheduler);
+        let view = scheduler.engines.view_mut(engine);
+        if view.incarnation == crashed {
+            view.available = false;
+        }
+    }
+
+    fn reporter(&self, _: &BackendIncarnation) -> Option<String> {
+        // The platform lists engines and back ends.
+        None
     }
-}
 
-async fn propose(state: &RouterState, command: ServingCommand) {
-    if !state.control.supports_shared_grants() {
-        spdlog::info!("report skipped: not supported at the group's feature level");
-        return;
+    fn supports_reports(&self) -> bool {
+        self.control.supports_shared_grants()
     }
-    let outcome = state
-        .control
-        .propose(Command::Serving(command), REPORT_TIMEOUT)
-        .await;
-    match outcome {
-        ProposalOutcome::Done(Outcome::Serving(ServingOutcome::CrashRecorded(update))) => {
-            apply_update(state, &update)
+
+    async fn propose(&self, command: ServingCommand, attempt: usize) -> Option<Outcome> {
+        let command = Command::Serving(command);
+        let response = self
+            .control
+            .propose_once(&command, attempt, PROPOSE_TIMEOUT)
+            .await;
+        match response {
+            Some(ReplicaResponse::Reply(ProposeReply::Done(outcome))) => Some(outcome),
+            _ => None,
+        }
+    }
+
+    fn apply_quarantine(&self, update: &QuarantineUpdate) {
+        let mut quarantine = lock(&self.crash_checks.quarantine);
+        for change in quarantine.apply(update, Instant::now()) {
+            spdlog::info!("quarantine changed", kv: {
+                change = format!("{change:?}"),
+                changed_at = update.changed_at,
+            });
         }
-        ProposalOutcome::Done(_) => {}
-        other => spdlog::warn!("report failed", kv: { outcome = format!("{other:?}") }),
+        self.metrics
+            .quarantined
+            .set(quarantine.quarantined() as i64);
     }
 }
--- a/crates/router/src/services.rs
+++ b/crates/router/src/services.rs
@@ -11,7 +11,10 @@
 };
 use railtack_core::{AttemptId, IdempotencyKey, RefusalCode, TemplateName, TenantName};
 use railtack_http::{Body, SendError, body, read_body, retry_after, send_on_new_connection};
-use railtack_proxy::permits::{Permit, PermitDecision};
+use railtack_proxy::{
+    crash_checks::SuspectRun,
+    permits::{Permit, PermitDecision},
+};
 use railtack_rpc::protocol::StoredResponse;
 use railtack_serving::{BackendSignals, ContentKey, RequestContent};
 use railtack_settings::documents::Target;
@@ -107,20 +110,20 @@
         tenant: tenant.name.as_str(),
         body: &request.content,
     });
-    if let Some(refusal) = quarantine::refusal(state, content_key) {
-        return Err(with_unknown_execution(refusal, key.as_ref()));
-    }
+    let exchange_timeout = Duration::from_millis(state.settings.limits.default_deadline_ms);
     let forwarded = ForwardedRequest {
         request,
         content_key,
         tenant: tenant.name.clone(),
         service: name.clone(),
-        exchange_timeout: Duration::from_millis(state.settings.limits.default_deadline_ms)
-            .min(MAX_EXCHANGE_TIME),
+        exchange_timeout: exchange_timeout.min(MAX_EXCHANGE_TIME),
     };
+    let run = quarantine::check_crashes(state, content_key, forwarded.exchange_timeout)
+        .await
+        .map_err(|refusal| with_unknown_execution(refusal, key.as_ref()))?;
     match (service.template.repeatable, key) {
-        (true, None) => run_repeatable(state, &forwarded).await,
-        (true, Some(key)) | (false, Some(key)) => run_idempotent(state, &forwarded, key).await,
+        (true, None) => run_repeatable(state, &forwarded, run).await,
+        (true, Some(key)) | (false, Some(key)) => run_idempotent(state, &forwarded, key, run).await,
         (false, None) => Err(Refusal::not_run(
             RefusalCode::MissingIdempotencyKey,
             "this service may not be repeated: name the request by an Idempotency-Key header",
@@ -154,11 +157,18 @@
 async fn run_repeatable(
     state: &Arc<RouterState>,
     forwarded: &ForwardedRequest<'_>,
+    mut run: Option<SuspectRun>,
 ) -> Result<StoredResponse, Refusal> {
     let mut may_have_run = false;
     for _ in 0..MAX_REPEATABLE_ATTEMPTS {
-        if may_have_run && quarantine::refusal(state, forwarded.content_key).is_some() {
-            break;
+        if may_have_run {
+            // Ended first, since the request would wait for its own run.
+            drop(run.take());
+            let time = forwarded.exchange_timeout;
+            match quarantine::check_crashes(state, forwarded.content_key, time).await {
+                Ok(next_run) => run = next_run,
+                Err(_) => break,
+            }
         }
         let Some(chosen) = acquire_backend(state, &forwarded.service).await else {
             break;
@@ -180,6 +190,7 @@
     state: &Arc<RouterState>,
     forwarded: &ForwardedRequest<'_>,
     key: IdempotencyKey,
+    run: Option<SuspectRun>,
 ) -> Result<StoredResponse, Refusal> {
     let (idempotent, first_step) = IdempotentRequest::begin(
         forwarded.tenant.clone(),
@@ -201,7 +212,9 @@
             exchange_timeout,
             content_key,
         };
-        run_steps(state, &forwarded, idempotent, first_step).await
+        let response = run_steps(state, &forwarded, idempotent, first_step).await;
+        drop(run);
+        response
     });
     task.await.unwrap_or_else(|_| {
         Err(Refusal::unknown(
@@ -274,7 +287,7 @@
         Ok(_) => quarantine::record_success(state, forwarded.content_key),
         Err(SendError::MaybeSent) => {
             let incarnation = state.backend_incarnation(address);
-            quarantine::record_broken_connection(state, incarnation, forwarded.content_key);
+            quarantine::record_broken_connection(state, &incarnation, forwarded.content_key);
         }
         Err(SendError::NotSent) => {}
     }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -15,7 +15,7 @@
 use railtack_consensus::{Millis, ReplicaId};
 use railtack_core::{EngineId, RefusalCode, TenantName};
 use railtack_http::HttpClient;
-use railtack_proxy::quarantine::{CrashTracker, QuarantineState};
+use railtack_proxy::crash_checks::CrashChecks;
 use railtack_routing::{Admission, Micros, RetryBudget, Scheduler, SchedulerOptions};
 use railtack_serving::{Availability, MonotonicTime};
 use railtack_settings::{RouterSettings, router::WhenUnconfirmed};
@@ -59,10 +59,8 @@
     pub retry_budgets: Mutex<HashMap<TenantName, RetryBudget>>,
     /// Recent scheduling decisions.
     pub decisions: Mutex<DecisionLog>,
-    /// Requests that the control group has quarantined.
-    pub quarantine: Mutex<QuarantineState>,
-    /// Crashes and broken connections observed under this router's requests.
-    pub crash_tracker: Mutex<CrashTracker>,
+    /// Crash checks of engines and back ends, and the quarantine.
+    pub crash_checks: Arc<CrashChecks>,
     /// Metrics of this process.
     pub metrics: RouterMetrics,
     /// HTTP client for engines and the platform.
@@ -105,8 +103,7 @@
             admission: Mutex::default(),
             retry_budgets: Mutex::default(),
             decisions: Mutex::default(),
-            quarantine: Mutex::default(),
-            crash_tracker: Mutex::default(),
+            crash_checks: Arc::default(),
             metrics: RouterMetrics::default(),
             client: HttpClient::new(ENGINE_CONNECT_TIMEOUT),
             control: ControlLink::new(&settings.control),
@@ -175,6 +172,7 @@
         BackendIncarnation {
             id: format!("{address}#{}#{crashes}", self.settings.router_id.0),
             address,
+            engine: None,
         }
     }
 
