Log elections, lost leaderships, slow syncs and abandoned proposals

An operator's `tenant submit` ended with exit code 6 (outcome unknown) at a load of 27. Nothing in the logs of the control replicas could tell whether a leader was missing, syncs took long or an answer was lost: the only line was `leader changed`, and syncs stood in a histogram only.

Change: `election started`, `leadership lost` with the timeout in force, `slow sync` from 150 ms on, `proposals abandoned` with their number; counters for the first, second and last of them. They move out of the node into a module of their own.

--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -181,6 +181,11 @@
         self.hard_state.term
     }
 
+    /// Shortest time without contact after which this replica starts an election or, as leader, steps down.
+    pub fn election_timeout(&self) -> Millis {
+        self.options.election_timeout
+    }
+
     /// The leader of the current term, which may be this replica; `None` if unknown.
     pub fn leader(&self) -> Option<ReplicaId> {
         self.leader
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -77,6 +77,12 @@
     pub is_leader: Gauge,
     /// Current term.
     pub term: Gauge<u64, AtomicU64>,
+    /// Elections that this replica started.
+    pub elections: Counter,
+    /// Leaderships that this replica lost.
+    pub lost_leaderships: Counter,
+    /// Proposals whose outcome is unknown because this replica lost its leadership.
+    pub abandoned_proposals: Counter,
     /// Commit index.
     pub commit: Gauge<u64, AtomicU64>,
     /// Revision of the configuration.
@@ -120,6 +126,9 @@
             group_level: Gauge::default(),
             is_leader: Gauge::default(),
             term: Gauge::default(),
+            elections: Counter::default(),
+            lost_leaderships: Counter::default(),
+            abandoned_proposals: Counter::default(),
             commit: Gauge::default(),
             revision: Gauge::default(),
             claims: Gauge::default(),
@@ -233,6 +242,21 @@
             self.is_leader.clone(),
         );
         registry.register("control_term", "Current term", self.term.clone());
+        registry.register(
+            "control_elections",
+            "Elections started",
+            self.elections.clone(),
+        );
+        registry.register(
+            "control_lost_leaderships",
+            "Leaderships lost",
+            self.lost_leaderships.clone(),
+        );
+        registry.register(
+            "control_abandoned_proposals",
+            "Proposals of unknown outcome after a lost leadership",
+            self.abandoned_proposals.clone(),
+        );
         registry.register("control_commit", "Commit position", self.commit.clone());
         registry.register(
             "control_revision",
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -4,6 +4,7 @@
 //! inputs before it syncs, so that many proposals share one sync.
 
 mod group;
+mod leadership;
 pub mod level;
 
 use std::{
@@ -28,7 +29,7 @@
 use crate::{
     errors::ControlError,
     metrics::ControlMetrics,
-    node::level::MemberLevels,
+    node::{leadership::LeadershipLog, level::MemberLevels},
     peers::Peers,
     pending::PendingProposals,
     replica::{Advance, MembershipError, Replica},
@@ -174,7 +175,7 @@
         metrics,
         started,
         pending: PendingProposals::default(),
-        leader: None,
+        leadership: LeadershipLog::default(),
         routers: RouterTracker::default(),
         options,
         view: view_sender,
@@ -196,7 +197,7 @@
     metrics: ControlMetrics,
     started: BootInstant,
     pending: PendingProposals<oneshot::Sender<ProposeReply>>,
-    leader: Option<ReplicaId>,
+    leadership: LeadershipLog,
     routers: RouterTracker,
     options: NodeOptions,
     view: watch::Sender<NodeView>,
@@ -284,7 +285,9 @@
             send_replies(self.pending.applied(applied));
         }
         if self.replica.raft().role() != Role::Leader {
-            send_replies(self.pending.fail_all());
+            let abandoned = self.pending.fail_all();
+            leadership::log_abandoned(abandoned.len(), &self.metrics);
+            send_replies(abandoned);
         }
         self.complete_reads();
         self.reconcile_members(now);
@@ -299,8 +302,9 @@
         let start = Instant::now();
         let advance = self.replica.advance()?;
         if advance.synced {
-            let elapsed = start.elapsed().as_secs_f64();
-            self.metrics.sync_seconds.observe(elapsed);
+            let elapsed = start.elapsed();
+            self.metrics.sync_seconds.observe(elapsed.as_secs_f64());
+            leadership::log_slow_sync(elapsed);
         }
         Ok(advance)
     }
@@ -442,11 +446,7 @@
         let state = self.replica.state();
         self.metrics.revision.set(state.configuration().revision.0);
         self.metrics.claims.set(state.claims().len() as u64);
-        if raft.leader() != self.leader {
-            self.leader = raft.leader();
-            let leader = self.leader.map_or(0, |leader| leader.0);
-            spdlog::info!("leader changed", kv: { leader, term = raft.term() });
-        }
+        self.leadership.record(raft, &self.metrics);
     }
 
     fn now(&self) -> u64 {
