Allow for the time of syncs in election timeouts

Operators saw: a command that ends with exit code 6 (outcome unknown) after 10 s, and each later one with 5 (no control replica): the control group has no leader for as long as syncs take 400 ms or more, though its election timeout is 500 ms.

Cause: a replica's thread neither hears nor sends while it syncs. The leader took its own sync for silence of the others and stepped down right after it; a candidate's timeout was over before the votes came, which wait for its own sync and the voter's.

Change: a replica's own syncs are no silence of others, and timeouts allow for two syncs of another replica, presumed to take as long as its own lately (the second longest of four, at most two election timeouts). Election timers have a module of their own.

Why it works: what is waited for is bounded by what it takes, so votes and appends arrive within the timeout that they reset.

That the listed failure had this cause is not shown: its logs were not kept.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -152,7 +152,7 @@
     fn has_live_leader(&self, now: Millis) -> bool {
         let contacted_recently = self
             .last_leader_contact
-            .is_some_and(|contact| now < contact + self.options.election_timeout);
+            .is_some_and(|contact| now < contact + self.election_timeout());
         self.role == Role::Leader || (self.leader.is_some() && contacted_recently)
     }
 
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -14,6 +14,8 @@
 
 mod election;
 mod replication;
+mod sync_times;
+mod timers;
 
 pub use errors::ProposeError;
 pub use log::{Entry, Payload, RaftLog, Snapshot};
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use rand::{RngExt, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use speedy::{Readable, Writable};
 
@@ -13,6 +13,7 @@
     membership::{DiskId, Membership, ReplicaId},
     message::{Body, Message},
     progress::Progress,
+    sync_times::SyncTimes,
 };
 
 /// Committed entries that a learner may lack when it is promoted to voter.
@@ -125,12 +126,13 @@
     pub(crate) election_deadline: Millis,
     pub(crate) last_leader_contact: Option<Millis>,
     pub(crate) next_heartbeat: Millis,
+    pub(crate) sync_times: SyncTimes,
     /// Time at which this replica last sent heartbeats as leader.
     pub(crate) last_heartbeat: Millis,
     /// Time of the last input, as passed by the caller.
     pub(crate) now: Millis,
     pub(crate) ready: Ready,
-    rng: ChaCha8Rng,
+    pub(crate) rng: ChaCha8Rng,
 }
 
 impl Raft {
@@ -157,6 +159,7 @@
             election_deadline: now,
             last_leader_contact: None,
             next_heartbeat: now,
+            sync_times: SyncTimes::default(),
             last_heartbeat: 0,
             now,
             ready: Ready::default(),
@@ -181,11 +184,6 @@
         self.hard_state.term
     }
 
-    /// Shortest time without contact after which this replica starts an election or, as leader, steps down.
-    pub fn election_timeout(&self) -> Millis {
-        self.options.election_timeout
-    }
-
     /// The leader of the current term, which may be this replica; `None` if unknown.
     pub fn leader(&self) -> Option<ReplicaId> {
         self.leader
@@ -456,29 +454,6 @@
         self.ready.hard_state = Some(hard_state);
     }
 
-    pub(crate) fn reset_election_deadline(&mut self, now: Millis) {
-        let spread = self.election_jitter();
-        self.election_deadline = now + self.options.election_timeout + spread;
-    }
-
-    fn election_jitter(&mut self) -> Millis {
-        let range = self.options.election_timeout.max(1);
-        self.rng.random_range(0..range)
-    }
-
-    /// Sets the time of the next pre-vote. A replica that has not heard from a leader since its start
-    /// skips the election timeout: a pre-vote raises no term and is refused while a leader is alive, so
-    /// it cannot disturb the group. The random part stays as wide as that of an election timeout,
-    /// because replicas that start together would split their votes otherwise.
-    pub(crate) fn reset_pre_vote_deadline(&mut self, now: Millis) {
-        if self.last_leader_contact.is_some() {
-            self.reset_election_deadline(now);
-            return;
-        }
-        let spread = self.election_jitter();
-        self.election_deadline = now + self.options.heartbeat_interval + spread;
-    }
-
     pub(crate) fn refresh_membership(&mut self) {
         (self.membership, self.membership_index) = self.log.membership();
     }
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -246,7 +246,7 @@
 
     fn send_append(&mut self, replica: ReplicaId, disk: DiskId) {
         let now = self.now;
-        let timeout = self.options.election_timeout;
+        let timeout = self.election_timeout();
         let snapshot_index = self.log.snapshot().last_index;
         let Some(progress) = self.progress.get_mut(&replica) else {
             return;
@@ -360,7 +360,7 @@
     }
 
     fn has_quorum_contact(&self, now: Millis) -> bool {
-        let timeout = self.options.election_timeout;
+        let timeout = self.election_timeout();
         let responsive = self.membership.voters().filter(|member| {
             member.replica == self.options.replica
                 || self
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -304,6 +304,7 @@
         if advance.synced {
             let elapsed = start.elapsed();
             self.metrics.sync_seconds.observe(elapsed.as_secs_f64());
+            self.replica.record_sync(elapsed.as_millis() as Millis);
             leadership::log_slow_sync(elapsed);
         }
         Ok(advance)
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -244,6 +244,11 @@
         self.raft.propose_membership(next)
     }
 
+    /// Records how long an [`Replica::advance`] that synced took. See [`Raft::record_sync`].
+    pub fn record_sync(&mut self, duration: Millis) {
+        self.raft.record_sync(duration);
+    }
+
     /// Schedules a heartbeat ahead of the interval. See [`Raft::request_heartbeat`].
     pub fn request_heartbeat(&mut self, now: Millis) {
         self.raft.request_heartbeat(now);
