Try every back end of a service that cannot be reached

Callers saw: a repeatable call refused with `no_backend` although two of eight back ends ran, while the platform still listed six that had just died.

Cause: a call made three attempts, and a connection that is refused counted as one.

Change: three back ends may run a call; those that cannot be reached count apart, up to the number of listed ones and the time of the exchange.

--- a/crates/router/src/services.rs
+++ b/crates/router/src/services.rs
@@ -18,7 +18,7 @@
 use railtack_rpc::protocol::StoredResponse;
 use railtack_serving::{BackendSignals, ContentKey, RequestContent};
 use railtack_settings::documents::Target;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use xxhash_rust::xxh3::xxh3_128;
 
 use crate::{
@@ -33,7 +33,8 @@
 /// Header with the name of the tenant, sent to the service.
 const TENANT_HEADER: &str = "x-railtack-tenant";
 const MAX_KEY_BYTES: usize = 255;
-const MAX_REPEATABLE_ATTEMPTS: u32 = 3;
+/// Maximum number of back ends that may run a request.
+const MAX_REPEATABLE_RUNS: u32 = 3;
 /// Retry delay returned if no back end of the service is available, milliseconds.
 const NO_BACKEND_RETRY_MS: u64 = 1_000;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -159,9 +160,14 @@
     forwarded: &ForwardedRequest<'_>,
     mut run: Option<SuspectRun>,
 ) -> Result<StoredResponse, Refusal> {
-    let mut may_have_run = false;
-    for _ in 0..MAX_REPEATABLE_ATTEMPTS {
-        if may_have_run {
+    let mut runs = 0;
+    let mut unreachable = 0;
+    let deadline = Instant::now() + forwarded.exchange_timeout;
+    while runs < MAX_REPEATABLE_RUNS
+        && unreachable < count_backends(state, &forwarded.service)
+        && Instant::now() < deadline
+    {
+        if runs > 0 {
             // Ended first, since the request would wait for its own run.
             drop(run.take());
             let time = forwarded.exchange_timeout;
@@ -175,11 +181,11 @@
         };
         match forward(state, chosen, forwarded).await {
             Ok(response) => return Ok(response),
-            Err(SendError::NotSent) => {}
-            Err(SendError::MaybeSent) => may_have_run = true,
+            Err(SendError::NotSent) => unreachable += 1,
+            Err(SendError::MaybeSent) => runs += 1,
         }
     }
-    Err(if may_have_run {
+    Err(if runs > 0 {
         Refusal::unknown(RefusalCode::BackendFailed, "the service failed")
     } else {
         no_backend_refusal(state, &forwarded.service)
@@ -363,6 +369,13 @@
     }
 }
 
+fn count_backends(state: &RouterState, service: &str) -> usize {
+    let services = lock(&state.services);
+    services
+        .get(service)
+        .map_or(0, |backends| backends.live.len())
+}
+
 fn next_backend(state: &RouterState, service: &str) -> Option<SocketAddr> {
     let now = state.uptime();
     let mut available = lock(&state.backend_availability);
