--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -13,7 +13,7 @@
         replay, trace,
     },
     fault::{self, FaultCase},
-    fleet::FleetKind,
+    fleet::{FleetKind, FleetShape},
     scale::{self, Slope},
     simulate::{self, Mutant, Scenario, command::SimulateOptions},
     soak::{self, command::SoakOptions},
@@ -179,10 +179,33 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("The lab of a former build, with which the fleets begin; what is started again is replaced"),
         )
+        .arg(count_argument("routers", 1, 100, "Routers of each fleet"))
+        .arg(count_argument("control", 1, 7, "Control replicas of each fleet"))
+        .arg(count_argument("engines", 1, 150, "Engines of each fleet"))
+}
+
+/// An optional number of processes within limits.
+fn count_argument(name: &'static str, least: i64, most: i64, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_parser(value_parser!(u32).range(least..=most))
+        .help(help)
+}
+
+fn soak_shape(matches: &ArgMatches) -> FleetShape {
+    let shape = FleetShape::demonstration(FleetKind::Brasov);
+    let count = |name: &str, default: u32| matches.get_one(name).copied().unwrap_or(default);
+    FleetShape {
+        routers: count("routers", shape.routers),
+        control: count("control", shape.control),
+        engines: count("engines", shape.engines),
+        ..shape
+    }
 }
 
 fn soak_options(matches: &ArgMatches) -> SoakOptions {
     SoakOptions {
+        shape: soak_shape(matches),
         seeds: matches
             .get_one::<Range<u64>>("seeds")
             .cloned()
--- a/crates/lab/src/soak/command.rs
+++ b/crates/lab/src/soak/command.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     LabError,
+    fleet::FleetShape,
     soak::run::{self, Builds, SoakReport},
 };
 
@@ -14,6 +15,8 @@
 pub struct SoakOptions {
     /// Seeds to run, each on a new fleet.
     pub seeds: Range<u64>,
+    /// Shape of each fleet.
+    pub shape: FleetShape,
     /// Length of each schedule.
     pub length: Duration,
     /// Parent folder of the logs, which are kept for failing seeds; the temporary folder by default.
@@ -30,7 +33,8 @@
     for seed in options.seeds.clone() {
         let folder = seed_folder(&options, seed);
         run::prepare_folder(&folder)?;
-        let report = run::soak(seed, options.length, &folder, builds.as_ref()).await;
+        let shape = options.shape.clone();
+        let report = run::soak_shape(shape, seed, options.length, &folder, builds.as_ref()).await;
         let holds = matches!(&report, Ok(report) if report.violations() == 0);
         print_report(seed, &report);
         if holds {
--- a/crates/lab/src/soak/run.rs
+++ b/crates/lab/src/soak/run.rs
@@ -84,17 +84,28 @@
 /// One router restart in this many uses the previous build.
 const ROLLBACK_RATIO: u32 = 3;
 
-/// Runs a soak on a new fleet in `folder`; with `builds`, the fleet mixes two builds.
+/// Runs a soak on a new demonstration fleet in `folder`; with `builds`, the fleet mixes two builds.
 pub async fn soak(
     seed: u64,
     length: Duration,
     folder: &Path,
     builds: Option<&Builds>,
+) -> Result<SoakReport, Report<LabError>> {
+    let shape = FleetShape::demonstration(FleetKind::Brasov);
+    soak_shape(shape, seed, length, folder, builds).await
+}
+
+/// Runs a soak on a new fleet of the given shape.
+pub async fn soak_shape(
+    shape: FleetShape,
+    seed: u64,
+    length: Duration,
+    folder: &Path,
+    builds: Option<&Builds>,
 ) -> Result<SoakReport, Report<LabError>> {
     if let Some(builds) = builds {
         process::use_lab_binary(&builds.previous);
     }
-    let shape = FleetShape::demonstration(FleetKind::Brasov);
     let size = FleetSize {
         routers: shape.routers as usize,
         control: shape.control as usize,
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -45,6 +45,16 @@
     assert_no_violations(2).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn third_seed_has_no_violations() {
+    assert_no_violations(3).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn fourth_seed_has_no_violations() {
+    assert_no_violations(4).await;
+}
+
 #[test]
 fn schedule_is_determined_by_its_seed() {
     let draw = |seed| Schedule::draw(seed, SIZE, LENGTH);
