--- a/crates/consensus/tests/slow_syncs.rs
+++ b/crates/consensus/tests/slow_syncs.rs
@@ -145,8 +145,10 @@
         if self.sync.is_some() {
             return sent;
         }
-        while let Some((_, message)) = self.inbox.pop_front_if(|(due, _)| *due <= now) {
-            self.raft.receive(message, now);
+        while self.inbox.front().is_some_and(|(due, _)| *due <= now) {
+            if let Some((_, message)) = self.inbox.pop_front() {
+                self.raft.receive(message, now);
+            }
         }
         self.raft.tick(now);
         let ready = self.raft.take_ready();
