Let only the leader judge a membership change

Operators saw: `railtackctl members add` ends with exit code 4, "no such member, or already one", though the leader has added the learner and would promote it.

Cause: the command asks each control replica in turn; one that does not lead compared the change with the members that it knew before it looked whether it leads, and that refusal ended the command. Test fleets repeat the command, which hid it.

Change: a replica that does not lead answers so.

Test: `a_replica_that_does_not_lead_judges_no_change` failed before with `InvalidChange`.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -232,6 +232,13 @@
         &mut self,
         change: &MembershipChange,
     ) -> Result<LogIndex, MembershipError> {
+        // The members that this replica knows may be former ones unless it leads.
+        if self.raft.role() != Role::Leader {
+            let leader = self.raft.leader();
+            return Err(MembershipError::Rejected(ProposeError::NotLeader {
+                leader,
+            }));
+        }
         let next = apply_membership_change(self.raft.membership(), change)
             .ok_or(MembershipError::InvalidChange)?;
         self.raft
