Go back to the configured control replicas while the lease is over

Callers saw: a router that refuses everything as `configuration_unconfirmed` until it is started again, though a majority of the control group runs. Sought after a router that was not ready within 20 s.

Cause: a router of `/v1` keeps connections to the voters that it was told of last and drops those of its settings. If it is suspended while the group goes from one member to three and the first one dies, it knows the dead one only.

Change: while its lease is over, a router asks the control replicas of its settings too; replies of former voters do not count, as before.

That the listed failure had this cause is not likely.

--- a/crates/router/src/control_link.rs
+++ b/crates/router/src/control_link.rs
@@ -37,6 +37,8 @@
 /// Connections to the control replicas.
 pub struct ControlLink {
     connections: Mutex<Connections>,
+    /// Control replicas of the settings.
+    configured: Vec<ControlAddress>,
     leader: Mutex<Option<SocketAddr>>,
     group_level: GroupLevel,
 }
@@ -50,6 +52,7 @@
         });
         Self {
             connections: Mutex::new(connections.collect()),
+            configured: replicas.to_vec(),
             leader: Mutex::new(None),
             group_level: GroupLevel::default(),
         }
@@ -61,6 +64,19 @@
         self.group_level.get() >= FeatureLevel::SHARED_GRANTS
     }
 
+    /// Adds connections to the replicas of the settings. The voters that this router knows may have been replaced
+    /// while it could not reach any of them.
+    fn add_configured(&self) {
+        let mut connections = lock(&self.connections);
+        for replica in &self.configured {
+            connections
+                .entry(ReplicaId(replica.replica_id))
+                .or_insert_with(|| {
+                    Arc::new(ControlConnection::new(replica.address, CONNECT_TIMEOUT))
+                });
+        }
+    }
+
     /// Updates the connections to a changed set of voters.
     fn set_voters(&self, voters: &[VoterAddress]) {
         let mut connections = lock(&self.connections);
@@ -229,6 +245,9 @@
 
 /// Runs one round of polls. Returns true if the router is behind or its lease is not valid.
 async fn poll_all(state: &Arc<RouterState>, round: usize) -> bool {
+    if !state.is_confirmed() {
+        state.control.add_configured();
+    }
     let connections = state.control.connections();
     let count = connections.len().max(1);
     let polls = connections
