Put back reasons that comments have lost

Back in today's names, as far as they still hold: what batches and the queue of registrations are bounded by, why updates, appends and group sizes are limited as they are, what the largest limit is measured against, why records come from a settled control replica only, why views share records and why a back-off is kept apart from failures. No code changes.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -21,8 +21,8 @@
 
 /// Maximum number of entries in one append message.
 const APPEND_LIMIT: usize = 512;
-/// Maximum size of the commands in one append message, bytes. Keeps a lagging member from being sent
-/// hundreds of registration batches of 40 kB at once.
+/// Maximum size of the commands in one append message, bytes; about six registration batches of 40 kB. Without it, a
+/// lagging member could be sent [`APPEND_LIMIT`] of them, 20 MB, at once.
 const APPEND_BYTES: usize = 256 * 1024;
 
 /// Identity, timing and limits of a replica.
--- a/crates/control/src/serving/registration_queue.rs
+++ b/crates/control/src/serving/registration_queue.rs
@@ -10,11 +10,12 @@
 use railtack_rpc::serving::Registration;
 use railtack_serving::{ReplicaRecord, ReplicaState};
 
-/// Records in one log entry, about 40 kB.
+/// Records in one log entry, about 40 kB. Each control replica proposes one batch at a time, so ten of them have at
+/// most 0.4 MB in flight at the leader.
 pub const MAX_BATCH_RECORDS: usize = 256;
 
-/// Records in the queue, about 8 MB. Heartbeats beyond this are refused and repeated by the
-/// replica.
+/// Records in the queue, about 8 MB; more than a fleet twice as large as any planned one has. Heartbeats beyond
+/// this are refused and repeated by the replica.
 pub const CAPACITY: usize = 20_000;
 
 /// Queued records and those of the batch in flight. `T` is a caller that waits for the outcome.
--- a/crates/control/src/serving_state/updates.rs
+++ b/crates/control/src/serving_state/updates.rs
@@ -8,7 +8,8 @@
 use super::ServingState;
 
 /// Records in one update, about 70 kB. A router's link of 10 Mbit/s carries them in 60 ms; a larger
-/// message may miss its deadline and is then lost completely.
+/// message may miss its deadline and is then lost completely. All records in one message, 140 bytes each, missed it
+/// from about 3,000 replicas on.
 const MAX_RECORDS_PER_UPDATE: usize = 512;
 
 /// Limits of one update.
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -309,7 +309,8 @@
     }
 
     /// Whether no better control replica is known. Records are only requested from a settled
-    /// control replica; each one contacted on the way would send the first records of the fleet.
+    /// control replica; each one contacted on the way would send the first records of the fleet. That made up more
+    /// than a third of the bytes between zones when 985 routers that know 10,000 replicas restarted once.
     fn is_settled(&self, zone: &str, address: SocketAddr) -> bool {
         self.zones.contains_key(&address) && self.preferred(zone, address).is_none()
     }
--- a/crates/proxy/src/homes.rs
+++ b/crates/proxy/src/homes.rs
@@ -24,7 +24,8 @@
 /// separates unique segments from shared ones.
 const GROUP_HEADROOM_FACTOR: usize = 4;
 /// Factor between two group sizes. A large factor makes routers with slightly different load
-/// figures agree on the size; homes move whenever it changes.
+/// figures agree on the size; homes move whenever it changes. With sizes a factor of two apart, routers disagreed,
+/// and second segments had two homes each.
 const GROUP_GROWTH_FACTOR: usize = 4;
 /// Members that are searched for one that caches the first segment.
 const MAX_HOLDERS: usize = 16;
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -18,7 +18,8 @@
     pub position: WatchPosition,
     /// Routes, services and tenants; `None` until the first configuration is received.
     pub table: Option<Arc<RouteTable>>,
-    /// Replicas by incarnation id. A persistent map: views share unchanged records.
+    /// Replicas by incarnation id. A persistent map: views share unchanged records. The cost of a copy for each
+    /// update would grow with the fleet.
     pub replicas: RedBlackTreeMapSync<String, Arc<ReplicaRecord>>,
     /// Target version of the weights of each model.
     pub weights: BTreeMap<String, u64>,
--- a/crates/serving/src/availability.rs
+++ b/crates/serving/src/availability.rs
@@ -3,7 +3,8 @@
 //! This state is kept apart from the failures that requests meet at a back end: a successful request, an
 //! update of the replica list or a disabled mechanism does not clear it. A back-off holds for the requested
 //! time, leaving holds for the rest of the incarnation, and a limit holds until the control group knows that
-//! it was lifted.
+//! it was lifted. Kept with the failures, a back-off of three seconds ended after 120 ms, and the back end got
+//! three to four requests from one router in it.
 //!
 //! It is checked directly before anything is sent to a back end: by routers on both interfaces, and by the
 //! control replicas that give orders.
--- a/crates/serving/src/limit.rs
+++ b/crates/serving/src/limit.rs
@@ -7,7 +7,8 @@
 
 /// Resolution of a limit: units per request.
 const UNITS_PER_REQUEST: f64 = 1e3;
-/// Largest valid limit, requests per second; far above the request rate of a whole deployment.
+/// Largest valid limit, requests per second; about 70 times the request rate of all back ends together at the size
+/// in `CONTRIBUTING.md`.
 const MAX_REQUESTS_PER_S: f64 = 1e6;
 
 /// A limit on requests per second, over all routers together; 0 allows no request.
