Let a retry not wait for the port of an engine that fell silent

Change: the check of a silent replica runs without holding requests; if it proves a crash, they are held until that is recorded, as others are.

Test: `a_request_does_not_wait_for_the_check_of_a_silent_replica`.

--- a/crates/core/src/execution.rs
+++ b/crates/core/src/execution.rs
@@ -68,7 +68,7 @@
     NoBackend,
     /// The router could not confirm its configuration within its lease.
     ConfigurationUnconfirmed,
-    /// The control group could not record the claim.
+    /// The control group could not record the claim, or the crash of a back end under the request.
     ControlUnavailable,
     /// A back end failed and the request cannot be retried.
     BackendFailed,
--- a/crates/proxy/src/crash_checks.rs
+++ b/crates/proxy/src/crash_checks.rs
@@ -272,6 +272,15 @@
     }
 }
 
+/// The same for a replica that has fallen silent. One that hangs keeps its port open, so that requests do not wait for
+/// the check.
+pub fn replica_silent<H: CrashCheckHost>(host: &Arc<H>, replica: &H::Replica, content: ContentKey) {
+    connection_broken(host, replica, content);
+    let checks = host.crash_checks();
+    lock(&checks.tracker).stop_blocking(H::id(replica));
+    checks.progress.notify_waiters();
+}
+
 /// Records that a request completed, and reports it to the control group if the request is
 /// suspected or quarantined: copies that were open when it was quarantined may prove it harmless.
 pub fn request_succeeded<H: CrashCheckHost>(host: &Arc<H>, content: ContentKey) {
--- a/crates/proxy/tests/crash_checks.rs
+++ b/crates/proxy/tests/crash_checks.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use futures::FutureExt;
 use railtack_proxy::{
     crash_checks::{self, CrashCheckHost, CrashChecks, SendDecision},
     pool::ProbeConnection,
@@ -142,6 +143,23 @@
     assert!(matches!(decision, SendDecision::Unsettled), "{decision:?}");
 }
 
+/// Guards against a retry that waits for the port of a replica that hangs.
+#[tokio::test]
+async fn a_request_does_not_wait_for_the_check_of_a_silent_replica() {
+    let host = Host::new();
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let hanging = Replica { id: "r", address };
+    crash_checks::replica_silent(&host, &hanging, FATAL);
+    let decision = host.checks.wait(FATAL, TIME).now_or_never();
+    assert!(
+        matches!(decision, Some(SendDecision::Allowed(None))),
+        "{decision:?}"
+    );
+    crash_checks::connection_broken(&host, &Replica { id: "s", address }, OTHER);
+    assert!(host.checks.wait(OTHER, TIME).now_or_never().is_none());
+}
+
 /// Guards against copies that are all sent as soon as the crash under the first one is recorded.
 #[tokio::test]
 async fn copies_of_a_suspected_request_run_one_at_a_time() {
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -124,7 +124,7 @@
     async fn run_attempts(&mut self) -> Option<ResponseEvent> {
         let mut first_decision = self.job.first_decision.clone();
         loop {
-            let _run = match self.check_crashes().await {
+            let _suspect_run = match self.check_crashes().await {
                 Ok(run) => run,
                 Err(refusal) => return final_event(self.attempts.fail_with(refusal)),
             };
@@ -234,7 +234,7 @@
             AttemptOutcome::Completed(_) => {
                 quarantine::record_success(self.state, self.job.content_key)
             }
-            AttemptOutcome::Lost | AttemptOutcome::Silent => {
+            AttemptOutcome::Lost => {
                 let incarnation = self.incarnation_of(attempt);
                 quarantine::record_broken_connection(
                     self.state,
@@ -242,6 +242,10 @@
                     self.job.content_key,
                 );
             }
+            AttemptOutcome::Silent => {
+                let incarnation = self.incarnation_of(attempt);
+                quarantine::record_silence(self.state, &incarnation, self.job.content_key);
+            }
             _ => {}
         }
     }
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -93,6 +93,15 @@
     crash_checks::connection_broken(state, incarnation, content);
 }
 
+/// The same for a back end that has fallen silent, for whose check requests do not wait.
+pub fn record_silence(
+    state: &Arc<RouterState>,
+    incarnation: &BackendIncarnation,
+    content: ContentKey,
+) {
+    crash_checks::replica_silent(state, incarnation, content);
+}
+
 impl CrashCheckHost for RouterState {
     type Replica = BackendIncarnation;
 
