Log what the retry budget of a router is based on

Callers of a service saw more retries arrive than the deployment allows; the log told neither the service of a retry nor what its router had counted. Each retry now names its service, the router's requests and retries of the last window, and the number of routers that the slack was divided by, so that their sums over all routers can be held against the bound.

--- a/crates/proxy/src/budget.rs
+++ b/crates/proxy/src/budget.rs
@@ -34,6 +34,17 @@
     pub window: Duration,
 }
 
+/// What the budget of one router was based on, for logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BudgetUsage {
+    /// First attempts in the last window.
+    pub requests: u32,
+    /// Local retries in the last window.
+    pub retries: u32,
+    /// Number of routers that share the slack.
+    pub routers: u32,
+}
+
 /// Counts of one bucket of the window.
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
@@ -77,28 +88,45 @@
         is_allowed
     }
 
+    /// Returns what the budget is based on at `now`.
+    pub fn usage(&self, now: Instant) -> BudgetUsage {
+        BudgetUsage {
+            requests: self.requests(now),
+            retries: self.retries(),
+            routers: self.routers(),
+        }
+    }
+
     /// Returns the retries allowed in the window that ends at `now`.
     fn allowance(&self, now: Instant) -> f64 {
+        let share = f64::from(self.requests(now)) * self.rule.ratio * SPENDABLE_SHARE;
+        share + self.slack(now)
+    }
+
+    /// Returns the requests in the window that ends at `now`.
+    fn requests(&self, now: Instant) -> u32 {
         let current = self.bucket_index(now);
         let counted = self
             .buckets
             .iter()
             .filter(|bucket| bucket.index + BUCKETS_PER_WINDOW > current);
-        let requests: u32 = counted.map(|bucket| bucket.requests).sum();
-        let share = f64::from(requests) * self.rule.ratio * SPENDABLE_SHARE;
-        share + self.slack(now)
+        counted.map(|bucket| bucket.requests).sum()
     }
 
-    /// Returns this router's part of the slack.
-    fn slack(&self, now: Instant) -> f64 {
+    /// Returns the number of routers that share the slack.
+    fn routers(&self) -> u32 {
         // A new leader does not know all routers yet, so the largest recent number counts.
         let max_routers = self.buckets.iter().map(|bucket| bucket.routers).max();
-        let routers = max_routers
+        max_routers
             .filter(|max_routers| *max_routers > 0)
-            .unwrap_or(ASSUMED_ROUTERS);
+            .unwrap_or(ASSUMED_ROUTERS)
+    }
+
+    /// Returns this router's part of the slack.
+    fn slack(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.started_at);
         let ramp = age.as_secs_f64() / self.window_s();
-        self.rule.slack * LOCAL_SLACK_SHARE / f64::from(routers) * ramp.min(1.0)
+        self.rule.slack * LOCAL_SLACK_SHARE / f64::from(self.routers()) * ramp.min(1.0)
     }
 
     fn retries(&self) -> u32 {
--- a/crates/proxy/src/pipeline/retry.rs
+++ b/crates/proxy/src/pipeline/retry.rs
@@ -51,6 +51,7 @@
         }
         let is_local = self.state.try_withdraw_retry(&self.service);
         let in_budget = is_local || self.acquire_shared_retry().await;
+        let usage = self.state.retry_budget_usage(&self.service);
         spdlog::info!("retry", kv: {
             request = self.request.id.clone(),
             in_budget,
@@ -60,6 +61,10 @@
             proof = format!("{proof:?}"),
             replicas_used = self.replicas_used,
             declined = self.declined,
+            service = self.service.clone(),
+            window_requests = usage.requests,
+            window_retries = usage.retries,
+            budget_routers = usage.routers,
         });
         if in_budget {
             self.state.metrics.retries.inc();
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -19,7 +19,7 @@
 use crate::{
     affinity::PrefixPath,
     backend::BackendProtocol,
-    budget::{BudgetRule, RetryBudget},
+    budget::{BudgetRule, BudgetUsage, RetryBudget},
     control_peers::ControlPeers,
     crash_checks::CrashChecks,
     estimates::{Estimates, FirstEventEstimate},
@@ -290,6 +290,11 @@
         self.with_budget(service, |budget| budget.withdraw(routers, Instant::now()))
     }
 
+    /// Returns what the retry budget of a service is based on.
+    pub fn retry_budget_usage(&self, service: &str) -> BudgetUsage {
+        self.with_budget(service, |budget| budget.usage(Instant::now()))
+    }
+
     /// Records the time from sending a prompt to its first event.
     pub fn record_first_event(&self, service: &str, backlog: PrefillBacklog, waited: Duration) {
         let mut prefill_latencies = lock(&self.prefill_latencies);
