Bound the retries of a restarted router by what its predecessor left

Cause: a router may spend its part of the ratio of a whole window in one burst. A process that is restarted right after that does not know it, and spent the same part of its own requests once more within the same window. The slack was counted twice for this; the ratio was not. The class: a limit over a window whose count ends with the process. The property test of the bound restarted all routers too, but with so few requests that the slack covered both parts.

Change: until one window has passed since its start, a router spends only the part of the ratio that its predecessor could not spend, unless the deployment starts for the first time. It still gets retries from the leader, and its part of the slack.

--- a/crates/proxy/src/budget.rs
+++ b/crates/proxy/src/budget.rs
@@ -6,8 +6,9 @@
 //! part of the slack.
 //!
 //! Invariant: retries in any window stay below the bound, including those sent by routers before a
-//! restart. A restarted router does not know what it spent before, so it starts without slack and
-//! gains it over one window. The leader shares out the remaining slack.
+//! restart. A restarted router does not know what it spent before. It starts without slack and gains it
+//! over one window; in that window it spends only the part of the ratio that its predecessor could not
+//! spend. The leader shares out the remaining slack.
 
 use std::time::Duration;
 
@@ -16,6 +17,8 @@
 
 /// Part of the ratio that is spent; the rest covers requests counted by other routers.
 const SPENDABLE_SHARE: f64 = 0.85;
+/// Part of the ratio that a restarted router spends while retries of its predecessor may be in the window.
+const SPENDABLE_SHARE_AFTER_RESTART: f64 = 1.0 - SPENDABLE_SHARE;
 /// Number of routers assumed until it is known.
 const ASSUMED_ROUTERS: u32 = 64;
 /// Buckets per window.
@@ -60,19 +63,30 @@
 pub struct RetryBudget {
     rule: BudgetRule,
     started_at: Instant,
+    /// Time from which no retry of a predecessor is in the window; `None` without a predecessor.
+    predecessor_forgotten_at: Option<Instant>,
     buckets: [Bucket; BUCKET_COUNT],
 }
 
 impl RetryBudget {
-    /// Creates the budget of a router that starts at `now`.
+    /// Creates the budget of a router that starts at `now` and has no predecessor.
     pub fn new(rule: BudgetRule, now: Instant) -> Self {
         Self {
             rule,
             started_at: now,
+            predecessor_forgotten_at: None,
             buckets: [Bucket::default(); BUCKET_COUNT],
         }
     }
 
+    /// Creates the budget at `now` of a router that was restarted at `restarted_at`.
+    pub fn after_restart(rule: BudgetRule, now: Instant, restarted_at: Instant) -> Self {
+        Self {
+            predecessor_forgotten_at: Some(restarted_at + rule.window),
+            ..Self::new(rule, now)
+        }
+    }
+
     /// Counts a first attempt. `routers` is the number of live routers, 0 if unknown.
     pub fn deposit(&mut self, routers: u32, now: Instant) {
         self.current_bucket(routers, now).requests += 1;
@@ -99,10 +113,22 @@
 
     /// Returns the retries allowed in the window that ends at `now`.
     fn allowance(&self, now: Instant) -> f64 {
-        let share = f64::from(self.requests(now)) * self.rule.ratio * SPENDABLE_SHARE;
+        let share = f64::from(self.requests(now)) * self.rule.ratio * self.spendable_share(now);
         share + self.slack(now)
     }
 
+    /// Returns the part of the ratio that may be spent.
+    fn spendable_share(&self, now: Instant) -> f64 {
+        let predecessor_counts = self
+            .predecessor_forgotten_at
+            .is_some_and(|forgotten_at| now < forgotten_at);
+        if predecessor_counts {
+            SPENDABLE_SHARE_AFTER_RESTART
+        } else {
+            SPENDABLE_SHARE
+        }
+    }
+
     /// Returns the requests in the window that ends at `now`.
     fn requests(&self, now: Instant) -> u32 {
         let current = self.bucket_index(now);
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -47,6 +47,8 @@
     pub zone: String,
     /// Internal addresses of the control replicas to contact first.
     pub control: Vec<SocketAddr>,
+    /// Whether the deployment starts for the first time, so that no process of this node ran before.
+    pub is_first_start: bool,
     /// Time bounds and budgets of the deployment.
     pub bounds: Bounds,
     /// Enabled mechanisms.
@@ -91,6 +93,7 @@
     view_changed: watch::Sender<u64>,
     shutdown: Mutex<Option<ShutdownPlan>>,
     started: BootInstant,
+    started_at: Instant,
 }
 
 /// Schedule of a graceful shutdown.
@@ -161,6 +164,7 @@
             view_changed,
             shutdown: Mutex::default(),
             started: BootInstant::now(),
+            started_at: Instant::now(),
         })
     }
 
@@ -365,7 +369,16 @@
         let mut budgets = lock(&self.budgets);
         let budget = budgets
             .entry(service.to_owned())
-            .or_insert_with(|| RetryBudget::new(rule, Instant::now()));
+            .or_insert_with(|| self.new_budget(rule));
         act(budget)
     }
+
+    fn new_budget(&self, rule: BudgetRule) -> RetryBudget {
+        let now = Instant::now();
+        if self.options.is_first_start {
+            RetryBudget::new(rule, now)
+        } else {
+            RetryBudget::after_restart(rule, now, self.started_at)
+        }
+    }
 }
--- a/crates/proxy/tests/budget.rs
+++ b/crates/proxy/tests/budget.rs
@@ -84,6 +84,48 @@
     assert!(spent <= 7, "{spent}");
 }
 
+/// Guards against more retries than allowed where all routers restart after a burst of retries: a process does not
+/// know the retries of its predecessor.
+#[test]
+fn retries_before_and_after_a_restart_stay_below_the_bound() {
+    const ROUTERS: u32 = 8;
+    const WINDOW_MS: u64 = 10_000;
+    let restart_ms = 2 * WINDOW_MS;
+    for request_gap_ms in [5, 20, 100] {
+        for burst_lead_ms in [0, 500, 3_000] {
+            let start = Instant::now();
+            let mut budgets: Vec<RetryBudget> = (0..ROUTERS)
+                .map(|_| RetryBudget::new(RULE, start))
+                .collect();
+            let mut requests = 0;
+            let mut retries = 0;
+            let first_retry_ms = restart_ms - burst_lead_ms;
+            for step_ms in (0..first_retry_ms + WINDOW_MS).step_by(request_gap_ms) {
+                let now = start + milliseconds(step_ms);
+                if step_ms >= restart_ms && step_ms < restart_ms + request_gap_ms as u64 {
+                    budgets = (0..ROUTERS)
+                        .map(|_| RetryBudget::after_restart(RULE, now, now))
+                        .collect();
+                }
+                for budget in &mut budgets {
+                    budget.deposit(ROUTERS, now);
+                    if step_ms + request_gap_ms as u64 >= first_retry_ms {
+                        requests += 1;
+                        while budget.withdraw(ROUTERS, now) {
+                            retries += 1;
+                        }
+                    }
+                }
+            }
+            let bound = f64::from(requests) * RULE.ratio + RULE.slack;
+            assert!(
+                f64::from(retries) <= bound,
+                "{retries} retries for {requests} requests, allowed {bound}"
+            );
+        }
+    }
+}
+
 /// In any trailing window, retries stay within the ratio of its requests plus the slack, even if
 /// all routers restart within the window.
 #[test]
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -40,6 +40,7 @@
         node: "router".to_owned(),
         zone: "a".to_owned(),
         control,
+        is_first_start: true,
         bounds: Bounds {
             config_apply_ms: 2_000,
             revoke_ms: REVOKE_MS,
