Reset the connection of an abandoned request

Cause, suspected as a part of it: an exchange that is given up was closed in the ordinary way, so that what the kernel still held for a partitioned or silent replica went on being delivered. The attempts of a long silence could arrive within one window, while the budget had counted them in several. The class: work that is counted when it is decided and takes place when its bytes arrive.

Change: connections to replicas are closed by a reset. A partitioned replica then gets nothing that nobody waits for.

Evidence: the new test failed before (the replica read a request and an ordinary end).

--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -273,6 +273,8 @@
 fn set_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
+    // A closed connection is reset, so that nothing of an abandoned request is delivered later.
+    socket.set_linger(Some(Duration::ZERO))?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_TIME)
--- a/crates/proxy/tests/pool.rs
+++ b/crates/proxy/tests/pool.rs
@@ -1,9 +1,12 @@
 //! Connection pool of one replica.
 
-use std::net::SocketAddr;
+use std::{io::ErrorKind, net::SocketAddr};
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
 use railtack_proxy::pool::{Pool, PortState};
-use tokio::net::TcpListener;
+use tokio::{io::AsyncReadExt, net::TcpListener};
 
 async fn listener() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -43,3 +46,22 @@
     let state = Pool::default().probe_port(address).await;
     assert!(matches!(state, PortState::Refused), "{state:?}");
 }
+
+/// Guards against abandoned retries that reach a replica seconds later, all at once: closed in the ordinary way, a
+/// connection delivers what the kernel still holds for a partitioned replica.
+#[tokio::test]
+async fn an_abandoned_request_is_reset() {
+    let (listener, address) = listener().await;
+    let pool = Pool::default();
+    let mut connection = pool.acquire(address, 1, true).await.expect("a connection");
+    let (mut replica, _) = listener.accept().await.expect("a connection");
+    let request = Request::new(Full::new(Bytes::from_static(b"body")));
+    let response = tokio::spawn(connection.sender.send_request(request));
+    replica.readable().await.expect("a request");
+    response.abort();
+    drop(connection);
+    let mut received = Vec::new();
+    let end = replica.read_to_end(&mut received).await;
+    let reset = end.expect_err("the connection was closed in the ordinary way");
+    assert_eq!(reset.kind(), ErrorKind::ConnectionReset);
+}
