--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -208,14 +208,16 @@
 }
 
 async fn connect(target: &Target, non_retryable: bool) -> Result<Connection, FailedExchange> {
-    let unreachable = || FailedExchange::not_run(Some(ExchangeOutcome::Unreachable), "unreachable");
-    let address = target.record.address.parse().map_err(|_| unreachable())?;
+    let failed = |cause| FailedExchange::not_run(Some(ExchangeOutcome::Unreachable), cause);
+    let address = target.record.address.parse();
+    let address = address.map_err(|_| failed("invalid address"))?;
     let pool = &target.handle.pool;
     let acquired = pool
         .acquire(address, target.connection_limit, non_retryable)
         .await;
     acquired.map_err(|failure| match failure {
-        ConnectError::Refused | ConnectError::Unreachable => unreachable(),
+        ConnectError::Refused => failed("connection refused"),
+        ConnectError::Unreachable => failed("unreachable"),
         ConnectError::Limit => {
             FailedExchange::not_run(Some(ExchangeOutcome::Declined), "connection limit")
         }
