Let a router open connections to back ends from a given address

Machines with several addresses have the same use for it. Opening connections stands in a module of its own now, as the pool keeps them only. A port probe opens its connection from the same address, since the pool may adopt it.

--- a/crates/proxy/src/crash_checks.rs
+++ b/crates/proxy/src/crash_checks.rs
@@ -10,7 +10,7 @@
 //! they provide.
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -109,6 +109,11 @@
     /// Returns the listen address; `None` if it is invalid.
     fn address(replica: &Self::Replica) -> Option<SocketAddr>;
 
+    /// Returns the address from which connections to replicas are opened, unless the system chooses it.
+    fn source_address(&self) -> Option<IpAddr> {
+        None
+    }
+
     /// Waits until another incarnation has registered at the address. Returns false if the replica proves to be
     /// alive or no incarnation registers in time.
     fn wait_for_successor(
@@ -330,7 +335,7 @@
     broken_at: Instant,
 ) -> Option<CrashProof> {
     let checks = host.crash_checks();
-    let mut port = PortProbe::new(H::address(replica)?);
+    let mut port = PortProbe::new(H::address(replica)?, host.source_address());
     if port.refuses(broken_at + H::BLOCKING_CLOSE_TIMEOUT).await {
         return Some(CrashProof::PortRefuses);
     }
--- a/crates/proxy/src/crash_detection.rs
+++ b/crates/proxy/src/crash_detection.rs
@@ -2,7 +2,11 @@
 //!
 //! A replica that announced its shutdown is not checked.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use railtack_rpc::{
     call_context,
@@ -63,6 +67,10 @@
         target.record.address.parse().ok()
     }
 
+    fn source_address(&self) -> Option<IpAddr> {
+        self.options.source_address
+    }
+
     async fn wait_for_successor(&self, target: &Target, broken_at: Instant) -> bool {
         let until = broken_at + SUCCESSOR_TIMEOUT;
         let mut changes = self.view_changes();
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -22,7 +22,7 @@
 //! | decide whether to retry | [`retry_decision`], [`budget`] | yes |
 //! | estimate latencies and decide under load | [`load`] (pure), [`estimates`] and [`overload`] (state by service) | |
 //! | combine these for one request | [`selection`] | |
-//! | acquire a connection | [`pool`], [`idle_limit`] (pure) | |
+//! | acquire a connection | [`pool`], [`dial`], [`idle_limit`] (pure) | |
 //! | run one exchange with a replica | [`attempt`] | |
 //! | run all exchanges of a request | [`pipeline`] | |
 //! | log the request | [`request_log`] | |
@@ -39,6 +39,7 @@
 pub mod crash_detection;
 pub mod crash_tracker;
 pub mod decay;
+pub mod dial;
 pub mod entry;
 pub mod estimates;
 pub mod events;
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -5,8 +5,7 @@
 //! replica stop the request.
 
 use std::{
-    io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU32, Ordering},
@@ -22,21 +21,15 @@
     header::CONNECTION,
 };
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::{
-    net::TcpStream,
     task::{AbortHandle, JoinHandle},
-    time::{Instant, timeout},
+    time::Instant,
 };
 
-use crate::idle_limit::IdleLimit;
-
-/// Timeout for establishing a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
-/// Time after which a connection with unacknowledged data is considered broken.
-const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Idle time before the first keep-alive probe, and the interval between probes.
-const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
+use crate::{
+    dial::{DialError, dial},
+    idle_limit::IdleLimit,
+};
 
 /// Reason why no connection is available.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +42,15 @@
     Unreachable,
 }
 
+impl From<DialError> for ConnectError {
+    fn from(error: DialError) -> Self {
+        match error {
+            DialError::Refused => Self::Refused,
+            DialError::Unreachable => Self::Unreachable,
+        }
+    }
+}
+
 /// Result of a port probe.
 #[derive(Debug)]
 pub enum PortState {
@@ -81,6 +83,8 @@
 /// Idle connections to one replica, and the number of open ones.
 #[derive(Debug, Default)]
 pub struct Pool {
+    /// Address from which connections are opened; chosen by the system if there is none.
+    source: Option<IpAddr>,
     idle: Mutex<Vec<IdleConnection>>,
     open: Arc<AtomicU32>,
 }
@@ -128,6 +132,14 @@
 }
 
 impl Pool {
+    /// Creates a pool whose connections are opened from `source`.
+    pub fn with_source(source: Option<IpAddr>) -> Self {
+        Self {
+            source,
+            ..Self::default()
+        }
+    }
+
     /// Returns the number of open connections, idle or in use.
     pub fn open_connections(&self) -> u32 {
         self.open.load(Ordering::Relaxed)
@@ -152,14 +164,14 @@
         if self.open_connections() >= limit {
             return Err(ConnectError::Limit);
         }
-        let (connection, _) = connect(address, &self.open).await?;
+        let (connection, _) = connect(address, self.source, &self.open).await?;
         Ok(connection)
     }
 
     /// Checks whether the replica's port accepts connections.
     pub async fn probe_port(&self, address: SocketAddr) -> PortState {
         let uncounted = Arc::default();
-        match connect(address, &uncounted).await {
+        match connect(address, self.source, &uncounted).await {
             Ok((connection, task)) => PortState::Open(ProbeConnection { connection, task }),
             Err(ConnectError::Refused) => PortState::Refused,
             Err(ConnectError::Limit | ConnectError::Unreachable) => PortState::Unknown,
@@ -225,18 +237,12 @@
 /// Opens a connection that is counted in `open`. The join handle completes when it is closed.
 async fn connect(
     address: SocketAddr,
+    source: Option<IpAddr>,
     open: &Arc<AtomicU32>,
 ) -> Result<(Connection, JoinHandle<()>), ConnectError> {
     open.fetch_add(1, Ordering::Relaxed);
     let counted = OpenGuard(Some(Arc::clone(open)));
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-        .await
-        .map_err(|_| ConnectError::Unreachable)?
-        .map_err(|error| match error.kind() {
-            io::ErrorKind::ConnectionRefused => ConnectError::Refused,
-            _ => ConnectError::Unreachable,
-        })?;
-    set_options(&stream).map_err(|_| ConnectError::Unreachable)?;
+    let stream = dial(address, source).await?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|_| ConnectError::Unreachable)?;
@@ -269,15 +275,3 @@
         }
     }
 }
-
-fn set_options(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    // A closed connection is reset, so that nothing of an abandoned request is delivered later.
-    socket.set_linger(Some(Duration::ZERO))?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_TIME)
-        .with_interval(KEEPALIVE_TIME);
-    socket.set_tcp_keepalive(&keepalive)
-}
--- a/crates/proxy/src/port_probe.rs
+++ b/crates/proxy/src/port_probe.rs
@@ -1,6 +1,6 @@
 //! Checks whether the port of a replica closes.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use tokio::time::{Instant, timeout_at};
 
@@ -23,11 +23,11 @@
 }
 
 impl PortProbe {
-    /// Creates a probe that has not connected yet.
-    pub fn new(address: SocketAddr) -> Self {
+    /// Creates a probe that connects from `source`, or from an address that the system chooses.
+    pub fn new(address: SocketAddr, source: Option<IpAddr>) -> Self {
         Self {
             address,
-            pool: Pool::default(),
+            pool: Pool::with_source(source),
             probes_left: MAX_PORT_PROBES,
             open: None,
         }
--- a/crates/proxy/src/replicas.rs
+++ b/crates/proxy/src/replicas.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    net::IpAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
@@ -69,9 +70,9 @@
 }
 
 impl ReplicaHandle {
-    fn new(now: Instant) -> Self {
+    fn new(source: Option<IpAddr>, now: Instant) -> Self {
         Self {
-            pool: Pool::default(),
+            pool: Pool::with_source(source),
             load: Mutex::new(Load {
                 open_requests: 0,
                 busy_since: now,
@@ -245,6 +246,8 @@
 /// All replicas used by this router.
 #[derive(Debug, Default)]
 pub struct ReplicaTable {
+    /// Address from which connections to replicas are opened; chosen by the system if there is none.
+    source: Option<IpAddr>,
     handles: HashMap<String, Arc<ReplicaHandle>>,
     sent: SentPrefixes,
     /// Signals received from replicas. Kept independently of handles, which are removed with a
@@ -253,13 +256,21 @@
 }
 
 impl ReplicaTable {
+    /// Creates the table of a router that opens connections from `source`.
+    pub fn with_source(source: Option<IpAddr>) -> Self {
+        Self {
+            source,
+            ..Self::default()
+        }
+    }
+
     /// Returns the handle of a replica, creating it if necessary.
     pub fn handle(&mut self, replica: &str, now: Instant) -> Arc<ReplicaHandle> {
         let known = self.handles.get(replica);
         if let Some(known) = known {
             return Arc::clone(known);
         }
-        let new = Arc::new(ReplicaHandle::new(now));
+        let new = Arc::new(ReplicaHandle::new(self.source, now));
         self.handles.insert(replica.to_owned(), Arc::clone(&new));
         new
     }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::HashMap,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU32, Ordering},
@@ -49,6 +49,8 @@
     pub control: Vec<SocketAddr>,
     /// Whether the deployment starts for the first time, so that no process of this node ran before.
     pub is_first_start: bool,
+    /// Address from which connections to replicas are opened; chosen by the system if there is none.
+    pub source_address: Option<IpAddr>,
     /// Time bounds and budgets of the deployment.
     pub bounds: Bounds,
     /// Enabled mechanisms.
@@ -141,12 +143,13 @@
         let bounds = options.bounds;
         let revoke = Duration::from_millis(bounds.revoke_ms);
         let (view_changed, _) = watch::channel(0);
+        let replicas = ReplicaTable::with_source(options.source_address);
         Arc::new(Self {
             lease: Mutex::new(Lease::new(revoke, bounds.fail_closed)),
             options,
             backend,
             view: ArcSwap::default(),
-            replicas: Mutex::default(),
+            replicas: Mutex::new(replicas),
             fleet: Mutex::default(),
             splitter: Mutex::default(),
             control_peers: ControlPeers::default(),
--- a/crates/proxy/tests/port_probe.rs
+++ b/crates/proxy/tests/port_probe.rs
@@ -14,7 +14,7 @@
 }
 
 async fn port_closes_within(address: SocketAddr, time_limit: Duration) -> bool {
-    PortProbe::new(address)
+    PortProbe::new(address, None)
         .refuses(Instant::now() + time_limit)
         .await
 }
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -41,6 +41,7 @@
         zone: "a".to_owned(),
         control,
         is_first_start: true,
+        source_address: None,
         bounds: Bounds {
             config_apply_ms: 2_000,
             revoke_ms: REVOKE_MS,
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -1,7 +1,10 @@
 //! Settings that a deployment generates for each of its processes: listen addresses, seeds and
 //! service-level bounds. Unknown keys are ignored, because newer deployments may add some.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{
+    net::{IpAddr, SocketAddr},
+    path::PathBuf,
+};
 
 use railtack_serving::{Bounds, FaultTolerance, Policy, QuotaBounds};
 use serde::Deserialize;
@@ -23,6 +26,9 @@
     pub ready_listen: Option<SocketAddr>,
     /// Listen address for registrations and operators; only for control replicas.
     pub control_listen: Option<SocketAddr>,
+    /// Address from which connections to back-end replicas are opened; only for routers. Chosen by the system by
+    /// default.
+    pub source_address: Option<IpAddr>,
     /// Listen address of the metrics endpoint.
     pub metrics_listen: Option<SocketAddr>,
     /// Control addresses of some control replicas.
