Reach replicas through other routers where a router is partitioned from them

What callers saw: routers that were partitioned from all replicas, while callers and other routers reached them, answered 503 after a connection timeout, or at once (1 of 130 first attempts served, 304 of 306 at the others).

Cause: a router had no way to a replica but its own. The class: a component that needs each of its own links, in a group whose members together have the links. Retries, health and the shared view choose among replicas; nothing chooses among paths.

The peer passes bytes on and decides nothing, so quota, permits, retries, the lease, max_attempts, deadlines and streams stay counted at one place (docs/design/relayed-connections.md). A port that refuses only this router is no proof of a crash. The control group tells routers who offers relays, in fields behind the known ones; a previous build offers none.

Checks and bounds are as they were.

/v1 opens connections by a client of its own and has no relays yet.

--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -365,6 +365,7 @@
         update: None,
         fleet: None,
         group_level: FeatureLevel::FIRST,
+        relays: Vec::new(),
     }
 }
 
--- a/crates/control/src/serving/liveness.rs
+++ b/crates/control/src/serving/liveness.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use railtack_rpc::serving::ServingCommand;
+use railtack_rpc::{relay::RelayOffer, serving::ServingCommand};
 use railtack_serving::ReplicaKey;
 use tokio::time::Instant;
 
@@ -17,9 +17,11 @@
 };
 
 mod digest;
+pub mod relay_offers;
 mod reports;
 mod speeds;
 
+use relay_offers::RelayOffers;
 pub use reports::run_reports;
 use speeds::SpeedState;
 
@@ -41,6 +43,7 @@
     state: Mutex<LivenessState>,
     fleet: Mutex<FleetView>,
     speeds: Mutex<SpeedState>,
+    relay_offers: Mutex<RelayOffers>,
     /// Heartbeat interval of back-end replicas.
     heartbeat_interval: Duration,
 }
@@ -78,6 +81,7 @@
             state: Mutex::default(),
             fleet: Mutex::default(),
             speeds: Mutex::new(SpeedState::new(metrics)),
+            relay_offers: Mutex::default(),
             heartbeat_interval,
         }
     }
@@ -111,6 +115,17 @@
             .insert(router.to_owned(), Instant::now());
     }
 
+    /// Records whether a router connected here opens connections to replicas for others, and at which address.
+    pub fn record_relay_offer(&self, router: &str, address: Option<String>) {
+        self.relay_offers()
+            .record_local(router, address, Instant::now());
+    }
+
+    /// Returns some routers that open connections to replicas for `router`.
+    pub fn relay_offers_for(&self, router: &str) -> Vec<RelayOffer> {
+        self.relay_offers().for_router(router, Instant::now())
+    }
+
     /// Number of routers that recently sent requests here.
     pub fn local_router_count(&self) -> u32 {
         let state = self.lock();
@@ -124,6 +139,12 @@
         state.live_router_count().max(state.leader_router_count)
     }
 
+    fn relay_offers(&self) -> MutexGuard<'_, RelayOffers> {
+        self.relay_offers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn fleet(&self) -> MutexGuard<'_, FleetView> {
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -164,6 +185,9 @@
     /// Records that this control replica is the leader.
     fn mark_leading(&self) {
         let mut state = self.lock();
+        if state.leading_since.is_none() {
+            self.relay_offers().begin_term();
+        }
         state.leading_since.get_or_insert_with(Instant::now);
         state.leader_router_count = 0;
         state.last_report = None;
@@ -214,6 +238,7 @@
         let is_live = |_: &String, at: &mut Instant| at.elapsed() < ROUTER_TIMEOUT;
         state.local_routers.retain(is_live);
         state.remote_routers.retain(is_live);
+        self.relay_offers().remove_expired(now);
     }
 
     fn lock(&self) -> MutexGuard<'_, LivenessState> {
--- a/crates/control/src/serving/liveness/reports.rs
+++ b/crates/control/src/serving/liveness/reports.rs
@@ -30,13 +30,19 @@
     pub fn merge_report(&self, report: LivenessReport) -> LivenessReply {
         let now = Instant::now();
         let heartbeats = report.heartbeats();
+        let sender = report.sender;
         self.speeds()
-            .record_control_report(&report.sender, report.paces, now);
+            .record_control_report(&sender, report.paces, now);
         let fleet = {
             let mut fleet = self.fleet();
-            fleet.record_control_report(report.sender, report.observations, now);
+            fleet.record_control_report(sender.clone(), report.observations, now);
             fleet.digest(now)
         };
+        let relays = {
+            let mut offers = self.relay_offers();
+            offers.record_report(report.relays, now);
+            offers.for_control(&sender, now)
+        };
         let mut state = self.lock();
         for heartbeat in heartbeats {
             let age = Duration::from_millis(u64::from(heartbeat.age_ms));
@@ -50,6 +56,7 @@
         LivenessReply {
             routers: state.live_router_count(),
             fleet,
+            relays,
         }
     }
 
@@ -103,6 +110,7 @@
             sender: sender.to_owned(),
             observations,
             paces,
+            relays: self.relay_offers().local(now),
         };
         (report, now)
     }
@@ -113,6 +121,7 @@
         state.last_report = Some((leader, through));
         state.leader_router_count = reply.routers;
         drop(state);
+        self.relay_offers().set_received(reply.relays);
         if let Some(fleet) = &reply.fleet {
             self.speeds().adopt(&fleet.speeds);
         }
--- a/crates/control/src/serving/watch.rs
+++ b/crates/control/src/serving/watch.rs
@@ -79,6 +79,8 @@
         // suspensions.
         let delayed_since = BootInstant::now();
         self.liveness.record_router_request(&request.router);
+        self.liveness
+            .record_relay_offer(&request.router, request.relay_address.take());
         let observations = std::mem::take(&mut request.observations);
         self.liveness
             .record_observations(&request.router, observations);
@@ -126,6 +128,7 @@
             update,
             fleet: self.liveness.fleet_digest(),
             group_level: view.serving.level(),
+            relays: self.liveness.relay_offers_for(&request.router),
         }
     }
 
--- a/crates/control/tests/watch.rs
+++ b/crates/control/tests/watch.rs
@@ -18,6 +18,7 @@
         has_lease: true,
         observations: Vec::new(),
         paces: Vec::new(),
+        relay_address: None,
     }
 }
 
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -17,6 +17,7 @@
     permits::{self, Permit},
     pool::{ConnectError, Connection},
     prefill_latency::PrefillBacklog,
+    relay::{self, client::Destination},
     replicas::ReplicaHandle,
     retry_decision::ExchangeProof,
     state::{ProxyState, lock},
@@ -147,7 +148,7 @@
     content: ContentKey,
 ) -> Result<OpenResponse, FailedExchange> {
     for _ in 0..MAX_STALE_CONNECTIONS {
-        let mut connection = connect(target, non_retryable).await?;
+        let mut connection = connect(state, target, dispatch, non_retryable).await?;
         // The process may have been suspended since selection, so the lease is checked here.
         if !state.is_confirmed() {
             return Err(FailedExchange::not_sent("lease lost"));
@@ -207,13 +208,24 @@
         .accepts_requests(&target.record.id, state.uptime())
 }
 
-async fn connect(target: &Target, non_retryable: bool) -> Result<Connection, FailedExchange> {
+async fn connect(
+    state: &ProxyState,
+    target: &Target,
+    dispatch: &Dispatch<'_>,
+    non_retryable: bool,
+) -> Result<Connection, FailedExchange> {
     let failed = |cause| FailedExchange::not_run(Some(ExchangeOutcome::Unreachable), cause);
     let address = target.record.address.parse();
     let address = address.map_err(|_| failed("invalid address"))?;
+    let destination = Destination {
+        replica: &target.record.id,
+        address,
+        request: &dispatch.request.id,
+    };
+    let opened = relay::client::open(state, &target.handle, destination);
     let pool = &target.handle.pool;
     let acquired = pool
-        .acquire(address, target.connection_limit, non_retryable)
+        .acquire_by(opened, target.connection_limit, non_retryable)
         .await;
     acquired.map_err(|failure| match failure {
         ConnectError::Refused => failed("connection refused"),
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -149,6 +149,21 @@
     lock(&state.replicas).paces(now)
 }
 
+/// Returns the address at which this router opens connections for others, unless it is shutting down or cut off
+/// from replicas itself.
+fn relay_offer(state: &ProxyState) -> Option<String> {
+    let address = state.relay_address.get()?;
+    let is_cut_off = lock(&state.replicas).is_cut_off(Instant::now());
+    let was_cut_off = state.metrics.cut_off.set(i64::from(is_cut_off)) != 0;
+    match (was_cut_off, is_cut_off) {
+        (false, true) => spdlog::warn!("cut off from replicas"),
+        (true, false) => spdlog::info!("replicas reached again"),
+        _ => {}
+    }
+    let offers = state.is_ready() && !is_cut_off && state.options.policy.relays;
+    offers.then(|| address.to_string())
+}
+
 async fn watch(
     state: &ProxyState,
     connection: Arc<ControlConnection>,
@@ -158,6 +173,7 @@
     let position = state.view.load().position;
     // Replies are only held if there is nothing to send; missing records arrive immediately.
     let hold_time = max_hold_time(state.routers.load(Ordering::Relaxed));
+    let relay_address = relay_offer(state);
     let request = WatchRequest {
         router: state.options.node.clone(),
         position,
@@ -167,6 +183,7 @@
         has_lease: lock(&state.lease).is_valid(BootInstant::now()),
         observations: lock(&state.replicas).observations(Instant::now()),
         paces,
+        relay_address,
     };
     connection
         .call(|client| async move {
@@ -181,6 +198,8 @@
 fn apply_reply(state: &Arc<ProxyState>, mut reply: WatchReply, requested_at: BootInstant) {
     let was_confirmed = state.is_confirmed();
     state.routers.store(reply.routers, Ordering::Relaxed);
+    let relays = std::mem::take(&mut reply.relays);
+    lock(&state.relay_peers).set_offers(relays, Instant::now());
     if let Some(mut digest) = reply.fleet.take() {
         if !state.options.policy.replica_speeds {
             digest.speeds.clear();
--- a/crates/proxy/src/crash_checks.rs
+++ b/crates/proxy/src/crash_checks.rs
@@ -114,6 +114,11 @@
         None
     }
 
+    /// Whether another router reaches the port of a replica that refuses this one.
+    fn is_reached_elsewhere(&self, _replica: &Self::Replica) -> impl Future<Output = bool> + Send {
+        std::future::ready(false)
+    }
+
     /// Waits until another incarnation has registered at the address. Returns false if the replica proves to be
     /// alive or no incarnation registers in time.
     fn wait_for_successor(
@@ -337,7 +342,8 @@
     let checks = host.crash_checks();
     let mut port = PortProbe::new(H::address(replica)?, host.source_address());
     if port.refuses(broken_at + H::BLOCKING_CLOSE_TIMEOUT).await {
-        return Some(CrashProof::PortRefuses);
+        let is_alive = host.is_reached_elsewhere(replica).await;
+        return (!is_alive).then_some(CrashProof::PortRefuses);
     }
     lock(&checks.tracker).stop_blocking(H::id(replica));
     checks.progress.notify_waiters();
@@ -346,7 +352,7 @@
         if let Some(connection) = port.into_connection() {
             host.adopt_connection(replica, connection);
         }
-        refuses
+        refuses && !host.is_reached_elsewhere(replica).await
     };
     tokio::select! {
         biased;
--- a/crates/proxy/src/crash_detection.rs
+++ b/crates/proxy/src/crash_detection.rs
@@ -21,6 +21,7 @@
     crash_checks::{self, CrashCheckHost, CrashChecks, PROPOSE_TIMEOUT, SUCCESSOR_TIMEOUT},
     health::ExchangeOutcome,
     pool::ProbeConnection,
+    relay::{self, client::Destination},
     state::{ProxyState, lock},
     view::ServingView,
 };
@@ -71,6 +72,18 @@
         self.options.source_address
     }
 
+    async fn is_reached_elsewhere(&self, target: &Target) -> bool {
+        let Some(address) = Self::address(target) else {
+            return false;
+        };
+        let destination = Destination {
+            replica: &target.record.id,
+            address,
+            request: "",
+        };
+        relay::client::reached_by_peer(self, destination).await
+    }
+
     async fn wait_for_successor(&self, target: &Target, broken_at: Instant) -> bool {
         let until = broken_at + SUCCESSOR_TIMEOUT;
         let mut changes = self.view_changes();
--- a/crates/proxy/src/dial.rs
+++ b/crates/proxy/src/dial.rs
@@ -53,7 +53,8 @@
     socket.connect(address).await
 }
 
-fn set_options(stream: &TcpStream) -> io::Result<()> {
+/// Sets the options of a connection between routers and replicas.
+pub fn set_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     // A closed connection is reset, so that nothing of an abandoned request is delivered later.
--- a/crates/proxy/src/lease.rs
+++ b/crates/proxy/src/lease.rs
@@ -47,6 +47,15 @@
         Some(now.saturating_duration_since(self.confirmed_at?))
     }
 
+    /// Returns the time for which the configuration may still be served from.
+    pub fn remaining(&self, now: BootInstant) -> Duration {
+        match (self.age(now), self.duration) {
+            (Some(age), Some(duration)) => duration.saturating_sub(age),
+            (Some(_), None) => Duration::MAX,
+            (None, _) => Duration::ZERO,
+        }
+    }
+
     /// Whether the configuration may be served from.
     pub fn is_valid(&self, now: BootInstant) -> bool {
         match (self.age(now), self.duration) {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -23,6 +23,7 @@
 //! | estimate latencies and decide under load | [`load`] (pure), [`estimates`] and [`overload`] (state by service) | |
 //! | combine these for one request | [`selection`] | |
 //! | acquire a connection | [`pool`], [`dial`], [`idle_limit`] (pure) | |
+//! | connect through another router | [`relay`]: `path` and `peers` (pure), `client`, `server` | |
 //! | run one exchange with a replica | [`attempt`] | |
 //! | run all exchanges of a request | [`pipeline`] | |
 //! | log the request | [`request_log`] | |
@@ -60,6 +61,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod refusal;
+pub mod relay;
 pub mod replicas;
 pub mod request;
 pub mod request_log;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -75,6 +75,12 @@
     pub invalid_limits: Counter,
     /// Replicas that crashed while running requests of this router.
     pub replica_crashes: Counter,
+    /// Replies of peers that were asked for a connection to a replica, by outcome.
+    pub relay_replies: Family<OutcomeLabels, Counter>,
+    /// Connections opened for peers.
+    pub relayed: Counter,
+    /// Whether the router reaches fewer than half of the replicas itself, although peers reach them.
+    pub cut_off: Gauge,
     /// Requests currently quarantined.
     pub quarantined: Gauge,
     /// Streams resumed at another replica.
@@ -110,6 +116,9 @@
             permits_denied: Counter::default(),
             invalid_limits: Counter::default(),
             replica_crashes: Counter::default(),
+            relay_replies: Family::default(),
+            relayed: Counter::default(),
+            cut_off: Gauge::default(),
             quarantined: Gauge::default(),
             resumed: Counter::default(),
             prompt_tokens: Counter::default(),
@@ -142,6 +151,21 @@
             self.exchanges.clone(),
         );
         registry.register("proxy_retries", "Retries sent", self.retries.clone());
+        registry.register(
+            "proxy_relay_replies",
+            "Replies of routers that were asked for a connection to a replica, by outcome",
+            self.relay_replies.clone(),
+        );
+        registry.register(
+            "proxy_relayed",
+            "Connections to replicas opened for other routers",
+            self.relayed.clone(),
+        );
+        registry.register(
+            "proxy_cut_off",
+            "Whether this router reaches fewer than half of the replicas itself, although others reach them",
+            self.cut_off.clone(),
+        );
         registry.register(
             "proxy_retries_denied",
             "Retries that the budget did not allow",
@@ -265,6 +289,11 @@
         }
     }
 
+    /// Counts the reply of a peer that was asked for a connection.
+    pub fn record_relay_reply(&self, outcome: &str) {
+        count(&self.relay_replies, outcome);
+    }
+
     /// Counts a finished exchange.
     pub fn record_exchange_end(&self, outcome: &str) {
         count(&self.exchanges, outcome);
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -29,6 +29,7 @@
 use crate::{
     dial::{DialError, dial},
     idle_limit::IdleLimit,
+    relay::client::ReplicaStream,
 };
 
 /// Reason why no connection is available.
@@ -103,6 +104,7 @@
     task: AbortHandle,
     open: Arc<AtomicU32>,
     idle_limit: IdleLimit,
+    is_relayed: bool,
 }
 
 impl Drop for Connection {
@@ -127,7 +129,8 @@
             .get(CONNECTION)
             .and_then(|value| value.to_str().ok())
             .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
-        !closes
+        // A relay judges only the first request on a connection.
+        !closes && !self.is_relayed
     }
 }
 
@@ -150,13 +153,24 @@
         self.open_connections() < limit || !self.idle().is_empty()
     }
 
-    /// Returns an idle connection, or a new one if fewer than `limit` are open. A `non_retryable`
-    /// request does not get a connection that the replica may be about to close.
+    /// Returns an idle connection, or a new one to `address` if fewer than `limit` are open.
     pub async fn acquire(
         &self,
         address: SocketAddr,
         limit: u32,
         non_retryable: bool,
+    ) -> Result<Connection, ConnectError> {
+        self.acquire_by(self.dial(address), limit, non_retryable)
+            .await
+    }
+
+    /// Returns an idle connection, or a new one by `dialed` if fewer than `limit` are open. A `non_retryable`
+    /// request does not get a connection that the replica may be about to close.
+    pub async fn acquire_by(
+        &self,
+        dialed: impl Future<Output = Result<ReplicaStream, DialError>>,
+        limit: u32,
+        non_retryable: bool,
     ) -> Result<Connection, ConnectError> {
         if let Some(connection) = self.take_idle(non_retryable) {
             return Ok(connection);
@@ -164,14 +178,14 @@
         if self.open_connections() >= limit {
             return Err(ConnectError::Limit);
         }
-        let (connection, _) = connect(address, self.source, &self.open).await?;
+        let (connection, _) = connect(dialed, &self.open).await?;
         Ok(connection)
     }
 
     /// Checks whether the replica's port accepts connections.
     pub async fn probe_port(&self, address: SocketAddr) -> PortState {
         let uncounted = Arc::default();
-        match connect(address, self.source, &uncounted).await {
+        match connect(self.dial(address), &uncounted).await {
             Ok((connection, task)) => PortState::Open(ProbeConnection { connection, task }),
             Err(ConnectError::Refused) => PortState::Refused,
             Err(ConnectError::Limit | ConnectError::Unreachable) => PortState::Unknown,
@@ -207,6 +221,11 @@
             .retain(|idle| idle.is_usable(idle.connection.idle_limit.limit(false)));
     }
 
+    async fn dial(&self, address: SocketAddr) -> Result<ReplicaStream, DialError> {
+        let dialed = dial(address, self.source).await;
+        dialed.map(ReplicaStream::direct)
+    }
+
     fn take_idle(&self, non_retryable: bool) -> Option<Connection> {
         let mut idle = self.idle();
         while let Some(newest) = idle.pop() {
@@ -236,13 +255,12 @@
 
 /// Opens a connection that is counted in `open`. The join handle completes when it is closed.
 async fn connect(
-    address: SocketAddr,
-    source: Option<IpAddr>,
+    dialed: impl Future<Output = Result<ReplicaStream, DialError>>,
     open: &Arc<AtomicU32>,
 ) -> Result<(Connection, JoinHandle<()>), ConnectError> {
     open.fetch_add(1, Ordering::Relaxed);
     let counted = OpenGuard(Some(Arc::clone(open)));
-    let stream = dial(address, source).await?;
+    let ReplicaStream { stream, is_relayed } = dialed.await?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|_| ConnectError::Unreachable)?;
@@ -255,6 +273,7 @@
         task: task.abort_handle(),
         open: counted.into_counter(),
         idle_limit: IdleLimit::DEFAULT,
+        is_relayed,
     };
     Ok((connection, task))
 }
--- a/crates/proxy/src/replicas.rs
+++ b/crates/proxy/src/replicas.rs
@@ -17,6 +17,7 @@
     load::pace::{self, Gap, PaceSums},
     pool::Pool,
     prefill_latency::PrefillBacklog,
+    relay::path::DirectPath,
     scoring::{Candidate, SharedLoad},
     state::lock,
     view::ServingView,
@@ -36,6 +37,7 @@
     load: Mutex<Load>,
     last_response_at: Mutex<Instant>,
     pace: Mutex<PaceSums>,
+    path: Mutex<DirectPath>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -82,6 +84,7 @@
             }),
             last_response_at: Mutex::new(now),
             pace: Mutex::default(),
+            path: Mutex::default(),
         }
     }
 
@@ -115,6 +118,11 @@
         }
     }
 
+    /// Returns this router's own path to the replica.
+    pub fn path(&self) -> MutexGuard<'_, DirectPath> {
+        lock(&self.path)
+    }
+
     /// Whether the replica is not in back-off after failures.
     pub fn is_available(&self, now: Instant) -> bool {
         self.load().health.is_available(now)
@@ -312,6 +320,15 @@
         others.any(|(_, handle)| handle.responded_since(since))
     }
 
+    /// Whether this router reaches fewer than half of the replicas itself, although peers reach them.
+    pub fn is_cut_off(&self, now: Instant) -> bool {
+        let down = self
+            .handles
+            .values()
+            .filter(|handle| handle.path().is_down(now));
+        2 * down.count() > self.handles.len()
+    }
+
     /// Returns the recent observations of all replicas in use.
     pub fn observations(&self, now: Instant) -> Vec<ReplicaObservation> {
         let handles = self.handles.iter();
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     net::{IpAddr, SocketAddr},
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicU32, Ordering},
     },
     time::Duration,
@@ -29,6 +29,7 @@
     overload::OverloadTable,
     prefill_latency::{PrefillBacklog, PrefillLatency},
     quarantine::QuarantineChange,
+    relay::peers::RelayPeers,
     replicas::ReplicaTable,
     retry_pacing::RetryPacer,
     selection::ExhaustedLimits,
@@ -75,6 +76,10 @@
     pub splitter: Mutex<TrafficSplitter>,
     /// Connections to the control replicas, for calls to the leader.
     pub control_peers: ControlPeers,
+    /// Routers that open connections to replicas for this one.
+    pub relay_peers: Mutex<RelayPeers>,
+    /// Address at which this router does so for others, if it does.
+    pub relay_address: OnceLock<SocketAddr>,
     /// Crash checks of replicas, and the quarantine.
     pub crash_checks: Arc<CrashChecks>,
     /// Metrics of the data plane.
@@ -153,6 +158,8 @@
             fleet: Mutex::default(),
             splitter: Mutex::default(),
             control_peers: ControlPeers::default(),
+            relay_peers: Mutex::default(),
+            relay_address: OnceLock::new(),
             crash_checks: Arc::default(),
             metrics: ProxyMetrics::default(),
             routers: AtomicU32::new(0),
--- a/crates/proxy/tests/control_watch.rs
+++ b/crates/proxy/tests/control_watch.rs
@@ -80,6 +80,7 @@
             update: self.update,
             fleet: None,
             group_level: FeatureLevel::SUPPORTED,
+            relays: Vec::new(),
         }
     }
 
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -37,6 +37,7 @@
         update: None,
         fleet: None,
         group_level: FeatureLevel::SUPPORTED,
+        relays: Vec::new(),
     }
 }
 
--- a/crates/proxy/tests/entry.rs
+++ b/crates/proxy/tests/entry.rs
@@ -85,6 +85,7 @@
         update: None,
         fleet: None,
         group_level: FeatureLevel::SUPPORTED,
+        relays: Vec::new(),
     };
     assert!(state.apply_confirmation(&reply, BootInstant::now()));
 }
--- a/crates/proxy/tests/overloaded_router.rs
+++ b/crates/proxy/tests/overloaded_router.rs
@@ -151,6 +151,7 @@
         update: None,
         fleet: None,
         group_level: FeatureLevel::SUPPORTED,
+        relays: Vec::new(),
     };
     assert!(state.apply_confirmation(&reply, BootInstant::now()));
     learn_latencies(&state);
--- a/crates/rpc/src/layout/load.rs
+++ b/crates/rpc/src/layout/load.rs
@@ -2,12 +2,13 @@
 
 use speedy::{Context, Readable, Reader, Writable, Writer};
 
-use super::trailing::Trailing;
+use super::trailing::{Trailing, TrailingPair};
 use crate::{
     permits::LimitedReplica,
+    relay::RelayOffer,
     serving::{
-        FleetDigest, LivenessReport, QuotaRequest, QuotaSubject, QuotaUrgency, ReplicaCondition,
-        ReplicaHeartbeat, ReplicaObservation, ReplicaPace, ReplicaSpeed,
+        FleetDigest, LivenessReply, LivenessReport, QuotaRequest, QuotaSubject, QuotaUrgency,
+        ReplicaCondition, ReplicaHeartbeat, ReplicaObservation, ReplicaPace, ReplicaSpeed,
     },
 };
 
@@ -84,13 +85,18 @@
 
 impl<'a, C: Context> Readable<'a, C> for FleetDigest {
     fn read_from<R: Reader<'a, C>>(reader: &mut R) -> Result<Self, C::Error> {
-        let wire = WireDigest::read_from(reader)?;
-        Ok(Self {
+        WireDigest::read_from(reader).map(Self::from)
+    }
+}
+
+impl From<WireDigest> for FleetDigest {
+    fn from(wire: WireDigest) -> Self {
+        Self {
             age_ms: wire.age_ms,
             replicas: wire.replicas,
             limited: wire.limited,
             speeds: wire.speeds,
-        })
+        }
     }
 }
 
@@ -104,6 +110,8 @@
     replicas: Vec<ReplicaHeartbeat>,
     #[speedy(default_on_eof)]
     paces: Vec<ReplicaPace>,
+    #[speedy(default_on_eof)]
+    relays: Vec<RelayOffer>,
 }
 
 #[derive(Writable)]
@@ -113,7 +121,7 @@
     sender: &'a str,
     observations: &'a [ReplicaObservation],
     replicas: &'a [ReplicaHeartbeat],
-    paces: Trailing<'a, ReplicaPace>,
+    paces_and_relays: TrailingPair<'a, ReplicaPace, RelayOffer>,
 }
 
 impl<C: Context> Writable<C> for LivenessReport {
@@ -124,7 +132,7 @@
             sender: &self.sender,
             observations: &self.observations,
             replicas: &self.replicas,
-            paces: Trailing(&self.paces),
+            paces_and_relays: TrailingPair(&self.paces, &self.relays),
         };
         written.write_to(writer)
     }
@@ -140,6 +148,52 @@
             observations: wire.observations,
             replicas: wire.replicas,
             paces: wire.paces,
+            relays: wire.relays,
+        })
+    }
+}
+
+#[derive(Readable)]
+struct WireReply {
+    routers: u32,
+    fleet: Option<WireDigest>,
+    #[speedy(default_on_eof)]
+    relays: Vec<RelayOffer>,
+}
+
+/// A digest with its speeds, which are present even if there are none because something follows.
+#[derive(Writable)]
+struct FollowedDigest<'a> {
+    age_ms: u32,
+    replicas: &'a [ReplicaCondition],
+    limited: &'a [LimitedReplica],
+    speeds: &'a [ReplicaSpeed],
+}
+
+impl<C: Context> Writable<C> for LivenessReply {
+    fn write_to<T: ?Sized + Writer<C>>(&self, writer: &mut T) -> Result<(), C::Error> {
+        self.routers.write_to(writer)?;
+        if self.relays.is_empty() {
+            return self.fleet.write_to(writer);
+        }
+        let fleet = self.fleet.as_ref().map(|fleet| FollowedDigest {
+            age_ms: fleet.age_ms,
+            replicas: &fleet.replicas,
+            limited: &fleet.limited,
+            speeds: &fleet.speeds,
+        });
+        fleet.write_to(writer)?;
+        self.relays.write_to(writer)
+    }
+}
+
+impl<'a, C: Context> Readable<'a, C> for LivenessReply {
+    fn read_from<R: Reader<'a, C>>(reader: &mut R) -> Result<Self, C::Error> {
+        let wire = WireReply::read_from(reader)?;
+        Ok(Self {
+            routers: wire.routers,
+            fleet: wire.fleet.map(FleetDigest::from),
+            relays: wire.relays,
         })
     }
 }
--- a/crates/rpc/src/layout/trailing.rs
+++ b/crates/rpc/src/layout/trailing.rs
@@ -6,6 +6,25 @@
 /// the layout that previous builds write. It is read with `default_on_eof`.
 pub struct Trailing<'a, T>(pub &'a [T]);
 
+/// Two lists at the end of a message. The first is also written if only the second has entries, since a list is
+/// found by its place.
+pub struct TrailingPair<'a, T, U>(pub &'a [T], pub &'a [U]);
+
+impl<C, T, U> Writable<C> for TrailingPair<'_, T, U>
+where
+    C: Context,
+    T: Writable<C>,
+    U: Writable<C>,
+{
+    fn write_to<W: ?Sized + Writer<C>>(&self, writer: &mut W) -> Result<(), C::Error> {
+        if self.1.is_empty() {
+            return Trailing(self.0).write_to(writer);
+        }
+        self.0.write_to(writer)?;
+        self.1.write_to(writer)
+    }
+}
+
 impl<C, T> Writable<C> for Trailing<'_, T>
 where
     C: Context,
--- a/crates/rpc/src/layout/watch.rs
+++ b/crates/rpc/src/layout/watch.rs
@@ -4,10 +4,11 @@
 use railtack_serving::{ModelWeights, ReplicaRecord, ServingConfiguration, TenantQuota};
 use speedy::{Context, Readable, Reader, Writable, Writer};
 
-use super::trailing::Trailing;
+use super::trailing::TrailingPair;
 use crate::{
     level::FeatureLevel,
     permits::LimitedReplica,
+    relay::RelayOffer,
     serving::{
         FleetDigest, QuarantineUpdate, ReplicaCondition, ReplicaObservation, ReplicaPace,
         ReplicaSpeed, ServingUpdate, WatchPosition, WatchReply, WatchRequest,
@@ -24,6 +25,9 @@
     later: Option<LaterRequest>,
     #[speedy(default_on_eof)]
     paces: Vec<ReplicaPace>,
+    /// At most one.
+    #[speedy(default_on_eof)]
+    relay_addresses: Vec<String>,
 }
 
 #[derive(Readable, Writable)]
@@ -40,7 +44,7 @@
     wait_ms: u64,
     observations: &'a [ReplicaObservation],
     later: Option<LaterRequest>,
-    paces: Trailing<'a, ReplicaPace>,
+    paces_and_relay: TrailingPair<'a, ReplicaPace, String>,
 }
 
 impl<'a> From<&'a WatchRequest> for WrittenRequest<'a> {
@@ -55,7 +59,7 @@
                 wants_records: request.wants_records,
                 has_lease: request.has_lease,
             }),
-            paces: Trailing(&request.paces),
+            paces_and_relay: TrailingPair(&request.paces, request.relay_address.as_slice()),
         }
     }
 }
@@ -77,6 +81,7 @@
             accepts_partial,
             observations: wire.observations,
             paces: wire.paces,
+            relay_address: wire.relay_addresses.into_iter().next(),
         }
     }
 }
@@ -94,6 +99,8 @@
     later: Option<LaterReply>,
     #[speedy(default_on_eof)]
     speeds: Vec<ReplicaSpeed>,
+    #[speedy(default_on_eof)]
+    relays: Vec<RelayOffer>,
 }
 
 #[derive(Readable)]
@@ -136,7 +143,7 @@
     update: Option<WrittenUpdate<'a>>,
     fleet: Option<WrittenDigest<'a>>,
     later: Option<WrittenLater<'a>>,
-    speeds: Trailing<'a, ReplicaSpeed>,
+    speeds_and_relays: TrailingPair<'a, ReplicaSpeed, RelayOffer>,
 }
 
 #[derive(Writable)]
@@ -189,7 +196,10 @@
                 limited: fleet.map_or(&[], |fleet| &fleet.limited),
                 update: update.map(WrittenLaterUpdate::from),
             }),
-            speeds: Trailing(fleet.map_or(&[], |fleet| &fleet.speeds)),
+            speeds_and_relays: TrailingPair(
+                fleet.map_or(&[], |fleet| &fleet.speeds),
+                &reply.relays,
+            ),
         }
     }
 }
@@ -240,6 +250,7 @@
                 speeds: wire.speeds,
             }),
             group_level: group_level.unwrap_or_default(),
+            relays: wire.relays,
         }
     }
 }
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod level;
 pub mod permits;
 pub mod protocol;
+pub mod relay;
 pub mod service;
 pub mod serving;
 
--- a/crates/rpc/src/serving.rs
+++ b/crates/rpc/src/serving.rs
@@ -8,7 +8,7 @@
 };
 use speedy::{Readable, Writable};
 
-use crate::{level::FeatureLevel, permits::LimitedReplica};
+use crate::{level::FeatureLevel, permits::LimitedReplica, relay::RelayOffer};
 
 mod commands;
 
@@ -80,6 +80,8 @@
     pub observations: Vec<ReplicaObservation>,
     /// Recent paces of back-end replicas; empty below [`FeatureLevel::LOAD_REPORTS`].
     pub paces: Vec<ReplicaPace>,
+    /// Address at which the router opens connections to replicas for other routers, if it does.
+    pub relay_address: Option<String>,
 }
 
 /// Age from which a confirmation no longer renews a lease, milliseconds. The router then switches to another
@@ -106,6 +108,8 @@
     pub fleet: Option<FleetDigest>,
     /// Feature level of the group. Features of higher levels must not be used.
     pub group_level: FeatureLevel,
+    /// Some routers that open connections to replicas for this one.
+    pub relays: Vec<RelayOffer>,
 }
 
 /// Recent observations of one back-end replica, by one router or by all routers connected to one control
@@ -400,6 +404,8 @@
     /// Paces reported by its routers, added up by back-end replica; empty below
     /// [`FeatureLevel::LOAD_REPORTS`].
     pub paces: Vec<ReplicaPace>,
+    /// Its routers that open connections to replicas for others.
+    pub relays: Vec<RelayOffer>,
 }
 
 impl LivenessReport {
@@ -418,10 +424,12 @@
 }
 
 /// Reply to [`LivenessReport`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LivenessReply {
     /// Number of live routers known to the leader.
     pub routers: u32,
     /// Combined observations of all routers; `None` if they are unknown or outdated.
     pub fleet: Option<FleetDigest>,
+    /// Some routers that open connections to replicas for others.
+    pub relays: Vec<RelayOffer>,
 }
--- a/crates/serving/src/policy.rs
+++ b/crates/serving/src/policy.rs
@@ -58,6 +58,8 @@
     pub late_service: bool,
     /// Prefers replicas that hold the newest weights during a rollout.
     pub newest_weights: bool,
+    /// Opens connections to replicas through other routers where this one cannot, and for others.
+    pub relays: bool,
 }
 
 impl Policy {
@@ -87,6 +89,7 @@
         expected_time: true,
         late_service: true,
         newest_weights: true,
+        relays: true,
     };
 }
 
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -20,6 +20,9 @@
     pub zone: String,
     /// Internal listen address for routers and control replicas.
     pub internal_listen: SocketAddr,
+    /// Listen address for routers that need a connection to a replica; only for routers. Without it, a router
+    /// opens none for others.
+    pub relay_listen: Option<SocketAddr>,
     /// Listen address for callers; only for routers.
     pub callers_listen: Option<SocketAddr>,
     /// Listen address of the readiness endpoint; only for routers.
