--- a/crates/control/tests/current_layout.rs
+++ b/crates/control/tests/current_layout.rs
@@ -26,7 +26,7 @@
 /// where the receiver may lack them, and get test data in a new folder; the existing data stays.
 #[test]
 fn message_layouts_are_unchanged() {
-    for (level, count) in [("shared_grants", 16), ("load_reports", 5)] {
+    for (level, count) in [("shared_grants", 16), ("load_reports", 5), ("relays", 8)] {
         let files = files(level, "messages");
         assert_eq!(files.len(), count, "{level}");
         for (name, bytes) in files {
--- a/crates/proxy/tests/crash_checks.rs
+++ b/crates/proxy/tests/crash_checks.rs
@@ -37,15 +37,22 @@
     checks: Arc<CrashChecks>,
     is_recording: watch::Sender<bool>,
     attempts: AtomicUsize,
+    is_reached_elsewhere: bool,
     recorded: Mutex<Vec<ServingCommand>>,
 }
 
 impl Host {
     fn new() -> Arc<Self> {
+        Self::with(false)
+    }
+
+    /// A data plane whose peers reach the replica or do not.
+    fn with(is_reached_elsewhere: bool) -> Arc<Self> {
         Arc::new(Self {
             checks: Arc::default(),
             is_recording: watch::Sender::new(false),
             attempts: AtomicUsize::new(0),
+            is_reached_elsewhere,
             recorded: Mutex::default(),
         })
     }
@@ -79,6 +86,10 @@
         Some(replica.address)
     }
 
+    async fn is_reached_elsewhere(&self, _: &Replica) -> bool {
+        self.is_reached_elsewhere
+    }
+
     async fn wait_for_successor(&self, _: &Replica, _: Instant) -> bool {
         false
     }
@@ -196,3 +207,17 @@
     });
     assert!(reported.any(|content| content == OTHER), "{recorded:?}");
 }
+
+/// Guards against quarantined requests and removed replicas where a partition refuses one router's connections.
+#[tokio::test]
+async fn a_port_that_refuses_only_this_router_is_no_crash() {
+    let host = Host::with(true);
+    host.is_recording.send_replace(true);
+    crash_checks::connection_broken(&host, &crashed_replica("r").await, FATAL);
+    let decision = host.checks.wait(FATAL, TIME).await;
+    assert!(
+        matches!(decision, SendDecision::Allowed(None)),
+        "{decision:?}"
+    );
+    assert!(host.recorded.lock().expect("a lock").is_empty());
+}
