Keep within the room of replicas that withstand few rejections

What would happen to callers: a replica that says how few rejections it withstands falls over when all routers together make it reject more in a second, and everything on it is lost. No router read the signal.

Change: while a replica says so, and for 5 s after, a router has no more requests open there than its part of the declared slots and, by unshared prompt tokens, of the memory; all parts together are what the replica runs at once, so nothing has to be rejected for want of room. What does not fit goes to another replica, or is refused with when to come back. Where there are more routers than slots, one request each is still allowed.

A pause after a rejection was tried and made no difference, so it is not in.

--- a/crates/control/src/serving/liveness/relay_offers.rs
+++ b/crates/control/src/serving/liveness/relay_offers.rs
@@ -12,7 +12,7 @@
 /// Time after which an offer that is not repeated expires; several times the interval of watch requests.
 const OFFER_TTL: Duration = Duration::from_millis(1_500);
 /// Maximum number of offers sent to a router.
-const MAX_OFFERS_TO_ROUTER: usize = 8;
+const MAX_OFFERS_TO_ROUTER: usize = 4;
 /// Maximum number of offers sent to a control replica.
 const MAX_OFFERS_TO_CONTROL: usize = 32;
 
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -308,6 +308,12 @@
     if changes.is_leaving {
         spdlog::info!("replica announced its shutdown", kv: { replica = replica.clone() });
     }
+    if changes.is_sensitive {
+        spdlog::info!("replica withstands few rejections", kv: {
+            replica = replica.clone(),
+            per_s = signals.withstood_rejections.unwrap_or_default(),
+        });
+    }
     record_limit(state, replica, signals.limit, changes.limit);
     changes
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -18,6 +18,7 @@
 //! | refuse prompts whose first event would be late | [`prefill_latency`] | yes |
 //! | acquire a permit for a rate-limited replica | [`permits`], [`limits`] | |
 //! | decide whether to save the prompt to the store | [`store_budget`] | yes |
+//! | keep within the room of replicas that withstand few rejections | [`room`] | yes |
 //! | space out the retries of rate-limited callers | [`retry_pacing`] | yes |
 //! | decide whether to retry | [`retry_decision`], [`budget`] | yes |
 //! | estimate latencies and decide under load | [`load`] (pure), [`estimates`] and [`overload`] (state by service) | |
@@ -67,6 +68,7 @@
 pub mod request_log;
 pub mod retry_decision;
 pub mod retry_pacing;
+pub mod room;
 pub mod scoring;
 pub mod selection;
 pub mod state;
--- a/crates/proxy/src/selection/candidates.rs
+++ b/crates/proxy/src/selection/candidates.rs
@@ -17,7 +17,8 @@
     },
     pipeline::RequestRun,
     prefill_latency::PrefillBacklog,
-    replicas::ReplicaTable,
+    replicas::{ReplicaHandle, ReplicaTable},
+    room::Room,
     scoring::Candidate,
     state::lock,
     view::ServingView,
@@ -176,6 +177,10 @@
             if !accepts || is_paused || !handle.pool.has_capacity(connection_limit) {
                 continue;
             }
+            let is_sensitive = table.availability.is_sensitive(&record.id, uptime);
+            if is_sensitive && !self.has_room(record, &handle, capacity_tokens) {
+                continue;
+            }
             let cached_tokens = table.sent().cached_tokens(&record.id, &self.path);
             let mut candidate = Candidate {
                 same_zone: !policy.zone || record.zone == self.state.options.zone,
@@ -211,6 +216,22 @@
         eligible
     }
 
+    /// Whether this router may send the request to a replica that withstands few rejections.
+    fn has_room(
+        &self,
+        record: &ReplicaRecord,
+        handle: &ReplicaHandle,
+        capacity_tokens: u64,
+    ) -> bool {
+        let open = handle.own_load();
+        let open = Room {
+            requests: open.open_requests,
+            tokens: open.unshared_tokens,
+        };
+        let part = Room::of_one_router(record.slots, capacity_tokens, self.routers());
+        part.fits(open, self.path.unshared_tokens())
+    }
+
     fn oldest_usable_weights(&self) -> u64 {
         let prompt = self.request.prompt.as_ref();
         prompt.map_or(0, |prompt| self.state.oldest_usable_weights(&prompt.model))
--- a/crates/serving/src/availability.rs
+++ b/crates/serving/src/availability.rs
@@ -19,6 +19,8 @@
 /// Time for which a leaving state or a limit is kept after it was last received. A leaving back end serves
 /// for many seconds and then exits.
 const RETENTION: Duration = Duration::from_secs(300);
+/// Time for which a back end counts as sensitive to rejections after it last said so, in all its responses.
+const SENSITIVITY_TTL: Duration = Duration::from_secs(5);
 
 /// What the head of one response says about the back end itself, independent of the outcome of the request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -29,6 +31,8 @@
     pub is_leaving: bool,
     /// Limit on requests per second from all routers together.
     pub limit: LimitHeader,
+    /// Rejections for want of room that the back end withstands in a second; `None` if any number.
+    pub withstood_rejections: Option<u32>,
 }
 
 /// What a response changed in the state of a back end.
@@ -38,6 +42,8 @@
     pub is_leaving: bool,
     /// The new limit, if it differs from the former one.
     pub limit: Option<RequestLimit>,
+    /// Whether the back end began to be sensitive to rejections.
+    pub is_sensitive: bool,
 }
 
 /// A limit that a back end advertised to this process.
@@ -61,6 +67,8 @@
     limited_until: MonotonicTime,
     /// The limit that `limited_until` follows from.
     exhausted_limit: Option<RequestLimit>,
+    /// Time until which it is sensitive to rejections.
+    sensitive_until: MonotonicTime,
 }
 
 impl AdvertisedState {
@@ -70,6 +78,10 @@
             let until = now.saturating_add(time);
             self.back_off_until = until.max(self.back_off_until);
         }
+        let was_sensitive = self.is_sensitive(now);
+        if signals.withstood_rejections.is_some() {
+            self.sensitive_until = now.saturating_add(SENSITIVITY_TTL);
+        }
         let is_leaving = signals.is_leaving && self.leaving_at.is_none();
         if signals.is_leaving {
             self.leaving_at = Some(now);
@@ -77,6 +89,7 @@
         let mut changes = SignalChanges {
             is_leaving,
             limit: None,
+            is_sensitive: !was_sensitive && self.is_sensitive(now),
         };
         if let LimitHeader::Present(limit) = signals.limit {
             let known = self.limit.map(|known| known.limit);
@@ -106,6 +119,11 @@
         self.available_in(now) == Some(Duration::ZERO)
     }
 
+    /// Whether the back end withstands few rejections.
+    pub fn is_sensitive(&self, now: MonotonicTime) -> bool {
+        now < self.sensitive_until
+    }
+
     /// The advertised limit.
     pub fn limit(&self) -> Option<AdvertisedLimit> {
         self.limit
@@ -130,7 +148,8 @@
         let has_limit = self
             .limit
             .is_some_and(|known| is_recent(known.advertised_at));
-        is_leaving || has_limit || now < self.back_off_until.max(self.limited_until)
+        let is_unavailable = now < self.back_off_until.max(self.limited_until);
+        is_leaving || has_limit || is_unavailable || self.is_sensitive(now)
     }
 }
 
@@ -150,6 +169,7 @@
     ) -> SignalChanges {
         let is_empty = signals.back_off.is_none()
             && !signals.is_leaving
+            && signals.withstood_rejections.is_none()
             && !matches!(signals.limit, LimitHeader::Present(_));
         if is_empty {
             return SignalChanges::default();
@@ -176,6 +196,13 @@
         backend.map_or(Some(Duration::ZERO), |backend| backend.available_in(now))
     }
 
+    /// Whether a back end withstands few rejections.
+    pub fn is_sensitive(&self, incarnation_id: &str, now: MonotonicTime) -> bool {
+        self.backends
+            .get(incarnation_id)
+            .is_some_and(|backend| backend.is_sensitive(now))
+    }
+
     /// The limit that a back end advertises.
     pub fn limit(&self, incarnation_id: &str) -> Option<AdvertisedLimit> {
         self.backends.get(incarnation_id)?.limit
