--- a/crates/proxy/src/relay/server.rs
+++ b/crates/proxy/src/relay/server.rs
@@ -62,8 +62,12 @@
 
 /// Handles one connection of a peer. `slot` is `None` if too many are open.
 async fn handle(state: Arc<ProxyState>, mut peer: TcpStream, slot: Option<OwnedSemaphorePermit>) {
-    let Ok(Ok(request)) = timeout(REQUEST_TIMEOUT, receive(&mut peer)).await else {
-        return;
+    let request = match receive(&mut peer).await {
+        Ok(request) => request,
+        Err(error) => {
+            spdlog::info!("relay request not read", kv: { cause = error.to_string() });
+            return;
+        }
     };
     let opened = match slot {
         Some(_) => open(&state, &request).await,
@@ -73,16 +77,9 @@
         Ok(_) => RelayReply::Connected,
         Err(refusal) => RelayReply::Refused(*refusal),
     };
-    let log = |event: &'static str, detail: String| {
-        spdlog::info!("{event}", kv: {
-            request = request.request.clone(),
-            replica = request.replica.clone(),
-            router = request.router.clone(),
-            detail,
-        });
-    };
-    log("relay requested", format!("{reply:?}"));
-    if write_message(&mut peer, &reply).await.is_err() {
+    log(&request, "relay requested", format!("{reply:?}"));
+    if let Err(error) = write_message(&mut peer, &reply).await {
+        log(&request, "relay not used", error.to_string());
         return;
     }
     let Ok(replica) = opened else {
@@ -94,15 +91,26 @@
     };
     state.metrics.relayed.inc();
     let end = pass_on(&state, peer, replica, valid).await;
-    log("relay ended", format!("{end:?}"));
+    log(&request, "relay ended", format!("{end:?}"));
     drop(slot);
 }
 
+fn log(request: &RelayRequest, event: &'static str, detail: String) {
+    spdlog::info!("{event}", kv: {
+        request = request.request.clone(),
+        replica = request.replica.clone(),
+        router = request.router.clone(),
+        detail,
+    });
+}
+
 async fn receive(peer: &mut TcpStream) -> Result<RelayRequest, CodecError> {
     set_options(peer)?;
-    read_message(peer).await
+    let received = timeout(REQUEST_TIMEOUT, read_message(peer)).await;
+    received.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
 }
 
+/// Opens a connection to the replica by this router itself.
 async fn open(state: &ProxyState, request: &RelayRequest) -> Result<TcpStream, RelayRefusal> {
     if !state.is_ready() || !state.options.policy.relays {
         return Err(RelayRefusal::NotServing);
