Divide the slack of retries by all routers known within the window

Cause, suspected as a part of it: right after an election a control replica knows only its own routers. A router kept the largest number of the last window with the requests of each service, so the small number counted for a service that it had not used meanwhile. The class: a share of a common limit, divided by a number that can be too small.

Change: the largest number reported within the window of the budget counts, whatever was used.

--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -197,7 +197,7 @@
 
 fn apply_reply(state: &Arc<ProxyState>, mut reply: WatchReply, requested_at: BootInstant) {
     let was_confirmed = state.is_confirmed();
-    state.routers.store(reply.routers, Ordering::Relaxed);
+    state.record_routers(reply.routers);
     let relays = std::mem::take(&mut reply.relays);
     lock(&state.relay_peers).set_offers(relays, Instant::now());
     if let Some(mut digest) = reply.fleet.take() {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -20,7 +20,7 @@
 //! | decide whether to save the prompt to the store | [`store_budget`] | yes |
 //! | keep within the room of replicas that withstand few rejections | [`room`] | yes |
 //! | space out the retries of rate-limited callers | [`retry_pacing`] | yes |
-//! | decide whether to retry | [`retry_decision`], [`budget`] | yes |
+//! | decide whether to retry | [`retry_decision`], [`budget`], [`router_count`] | yes |
 //! | estimate latencies and decide under load | [`load`] (pure), [`estimates`] and [`overload`] (state by service) | |
 //! | combine these for one request | [`selection`] | |
 //! | acquire a connection | [`pool`], [`dial`], [`idle_limit`] (pure) | |
@@ -69,6 +69,7 @@
 pub mod retry_decision;
 pub mod retry_pacing;
 pub mod room;
+pub mod router_count;
 pub mod scoring;
 pub mod selection;
 pub mod state;
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -32,6 +32,7 @@
     relay::peers::RelayPeers,
     replicas::ReplicaTable,
     retry_pacing::RetryPacer,
+    router_count::RouterCount,
     selection::ExhaustedLimits,
     store_budget::{SaveBudget, StoreCapacity},
     view::ServingView,
@@ -86,6 +87,8 @@
     pub metrics: ProxyMetrics,
     /// Number of live routers; 0 while unknown.
     pub routers: AtomicU32,
+    /// Numbers of live routers in the last window of the retry budget.
+    router_count: Mutex<RouterCount>,
     budgets: Mutex<HashMap<String, RetryBudget>>,
     /// Time until which no permits are requested, because a call got no reply.
     pub permit_requests_suspended_until: Mutex<MonotonicTime>,
@@ -163,6 +166,7 @@
             crash_checks: Arc::default(),
             metrics: ProxyMetrics::default(),
             routers: AtomicU32::new(0),
+            router_count: Mutex::default(),
             budgets: Mutex::default(),
             permit_requests_suspended_until: Mutex::default(),
             retry_pacers: Mutex::default(),
@@ -289,9 +293,21 @@
         table.map_or_else(CallerLimits::default, |table| table.configuration().limits)
     }
 
+    /// Records the number of live routers that a control replica reports.
+    pub fn record_routers(&self, routers: u32) {
+        self.routers.store(routers, Ordering::Relaxed);
+        lock(&self.router_count).record(routers, Instant::now());
+    }
+
+    /// Returns the number of routers by which the slack of the retry budget is divided.
+    fn budget_routers(&self) -> u32 {
+        let window = Duration::from_millis(self.options.bounds.retry_window_ms);
+        lock(&self.router_count).largest(window, Instant::now())
+    }
+
     /// Records the first attempt of a request, which adds to the retry budget of the service.
     pub fn record_request(&self, service: &str) {
-        let routers = self.routers.load(Ordering::Relaxed);
+        let routers = self.budget_routers();
         self.with_budget(service, |budget| budget.deposit(routers, Instant::now()));
     }
 
@@ -300,7 +316,7 @@
         if !self.options.policy.retry {
             return false;
         }
-        let routers = self.routers.load(Ordering::Relaxed);
+        let routers = self.budget_routers();
         self.with_budget(service, |budget| budget.withdraw(routers, Instant::now()))
     }
 
