Wait for a successor where a port refuses one router only

A port that refuses this router while a peer reaches the address is no proof of a crash, but none against it either: the next incarnation may listen there already. The check goes on to wait for that one to register, as it does where the port gives no proof.

--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -153,6 +153,12 @@
 /// from replicas itself.
 fn relay_offer(state: &ProxyState) -> Option<String> {
     let address = state.relay_address.get()?;
+    let offers = state.is_ready() && !update_cut_off(state) && state.options.policy.relays;
+    offers.then(|| address.to_string())
+}
+
+/// Updates whether this router is cut off from replicas, and returns that.
+fn update_cut_off(state: &ProxyState) -> bool {
     let is_cut_off = lock(&state.replicas).is_cut_off(Instant::now());
     let was_cut_off = state.metrics.cut_off.set(i64::from(is_cut_off)) != 0;
     match (was_cut_off, is_cut_off) {
@@ -160,8 +166,7 @@
         (true, false) => spdlog::info!("replicas reached again"),
         _ => {}
     }
-    let offers = state.is_ready() && !is_cut_off && state.options.policy.relays;
-    offers.then(|| address.to_string())
+    is_cut_off
 }
 
 async fn watch(
--- a/crates/proxy/src/crash_checks.rs
+++ b/crates/proxy/src/crash_checks.rs
@@ -341,9 +341,9 @@
 ) -> Option<CrashProof> {
     let checks = host.crash_checks();
     let mut port = PortProbe::new(H::address(replica)?, host.source_address());
-    if port.refuses(broken_at + H::BLOCKING_CLOSE_TIMEOUT).await {
-        let is_alive = host.is_reached_elsewhere(replica).await;
-        return (!is_alive).then_some(CrashProof::PortRefuses);
+    let refuses = port.refuses(broken_at + H::BLOCKING_CLOSE_TIMEOUT).await;
+    if refuses && !host.is_reached_elsewhere(replica).await {
+        return Some(CrashProof::PortRefuses);
     }
     lock(&checks.tracker).stop_blocking(H::id(replica));
     checks.progress.notify_waiters();
--- a/crates/proxy/src/relay/client.rs
+++ b/crates/proxy/src/relay/client.rs
@@ -155,10 +155,9 @@
 ) -> Result<TcpStream, NoRelay> {
     let mut rest = peers.into_iter();
     let mut asked = FuturesUnordered::new();
-    let mut ask_next = true;
     let started_at = Instant::now();
     loop {
-        if ask_next && let Some(peer) = rest.next() {
+        if let Some(peer) = rest.next() {
             asked.push(ask(state, destination, peer));
         }
         if asked.is_empty() || started_at.elapsed() >= PEER_TIMEOUT {
@@ -169,9 +168,9 @@
             Some(reply) = asked.next() => match reply {
                 Ok(stream) => return Ok(stream),
                 Err(Some(RelayRefusal::PortClosed)) => return Err(NoRelay::PortClosed),
-                Err(_) => ask_next = true,
+                Err(_) => {}
             },
-            () = sleep(stagger) => ask_next = true,
+            () = sleep(stagger) => {}
         }
     }
 }
@@ -191,7 +190,8 @@
     };
     let mut peers = lock(&state.relay_peers);
     match &result {
-        Ok(_) => peers.record_success(peer.address),
+        // The port of the replica says nothing against the peer.
+        Ok(_) | Err(Some(RelayRefusal::PortClosed)) => peers.record_success(peer.address),
         Err(_) => peers.record_failure(peer.address, Instant::now()),
     }
     drop(peers);
--- a/crates/proxy/src/relay/peers.rs
+++ b/crates/proxy/src/relay/peers.rs
@@ -39,11 +39,6 @@
         self.avoided_until.retain(|_, until| now < *until);
     }
 
-    /// Whether there are any peers.
-    pub fn is_empty(&self) -> bool {
-        self.peers.is_empty()
-    }
-
     /// Returns the peers to ask for one connection, in order. Those that gave none recently come last. `seed` is
     /// random.
     pub fn to_ask(&self, seed: u64, now: Instant) -> Vec<RelayPeer> {
@@ -62,7 +57,7 @@
         self.avoided_until.insert(address, now + AVOID_TIME);
     }
 
-    /// Records that a peer gave a connection.
+    /// Records that a peer gave a connection, or found the port of the replica closed.
     pub fn record_success(&mut self, address: SocketAddr) {
         self.avoided_until.remove(&address);
     }
