Record the software versions of back ends, and log which stream a request takes up

Nobody read the version that heartbeats name, and logs could not tell whether a client took a stream up, nor which version served it, so the hypotheses on streams of two versions could not be told apart.

The lines "replica recorded", "stream resumed" and "request" name the version, the last of them also Resumes and Last-Event-Id. No choice of a replica depends on it yet.

--- a/crates/control/src/serving/registrar.rs
+++ b/crates/control/src/serving/registrar.rs
@@ -9,6 +9,7 @@
 use futures::future::join_all;
 use railtack_rpc::{
     FeatureLevel, call_context,
+    layout::VersionedRecords,
     serving::{Registration, ServingCommand, ServingOutcome},
 };
 use railtack_serving::{ReplicaRecord, ReplicaState};
@@ -155,7 +156,11 @@
             let proposals = batch.into_iter().map(|record| self.propose_one(record));
             return join_all(proposals).await.into_iter().collect();
         }
-        let command = ServingCommand::RegisterAll(batch);
+        let command = if level < FeatureLevel::SOFTWARE_VERSIONS {
+            ServingCommand::RegisterAll(batch)
+        } else {
+            ServingCommand::RegisterVersioned(VersionedRecords(batch))
+        };
         match self
             .leader_client
             .propose_without_resend(command, BATCH_TIMEOUT)
@@ -196,6 +201,7 @@
             replica = record.id.clone(),
             address = record.address.clone(),
             leaves = record.state == ReplicaState::Leaving,
+            software = record.software.to_string(),
             weights = record.weights.first().map_or(0, |held| held.version),
             outcome = format!("{outcome:?}"),
         });
@@ -293,6 +299,7 @@
     if view.serving.has_departed(&record.id) {
         return false;
     }
+    let records_software = view.serving.level() >= FeatureLevel::SOFTWARE_VERSIONS;
     let known = view.serving.replicas().get(&record.id);
     !known.is_some_and(|known| {
         let reports_leaving = record.state == ReplicaState::Leaving;
@@ -303,7 +310,13 @@
                 .is_some_and(|version| version >= held.version)
         });
         let has_same_endpoint = known.service == record.service && known.address == record.address;
-        has_same_endpoint && has_known_weights && (is_known_leaving || !reports_leaving)
+        let has_known_software = !records_software
+            || !record.software.is_reported()
+            || known.software == record.software;
+        has_same_endpoint
+            && has_known_software
+            && has_known_weights
+            && (is_known_leaving || !reports_leaving)
     })
 }
 
--- a/crates/control/src/serving_state.rs
+++ b/crates/control/src/serving_state.rs
@@ -21,6 +21,7 @@
 use railtack_consensus::LogIndex;
 use railtack_rpc::{
     FeatureLevel,
+    layout::VersionedRecords,
     serving::{
         ConfigurationDocument, QuarantineUpdate, Registration, ServingCommand, ServingOutcome,
     },
@@ -173,7 +174,8 @@
                 Registration::Departed => ServingOutcome::UnknownReplica,
                 Registration::AddressHeld { holder } => ServingOutcome::AddressHeld { holder },
             },
-            ServingCommand::RegisterAll(records) => {
+            ServingCommand::RegisterAll(records)
+            | ServingCommand::RegisterVersioned(VersionedRecords(records)) => {
                 let records = records.into_iter();
                 let outcomes = records.map(|record| self.register(index, record));
                 ServingOutcome::Registered(outcomes.collect())
@@ -429,8 +431,8 @@
     }
 }
 
-/// Merges a reported record into the known one; leaving replicas stay leaving and weight versions
-/// never decrease.
+/// Merges a reported record into the known one; leaving replicas stay leaving, weight versions never
+/// decrease, and a known software version stays known.
 fn merge_record(known: &ReplicaRecord, mut reported: ReplicaRecord) -> ReplicaRecord {
     if known.state == ReplicaState::Leaving {
         reported.state = ReplicaState::Leaving;
@@ -439,6 +441,9 @@
         let before = known.version_of(&held.model).unwrap_or(0);
         held.version = held.version.max(before);
     }
+    if !reported.software.is_reported() {
+        reported.software = known.software.clone();
+    }
     reported.order = known.order.clone();
     reported.changed_at = known.changed_at;
     reported
--- a/crates/control/src/serving_state/stored.rs
+++ b/crates/control/src/serving_state/stored.rs
@@ -8,7 +8,10 @@
 };
 
 use railtack_consensus::LogIndex;
-use railtack_rpc::{FeatureLevel, layout::InlineConfiguration};
+use railtack_rpc::{
+    FeatureLevel,
+    layout::{InlineConfiguration, SoftwareGroup},
+};
 use railtack_serving::{ReplicaRecord, ServingConfiguration, TenantQuota};
 use speedy::{Context, Readable, Reader, Writable, Writer};
 
@@ -46,6 +49,22 @@
     level: StoredLevel,
     #[speedy(default_on_eof)]
     quotas: Vec<(String, TenantQuota)>,
+    #[speedy(default_on_eof)]
+    software: StoredSoftware,
+}
+
+/// Versions of the software of the stored replicas. Nothing is written if none is known, as below
+/// [`FeatureLevel::SOFTWARE_VERSIONS`].
+#[derive(Default, Readable)]
+struct StoredSoftware(Vec<SoftwareGroup>);
+
+impl<C: Context> Writable<C> for StoredSoftware {
+    fn write_to<T: ?Sized + Writer<C>>(&self, writer: &mut T) -> Result<(), C::Error> {
+        if self.0.is_empty() {
+            return Ok(());
+        }
+        self.0.write_to(writer)
+    }
 }
 
 /// Feature level of the group. Builds that wrote the additions without a level supported all of
@@ -67,6 +86,7 @@
             crash_reports: CrashReports::clone(&state.crash_reports),
             level: StoredLevel(state.level),
             quotas: state.configuration.quotas(),
+            software: StoredSoftware(SoftwareGroup::of_records(state.replicas.records().values())),
         }))
     }
 }
@@ -141,15 +161,19 @@
             crash_reports: CrashReports::default(),
             level: StoredLevel(FeatureLevel::FIRST),
             quotas: Vec::new(),
+            software: StoredSoftware::default(),
         });
         let mut configuration = stored.configuration;
         configuration.set_quotas(extension.quotas);
+        let mut replicas = stored.replicas;
+        let mut records: Vec<&mut ReplicaRecord> = replicas.values_mut().collect();
+        SoftwareGroup::assign(&extension.software.0, &mut records);
         Self {
             level: extension.level.0,
             content: Arc::new(stored.content),
             configuration: Arc::new(configuration),
             configuration_at: stored.configuration_at,
-            replicas: stored.replicas.into_values().collect(),
+            replicas: replicas.into_values().collect(),
             tombstones: Tombstones::from_snapshot(
                 stored.removals,
                 stored.ended,
--- a/crates/control/tests/first_level.rs
+++ b/crates/control/tests/first_level.rs
@@ -12,7 +12,7 @@
 };
 use railtack_serving::{
     ModelWeights, PendingOrder, QuotaUnit, ReplicaRecord, ReplicaState, ServingConfiguration,
-    TenantConfig, TenantQuota,
+    SoftwareVersion, TenantConfig, TenantQuota,
 };
 use speedy::{Readable, Writable};
 
@@ -69,6 +69,7 @@
             }],
             order: None,
             changed_at: u64::arbitrary(source) % 9,
+            software: SoftwareVersion::default(),
         };
         Self(match u8::arbitrary(source) % 9 {
             0 => ServingCommand::PutDocument(document(number)),
--- a/crates/control/tests/incarnations.rs
+++ b/crates/control/tests/incarnations.rs
@@ -3,7 +3,9 @@
 use quickcheck::{Arbitrary, Gen, quickcheck};
 use railtack_control::serving_state::ServingState;
 use railtack_rpc::serving::{ServingCommand, ServingOutcome, WatchPosition};
-use railtack_serving::{Incarnation, ModelWeights, PendingOrder, ReplicaRecord, ReplicaState};
+use railtack_serving::{
+    Incarnation, ModelWeights, PendingOrder, ReplicaRecord, ReplicaState, SoftwareVersion,
+};
 use speedy::{Readable, Writable};
 
 const REPLICA: &str = "i-1";
@@ -31,6 +33,7 @@
         }],
         order: None,
         changed_at: 0,
+        software: SoftwareVersion::default(),
     }
 }
 
--- a/crates/control/tests/registration_queue.rs
+++ b/crates/control/tests/registration_queue.rs
@@ -10,7 +10,7 @@
 use railtack_rpc::serving::{
     Registration, ServingCommand, ServingOutcome, ServingUpdate, WatchPosition,
 };
-use railtack_serving::{ReplicaRecord, ReplicaState};
+use railtack_serving::{ReplicaRecord, ReplicaState, SoftwareVersion};
 
 fn record(number: usize) -> ReplicaRecord {
     ReplicaRecord {
@@ -23,6 +23,7 @@
         weights: Vec::new(),
         order: None,
         changed_at: 0,
+        software: SoftwareVersion::default(),
     }
 }
 
--- a/crates/control/tests/rollout_plan.rs
+++ b/crates/control/tests/rollout_plan.rs
@@ -8,7 +8,7 @@
     serving_state::ServingState,
 };
 use railtack_rpc::serving::ServingCommand;
-use railtack_serving::{ModelWeights, PendingOrder, ReplicaRecord, ReplicaState};
+use railtack_serving::{ModelWeights, PendingOrder, ReplicaRecord, ReplicaState, SoftwareVersion};
 
 const VERSION_MS: u64 = 8_000;
 
@@ -33,6 +33,7 @@
             weights: vec![held(*version)],
             order: None,
             changed_at: 0,
+            software: SoftwareVersion::default(),
         };
         state.apply(position as u64 + 1, ServingCommand::Register(record));
     }
--- a/crates/control/tests/serving_state.rs
+++ b/crates/control/tests/serving_state.rs
@@ -4,7 +4,7 @@
 use railtack_rpc::serving::{ConfigurationDocument, ServingCommand, ServingOutcome, WatchPosition};
 use railtack_serving::{
     ContentKey, ModelWeights, PendingOrder, ReplicaKey, ReplicaRecord, ReplicaState,
-    ServingConfiguration,
+    ServingConfiguration, SoftwareVersion,
 };
 use speedy::{Readable, Writable};
 
@@ -33,6 +33,7 @@
         }],
         order: None,
         changed_at: 0,
+        software: SoftwareVersion::default(),
     }
 }
 
@@ -199,6 +200,7 @@
     let received_at = |position| {
         let heartbeat = ReplicaRecord {
             changed_at: position,
+            software: SoftwareVersion::default(),
             ..record("r", "h:1", 1)
         };
         ServingCommand::RegisterAll(vec![heartbeat])
--- a/crates/lab/src/scale/homes.rs
+++ b/crates/lab/src/scale/homes.rs
@@ -7,7 +7,7 @@
     homes::{Homes, MIN_GROUP_SIZE, Ring, group_homes, take_usable},
     scoring::{Candidate, RequestSize, SharedLoad, choose},
 };
-use railtack_serving::{ReplicaRecord, ReplicaState};
+use railtack_serving::{ReplicaRecord, ReplicaState, SoftwareVersion};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -29,6 +29,7 @@
         weights: Vec::new(),
         order: None,
         changed_at: 1,
+        software: SoftwareVersion::default(),
     })
 }
 
--- a/crates/lab/tests/incarnations.rs
+++ b/crates/lab/tests/incarnations.rs
@@ -9,7 +9,7 @@
 };
 use railtack_proxy::view::ServingView;
 use railtack_rpc::serving::{ServingCommand, ServingUpdate};
-use railtack_serving::{Incarnation, ModelWeights, ReplicaRecord, ReplicaState};
+use railtack_serving::{Incarnation, ModelWeights, ReplicaRecord, ReplicaState, SoftwareVersion};
 use speedy::Writable;
 
 /// Number of replicas in the fleet.
@@ -44,6 +44,7 @@
         }],
         order: None,
         changed_at: 0,
+        software: SoftwareVersion::default(),
     }
 }
 
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -55,6 +55,8 @@
     pub declared_tokens: Option<u64>,
     /// Last stream event received by the caller.
     pub last_event: Option<u64>,
+    /// Id of the caller's attempt that brought the first event of the stream, if the caller takes one up.
+    pub first_attempt: Option<String>,
 }
 
 impl ProxiedRequest {
--- a/crates/proxy/src/request_log.rs
+++ b/crates/proxy/src/request_log.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use railtack_serving::{ContentKey, RequestKind};
+use railtack_serving::{ContentKey, RequestKind, SoftwareVersion};
 use tokio::time::Instant;
 
 use crate::{
@@ -21,6 +21,10 @@
 pub struct RequestLog {
     state: Arc<ProxyState>,
     request: String,
+    /// Id of the attempt that began the stream which the caller takes up; empty if none.
+    first_attempt: String,
+    /// Last event of that stream that the caller has.
+    last_event: Option<u64>,
     /// Key of the request's content; identical for repeated requests.
     pub content: ContentKey,
     received: Instant,
@@ -38,6 +42,8 @@
     shared_tokens: u64,
     /// Version of the weights that the replica must hold.
     pub weights: u64,
+    /// Version of the software of the selected replica.
+    software: SoftwareVersion,
     choice: Choice,
     backlog: PrefillBacklog,
     /// Address from which the replica fetches cached prefixes; empty if none.
@@ -61,6 +67,8 @@
         Self {
             state: Arc::clone(state),
             request: request.id.clone(),
+            first_attempt: request.first_attempt.clone().unwrap_or_default(),
+            last_event: request.last_event,
             content: ContentKey::default(),
             received: request.received,
             route: String::new(),
@@ -73,6 +81,7 @@
             shared_tokens: 0,
             prefix: 0,
             weights: 0,
+            software: SoftwareVersion::default(),
             choice: Choice::default(),
             backlog: PrefillBacklog::default(),
             fetch_from: String::new(),
@@ -112,6 +121,7 @@
         known: u64,
     ) {
         self.replica.clone_from(&target.record.id);
+        self.software.clone_from(&target.record.software);
         self.candidate = *candidate;
         self.choice = *choice;
         self.known = known;
@@ -201,6 +211,9 @@
             unread_mean = self.backlog.mean_queued_tokens,
             fetch_from = self.fetch_from.clone(),
             weights = self.weights,
+            software = self.software.to_string(),
+            resumes = self.first_attempt.clone(),
+            last_event = self.last_event.unwrap_or_default(),
             cost = self.choice.cost,
             chosen_by = self.choice.rule.name(),
             expected_first_ms = expected.first_event.as_millis() as u64,
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -278,6 +278,7 @@
                 spdlog::info!("stream resumed", kv: {
                     request = self.run.request.id.clone(),
                     replica = active.target.record.id.clone(),
+                    software = active.target.record.software.to_string(),
                     last_event = self.buffer.last_event().unwrap_or_default(),
                 });
                 self.gaps = GapTimer::default();
--- a/crates/proxy/tests/entry.rs
+++ b/crates/proxy/tests/entry.rs
@@ -59,6 +59,7 @@
         prompt: None,
         declared_tokens: None,
         last_event: None,
+        first_attempt: None,
     }
 }
 
--- a/crates/proxy/tests/homes.rs
+++ b/crates/proxy/tests/homes.rs
@@ -18,7 +18,7 @@
     homes::{Homes, MIN_GROUP_SIZE, Ring, busy_replicas, group_homes, group_size, home_weight},
 };
 use railtack_rpc::serving::{FleetDigest, ReplicaCondition, ReplicaSpeed};
-use railtack_serving::{RelativeSpeed, ReplicaKey, ReplicaRecord, ReplicaState};
+use railtack_serving::{RelativeSpeed, ReplicaKey, ReplicaRecord, ReplicaState, SoftwareVersion};
 use tokio::time::Instant;
 
 const FLEET: usize = 9_675;
@@ -39,6 +39,7 @@
         weights: Vec::new(),
         order: None,
         changed_at: 1,
+        software: SoftwareVersion::default(),
     })
 }
 
--- a/crates/proxy/tests/overloaded_router.rs
+++ b/crates/proxy/tests/overloaded_router.rs
@@ -16,7 +16,7 @@
 use railtack_rpc::serving::{FleetDigest, ReplicaCondition, ServingUpdate, WatchPosition};
 use railtack_serving::{
     BackendSignals, CallerLimits, EngineConfig, Policy, ReplicaKey, ReplicaRecord, ReplicaState,
-    RequestKind, Route, ServiceConfig, ServingConfiguration, WeightedService,
+    RequestKind, Route, ServiceConfig, ServingConfiguration, SoftwareVersion, WeightedService,
 };
 use support::{REVOKE_MS, grant_lease, router};
 use tokio::{
@@ -110,6 +110,7 @@
         }),
         declared_tokens: None,
         last_event: None,
+        first_attempt: None,
     }
 }
 
@@ -133,6 +134,7 @@
             weights: Vec::new(),
             order: None,
             changed_at: 1,
+            software: SoftwareVersion::default(),
         }],
         ..ServingUpdate::default()
     };
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -18,7 +18,7 @@
     relay::{RelayOffer, RelayRefusal, RelayReply, RelayRequest, read_message, write_message},
     serving::{ServingUpdate, WatchPosition},
 };
-use railtack_serving::{ReplicaRecord, ReplicaState, ServingConfiguration};
+use railtack_serving::{ReplicaRecord, ReplicaState, ServingConfiguration, SoftwareVersion};
 use socket2::SockRef;
 use support::{grant_lease, router};
 use tokio::{
@@ -59,6 +59,7 @@
             weights: Vec::new(),
             order: None,
             changed_at: 1,
+            software: SoftwareVersion::default(),
         }],
         ..ServingUpdate::default()
     };
--- a/crates/proxy/tests/weights.rs
+++ b/crates/proxy/tests/weights.rs
@@ -6,7 +6,7 @@
     homes::Homes,
     load::weights::{PreferredShare, RolloutProgress, ServiceLoad, newest_first},
 };
-use railtack_serving::{ModelWeights, ReplicaRecord, ReplicaState};
+use railtack_serving::{ModelWeights, ReplicaRecord, ReplicaState, SoftwareVersion};
 
 const SLOTS: u32 = 64;
 const KV_CAPACITY_TOKENS: u64 = 110_000;
@@ -27,6 +27,7 @@
         }],
         order: None,
         changed_at: 0,
+        software: SoftwareVersion::default(),
     })
 }
 
--- a/crates/rpc/src/layout.rs
+++ b/crates/rpc/src/layout.rs
@@ -7,7 +7,9 @@
 
 mod inline_quotas;
 mod load;
+mod software;
 mod trailing;
 mod watch;
 
 pub use inline_quotas::{InlineConfiguration, LayoutError, read_exactly, read_proposal};
+pub use software::{SoftwareGroup, VersionedRecords};
--- a/crates/rpc/src/layout/trailing.rs
+++ b/crates/rpc/src/layout/trailing.rs
@@ -25,6 +25,26 @@
     }
 }
 
+/// Three lists at the end of a message, with the same rule.
+pub struct TrailingTriple<'a, T, U, V>(pub &'a [T], pub &'a [U], pub &'a [V]);
+
+impl<C, T, U, V> Writable<C> for TrailingTriple<'_, T, U, V>
+where
+    C: Context,
+    T: Writable<C>,
+    U: Writable<C>,
+    V: Writable<C>,
+{
+    fn write_to<W: ?Sized + Writer<C>>(&self, writer: &mut W) -> Result<(), C::Error> {
+        if self.2.is_empty() {
+            return TrailingPair(self.0, self.1).write_to(writer);
+        }
+        self.0.write_to(writer)?;
+        self.1.write_to(writer)?;
+        self.2.write_to(writer)
+    }
+}
+
 impl<C, T> Writable<C> for Trailing<'_, T>
 where
     C: Context,
--- a/crates/rpc/src/layout/watch.rs
+++ b/crates/rpc/src/layout/watch.rs
@@ -4,7 +4,10 @@
 use railtack_serving::{ModelWeights, ReplicaRecord, ServingConfiguration, TenantQuota};
 use speedy::{Context, Readable, Reader, Writable, Writer};
 
-use super::trailing::TrailingPair;
+use super::{
+    software::SoftwareGroup,
+    trailing::{TrailingPair, TrailingTriple},
+};
 use crate::{
     level::FeatureLevel,
     permits::LimitedReplica,
@@ -101,6 +104,9 @@
     speeds: Vec<ReplicaSpeed>,
     #[speedy(default_on_eof)]
     relays: Vec<RelayOffer>,
+    /// Versions of the software of the replicas in the update.
+    #[speedy(default_on_eof)]
+    software: Vec<SoftwareGroup>,
 }
 
 #[derive(Readable)]
@@ -143,7 +149,7 @@
     update: Option<WrittenUpdate<'a>>,
     fleet: Option<WrittenDigest<'a>>,
     later: Option<WrittenLater<'a>>,
-    speeds_and_relays: TrailingPair<'a, ReplicaSpeed, RelayOffer>,
+    additions: TrailingTriple<'a, ReplicaSpeed, RelayOffer, SoftwareGroup>,
 }
 
 #[derive(Writable)]
@@ -176,8 +182,8 @@
     quotas: Vec<(String, TenantQuota)>,
 }
 
-impl<'a> From<&'a WatchReply> for WrittenReply<'a> {
-    fn from(reply: &'a WatchReply) -> Self {
+impl<'a> WrittenReply<'a> {
+    fn new(reply: &'a WatchReply, software: &'a [SoftwareGroup]) -> Self {
         let update = reply.update.as_ref();
         let fleet = reply.fleet.as_ref();
         Self {
@@ -196,9 +202,10 @@
                 limited: fleet.map_or(&[], |fleet| &fleet.limited),
                 update: update.map(WrittenLaterUpdate::from),
             }),
-            speeds_and_relays: TrailingPair(
+            additions: TrailingTriple(
                 fleet.map_or(&[], |fleet| &fleet.speeds),
                 &reply.relays,
+                software,
             ),
         }
     }
@@ -242,7 +249,9 @@
             zone: wire.zone,
             members: wire.members,
             routers: wire.routers,
-            update: wire.update.map(|update| update.with(later_update)),
+            update: wire
+                .update
+                .map(|update| update.with(later_update, &wire.software)),
             fleet: wire.fleet.map(|fleet| FleetDigest {
                 age_ms: fleet.age_ms,
                 replicas: fleet.replicas,
@@ -256,7 +265,9 @@
 }
 
 impl WireUpdate {
-    fn with(self, later: Option<LaterUpdate>) -> ServingUpdate {
+    fn with(mut self, later: Option<LaterUpdate>, software: &[SoftwareGroup]) -> ServingUpdate {
+        let mut records: Vec<&mut ReplicaRecord> = self.replicas.iter_mut().collect();
+        SoftwareGroup::assign(software, &mut records);
         let later = later.unwrap_or_else(|| LaterUpdate {
             position: WatchPosition::at(self.through),
             quarantine: None,
@@ -292,7 +303,10 @@
 
 impl<C: Context> Writable<C> for WatchReply {
     fn write_to<T: ?Sized + Writer<C>>(&self, writer: &mut T) -> Result<(), C::Error> {
-        WrittenReply::from(self).write_to(writer)
+        let update = self.update.as_ref();
+        let records = update.map_or(&[][..], |update| &update.replicas);
+        let software = SoftwareGroup::of_records(records.iter());
+        WrittenReply::new(self, &software).write_to(writer)
     }
 }
 
--- a/crates/rpc/src/level.rs
+++ b/crates/rpc/src/level.rs
@@ -22,8 +22,11 @@
     /// Routers report how fast back ends read and generate, the leader returns relative speeds, and requests
     /// for quota state their urgency.
     pub const LOAD_REPORTS: Self = Self(2);
+    /// The software versions of back-end replicas are recorded, and control replicas remember which version began a
+    /// stream.
+    pub const SOFTWARE_VERSIONS: Self = Self(3);
     /// Highest level that this build supports.
-    pub const SUPPORTED: Self = Self::LOAD_REPORTS;
+    pub const SUPPORTED: Self = Self::SOFTWARE_VERSIONS;
 }
 
 /// Highest feature level of the group that a router has received.
--- a/crates/rpc/src/serving/commands.rs
+++ b/crates/rpc/src/serving/commands.rs
@@ -8,7 +8,7 @@
 use speedy::{Readable, Writable};
 
 use super::QuarantineUpdate;
-use crate::level::FeatureLevel;
+use crate::{layout::VersionedRecords, level::FeatureLevel};
 
 /// A configuration document as sent by an operator, with the resolved configuration.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
@@ -96,6 +96,8 @@
         /// Quotas by tenant.
         quotas: Vec<(String, TenantQuota)>,
     },
+    /// Registers several back-end replicas like [`Self::RegisterAll`], with the versions of their software.
+    RegisterVersioned(VersionedRecords),
 }
 
 impl ServingCommand {
@@ -133,6 +135,7 @@
             | Self::ReleaseContent { .. }
             | Self::RegisterAll(_)
             | Self::PutDocumentWithQuotas { .. } => FeatureLevel::SHARED_GRANTS,
+            Self::RegisterVersioned(_) => FeatureLevel::SOFTWARE_VERSIONS,
         }
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod registry;
 pub mod retries;
 pub mod settings;
+pub mod software;
 pub mod speed;
 
 pub use availability::{
@@ -34,4 +35,5 @@
 pub use quota::{Bucket, GrantTimes, QuotaBounds, QuotaUnit, TenantQuota};
 pub use registry::{ModelWeights, PendingOrder, ReplicaKey, ReplicaRecord, ReplicaState};
 pub use settings::{Bounds, FaultTolerance};
+pub use software::{SoftwareVersion, SoftwareVersionError};
 pub use speed::RelativeSpeed;
--- a/crates/serving/src/registry.rs
+++ b/crates/serving/src/registry.rs
@@ -2,7 +2,7 @@
 
 use speedy::{Readable, Writable};
 
-use crate::incarnation::Incarnation;
+use crate::{incarnation::Incarnation, software::SoftwareVersion};
 
 /// Whether a replica accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
@@ -67,6 +67,10 @@
     /// Log position of the last change of this record. In a heartbeat, the position that had been applied
     /// when it arrived; 0 if unknown.
     pub changed_at: u64,
+    /// Version of its software. It is not part of the encoded record, which builds without it also read: messages
+    /// and entries that hold records encode the versions separately.
+    #[speedy(skip)]
+    pub software: SoftwareVersion,
 }
 
 impl ReplicaRecord {
