Continue an answer only at replicas of the software version that began it

What callers saw: a stream whose replica crashed went on in the same answer at a replica of another version; the events of two versions do not fit together.

Cause: the router that continued a stream took any replica of the service. The version that began it was part of nobody's state (class: a property on which a correct continuation depends is missing from the state of what is continued).

The request now holds the origin of its stream, service and version, from the first event that the caller gets; only replicas of that version are candidates then. If none is registered the answer ends at once. Attempts before the first event are as free as before.

--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -4,7 +4,7 @@
 
 use hyper::Response;
 use railtack_http::Body;
-use railtack_serving::{ContentKey, RequestContent};
+use railtack_serving::{ContentKey, RequestContent, StreamOrigin};
 use tokio::time::Instant;
 
 use crate::{
@@ -27,6 +27,7 @@
 };
 
 mod final_response;
+mod origin;
 mod retry;
 
 /// Number of objectives after which a response is abandoned if another replica can be tried.
@@ -111,6 +112,8 @@
     pub content: ContentKey,
     /// Shared prefixes of the prompt.
     pub path: PrefixPath,
+    /// Where the stream began, once the caller has events of it.
+    pub origin: Option<StreamOrigin>,
     /// Ids of the replicas that were tried.
     pub tried: Vec<String>,
     replicas_used: u32,
@@ -161,6 +164,7 @@
             log,
             content,
             path,
+            origin: None,
             tried: Vec::new(),
             replicas_used: 0,
             declined: 0,
--- a/crates/proxy/src/pipeline/final_response.rs
+++ b/crates/proxy/src/pipeline/final_response.rs
@@ -11,6 +11,8 @@
 
 /// Minimum retry delay of a refused request, milliseconds.
 const MIN_RETRY_AFTER_MS: u64 = 150;
+/// Retry delay of a request for a stream that cannot go on. A caller that begins anew need not wait for it.
+pub const RESUME_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 impl RequestRun {
     pub(super) fn respond_without_target(
@@ -35,6 +37,7 @@
                 Some((RefusalReason::AtLimit, pause))
             }
             NoTarget::NoneAvailable => None,
+            NoTarget::OriginGone => Some((RefusalReason::OriginGone, RESUME_RETRY_AFTER)),
         };
         if let Some((reason, pause)) = refusal {
             self.log.record_outcome(reason.to_string());
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -57,6 +57,9 @@
     /// No replica accepts work.
     #[error("no_replica")]
     NoReplica,
+    /// No replica of the software version that began the stream is left.
+    #[error("origin_gone")]
+    OriginGone,
     /// Every replica that was tried declined the request.
     #[error("declined")]
     Declined,
@@ -99,6 +102,7 @@
             | Self::BackingOff
             | Self::AtLimit
             | Self::NoReplica
+            | Self::OriginGone
             | Self::Declined
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
--- a/crates/proxy/src/selection.rs
+++ b/crates/proxy/src/selection.rs
@@ -46,6 +46,8 @@
 pub enum NoTarget {
     /// No replica accepts work.
     NoneAvailable,
+    /// The stream has begun, and no replica of the version that began it is registered.
+    OriginGone,
     /// Every candidate requested a back-off period.
     BackingOff {
         /// Time until the first of the periods ends.
@@ -86,6 +88,7 @@
                 }
                 // Waiting requests would all compete for the next permit.
                 NoTarget::AtLimit(_) | NoTarget::TooLate { .. } => false,
+                NoTarget::OriginGone => false,
             };
             if timed_out || !may_change {
                 return Err(cause);
@@ -126,6 +129,9 @@
         let mut eligible = self.eligible_replicas(ranked, &mut replicas, configuration);
         let candidates: Vec<Candidate> = eligible.iter().map(|entry| entry.candidate).collect();
         let Some(choice) = self.choose(&candidates, rand::random()) else {
+            if self.is_origin_gone(&view) {
+                return Err(NoTarget::OriginGone);
+            }
             return Err(no_eligible_cause(
                 ranked,
                 &replicas.availability,
--- a/crates/proxy/src/selection/candidates.rs
+++ b/crates/proxy/src/selection/candidates.rs
@@ -49,7 +49,7 @@
         let oldest_weights = self.oldest_usable_weights();
         let can_run = |record: &&Arc<ReplicaRecord>| {
             let is_free = record.order.is_none() && !self.tried.contains(&record.id);
-            is_free && self.serves_model(record, oldest_weights)
+            is_free && self.may_continue_at(record) && self.serves_model(record, oldest_weights)
         };
         let now = Instant::now();
         let uptime = self.state.uptime();
@@ -232,6 +232,20 @@
         part.fits(open, self.path.unshared_tokens())
     }
 
+    /// Whether the replica may run the request, which if the stream has begun depends on the version of its software.
+    fn may_continue_at(&self, record: &ReplicaRecord) -> bool {
+        let origin = self.origin.as_ref();
+        origin.is_none_or(|origin| origin.software == record.software)
+    }
+
+    /// Whether the stream has begun and no replica of the version that began it is registered any more.
+    pub(crate) fn is_origin_gone(&self, view: &ServingView) -> bool {
+        let Some(ring) = view.ready(&self.service) else {
+            return self.origin.is_some();
+        };
+        !ring.iter_from(0).any(|record| self.may_continue_at(record))
+    }
+
     fn oldest_usable_weights(&self) -> u64 {
         let prompt = self.request.prompt.as_ref();
         prompt.map_or(0, |prompt| self.state.oldest_usable_weights(&prompt.model))
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -80,7 +80,8 @@
 }
 
 /// Returns the response to the caller; its body relays the rest of the stream.
-pub fn respond(run: RequestRun, active: ActiveExchange, first: FirstEvents) -> Response<Body> {
+pub fn respond(mut run: RequestRun, active: ActiveExchange, first: FirstEvents) -> Response<Body> {
+    run.begin_stream(&active.target);
     let head = clone_head(&active);
     let relay = Relay {
         pending: Some(first.events).filter(|events| !events.is_empty()),
@@ -259,6 +260,9 @@
         self.run.record_failure(&active.target, failed);
         drop(active);
         self.buffer.discard_partial();
+        if self.run.has_lost_origin() {
+            return Some(());
+        }
         while self.run.acquire_resume_retry().await {
             if !self
                 .run
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod settings;
 pub mod software;
 pub mod speed;
+pub mod stream_origins;
 
 pub use availability::{
     AdvertisedLimit, AdvertisedState, Availability, BackendSignals, MonotonicTime, SignalChanges,
@@ -37,3 +38,4 @@
 pub use settings::{Bounds, FaultTolerance};
 pub use software::{SoftwareVersion, SoftwareVersionError};
 pub use speed::RelativeSpeed;
+pub use stream_origins::StreamOrigin;
--- a/crates/serving/src/policy.rs
+++ b/crates/serving/src/policy.rs
@@ -4,7 +4,7 @@
 
 /// Enabled mechanisms, from the `[policy]` table of the settings; omitted ones are enabled.
 ///
-/// No guarantee depends on any of them. Unknown keys are rejected, so that a misspelled key does not
+/// No guarantee depends on any of them, except that of [`Self::software_versions`]. Unknown keys are rejected, so that a misspelled key does not
 /// leave a mechanism enabled by mistake.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -60,6 +60,8 @@
     pub newest_weights: bool,
     /// Opens connections to replicas through other routers where this one cannot, and for others.
     pub relays: bool,
+    /// Continues a stream only at replicas of the software version that began it.
+    pub software_versions: bool,
 }
 
 impl Policy {
@@ -90,6 +92,7 @@
         late_service: true,
         newest_weights: true,
         relays: true,
+        software_versions: true,
     };
 }
 
