Continue a stream over its caller's tries only at the version that began it

What callers saw: a client whose connection ended came back, as it should, and its stream went on at a replica of another version.

Cause: the id of a try is the client's, Resumes was passed by, and no router remembered where a stream began; the one that began it may be dead.

From the first event on, the router remembers the origin of the stream (service and version) for as long as its caller waits, and sends it to two control replicas, which keep it in memory; no first event waits for that. A router whose caller takes a stream up looks in its own memory, asks the control replicas in turn, and else tells it only if the route's one service had one version for all the time in question, in a view confirmed since the request came. A stream of unknown origin is refused at once (503, not run). An origin never changes, so copies need no order and elections play no part.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -56,6 +56,14 @@
     pub permit_requests: Counter,
     /// Permit requests that were denied.
     pub permits_denied: Counter,
+    /// Records of where streams began that routers sent.
+    pub streams_recorded: Counter,
+    /// Streams of which this replica remembers where they began.
+    pub streams_remembered: Gauge,
+    /// Questions of routers about a stream that this replica remembered.
+    pub streams_found: Counter,
+    /// Questions of routers about a stream that this replica did not remember.
+    pub streams_not_found: Counter,
     /// Quarantined requests, which are sent to no replica because replicas crashed under them.
     pub quarantined: Gauge,
     /// Suspect requests, under which replicas crashed recently.
@@ -116,6 +124,10 @@
             quota_promises_lapsed: Counter::default(),
             permit_requests: Counter::default(),
             permits_denied: Counter::default(),
+            streams_recorded: Counter::default(),
+            streams_remembered: Gauge::default(),
+            streams_found: Counter::default(),
+            streams_not_found: Counter::default(),
             quarantined: Gauge::default(),
             suspects: Gauge::default(),
             registrations: Counter::default(),
@@ -211,6 +223,26 @@
             "Permits for back ends with a limit withheld",
             self.permits_denied.clone(),
         );
+        registry.register(
+            "control_streams_recorded",
+            "Records of where streams began",
+            self.streams_recorded.clone(),
+        );
+        registry.register(
+            "control_streams_remembered",
+            "Streams of which it is remembered where they began",
+            self.streams_remembered.clone(),
+        );
+        registry.register(
+            "control_streams_found",
+            "Questions about streams that were remembered",
+            self.streams_found.clone(),
+        );
+        registry.register(
+            "control_streams_not_found",
+            "Questions about streams that were not remembered",
+            self.streams_not_found.clone(),
+        );
         registry.register(
             "control_quarantined",
             "Requests sent to no replica because replicas ended under them",
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -28,7 +28,9 @@
         JoinReply, JoinRequest, LivenessReply, LivenessReport, QuotaReply, QuotaRequest,
         ReadIndexReply, SuspectStatus, WatchReply, WatchRequest,
     },
+    streams::StreamRecord,
 };
+use railtack_serving::{StreamKey, StreamOrigin};
 use railtack_settings::ControlSettings;
 use railtack_storage::FileMedia;
 use tarpc::{
@@ -48,7 +50,7 @@
     rollout::{self, ObservedEngines, RolloutStep},
     serving::{
         leader::LeaderClient, liveness::Liveness, permits::PermitServer, quarantine,
-        quota::QuotaServer, watch::WatchServer,
+        quota::QuotaServer, streams::StreamMemory, watch::WatchServer,
     },
     state::IssuedOrder,
 };
@@ -208,6 +210,7 @@
     pub(crate) watch: Arc<WatchServer>,
     pub(crate) liveness: Arc<Liveness>,
     pub(crate) quotas: Arc<QuotaServer>,
+    pub(crate) streams: Arc<StreamMemory>,
 }
 
 impl ControlService {
@@ -348,6 +351,18 @@
         self.permits.handle(&request)
     }
 
+    async fn record_streams(self, _: Context, records: Vec<StreamRecord>) -> bool {
+        let Some(group) = &self.group else {
+            return false;
+        };
+        group.streams.record(records);
+        true
+    }
+
+    async fn find_stream(self, _: Context, key: StreamKey) -> Option<StreamOrigin> {
+        self.group.as_ref()?.streams.find(key)
+    }
+
     async fn snapshot(self, _: Context) -> u64 {
         let reply = self.handle.request(NodeInput::Snapshot).await;
         reply.unwrap_or_default()
--- a/crates/control/src/serving/daemon.rs
+++ b/crates/control/src/serving/daemon.rs
@@ -28,6 +28,7 @@
         quota::{self, QuotaServer},
         registrar::{self, Registrar},
         rollout_driver,
+        streams::StreamMemory,
         watch::{self, WatchServer},
     },
 };
@@ -126,6 +127,7 @@
         watch: Arc::clone(&watch),
         liveness: Arc::clone(&liveness),
         quotas: Arc::clone(&quotas),
+        streams: StreamMemory::new(started, metrics.clone()),
     });
     tokio::spawn(quota::run_ledgers(quotas));
     tokio::spawn(quarantine::run_release_timers(
--- a/crates/proxy/src/control_peers.rs
+++ b/crates/proxy/src/control_peers.rs
@@ -25,6 +25,8 @@
 struct PeerState {
     connections: BTreeMap<SocketAddr, Arc<ControlConnection>>,
     leader: Option<SocketAddr>,
+    /// The member that this router watches.
+    nearest: Option<SocketAddr>,
 }
 
 impl ControlPeers {
@@ -49,6 +51,30 @@
         self.level.get() >= FeatureLevel::LOAD_REPORTS
     }
 
+    /// Whether the group records software versions and remembers where streams began.
+    pub fn remembers_streams(&self) -> bool {
+        self.level.get() >= FeatureLevel::SOFTWARE_VERSIONS
+    }
+
+    /// Sets the member that this router watches.
+    pub fn set_nearest(&self, address: SocketAddr) {
+        self.lock().nearest = Some(address);
+    }
+
+    /// Returns the connections to all members: first the watched one, then the others in a fixed order from there.
+    pub fn nearest_first(&self) -> Vec<Arc<ControlConnection>> {
+        let peers = self.lock();
+        let nearest = peers.nearest;
+        let (before, from) = peers
+            .connections
+            .iter()
+            .partition::<Vec<_>, _>(|(address, _)| Some(**address) < nearest);
+        let members = from.into_iter().chain(before);
+        members
+            .map(|(_, connection)| Arc::clone(connection))
+            .collect()
+    }
+
     /// Sets the members of the group; keeps connections to existing members.
     pub fn set_members(&self, members: impl Iterator<Item = SocketAddr>) {
         let mut peers = self.lock();
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -87,6 +87,7 @@
         let delay = Duration::from_millis(reply.delayed_ms);
         targets.update_members(address, &reply);
         state.control_peers.set_members(targets.addresses());
+        state.control_peers.set_nearest(address);
         state.control_peers.update_level(reply.group_level);
         apply_reply(&state, reply, requested_at);
         if is_current || has_update {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -29,6 +29,7 @@
 //! | run all exchanges of a request | [`pipeline`] | |
 //! | log the request | [`request_log`] | |
 //! | relay the events of a stream | [`events`] (pure), [`stream`] | |
+//! | continue a stream where it began, also when its caller takes it up | [`streams`] | |
 
 pub mod admission;
 pub mod affinity;
@@ -75,6 +76,7 @@
 pub mod state;
 pub mod store_budget;
 pub mod stream;
+pub mod streams;
 pub mod view;
 pub mod weight_versions;
 pub mod weighted_split;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -85,6 +85,10 @@
     pub quarantined: Gauge,
     /// Streams resumed at another replica.
     pub resumed: Counter,
+    /// Streams that callers took up, by how their origin was found.
+    pub stream_lookups: Family<OutcomeLabels, Counter>,
+    /// Records of where streams began, by outcome.
+    pub stream_records: Family<OutcomeLabels, Counter>,
     /// Prompt tokens sent.
     pub prompt_tokens: Counter,
     /// Prompt tokens presumably cached by the selected replica.
@@ -121,6 +125,8 @@
             cut_off: Gauge::default(),
             quarantined: Gauge::default(),
             resumed: Counter::default(),
+            stream_lookups: Family::default(),
+            stream_records: Family::default(),
             prompt_tokens: Counter::default(),
             presumed_cached_tokens: Counter::default(),
             open_requests: Gauge::default(),
@@ -216,6 +222,16 @@
             "Streams continued at another replica",
             self.resumed.clone(),
         );
+        registry.register(
+            "proxy_stream_lookups",
+            "Streams taken up by their callers, by how it was found where they began",
+            self.stream_lookups.clone(),
+        );
+        registry.register(
+            "proxy_stream_records",
+            "Records of where streams began, by outcome",
+            self.stream_records.clone(),
+        );
         registry.register(
             "proxy_prompt_tokens",
             "Prompt tokens sent",
@@ -294,6 +310,16 @@
         count(&self.relay_replies, outcome);
     }
 
+    /// Counts a stream that its caller took up.
+    pub fn record_stream_lookup(&self, outcome: &str) {
+        count(&self.stream_lookups, outcome);
+    }
+
+    /// Counts a record of where a stream began.
+    pub fn record_stream_record(&self, outcome: &str) {
+        count(&self.stream_records, outcome);
+    }
+
     /// Counts a finished exchange.
     pub fn record_exchange_end(&self, outcome: &str) {
         count(&self.exchanges, outcome);
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -24,12 +24,15 @@
     retry_decision::{ExchangeProof, NextStep},
     state::{ProxyState, lock},
     stream,
+    streams::lookup,
 };
 
 mod final_response;
 mod origin;
 mod retry;
 
+use final_response::RESUME_RETRY_AFTER;
+
 /// Number of objectives after which a response is abandoned if another replica can be tried.
 const RESPONSE_TIMEOUT_OBJECTIVES: u64 = 2;
 /// Number of objectives after which the first event of a stream is abandoned although the replica
@@ -57,23 +60,37 @@
             return refusal.reason.response(refusal.retry_after);
         }
     };
+    let origin = match lookup::find_origin(&state, &request, &admitted).await {
+        Ok(origin) => origin,
+        Err(reason) => {
+            log.record_outcome(reason.to_string());
+            return reason.response(Some(RESUME_RETRY_AFTER));
+        }
+    };
     if let Err(refusal) = quota::acquire(&state, &request, &admitted, log.content).await {
         log.record_outcome(refusal.reason.to_string());
         return refusal.reason.response(refusal.retry_after);
     }
-    let seed = rand::random();
-    let service = lock(&state.splitter)
-        .next(&admitted.route, seed)
-        .unwrap_or_default()
-        .to_owned();
+    let service = match &origin {
+        Some(origin) => origin.service.clone(),
+        None => draw_service(&state, &admitted),
+    };
     state.record_request(&service);
     let run = RequestRun {
         suspect_run,
+        origin,
         ..RequestRun::new(state, request, admitted, service, log)
     };
     run.run().await
 }
 
+fn draw_service(state: &ProxyState, admitted: &Admitted) -> String {
+    let seed = rand::random();
+    let mut splitter = lock(&state.splitter);
+    let drawn = splitter.next(&admitted.route, seed);
+    drawn.unwrap_or_default().to_owned()
+}
+
 /// Waits for pending crash checks. Refuses the request if it is quarantined, or if a replica crashed under it and
 /// that is not settled in time.
 async fn check_crashes(
--- a/crates/proxy/src/pipeline/origin.rs
+++ b/crates/proxy/src/pipeline/origin.rs
@@ -1,9 +1,11 @@
 //! The origin of a stream, from its first event on.
 
-use railtack_serving::StreamOrigin;
+use std::time::Duration;
+
+use railtack_serving::{StreamKey, StreamOrigin};
 
 use super::RequestRun;
-use crate::attempt::Target;
+use crate::{attempt::Target, streams::recorder};
 
 impl RequestRun {
     /// Records where the stream began, unless its caller has taken it up. The caller gets its first events now.
@@ -11,10 +13,22 @@
         if self.origin.is_some() || !self.state.options.policy.software_versions {
             return;
         }
-        self.origin = Some(StreamOrigin {
+        let origin = StreamOrigin {
             service: self.service.clone(),
             software: target.record.software.clone(),
-        });
+        };
+        if self.admitted.route.kind.is_retryable() {
+            let key = StreamKey::of(self.admitted.tenant.as_deref(), &self.request.id);
+            recorder::record(&self.state, key, &origin, self.caller_waits());
+        }
+        self.origin = Some(origin);
+    }
+
+    /// Returns the time for which the caller may still come back.
+    fn caller_waits(&self) -> Duration {
+        let route_timeout = Duration::from_millis(self.admitted.route.timeout_ms);
+        let timeout = self.request.client_timeout.unwrap_or(route_timeout);
+        timeout.saturating_sub(self.request.received.elapsed())
     }
 
     /// Whether the stream has begun and cannot go on, because no replica of its version is registered.
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -60,6 +60,9 @@
     /// No replica of the software version that began the stream is left.
     #[error("origin_gone")]
     OriginGone,
+    /// It is not known where the stream began that the caller takes up.
+    #[error("origin_unknown")]
+    OriginUnknown,
     /// Every replica that was tried declined the request.
     #[error("declined")]
     Declined,
@@ -103,6 +106,7 @@
             | Self::AtLimit
             | Self::NoReplica
             | Self::OriginGone
+            | Self::OriginUnknown
             | Self::Declined
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
--- a/crates/proxy/tests/control_watch.rs
+++ b/crates/proxy/tests/control_watch.rs
@@ -27,8 +27,9 @@
         JoinReply, JoinRequest, LivenessReply, LivenessReport, QuotaReply, QuotaRequest,
         ReadIndexReply, ServingUpdate, SuspectStatus, WatchPosition, WatchReply, WatchRequest,
     },
+    streams::StreamRecord,
 };
-use railtack_serving::ServingConfiguration;
+use railtack_serving::{ServingConfiguration, StreamKey, StreamOrigin};
 use support::router;
 use tarpc::{
     context::Context,
@@ -84,6 +85,14 @@
         }
     }
 
+    async fn record_streams(self, _: Context, _: Vec<StreamRecord>) -> bool {
+        pending().await
+    }
+
+    async fn find_stream(self, _: Context, _: StreamKey) -> Option<StreamOrigin> {
+        pending().await
+    }
+
     async fn deliver(self, _: Context, _: Message, _: PeerInfo) {
         pending().await
     }
--- a/crates/rpc/src/service.rs
+++ b/crates/rpc/src/service.rs
@@ -1,6 +1,7 @@
 //! RPC service of the control replicas.
 
 use railtack_consensus::{Message, ReplicaId};
+use railtack_serving::{StreamKey, StreamOrigin};
 use speedy::{Readable, Writable};
 
 use crate::level::PeerInfo;
@@ -13,6 +14,7 @@
     JoinReply, JoinRequest, LivenessReply, LivenessReport, QuotaReply, QuotaRequest,
     ReadIndexReply, SuspectStatus, WatchReply, WatchRequest,
 };
+use crate::streams::StreamRecord;
 
 /// Calls between routers, operators and control replicas.
 #[tarpc::service(derive = [Clone, Readable, Writable])]
@@ -53,4 +55,10 @@
     async fn remove_if_silent(replica: String) -> bool;
     /// Reports the limit of a back end to the leader and requests a permit for one request.
     async fn take_permit(request: PermitRequest) -> PermitReply;
+    /// Remembers where streams began. Only sent from [`FeatureLevel::SOFTWARE_VERSIONS`] on.
+    ///
+    /// [`FeatureLevel::SOFTWARE_VERSIONS`]: crate::FeatureLevel::SOFTWARE_VERSIONS
+    async fn record_streams(records: Vec<StreamRecord>) -> bool;
+    /// Returns where a stream began, if this replica remembers it. Sent under the same condition.
+    async fn find_stream(key: StreamKey) -> Option<StreamOrigin>;
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -38,4 +38,4 @@
 pub use settings::{Bounds, FaultTolerance};
 pub use software::{SoftwareVersion, SoftwareVersionError};
 pub use speed::RelativeSpeed;
-pub use stream_origins::StreamOrigin;
+pub use stream_origins::{StreamKey, StreamOrigin, StreamOrigins};
