--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -1,4 +1,4 @@
-//! The daemon: runs the replica's thread, the RPC and metrics servers, and the rollout loop.
+//! The daemon: runs the replica's thread, the RPC and metrics servers, and the [rollout loop](rollout_loop).
 
 use std::{
     net::SocketAddr,
@@ -10,18 +10,16 @@
 use futures::StreamExt;
 use hyper::Request;
 use prometheus_client::registry::Registry;
-use railtack_backend_api::{EngineStatus, MachineKind, MachineList, OrderReply, OrderRequest};
 use railtack_clock::BootInstant;
 use railtack_consensus::{DiskId, Message, ReplicaId};
-use railtack_core::{EngineId, ModelName};
-use railtack_http::{HttpClient, ServeOptions, body, observability};
+use railtack_http::{ServeOptions, body, observability};
 use railtack_rpc::{
     Control, FeatureLevel, PeerInfo,
     codec::ServerCodec,
     permits::{PermitReply, PermitRequest},
     protocol::{
-        Command, Configuration, EngineOrder, MembershipChange, MembershipReply, PollReply,
-        PollRequest, Proposal, ProposeReply, ReplicaIdentity, StatusReply,
+        Configuration, MembershipChange, MembershipReply, PollReply, PollRequest, Proposal,
+        ProposeReply, ReplicaIdentity, StatusReply,
     },
     service::{ControlRequest, ControlResponse},
     serving::{
@@ -44,23 +42,19 @@
     configuration::RevisionCheck,
     errors::ControlError,
     metrics::ControlMetrics,
-    node::{self, LeaderView, NodeHandle, NodeInput, NodeOptions},
+    node::{self, NodeHandle, NodeInput, NodeOptions},
     peers::Peers,
     replica::{Replica, ReplicaOptions},
-    rollout::{self, ObservedEngines, RolloutStep},
     serving::{
         leader::LeaderClient, liveness::Liveness, permits::PermitServer, quarantine,
         quota::QuotaServer, streams::StreamMemory, watch::WatchServer,
     },
-    state::IssuedOrder,
 };
 
+mod rollout_loop;
+
 /// Size of the log after which a snapshot is written, bytes.
 const SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
-/// Interval of the rollout loop.
-const ROLLOUT_INTERVAL: Duration = Duration::from_millis(500);
-/// Timeout of a request to an engine or the platform.
-const PLATFORM_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Returns the replica options for the given settings.
 pub fn replica_options(settings: &ControlSettings, new_disk: DiskId) -> ReplicaOptions {
@@ -132,7 +126,7 @@
         handle.clone(),
         shutdown.clone(),
     ));
-    tokio::spawn(run_rollout(handle.clone(), settings.platform));
+    tokio::spawn(rollout_loop::run(handle.clone(), settings.platform));
     let leader_client = LeaderClient::new(handle.clone(), settings.listen.to_string());
     tokio::spawn(quarantine::run_release_timers(
         Arc::new(leader_client),
@@ -411,93 +405,3 @@
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     since_epoch.map_or(0, |elapsed| elapsed.as_millis() as u64)
 }
-
-/// Rolls out the configured weights to the engines while this replica is the leader.
-async fn run_rollout(handle: NodeHandle, platform: SocketAddr) {
-    let client = HttpClient::new(PLATFORM_TIMEOUT);
-    let mut interval = tokio::time::interval(ROLLOUT_INTERVAL);
-    loop {
-        interval.tick().await;
-        let Ok(view) = handle.request(NodeInput::LeaderView).await else {
-            return;
-        };
-        let active_view = view.filter(|view| !view.configuration.models.is_empty());
-        if let Some(view) = active_view {
-            run_rollout_step(&handle, &client, platform, &view).await;
-        }
-    }
-}
-
-async fn run_rollout_step(
-    handle: &NodeHandle,
-    client: &HttpClient,
-    platform: SocketAddr,
-    view: &LeaderView,
-) {
-    let (listed, engines) = fetch_engine_statuses(client, platform).await;
-    let statuses: Vec<EngineStatus> = engines.iter().map(|(_, status)| status.clone()).collect();
-    let observed = ObservedEngines {
-        statuses: &statuses,
-        listed: &listed,
-    };
-    let RolloutStep { record, send } =
-        rollout::next_step(&view.configuration, &view.orders, observed);
-    for (engine, order) in record {
-        let command = Command::Order { engine, order };
-        let proposal = Proposal {
-            at: unix_millis(),
-            command,
-        };
-        // If recording fails, the next iteration retries.
-        let _ = handle
-            .request(|sender| NodeInput::Propose(proposal, sender))
-            .await;
-    }
-    for (engine, issued) in send {
-        let address = engines
-            .iter()
-            .find(|(_, status)| status.engine == engine)
-            .map(|(address, _)| *address);
-        if let Some(address) = address {
-            send_order(client, address, &issued).await;
-        }
-    }
-}
-
-/// Returns the engines that the platform lists, and the status of those that respond.
-async fn fetch_engine_statuses(
-    client: &HttpClient,
-    platform: SocketAddr,
-) -> (Vec<(EngineId, ModelName)>, Vec<(SocketAddr, EngineStatus)>) {
-    let list = client
-        .get_json::<MachineList>(platform, "/machines", PLATFORM_TIMEOUT)
-        .await
-        .unwrap_or_default();
-    let mut listed = Vec::new();
-    let mut engines = Vec::new();
-    for machine in list.machines {
-        let MachineKind::Engine { engine, model } = machine.kind else {
-            continue;
-        };
-        listed.push((engine, model));
-        let status = client
-            .get_json::<EngineStatus>(machine.address, "/status", PLATFORM_TIMEOUT)
-            .await;
-        engines.extend(status.ok().map(|status| (machine.address, status)));
-    }
-    (listed, engines)
-}
-
-async fn send_order(client: &HttpClient, address: SocketAddr, issued: &IssuedOrder) {
-    let EngineOrder::Load(target) = &issued.order;
-    let request = OrderRequest {
-        token: issued.token,
-        model: target.name.clone(),
-        weights_version: target.weights_version,
-    };
-    let content = serde_json::to_vec(&request).unwrap_or_default();
-    // If the engine does not accept the order, the next iteration resends it.
-    let _ = client
-        .post_json::<OrderReply>(address, "/orders", content, PLATFORM_TIMEOUT)
-        .await;
-}
