Tell the only version of a service from the replicated state

Cause: each router told the only version from what it had seen itself, which a restarted one has not, and needed its next confirmation to be sure.

A control replica that is asked confirms its state with the leader first, so it counts every replica that any router can have used; the time since a version left counts from when it first saw that. The history of routers goes.

--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -26,9 +26,9 @@
         JoinReply, JoinRequest, LivenessReply, LivenessReport, QuotaReply, QuotaRequest,
         ReadIndexReply, SuspectStatus, WatchReply, WatchRequest,
     },
-    streams::StreamRecord,
+    streams::{OnlyVersionRequest, StreamRecord},
 };
-use railtack_serving::{StreamKey, StreamOrigin};
+use railtack_serving::{SoftwareVersion, StreamKey, StreamOrigin};
 use railtack_settings::ControlSettings;
 use railtack_storage::FileMedia;
 use tarpc::{
@@ -357,6 +357,15 @@
         self.group.as_ref()?.streams.find(key)
     }
 
+    async fn only_version(
+        self,
+        _: Context,
+        request: OnlyVersionRequest,
+    ) -> Option<SoftwareVersion> {
+        let group = self.group?;
+        group.streams.only_version(request).await
+    }
+
     async fn snapshot(self, _: Context) -> u64 {
         let reply = self.handle.request(NodeInput::Snapshot).await;
         reply.unwrap_or_default()
--- a/crates/control/src/serving/daemon.rs
+++ b/crates/control/src/serving/daemon.rs
@@ -28,7 +28,7 @@
         quota::{self, QuotaServer},
         registrar::{self, Registrar},
         rollout_driver,
-        streams::StreamMemory,
+        streams::{self, StreamMemory},
         watch::{self, WatchServer},
     },
 };
@@ -121,14 +121,16 @@
         Arc::clone(&liveness),
         metrics.clone(),
     ));
+    let streams = StreamMemory::new(Arc::clone(&leader_client), started, metrics.clone());
     let permits = Arc::new(PermitServer::new(node.clone(), started, metrics.clone()));
     let service = ControlService::new(node, Arc::clone(&permits)).with_group(GroupServices {
         leader_client: Arc::clone(&leader_client),
         watch: Arc::clone(&watch),
         liveness: Arc::clone(&liveness),
         quotas: Arc::clone(&quotas),
-        streams: StreamMemory::new(started, metrics.clone()),
+        streams: Arc::clone(&streams),
     });
+    tokio::spawn(streams::run_observer(streams));
     tokio::spawn(quota::run_ledgers(quotas));
     tokio::spawn(quarantine::run_release_timers(
         Arc::clone(&leader_client),
--- a/crates/control/src/serving/streams.rs
+++ b/crates/control/src/serving/streams.rs
@@ -9,26 +9,44 @@
 };
 
 use railtack_clock::BootInstant;
-use railtack_rpc::streams::{MAX_KEEP_MS, StreamRecord};
-use railtack_serving::{StreamKey, StreamOrigin, StreamOrigins};
+use railtack_rpc::streams::{MAX_KEEP_MS, OnlyVersionRequest, StreamRecord};
+use railtack_serving::{SoftwareVersion, StreamKey, StreamOrigin, StreamOrigins};
+use tokio::time::sleep;
 
-use crate::metrics::ControlMetrics;
+use crate::{
+    metrics::ControlMetrics,
+    serving::{
+        leader::LeaderClient,
+        software::{DepartureTimes, OBSERVE_INTERVAL},
+    },
+};
 
 /// Streams that one control replica remembers, some 25 MB.
 const CAPACITY: usize = 200_000;
 
+/// Timeout of the confirmation that the state is up to date.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(140);
+
 /// The streams that one control replica remembers.
 pub struct StreamMemory {
     origins: Mutex<StreamOrigins>,
+    departures: Mutex<DepartureTimes>,
+    leader_client: Arc<LeaderClient>,
     started: BootInstant,
     metrics: ControlMetrics,
 }
 
 impl StreamMemory {
     /// Creates an empty memory.
-    pub fn new(started: BootInstant, metrics: ControlMetrics) -> Arc<Self> {
+    pub fn new(
+        leader_client: Arc<LeaderClient>,
+        started: BootInstant,
+        metrics: ControlMetrics,
+    ) -> Arc<Self> {
         Arc::new(Self {
             origins: Mutex::new(StreamOrigins::new(CAPACITY)),
+            departures: Mutex::default(),
+            leader_client,
             started,
             metrics,
         })
@@ -57,7 +75,30 @@
         found
     }
 
+    /// Returns the only version that a service ran, up to now. `None` if there were several, or if this replica cannot
+    /// confirm its state.
+    pub async fn only_version(&self, request: OnlyVersionRequest) -> Option<SoftwareVersion> {
+        self.leader_client.catch_up(CONFIRM_TIMEOUT).await.ok()?;
+        let view = self.leader_client.view();
+        let window = Duration::from_millis(u64::from(request.window_ms));
+        let now = self.started.elapsed();
+        lock(&self.departures).only_version(&view.serving, &request.service, window, now)
+    }
+
     fn lock(&self) -> MutexGuard<'_, StreamOrigins> {
-        self.origins.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.origins)
     }
 }
+
+/// Observes which versions have left, until the process exits.
+pub async fn run_observer(memory: Arc<StreamMemory>) {
+    loop {
+        let view = memory.leader_client.view();
+        lock(&memory.departures).observe(&view.serving, memory.started.elapsed());
+        sleep(OBSERVE_INTERVAL).await;
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/control/src/serving_state.rs
+++ b/crates/control/src/serving_state.rs
@@ -16,6 +16,7 @@
     crash_reports::CrashReports,
     quarantine::Quarantine,
     registry::{ReplicaMap, ReplicaRegistry},
+    software::FormerVersions,
     tombstones::Tombstones,
 };
 use railtack_consensus::LogIndex;
@@ -35,6 +36,7 @@
 mod first_level;
 pub mod quarantine;
 pub mod registry;
+pub mod software;
 mod stored;
 mod tombstones;
 mod updates;
@@ -62,6 +64,7 @@
     order_lock: Option<OrderLock>,
     quarantine: Arc<Quarantine>,
     crash_reports: Arc<CrashReports>,
+    former_versions: FormerVersions,
 }
 
 impl Default for ServingState {
@@ -86,6 +89,7 @@
             order_lock: None,
             quarantine: Arc::default(),
             crash_reports: Arc::default(),
+            former_versions: FormerVersions::default(),
         }
     }
 
@@ -145,6 +149,11 @@
         &self.quarantine
     }
 
+    /// Versions of software of replicas that have left.
+    pub fn former_versions(&self) -> &FormerVersions {
+        &self.former_versions
+    }
+
     /// Log position of the last change.
     pub fn changed_at(&self) -> LogIndex {
         self.changed_at
@@ -261,6 +270,9 @@
         let holder = self.replicas.id_at_address(&record.address).cloned();
         if let Some(known) = self.replicas.get(&record.id) {
             record = merge_record(known, record);
+            if known.software.is_reported() && known.software != record.software {
+                self.former_versions.record_left(index, known);
+            }
         } else if let Some(holder) = holder.filter(|holder| Some(holder) != previous.as_ref()) {
             // The state does not know which of the two replicas is alive: the other one has to be
             // removed first, once it is silent. The previous incarnation of this replica has ended
@@ -274,7 +286,7 @@
                 // Routers infer this removal from the record of the newer incarnation. A tombstone
                 // for each would exceed the limit when thousands of replicas restart at once, and
                 // each router would need a full copy of the state.
-                self.replicas.remove(&previous);
+                self.forget(index, &previous);
             }
             self.retract_crash(index, &record.id);
         }
@@ -315,7 +327,7 @@
         }
         // This incarnation may never have been recorded, but it still ends the previous one.
         if let Some(previous) = self.previous_incarnation_id(&incarnation_id) {
-            self.replicas.remove(&previous);
+            self.forget(index, &previous);
         }
         self.tombstones.mark_ended(&incarnation_id);
         self.remove(index, &incarnation_id);
@@ -366,11 +378,21 @@
 
     /// Removes a replica and leaves a tombstone for routers that know it.
     fn remove(&mut self, index: LogIndex, replica: &str) {
-        self.replicas.remove(replica);
+        self.forget(index, replica);
         self.changed_at = index;
         self.tombstones.record_removal(index, replica);
     }
 
+    /// Removes the record of a replica, but not the version of its software.
+    fn forget(&mut self, index: LogIndex, replica: &str) {
+        if self.level >= FeatureLevel::SOFTWARE_VERSIONS
+            && let Some(record) = self.replicas.get(replica)
+        {
+            self.former_versions.record_left(index, record);
+        }
+        self.replicas.remove(replica);
+    }
+
     fn set_target_weights(&mut self, index: LogIndex, target: ModelWeights) -> ServingOutcome {
         let known = self.weights.get(&target.model).copied().unwrap_or(0);
         if target.version <= known {
--- a/crates/control/src/serving_state/stored.rs
+++ b/crates/control/src/serving_state/stored.rs
@@ -16,7 +16,10 @@
 use speedy::{Context, Readable, Reader, Writable, Writer};
 
 use super::{
-    OrderLock, ServingState, crash_reports::CrashReports, quarantine::Quarantine,
+    OrderLock, ServingState,
+    crash_reports::CrashReports,
+    quarantine::Quarantine,
+    software::{FormerVersions, ServiceVersion},
     tombstones::Tombstones,
 };
 
@@ -53,17 +56,21 @@
     software: StoredSoftware,
 }
 
-/// Versions of the software of the stored replicas. Nothing is written if none is known, as below
-/// [`FeatureLevel::SOFTWARE_VERSIONS`].
+/// Versions of the software of the stored replicas, and of those that have left. Nothing is written if none is known,
+/// as below [`FeatureLevel::SOFTWARE_VERSIONS`].
 #[derive(Default, Readable)]
-struct StoredSoftware(Vec<SoftwareGroup>);
+struct StoredSoftware {
+    groups: Vec<SoftwareGroup>,
+    former: Vec<(ServiceVersion, LogIndex)>,
+}
 
 impl<C: Context> Writable<C> for StoredSoftware {
     fn write_to<T: ?Sized + Writer<C>>(&self, writer: &mut T) -> Result<(), C::Error> {
-        if self.0.is_empty() {
+        if self.groups.is_empty() && self.former.is_empty() {
             return Ok(());
         }
-        self.0.write_to(writer)
+        self.groups.write_to(writer)?;
+        self.former.write_to(writer)
     }
 }
 
@@ -86,7 +93,10 @@
             crash_reports: CrashReports::clone(&state.crash_reports),
             level: StoredLevel(state.level),
             quotas: state.configuration.quotas(),
-            software: StoredSoftware(SoftwareGroup::of_records(state.replicas.records().values())),
+            software: StoredSoftware {
+                groups: SoftwareGroup::of_records(state.replicas.records().values()),
+                former: state.former_versions.to_stored(),
+            },
         }))
     }
 }
@@ -167,7 +177,7 @@
         configuration.set_quotas(extension.quotas);
         let mut replicas = stored.replicas;
         let mut records: Vec<&mut ReplicaRecord> = replicas.values_mut().collect();
-        SoftwareGroup::assign(&extension.software.0, &mut records);
+        SoftwareGroup::assign(&extension.software.groups, &mut records);
         Self {
             level: extension.level.0,
             content: Arc::new(stored.content),
@@ -184,6 +194,7 @@
             order_lock: stored.order_lock,
             quarantine: Arc::new(extension.quarantine),
             crash_reports: Arc::new(extension.crash_reports),
+            former_versions: FormerVersions::from_stored(extension.software.former),
         }
     }
 }
--- a/crates/control/tests/software_versions.rs
+++ b/crates/control/tests/software_versions.rs
@@ -1,6 +1,8 @@
 //! Software versions of replicas in the replicated state and in the updates of routers.
 
-use railtack_control::serving_state::ServingState;
+use std::time::Duration;
+
+use railtack_control::{serving::software::DepartureTimes, serving_state::ServingState};
 use railtack_rpc::{
     FeatureLevel,
     layout::VersionedRecords,
@@ -139,3 +141,115 @@
     let too_long = SoftwareVersion::parse(&(longest + "x"));
     assert_eq!(too_long, Err(SoftwareVersionError::Length));
 }
+
+const SECOND: Duration = Duration::from_secs(1);
+const WINDOW: Duration = Duration::from_secs(10);
+
+fn registered(versions: &[&str]) -> ServingState {
+    let mut state = ServingState::default();
+    let records = (1..).zip(versions);
+    let records = records
+        .map(|(number, text)| record(number, SoftwareVersion::parse(text).unwrap_or_default()));
+    let command = ServingCommand::RegisterVersioned(VersionedRecords(records.collect()));
+    state.apply(1, command);
+    state
+}
+
+fn deregister(state: &mut ServingState, index: u64, replica: &str) {
+    let replica = replica.to_owned();
+    state.apply(index, ServingCommand::Deregister { replica });
+}
+
+fn only(times: &mut DepartureTimes, state: &ServingState, now: Duration) -> Option<String> {
+    let version = times.only_version(state, "pool", WINDOW, now);
+    version.map(|version| version.to_string())
+}
+
+#[test]
+fn one_version_is_told_and_several_are_not() {
+    let mut times = DepartureTimes::default();
+    let mut only = |versions: &[&str]| only(&mut times, &registered(versions), SECOND);
+    assert_eq!(only(&["v1", "v1"]).as_deref(), Some("v1"));
+    assert_eq!(only(&["", ""]).as_deref(), Some(""));
+    assert_eq!(only(&["v1", "v1.1"]), None);
+    assert_eq!(only(&["v1", ""]), None);
+    assert_eq!(only(&[]), None);
+}
+
+/// Guards against a stream going on at the new version right after the last replica of its own has left, also at a
+/// control replica that restarted meanwhile.
+#[test]
+fn a_version_that_has_left_counts_while_its_streams_may_be_taken_up() {
+    let mut state = registered(&["v1", "v1.1"]);
+    let mut times = DepartureTimes::default();
+    deregister(&mut state, 2, "i-1");
+    times.observe(&state, SECOND * 5);
+    assert_eq!(only(&mut times, &state, SECOND * 14), None);
+    assert_eq!(
+        only(&mut times, &state, SECOND * 15).as_deref(),
+        Some("v1.1")
+    );
+
+    let bytes = state.write_to_vec().expect("encoded");
+    let stored = ServingState::read_from_buffer(&bytes).expect("a state");
+    assert_eq!(stored, state);
+    let mut after_restart = DepartureTimes::default();
+    assert_eq!(only(&mut after_restart, &stored, SECOND), None);
+    assert_eq!(
+        only(&mut after_restart, &stored, SECOND * 11).as_deref(),
+        Some("v1.1")
+    );
+}
+
+/// Guards against a version being forgotten that is replaced by a restart in place, expires, or is named anew.
+#[test]
+fn every_way_to_leave_is_remembered() {
+    let restart: fn(&mut ServingState) = |state| {
+        let mut again = record(1, version("v1.1"));
+        again.id = "i-1#1791139989053".to_owned();
+        let records = VersionedRecords(vec![again]);
+        state.apply(2, ServingCommand::RegisterVersioned(records));
+    };
+    let expiry: fn(&mut ServingState) = |state| {
+        let replica = "i-1".to_owned();
+        state.apply(2, ServingCommand::Expire { replica });
+    };
+    let other_version: fn(&mut ServingState) = |state| {
+        let records = VersionedRecords(vec![record(1, version("v1.1"))]);
+        state.apply(2, ServingCommand::RegisterVersioned(records));
+    };
+    for leave in [restart, expiry, other_version] {
+        let mut state = registered(&["v1", "v1.1"]);
+        leave(&mut state);
+        let mut times = DepartureTimes::default();
+        assert_eq!(only(&mut times, &state, SECOND), None);
+        assert_eq!(
+            only(&mut times, &state, SECOND * 11).as_deref(),
+            Some("v1.1")
+        );
+    }
+}
+
+/// Guards against a replica that names its version for the first time counting as two versions.
+#[test]
+fn a_replica_that_named_no_version_before_has_one() {
+    let mut state = registered(&[""]);
+    let records = VersionedRecords(vec![record(1, version("v1"))]);
+    state.apply(2, ServingCommand::RegisterVersioned(records));
+    let mut times = DepartureTimes::default();
+    assert_eq!(only(&mut times, &state, SECOND).as_deref(), Some("v1"));
+}
+
+/// Guards against former versions growing without bound.
+#[test]
+fn former_versions_are_bounded() {
+    let mut state = ServingState::default();
+    for number in 0..600_u64 {
+        let records = vec![record(1, version(&format!("v{number}")))];
+        let command = ServingCommand::RegisterVersioned(VersionedRecords(records));
+        state.apply(2 * number + 1, command);
+        let replica = "i-1".to_owned();
+        state.apply(2 * number + 2, ServingCommand::Expire { replica });
+    }
+    assert_eq!(state.former_versions().iter().count(), 256);
+}
--- a/crates/proxy/src/replicas.rs
+++ b/crates/proxy/src/replicas.rs
@@ -8,7 +8,7 @@
 };
 
 use railtack_rpc::serving::{ReplicaObservation, ReplicaPace};
-use railtack_serving::{Availability, MonotonicTime, Policy, ReplicaKey, ReplicaRecord};
+use railtack_serving::{Availability, MonotonicTime, Policy, ReplicaKey};
 use tokio::time::Instant;
 
 use crate::{
@@ -294,14 +294,8 @@
     }
 
     /// Removes replicas that are no longer registered, and the prefixes of those whose weights
-    /// changed. Returns the records that count no longer: those of the former, and of replicas that name another
-    /// version of their software. One that named none before has not changed.
-    pub fn apply_view(
-        &mut self,
-        before: &ServingView,
-        after: &ServingView,
-    ) -> Vec<Arc<ReplicaRecord>> {
-        let mut left = Vec::new();
+    /// changed.
+    pub fn apply_view(&mut self, before: &ServingView, after: &ServingView) {
         self.handles
             .retain(|replica, _| after.replicas.contains_key(replica));
         // Both views are sorted, so they are merged without lookups.
@@ -314,15 +308,7 @@
             if !is_unchanged {
                 self.sent.remove_replica(replica);
             }
-            let has_left = match now {
-                Some((_, now)) => record.software.is_reported() && now.software != record.software,
-                None => true,
-            };
-            if has_left {
-                left.push(Arc::clone(record));
-            }
         }
-        left
     }
 
     /// Whether data was received from any other replica within `window` before `now`.
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -13,9 +13,7 @@
 use arc_swap::ArcSwap;
 use railtack_clock::BootInstant;
 use railtack_rpc::serving::{QuarantineUpdate, WatchReply};
-use railtack_serving::{
-    Bounds, CallerLimits, ContentKey, MonotonicTime, Policy, ReplicaRecord, StreamOrigins,
-};
+use railtack_serving::{Bounds, CallerLimits, ContentKey, MonotonicTime, Policy, StreamOrigins};
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
@@ -37,7 +35,7 @@
     router_count::RouterCount,
     selection::ExhaustedLimits,
     store_budget::{SaveBudget, StoreCapacity},
-    streams::{history::SoftwareHistory, recorder::RecordQueue},
+    streams::recorder::RecordQueue,
     view::ServingView,
     weight_versions::WeightVersions,
     weighted_split::TrafficSplitter,
@@ -87,8 +85,6 @@
     pub stream_origins: Mutex<StreamOrigins>,
     /// Records of where streams began, on their way to control replicas.
     pub stream_records: RecordQueue,
-    /// Versions of software that replicas ran.
-    pub software_history: Mutex<SoftwareHistory>,
     /// Routers that open connections to replicas for this one.
     pub relay_peers: Mutex<RelayPeers>,
     /// Address at which this router does so for others, if it does.
@@ -175,7 +171,6 @@
             control_peers: ControlPeers::default(),
             stream_origins: Mutex::new(StreamOrigins::new(MAX_STREAM_ORIGINS)),
             stream_records: RecordQueue::default(),
-            software_history: Mutex::default(),
             relay_peers: Mutex::default(),
             relay_address: OnceLock::new(),
             crash_checks: Arc::default(),
@@ -205,8 +200,7 @@
     /// Replaces the view by a newer one.
     pub fn set_view(&self, next: ServingView) {
         let before = self.view.load_full();
-        let left = lock(&self.replicas).apply_view(&before, &next);
-        self.record_software(&next, &left);
+        lock(&self.replicas).apply_view(&before, &next);
         lock(&self.weight_versions).update(&next.weights, Instant::now());
         let known = next.position.state;
         self.metrics
@@ -226,15 +220,6 @@
         self.view_changed.send_replace(known);
     }
 
-    fn record_software(&self, next: &ServingView, left: &[Arc<ReplicaRecord>]) {
-        let now = self.uptime();
-        let mut history = lock(&self.software_history);
-        history.record_left(left.iter().map(|record| &**record), now);
-        if next.position.is_complete() {
-            history.record_complete(self.options.is_first_start, now);
-        }
-    }
-
     /// Applies a quarantine update from the control group.
     pub fn apply_quarantine(&self, update: &QuarantineUpdate) {
         let mut quarantine = lock(&self.crash_checks.quarantine);
--- a/crates/proxy/src/streams/lookup.rs
+++ b/crates/proxy/src/streams/lookup.rs
@@ -4,8 +4,7 @@
 
 use std::time::Duration;
 
-use railtack_clock::BootInstant;
-use railtack_rpc::call_context;
+use railtack_rpc::{ControlClient, RpcError, call_context, streams::OnlyVersionRequest};
 use railtack_serving::{StreamKey, StreamOrigin};
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -16,20 +15,18 @@
     state::{ProxyState, lock},
 };
 
-/// Longest time for which control replicas are asked.
-const ASK_TIME: Duration = Duration::from_millis(250);
-/// Timeout of one question; the next control replica may know.
+/// Timeout of a question for the record of a stream.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(80);
-/// Rounds in which all control replicas are asked.
+/// Timeout of a question for the only version of a service, which the control replica has to confirm with the leader.
+const ONLY_VERSION_TIMEOUT: Duration = Duration::from_millis(150);
+/// Timeouts after which no further control replica is asked.
+const MAX_UNANSWERED: u32 = 2;
+/// Rounds in which all control replicas are asked for a record.
 const ROUNDS: u32 = 2;
 /// Pause before the second round: the caller may be back before the record has arrived.
 const ROUND_PAUSE: Duration = Duration::from_millis(30);
-/// Longest wait for the view to be confirmed; a control replica confirms it several times a second.
-const MAX_CONFIRMATION_WAIT: Duration = Duration::from_millis(1_200);
-/// Interval at which a confirmation is looked for.
-const CONFIRMATION_POLL_INTERVAL: Duration = Duration::from_millis(15);
-/// Multiple of the route's timeout in which the stream must have begun.
-const WINDOW_TIMEOUTS: u32 = 2;
+/// Multiple of the route's timeout in which a caller takes its stream up for the last time.
+const WINDOW_TIMEOUTS: u64 = 2;
 
 /// How the origin of a stream was found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,81 +92,82 @@
         if let Some(origin) = own {
             return Some((origin, Source::Own));
         }
-        if let Some(origin) = ask_control(state, key).await {
+        if let Some(origin) = ask_for_record(state, key).await {
             return Some((origin, Source::Control));
         }
     }
-    // Otherwise another router may have used replicas that this one does not know yet.
-    if !is_confirmed_since(state, request.received).await {
-        return None;
-    }
-    only_origin(state, admitted).map(|origin| (origin, Source::OnlyVersion))
+    let origin = only_origin(state, admitted).await?;
+    Some((origin, Source::OnlyVersion))
 }
 
-/// Asks control replicas in turn, the nearest first.
-async fn ask_control(state: &ProxyState, key: StreamKey) -> Option<StreamOrigin> {
-    let until = Instant::now() + ASK_TIME;
+/// Asks control replicas for the record of a stream.
+async fn ask_for_record(state: &ProxyState, key: StreamKey) -> Option<StreamOrigin> {
     for round in 0..ROUNDS {
         if round > 0 {
             sleep(ROUND_PAUSE).await;
         }
-        for connection in state.control_peers.nearest_first() {
-            let question = connection.call(|client| async move {
-                client
-                    .find_stream(call_context(QUESTION_TIMEOUT), key)
-                    .await
-            });
-            match timeout_at(until, question).await {
-                Ok(Ok(Some(origin))) => return Some(origin),
-                Ok(Ok(None)) => {}
-                Ok(Err(report)) => {
-                    spdlog::info!("control replica not asked about a stream", kv: {
-                        address = connection.address().to_string(),
-                        cause = report.to_string(),
-                    });
-                }
-                Err(_) => return None,
-            }
+        let found = ask(state, QUESTION_TIMEOUT, |client| async move {
+            client
+                .find_stream(call_context(QUESTION_TIMEOUT), key)
+                .await
+        });
+        if let Some(origin) = found.await {
+            return Some(origin);
         }
     }
     None
 }
 
-/// Waits until the view is known to include everything that was recorded before `since`.
-async fn is_confirmed_since(state: &ProxyState, since: Instant) -> bool {
-    let until = since + MAX_CONFIRMATION_WAIT;
-    loop {
-        let age = lock(&state.lease).age(BootInstant::now());
-        if age.is_some_and(|age| age <= since.elapsed()) {
-            return true;
-        }
-        if Instant::now() >= until {
-            return false;
+/// Asks control replicas in turn, the nearest first, until one knows the answer.
+async fn ask<T, F>(
+    state: &ProxyState,
+    timeout: Duration,
+    question: impl Fn(ControlClient) -> F,
+) -> Option<T>
+where
+    F: Future<Output = Result<Option<T>, RpcError>>,
+{
+    let until = Instant::now() + timeout * MAX_UNANSWERED;
+    for connection in state.control_peers.nearest_first() {
+        let asked = timeout_at(until, connection.call(&question));
+        match asked.await {
+            Ok(Ok(Some(answer))) => return Some(answer),
+            Ok(Ok(None)) => {}
+            Ok(Err(report)) => {
+                spdlog::info!("control replica did not answer about a stream", kv: {
+                    address = connection.address().to_string(),
+                    cause = report.to_string(),
+                });
+            }
+            Err(_) => return None,
         }
-        sleep(CONFIRMATION_POLL_INTERVAL).await;
     }
+    None
 }
 
-/// Returns the only place at which the stream can have begun, if there is only one.
-fn only_origin(state: &ProxyState, admitted: &Admitted) -> Option<StreamOrigin> {
+/// Returns the only place at which the stream can have begun, if there is only one: the route leads to one service,
+/// and that had one version for as long as the stream can be old.
+async fn only_origin(state: &ProxyState, admitted: &Admitted) -> Option<StreamOrigin> {
     let [target] = admitted.route.targets.as_slice() else {
         return None;
     };
-    let view = state.view.load();
-    if !view.position.is_complete() {
-        return None;
-    }
-    let window = Duration::from_millis(admitted.route.timeout_ms) * WINDOW_TIMEOUTS;
-    let registered = view.replicas.values().map(|record| &**record);
-    let software = lock(&state.software_history).only_version(
-        &target.service,
-        registered,
-        window,
-        state.uptime(),
-    )?;
+    let tries_ms = admitted.route.timeout_ms.saturating_mul(WINDOW_TIMEOUTS);
+    // A router may have used a replica for as long as its lease lasted after that had left.
+    let window_ms = tries_ms.saturating_add(state.options.bounds.revoke_ms);
+    let question = OnlyVersionRequest {
+        service: target.service.clone(),
+        window_ms: u32::try_from(window_ms).unwrap_or(u32::MAX),
+    };
+    let software = ask(state, ONLY_VERSION_TIMEOUT, |client| {
+        let question = question.clone();
+        async move {
+            let context = call_context(ONLY_VERSION_TIMEOUT);
+            client.only_version(context, question).await
+        }
+    });
     Some(StreamOrigin {
         service: target.service.clone(),
-        software,
+        software: software.await?,
     })
 }
 
--- a/crates/proxy/tests/control_watch.rs
+++ b/crates/proxy/tests/control_watch.rs
@@ -27,9 +27,9 @@
         JoinReply, JoinRequest, LivenessReply, LivenessReport, QuotaReply, QuotaRequest,
         ReadIndexReply, ServingUpdate, SuspectStatus, WatchPosition, WatchReply, WatchRequest,
     },
-    streams::StreamRecord,
+    streams::{OnlyVersionRequest, StreamRecord},
 };
-use railtack_serving::{ServingConfiguration, StreamKey, StreamOrigin};
+use railtack_serving::{ServingConfiguration, SoftwareVersion, StreamKey, StreamOrigin};
 use support::router;
 use tarpc::{
     context::Context,
@@ -93,6 +93,10 @@
         pending().await
     }
 
+    async fn only_version(self, _: Context, _: OnlyVersionRequest) -> Option<SoftwareVersion> {
+        pending().await
+    }
+
     async fn deliver(self, _: Context, _: Message, _: PeerInfo) {
         pending().await
     }
--- a/crates/rpc/src/service.rs
+++ b/crates/rpc/src/service.rs
@@ -1,7 +1,7 @@
 //! RPC service of the control replicas.
 
 use railtack_consensus::{Message, ReplicaId};
-use railtack_serving::{StreamKey, StreamOrigin};
+use railtack_serving::{SoftwareVersion, StreamKey, StreamOrigin};
 use speedy::{Readable, Writable};
 
 use crate::level::PeerInfo;
@@ -14,7 +14,7 @@
     JoinReply, JoinRequest, LivenessReply, LivenessReport, QuotaReply, QuotaRequest,
     ReadIndexReply, SuspectStatus, WatchReply, WatchRequest,
 };
-use crate::streams::StreamRecord;
+use crate::streams::{OnlyVersionRequest, StreamRecord};
 
 /// Calls between routers, operators and control replicas.
 #[tarpc::service(derive = [Clone, Readable, Writable])]
@@ -61,4 +61,7 @@
     async fn record_streams(records: Vec<StreamRecord>) -> bool;
     /// Returns where a stream began, if this replica remembers it. Sent under the same condition.
     async fn find_stream(key: StreamKey) -> Option<StreamOrigin>;
+    /// Returns the version of software that all replicas of a service ran, up to the time of the call. Returns `None`
+    /// if there were several or if this replica cannot tell. Sent under the same condition.
+    async fn only_version(request: OnlyVersionRequest) -> Option<SoftwareVersion>;
 }
--- a/crates/rpc/src/streams.rs
+++ b/crates/rpc/src/streams.rs
@@ -16,3 +16,12 @@
 
 /// Longest time for which the origin of a stream is kept, milliseconds.
 pub const MAX_KEEP_MS: u32 = 600_000;
+
+/// Asks for the only version of software that the replicas of a service ran.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct OnlyVersionRequest {
+    /// Name of the service.
+    pub service: String,
+    /// Time for which there must have been no other version, milliseconds.
+    pub window_ms: u32,
+}
