Ask control replicas about a stream again over new connections

Cause: a connection that was reset while idle fails at its next use only. All connections of a router to control replicas were reset at once, so each of its questions failed within a millisecond, and a batch of records would have.

Evidence: the router's log names no response from each of the five replicas within a millisecond. Those that did not reply are now asked once more, and a batch is sent once more, over new connections. The stand-in of a control replica moved to tests/support, to be shared.

--- a/crates/proxy/src/streams/lookup.rs
+++ b/crates/proxy/src/streams/lookup.rs
@@ -4,7 +4,11 @@
 
 use std::time::Duration;
 
-use railtack_rpc::{ControlClient, RpcError, call_context, streams::OnlyVersionRequest};
+use error_stack::Report;
+use railtack_rpc::{
+    ConnectionError, ControlClient, ControlConnection, RpcError, call_context,
+    streams::OnlyVersionRequest,
+};
 use railtack_serving::{StreamKey, StreamOrigin};
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -21,7 +25,7 @@
 const ONLY_VERSION_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeouts after which no further control replica is asked.
 const MAX_UNANSWERED: u32 = 2;
-/// Rounds in which all control replicas are asked for a record.
+/// Rounds in which control replicas are asked.
 const ROUNDS: u32 = 2;
 /// Pause before the second round: the caller may be back before the record has arrived.
 const ROUND_PAUSE: Duration = Duration::from_millis(30);
@@ -118,7 +122,8 @@
     None
 }
 
-/// Asks control replicas in turn, the nearest first, until one knows the answer.
+/// Asks control replicas in turn, the nearest first, until one knows the answer. Those that did not reply are asked
+/// again: connections that were reset while they were idle fail at their next use only.
 async fn ask<T, F>(
     state: &ProxyState,
     timeout: Duration,
@@ -128,23 +133,33 @@
     F: Future<Output = Result<Option<T>, RpcError>>,
 {
     let until = Instant::now() + timeout * MAX_UNANSWERED;
-    for connection in state.control_peers.nearest_first() {
-        let asked = timeout_at(until, connection.call(&question));
-        match asked.await {
-            Ok(Ok(Some(answer))) => return Some(answer),
-            Ok(Ok(None)) => {}
-            Ok(Err(report)) => {
-                spdlog::info!("control replica did not answer about a stream", kv: {
-                    address = connection.address().to_string(),
-                    cause = report.to_string(),
-                });
+    let mut unasked = state.control_peers.nearest_first();
+    for _ in 0..ROUNDS {
+        let mut failed = Vec::new();
+        for connection in unasked {
+            let asked = timeout_at(until, connection.call(&question));
+            match asked.await {
+                Ok(Ok(Some(answer))) => return Some(answer),
+                Ok(Ok(None)) => {}
+                Ok(Err(report)) => {
+                    log_failure(&connection, &report);
+                    failed.push(connection);
+                }
+                Err(_) => return None,
             }
-            Err(_) => return None,
         }
+        unasked = failed;
     }
     None
 }
 
+fn log_failure(connection: &ControlConnection, report: &Report<ConnectionError>) {
+    spdlog::info!("control replica did not answer about a stream", kv: {
+        address = connection.address().to_string(),
+        cause = report.to_string(),
+    });
+}
+
 /// Returns the only place at which the stream can have begun, if there is only one: the route leads to one service,
 /// and that had one version for as long as the stream can be old.
 async fn only_origin(state: &ProxyState, admitted: &Admitted) -> Option<StreamOrigin> {
--- a/crates/proxy/src/streams/recorder.rs
+++ b/crates/proxy/src/streams/recorder.rs
@@ -22,6 +22,8 @@
 const MAX_CONCURRENT_BATCHES: usize = 16;
 /// Control replicas that remember a stream: one may die together with the router.
 const COPIES: usize = 2;
+/// Attempts to send a batch to one control replica.
+const ATTEMPTS: u32 = 2;
 /// Timeout of one message.
 const SEND_TIMEOUT: Duration = Duration::from_millis(200);
 /// Shortest time for which a stream is remembered; covers the time that its caller's tries are under way.
@@ -109,12 +111,19 @@
     }
 }
 
+/// Sends a batch to one control replica, over a new connection if the former one was reset while it was idle.
 async fn is_taken(connection: &ControlConnection, batch: Vec<StreamRecord>) -> bool {
-    let sent = connection.call(|client| async move {
-        client
-            .record_streams(call_context(SEND_TIMEOUT), batch)
-            .await
-    });
-    // A failure is counted with the batch.
-    sent.await.unwrap_or(false)
+    for _ in 0..ATTEMPTS {
+        let batch = batch.clone();
+        let sent = connection.call(|client| async move {
+            client
+                .record_streams(call_context(SEND_TIMEOUT), batch)
+                .await
+        });
+        // A failure is counted with the batch.
+        if let Ok(taken) = sent.await {
+            return taken;
+        }
+    }
+    false
 }
--- a/crates/proxy/tests/control_watch.rs
+++ b/crates/proxy/tests/control_watch.rs
@@ -3,175 +3,18 @@
 mod support;
 
 use std::{
-    future::pending,
-    sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
-    },
+    sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
-use futures::StreamExt;
-use railtack_consensus::{Message, ReplicaId};
 use railtack_proxy::control_watch::run_watch;
-use railtack_rpc::{
-    Control, FeatureLevel, PeerInfo,
-    codec::ServerCodec,
-    permits::{PermitReply, PermitRequest},
-    protocol::{
-        Configuration, MembershipChange, MembershipReply, PollReply, PollRequest, Proposal,
-        ProposeReply, ReplicaIdentity, StatusReply,
-    },
-    service::{ControlRequest, ControlResponse},
-    serving::{
-        JoinReply, JoinRequest, LivenessReply, LivenessReport, QuotaReply, QuotaRequest,
-        ReadIndexReply, ServingUpdate, SuspectStatus, WatchPosition, WatchReply, WatchRequest,
-    },
-    streams::{OnlyVersionRequest, StreamRecord},
-};
-use railtack_serving::{ServingConfiguration, SoftwareVersion, StreamKey, StreamOrigin};
-use support::router;
-use tarpc::{
-    context::Context,
-    server::{BaseChannel, Channel},
+use railtack_rpc::serving::{ServingUpdate, WatchPosition};
+use railtack_serving::ServingConfiguration;
+use support::{
+    control::{ControlStub, RequestCounts, serve},
+    router,
 };
 use tokio::net::TcpListener;
-use tokio_util::codec::Framed;
-
-/// Numbers of watch requests, in total and for replica records.
-#[derive(Clone, Default)]
-struct RequestCounts {
-    total: Arc<AtomicU32>,
-    for_records: Arc<AtomicU32>,
-}
-
-/// A control replica with a confirmed state that replies immediately with the same update.
-#[derive(Clone)]
-struct ControlStub {
-    counts: RequestCounts,
-    zone: &'static str,
-    members: Vec<String>,
-    /// The update it sends; `None` before the first configuration.
-    update: Option<ServingUpdate>,
-}
-
-impl Default for ControlStub {
-    fn default() -> Self {
-        Self {
-            counts: RequestCounts::default(),
-            zone: "a",
-            members: Vec::new(),
-            update: None,
-        }
-    }
-}
-
-impl Control for ControlStub {
-    async fn watch(self, _: Context, request: WatchRequest) -> WatchReply {
-        self.counts.total.fetch_add(1, Ordering::Relaxed);
-        if request.wants_records {
-            self.counts.for_records.fetch_add(1, Ordering::Relaxed);
-        }
-        WatchReply {
-            confirmed_age_ms: Some(0),
-            delayed_ms: 0,
-            zone: self.zone.to_owned(),
-            members: self.members,
-            routers: 1_000,
-            update: self.update,
-            fleet: None,
-            group_level: FeatureLevel::SUPPORTED,
-            relays: Vec::new(),
-        }
-    }
-
-    async fn record_streams(self, _: Context, _: Vec<StreamRecord>) -> bool {
-        pending().await
-    }
-
-    async fn find_stream(self, _: Context, _: StreamKey) -> Option<StreamOrigin> {
-        pending().await
-    }
-
-    async fn only_version(self, _: Context, _: OnlyVersionRequest) -> Option<SoftwareVersion> {
-        pending().await
-    }
-
-    async fn deliver(self, _: Context, _: Message, _: PeerInfo) {
-        pending().await
-    }
-
-    async fn poll(self, _: Context, _: PollRequest) -> PollReply {
-        pending().await
-    }
-
-    async fn propose(self, _: Context, _: Proposal) -> ProposeReply {
-        pending().await
-    }
-
-    async fn configuration(self, _: Context) -> Configuration {
-        pending().await
-    }
-
-    async fn identify(self, _: Context) -> ReplicaIdentity {
-        pending().await
-    }
-
-    async fn status(self, _: Context) -> StatusReply {
-        pending().await
-    }
-
-    async fn change_membership(self, _: Context, _: MembershipChange) -> MembershipReply {
-        pending().await
-    }
-
-    async fn join(self, _: Context, _: JoinRequest) -> JoinReply {
-        pending().await
-    }
-
-    async fn read_index(self, _: Context) -> ReadIndexReply {
-        pending().await
-    }
-
-    async fn alive(self, _: Context, _: LivenessReport) -> LivenessReply {
-        pending().await
-    }
-
-    async fn snapshot(self, _: Context) -> u64 {
-        pending().await
-    }
-
-    async fn leave(self, _: Context, _: ReplicaId) -> JoinReply {
-        pending().await
-    }
-
-    async fn suspects(self, _: Context) -> Vec<SuspectStatus> {
-        pending().await
-    }
-
-    async fn take_quota(self, _: Context, _: QuotaRequest) -> QuotaReply {
-        pending().await
-    }
-
-    async fn remove_if_silent(self, _: Context, _: String) -> bool {
-        pending().await
-    }
-
-    async fn take_permit(self, _: Context, _: PermitRequest) -> PermitReply {
-        pending().await
-    }
-}
-
-async fn serve(listener: TcpListener, service: ControlStub) {
-    while let Ok((stream, _)) = listener.accept().await {
-        let codec = ServerCodec::<ControlRequest, ControlResponse>::default();
-        let channel = BaseChannel::with_defaults(Framed::new(stream, codec));
-        let requests = channel.execute(service.clone().serve());
-        tokio::spawn(requests.for_each(|request| async {
-            tokio::spawn(request);
-        }));
-    }
-}
 
 /// Guards against routers that overload the control replicas while these form their group.
 #[tokio::test]
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! A router without a network.
 
+pub mod control;
+
 use std::{net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
