Continue a response of /v1 only at the software version that began it

The class is a property on which a correct continuation depends and that is not part of its state; weights, template and rendered prompt are part of it here, the engine's software was not, and engines did not name it.

An engine may name its version in its status (an invalid one makes it unreachable, logged); the emulator has a setting for it. Once a token has been delivered, only engines of the version that brought the first one are candidates. Engines that name none count as of one version.

A case of routing/decisions has the same without processes.

--- a/crates/backend-api/src/lib.rs
+++ b/crates/backend-api/src/lib.rs
@@ -229,6 +229,9 @@
     pub model: ModelName,
     /// Version of the loaded weights.
     pub weights_version: WeightsVersion,
+    /// Version of the engine's own software; empty if it reports none.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub software_version: String,
     /// Whether weights are being loaded.
     pub loading: bool,
     /// Whether the engine is shutting down.
--- a/crates/emulator/src/engine_server.rs
+++ b/crates/emulator/src/engine_server.rs
@@ -261,6 +261,7 @@
             zone: self.settings.zone.clone(),
             model: state.gate.model.clone(),
             weights_version: state.gate.weights_version,
+            software_version: self.settings.software_version.clone(),
             loading: state.gate.loading,
             draining: state.gate.draining,
             last_order_token: state.gate.last_order_token,
--- a/crates/lab/src/experiment/router.rs
+++ b/crates/lab/src/experiment/router.rs
@@ -9,6 +9,7 @@
     RoutingRequest, Scheduler, SchedulerOptions, ScoreWeights, admission::AdmissionRequest,
     candidates::Candidate, engines::EngineDescription, scoring,
 };
+use railtack_serving::SoftwareVersion;
 use railtack_settings::documents::{Priority, TenantLimits};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -178,6 +179,7 @@
                     boundaries,
                     priority: class,
                     excluded,
+                    software: None,
                 };
                 self.scheduler.choose(request, now_us, seed)?.chosen
             }
@@ -313,6 +315,7 @@
         incarnation: EngineIncarnation(incarnation),
         zone: "zone".into(),
         key: model_key(),
+        software: SoftwareVersion::default(),
         available: up,
     }
 }
--- a/crates/lab/src/fleet/settings.rs
+++ b/crates/lab/src/fleet/settings.rs
@@ -233,11 +233,12 @@
     pub fn engine(&self, endpoint: &EngineEndpoint) -> Result<PathBuf, Report<LabError>> {
         let text = format!(
             "listen = \"{}\"\n[role]\nkind = \"engine\"\nengine_id = {}\nzone = \"{}\"\n\
-             model = \"{}\"\nweights_version = 1\n[role.costs]\ncache_blocks = {}\n",
+             model = \"{}\"\nweights_version = 1\nsoftware_version = \"{}\"\n[role.costs]\ncache_blocks = {}\n",
             endpoint.listen,
             endpoint.engine,
             self.shape.zone(endpoint.engine - 1),
             self.shape.model,
+            self.shape.engine_software(endpoint.engine),
             self.shape.cache_blocks,
         );
         self.write(&format!("engine-{}.toml", endpoint.engine), &text)
--- a/crates/lab/src/fleet/shape.rs
+++ b/crates/lab/src/fleet/shape.rs
@@ -41,6 +41,8 @@
     pub services: Vec<&'static str>,
     /// Model of all engines.
     pub model: &'static str,
+    /// Versions of the engines' software; engines are assigned to them in turn. Without any, engines report none.
+    pub engine_software: Vec<&'static str>,
     /// Capacity of the cache of each engine, blocks.
     pub cache_blocks: usize,
     /// Delay after which the platform lists a change of the machines, milliseconds.
@@ -70,11 +72,19 @@
             service_replicas: 1,
             services,
             model,
+            engine_software: Vec::new(),
             cache_blocks: 8_192,
             platform_lag_ms: 500,
         }
     }
 
+    /// Returns the version of the software of an engine, numbered from 1; empty if it reports none.
+    pub fn engine_software(&self, engine: u32) -> &'static str {
+        let versions = &self.engine_software;
+        let position = (engine - 1) as usize % versions.len().max(1);
+        versions.get(position).copied().unwrap_or_default()
+    }
+
     /// Returns the zone of the machine with this number.
     pub fn zone(&self, number: u32) -> &'static str {
         self.zones[number as usize % self.zones.len()]
--- a/crates/lab/src/scale/decisions.rs
+++ b/crates/lab/src/scale/decisions.rs
@@ -11,6 +11,7 @@
     EngineSlot, ModelKey, PrefixIndex, RoutingRequest, Scheduler, SchedulerOptions,
     engines::EngineDescription,
 };
+use railtack_serving::SoftwareVersion;
 use railtack_settings::documents::Priority;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -99,6 +100,7 @@
             incarnation: EngineIncarnation(1),
             zone: "zone".into(),
             key: key(),
+            software: SoftwareVersion::default(),
             available: true,
         });
         let load = LoadReport {
@@ -130,6 +132,7 @@
             boundaries: &prompt.boundaries,
             priority: Priority::Interactive,
             excluded: &[],
+            software: None,
         };
         let started = Instant::now();
         let decision = scheduler.choose(request, 0, number as u64);
--- a/crates/lab/src/simulate/control/engines.rs
+++ b/crates/lab/src/simulate/control/engines.rs
@@ -221,6 +221,7 @@
         zone: ZoneName::default(),
         model: engine.gate.model.clone(),
         weights_version: engine.gate.weights_version,
+        software_version: String::new(),
         loading: engine.gate.loading,
         draining: false,
         last_order_token: engine.gate.last_order_token,
--- a/crates/router/src/completions.rs
+++ b/crates/router/src/completions.rs
@@ -185,6 +185,7 @@
         boundaries: &job.boundaries,
         priority: job.priority,
         excluded: &[],
+        software: None,
     };
     let decision = lock(&state.scheduler).choose(request, now, rand::random());
     decision.ok_or_else(|| no_engine_refusal(state, &job.model_key))
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -17,7 +17,7 @@
     permits::{Permit, PermitDecision},
 };
 use railtack_routing::{Decision, EngineSlot, ModelKey, RoutingRequest};
-use railtack_serving::ContentKey;
+use railtack_serving::{ContentKey, SoftwareVersion};
 use railtack_settings::documents::Priority;
 use tokio::{sync::mpsc, time::Instant};
 
@@ -84,6 +84,7 @@
         relay: Relay::new(job.max_tokens, EndMarker::Required),
         attempts: Attempts::default(),
         excluded: Vec::new(),
+        began_at: None,
     };
     let event = dispatch.run_attempts().await;
     lock(&state.admission).release(&job.tenant);
@@ -102,6 +103,8 @@
     relay: Relay,
     attempts: Attempts,
     excluded: Vec<EngineSlot>,
+    /// Version of the software that began the response: tokens of two versions do not fit together.
+    began_at: Option<SoftwareVersion>,
 }
 
 /// One attempt on one engine.
@@ -109,6 +112,8 @@
     id: AttemptId,
     engine: EngineSlot,
     incarnation: EngineIncarnation,
+    /// Version of the engine's software.
+    software: SoftwareVersion,
     address: SocketAddr,
     uncached_tokens: u64,
     /// Leading blocks that the engine was known to have cached before the attempt.
@@ -163,6 +168,7 @@
             boundaries: &self.job.boundaries,
             priority: self.job.priority,
             excluded: &self.excluded,
+            software: self.began_at.as_ref(),
         };
         lock(&self.state.scheduler).choose(request, self.state.now_us(), rand::random())
     }
@@ -200,10 +206,16 @@
         let Some((request, address)) = self.engine_request(engine) else {
             return AttemptOutcome::NotSent;
         };
+        let software = lock(&self.state.scheduler)
+            .engines
+            .view(engine)
+            .software
+            .clone();
         let mut attempt = Attempt {
             id: AttemptId(request.attempt.0),
             engine,
             incarnation: request.incarnation,
+            software,
             address,
             uncached_tokens: u64::from(decision.chosen.uncached_tokens),
             cached_blocks: decision.chosen.cached_tokens / self.job.chain.block_tokens.max(1),
@@ -291,6 +303,8 @@
             return;
         }
         attempt.awaiting_first_token = false;
+        self.began_at
+            .get_or_insert_with(|| attempt.software.clone());
         if self.relay.delivered() == 1 {
             self.log.record_first_byte();
             let elapsed = self.job.received.elapsed();
--- a/crates/router/src/engine_link.rs
+++ b/crates/router/src/engine_link.rs
@@ -17,6 +17,7 @@
 use railtack_core::{BlockHash, EngineId, EngineIncarnation};
 use railtack_http::lines;
 use railtack_routing::engines::{CacheValidity, EngineDescription, EngineSlot, ModelKey};
+use railtack_serving::SoftwareVersion;
 use tokio::time::{sleep, timeout};
 
 use crate::state::{RouterState, ServiceBackends, lock};
@@ -167,10 +168,12 @@
         .get_json::<EngineStatus>(address, "/status", CALL_TIMEOUT)
         .await
         .ok()?;
-    Some(apply_status(state, status))
+    apply_status(state, status)
 }
 
-fn apply_status(state: &RouterState, status: EngineStatus) -> EngineSlot {
+/// Applies an engine's status. Returns `None` if it is invalid, so that the engine counts as unreachable.
+fn apply_status(state: &RouterState, status: EngineStatus) -> Option<EngineSlot> {
+    let software = software_version(&status)?;
     state
         .block_tokens
         .store(status.block_tokens, Ordering::Relaxed);
@@ -190,13 +193,30 @@
             model: status.model,
             weights_version: status.weights_version,
         },
+        software,
         available: !status.draining && !status.loading && !drained,
     });
     if cache_validity == CacheValidity::Invalidated {
         scheduler.index.remove_engine(slot);
     }
     scheduler.engines.report(slot, status.load, now);
-    slot
+    Some(slot)
+}
+
+fn software_version(status: &EngineStatus) -> Option<SoftwareVersion> {
+    if status.software_version.is_empty() {
+        return Some(SoftwareVersion::default());
+    }
+    match SoftwareVersion::parse(&status.software_version) {
+        Ok(version) => Some(version),
+        Err(error) => {
+            spdlog::warn!("engine reports an invalid software version", kv: {
+                engine = status.engine.to_string(),
+                cause = error.to_string(),
+            });
+            None
+        }
+    }
 }
 
 /// Applies an engine's events until the stream breaks. Starts with a full cache listing, because
--- a/crates/routing/src/engines.rs
+++ b/crates/routing/src/engines.rs
@@ -4,7 +4,7 @@
 
 use railtack_backend_api::LoadReport;
 use railtack_core::{EngineId, EngineIncarnation, ModelName, WeightsVersion, ZoneName};
-use railtack_serving::{AdvertisedState, MonotonicTime};
+use railtack_serving::{AdvertisedState, MonotonicTime, SoftwareVersion};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{Micros, breaker::CircuitBreaker};
@@ -33,6 +33,8 @@
     pub zone: ZoneName,
     /// Loaded model and weights.
     pub key: ModelKey,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// Whether the engine reports that it accepts new requests.
     pub available: bool,
     /// Whether the platform lists the engine as live.
@@ -87,6 +89,8 @@
     pub zone: ZoneName,
     /// Loaded model and weights.
     pub key: ModelKey,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// Whether the engine accepts new requests.
     pub available: bool,
 }
@@ -119,6 +123,7 @@
         }
         view.available = description.available;
         view.key = description.key;
+        view.software = description.software;
         if !same_weights {
             self.rebuild_groups();
         }
@@ -233,6 +238,7 @@
             incarnation: description.incarnation,
             zone: description.zone,
             key: description.key,
+            software: description.software,
             available: description.available,
             listed: true,
             load: LoadReport::default(),
--- a/crates/routing/src/scheduler.rs
+++ b/crates/routing/src/scheduler.rs
@@ -1,7 +1,7 @@
 //! Chooses the engine for a request from the candidates and their scores.
 
 use railtack_core::{PrefixChain, ZoneName};
-use railtack_serving::MonotonicTime;
+use railtack_serving::{MonotonicTime, SoftwareVersion};
 use railtack_settings::documents::Priority;
 use smallvec::SmallVec;
 
@@ -50,6 +50,8 @@
     pub priority: Priority,
     /// Engines at which earlier attempts of this request failed.
     pub excluded: &'a [EngineSlot],
+    /// Version of the software that the engine must run, if the response has begun.
+    pub software: Option<&'a SoftwareVersion>,
 }
 
 /// The chosen engine with the scores of all candidates.
@@ -181,5 +183,8 @@
             && view.accepts_requests(now)
             && view.breaker.allows(now)
             && !request.excluded.contains(&engine)
+            && request
+                .software
+                .is_none_or(|software| *software == view.software)
     }
 }
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -14,7 +14,7 @@
     EngineSlot, ModelKey, PrefixIndex, RoutingRequest, Scheduler, SchedulerOptions,
     engines::{CacheValidity, EngineDescription},
 };
-use railtack_serving::BackendSignals;
+use railtack_serving::{BackendSignals, SoftwareVersion};
 use railtack_settings::documents::Priority;
 
 const BLOCK_TOKENS: u32 = 16;
@@ -32,6 +32,7 @@
         incarnation: EngineIncarnation(incarnation),
         zone: "zone".into(),
         key: key(version),
+        software: SoftwareVersion::default(),
         available: true,
     }
 }
@@ -66,6 +67,7 @@
         boundaries: &boundaries,
         priority: Priority::Interactive,
         excluded,
+        software: None,
     };
     scheduler
         .choose(shape, 0, 7)
@@ -119,6 +121,7 @@
             boundaries: &[],
             priority,
             excluded: &[],
+            software: None,
         };
         let decision = scheduler.choose(shape, 0, 7).expect("an engine");
         decision.chosen.first_token_us
@@ -276,3 +279,37 @@
         index.len() <= 5
     }
 }
+
+/// Guards against a response being continued by an engine of another software version than the one that began it.
+#[test]
+fn a_response_that_has_begun_is_continued_at_its_software_version_only() {
+    let mut scheduler = scheduler(0);
+    let version = |text| SoftwareVersion::parse(text).expect("a version");
+    for (id, text) in (0..).zip(["v1", "v2", "v1", "v2"]) {
+        scheduler.engines.update(EngineDescription {
+            software: version(text),
+            ..describe(id, 1, 1)
+        });
+    }
+    let key = key(1);
+    let chain = chain("a prompt");
+    let chosen = |software: Option<&SoftwareVersion>, excluded: &[EngineSlot], seed| {
+        let request = RoutingRequest {
+            key: &key,
+            chain: &chain,
+            boundaries: &[],
+            priority: Priority::Interactive,
+            excluded,
+            software,
+        };
+        let decision = scheduler.choose(request, 0, seed);
+        decision.map(|decision| decision.chosen.engine.0)
+    };
+    for seed in 0..64 {
+        let continued = chosen(Some(&version("v1")), &[EngineSlot(0)], seed);
+        assert_eq!(continued, Some(2));
+    }
+    let none_left = [EngineSlot(0), EngineSlot(2)];
+    assert_eq!(chosen(Some(&version("v1")), &none_left, 7), None);
+    assert!(chosen(None, &none_left, 7).is_some());
+}
--- a/crates/settings/src/emulator.rs
+++ b/crates/settings/src/emulator.rs
@@ -51,6 +51,9 @@
     pub model: ModelName,
     /// Loaded version of the model's weights.
     pub weights_version: WeightsVersion,
+    /// Version of its software; empty if it reports none.
+    #[serde(default)]
+    pub software_version: String,
     /// Performance model of the engine.
     #[serde(default)]
     pub costs: EngineCosts,
