--- a/crates/control/tests/current_layout.rs
+++ b/crates/control/tests/current_layout.rs
@@ -26,7 +26,12 @@
 /// where the receiver may lack them, and get test data in a new folder; the existing data stays.
 #[test]
 fn message_layouts_are_unchanged() {
-    for (level, count) in [("shared_grants", 16), ("load_reports", 5), ("relays", 8)] {
+    for (level, count) in [
+        ("shared_grants", 16),
+        ("load_reports", 5),
+        ("relays", 8),
+        ("software_versions", 8),
+    ] {
         let files = files(level, "messages");
         assert_eq!(files.len(), count, "{level}");
         for (name, bytes) in files {
@@ -48,7 +53,8 @@
 
 #[test]
 fn stored_layouts_are_unchanged() {
-    for (name, bytes) in files("shared_grants", "stored") {
+    let stored = ["shared_grants", "software_versions"];
+    for (name, bytes) in stored.iter().flat_map(|level| files(level, "stored")) {
         let written = if name == "state" {
             let state = ControlState::read_stored(&bytes).expect("a state");
             state.write_to_vec()
