--- a/crates/lab/src/fleet/settings.rs
+++ b/crates/lab/src/fleet/settings.rs
@@ -231,14 +231,19 @@
 
     /// Writes the settings of an engine.
     pub fn engine(&self, endpoint: &EngineEndpoint) -> Result<PathBuf, Report<LabError>> {
+        let software = match self.shape.engine_software(endpoint.engine) {
+            // Previous builds, whose engines a fleet may begin with, do not know the setting.
+            "" => String::new(),
+            version => format!("software_version = \"{version}\"\n"),
+        };
         let text = format!(
             "listen = \"{}\"\n[role]\nkind = \"engine\"\nengine_id = {}\nzone = \"{}\"\n\
-             model = \"{}\"\nweights_version = 1\nsoftware_version = \"{}\"\n[role.costs]\ncache_blocks = {}\n",
+             model = \"{}\"\nweights_version = 1\n{}[role.costs]\ncache_blocks = {}\n",
             endpoint.listen,
             endpoint.engine,
             self.shape.zone(endpoint.engine - 1),
             self.shape.model,
-            self.shape.engine_software(endpoint.engine),
+            software,
             self.shape.cache_blocks,
         );
         self.write(&format!("engine-{}.toml", endpoint.engine), &text)
