--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -1,4 +1,4 @@
-//! The daemon: runs the replica's thread, the RPC and metrics servers, and the [rollout loop](rollout_loop).
+//! The daemon: runs the replica's thread, the RPC and metrics servers, and the rollout loop of engines.
 
 use std::{
     net::SocketAddr,
