--- a/crates/ctl/src/logs/explanation.rs
+++ b/crates/ctl/src/logs/explanation.rs
@@ -18,6 +18,7 @@
     "lease gained",
     "lease lost",
     "control lost",
+    "control reply missed",
     "control regained",
     "reloading",
     "stopping",
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -191,13 +191,24 @@
         paces,
         relay_address,
     };
-    connection
+    let sent_at = Instant::now();
+    let reply = connection
         .call(|client| async move {
             client
                 .watch(call_context(hold_time + REPLY_MARGIN), request)
                 .await
         })
-        .await
+        .await;
+    state.metrics.record_watch_reply(reply.is_ok());
+    reply
+        .inspect_err(|report| {
+            spdlog::info!("control reply missed", kv: {
+                address = connection.address().to_string(),
+                waited_ms = sent_at.elapsed().as_millis() as u64,
+                revision = state.metrics.revision.get(),
+                cause = report.to_string(),
+            });
+        })
         .ok()
 }
 
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -99,6 +99,8 @@
     pub replicas: Family<ReplicaLabels, Gauge>,
     /// Revision of the current configuration.
     pub revision: Gauge<u64, AtomicU64>,
+    /// Watch requests to control replicas, by outcome.
+    pub watch_replies: Family<OutcomeLabels, Counter>,
     /// Time since the configuration was known to be current, milliseconds.
     pub lease_age_ms: Gauge<u64, AtomicU64>,
     /// Time from the request to the head or first event of its response, seconds.
@@ -132,6 +134,7 @@
             open_requests: Gauge::default(),
             replicas: Family::default(),
             revision: Gauge::default(),
+            watch_replies: Family::default(),
             lease_age_ms: Gauge::default(),
             first_byte_seconds: Histogram::new(exponential_buckets(0.005, 2.0, 12)),
         }
@@ -257,6 +260,11 @@
             "Version of the configuration in force",
             self.revision.clone(),
         );
+        registry.register(
+            "proxy_watch_replies",
+            "Watch requests to control replicas, by outcome",
+            self.watch_replies.clone(),
+        );
         registry.register(
             "proxy_lease_age_ms",
             "Time since the configuration was known to be current",
@@ -320,6 +328,14 @@
         count(&self.stream_records, outcome);
     }
 
+    /// Counts a watch request.
+    pub fn record_watch_reply(&self, arrived: bool) {
+        count(
+            &self.watch_replies,
+            if arrived { "reply" } else { "missed" },
+        );
+    }
+
     /// Counts a finished exchange.
     pub fn record_exchange_end(&self, outcome: &str) {
         count(&self.exchanges, outcome);
--- a/crates/proxy/src/request_log.rs
+++ b/crates/proxy/src/request_log.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use railtack_clock::BootInstant;
 use railtack_serving::{ContentKey, RequestKind, SoftwareVersion};
 use tokio::time::Instant;
 
@@ -13,7 +14,7 @@
     prefill_latency::PrefillBacklog,
     request::ProxiedRequest,
     scoring::Candidate,
-    state::ProxyState,
+    state::{ProxyState, lock},
 };
 
 /// Collects the fields of a request's log line and writes it on drop, even if the caller
@@ -28,6 +29,8 @@
     /// Key of the request's content; identical for repeated requests.
     pub content: ContentKey,
     received: Instant,
+    /// Age of the confirmation of the configuration on arrival; `None` before the first one.
+    confirmed_age: Option<Duration>,
     route: String,
     kind: Option<RequestKind>,
     tenant: String,
@@ -71,10 +74,11 @@
             last_event: request.last_event,
             content: ContentKey::default(),
             received: request.received,
+            confirmed_age: lock(&state.lease).age(BootInstant::now()),
             route: String::new(),
             kind: None,
             tenant: String::new(),
-            revision: 0,
+            revision: state.metrics.revision.get(),
             known: 0,
             replica: String::new(),
             candidate: Candidate::default(),
@@ -195,6 +199,7 @@
             route = self.route.clone(),
             tenant = self.tenant.clone(),
             revision = self.revision,
+            confirmed_age_ms = self.confirmed_age.map_or(0, |age| age.as_millis() as u64),
             known = self.known,
             replica = self.replica.clone(),
             prefix = format!("{:016x}", self.prefix),
