Send the configuration to routers in parts of bounded size, and only what changed

What callers saw: on Tumen, requests on a route were refused with 404, 3.3 and 3.5 s after the revision that holds it was acknowledged (bound 2.5 s).

Cause: one reply held the whole table, again at each revision, 430 kB after 4,200 routes, and had the time of any reply (0.65 to 0.9 s). A link of 7.5 Mbit/s needs 0.46 s for it alone. What came late was dropped whole and asked for anew at another control replica. The class: a reply without a bound under a deadline.

A transfer goes through the items by key; the router states how far it is, so any other control replica goes on from there, and a revision in between is left to the next transfer, which holds only what changed since. The table is switched whole, and the lease renewed only by a reply that completes it. Former builds get the whole as before; the position of a router doesn't pass a configuration that it lacks, so one that moves to a control replica of a former build in the middle gets the whole there.

--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -384,6 +384,7 @@
         fleet: None,
         group_level: FeatureLevel::FIRST,
         relays: Vec::new(),
+        configuration: None,
     }
 }
 
--- a/crates/control/src/serving/watch.rs
+++ b/crates/control/src/serving/watch.rs
@@ -7,7 +7,9 @@
 };
 
 use railtack_clock::BootInstant;
-use railtack_rpc::serving::{MAX_CONFIRMATION_AGE_MS, WatchReply, WatchRequest};
+use railtack_rpc::serving::{
+    ConfigurationPosition, MAX_CONFIRMATION_AGE_MS, WatchReply, WatchRequest,
+};
 use railtack_serving::Bounds;
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -98,7 +100,8 @@
         };
         let changed = receiver.wait_for(|view| {
             let changed_at = view.serving.changed_at();
-            changed_at > through && changed_at >= position.state
+            let has_update = changed_at > through && changed_at >= position.state;
+            has_update || view.serving.has_configuration_part_for(&request)
         });
         let reply_due = async {
             tokio::select! {
@@ -112,20 +115,15 @@
         let delay = batching_delay(&request, received_at.elapsed(), interval);
         sleep(delay).await;
         let view = self.leader_client.view();
-        let update = if !request.accepts_partial {
-            view.serving.full_update_after(position)
-        } else if request.wants_records {
-            view.serving.update_after(position)
-        } else {
-            view.serving.known_changes_after(position)
-        };
+        let changes = view.serving.changes_for(&request);
         WatchReply {
             confirmed_age_ms: self.confirmed_age_ms(&view),
             delayed_ms: delayed_since.elapsed().as_millis() as u64,
             zone: self.zone.clone(),
             members: view.voters.clone(),
             routers: self.liveness.router_count(),
-            update,
+            update: changes.update,
+            configuration: changes.configuration,
             fleet: self.liveness.fleet_digest(),
             group_level: view.serving.level(),
             relays: self.liveness.relay_offers_for(&request.router),
@@ -192,7 +190,10 @@
 /// succession are batched, and a change after a pause is sent at once. The delay stays within the
 /// wait that the request allows; a router without a lease allows none.
 pub fn batching_delay(request: &WatchRequest, elapsed: Duration, interval: Duration) -> Duration {
-    let is_incomplete = request.position.state == 0 || !request.position.is_complete();
+    let configuration = request.configuration.as_ref();
+    let is_transferring = configuration.is_some_and(ConfigurationPosition::is_under_way);
+    let is_incomplete =
+        request.position.state == 0 || !request.position.is_complete() || is_transferring;
     if is_incomplete || !request.has_lease {
         return Duration::ZERO;
     }
--- a/crates/control/src/serving_state.rs
+++ b/crates/control/src/serving_state.rs
@@ -13,6 +13,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use crate::serving_state::{
+    configuration_changes::ConfigurationChanges,
     crash_reports::CrashReports,
     quarantine::Quarantine,
     registry::{ReplicaMap, ReplicaRegistry},
@@ -32,6 +33,7 @@
     ServingConfiguration, TenantQuota,
 };
 
+pub mod configuration_changes;
 mod crash_reports;
 mod first_level;
 pub mod quarantine;
@@ -57,6 +59,7 @@
     content: Arc<Vec<u8>>,
     configuration: Arc<ServingConfiguration>,
     configuration_at: LogIndex,
+    configuration_changes: Arc<ConfigurationChanges>,
     replicas: ReplicaRegistry,
     tombstones: Tombstones,
     weights: BTreeMap<String, u64>,
@@ -82,6 +85,7 @@
             content: Arc::default(),
             configuration: Arc::default(),
             configuration_at: 0,
+            configuration_changes: Arc::default(),
             replicas: ReplicaRegistry::default(),
             tombstones: Tombstones::default(),
             weights: BTreeMap::new(),
@@ -108,6 +112,11 @@
         &self.configuration
     }
 
+    /// When each part of the configuration changed.
+    pub fn configuration_changes(&self) -> &ConfigurationChanges {
+        &self.configuration_changes
+    }
+
     /// Whether the group has received a document.
     pub fn has_configuration(&self) -> bool {
         self.configuration_at > 0
@@ -233,9 +242,17 @@
         }
         self.content = Arc::new(document.content);
         self.configuration = Arc::new(document.configuration);
+        self.record_configuration_change(index);
+        ServingOutcome::Done
+    }
+
+    fn record_configuration_change(&mut self, index: LogIndex) {
+        let changes = self
+            .configuration_changes
+            .updated(&self.configuration, index);
+        self.configuration_changes = Arc::new(changes);
         self.configuration_at = index;
         self.changed_at = index;
-        ServingOutcome::Done
     }
 
     /// Raises the feature level and adds the quotas of the current document, which lower levels do
@@ -254,7 +271,7 @@
         self.changed_at = index;
         if self.has_configuration() {
             Arc::make_mut(&mut self.configuration).set_quotas(quotas);
-            self.configuration_at = index;
+            self.record_configuration_change(index);
         }
         ServingOutcome::Done
     }
--- a/crates/control/src/serving_state/stored.rs
+++ b/crates/control/src/serving_state/stored.rs
@@ -17,6 +17,7 @@
 
 use super::{
     OrderLock, ServingState,
+    configuration_changes::ConfigurationChanges,
     crash_reports::CrashReports,
     quarantine::Quarantine,
     software::{FormerVersions, ServiceVersion},
@@ -181,6 +182,10 @@
         Self {
             level: extension.level.0,
             content: Arc::new(stored.content),
+            configuration_changes: Arc::new(ConfigurationChanges::from_snapshot(
+                &configuration,
+                stored.configuration_at,
+            )),
             configuration: Arc::new(configuration),
             configuration_at: stored.configuration_at,
             replicas: replicas.into_values().collect(),
--- a/crates/control/src/serving_state/updates.rs
+++ b/crates/control/src/serving_state/updates.rs
@@ -2,7 +2,7 @@
 //! bounded size.
 
 use railtack_consensus::LogIndex;
-use railtack_rpc::serving::{ServingUpdate, WatchPosition};
+use railtack_rpc::serving::{ConfigurationPart, ServingUpdate, WatchPosition, WatchRequest};
 use railtack_serving::{Incarnation, ModelWeights, ReplicaRecord};
 
 use super::ServingState;
@@ -19,27 +19,94 @@
     records: usize,
     /// Records that the router has not received before.
     unknown_records: usize,
+    /// Whether the configuration is included if it changed.
+    with_configuration: bool,
+}
+
+impl UpdateLimits {
+    fn of_partial_updates(wants_records: bool) -> Self {
+        Self {
+            records: MAX_RECORDS_PER_UPDATE,
+            unknown_records: if wants_records {
+                MAX_RECORDS_PER_UPDATE
+            } else {
+                0
+            },
+            with_configuration: true,
+        }
+    }
+}
+
+/// What a router lacks.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// Changes since the position of the router.
+    pub update: Option<ServingUpdate>,
+    /// Next part of the configuration.
+    pub configuration: Option<ConfigurationPart>,
 }
 
 impl ServingState {
+    /// Whether a router lacks a part of the configuration.
+    pub fn has_configuration_part_for(&self, request: &WatchRequest) -> bool {
+        let position = request.configuration.as_ref();
+        position.is_some_and(|position| self.configuration_changes.has_part_after(position))
+    }
+
+    /// Returns what a router lacks, as far as it fits into one reply.
+    pub fn changes_for(&self, request: &WatchRequest) -> Changes {
+        let Some(known) = &request.configuration else {
+            return Changes {
+                update: self.update_with_configuration(request),
+                configuration: None,
+            };
+        };
+        let position = request.position;
+        let limits = UpdateLimits {
+            with_configuration: false,
+            ..UpdateLimits::of_partial_updates(request.wants_records)
+        };
+        let mut update = self.build_update(position, limits);
+        let configuration = self.configuration_changes.part_after(known);
+        let position_after = configuration.as_ref().map_or(known, |part| &part.position);
+        let is_incomplete = self.configuration_changes.has_part_after(position_after)
+            || position_after.is_under_way();
+        if is_incomplete && let Some(update) = &mut update {
+            // The router's position must not pass the configuration: a control replica of a former build sends what
+            // changed after it.
+            update.position.state = position.state;
+            update.position.records = position.records;
+        }
+        // A router without records gets them after its first configuration.
+        let is_first = is_incomplete && position.state == 0;
+        let update = update.filter(|update| update.position != position && !is_first);
+        Changes {
+            update,
+            configuration,
+        }
+    }
+
+    /// Returns the changes for a router that receives the configuration whole.
+    fn update_with_configuration(&self, request: &WatchRequest) -> Option<ServingUpdate> {
+        if !request.accepts_partial {
+            self.full_update_after(request.position)
+        } else if request.wants_records {
+            self.update_after(request.position)
+        } else {
+            self.known_changes_after(request.position)
+        }
+    }
+
     /// Returns the changes after the position of a router; `None` if there are none, or if the
     /// router is ahead of this replica. The update holds all other changes, and as many records as
     /// fit.
     pub fn update_after(&self, position: WatchPosition) -> Option<ServingUpdate> {
-        let limits = UpdateLimits {
-            records: MAX_RECORDS_PER_UPDATE,
-            unknown_records: MAX_RECORDS_PER_UPDATE,
-        };
-        self.build_update(position, limits)
+        self.build_update(position, UpdateLimits::of_partial_updates(true))
     }
 
     /// Like [`Self::update_after`], but without records that the router has not received before.
     pub fn known_changes_after(&self, position: WatchPosition) -> Option<ServingUpdate> {
-        let limits = UpdateLimits {
-            records: MAX_RECORDS_PER_UPDATE,
-            unknown_records: 0,
-        };
-        self.build_update(position, limits)
+        self.build_update(position, UpdateLimits::of_partial_updates(false))
             .filter(|update| update.position != position)
     }
 
@@ -49,6 +116,7 @@
         let limits = UpdateLimits {
             records: usize::MAX,
             unknown_records: usize::MAX,
+            with_configuration: true,
         };
         let mut update = self.build_update(position, limits)?;
         for record in &mut update.replicas {
@@ -72,8 +140,9 @@
         } else {
             self.records_after(position, limits)
         };
-        let configuration =
-            (self.configuration_at > position.state).then(|| self.configuration().clone());
+        let has_newer_configuration = self.configuration_at > position.state;
+        let configuration = (limits.with_configuration && has_newer_configuration)
+            .then(|| self.configuration().clone());
         let quarantine = Some(self.quarantine.update())
             .filter(|lists| lists.changed_at > position.state)
             .cloned();
--- a/crates/control/tests/current_layout.rs
+++ b/crates/control/tests/current_layout.rs
@@ -31,6 +31,7 @@
         ("load_reports", 5),
         ("relays", 8),
         ("software_versions", 8),
+        ("configuration_parts", 2),
     ] {
         let files = files(level, "messages");
         assert_eq!(files.len(), count, "{level}");
--- a/crates/control/tests/software_versions.rs
+++ b/crates/control/tests/software_versions.rs
@@ -72,6 +72,7 @@
         fleet: None,
         group_level: FeatureLevel::SOFTWARE_VERSIONS,
         relays: Vec::new(),
+        configuration: None,
     };
     let bytes = reply.write_to_vec().expect("encoded");
     assert_eq!(
--- a/crates/control/tests/watch.rs
+++ b/crates/control/tests/watch.rs
@@ -19,6 +19,7 @@
         observations: Vec::new(),
         paces: Vec::new(),
         relay_address: None,
+        configuration: None,
     }
 }
 
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -14,8 +14,12 @@
 use railtack_clock::BootInstant;
 use railtack_rpc::{
     ControlConnection, call_context,
-    serving::{MAX_CONFIRMATION_AGE_MS, ReplicaPace, ServingUpdate, WatchReply, WatchRequest},
+    serving::{
+        ConfigurationPart, MAX_CONFIRMATION_AGE_MS, ReplicaPace, ServingUpdate, WatchReply,
+        WatchRequest,
+    },
 };
+use railtack_serving::RouteTable;
 use tokio::time::{Instant, sleep};
 
 use crate::{
@@ -83,7 +87,7 @@
         let is_current = reply
             .confirmed_age_ms
             .is_some_and(|age| age < MAX_CONFIRMATION_AGE_MS);
-        let has_update = reply.update.is_some();
+        let has_update = reply.update.is_some() || reply.configuration.is_some();
         let delay = Duration::from_millis(reply.delayed_ms);
         targets.update_members(address, &reply);
         state.control_peers.set_members(targets.addresses());
@@ -190,6 +194,7 @@
         observations: lock(&state.replicas).observations(Instant::now()),
         paces,
         relay_address,
+        configuration: Some(lock(&state.configuration_transfer).position()),
     };
     let sent_at = Instant::now();
     let reply = connection
@@ -226,12 +231,16 @@
         }
         limits::resend_unknown_limits(state);
     }
+    if let Some(part) = reply.configuration.take() {
+        apply_configuration_part(state, part);
+    }
     if let Some(update) = reply.update.take() {
         apply_update(state, update);
     }
     // The lease covers what the router knows, so all updates are applied before the confirmation.
     // Not all replicas have to be known: in a large fleet their records take seconds to arrive.
-    if state.view.load().position.can_serve() {
+    let has_configuration = lock(&state.configuration_transfer).is_complete();
+    if has_configuration && state.view.load().position.can_serve() {
         state.apply_confirmation(&reply, requested_at);
     }
     if !was_confirmed && state.is_confirmed() {
@@ -244,6 +253,9 @@
     if let Some(quarantine) = &update.quarantine {
         state.apply_quarantine(quarantine);
     }
+    if update.configuration.is_some() {
+        lock(&state.configuration_transfer).record_whole();
+    }
     let Some(next) = state.view.load().updated(update) else {
         return;
     };
@@ -260,6 +272,24 @@
     state.set_view(next);
 }
 
+fn apply_configuration_part(state: &ProxyState, part: ConfigurationPart) {
+    let mut transfer = lock(&state.configuration_transfer);
+    let parts = transfer.parts() + 1;
+    let Some(configuration) = transfer.apply(part) else {
+        return;
+    };
+    drop(transfer);
+    let revision = configuration.revision;
+    spdlog::info!("configuration received", kv: {
+        revision,
+        parts,
+        routes = configuration.routes.len(),
+    });
+    state.metrics.revision.set(revision);
+    let table = RouteTable::new(configuration);
+    state.set_view(state.view.load().with_table(table));
+}
+
 /// Control replicas that can be contacted.
 struct ControlTargets {
     connections: BTreeMap<SocketAddr, Arc<ControlConnection>>,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! | step | modules | pure |
 //! |---|---|---|
+//! | receive the configuration in parts | [`configuration_transfer`], updated by [`control_watch`] | yes |
 //! | confirm that the configuration is current | [`lease`], updated by [`control_watch`] | yes |
 //! | resolve route, tenant and deadline | [`admission`] | yes |
 //! | admit the request, wait for the first lease, or refuse | [`entry`] | |
@@ -36,6 +37,7 @@
 pub mod attempt;
 pub mod backend;
 pub mod budget;
+pub mod configuration_transfer;
 pub mod control_peers;
 pub mod control_watch;
 pub mod crash_checks;
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -20,6 +20,7 @@
     affinity::PrefixPath,
     backend::BackendProtocol,
     budget::{BudgetRule, BudgetUsage, RetryBudget},
+    configuration_transfer::ConfigurationTransfer,
     control_peers::ControlPeers,
     crash_checks::CrashChecks,
     estimates::{Estimates, FirstEventEstimate},
@@ -71,6 +72,8 @@
     pub backend: Box<dyn BackendProtocol>,
     /// Configuration and replicas requests are served from.
     pub view: ArcSwap<ServingView>,
+    /// Configuration as far as it has been received.
+    pub configuration_transfer: Mutex<ConfigurationTransfer>,
     /// Lease on the configuration.
     pub lease: Mutex<Lease>,
     /// Replicas as seen by this router.
@@ -165,6 +168,7 @@
             options,
             backend,
             view: ArcSwap::default(),
+            configuration_transfer: Mutex::default(),
             replicas: Mutex::new(replicas),
             fleet: Mutex::default(),
             splitter: Mutex::default(),
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -58,6 +58,13 @@
         Some(next)
     }
 
+    /// Returns the view with another configuration.
+    pub fn with_table(&self, table: RouteTable) -> Self {
+        let mut next = self.clone();
+        next.table = Some(Arc::new(table));
+        next
+    }
+
     /// Removes an incarnation of a replica and all older ones.
     fn remove_incarnations_up_to(&mut self, id: &str) {
         let last = Incarnation::parse(id);
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -38,6 +38,7 @@
         fleet: None,
         group_level: FeatureLevel::SUPPORTED,
         relays: Vec::new(),
+        configuration: None,
     }
 }
 
--- a/crates/proxy/tests/support/control.rs
+++ b/crates/proxy/tests/support/control.rs
@@ -98,6 +98,7 @@
             fleet: None,
             group_level: FeatureLevel::SUPPORTED,
             relays: Vec::new(),
+            configuration: None,
         }
     }
 
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -84,6 +84,7 @@
         fleet: None,
         group_level: FeatureLevel::SUPPORTED,
         relays: Vec::new(),
+        configuration: None,
     };
     assert!(state.apply_confirmation(&reply, BootInstant::now()));
 }
--- a/crates/rpc/src/layout/trailing.rs
+++ b/crates/rpc/src/layout/trailing.rs
@@ -45,6 +45,28 @@
     }
 }
 
+/// Four lists at the end of a message, with the same rule.
+pub struct TrailingQuadruple<'a, T, U, V, W>(pub &'a [T], pub &'a [U], pub &'a [V], pub &'a [W]);
+
+impl<C, T, U, V, W> Writable<C> for TrailingQuadruple<'_, T, U, V, W>
+where
+    C: Context,
+    T: Writable<C>,
+    U: Writable<C>,
+    V: Writable<C>,
+    W: Writable<C>,
+{
+    fn write_to<X: ?Sized + Writer<C>>(&self, writer: &mut X) -> Result<(), C::Error> {
+        if self.3.is_empty() {
+            return TrailingTriple(self.0, self.1, self.2).write_to(writer);
+        }
+        self.0.write_to(writer)?;
+        self.1.write_to(writer)?;
+        self.2.write_to(writer)?;
+        self.3.write_to(writer)
+    }
+}
+
 impl<C, T> Writable<C> for Trailing<'_, T>
 where
     C: Context,
--- a/crates/rpc/src/layout/watch.rs
+++ b/crates/rpc/src/layout/watch.rs
@@ -6,15 +6,16 @@
 
 use super::{
     software::SoftwareGroup,
-    trailing::{TrailingPair, TrailingTriple},
+    trailing::{TrailingQuadruple, TrailingTriple},
 };
 use crate::{
     level::FeatureLevel,
     permits::LimitedReplica,
     relay::RelayOffer,
     serving::{
-        FleetDigest, QuarantineUpdate, ReplicaCondition, ReplicaObservation, ReplicaPace,
-        ReplicaSpeed, ServingUpdate, WatchPosition, WatchReply, WatchRequest,
+        ConfigurationPart, ConfigurationPosition, FleetDigest, QuarantineUpdate, ReplicaCondition,
+        ReplicaObservation, ReplicaPace, ReplicaSpeed, ServingUpdate, WatchPosition, WatchReply,
+        WatchRequest,
     },
 };
 
@@ -31,6 +32,9 @@
     /// At most one.
     #[speedy(default_on_eof)]
     relay_addresses: Vec<String>,
+    /// At most one.
+    #[speedy(default_on_eof)]
+    configuration: Vec<ConfigurationPosition>,
 }
 
 #[derive(Readable, Writable)]
@@ -47,7 +51,7 @@
     wait_ms: u64,
     observations: &'a [ReplicaObservation],
     later: Option<LaterRequest>,
-    paces_and_relay: TrailingPair<'a, ReplicaPace, String>,
+    additions: TrailingTriple<'a, ReplicaPace, String, ConfigurationPosition>,
 }
 
 impl<'a> From<&'a WatchRequest> for WrittenRequest<'a> {
@@ -62,7 +66,11 @@
                 wants_records: request.wants_records,
                 has_lease: request.has_lease,
             }),
-            paces_and_relay: TrailingPair(&request.paces, request.relay_address.as_slice()),
+            additions: TrailingTriple(
+                &request.paces,
+                request.relay_address.as_slice(),
+                request.configuration.as_slice(),
+            ),
         }
     }
 }
@@ -85,6 +93,7 @@
             observations: wire.observations,
             paces: wire.paces,
             relay_address: wire.relay_addresses.into_iter().next(),
+            configuration: wire.configuration.into_iter().next(),
         }
     }
 }
@@ -107,6 +116,9 @@
     /// Versions of the software of the replicas in the update.
     #[speedy(default_on_eof)]
     software: Vec<SoftwareGroup>,
+    /// At most one.
+    #[speedy(default_on_eof)]
+    configuration: Vec<ConfigurationPart>,
 }
 
 #[derive(Readable)]
@@ -149,7 +161,7 @@
     update: Option<WrittenUpdate<'a>>,
     fleet: Option<WrittenDigest<'a>>,
     later: Option<WrittenLater<'a>>,
-    additions: TrailingTriple<'a, ReplicaSpeed, RelayOffer, SoftwareGroup>,
+    additions: TrailingQuadruple<'a, ReplicaSpeed, RelayOffer, SoftwareGroup, ConfigurationPart>,
 }
 
 #[derive(Writable)]
@@ -202,10 +214,11 @@
                 limited: fleet.map_or(&[], |fleet| &fleet.limited),
                 update: update.map(WrittenLaterUpdate::from),
             }),
-            additions: TrailingTriple(
+            additions: TrailingQuadruple(
                 fleet.map_or(&[], |fleet| &fleet.speeds),
                 &reply.relays,
                 software,
+                reply.configuration.as_slice(),
             ),
         }
     }
@@ -260,6 +273,7 @@
             }),
             group_level: group_level.unwrap_or_default(),
             relays: wire.relays,
+            configuration: wire.configuration.into_iter().next(),
         }
     }
 }
--- a/crates/rpc/src/serving.rs
+++ b/crates/rpc/src/serving.rs
@@ -11,8 +11,10 @@
 use crate::{level::FeatureLevel, permits::LimitedReplica, relay::RelayOffer};
 
 mod commands;
+mod configuration;
 
 pub use commands::{ConfigurationDocument, Registration, ServingCommand, ServingOutcome};
+pub use configuration::{ConfigurationPart, ConfigurationPosition, TransferPosition};
 
 /// Log positions up to which a router has received the serving state; 0 for nothing.
 ///
@@ -82,6 +84,8 @@
     pub paces: Vec<ReplicaPace>,
     /// Address at which the router opens connections to replicas for other routers, if it does.
     pub relay_address: Option<String>,
+    /// How much of the configuration the router has; `None` for builds that receive it whole.
+    pub configuration: Option<ConfigurationPosition>,
 }
 
 /// Age from which a confirmation no longer renews a lease, milliseconds. The router then switches to another
@@ -110,6 +114,8 @@
     pub group_level: FeatureLevel,
     /// Some routers that open connections to replicas for this one.
     pub relays: Vec<RelayOffer>,
+    /// Next part of the configuration, for a router that states its position; `None` if it lacks nothing.
+    pub configuration: Option<ConfigurationPart>,
 }
 
 /// Recent observations of one back-end replica, by one router or by all routers connected to one control
@@ -191,7 +197,7 @@
 pub struct ServingUpdate {
     /// Position of the router after it has applied the update.
     pub position: WatchPosition,
-    /// The configuration, if it changed.
+    /// The configuration, if it changed, for a router that receives it whole.
     pub configuration: Option<ServingConfiguration>,
     /// Whether `replicas` contains all replicas instead of changed ones only.
     pub complete: bool,
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod availability;
 pub mod configuration;
+pub mod configuration_items;
 pub mod content;
 pub mod errors;
 pub mod incarnation;
@@ -27,6 +28,7 @@
     CallerLimits, EngineConfig, LEAST_URGENT_PRIORITY, RequestKind, Route, ServiceConfig,
     ServingConfiguration, StoreConfig, TenantConfig, WeightedService,
 };
+pub use configuration_items::{ConfigurationItem, ConfigurationItems, ItemKey};
 pub use content::{ContentKey, RequestContent};
 pub use errors::ConfigurationError;
 pub use incarnation::Incarnation;
