Deny a route or a key only with a confirmation within the bound on changes

What callers saw: 404 for a route, and 401 for a key, that had been acknowledged longer ago than config_apply_ms.

Cause: a router spoke from its table until the lease ends, whatever it said. The lease bounds the use of what exists (revoke_ms, 5 s); that something does not exist is a statement on the present, which a change makes wrong after config_apply_ms (2 s). The class: one bound for two statements of different promises.

Now a denial needs a confirmation of less than nine tenths of config_apply_ms; otherwise the request is refused with 503 and Retry-After, as it is without a lease, so that its caller tries elsewhere. What the table holds is served as before. A table confirmed that recently holds all that was acknowledged earlier, so no denial can break the bound, for whatever reason the router lags.

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -79,10 +79,20 @@
     if !state.is_confirmed() {
         return Err(RefusalReason::Unconfirmed);
     }
-    let admitted = admission::admit(table, request)?;
+    let admitted = admission::admit(table, request).map_err(|reason| confirmed(state, reason))?;
     let stop = state.shutdown_plan();
     if stop.is_some_and(|plan| !plan.accepts(admitted.deadline, Instant::now())) {
         return Err(RefusalReason::Stopping);
     }
     Ok(admitted)
 }
+
+/// Replaces a denial that may rest on an outdated configuration.
+fn confirmed(state: &ProxyState, reason: RefusalReason) -> RefusalReason {
+    match reason {
+        RefusalReason::UnknownRoute | RefusalReason::UnknownKey if !state.may_deny() => {
+            RefusalReason::Unconfirmed
+        }
+        _ => reason,
+    }
+}
--- a/crates/proxy/src/lease.rs
+++ b/crates/proxy/src/lease.rs
@@ -18,15 +18,18 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Lease {
     duration: Option<Duration>,
+    /// Age of the confirmation up to which the configuration tells what does not exist.
+    denial_age: Duration,
     confirmed_at: Option<BootInstant>,
 }
 
 impl Lease {
-    /// Creates a lease for a deployment in which a revoked key may work for at most `revoke`.
-    /// Without `fail_closed`, the lease does not expire once confirmed.
-    pub fn new(revoke: Duration, fail_closed: bool) -> Self {
+    /// Creates a lease for a deployment in which a revoked key may work for at most `revoke`, and a change must be in
+    /// force after `apply`. Without `fail_closed`, the lease does not expire once confirmed.
+    pub fn new(revoke: Duration, fail_closed: bool, apply: Duration) -> Self {
         Self {
             duration: fail_closed.then_some(revoke - revoke / MARGIN_DIVISOR),
+            denial_age: apply - apply / MARGIN_DIVISOR,
             confirmed_at: None,
         }
     }
@@ -64,4 +67,10 @@
             (None, _) => false,
         }
     }
+
+    /// Whether a route or key that the configuration lacks may be denied: any that was added long enough ago to be in
+    /// force would be there. The expiry of the lease is too late for that, because it bounds the use of what exists.
+    pub fn may_deny(&self, now: BootInstant) -> bool {
+        self.age(now).is_some_and(|age| age < self.denial_age)
+    }
 }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -161,10 +161,11 @@
     pub fn new(options: ProxyOptions, backend: Box<dyn BackendProtocol>) -> Arc<Self> {
         let bounds = options.bounds;
         let revoke = Duration::from_millis(bounds.revoke_ms);
+        let apply = Duration::from_millis(bounds.config_apply_ms);
         let (view_changed, _) = watch::channel(0);
         let replicas = ReplicaTable::with_source(options.source_address);
         Arc::new(Self {
-            lease: Mutex::new(Lease::new(revoke, bounds.fail_closed)),
+            lease: Mutex::new(Lease::new(revoke, bounds.fail_closed, apply)),
             options,
             backend,
             view: ArcSwap::default(),
@@ -255,6 +256,11 @@
         has_configuration && lock(&self.lease).is_valid(BootInstant::now())
     }
 
+    /// Whether a route or key may be denied that the configuration lacks.
+    pub fn may_deny(&self) -> bool {
+        lock(&self.lease).may_deny(BootInstant::now())
+    }
+
     /// Whether the configuration was confirmed since the process started.
     pub fn was_confirmed(&self) -> bool {
         lock(&self.lease).age(BootInstant::now()).is_some()
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -42,10 +42,24 @@
     }
 }
 
+/// Guards against denials from an outdated table, which a lease that never ends would allow forever.
+#[test]
+fn denials_need_a_confirmation_within_the_bound_on_changes() {
+    let start = BootInstant::now();
+    for fail_closed in [true, false] {
+        let mut lease = Lease::new(milliseconds(5_000), fail_closed, milliseconds(2_000));
+        assert!(!lease.may_deny(start));
+        lease.apply_reply(&reply(Some(300), 400), start);
+        assert!(lease.may_deny(start + milliseconds(1_850)));
+        assert!(!lease.may_deny(start + milliseconds(1_950)));
+        assert!(lease.is_valid(start + milliseconds(1_950)));
+    }
+}
+
 #[test]
 fn a_lease_starts_at_the_confirmation_and_expires_before_the_bound() {
     let start = BootInstant::now();
-    let mut lease = Lease::new(milliseconds(5_000), true);
+    let mut lease = Lease::new(milliseconds(5_000), true, milliseconds(2_000));
     assert!(!lease.is_valid(start));
     lease.apply_reply(&reply(None, 0), start);
     assert!(!lease.is_valid(start));
@@ -61,7 +75,7 @@
 #[test]
 fn a_lease_expires_while_the_machine_is_suspended() {
     let steady = Instant::now();
-    let mut lease = Lease::new(milliseconds(5_000), true);
+    let mut lease = Lease::new(milliseconds(5_000), true, milliseconds(2_000));
     lease.apply_reply(&reply(Some(0), 0), BootInstant::at(steady, milliseconds(0)));
     let soon = steady + milliseconds(100);
     assert!(lease.is_valid(BootInstant::at(soon, milliseconds(0))));
@@ -71,7 +85,7 @@
 #[test]
 fn a_lease_that_fails_open_never_expires() {
     let start = BootInstant::now();
-    let mut lease = Lease::new(milliseconds(5_000), false);
+    let mut lease = Lease::new(milliseconds(5_000), false, milliseconds(2_000));
     assert!(!lease.is_valid(start));
     lease.apply_reply(&reply(Some(0), 0), start);
     assert!(lease.is_valid(start + milliseconds(60_000)));
