Read the time of a confirmation before the view that it is sent with

A confirmation may arrive between the two reads and would then cover more than the view holds. Read in the code; it can't happen while the daemon's runtime has one thread and nothing is awaited in between, so no test shows it.

--- a/crates/control/src/serving/watch.rs
+++ b/crates/control/src/serving/watch.rs
@@ -114,10 +114,12 @@
         let interval = self.update_interval();
         let delay = batching_delay(&request, received_at.elapsed(), interval);
         sleep(delay).await;
+        // Read before the view, which then holds everything that was committed at this time.
+        let confirmed_at = self.times().confirmed_at;
         let view = self.leader_client.view();
         let changes = view.serving.changes_for(&request);
         WatchReply {
-            confirmed_age_ms: self.confirmed_age_ms(&view),
+            confirmed_age_ms: self.confirmed_age_ms(&view, confirmed_at),
             delayed_ms: delayed_since.elapsed().as_millis() as u64,
             zone: self.zone.clone(),
             members: view.voters.clone(),
@@ -138,7 +140,8 @@
     /// Waits until the state of this replica is confirmed.
     async fn confirmation(&self) {
         loop {
-            let age = self.confirmed_age_ms(&self.leader_client.view());
+            let confirmed_at = self.times().confirmed_at;
+            let age = self.confirmed_age_ms(&self.leader_client.view(), confirmed_at);
             if age.is_some_and(|age| age < MAX_CONFIRMATION_AGE_MS) {
                 return;
             }
@@ -146,13 +149,13 @@
         }
     }
 
-    fn confirmed_age_ms(&self, view: &NodeView) -> Option<u64> {
+    /// Age of the confirmation of `view`, given the one that was received before the view was read.
+    fn confirmed_age_ms(&self, view: &NodeView, confirmed_at: Option<BootInstant>) -> Option<u64> {
         if view.is_leader {
             let age = view.leadership_confirmation_age(self.started)?;
             return Some(age.as_millis() as u64);
         }
-        let confirmed_at = self.times().confirmed_at?;
-        Some(confirmed_at.elapsed().as_millis() as u64)
+        Some(confirmed_at?.elapsed().as_millis() as u64)
     }
 
     fn has_recent_requests(&self) -> bool {
