Look for removed routes and services only when the configuration changes

For each update, a heartbeat's too, a router went through all routes for each name in the traffic splitter.

--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of a router.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::{IpAddr, SocketAddr},
     sync::{
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
@@ -13,7 +13,9 @@
 use arc_swap::ArcSwap;
 use railtack_clock::BootInstant;
 use railtack_rpc::serving::{QuarantineUpdate, WatchReply};
-use railtack_serving::{Bounds, CallerLimits, ContentKey, MonotonicTime, Policy, StreamOrigins};
+use railtack_serving::{
+    Bounds, CallerLimits, ContentKey, MonotonicTime, Policy, ServingConfiguration, StreamOrigins,
+};
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
@@ -210,21 +212,36 @@
         let known = next.position.state;
         self.metrics
             .set_replicas(next.replicas.values().map(|record| &**record));
-        if let Some(table) = &next.table {
-            let configuration = table.configuration();
-            lock(&self.prefill_latencies)
-                .retain(|service, _| configuration.service(service).is_some());
-            lock(&self.overload).retain(|service| configuration.service(service).is_some());
-            self.estimates
-                .retain(|service| configuration.service(service).is_some());
-            lock(&self.retry_pacers).retain(|service, _| configuration.service(service).is_some());
-            let routes = &configuration.routes;
-            lock(&self.splitter).retain(|name| routes.iter().any(|route| route.name == name));
+        let is_same_table = match (&before.table, &next.table) {
+            (Some(before), Some(next)) => Arc::ptr_eq(before, next),
+            (_, next) => next.is_none(),
+        };
+        if let Some(table) = next.table.as_ref().filter(|_| !is_same_table) {
+            self.forget_removed(table.configuration());
         }
         self.view.store(Arc::new(next));
         self.view_changed.send_replace(known);
     }
 
+    /// Removes what is kept of services and routes that no longer exist.
+    fn forget_removed(&self, configuration: &ServingConfiguration) {
+        let services: HashSet<&str> = configuration
+            .services
+            .iter()
+            .map(|service| service.name.as_str())
+            .collect();
+        let routes: HashSet<&str> = configuration
+            .routes
+            .iter()
+            .map(|route| route.name.as_str())
+            .collect();
+        lock(&self.prefill_latencies).retain(|service, _| services.contains(service.as_str()));
+        lock(&self.overload).retain(|service| services.contains(service));
+        self.estimates.retain(|service| services.contains(service));
+        lock(&self.retry_pacers).retain(|service, _| services.contains(service.as_str()));
+        lock(&self.splitter).retain(|name| routes.contains(name));
+    }
+
     /// Applies a quarantine update from the control group.
     pub fn apply_quarantine(&self, update: &QuarantineUpdate) {
         let mut quarantine = lock(&self.crash_checks.quarantine);
