Quarantine parts of prompts under which replicas crash

Cause: the quarantine knows a request by the hash of all that it is. What requests share is no key, so each of those was the first of its kind. The class: a limit that holds for one, where the harm adds up over many.

Now the parts of a prompt but the last are reported with a crash as keys of their own, by the commands that are there, from feature level 4 on. What tells a fatal part from the ones beside it is that these complete: a router doesn't report a part that completed there within 10 s, and clears one that others suspect. Only a success with a length or chunks counts. Nothing is held back for a part; a request with a quarantined one is refused at once.

--- a/crates/control/src/serving_state/quarantine.rs
+++ b/crates/control/src/serving_state/quarantine.rs
@@ -4,6 +4,10 @@
 //! so a request is quarantined only if it was present at several crashes that no other quarantined
 //! request explains, and no other request was present at all of the same crashes.
 //!
+//! A part of prompts may be at fault as well, in requests of which no two are alike. Parts are judged in the same way
+//! among themselves, before whole requests. The parts that a fatal one shares its requests with go on to complete, and
+//! are cleared by that.
+//!
 //! Invariants: the state is bounded and a function of the commands and their order. The leader
 //! measures the time since the last crash under each request and removes the entry by a command. A
 //! request that has completed since its last crash is not suspected.
@@ -26,6 +30,9 @@
 /// Crashes after which a request is in the list `suspected`, so that routers report when it
 /// completes. After a single crash such reports would be too many.
 const MIN_CRASHES_TO_SUSPECT: usize = 2;
+/// Crashes under a part without the request that was present at the others, from which the part is at fault and not
+/// that request.
+const MIN_CRASHES_BY_OTHERS: usize = 2;
 /// Suspects kept: enough for all requests of thirty replicas with 32 slots that crash together.
 const MAX_SUSPECTS: usize = 1_024;
 /// Crashes kept for one suspect.
@@ -158,14 +165,16 @@
     fn recompute(&mut self, index: LogIndex) {
         let mut quarantined: BTreeSet<ContentKey> = BTreeSet::new();
         let mut explained: BTreeSet<ReplicaKey> = BTreeSet::new();
-        loop {
-            let newly_quarantined = self.next_to_quarantine(&explained);
-            if newly_quarantined.is_empty() {
-                break;
-            }
-            for content in newly_quarantined {
-                explained.extend(&self.suspects[&content].crashes);
-                quarantined.insert(content);
+        for are_parts in [true, false] {
+            loop {
+                let newly_quarantined = self.next_to_quarantine(are_parts, &explained);
+                if newly_quarantined.is_empty() {
+                    break;
+                }
+                for content in newly_quarantined {
+                    explained.extend(&self.suspects[&content].crashes);
+                    quarantined.insert(content);
+                }
             }
         }
         for (content, suspect) in &mut self.suspects {
@@ -196,7 +205,11 @@
     /// Returns the request with the most unexplained crashes if they suffice to quarantine it. Its
     /// rivals are returned with it once it has [`CRASHES_DESPITE_RIVAL`] crashes; until then none of
     /// them is returned.
-    fn next_to_quarantine(&self, explained: &BTreeSet<ReplicaKey>) -> Vec<ContentKey> {
+    fn next_to_quarantine(
+        &self,
+        are_parts: bool,
+        explained: &BTreeSet<ReplicaKey>,
+    ) -> Vec<ContentKey> {
         let unexplained = |suspect: &Suspect| -> BTreeSet<ReplicaKey> {
             let crashes = suspect.crashes.iter().copied();
             crashes.filter(|crash| !explained.contains(crash)).collect()
@@ -205,6 +218,10 @@
             .suspects
             .iter()
             .filter(|(_, suspect)| suspect.crashes.len() >= MIN_CRASHES)
+            .filter(|(content, suspect)| {
+                content.is_prompt_part() == are_parts
+                    && !(are_parts && self.is_explained_by_one_request(suspect))
+            })
             .map(|(content, suspect)| (*content, unexplained(suspect)))
             .filter(|(_, crashes)| crashes.len() >= MIN_CRASHES)
             .collect();
@@ -227,6 +244,22 @@
         Vec::new()
     }
 
+    /// Whether one request that comes again and again explains the crashes under a part. Others that have the part may
+    /// have been present once.
+    fn is_explained_by_one_request(&self, part: &Suspect) -> bool {
+        let others = self.suspects.iter().filter(|(content, other)| {
+            !content.is_prompt_part() && other.crashes.len() >= MIN_CRASHES
+        });
+        let unexplained = |other: &Suspect| {
+            let crashes = part.crashes.iter();
+            crashes
+                .filter(|crash| !other.crashes.contains(crash))
+                .count()
+        };
+        let mut unexplained = others.map(|(_, other)| unexplained(other));
+        unexplained.any(|count| count < MIN_CRASHES_BY_OTHERS)
+    }
+
     /// Evicts the suspect with the fewest crashes, and of these the one unchanged for longest, if
     /// the table is full.
     fn evict_if_full(&mut self, content: &ContentKey) {
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -6,12 +6,13 @@
 use hyper::{Response, body::Incoming, http::response};
 use railtack_http::{ReceiveError, read_body};
 use railtack_serving::{
-    BackendSignals, ContentKey, LimitHeader, ReplicaKey, ReplicaRecord, RequestLimit, SignalChanges,
+    BackendSignals, LimitHeader, ReplicaKey, ReplicaRecord, RequestLimit, SignalChanges,
 };
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
     backend::{Dispatch, ResponseClass},
+    crash_checks::CrashSubjects,
     health::ExchangeOutcome,
     load::estimate::ReplicaLoad,
     permits::{self, Permit},
@@ -145,7 +146,7 @@
     dispatch: &Dispatch<'_>,
     non_retryable: bool,
     head_deadline: HeadDeadline,
-    content: ContentKey,
+    subjects: &CrashSubjects,
 ) -> Result<OpenResponse, FailedExchange> {
     for _ in 0..MAX_STALE_CONNECTIONS {
         let mut connection = connect(state, target, dispatch, non_retryable).await?;
@@ -154,7 +155,7 @@
             return Err(FailedExchange::not_sent("lease lost"));
         }
         // Other copies may have crashed replicas while this one waited for a connection.
-        if state.quarantine_retry_after(content).is_some() {
+        if state.crash_checks.quarantined_subject(subjects).is_some() {
             return Err(FailedExchange::not_sent("quarantined"));
         }
         let sent_at = Instant::now();
--- a/crates/proxy/src/control_peers.rs
+++ b/crates/proxy/src/control_peers.rs
@@ -56,6 +56,11 @@
         self.level.get() >= FeatureLevel::SOFTWARE_VERSIONS
     }
 
+    /// Whether the group records parts of prompts under which replicas crash.
+    pub fn records_prompt_parts(&self) -> bool {
+        self.level.get() >= FeatureLevel::PROMPT_PARTS
+    }
+
     /// Sets the member that this router watches.
     pub fn set_nearest(&self, address: SocketAddr) {
         self.lock().nearest = Some(address);
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -23,6 +23,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
+    crash_checks,
     fleet_view::MIN_ROUTERS_FOR_SHARED_LOAD,
     limits,
     load::pace::ReportTimer,
@@ -249,9 +250,10 @@
     }
 }
 
-fn apply_update(state: &ProxyState, update: ServingUpdate) {
+fn apply_update(state: &Arc<ProxyState>, update: ServingUpdate) {
     if let Some(quarantine) = &update.quarantine {
         state.apply_quarantine(quarantine);
+        crash_checks::clear_completed_parts(state);
     }
     if update.configuration.is_some() {
         lock(&state.configuration_transfer).record_whole();
--- a/crates/proxy/src/crash_checks.rs
+++ b/crates/proxy/src/crash_checks.rs
@@ -58,6 +58,28 @@
 /// Maximum number of reports that are proposed at the same time; further ones wait.
 const MAX_CONCURRENT_REPORTS: usize = 64;
 
+/// Longest delay before a part of prompts is reported as harmless because others suspect it. All routers that know it to
+/// be so wait for a random time, and the first report spares the others theirs.
+const CLEARANCE_SPREAD: Duration = Duration::from_millis(100);
+
+/// What a replica may have crashed on.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CrashSubjects {
+    /// Key of a whole request.
+    pub content: ContentKey,
+    /// Keys of the parts of its prompt that other requests may share.
+    pub parts: Vec<ContentKey>,
+}
+
+impl From<ContentKey> for CrashSubjects {
+    fn from(content: ContentKey) -> Self {
+        Self {
+            content,
+            parts: Vec::new(),
+        }
+    }
+}
+
 /// Proof that a replica has crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashProof {
@@ -140,6 +162,11 @@
     /// Whether the control group can record reports.
     fn supports_reports(&self) -> bool;
 
+    /// Whether the control group can record parts of prompts.
+    fn supports_part_reports(&self) -> bool {
+        false
+    }
+
     /// Proposes a command once. Attempts are numbered, so that each can go to another control replica while the
     /// leader is unknown. Returns `None` if the command may not be recorded.
     fn propose(
@@ -180,6 +207,15 @@
         lock(&self.quarantine).retry_after(content, Instant::now())
     }
 
+    /// Returns which subject of a request is quarantined, and the retry delay; `None` if none is.
+    pub fn quarantined_subject(&self, subjects: &CrashSubjects) -> Option<(ContentKey, Duration)> {
+        let quarantine = lock(&self.quarantine);
+        let now = Instant::now();
+        let keys = std::iter::once(&subjects.content).chain(&subjects.parts);
+        let quarantined = keys.filter_map(|key| Some((*key, quarantine.retry_after(*key, now)?)));
+        quarantined.max_by_key(|(_, retry_after)| *retry_after)
+    }
+
     /// Waits while a crash that involves this request is being checked or reported, here or, if the request is
     /// suspected, by other routers, and while another copy of a suspected request runs. A request that is repeated
     /// thus risks one replica at a time. The wait is bounded by a part of `time`, in which the request should be
@@ -272,11 +308,17 @@
 pub fn connection_broken<H: CrashCheckHost>(
     host: &Arc<H>,
     replica: &H::Replica,
-    content: ContentKey,
+    subjects: impl Into<CrashSubjects>,
 ) {
     let now = Instant::now();
-    let is_first =
-        lock(&host.crash_checks().tracker).record_broken_connection(H::id(replica), content, now);
+    let subjects = subjects.into();
+    let id = H::id(replica);
+    let is_first = {
+        let mut tracker = lock(&host.crash_checks().tracker);
+        let is_first = tracker.record_broken_connection(id, subjects.content, now);
+        tracker.record_broken_parts(id, &subjects.parts);
+        is_first
+    };
     if is_first {
         tokio::spawn(check(Arc::clone(host), replica.clone(), now));
     }
@@ -293,9 +335,15 @@
 
 /// Records that a request completed, and reports it to the control group if the request is
 /// suspected or quarantined: copies that were open when it was quarantined may prove it harmless.
-pub fn request_succeeded<H: CrashCheckHost>(host: &Arc<H>, content: ContentKey) {
+pub fn request_succeeded<H: CrashCheckHost>(host: &Arc<H>, subjects: impl Into<CrashSubjects>) {
     let checks = host.crash_checks();
-    lock(&checks.tracker).record_success(content, Instant::now());
+    let subjects = subjects.into();
+    let content = subjects.content;
+    {
+        let mut tracker = lock(&checks.tracker);
+        tracker.record_success(content, Instant::now());
+        tracker.record_part_successes(&subjects.parts, Instant::now());
+    }
     if lock(&checks.quarantine).should_report_success(content) {
         let contents = vec![content];
         spdlog::info!("suspected request ran well", kv: { content = content.to_string() });
@@ -303,6 +351,52 @@
         let command = ServingCommand::ClearSuspects { contents };
         tokio::spawn(async move { propose_until_recorded(&*host, command).await });
     }
+    clear_parts(host, subjects.parts);
+}
+
+/// Reports the parts of prompts that the control group suspects although requests with them completed here recently.
+/// Called when its lists change.
+pub fn clear_completed_parts<H: CrashCheckHost>(host: &Arc<H>) {
+    let checks = host.crash_checks();
+    let now = Instant::now();
+    let suspected = lock(&checks.quarantine).suspected_parts();
+    let tracker = lock(&checks.tracker);
+    let completed = suspected
+        .into_iter()
+        .filter(|part| tracker.has_part_succeeded(*part, now));
+    let completed: Vec<ContentKey> = completed.collect();
+    drop(tracker);
+    clear_parts(host, completed);
+}
+
+/// Reports parts of prompts that completed, unless the control group does not suspect them.
+fn clear_parts<H: CrashCheckHost>(host: &Arc<H>, parts: Vec<ContentKey>) {
+    let awaited = {
+        let mut quarantine = lock(&host.crash_checks().quarantine);
+        let mut awaited = parts;
+        awaited.retain(|part| quarantine.should_report_success(*part));
+        awaited
+    };
+    if awaited.is_empty() || !host.supports_part_reports() {
+        return;
+    }
+    let host = Arc::clone(host);
+    tokio::spawn(async move {
+        sleep(CLEARANCE_SPREAD.mul_f64(rand::random())).await;
+        let contents = {
+            let quarantine = lock(&host.crash_checks().quarantine);
+            let mut still_suspected = awaited;
+            still_suspected.retain(|part| quarantine.is_listed(*part));
+            still_suspected
+        };
+        if contents.is_empty() {
+            return;
+        }
+        spdlog::info!("suspected prompt parts ran well", kv: {
+            parts = contents.iter().map(ToString::to_string).collect::<Vec<_>>().join(","),
+        });
+        propose_until_recorded(&*host, ServingCommand::ClearSuspects { contents }).await;
+    });
 }
 
 /// Checks a replica until a check covers the last broken connection or proves a crash, and reports the crash.
@@ -369,10 +463,16 @@
     let id = H::id(replica);
     let reporter = host.reporter(replica);
     let mut requests = 0;
+    let mut prompt_parts = 0;
     let mut is_recorded = true;
     loop {
-        let contents = lock(&checks.tracker).take_unreported(id);
+        let mut contents = lock(&checks.tracker).take_unreported(id);
         requests += contents.len();
+        if host.supports_part_reports() {
+            let parts = lock(&checks.tracker).take_unreported_parts(id, Instant::now());
+            prompt_parts += parts.len();
+            contents.extend(parts);
+        }
         let command = ServingCommand::RecordCrash {
             replica: ReplicaKey::of(id),
             contents,
@@ -389,6 +489,7 @@
         replica = id.to_owned(),
         proof = format!("{proof:?}"),
         requests,
+        prompt_parts,
         hears_others = reporter.is_some(),
         recorded = is_recorded,
     });
--- a/crates/proxy/src/crash_detection.rs
+++ b/crates/proxy/src/crash_detection.rs
@@ -8,6 +8,10 @@
     time::Duration,
 };
 
+use hyper::{
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    http::response,
+};
 use railtack_rpc::{
     call_context,
     protocol::{Command, Outcome, Proposal, ProposeReply},
@@ -18,10 +22,13 @@
 
 use crate::{
     attempt::Target,
-    crash_checks::{self, CrashCheckHost, CrashChecks, PROPOSE_TIMEOUT, SUCCESSOR_TIMEOUT},
+    crash_checks::{
+        self, CrashCheckHost, CrashChecks, CrashSubjects, PROPOSE_TIMEOUT, SUCCESSOR_TIMEOUT,
+    },
     health::ExchangeOutcome,
     pool::ProbeConnection,
     relay::{self, client::Destination},
+    request::PromptInfo,
     state::{ProxyState, lock},
     view::ServingView,
 };
@@ -32,9 +39,47 @@
 
 /// Records that the connection of a running request broke, and checks in the background whether the
 /// replica has crashed.
-pub fn connection_broken(state: &Arc<ProxyState>, target: &Target, content: ContentKey) {
+pub fn connection_broken(state: &Arc<ProxyState>, target: &Target, subjects: &CrashSubjects) {
     if !is_leaving(&state.view.load(), &target.record) {
-        crash_checks::connection_broken(state, target, content);
+        crash_checks::connection_broken(state, target, subjects.clone());
+    }
+}
+
+/// Records that a response with this head was received to its end.
+pub fn response_received(
+    state: &Arc<ProxyState>,
+    head: &response::Parts,
+    subjects: &CrashSubjects,
+) {
+    if proves_prompt_harmless(head) {
+        crash_checks::request_succeeded(state, subjects.clone());
+    } else {
+        crash_checks::request_succeeded(state, subjects.content);
+    }
+}
+
+/// Whether a response with this head, received to its end, proves that its prompt crashes no replica. A failure says
+/// nothing of the prompt, nor does a response that ends with its connection: a crash would look the same.
+pub fn proves_prompt_harmless(head: &response::Parts) -> bool {
+    let is_delimited = [CONTENT_LENGTH, TRANSFER_ENCODING]
+        .iter()
+        .any(|name| head.headers.contains_key(name));
+    is_delimited && head.status.is_success()
+}
+
+/// Returns what a replica may crash on if it runs this request.
+pub fn crash_subjects(
+    content: ContentKey,
+    service: &str,
+    prompt: Option<&PromptInfo>,
+) -> CrashSubjects {
+    let segments = prompt.map_or(&[][..], |prompt| &prompt.segments);
+    let shared = segments.split_last().map_or(&[][..], |(_, shared)| shared);
+    let parts = shared.iter();
+    let parts = parts.map(|segment| ContentKey::of_prompt_part(service, segment.id));
+    CrashSubjects {
+        content,
+        parts: parts.collect(),
     }
 }
 
@@ -125,6 +170,10 @@
         self.control_peers.supports_grants()
     }
 
+    fn supports_part_reports(&self) -> bool {
+        self.control_peers.records_prompt_parts()
+    }
+
     // After a failed attempt, the peers choose another control replica.
     async fn propose(&self, command: ServingCommand, _attempt: usize) -> Option<Outcome> {
         // Commands of the serving state do not use the time of day.
--- a/crates/proxy/src/crash_tracker.rs
+++ b/crates/proxy/src/crash_tracker.rs
@@ -5,7 +5,7 @@
 //! that, copies of such a request run one at a time until one completes.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, VecDeque},
     time::Duration,
 };
 
@@ -38,9 +38,17 @@
     },
 }
 
+/// Time for which a part of prompts counts as harmless after a request with it has completed. Longer would protect
+/// parts that turn harmful; shorter would not cover parts that come every few seconds.
+pub const PART_SUCCESS_VALIDITY: Duration = Duration::from_secs(10);
+/// Parts of prompts whose last success is remembered, 48 KB.
+const MAX_PART_SUCCESSES: usize = 2_048;
+
 /// Successes and broken connections of this router's own requests.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
+    /// Last success of requests with each part of prompts.
+    part_successes: HashMap<ContentKey, Instant>,
     successes: VecDeque<(ContentKey, Instant)>,
     broken_connections: HashMap<String, BrokenConnections>,
     suspects: HashMap<ContentKey, Suspect>,
@@ -73,6 +81,8 @@
     unreported: Vec<ContentKey>,
     /// Requests being reported.
     reporting: Vec<ContentKey>,
+    /// Parts of their prompts that are not reported yet.
+    unreported_parts: BTreeSet<ContentKey>,
     /// Whether the check of the replica is expected to finish soon.
     blocks_requests: bool,
     /// Time at which the crash was proven.
@@ -92,6 +102,7 @@
         Self {
             unreported: Vec::new(),
             reporting: Vec::new(),
+            unreported_parts: BTreeSet::new(),
             blocks_requests: true,
             crashed_at: None,
             last_broken_at: now,
@@ -141,6 +152,47 @@
         is_first
     }
 
+    /// Records the parts of the prompt of a request whose connection broke.
+    pub fn record_broken_parts(&mut self, replica: &str, parts: &[ContentKey]) {
+        let Some(broken) = self.broken_connections.get_mut(replica) else {
+            return;
+        };
+        let room = MAX_UNREPORTED.saturating_sub(broken.unreported_parts.len());
+        broken.unreported_parts.extend(parts.iter().take(room));
+    }
+
+    /// Records that a request with these parts in its prompt completed.
+    pub fn record_part_successes(&mut self, parts: &[ContentKey], now: Instant) {
+        for part in parts {
+            self.part_successes.insert(*part, now);
+        }
+        if self.part_successes.len() > MAX_PART_SUCCESSES {
+            self.part_successes
+                .retain(|_, at| now.saturating_duration_since(*at) < PART_SUCCESS_VALIDITY);
+        }
+        if self.part_successes.len() > MAX_PART_SUCCESSES {
+            // The router serves more parts than it can remember; those of this request are the newest.
+            self.part_successes.retain(|_, at| *at == now);
+        }
+    }
+
+    /// Whether a request with this part in its prompt completed recently.
+    pub fn has_part_succeeded(&self, part: ContentKey, now: Instant) -> bool {
+        let last_success = self.part_successes.get(&part);
+        last_success.is_some_and(|at| now.saturating_duration_since(*at) < PART_SUCCESS_VALIDITY)
+    }
+
+    /// Returns the next parts to report for a crashed replica, without those that completed recently.
+    pub fn take_unreported_parts(&mut self, replica: &str, now: Instant) -> Vec<ContentKey> {
+        let Some(broken) = self.broken_connections.get_mut(replica) else {
+            return Vec::new();
+        };
+        let parts = std::mem::take(&mut broken.unreported_parts);
+        let mut parts: Vec<ContentKey> = parts.into_iter().collect();
+        parts.retain(|part| !self.has_part_succeeded(*part, now));
+        parts
+    }
+
     fn add_suspect(&mut self, content: ContentKey, now: Instant) {
         if let Some(suspect) = self.suspects.get_mut(&content) {
             suspect.crashed_at = now;
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -12,7 +12,7 @@
     affinity::PrefixPath,
     attempt::{self, FailedExchange, HeadDeadline, OpenResponse, Target},
     backend::Dispatch,
-    crash_checks::{self, SendDecision, SuspectRun},
+    crash_checks::{CrashSubjects, SendDecision, SuspectRun},
     crash_detection, entry,
     health::ExchangeOutcome,
     load::{admission::LATE_PRIORITY, late_requests::LateRequest},
@@ -53,7 +53,7 @@
     };
     log.record_admission(&admitted);
     log.content = content_key(&request, &admitted);
-    let suspect_run = match check_crashes(&state, &admitted, log.content).await {
+    let suspect_run = match check_crashes(&state, &request, &admitted, log.content).await {
         Ok(run) => run,
         Err(refusal) => {
             log.record_outcome(refusal.reason.to_string());
@@ -91,10 +91,11 @@
     drawn.unwrap_or_default().to_owned()
 }
 
-/// Waits for pending crash checks. Refuses the request if it is quarantined, or if a replica crashed under it and
-/// that is not settled in time.
+/// Waits for pending crash checks. Refuses the request if it is quarantined, or a part of its prompt is at all services
+/// of its route, or if a replica crashed under it and that is not settled in time.
 async fn check_crashes(
     state: &ProxyState,
+    request: &ProxiedRequest,
     admitted: &Admitted,
     content: ContentKey,
 ) -> Result<Option<SuspectRun>, Refusal> {
@@ -104,7 +105,7 @@
         reason,
         retry_after: Some(retry_after),
     };
-    if let Some(pause) = state.quarantine_retry_after(content) {
+    if let Some(pause) = quarantine_retry_after(state, request, admitted, content) {
         return Err(refusal(RefusalReason::Quarantined, pause));
     }
     match decision {
@@ -113,6 +114,29 @@
     }
 }
 
+/// Returns the retry delay of a request that no service of its route may run.
+fn quarantine_retry_after(
+    state: &ProxyState,
+    request: &ProxiedRequest,
+    admitted: &Admitted,
+    content: ContentKey,
+) -> Option<Duration> {
+    let mut longest = None;
+    let targets = admitted.route.targets.iter();
+    for target in targets.filter(|target| target.weight_milli > 0) {
+        let prompt = request.prompt.as_ref();
+        let subjects = crash_detection::crash_subjects(content, &target.service, prompt);
+        let (subject, retry_after) = state.crash_checks.quarantined_subject(&subjects)?;
+        spdlog::info!("request refused as quarantined", kv: {
+            request = request.id.clone(),
+            subject = subject.to_string(),
+            service = target.service.clone(),
+        });
+        longest = longest.max(Some(retry_after));
+    }
+    longest
+}
+
 /// A request in progress, with the state of its attempts.
 pub struct RequestRun {
     /// Shared state of the router.
@@ -125,8 +149,8 @@
     pub service: String,
     /// Log record, written when the request ends.
     pub log: RequestLog,
-    /// Key of the request's content; identical for repeated requests.
-    pub content: ContentKey,
+    /// What replicas may crash on in the request.
+    pub subjects: CrashSubjects,
     /// Shared prefixes of the prompt.
     pub path: PrefixPath,
     /// Where the stream began, once the caller has events of it.
@@ -166,7 +190,8 @@
         service: String,
         log: RequestLog,
     ) -> Self {
-        let content = log.content;
+        let subjects =
+            crash_detection::crash_subjects(log.content, &service, request.prompt.as_ref());
         let namespace = admitted.tenant.as_deref().filter(|_| admitted.isolated);
         let path = request
             .prompt
@@ -179,7 +204,7 @@
             admitted,
             service,
             log,
-            content,
+            subjects,
             path,
             origin: None,
             tried: Vec::new(),
@@ -246,7 +271,7 @@
             ExchangeOutcome::Good
         };
         self.record_outcome(&target, outcome);
-        crash_checks::request_succeeded(&self.state, self.content);
+        crash_detection::response_received(&self.state, &head, &self.subjects);
         let response = self.build_response(head, railtack_http::full(content));
         if failed && self.admitted.route.kind.is_retryable() {
             return Ok(ExchangeStep::Failure(response));
@@ -309,7 +334,7 @@
             &dispatch,
             non_retryable,
             deadline,
-            self.content,
+            &self.subjects,
         )
         .await;
         match sent.as_ref().map_err(|failed| failed.proof) {
@@ -387,11 +412,11 @@
         }
         if failed.outcome == Some(ExchangeOutcome::ConnectionBroke) {
             self.broken_connections += 1;
-            crash_detection::connection_broken(&self.state, target, self.content);
+            crash_detection::connection_broken(&self.state, target, &self.subjects);
         }
         spdlog::info!("exchange failed", kv: {
             request = self.request.id.clone(),
-            content = self.content.to_string(),
+            content = self.subjects.content.to_string(),
             replica = target.record.id.clone(),
             cause = failed.cause,
             proof = format!("{:?}", failed.proof),
--- a/crates/proxy/src/pipeline/final_response.rs
+++ b/crates/proxy/src/pipeline/final_response.rs
@@ -54,8 +54,9 @@
 
     pub(super) fn refuse(mut self, reason: RefusalReason) -> Response<Body> {
         let pause_ms = (self.admitted.route.objective_ms / 2).max(MIN_RETRY_AFTER_MS);
-        let (reason, pause) = match self.state.quarantine_retry_after(self.content) {
-            Some(pause) => (RefusalReason::Quarantined, pause),
+        let quarantined = self.state.crash_checks.quarantined_subject(&self.subjects);
+        let (reason, pause) = match quarantined {
+            Some((_, pause)) => (RefusalReason::Quarantined, pause),
             None => (reason, Duration::from_millis(pause_ms)),
         };
         self.log.record_outcome(reason.to_string());
--- a/crates/proxy/src/pipeline/retry.rs
+++ b/crates/proxy/src/pipeline/retry.rs
@@ -80,7 +80,11 @@
         // Ended first, since the request would wait for its own run.
         drop(self.suspect_run.take());
         let objective = Duration::from_millis(self.admitted.route.objective_ms);
-        let decision = self.state.crash_checks.wait(self.content, objective).await;
+        let decision = self
+            .state
+            .crash_checks
+            .wait(self.subjects.content, objective)
+            .await;
         let SendDecision::Allowed(run) = decision else {
             return false;
         };
@@ -102,7 +106,12 @@
     /// connections broke so often that it would be if those replicas crashed.
     fn may_crash_another(&self) -> bool {
         let reached_crash_limit = self.broken_connections >= CRASHES_TO_QUARANTINE;
-        reached_crash_limit || self.state.quarantine_retry_after(self.content).is_some()
+        reached_crash_limit
+            || self
+                .state
+                .crash_checks
+                .quarantined_subject(&self.subjects)
+                .is_some()
     }
 
     /// Acquires quota for one more run. An attempt that did not run has not used its quota yet.
--- a/crates/proxy/src/quarantine.rs
+++ b/crates/proxy/src/quarantine.rs
@@ -87,6 +87,20 @@
         self.suspected.contains(&content)
     }
 
+    /// Whether the request or part is suspected or quarantined.
+    pub fn is_listed(&self, content: ContentKey) -> bool {
+        self.is_suspected(content) || self.quarantined.contains_key(&content)
+    }
+
+    /// Returns the parts of prompts that are suspected or quarantined.
+    pub fn suspected_parts(&self) -> Vec<ContentKey> {
+        let listed = self.suspected.iter().chain(self.quarantined.keys());
+        listed
+            .filter(|content| content.is_prompt_part())
+            .copied()
+            .collect()
+    }
+
     /// Returns the time by which all reports of the latest crash have arrived, if the request is
     /// suspected and that time lies ahead.
     pub fn reports_complete_at(&self, content: ContentKey, now: Instant) -> Option<Instant> {
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -14,7 +14,7 @@
 use railtack_clock::BootInstant;
 use railtack_rpc::serving::{QuarantineUpdate, WatchReply};
 use railtack_serving::{
-    Bounds, CallerLimits, ContentKey, MonotonicTime, Policy, ServingConfiguration, StreamOrigins,
+    Bounds, CallerLimits, MonotonicTime, Policy, ServingConfiguration, StreamOrigins,
 };
 use tokio::{sync::watch, time::Instant};
 
@@ -257,11 +257,6 @@
             .set(quarantine.quarantined() as i64);
     }
 
-    /// Returns the retry delay of a quarantined request; `None` if it is not quarantined.
-    pub fn quarantine_retry_after(&self, content: ContentKey) -> Option<Duration> {
-        self.crash_checks.quarantine_retry_after(content)
-    }
-
     /// Subscribes to new views.
     pub fn view_changes(&self) -> watch::Receiver<u64> {
         self.view_changed.subscribe()
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     attempt::FailedExchange,
-    crash_checks,
+    crash_detection,
     events::EventBuffer,
     health::ExchangeOutcome,
     load::{longest_gap::LongestGap, pace::GapTimer},
@@ -235,7 +235,8 @@
             self.run
                 .record_outcome(&active.target, ExchangeOutcome::Good);
             self.run.record_longest_gap(self.longest_gap);
-            crash_checks::request_succeeded(&self.run.state, self.run.content);
+            let head = &active.response.head;
+            crash_detection::response_received(&self.run.state, head, &self.run.subjects);
             if active.response.reusable {
                 let handle = &active.target.handle;
                 handle.pool.release(active.response.connection);
--- a/crates/proxy/tests/crash_checks.rs
+++ b/crates/proxy/tests/crash_checks.rs
@@ -11,7 +11,8 @@
 
 use futures::FutureExt;
 use railtack_proxy::{
-    crash_checks::{self, CrashCheckHost, CrashChecks, SendDecision},
+    crash_checks::{self, CrashCheckHost, CrashChecks, CrashSubjects, SendDecision},
+    crash_detection::proves_prompt_harmless,
     pool::ProbeConnection,
 };
 use railtack_rpc::{
@@ -106,6 +107,10 @@
         true
     }
 
+    fn supports_part_reports(&self) -> bool {
+        true
+    }
+
     async fn propose(&self, command: ServingCommand, _: usize) -> Option<Outcome> {
         self.attempts.fetch_add(1, Ordering::Relaxed);
         if !*self.is_recording.borrow() {
@@ -221,3 +226,82 @@
     );
     assert!(host.recorded.lock().expect("a lock").is_empty());
 }
+
+const COMPLETED_PART: ContentKey = ContentKey(11);
+const UNKNOWN_PART: ContentKey = ContentKey(12);
+
+fn subjects(content: ContentKey, parts: &[ContentKey]) -> CrashSubjects {
+    CrashSubjects {
+        content,
+        parts: parts.to_vec(),
+    }
+}
+
+impl Host {
+    async fn next_recorded(&self) -> ServingCommand {
+        loop {
+            let recorded = self.recorded.lock().expect("a lock").pop();
+            match recorded {
+                Some(command) => return command,
+                None => tokio::time::sleep(Duration::from_millis(5)).await,
+            }
+        }
+    }
+}
+
+/// Guards against the part that all prompts of a route begin with being suspected at each crash.
+#[tokio::test]
+async fn parts_that_completed_here_recently_are_not_reported() {
+    let host = Host::new();
+    host.is_recording.send_replace(true);
+    crash_checks::request_succeeded(&host, subjects(OTHER, &[COMPLETED_PART]));
+    let broken = subjects(FATAL, &[COMPLETED_PART, UNKNOWN_PART]);
+    crash_checks::connection_broken(&host, &crashed_replica("r").await, broken);
+    let ServingCommand::RecordCrash { contents, .. } = host.next_recorded().await else {
+        panic!("no report of a crash");
+    };
+    assert_eq!(contents, [FATAL, UNKNOWN_PART]);
+}
+
+/// Guards against a part that is refused everywhere because only some routers saw requests with it complete.
+#[tokio::test]
+async fn a_part_that_others_suspect_is_cleared_where_it_completed() {
+    let host = Host::new();
+    host.is_recording.send_replace(true);
+    let part = ContentKey::of_prompt_part("pool", 1);
+    let fatal = ContentKey::of_prompt_part("pool", 2);
+    crash_checks::request_succeeded(&host, subjects(OTHER, &[part]));
+    let update = QuarantineUpdate {
+        changed_at: 5,
+        quarantined: vec![fatal],
+        suspected: vec![part],
+    };
+    let now = Instant::now();
+    host.checks
+        .quarantine
+        .lock()
+        .expect("a lock")
+        .apply(&update, now);
+    crash_checks::clear_completed_parts(&host);
+    let ServingCommand::ClearSuspects { contents } = host.next_recorded().await else {
+        panic!("nothing was cleared");
+    };
+    assert_eq!(contents, [part]);
+}
+
+/// Guards against a fatal part that counts as harmless because the crash looked like the end of a response.
+#[test]
+fn only_delimited_successes_prove_a_prompt_harmless() {
+    let proves = |status: u16, header: Option<(&str, &str)>| {
+        let mut response = hyper::Response::builder().status(status);
+        if let Some((name, value)) = header {
+            response = response.header(name, value);
+        }
+        let (head, ()) = response.body(()).expect("a response").into_parts();
+        proves_prompt_harmless(&head)
+    };
+    assert!(proves(200, Some(("content-length", "5"))));
+    assert!(proves(200, Some(("transfer-encoding", "chunked"))));
+    assert!(!proves(200, None));
+    assert!(!proves(500, Some(("content-length", "5"))));
+}
--- a/crates/serving/tests/content.rs
+++ b/crates/serving/tests/content.rs
@@ -52,3 +52,14 @@
         assert_ne!(ContentKey::of(other), key, "{other:?}");
     }
 }
+
+/// Guards against parts that are taken for others, and whole requests for parts.
+#[test]
+fn parts_of_prompts_are_told_apart_by_service() {
+    let part = ContentKey::of_prompt_part("pool", 7);
+    assert!(part.is_prompt_part());
+    assert_eq!(part, ContentKey::of_prompt_part("pool", 7));
+    assert_ne!(part, ContentKey::of_prompt_part("pool", 8));
+    assert_ne!(part, ContentKey::of_prompt_part("other", 7));
+    assert!(!ContentKey(7).is_prompt_part());
+}
