Bound the changes in one reply to a router of /v1

The whole configuration, for a router that lacks more than 256 changes, still comes in one reply: open in the postmortem.

--- a/crates/control/src/serving_state.rs
+++ b/crates/control/src/serving_state.rs
@@ -32,6 +32,7 @@
     Incarnation, ModelWeights, PendingOrder, ReplicaKey, ReplicaRecord, ReplicaState,
     ServingConfiguration, TenantQuota,
 };
+use speedy::{LittleEndian, Writable};
 
 pub mod configuration_changes;
 mod crash_reports;
@@ -487,3 +488,9 @@
     reported.changed_at = known.changed_at;
     reported
 }
+
+/// Returns the size of a value within a message.
+pub(crate) fn encoded_bytes(value: &impl Writable<LittleEndian>) -> usize {
+    // Only writing can fail, and nothing is written here.
+    value.bytes_needed().unwrap_or_default()
+}
--- a/crates/control/src/serving_state/configuration_changes.rs
+++ b/crates/control/src/serving_state/configuration_changes.rs
@@ -8,7 +8,8 @@
 use railtack_consensus::LogIndex;
 use railtack_rpc::serving::{ConfigurationPart, ConfigurationPosition, TransferPosition};
 use railtack_serving::{ConfigurationItem, ItemKey, ServingConfiguration};
-use speedy::{LittleEndian, Writable};
+
+use super::encoded_bytes;
 
 /// Size of a part, bytes, exceeded by its last item at most. A link of 7.5 Mbit/s carries it in 35 ms, far below the
 /// time that a reply may take.
@@ -170,8 +171,3 @@
         part.position.complete_through = through;
     }
 }
-
-fn encoded_bytes(value: &impl Writable<LittleEndian>) -> usize {
-    // Only writing can fail, and nothing is written here.
-    value.bytes_needed().unwrap_or_default()
-}
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -20,13 +20,15 @@
 use crate::{
     claims::ClaimTable,
     configuration::{ChangeError, RevisionCheck, apply_change},
-    serving_state::{ServingState, StoredWithInlineQuotas},
+    serving_state::{ServingState, StoredWithInlineQuotas, encoded_bytes},
 };
 
 /// Maximum number of operations whose outcomes are kept for retries.
 const MAX_OPERATIONS: usize = 10_000;
 /// Maximum number of accepted changes that are kept. Routers that lag further behind get a snapshot.
 const MAX_RECENT_CHANGES: usize = 256;
+/// Size of the changes in one update, bytes, exceeded by the last of them at most. A reply has 0.4 s.
+const MAX_CHANGES_BYTES: usize = 32 * 1024;
 /// Largest step of the state's clock in one command, milliseconds. Keeps a proposer with a wrong
 /// clock from expiring claims early.
 const MAX_CLOCK_STEP_MS: u64 = 60_000;
@@ -181,22 +183,36 @@
     /// Returns the update for a router that has applied configuration up to `applied`; `None` if the
     /// router is up to date.
     pub fn update_after(&self, applied: LogIndex) -> Option<ConfigurationUpdate> {
-        let through = self.configuration_index;
-        if applied >= through {
+        if applied >= self.configuration_index {
             return None;
         }
         if applied < self.changes_complete_after {
             return Some(ConfigurationUpdate::Snapshot {
-                through,
+                through: self.configuration_index,
                 configuration: self.configuration.clone(),
             });
         }
-        let changes = self
+        let (changes, through) = self.changes_after(applied);
+        Some(ConfigurationUpdate::Changes { through, changes })
+    }
+
+    /// Returns as many of the changes after `applied` as fit into one reply, and the position after them.
+    fn changes_after(&self, applied: LogIndex) -> (Vec<AcceptedChange>, LogIndex) {
+        let mut changes: Vec<AcceptedChange> = Vec::new();
+        let mut bytes = 0;
+        for change in self
             .recent_changes
             .range(applied + 1..)
-            .map(|(_, change)| change.clone())
-            .collect();
-        Some(ConfigurationUpdate::Changes { through, changes })
+            .map(|(_, change)| change)
+        {
+            if let Some(last) = changes.last().filter(|_| bytes >= MAX_CHANGES_BYTES) {
+                let through = last.index;
+                return (changes, through);
+            }
+            bytes += encoded_bytes(change);
+            changes.push(change.clone());
+        }
+        (changes, self.configuration_index)
     }
 
     fn configure(
