--- a/crates/control/src/serving_state/configuration_changes.rs
+++ b/crates/control/src/serving_state/configuration_changes.rs
@@ -152,8 +152,8 @@
             }
             match &entry.item {
                 Some(item) => {
-                    *bytes += encoded_bytes(key) + encoded_bytes(item.as_ref());
-                    part.items.push((key.clone(), item.as_ref().clone()));
+                    *bytes += encoded_bytes(item.as_ref());
+                    part.items.push(item.as_ref().clone());
                 }
                 // A router that has received nothing before the transfer holds no such item.
                 None if complete_through > 0 => {
--- a/crates/control/tests/data/configuration_parts/write.rs
+++ b/crates/control/tests/data/configuration_parts/write.rs
@@ -60,7 +60,7 @@
     }
 }
 
-fn items() -> Vec<(ItemKey, ConfigurationItem)> {
+fn items() -> Vec<ConfigurationItem> {
     let name = || "pool".to_owned();
     let service = ServiceConfig {
         name: name(),
@@ -98,31 +98,14 @@
         sticky: true,
     };
     vec![
-        (
-            ItemKey::Limits,
-            ConfigurationItem::Limits(CallerLimits::default()),
-        ),
-        (
-            ItemKey::Service { name: name() },
-            ConfigurationItem::Service(service),
-        ),
-        (
-            ItemKey::Tenant {
-                name: "office".to_owned(),
-                position: 0,
-            },
-            ConfigurationItem::Tenant {
-                tenant,
-                quota: Some(quota()),
-            },
-        ),
-        (
-            ItemKey::Route {
-                host: "a.example".to_owned(),
-                path_prefix: "/chat/".to_owned(),
-            },
-            ConfigurationItem::Route(route),
-        ),
+        ConfigurationItem::Limits(CallerLimits::default()),
+        ConfigurationItem::Service(service),
+        ConfigurationItem::Tenant {
+            tenant,
+            quota: Some(quota()),
+            position: 1,
+        },
+        ConfigurationItem::Route(route),
     ]
 }
 
--- a/crates/proxy/src/configuration_transfer.rs
+++ b/crates/proxy/src/configuration_transfer.rs
@@ -41,7 +41,8 @@
         for key in &part.removed {
             self.items.remove(key);
         }
-        self.items.extend(part.items);
+        let items = part.items.into_iter();
+        self.items.extend(items.map(|item| (item.key(), item)));
         self.position = part.position;
         self.is_whole = false;
         self.parts += 1;
--- a/crates/rpc/src/serving/configuration.rs
+++ b/crates/rpc/src/serving/configuration.rs
@@ -51,8 +51,8 @@
 pub struct ConfigurationPart {
     /// Whether the router has to discard what it has received.
     pub starts_over: bool,
-    /// New and changed items with their keys.
-    pub items: Vec<(ItemKey, ConfigurationItem)>,
+    /// New and changed items.
+    pub items: Vec<ConfigurationItem>,
     /// Keys of items that no longer exist.
     pub removed: Vec<ItemKey>,
     /// Revision of the document.
--- a/crates/serving/src/configuration_items.rs
+++ b/crates/serving/src/configuration_items.rs
@@ -48,6 +48,8 @@
         tenant: TenantConfig,
         /// Its quota.
         quota: Option<TenantQuota>,
+        /// Position among the tenants of this name.
+        position: u32,
     },
     /// A route.
     Route(Route),
@@ -56,39 +58,53 @@
 /// Items by key.
 pub type ConfigurationItems = BTreeMap<ItemKey, ConfigurationItem>;
 
+impl ConfigurationItem {
+    /// Returns the key of the item.
+    pub fn key(&self) -> ItemKey {
+        match self {
+            Self::Limits(_) => ItemKey::Limits,
+            Self::Service(service) => ItemKey::Service {
+                name: service.name.clone(),
+            },
+            Self::Tenant {
+                tenant, position, ..
+            } => ItemKey::Tenant {
+                name: tenant.name.clone(),
+                position: *position,
+            },
+            Self::Route(route) => ItemKey::Route {
+                host: route.host.clone(),
+                path_prefix: route.path_prefix.clone(),
+            },
+        }
+    }
+}
+
 impl ServingConfiguration {
     /// Returns the items of the configuration.
     pub fn items(&self) -> ConfigurationItems {
-        let mut items = BTreeMap::from([(ItemKey::Limits, ConfigurationItem::Limits(self.limits))]);
-        for service in &self.services {
-            let name = service.name.clone();
-            items.insert(
-                ItemKey::Service { name },
-                ConfigurationItem::Service(service.clone()),
-            );
-        }
+        let services = self.services.iter().cloned();
+        let routes = self.routes.iter().cloned();
+        let items = [ConfigurationItem::Limits(self.limits)].into_iter();
+        let items = items
+            .chain(services.map(ConfigurationItem::Service))
+            .chain(self.tenant_items())
+            .chain(routes.map(ConfigurationItem::Route));
+        items.map(|item| (item.key(), item)).collect()
+    }
+
+    fn tenant_items(&self) -> impl Iterator<Item = ConfigurationItem> {
         let mut named: BTreeMap<&str, u32> = BTreeMap::new();
-        for tenant in &self.tenants {
+        self.tenants.iter().map(move |tenant| {
             let same_name = named.entry(&tenant.name).or_default();
-            let key = ItemKey::Tenant {
-                name: tenant.name.clone(),
-                position: *same_name,
-            };
+            let position = *same_name;
             *same_name += 1;
-            let item = ConfigurationItem::Tenant {
+            ConfigurationItem::Tenant {
                 tenant: tenant.clone(),
                 quota: tenant.quota,
-            };
-            items.insert(key, item);
-        }
-        for route in &self.routes {
-            let key = ItemKey::Route {
-                host: route.host.clone(),
-                path_prefix: route.path_prefix.clone(),
-            };
-            items.insert(key, ConfigurationItem::Route(route.clone()));
-        }
-        items
+                position,
+            }
+        })
     }
 
     /// Returns the configuration that consists of `items`.
@@ -104,7 +120,7 @@
             match item {
                 ConfigurationItem::Limits(limits) => configuration.limits = *limits,
                 ConfigurationItem::Service(service) => configuration.services.push(service.clone()),
-                ConfigurationItem::Tenant { tenant, quota } => {
+                ConfigurationItem::Tenant { tenant, quota, .. } => {
                     configuration.tenants.push(TenantConfig {
                         quota: *quota,
                         ..tenant.clone()
