--- a/crates/control/src/serving_state/quarantine.rs
+++ b/crates/control/src/serving_state/quarantine.rs
@@ -4,8 +4,8 @@
 //! so a request is quarantined only if it was present at several crashes that no other quarantined
 //! request explains, and no other request was present at all of the same crashes.
 //!
-//! A part of prompts may be at fault as well, in requests of which no two are alike. Parts are judged in the same way
-//! among themselves, before whole requests. The parts that a fatal one shares its requests with go on to complete, and
+//! A prompt segment may be at fault as well, in requests of which no two are alike. Segments are judged in the same way
+//! among themselves, before whole requests. The segments that a fatal one shares its requests with go on to complete, and
 //! are cleared by that.
 //!
 //! Invariants: the state is bounded and a function of the commands and their order. The leader
@@ -30,7 +30,7 @@
 /// Crashes after which a request is in the list `suspected`, so that routers report when it
 /// completes. After a single crash such reports would be too many.
 const MIN_CRASHES_TO_SUSPECT: usize = 2;
-/// Crashes under a part without the request that was present at the others, from which the part is at fault and not
+/// Crashes under a segment without the request that was present at the others, from which the segment is at fault and not
 /// that request.
 const MIN_CRASHES_BY_OTHERS: usize = 2;
 /// Suspects kept: enough for all requests of thirty replicas with 32 slots that crash together.
@@ -165,9 +165,9 @@
     fn recompute(&mut self, index: LogIndex) {
         let mut quarantined: BTreeSet<ContentKey> = BTreeSet::new();
         let mut explained: BTreeSet<ReplicaKey> = BTreeSet::new();
-        for are_parts in [true, false] {
+        for are_segments in [true, false] {
             loop {
-                let newly_quarantined = self.next_to_quarantine(are_parts, &explained);
+                let newly_quarantined = self.next_to_quarantine(are_segments, &explained);
                 if newly_quarantined.is_empty() {
                     break;
                 }
@@ -207,7 +207,7 @@
     /// them is returned.
     fn next_to_quarantine(
         &self,
-        are_parts: bool,
+        are_segments: bool,
         explained: &BTreeSet<ReplicaKey>,
     ) -> Vec<ContentKey> {
         let unexplained = |suspect: &Suspect| -> BTreeSet<ReplicaKey> {
@@ -219,8 +219,8 @@
             .iter()
             .filter(|(_, suspect)| suspect.crashes.len() >= MIN_CRASHES)
             .filter(|(content, suspect)| {
-                content.is_prompt_part() == are_parts
-                    && !(are_parts && self.is_explained_by_one_request(suspect))
+                content.is_prompt_segment() == are_segments
+                    && !(are_segments && self.is_explained_by_one_request(suspect))
             })
             .map(|(content, suspect)| (*content, unexplained(suspect)))
             .filter(|(_, crashes)| crashes.len() >= MIN_CRASHES)
@@ -244,14 +244,14 @@
         Vec::new()
     }
 
-    /// Whether one request that comes again and again explains the crashes under a part. Others that have the part may
+    /// Whether one request that comes again and again explains the crashes under a segment. Others that have the segment may
     /// have been present once.
-    fn is_explained_by_one_request(&self, part: &Suspect) -> bool {
+    fn is_explained_by_one_request(&self, segment: &Suspect) -> bool {
         let others = self.suspects.iter().filter(|(content, other)| {
-            !content.is_prompt_part() && other.crashes.len() >= MIN_CRASHES
+            !content.is_prompt_segment() && other.crashes.len() >= MIN_CRASHES
         });
         let unexplained = |other: &Suspect| {
-            let crashes = part.crashes.iter();
+            let crashes = segment.crashes.iter();
             crashes
                 .filter(|crash| !other.crashes.contains(crash))
                 .count()
--- a/crates/control/tests/quarantine.rs
+++ b/crates/control/tests/quarantine.rs
@@ -293,46 +293,46 @@
 }
 
 /// Part of prompts under which replicas crash.
-fn fatal_part() -> ContentKey {
-    ContentKey::of_prompt_part("pool", 0xfa7a1)
+fn fatal_segment() -> ContentKey {
+    ContentKey::of_prompt_segment("pool", 0xfa7a1)
 }
 
 /// Part that all prompts begin with.
-fn popular_part() -> ContentKey {
-    ContentKey::of_prompt_part("pool", 0xc0ffee)
+fn popular_segment() -> ContentKey {
+    ContentKey::of_prompt_segment("pool", 0xc0ffee)
 }
 
 /// Guards against requests of which no two are alike that crash replica after replica.
 #[test]
-fn a_part_is_quarantined_once_the_parts_beside_it_completed() {
+fn a_segment_is_quarantined_once_the_segments_beside_it_completed() {
     let mut quarantine = Quarantine::default();
     for index in 1..=3 {
-        let contents = [ContentKey(index.into()), popular_part(), fatal_part()];
+        let contents = [ContentKey(index.into()), popular_segment(), fatal_segment()];
         quarantine.record_crash(index, ReplicaKey(index as u32), &contents);
     }
     assert_eq!(quarantined(&quarantine), []);
-    quarantine.clear(4, &[popular_part()]);
-    assert_eq!(quarantined(&quarantine), [fatal_part()]);
+    quarantine.clear(4, &[popular_segment()]);
+    assert_eq!(quarantined(&quarantine), [fatal_segment()]);
 }
 
-/// Guards against a rare part that is refused because one request with it comes again and again.
+/// Guards against a rare segment that is refused because one request with it comes again and again.
 #[test]
-fn a_part_of_one_fatal_request_is_not_quarantined() {
-    let rare = ContentKey::of_prompt_part("pool", 7);
+fn a_segment_of_one_fatal_request_is_not_quarantined() {
+    let rare = ContentKey::of_prompt_segment("pool", 7);
     let together: &[ContentKey] = &[FATAL, rare];
     let quarantine = quarantine_after(&[together, together, together, together, &[rare]]);
     assert_eq!(quarantined(&quarantine), [FATAL]);
 }
 
-/// Guards against two parts that hide each other, and a whole request that they hide.
+/// Guards against two segments that hide each other, and a whole request that they hide.
 #[test]
-fn two_parts_and_a_request_are_all_quarantined() {
-    let other = ContentKey::of_prompt_part("pool", 8);
+fn two_segments_and_a_request_are_all_quarantined() {
+    let other = ContentKey::of_prompt_segment("pool", 8);
     let mut quarantine = Quarantine::default();
     let mut index = 0;
     for round in 0..5 {
         for contents in [
-            [ContentKey(10 + round), fatal_part()],
+            [ContentKey(10 + round), fatal_segment()],
             [ContentKey(20 + round), other],
             [FATAL, FATAL],
         ] {
@@ -340,54 +340,54 @@
             quarantine.record_crash(index, ReplicaKey(index as u32), &contents);
         }
     }
-    let mut expected = vec![FATAL, fatal_part(), other];
+    let mut expected = vec![FATAL, fatal_segment(), other];
     expected.sort();
     assert_eq!(quarantined(&quarantine), expected);
 }
 
-/// Guards against a fatal part that is pushed out by the parts of the harmless requests that crash with it.
+/// Guards against a fatal segment that is pushed out by the segments of the harmless requests that crash with it.
 #[test]
-fn many_harmless_parts_do_not_push_a_fatal_one_out() {
+fn many_harmless_segments_do_not_push_a_fatal_one_out() {
     let mut quarantine = Quarantine::default();
     for index in 1..=6 {
-        let crowd =
-            (0..600_u64).map(|number| ContentKey::of_prompt_part("pool", index * 1_000 + number));
-        let contents: Vec<ContentKey> = crowd.chain([fatal_part()]).collect();
+        let crowd = (0..600_u64)
+            .map(|number| ContentKey::of_prompt_segment("pool", index * 1_000 + number));
+        let contents: Vec<ContentKey> = crowd.chain([fatal_segment()]).collect();
         quarantine.record_crash(index, ReplicaKey(index as u32), &contents);
     }
-    assert_eq!(quarantined(&quarantine), [fatal_part()]);
+    assert_eq!(quarantined(&quarantine), [fatal_segment()]);
 }
 
 quickcheck! {
-    /// Guards against a popular part that stays refused, and a fatal one that is not, whichever crashes, completions and
-    /// reports come in which order: an event is a crash under the fatal part (0, 1), a kill (2), one of which only the
-    /// popular part is reported (3), or a completion of it (4, 5).
-    fn parts_are_told_apart_in_any_order(events: Vec<u8>) -> TestResult {
+    /// Guards against a popular segment that stays refused, and a fatal one that is not, whichever crashes, completions and
+    /// reports come in which order: an event is a crash under the fatal segment (0, 1), a kill (2), one of which only the
+    /// popular segment is reported (3), or a completion of it (4, 5).
+    fn segments_are_told_apart_in_any_order(events: Vec<u8>) -> TestResult {
         let mut quarantine = Quarantine::default();
         let mut index = 0;
         let mut apply = |quarantine: &mut Quarantine, event: u8| {
             index += 1;
             let replica = ReplicaKey(index as u32);
             let alone = ContentKey(u128::from(index) + 1_000);
-            let beside = ContentKey::of_prompt_part("pool", 100 + index % 7);
+            let beside = ContentKey::of_prompt_segment("pool", 100 + index % 7);
             match event % 6 {
-                0 => quarantine.record_crash(index, replica, &[alone, popular_part(), fatal_part()]),
-                1 => quarantine.record_crash(index, replica, &[alone, fatal_part(), beside]),
-                2 => quarantine.record_crash(index, replica, &[alone, popular_part(), beside]),
-                3 => quarantine.record_crash(index, replica, &[popular_part()]),
-                _ => quarantine.clear(index, &[popular_part()]),
+                0 => quarantine.record_crash(index, replica, &[alone, popular_segment(), fatal_segment()]),
+                1 => quarantine.record_crash(index, replica, &[alone, fatal_segment(), beside]),
+                2 => quarantine.record_crash(index, replica, &[alone, popular_segment(), beside]),
+                3 => quarantine.record_crash(index, replica, &[popular_segment()]),
+                _ => quarantine.clear(index, &[popular_segment()]),
             }
         };
         for event in events {
             apply(&mut quarantine, event);
         }
-        // From here on, crashes are due to the fatal part, and requests with the popular one complete in between.
+        // From here on, crashes are due to the fatal segment, and requests with the popular one complete in between.
         for _ in 0..6 {
             apply(&mut quarantine, 0);
             apply(&mut quarantine, 4);
         }
         let quarantined = quarantined(&quarantine);
-        let holds = quarantined.contains(&fatal_part()) && !quarantined.contains(&popular_part());
+        let holds = quarantined.contains(&fatal_segment()) && !quarantined.contains(&popular_segment());
         TestResult::from_bool(holds)
     }
 }
--- a/crates/proxy/src/control_peers.rs
+++ b/crates/proxy/src/control_peers.rs
@@ -56,9 +56,9 @@
         self.level.get() >= FeatureLevel::SOFTWARE_VERSIONS
     }
 
-    /// Whether the group records parts of prompts under which replicas crash.
-    pub fn records_prompt_parts(&self) -> bool {
-        self.level.get() >= FeatureLevel::PROMPT_PARTS
+    /// Whether the group records prompt segments under which replicas crash.
+    pub fn records_prompt_segments(&self) -> bool {
+        self.level.get() >= FeatureLevel::PROMPT_SEGMENTS
     }
 
     /// Sets the member that this router watches.
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -253,7 +253,7 @@
 fn apply_update(state: &Arc<ProxyState>, update: ServingUpdate) {
     if let Some(quarantine) = &update.quarantine {
         state.apply_quarantine(quarantine);
-        crash_checks::clear_completed_parts(state);
+        crash_checks::clear_completed_segments(state);
     }
     if update.configuration.is_some() {
         lock(&state.configuration_transfer).record_whole();
--- a/crates/proxy/src/crash_checks.rs
+++ b/crates/proxy/src/crash_checks.rs
@@ -58,7 +58,7 @@
 /// Maximum number of reports that are proposed at the same time; further ones wait.
 const MAX_CONCURRENT_REPORTS: usize = 64;
 
-/// Longest delay before a part of prompts is reported as harmless because others suspect it. All routers that know it to
+/// Longest delay before a prompt segment is reported as harmless because others suspect it. All routers that know it to
 /// be so wait for a random time, and the first report spares the others theirs.
 const CLEARANCE_SPREAD: Duration = Duration::from_millis(100);
 
@@ -67,15 +67,15 @@
 pub struct CrashSubjects {
     /// Key of a whole request.
     pub content: ContentKey,
-    /// Keys of the parts of its prompt that other requests may share.
-    pub parts: Vec<ContentKey>,
+    /// Keys of the segments of its prompt that other requests may share.
+    pub segments: Vec<ContentKey>,
 }
 
 impl From<ContentKey> for CrashSubjects {
     fn from(content: ContentKey) -> Self {
         Self {
             content,
-            parts: Vec::new(),
+            segments: Vec::new(),
         }
     }
 }
@@ -162,8 +162,8 @@
     /// Whether the control group can record reports.
     fn supports_reports(&self) -> bool;
 
-    /// Whether the control group can record parts of prompts.
-    fn supports_part_reports(&self) -> bool {
+    /// Whether the control group can record prompt segments.
+    fn supports_segment_reports(&self) -> bool {
         false
     }
 
@@ -211,7 +211,7 @@
     pub fn quarantined_subject(&self, subjects: &CrashSubjects) -> Option<(ContentKey, Duration)> {
         let quarantine = lock(&self.quarantine);
         let now = Instant::now();
-        let keys = std::iter::once(&subjects.content).chain(&subjects.parts);
+        let keys = std::iter::once(&subjects.content).chain(&subjects.segments);
         let quarantined = keys.filter_map(|key| Some((*key, quarantine.retry_after(*key, now)?)));
         quarantined.max_by_key(|(_, retry_after)| *retry_after)
     }
@@ -316,7 +316,7 @@
     let is_first = {
         let mut tracker = lock(&host.crash_checks().tracker);
         let is_first = tracker.record_broken_connection(id, subjects.content, now);
-        tracker.record_broken_parts(id, &subjects.parts);
+        tracker.record_broken_segments(id, &subjects.segments);
         is_first
     };
     if is_first {
@@ -342,7 +342,7 @@
     {
         let mut tracker = lock(&checks.tracker);
         tracker.record_success(content, Instant::now());
-        tracker.record_part_successes(&subjects.parts, Instant::now());
+        tracker.record_segment_successes(&subjects.segments, Instant::now());
     }
     if lock(&checks.quarantine).should_report_success(content) {
         let contents = vec![content];
@@ -351,33 +351,33 @@
         let command = ServingCommand::ClearSuspects { contents };
         tokio::spawn(async move { propose_until_recorded(&*host, command).await });
     }
-    clear_parts(host, subjects.parts);
+    clear_segments(host, subjects.segments);
 }
 
-/// Reports the parts of prompts that the control group suspects although requests with them completed here recently.
+/// Reports the prompt segments that the control group suspects although requests with them completed here recently.
 /// Called when its lists change.
-pub fn clear_completed_parts<H: CrashCheckHost>(host: &Arc<H>) {
+pub fn clear_completed_segments<H: CrashCheckHost>(host: &Arc<H>) {
     let checks = host.crash_checks();
     let now = Instant::now();
-    let suspected = lock(&checks.quarantine).suspected_parts();
+    let suspected = lock(&checks.quarantine).suspected_segments();
     let tracker = lock(&checks.tracker);
     let completed = suspected
         .into_iter()
-        .filter(|part| tracker.has_part_succeeded(*part, now));
+        .filter(|segment| tracker.has_segment_succeeded(*segment, now));
     let completed: Vec<ContentKey> = completed.collect();
     drop(tracker);
-    clear_parts(host, completed);
+    clear_segments(host, completed);
 }
 
-/// Reports parts of prompts that completed, unless the control group does not suspect them.
-fn clear_parts<H: CrashCheckHost>(host: &Arc<H>, parts: Vec<ContentKey>) {
+/// Reports prompt segments that completed, unless the control group does not suspect them.
+fn clear_segments<H: CrashCheckHost>(host: &Arc<H>, segments: Vec<ContentKey>) {
     let awaited = {
         let mut quarantine = lock(&host.crash_checks().quarantine);
-        let mut awaited = parts;
-        awaited.retain(|part| quarantine.should_report_success(*part));
+        let mut awaited = segments;
+        awaited.retain(|segment| quarantine.should_report_success(*segment));
         awaited
     };
-    if awaited.is_empty() || !host.supports_part_reports() {
+    if awaited.is_empty() || !host.supports_segment_reports() {
         return;
     }
     let host = Arc::clone(host);
@@ -386,14 +386,14 @@
         let contents = {
             let quarantine = lock(&host.crash_checks().quarantine);
             let mut still_suspected = awaited;
-            still_suspected.retain(|part| quarantine.is_listed(*part));
+            still_suspected.retain(|segment| quarantine.is_listed(*segment));
             still_suspected
         };
         if contents.is_empty() {
             return;
         }
-        spdlog::info!("suspected prompt parts ran well", kv: {
-            parts = contents.iter().map(ToString::to_string).collect::<Vec<_>>().join(","),
+        spdlog::info!("suspected prompt segments ran well", kv: {
+            segments = contents.iter().map(ToString::to_string).collect::<Vec<_>>().join(","),
         });
         propose_until_recorded(&*host, ServingCommand::ClearSuspects { contents }).await;
     });
@@ -463,15 +463,15 @@
     let id = H::id(replica);
     let reporter = host.reporter(replica);
     let mut requests = 0;
-    let mut prompt_parts = 0;
+    let mut prompt_segments = 0;
     let mut is_recorded = true;
     loop {
         let mut contents = lock(&checks.tracker).take_unreported(id);
         requests += contents.len();
-        if host.supports_part_reports() {
-            let parts = lock(&checks.tracker).take_unreported_parts(id, Instant::now());
-            prompt_parts += parts.len();
-            contents.extend(parts);
+        if host.supports_segment_reports() {
+            let segments = lock(&checks.tracker).take_unreported_segments(id, Instant::now());
+            prompt_segments += segments.len();
+            contents.extend(segments);
         }
         let command = ServingCommand::RecordCrash {
             replica: ReplicaKey::of(id),
@@ -489,7 +489,7 @@
         replica = id.to_owned(),
         proof = format!("{proof:?}"),
         requests,
-        prompt_parts,
+        prompt_segments,
         hears_others = reporter.is_some(),
         recorded = is_recorded,
     });
--- a/crates/proxy/src/crash_detection.rs
+++ b/crates/proxy/src/crash_detection.rs
@@ -75,11 +75,11 @@
 ) -> CrashSubjects {
     let segments = prompt.map_or(&[][..], |prompt| &prompt.segments);
     let shared = segments.split_last().map_or(&[][..], |(_, shared)| shared);
-    let parts = shared.iter();
-    let parts = parts.map(|segment| ContentKey::of_prompt_part(service, segment.id));
+    let segments = shared.iter();
+    let segments = segments.map(|segment| ContentKey::of_prompt_segment(service, segment.id));
     CrashSubjects {
         content,
-        parts: parts.collect(),
+        segments: segments.collect(),
     }
 }
 
@@ -170,8 +170,8 @@
         self.control_peers.supports_grants()
     }
 
-    fn supports_part_reports(&self) -> bool {
-        self.control_peers.records_prompt_parts()
+    fn supports_segment_reports(&self) -> bool {
+        self.control_peers.records_prompt_segments()
     }
 
     // After a failed attempt, the peers choose another control replica.
--- a/crates/proxy/src/crash_tracker.rs
+++ b/crates/proxy/src/crash_tracker.rs
@@ -38,17 +38,17 @@
     },
 }
 
-/// Time for which a part of prompts counts as harmless after a request with it has completed. Longer would protect
-/// parts that turn harmful; shorter would not cover parts that come every few seconds.
-pub const PART_SUCCESS_VALIDITY: Duration = Duration::from_secs(10);
-/// Parts of prompts whose last success is remembered, 48 KB.
-const MAX_PART_SUCCESSES: usize = 2_048;
+/// Time for which a prompt segment counts as harmless after a request with it has completed. Longer would protect
+/// segments that turn harmful; shorter would not cover segments that come every few seconds.
+pub const SEGMENT_SUCCESS_VALIDITY: Duration = Duration::from_secs(10);
+/// Segments of prompts whose last success is remembered, 48 KB.
+const MAX_SEGMENT_SUCCESSES: usize = 2_048;
 
 /// Successes and broken connections of this router's own requests.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
-    /// Last success of requests with each part of prompts.
-    part_successes: HashMap<ContentKey, Instant>,
+    /// Last success of requests with each prompt segment.
+    segment_successes: HashMap<ContentKey, Instant>,
     successes: VecDeque<(ContentKey, Instant)>,
     broken_connections: HashMap<String, BrokenConnections>,
     suspects: HashMap<ContentKey, Suspect>,
@@ -81,8 +81,8 @@
     unreported: Vec<ContentKey>,
     /// Requests being reported.
     reporting: Vec<ContentKey>,
-    /// Parts of their prompts that are not reported yet.
-    unreported_parts: BTreeSet<ContentKey>,
+    /// Segments of their prompts that are not reported yet.
+    unreported_segments: BTreeSet<ContentKey>,
     /// Whether the check of the replica is expected to finish soon.
     blocks_requests: bool,
     /// Time at which the crash was proven.
@@ -102,7 +102,7 @@
         Self {
             unreported: Vec::new(),
             reporting: Vec::new(),
-            unreported_parts: BTreeSet::new(),
+            unreported_segments: BTreeSet::new(),
             blocks_requests: true,
             crashed_at: None,
             last_broken_at: now,
@@ -152,45 +152,47 @@
         is_first
     }
 
-    /// Records the parts of the prompt of a request whose connection broke.
-    pub fn record_broken_parts(&mut self, replica: &str, parts: &[ContentKey]) {
+    /// Records the segments of the prompt of a request whose connection broke.
+    pub fn record_broken_segments(&mut self, replica: &str, segments: &[ContentKey]) {
         let Some(broken) = self.broken_connections.get_mut(replica) else {
             return;
         };
-        let room = MAX_UNREPORTED.saturating_sub(broken.unreported_parts.len());
-        broken.unreported_parts.extend(parts.iter().take(room));
+        let room = MAX_UNREPORTED.saturating_sub(broken.unreported_segments.len());
+        broken
+            .unreported_segments
+            .extend(segments.iter().take(room));
     }
 
-    /// Records that a request with these parts in its prompt completed.
-    pub fn record_part_successes(&mut self, parts: &[ContentKey], now: Instant) {
-        for part in parts {
-            self.part_successes.insert(*part, now);
+    /// Records that a request with these segments in its prompt completed.
+    pub fn record_segment_successes(&mut self, segments: &[ContentKey], now: Instant) {
+        for segment in segments {
+            self.segment_successes.insert(*segment, now);
         }
-        if self.part_successes.len() > MAX_PART_SUCCESSES {
-            self.part_successes
-                .retain(|_, at| now.saturating_duration_since(*at) < PART_SUCCESS_VALIDITY);
+        if self.segment_successes.len() > MAX_SEGMENT_SUCCESSES {
+            self.segment_successes
+                .retain(|_, at| now.saturating_duration_since(*at) < SEGMENT_SUCCESS_VALIDITY);
         }
-        if self.part_successes.len() > MAX_PART_SUCCESSES {
-            // The router serves more parts than it can remember; those of this request are the newest.
-            self.part_successes.retain(|_, at| *at == now);
+        if self.segment_successes.len() > MAX_SEGMENT_SUCCESSES {
+            // The router serves more segments than it can remember; those of this request are the newest.
+            self.segment_successes.retain(|_, at| *at == now);
         }
     }
 
-    /// Whether a request with this part in its prompt completed recently.
-    pub fn has_part_succeeded(&self, part: ContentKey, now: Instant) -> bool {
-        let last_success = self.part_successes.get(&part);
-        last_success.is_some_and(|at| now.saturating_duration_since(*at) < PART_SUCCESS_VALIDITY)
+    /// Whether a request with this segment in its prompt completed recently.
+    pub fn has_segment_succeeded(&self, segment: ContentKey, now: Instant) -> bool {
+        let last_success = self.segment_successes.get(&segment);
+        last_success.is_some_and(|at| now.saturating_duration_since(*at) < SEGMENT_SUCCESS_VALIDITY)
     }
 
-    /// Returns the next parts to report for a crashed replica, without those that completed recently.
-    pub fn take_unreported_parts(&mut self, replica: &str, now: Instant) -> Vec<ContentKey> {
+    /// Returns the next segments to report for a crashed replica, without those that completed recently.
+    pub fn take_unreported_segments(&mut self, replica: &str, now: Instant) -> Vec<ContentKey> {
         let Some(broken) = self.broken_connections.get_mut(replica) else {
             return Vec::new();
         };
-        let parts = std::mem::take(&mut broken.unreported_parts);
-        let mut parts: Vec<ContentKey> = parts.into_iter().collect();
-        parts.retain(|part| !self.has_part_succeeded(*part, now));
-        parts
+        let segments = std::mem::take(&mut broken.unreported_segments);
+        let mut segments: Vec<ContentKey> = segments.into_iter().collect();
+        segments.retain(|segment| !self.has_segment_succeeded(*segment, now));
+        segments
     }
 
     fn add_suspect(&mut self, content: ContentKey, now: Instant) {
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -91,7 +91,7 @@
     drawn.unwrap_or_default().to_owned()
 }
 
-/// Waits for pending crash checks. Refuses the request if it is quarantined, or a part of its prompt is at all services
+/// Waits for pending crash checks. Refuses the request if it is quarantined, or a segment of its prompt is at all services
 /// of its route, or if a replica crashed under it and that is not settled in time.
 async fn check_crashes(
     state: &ProxyState,
--- a/crates/proxy/src/quarantine.rs
+++ b/crates/proxy/src/quarantine.rs
@@ -87,16 +87,16 @@
         self.suspected.contains(&content)
     }
 
-    /// Whether the request or part is suspected or quarantined.
+    /// Whether the request or segment is suspected or quarantined.
     pub fn is_listed(&self, content: ContentKey) -> bool {
         self.is_suspected(content) || self.quarantined.contains_key(&content)
     }
 
-    /// Returns the parts of prompts that are suspected or quarantined.
-    pub fn suspected_parts(&self) -> Vec<ContentKey> {
+    /// Returns the prompt segments that are suspected or quarantined.
+    pub fn suspected_segments(&self) -> Vec<ContentKey> {
         let listed = self.suspected.iter().chain(self.quarantined.keys());
         listed
-            .filter(|content| content.is_prompt_part())
+            .filter(|content| content.is_prompt_segment())
             .copied()
             .collect()
     }
--- a/crates/proxy/tests/crash_checks.rs
+++ b/crates/proxy/tests/crash_checks.rs
@@ -107,7 +107,7 @@
         true
     }
 
-    fn supports_part_reports(&self) -> bool {
+    fn supports_segment_reports(&self) -> bool {
         true
     }
 
@@ -227,13 +227,13 @@
     assert!(host.recorded.lock().expect("a lock").is_empty());
 }
 
-const COMPLETED_PART: ContentKey = ContentKey(11);
-const UNKNOWN_PART: ContentKey = ContentKey(12);
+const COMPLETED_SEGMENT: ContentKey = ContentKey(11);
+const UNKNOWN_SEGMENT: ContentKey = ContentKey(12);
 
-fn subjects(content: ContentKey, parts: &[ContentKey]) -> CrashSubjects {
+fn subjects(content: ContentKey, segments: &[ContentKey]) -> CrashSubjects {
     CrashSubjects {
         content,
-        parts: parts.to_vec(),
+        segments: segments.to_vec(),
     }
 }
 
@@ -249,32 +249,32 @@
     }
 }
 
-/// Guards against the part that all prompts of a route begin with being suspected at each crash.
+/// Guards against the segment that all prompts of a route begin with being suspected at each crash.
 #[tokio::test]
-async fn parts_that_completed_here_recently_are_not_reported() {
+async fn segments_that_completed_here_recently_are_not_reported() {
     let host = Host::new();
     host.is_recording.send_replace(true);
-    crash_checks::request_succeeded(&host, subjects(OTHER, &[COMPLETED_PART]));
-    let broken = subjects(FATAL, &[COMPLETED_PART, UNKNOWN_PART]);
+    crash_checks::request_succeeded(&host, subjects(OTHER, &[COMPLETED_SEGMENT]));
+    let broken = subjects(FATAL, &[COMPLETED_SEGMENT, UNKNOWN_SEGMENT]);
     crash_checks::connection_broken(&host, &crashed_replica("r").await, broken);
     let ServingCommand::RecordCrash { contents, .. } = host.next_recorded().await else {
         panic!("no report of a crash");
     };
-    assert_eq!(contents, [FATAL, UNKNOWN_PART]);
+    assert_eq!(contents, [FATAL, UNKNOWN_SEGMENT]);
 }
 
-/// Guards against a part that is refused everywhere because only some routers saw requests with it complete.
+/// Guards against a segment that is refused everywhere because only some routers saw requests with it complete.
 #[tokio::test]
-async fn a_part_that_others_suspect_is_cleared_where_it_completed() {
+async fn a_segment_that_others_suspect_is_cleared_where_it_completed() {
     let host = Host::new();
     host.is_recording.send_replace(true);
-    let part = ContentKey::of_prompt_part("pool", 1);
-    let fatal = ContentKey::of_prompt_part("pool", 2);
-    crash_checks::request_succeeded(&host, subjects(OTHER, &[part]));
+    let segment = ContentKey::of_prompt_segment("pool", 1);
+    let fatal = ContentKey::of_prompt_segment("pool", 2);
+    crash_checks::request_succeeded(&host, subjects(OTHER, &[segment]));
     let update = QuarantineUpdate {
         changed_at: 5,
         quarantined: vec![fatal],
-        suspected: vec![part],
+        suspected: vec![segment],
     };
     let now = Instant::now();
     host.checks
@@ -282,14 +282,14 @@
         .lock()
         .expect("a lock")
         .apply(&update, now);
-    crash_checks::clear_completed_parts(&host);
+    crash_checks::clear_completed_segments(&host);
     let ServingCommand::ClearSuspects { contents } = host.next_recorded().await else {
         panic!("nothing was cleared");
     };
-    assert_eq!(contents, [part]);
+    assert_eq!(contents, [segment]);
 }
 
-/// Guards against a fatal part that counts as harmless because the crash looked like the end of a response.
+/// Guards against a fatal segment that counts as harmless because the crash looked like the end of a response.
 #[test]
 fn only_delimited_successes_prove_a_prompt_harmless() {
     let proves = |status: u16, header: Option<(&str, &str)>| {
--- a/crates/rpc/src/level.rs
+++ b/crates/rpc/src/level.rs
@@ -25,11 +25,11 @@
     /// The software versions of back-end replicas are recorded, and control replicas remember which version began a
     /// stream.
     pub const SOFTWARE_VERSIONS: Self = Self(3);
-    /// Parts of prompts under which replicas crash are recorded beside whole requests. Lower levels would judge them
+    /// Prompt segments under which replicas crash are recorded beside whole requests. Lower levels would judge them
     /// like whole requests.
-    pub const PROMPT_PARTS: Self = Self(4);
+    pub const PROMPT_SEGMENTS: Self = Self(4);
     /// Highest level that this build supports.
-    pub const SUPPORTED: Self = Self::PROMPT_PARTS;
+    pub const SUPPORTED: Self = Self::PROMPT_SEGMENTS;
 }
 
 /// Highest feature level of the group that a router has received.
--- a/crates/serving/src/content.rs
+++ b/crates/serving/src/content.rs
@@ -1,4 +1,4 @@
-//! Identifies requests by their content, so that a repeated request is recognized, and the parts of prompts that they
+//! Identifies requests by their content, so that a repeated request is recognized, and the prompt segments that they
 //! share.
 
 use std::fmt;
@@ -11,9 +11,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
 pub struct ContentKey(pub u128);
 
-/// First bits of the key of a part of a prompt. A whole request has the same ones by chance only, and is then judged as
-/// a part would be.
-const PART_TAG: u32 = u32::from_be_bytes(*b"part");
+/// First bits of the key of a prompt segment. A whole request has the same ones by chance only, and is then judged as a
+/// segment would be.
+const SEGMENT_TAG: u32 = u32::from_be_bytes(*b"segm");
 const TAG_SHIFT: u32 = 96;
 
 /// The parts of a request that determine how a replica processes it.
@@ -50,18 +50,18 @@
         Self(hasher.digest128())
     }
 
-    /// Computes the key of a part of prompts, as a service processes it, whatever else a request holds.
-    pub fn of_prompt_part(service: &str, part: u64) -> Self {
+    /// Computes the key of a prompt segment, as a service processes it, whatever else a request holds.
+    pub fn of_prompt_segment(service: &str, segment: u64) -> Self {
         let mut hasher = Xxh3::new();
-        hasher.update(&part.to_le_bytes());
+        hasher.update(&segment.to_le_bytes());
         hasher.update(service.as_bytes());
         let hash = hasher.digest128() & ((1 << TAG_SHIFT) - 1);
-        Self(u128::from(PART_TAG) << TAG_SHIFT | hash)
+        Self(u128::from(SEGMENT_TAG) << TAG_SHIFT | hash)
     }
 
-    /// Whether this is the key of a part of prompts.
-    pub fn is_prompt_part(self) -> bool {
-        self.0 >> TAG_SHIFT == u128::from(PART_TAG)
+    /// Whether this is the key of a prompt segment.
+    pub fn is_prompt_segment(self) -> bool {
+        self.0 >> TAG_SHIFT == u128::from(SEGMENT_TAG)
     }
 }
 
--- a/crates/serving/tests/content.rs
+++ b/crates/serving/tests/content.rs
@@ -53,13 +53,13 @@
     }
 }
 
-/// Guards against parts that are taken for others, and whole requests for parts.
+/// Guards against segments that are taken for others, and whole requests for segments.
 #[test]
-fn parts_of_prompts_are_told_apart_by_service() {
-    let part = ContentKey::of_prompt_part("pool", 7);
-    assert!(part.is_prompt_part());
-    assert_eq!(part, ContentKey::of_prompt_part("pool", 7));
-    assert_ne!(part, ContentKey::of_prompt_part("pool", 8));
-    assert_ne!(part, ContentKey::of_prompt_part("other", 7));
-    assert!(!ContentKey(7).is_prompt_part());
+fn segments_of_prompts_are_told_apart_by_service() {
+    let segment = ContentKey::of_prompt_segment("pool", 7);
+    assert!(segment.is_prompt_segment());
+    assert_eq!(segment, ContentKey::of_prompt_segment("pool", 7));
+    assert_ne!(segment, ContentKey::of_prompt_segment("pool", 8));
+    assert_ne!(segment, ContentKey::of_prompt_segment("other", 7));
+    assert!(!ContentKey(7).is_prompt_segment());
 }
