--- a/crates/control/src/serving_state/configuration_changes.rs
+++ b/crates/control/src/serving_state/configuration_changes.rs
@@ -47,6 +47,10 @@
 impl ConfigurationChanges {
     /// Creates the changes of a state that was read from a snapshot.
     pub fn from_snapshot(configuration: &ServingConfiguration, changed_at: LogIndex) -> Self {
+        if changed_at == 0 {
+            // Before the first document.
+            return Self::default();
+        }
         Self {
             removals_forgotten_through: changed_at,
             ..Self::default().updated(configuration, changed_at)
