Suspect no prompt segments because many replicas crash at once

Cause: with the quarantine of segments, each router reported the segments of all that it lost which hadn't completed there lately, and of hundreds of routers each knows few. Popular segments were quarantined within 50 ms and cleared by hundreds of proposals; the leader, on 0.15 of a core, lost its lead, and routers their lease. The class: evidence that is judged before what speaks against it can have come.

Now only prompts of which no event had come are suspected, since a replica that sends events did not crash on the prompt; segments are reported a second after the crash, without those that completed meanwhile; routers spread their clearances by their number; and a quarantined segment is refused only once it has stayed so for a second.

--- a/crates/proxy/src/crash_checks.rs
+++ b/crates/proxy/src/crash_checks.rs
@@ -10,6 +10,7 @@
 //! they provide.
 
 use std::{
+    collections::BTreeSet,
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex},
     time::Duration,
@@ -58,9 +59,12 @@
 /// Maximum number of reports that are proposed at the same time; further ones wait.
 const MAX_CONCURRENT_REPORTS: usize = 64;
 
-/// Longest delay before a prompt segment is reported as harmless because others suspect it. All routers that know it to
-/// be so wait for a random time, and the first report spares the others theirs.
-const CLEARANCE_SPREAD: Duration = Duration::from_millis(100);
+/// Time after a crash in which other requests with the same prompt segments may complete, before the segments are
+/// reported. When many replicas crash at once for another reason, nearly all segments do.
+const SEGMENT_REPORT_DELAY: Duration = Duration::from_secs(1);
+/// Mean interval at which all routers together report that a prompt segment is harmless because others suspect it. Each
+/// waits for a random time, and the first reports spare the others theirs: hundreds at once would hold up the group.
+const CLEARANCE_INTERVAL: Duration = Duration::from_millis(12);
 
 /// What a replica may have crashed on.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -162,6 +166,11 @@
     /// Whether the control group can record reports.
     fn supports_reports(&self) -> bool;
 
+    /// Number of live routers; 0 while unknown.
+    fn routers(&self) -> u32 {
+        0
+    }
+
     /// Whether the control group can record prompt segments.
     fn supports_segment_reports(&self) -> bool {
         false
@@ -382,7 +391,8 @@
     }
     let host = Arc::clone(host);
     tokio::spawn(async move {
-        sleep(CLEARANCE_SPREAD.mul_f64(rand::random())).await;
+        let spread = CLEARANCE_INTERVAL * host.routers().max(1);
+        sleep(spread.mul_f64(rand::random())).await;
         let contents = {
             let quarantine = lock(&host.crash_checks().quarantine);
             let mut still_suspected = awaited;
@@ -416,7 +426,8 @@
             checks.progress.notify_waiters();
             host.mark_crashed(&replica);
             sleep(REPORT_BATCH_DELAY).await;
-            report_crash(&*host, &replica, proof).await;
+            let segments = report_crash(&*host, &replica, proof).await;
+            report_segments(&*host, ReplicaKey::of(id), segments).await;
             return;
         }
         let next = lock(&checks.tracker).end_check(id, broken_at);
@@ -457,22 +468,23 @@
     }
 }
 
-/// Reports a crashed replica to the control group, with all requests it may have crashed on.
-async fn report_crash<H: CrashCheckHost>(host: &H, replica: &H::Replica, proof: CrashProof) {
+/// Reports a crashed replica to the control group, with all requests it may have crashed on. Returns the segments of
+/// their prompts.
+async fn report_crash<H: CrashCheckHost>(
+    host: &H,
+    replica: &H::Replica,
+    proof: CrashProof,
+) -> BTreeSet<ContentKey> {
     let checks = host.crash_checks();
     let id = H::id(replica);
     let reporter = host.reporter(replica);
     let mut requests = 0;
-    let mut prompt_segments = 0;
+    let mut segments = BTreeSet::new();
     let mut is_recorded = true;
     loop {
-        let mut contents = lock(&checks.tracker).take_unreported(id);
+        let contents = lock(&checks.tracker).take_unreported(id);
         requests += contents.len();
-        if host.supports_segment_reports() {
-            let segments = lock(&checks.tracker).take_unreported_segments(id, Instant::now());
-            prompt_segments += segments.len();
-            contents.extend(segments);
-        }
+        segments.extend(lock(&checks.tracker).take_unreported_segments(id));
         let command = ServingCommand::RecordCrash {
             replica: ReplicaKey::of(id),
             contents,
@@ -489,10 +501,41 @@
         replica = id.to_owned(),
         proof = format!("{proof:?}"),
         requests,
-        prompt_segments,
         hears_others = reporter.is_some(),
         recorded = is_recorded,
     });
+    segments
+}
+
+/// Reports the prompt segments that a replica may have crashed on, unless requests with them complete meanwhile.
+async fn report_segments<H: CrashCheckHost>(
+    host: &H,
+    replica: ReplicaKey,
+    segments: BTreeSet<ContentKey>,
+) {
+    if segments.is_empty() || !host.supports_segment_reports() {
+        return;
+    }
+    sleep(SEGMENT_REPORT_DELAY).await;
+    let mut contents: Vec<ContentKey> = segments.into_iter().collect();
+    let now = Instant::now();
+    let checks = host.crash_checks();
+    contents.retain(|segment| !lock(&checks.tracker).has_segment_succeeded(*segment, now));
+    if contents.is_empty() {
+        return;
+    }
+    let prompt_segments = contents.len();
+    let command = ServingCommand::RecordCrash {
+        replica,
+        contents,
+        reporter: None,
+    };
+    let recorded = propose_until_recorded(host, command).await;
+    spdlog::info!("prompt segments reported", kv: {
+        replica = replica.0,
+        prompt_segments,
+        recorded,
+    });
 }
 
 /// Proposes a command until it is recorded, following changes of leader. Recording is idempotent. Returns false
--- a/crates/proxy/src/crash_detection.rs
+++ b/crates/proxy/src/crash_detection.rs
@@ -4,7 +4,7 @@
 
 use std::{
     net::{IpAddr, SocketAddr},
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
@@ -39,9 +39,9 @@
 
 /// Records that the connection of a running request broke, and checks in the background whether the
 /// replica has crashed.
-pub fn connection_broken(state: &Arc<ProxyState>, target: &Target, subjects: &CrashSubjects) {
+pub fn connection_broken(state: &Arc<ProxyState>, target: &Target, subjects: CrashSubjects) {
     if !is_leaving(&state.view.load(), &target.record) {
-        crash_checks::connection_broken(state, target, subjects.clone());
+        crash_checks::connection_broken(state, target, subjects);
     }
 }
 
@@ -170,6 +170,10 @@
         self.control_peers.supports_grants()
     }
 
+    fn routers(&self) -> u32 {
+        self.routers.load(Ordering::Relaxed)
+    }
+
     fn supports_segment_reports(&self) -> bool {
         self.control_peers.records_prompt_segments()
     }
--- a/crates/proxy/src/crash_tracker.rs
+++ b/crates/proxy/src/crash_tracker.rs
@@ -184,15 +184,12 @@
         last_success.is_some_and(|at| now.saturating_duration_since(*at) < SEGMENT_SUCCESS_VALIDITY)
     }
 
-    /// Returns the next segments to report for a crashed replica, without those that completed recently.
-    pub fn take_unreported_segments(&mut self, replica: &str, now: Instant) -> Vec<ContentKey> {
-        let Some(broken) = self.broken_connections.get_mut(replica) else {
-            return Vec::new();
-        };
-        let segments = std::mem::take(&mut broken.unreported_segments);
-        let mut segments: Vec<ContentKey> = segments.into_iter().collect();
-        segments.retain(|segment| !self.has_segment_succeeded(*segment, now));
-        segments
+    /// Returns the next segments to report for a crashed replica.
+    pub fn take_unreported_segments(&mut self, replica: &str) -> BTreeSet<ContentKey> {
+        let broken = self.broken_connections.get_mut(replica);
+        broken.map_or_else(BTreeSet::new, |broken| {
+            std::mem::take(&mut broken.unreported_segments)
+        })
     }
 
     fn add_suspect(&mut self, content: ContentKey, now: Instant) {
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -167,6 +167,15 @@
     suspect_run: Option<SuspectRun>,
 }
 
+/// What an exchange brought before it failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// No complete event.
+    None,
+    /// Events of a stream.
+    Events,
+}
+
 /// An exchange whose response is being received.
 pub struct ActiveExchange {
     /// The response.
@@ -405,14 +414,28 @@
         }
     }
 
-    /// Records and logs the failure of an exchange.
+    /// Records and logs the failure of an exchange that brought nothing of its response.
     pub fn record_failure(&mut self, target: &Target, failed: FailedExchange) -> FailedExchange {
+        self.record_failure_after(target, failed, Progress::None)
+    }
+
+    /// Records and logs the failure of an exchange. A replica that sent events did not crash on the prompt.
+    pub fn record_failure_after(
+        &mut self,
+        target: &Target,
+        failed: FailedExchange,
+        progress: Progress,
+    ) -> FailedExchange {
         if let Some(outcome) = failed.outcome {
             self.record_outcome(target, outcome);
         }
         if failed.outcome == Some(ExchangeOutcome::ConnectionBroke) {
             self.broken_connections += 1;
-            crash_detection::connection_broken(&self.state, target, &self.subjects);
+            let subjects = match progress {
+                Progress::None => self.subjects.clone(),
+                Progress::Events => self.subjects.content.into(),
+            };
+            crash_detection::connection_broken(&self.state, target, subjects);
         }
         spdlog::info!("exchange failed", kv: {
             request = self.request.id.clone(),
--- a/crates/proxy/src/quarantine.rs
+++ b/crates/proxy/src/quarantine.rs
@@ -20,6 +20,10 @@
 /// a harmless request clears the harmful one until the next part arrives.
 pub const REPORT_SETTLE_TIME: Duration = Duration::from_millis(150);
 
+/// Time for which a quarantined prompt segment is still sent: routers where requests with it completed say so in it. In
+/// a fleet of hundreds each router knows few segments.
+pub const SEGMENT_SETTLE_TIME: Duration = Duration::from_secs(1);
+
 /// Requests that the control group has quarantined, and those it suspects.
 #[derive(Debug, Default)]
 pub struct QuarantineState {
@@ -75,6 +79,9 @@
     pub fn retry_after(&self, content: ContentKey, now: Instant) -> Option<Duration> {
         let since = self.quarantined.get(&content)?;
         let passed = now.saturating_duration_since(*since);
+        if content.is_prompt_segment() && passed < SEGMENT_SETTLE_TIME {
+            return None;
+        }
         Some(
             QUARANTINE_DURATION
                 .saturating_sub(passed)
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -18,7 +18,7 @@
     events::EventBuffer,
     health::ExchangeOutcome,
     load::{longest_gap::LongestGap, pace::GapTimer},
-    pipeline::{ActiveExchange, ExchangeStep, RequestRun},
+    pipeline::{ActiveExchange, ExchangeStep, Progress, RequestRun},
     retry_decision::ExchangeProof,
 };
 
@@ -89,6 +89,7 @@
         gaps: GapTimer::started(Instant::now()),
         longest_gap: LongestGap::default(),
         buffer: first.buffer,
+        progress: Progress::Events,
         active: Some(active),
         run,
     };
@@ -155,6 +156,8 @@
     /// The current exchange; `None` once the stream has ended.
     active: Option<ActiveExchange>,
     buffer: EventBuffer,
+    /// What the current exchange has brought.
+    progress: Progress,
     pending: Option<Bytes>,
     ended: bool,
     gaps: GapTimer,
@@ -184,6 +187,7 @@
                         return self.abort("event too large");
                     }
                     if !events.is_empty() {
+                        self.progress = Progress::Events;
                         self.record_gap(polled_at);
                         return Some(Ok(events));
                     }
@@ -258,7 +262,8 @@
     /// Continues the stream at another replica. The previous connection is closed first, so that
     /// only one replica works on the stream.
     async fn resume(&mut self, active: ActiveExchange, failed: FailedExchange) -> Option<()> {
-        self.run.record_failure(&active.target, failed);
+        self.run
+            .record_failure_after(&active.target, failed, self.progress);
         drop(active);
         self.buffer.discard_partial();
         if self.run.has_lost_origin() {
@@ -286,6 +291,7 @@
                     software = active.target.record.software.to_string(),
                     last_event = self.buffer.last_event().unwrap_or_default(),
                 });
+                self.progress = Progress::None;
                 self.gaps = GapTimer::default();
                 self.longest_gap = LongestGap::default();
                 self.active = Some(active);
--- a/crates/proxy/tests/crash_checks.rs
+++ b/crates/proxy/tests/crash_checks.rs
@@ -257,10 +257,28 @@
     crash_checks::request_succeeded(&host, subjects(OTHER, &[COMPLETED_SEGMENT]));
     let broken = subjects(FATAL, &[COMPLETED_SEGMENT, UNKNOWN_SEGMENT]);
     crash_checks::connection_broken(&host, &crashed_replica("r").await, broken);
+    for expected in [FATAL, UNKNOWN_SEGMENT] {
+        let ServingCommand::RecordCrash { contents, .. } = host.next_recorded().await else {
+            panic!("no report of a crash");
+        };
+        assert_eq!(contents, [expected]);
+    }
+}
+
+/// Guards against all segments being suspected when many replicas crash at once for another reason.
+#[tokio::test]
+async fn segments_that_complete_right_after_a_crash_are_not_reported() {
+    let host = Host::new();
+    host.is_recording.send_replace(true);
+    let broken = subjects(FATAL, &[COMPLETED_SEGMENT]);
+    crash_checks::connection_broken(&host, &crashed_replica("r").await, broken);
     let ServingCommand::RecordCrash { contents, .. } = host.next_recorded().await else {
         panic!("no report of a crash");
     };
-    assert_eq!(contents, [FATAL, UNKNOWN_SEGMENT]);
+    assert_eq!(contents, [FATAL]);
+    crash_checks::request_succeeded(&host, subjects(OTHER, &[COMPLETED_SEGMENT]));
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    assert!(host.recorded.lock().expect("a lock").is_empty());
 }
 
 /// Guards against a segment that is refused everywhere because only some routers saw requests with it complete.
--- a/crates/proxy/tests/quarantine.rs
+++ b/crates/proxy/tests/quarantine.rs
@@ -4,7 +4,7 @@
 
 use railtack_proxy::{
     crash_tracker::CrashTracker,
-    quarantine::{QuarantineChange, QuarantineState, REPORT_SETTLE_TIME},
+    quarantine::{QuarantineChange, QuarantineState, REPORT_SETTLE_TIME, SEGMENT_SETTLE_TIME},
 };
 use railtack_rpc::serving::{QUARANTINE_DURATION, QuarantineUpdate};
 use railtack_serving::ContentKey;
@@ -158,3 +158,26 @@
     assert_eq!(tracker.take_unreported("r"), [OTHER]);
     assert!(tracker.remove("r"));
 }
+
+/// Guards against popular segments that are refused for the moment in which many replicas crash at once.
+#[test]
+fn a_segment_is_refused_only_if_it_stays_quarantined() {
+    let segment = ContentKey::of_prompt_segment("pool", 1);
+    let mut state = QuarantineState::default();
+    let update = |changed_at, quarantined| QuarantineUpdate {
+        changed_at,
+        quarantined,
+        suspected: Vec::new(),
+    };
+    let start = Instant::now();
+    state.apply(&update(1, vec![segment]), start);
+    assert_eq!(state.retry_after(segment, start), None);
+    state.apply(&update(2, Vec::new()), start + SEGMENT_SETTLE_TIME / 2);
+    state.apply(&update(3, vec![segment]), start + SEGMENT_SETTLE_TIME / 2);
+    assert_eq!(
+        state.retry_after(segment, start + SEGMENT_SETTLE_TIME),
+        None
+    );
+    let settled_at = start + SEGMENT_SETTLE_TIME * 3 / 2;
+    assert!(state.retry_after(segment, settled_at).is_some());
+}
