Write the lists at the end of messages by one recursive type

Each list that a message had grown took a copy of the same rule: pairs, triples, and with the parts of the configuration quadruples. A list followed by others says it once.

--- a/crates/rpc/src/layout/load.rs
+++ b/crates/rpc/src/layout/load.rs
@@ -2,7 +2,7 @@
 
 use speedy::{Context, Readable, Reader, Writable, Writer};
 
-use super::trailing::{Trailing, TrailingPair};
+use super::trailing::{Trailing, TrailingThen};
 use crate::{
     permits::LimitedReplica,
     relay::RelayOffer,
@@ -121,7 +121,7 @@
     sender: &'a str,
     observations: &'a [ReplicaObservation],
     replicas: &'a [ReplicaHeartbeat],
-    paces_and_relays: TrailingPair<'a, ReplicaPace, RelayOffer>,
+    paces_and_relays: TrailingThen<'a, ReplicaPace, Trailing<'a, RelayOffer>>,
 }
 
 impl<C: Context> Writable<C> for LivenessReport {
@@ -132,7 +132,7 @@
             sender: &self.sender,
             observations: &self.observations,
             replicas: &self.replicas,
-            paces_and_relays: TrailingPair(&self.paces, &self.relays),
+            paces_and_relays: TrailingThen(&self.paces, Trailing(&self.relays)),
         };
         written.write_to(writer)
     }
--- a/crates/rpc/src/layout/watch.rs
+++ b/crates/rpc/src/layout/watch.rs
@@ -6,7 +6,7 @@
 
 use super::{
     software::SoftwareGroup,
-    trailing::{TrailingQuadruple, TrailingTriple},
+    trailing::{Trailing, TrailingThen},
 };
 use crate::{
     level::FeatureLevel,
@@ -44,6 +44,10 @@
     has_lease: bool,
 }
 
+/// Paces, the relay address and the position in the configuration.
+type RequestAdditions<'a> =
+    TrailingThen<'a, ReplicaPace, TrailingThen<'a, String, Trailing<'a, ConfigurationPosition>>>;
+
 #[derive(Writable)]
 struct WrittenRequest<'a> {
     router: &'a str,
@@ -51,7 +55,7 @@
     wait_ms: u64,
     observations: &'a [ReplicaObservation],
     later: Option<LaterRequest>,
-    additions: TrailingTriple<'a, ReplicaPace, String, ConfigurationPosition>,
+    additions: RequestAdditions<'a>,
 }
 
 impl<'a> From<&'a WatchRequest> for WrittenRequest<'a> {
@@ -66,10 +70,12 @@
                 wants_records: request.wants_records,
                 has_lease: request.has_lease,
             }),
-            additions: TrailingTriple(
+            additions: TrailingThen(
                 &request.paces,
-                request.relay_address.as_slice(),
-                request.configuration.as_slice(),
+                TrailingThen(
+                    request.relay_address.as_slice(),
+                    Trailing(request.configuration.as_slice()),
+                ),
             ),
         }
     }
@@ -151,6 +157,13 @@
     quotas: Vec<(String, TenantQuota)>,
 }
 
+/// Speeds, relays, software versions and a part of the configuration.
+type ReplyAdditions<'a> = TrailingThen<
+    'a,
+    ReplicaSpeed,
+    TrailingThen<'a, RelayOffer, TrailingThen<'a, SoftwareGroup, Trailing<'a, ConfigurationPart>>>,
+>;
+
 #[derive(Writable)]
 struct WrittenReply<'a> {
     confirmed_age_ms: Option<u64>,
@@ -161,7 +174,7 @@
     update: Option<WrittenUpdate<'a>>,
     fleet: Option<WrittenDigest<'a>>,
     later: Option<WrittenLater<'a>>,
-    additions: TrailingQuadruple<'a, ReplicaSpeed, RelayOffer, SoftwareGroup, ConfigurationPart>,
+    additions: ReplyAdditions<'a>,
 }
 
 #[derive(Writable)]
@@ -214,11 +227,12 @@
                 limited: fleet.map_or(&[], |fleet| &fleet.limited),
                 update: update.map(WrittenLaterUpdate::from),
             }),
-            additions: TrailingQuadruple(
+            additions: TrailingThen(
                 fleet.map_or(&[], |fleet| &fleet.speeds),
-                &reply.relays,
-                software,
-                reply.configuration.as_slice(),
+                TrailingThen(
+                    &reply.relays,
+                    TrailingThen(software, Trailing(reply.configuration.as_slice())),
+                ),
             ),
         }
     }
