Look up quarantined segments only if something is quarantined, and log only refusals

Found on reading the quarantine of segments again. On each admission the segments of the prompt were hashed for every service of the route, and again when the run began; now only while something is quarantined. For a route with several services a line said that the request was refused although another service took it; the line is written once, and only for a refusal. A constant that nothing else uses is private and stands with the others, and the clock is read once.

No decision changes: crash_checks, quarantine, fatal_segments and the platform's quarantine tests pass.

--- a/crates/control/tests/quarantine.rs
+++ b/crates/control/tests/quarantine.rs
@@ -292,12 +292,12 @@
     }
 }
 
-/// Part of prompts under which replicas crash.
+/// Prompt segment under which replicas crash.
 fn fatal_segment() -> ContentKey {
     ContentKey::of_prompt_segment("pool", 0xfa7a1)
 }
 
-/// Part that all prompts begin with.
+/// Segment that all prompts begin with.
 fn popular_segment() -> ContentKey {
     ContentKey::of_prompt_segment("pool", 0xc0ffee)
 }
--- a/crates/proxy/src/crash_checks.rs
+++ b/crates/proxy/src/crash_checks.rs
@@ -216,6 +216,11 @@
         lock(&self.quarantine).retry_after(content, Instant::now())
     }
 
+    /// Whether any request or prompt segment is quarantined.
+    pub fn has_quarantined(&self) -> bool {
+        lock(&self.quarantine).quarantined() > 0
+    }
+
     /// Returns which subject of a request is quarantined, and the retry delay; `None` if none is.
     pub fn quarantined_subject(&self, subjects: &CrashSubjects) -> Option<(ContentKey, Duration)> {
         let quarantine = lock(&self.quarantine);
@@ -348,10 +353,11 @@
     let checks = host.crash_checks();
     let subjects = subjects.into();
     let content = subjects.content;
+    let now = Instant::now();
     {
         let mut tracker = lock(&checks.tracker);
-        tracker.record_success(content, Instant::now());
-        tracker.record_segment_successes(&subjects.segments, Instant::now());
+        tracker.record_success(content, now);
+        tracker.record_segment_successes(&subjects.segments, now);
     }
     if lock(&checks.quarantine).should_report_success(content) {
         let contents = vec![content];
@@ -367,14 +373,12 @@
 /// Called when its lists change.
 pub fn clear_completed_segments<H: CrashCheckHost>(host: &Arc<H>) {
     let checks = host.crash_checks();
-    let now = Instant::now();
-    let suspected = lock(&checks.quarantine).suspected_segments();
-    let tracker = lock(&checks.tracker);
-    let completed = suspected
-        .into_iter()
-        .filter(|segment| tracker.has_segment_succeeded(*segment, now));
-    let completed: Vec<ContentKey> = completed.collect();
-    drop(tracker);
+    let mut completed = lock(&checks.quarantine).listed_segments();
+    {
+        let tracker = lock(&checks.tracker);
+        let now = Instant::now();
+        completed.retain(|segment| tracker.has_segment_succeeded(*segment, now));
+    }
     clear_segments(host, completed);
 }
 
@@ -518,9 +522,11 @@
     }
     sleep(SEGMENT_REPORT_DELAY).await;
     let mut contents: Vec<ContentKey> = segments.into_iter().collect();
-    let now = Instant::now();
-    let checks = host.crash_checks();
-    contents.retain(|segment| !lock(&checks.tracker).has_segment_succeeded(*segment, now));
+    {
+        let tracker = lock(&host.crash_checks().tracker);
+        let now = Instant::now();
+        contents.retain(|segment| !tracker.has_segment_succeeded(*segment, now));
+    }
     if contents.is_empty() {
         return;
     }
--- a/crates/proxy/src/crash_tracker.rs
+++ b/crates/proxy/src/crash_tracker.rs
@@ -25,6 +25,11 @@
 const SUSPECT_VALIDITY: Duration = Duration::from_secs(60);
 /// Maximum number of requests whose copies run one at a time; those open at thirty replicas with 32 slots.
 const MAX_SUSPECTS: usize = 1_024;
+/// Time for which a prompt segment counts as harmless after a request with it has completed. Longer would protect
+/// segments that turn harmful; shorter would not cover segments that come every few seconds.
+const SEGMENT_SUCCESS_VALIDITY: Duration = Duration::from_secs(10);
+/// Segments of prompts whose last success is remembered, 48 KB.
+const MAX_SEGMENT_SUCCESSES: usize = 2_048;
 
 /// Why a request is held back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,12 +43,6 @@
     },
 }
 
-/// Time for which a prompt segment counts as harmless after a request with it has completed. Longer would protect
-/// segments that turn harmful; shorter would not cover segments that come every few seconds.
-pub const SEGMENT_SUCCESS_VALIDITY: Duration = Duration::from_secs(10);
-/// Segments of prompts whose last success is remembered, 48 KB.
-const MAX_SEGMENT_SUCCESSES: usize = 2_048;
-
 /// Successes and broken connections of this router's own requests.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -121,20 +121,23 @@
     admitted: &Admitted,
     content: ContentKey,
 ) -> Option<Duration> {
+    if !state.crash_checks.has_quarantined() {
+        return None;
+    }
     let mut longest = None;
     let targets = admitted.route.targets.iter();
     for target in targets.filter(|target| target.weight_milli > 0) {
         let prompt = request.prompt.as_ref();
         let subjects = crash_detection::crash_subjects(content, &target.service, prompt);
         let (subject, retry_after) = state.crash_checks.quarantined_subject(&subjects)?;
-        spdlog::info!("request refused as quarantined", kv: {
-            request = request.id.clone(),
-            subject = subject.to_string(),
-            service = target.service.clone(),
-        });
-        longest = longest.max(Some(retry_after));
+        longest = longest.max(Some((retry_after, subject)));
     }
-    longest
+    let (retry_after, subject) = longest?;
+    spdlog::info!("request refused as quarantined", kv: {
+        request = request.id.clone(),
+        subject = subject.to_string(),
+    });
+    Some(retry_after)
 }
 
 /// A request in progress, with the state of its attempts.
--- a/crates/proxy/src/quarantine.rs
+++ b/crates/proxy/src/quarantine.rs
@@ -100,7 +100,7 @@
     }
 
     /// Returns the prompt segments that are suspected or quarantined.
-    pub fn suspected_segments(&self) -> Vec<ContentKey> {
+    pub fn listed_segments(&self) -> Vec<ContentKey> {
         let listed = self.suspected.iter().chain(self.quarantined.keys());
         listed
             .filter(|content| content.is_prompt_segment())
