Set the revision in force in one place, and count the parts of a configuration where they are applied

Found on reading the transfer of the configuration again: the gauge of the revision was set by two callers of set_view, one of them at each heartbeat, and the number of parts was read before the last one was applied and corrected by one. Both now stand where the table changes and where a part is applied.

--- a/crates/proxy/src/configuration_transfer.rs
+++ b/crates/proxy/src/configuration_transfer.rs
@@ -28,13 +28,16 @@
         has_received && !self.position.is_under_way()
     }
 
-    /// Parts received since the configuration was complete.
+    /// Parts of the last configuration, or of the one that is being received.
     pub fn parts(&self) -> u32 {
         self.parts
     }
 
     /// Applies a part. Returns the configuration if it is complete now.
     pub fn apply(&mut self, part: ConfigurationPart) -> Option<ServingConfiguration> {
+        if self.is_complete() {
+            self.parts = 0;
+        }
         if part.starts_over {
             self.items.clear();
         }
@@ -46,14 +49,9 @@
         self.position = part.position;
         self.is_whole = false;
         self.parts += 1;
-        if !self.is_complete() {
-            return None;
-        }
-        self.parts = 0;
-        Some(ServingConfiguration::from_items(
-            part.revision,
-            self.items.values(),
-        ))
+        let items = self.items.values();
+        self.is_complete()
+            .then(|| ServingConfiguration::from_items(part.revision, items))
     }
 
     /// Records that the configuration was received whole, so that a transfer would start from nothing.
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -270,24 +270,22 @@
         revision,
         replicas = next.replicas.size(),
     });
-    state.metrics.revision.set(revision);
     state.set_view(next);
 }
 
 fn apply_configuration_part(state: &ProxyState, part: ConfigurationPart) {
-    let mut transfer = lock(&state.configuration_transfer);
-    let parts = transfer.parts() + 1;
-    let Some(configuration) = transfer.apply(part) else {
+    let (received, parts) = {
+        let mut transfer = lock(&state.configuration_transfer);
+        (transfer.apply(part), transfer.parts())
+    };
+    let Some(configuration) = received else {
         return;
     };
-    drop(transfer);
-    let revision = configuration.revision;
     spdlog::info!("configuration received", kv: {
-        revision,
+        revision = configuration.revision,
         parts,
         routes = configuration.routes.len(),
     });
-    state.metrics.revision.set(revision);
     let table = RouteTable::new(configuration);
     state.set_view(state.view.load().with_table(table));
 }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -217,7 +217,9 @@
             (_, next) => next.is_none(),
         };
         if let Some(table) = next.table.as_ref().filter(|_| !is_same_table) {
-            self.forget_removed(table.configuration());
+            let configuration = table.configuration();
+            self.metrics.revision.set(configuration.revision);
+            self.forget_removed(configuration);
         }
         self.view.store(Arc::new(next));
         self.view_changed.send_replace(known);
