--- a/crates/control/src/serving/leader.rs
+++ b/crates/control/src/serving/leader.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -17,7 +17,7 @@
 
 use crate::{
     node::{NodeHandle, NodeInput},
-    serving::errors::Unavailable,
+    serving::{errors::Unavailable, lock},
     view::NodeView,
 };
 
@@ -63,10 +63,7 @@
     /// Returns the connection to the replica at an address; `None` if the address is invalid.
     pub fn connection(&self, address: &str) -> Option<Arc<ControlConnection>> {
         let socket = address.parse::<SocketAddr>().ok()?;
-        let mut connections = self
-            .connections
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut connections = lock(&self.connections);
         let connection = connections
             .entry(address.to_owned())
             .or_insert_with(|| Arc::new(ControlConnection::new(socket, CONNECT_TIMEOUT)));
--- a/crates/control/src/serving/liveness.rs
+++ b/crates/control/src/serving/liveness.rs
@@ -3,7 +3,7 @@
 
 use std::{
     collections::HashMap,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -13,7 +13,7 @@
 
 use crate::{
     metrics::ControlMetrics,
-    serving::{fleet::FleetView, leader::LeaderClient},
+    serving::{fleet::FleetView, leader::LeaderClient, lock},
 };
 
 mod digest;
@@ -140,13 +140,11 @@
     }
 
     fn relay_offers(&self) -> MutexGuard<'_, RelayOffers> {
-        self.relay_offers
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        lock(&self.relay_offers)
     }
 
     fn fleet(&self) -> MutexGuard<'_, FleetView> {
-        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.fleet)
     }
 
     /// On the leader: whether a replica has been silent for longer than `limit`. For a replica
@@ -242,7 +240,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, LivenessState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 }
 
--- a/crates/control/src/serving/liveness/speeds.rs
+++ b/crates/control/src/serving/liveness/speeds.rs
@@ -1,6 +1,6 @@
 //! Paces and speeds of replicas: state, log lines and metrics around [`ReplicaSpeeds`].
 
-use std::sync::{MutexGuard, PoisonError};
+use std::sync::MutexGuard;
 
 use railtack_rpc::{
     FeatureLevel,
@@ -14,6 +14,7 @@
     metrics::{ControlMetrics, SpeedLabels},
     serving::{
         fleet::KnownReplica,
+        lock,
         replica_speeds::{ReplicaSpeeds, SpeedChange},
     },
     view::NodeView,
@@ -118,7 +119,7 @@
     }
 
     pub(super) fn speeds(&self) -> MutexGuard<'_, SpeedState> {
-        self.speeds.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.speeds)
     }
 }
 
--- a/crates/control/src/serving/mod.rs
+++ b/crates/control/src/serving/mod.rs
@@ -22,6 +22,8 @@
 //! | [`streams`] | remembers where streams began, for routers |
 //! | [`watch`] | replies to watch requests of routers |
 
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
 pub mod daemon;
 pub mod errors;
 pub mod fleet;
@@ -48,3 +50,8 @@
 pub use errors::Unavailable;
 pub use handle::{GroupHandle, HeartbeatTarget};
 pub use order_channel::{OrderChannel, OrderReply, OrderRequest, WeightsReport};
+
+/// Locks a mutex; ignores poisoning, so that a panicking task does not stop the control replica.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/control/src/serving/order_dispatcher.rs
+++ b/crates/control/src/serving/order_dispatcher.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{HashMap, HashSet},
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -19,6 +19,7 @@
 use crate::{
     serving::{
         leader::LeaderClient,
+        lock,
         order_channel::{OrderChannel, OrderReply, OrderRequest, ReportError, WeightsReport},
         rollout_plan::RolloutStep,
         watch::WatchServer,
@@ -326,6 +327,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, DispatchState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 }
--- a/crates/control/src/serving/permits.rs
+++ b/crates/control/src/serving/permits.rs
@@ -2,7 +2,7 @@
 //! is the leader.
 
 use std::{
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -16,6 +16,7 @@
     node::NodeHandle,
     serving::{
         limits::{LimitLedger, LimitObservation, PermitDecision},
+        lock,
         quota::has_confirmed_leadership,
     },
 };
@@ -149,9 +150,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Option<TermLedger>> {
-        self.term_ledger
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        lock(&self.term_ledger)
     }
 }
 
--- a/crates/control/src/serving/quota/mod.rs
+++ b/crates/control/src/serving/quota/mod.rs
@@ -15,7 +15,7 @@
 //! | `report` | log line about these promises |
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -30,10 +30,13 @@
 use crate::{
     metrics::{ControlMetrics, PriorityLabel},
     node::NodeHandle,
-    serving::quota::{
-        ledger::{LedgerReply, QuotaLedger, Withdrawal},
-        promises::PromiseCounts,
-        report::PromiseReport,
+    serving::{
+        lock,
+        quota::{
+            ledger::{LedgerReply, QuotaLedger, Withdrawal},
+            promises::PromiseCounts,
+            report::PromiseReport,
+        },
     },
     view::NodeView,
 };
@@ -222,7 +225,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Option<TermLedgers>> {
-        self.ledgers.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.ledgers)
     }
 }
 
--- a/crates/control/src/serving/registrar.rs
+++ b/crates/control/src/serving/registrar.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -24,6 +24,7 @@
         errors::Unavailable,
         leader::LeaderClient,
         liveness::Liveness,
+        lock,
         registration_queue::{CompletedRegistration, RegistrationQueue},
     },
     view::NodeView,
@@ -290,10 +291,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Whether a heartbeat differs from the applied record.
 pub fn needs_recording(view: &NodeView, record: &ReplicaRecord) -> bool {
     if view.serving.has_departed(&record.id) {
--- a/crates/control/src/serving/streams.rs
+++ b/crates/control/src/serving/streams.rs
@@ -4,7 +4,7 @@
 //! asks them in turn.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -17,6 +17,7 @@
     metrics::ControlMetrics,
     serving::{
         leader::LeaderClient,
+        lock,
         software::{DepartureTimes, OBSERVE_INTERVAL},
     },
 };
@@ -98,7 +99,3 @@
         sleep(OBSERVE_INTERVAL).await;
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/control/src/serving/watch.rs
+++ b/crates/control/src/serving/watch.rs
@@ -2,7 +2,7 @@
 //! are.
 
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
-    serving::{leader::LeaderClient, liveness::Liveness},
+    serving::{leader::LeaderClient, liveness::Liveness, lock},
     view::NodeView,
 };
 
@@ -164,11 +164,11 @@
     }
 
     fn times(&self) -> RequestTimes {
-        *self.times.lock().unwrap_or_else(PoisonError::into_inner)
+        *lock(&self.times)
     }
 
     fn update_times(&self, update: impl FnOnce(&mut RequestTimes)) {
-        update(&mut self.times.lock().unwrap_or_else(PoisonError::into_inner));
+        update(&mut lock(&self.times));
     }
 }
 
