Name what changed before sending it, and refuse only that

Callers of a router behind a weak link were served by an old table for up to 4.5 s after a change was acknowledged, 2.5 s being the bound: requests ran at the former service, on a dropped route, under a route that had been divided, and with a dropped key.

Cause: one lease, of nine tenths of revoke_ms, bounded everything that a table permits, and only a complete table renewed it. So a router could neither tell which of its entries were outdated nor prove that the others were not. The class: one bound for statements of different promises, as for denials before.

A transfer that takes more than one reply now begins with digests of the keys of what changed. A router that has them all is confirmed for what did not change, refuses what did (503, outdated, Retry-After) from nine tenths of config_apply_ms on, and denies what neither its table nor a digest names. A tenant's digest comes with those of its callers, so that a dropped key costs the other keys nothing. A reply that misses its deadline halves the next part.

--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -385,6 +385,7 @@
         group_level: FeatureLevel::FIRST,
         relays: Vec::new(),
         configuration: None,
+        invalidations: None,
     }
 }
 
--- a/crates/control/src/serving/watch.rs
+++ b/crates/control/src/serving/watch.rs
@@ -126,6 +126,7 @@
             routers: self.liveness.router_count(),
             update: changes.update,
             configuration: changes.configuration,
+            invalidations: changes.invalidations,
             fleet: self.liveness.fleet_digest(),
             group_level: view.serving.level(),
             relays: self.liveness.relay_offers_for(&request.router),
@@ -194,7 +195,12 @@
 /// wait that the request allows; a router without a lease allows none.
 pub fn batching_delay(request: &WatchRequest, elapsed: Duration, interval: Duration) -> Duration {
     let configuration = request.configuration.as_ref();
-    let is_transferring = configuration.is_some_and(ConfigurationPosition::is_under_way);
+    let transfer = request.transfer.as_ref();
+    let has_newer_invalidations = configuration
+        .zip(transfer)
+        .is_some_and(|(held, transfer)| transfer.invalidations.newest > held.complete_through);
+    let is_transferring =
+        has_newer_invalidations || configuration.is_some_and(ConfigurationPosition::is_under_way);
     let is_incomplete =
         request.position.state == 0 || !request.position.is_complete() || is_transferring;
     if is_incomplete || !request.has_lease {
--- a/crates/control/src/serving_state/configuration_changes.rs
+++ b/crates/control/src/serving_state/configuration_changes.rs
@@ -6,14 +6,16 @@
 use std::{collections::BTreeMap, ops::Bound, sync::Arc};
 
 use railtack_consensus::LogIndex;
-use railtack_rpc::serving::{ConfigurationPart, ConfigurationPosition, TransferPosition};
-use railtack_serving::{ConfigurationItem, ItemKey, ServingConfiguration};
+use railtack_rpc::serving::{
+    ChangedTenant, ConfigurationPart, ConfigurationPosition, InvalidationPart, TransferPosition,
+};
+use railtack_serving::{ConfigurationItem, ItemKey, KeyDigest, ServingConfiguration, TenantConfig};
 
 use super::encoded_bytes;
 
 /// Size of a part, bytes, exceeded by its last item at most. A link of 7.5 Mbit/s carries it in 35 ms, far below the
 /// time that a reply may take.
-const MAX_PART_BYTES: usize = 32 * 1024;
+pub const MAX_PART_BYTES: usize = 32 * 1024;
 /// Removed items that are remembered.
 const MAX_REMOVED_ITEMS: usize = 4_096;
 
@@ -108,29 +110,95 @@
         !is_behind_router && !is_complete
     }
 
-    /// Returns the next part for a router at `position`; `None` if it lacks nothing that this replica has.
-    pub fn part_after(&self, position: &ConfigurationPosition) -> Option<ConfigurationPart> {
+    /// Returns the next part of about `max_bytes` for a router at `position`; `None` if it lacks nothing that this
+    /// replica has.
+    pub fn part_after(
+        &self,
+        position: &ConfigurationPosition,
+        max_bytes: usize,
+    ) -> Option<ConfigurationPart> {
         if !self.has_part_after(position) {
             return None;
         }
         let starts_over = self.has_forgotten_removals_after(position);
-        let position = if starts_over {
+        let mut position = if starts_over {
             ConfigurationPosition::default()
         } else {
             position.clone()
         };
-        let mut part = ConfigurationPart {
+        let mut items = Vec::new();
+        let mut removed = Vec::new();
+        self.transfer(&mut position, max_bytes, |key, entry, is_first| {
+            match &entry.item {
+                Some(item) => {
+                    items.push(item.as_ref().clone());
+                    encoded_bytes(item.as_ref())
+                }
+                // A router that has received nothing before the transfer holds no such item.
+                None if is_first => 0,
+                None => {
+                    removed.push(key.clone());
+                    encoded_bytes(key)
+                }
+            }
+        });
+        Some(ConfigurationPart {
             starts_over,
-            items: Vec::new(),
-            removed: Vec::new(),
+            items,
+            removed,
             revision: self.revision,
             position,
-        };
+        })
+    }
+
+    /// Returns the digests of about `max_bytes` of what changed after `position`, up to which a router knows that, which
+    /// may be none; `None` if this replica does not know all of them, or the router has no configuration.
+    pub fn invalidations_after(
+        &self,
+        position: &ConfigurationPosition,
+        max_bytes: usize,
+    ) -> Option<InvalidationPart> {
+        let is_first = position.complete_through == 0;
+        let is_behind_router = self.changed_at < position.newest;
+        if is_first || is_behind_router || self.has_forgotten_removals_after(position) {
+            return None;
+        }
+        let mut position = position.clone();
+        let mut routes = Vec::new();
+        let mut tenants = Vec::new();
+        self.transfer(&mut position, max_bytes, |key, entry, _| match key {
+            ItemKey::Route { host, path_prefix } => {
+                let route = KeyDigest::of_route(host, path_prefix);
+                routes.push(route);
+                encoded_bytes(&route)
+            }
+            ItemKey::Tenant { name, position } => {
+                let changed = changed_tenant(name, *position, entry.item.as_deref());
+                let bytes = encoded_bytes(&changed);
+                tenants.push(changed);
+                bytes
+            }
+            ItemKey::Service { .. } | ItemKey::Limits => 0,
+        });
+        Some(InvalidationPart {
+            routes,
+            tenants,
+            position,
+        })
+    }
+
+    /// Goes through the changes after `position` until about `max_bytes` are sent, and moves the position. `send` adds a
+    /// change to the message and returns its size; it is told whether the router had nothing before the transfer.
+    fn transfer(
+        &self,
+        position: &mut ConfigurationPosition,
+        max_bytes: usize,
+        mut send: impl FnMut(&ItemKey, &Entry, bool) -> usize,
+    ) {
         let mut bytes = 0;
-        while self.has_part_after(&part.position) && bytes < MAX_PART_BYTES {
-            self.continue_transfer(&mut part, &mut bytes);
+        while self.has_part_after(position) && bytes < max_bytes {
+            bytes += self.continue_transfer(position, max_bytes - bytes, &mut send);
         }
-        Some(part)
     }
 
     /// Whether the router may hold items of whose removal nothing is known here.
@@ -142,36 +210,50 @@
         held.any(|through| through < self.removals_forgotten_through)
     }
 
-    /// Adds the next items of the transfer under way, or of a new one, until the part is full.
-    fn continue_transfer(&self, part: &mut ConfigurationPart, bytes: &mut usize) {
-        let complete_through = part.position.complete_through;
-        let (through, from) = match part.position.transfer.take() {
+    /// Sends the next changes of the transfer under way, or of a new one, until it ends or `max_bytes` are sent. Returns
+    /// how many were.
+    fn continue_transfer(
+        &self,
+        position: &mut ConfigurationPosition,
+        max_bytes: usize,
+        send: &mut impl FnMut(&ItemKey, &Entry, bool) -> usize,
+    ) -> usize {
+        let complete_through = position.complete_through;
+        let (through, from) = match position.transfer.take() {
             Some(transfer) => (transfer.through, Bound::Excluded(transfer.last)),
             None => (self.changed_at, Bound::Unbounded),
         };
-        part.position.newest = self.changed_at;
-        for (key, entry) in self.entries.range((from, Bound::Unbounded)) {
-            if entry.changed_at <= complete_through {
-                continue;
-            }
-            match &entry.item {
-                Some(item) => {
-                    *bytes += encoded_bytes(item.as_ref());
-                    part.items.push(item.as_ref().clone());
-                }
-                // A router that has received nothing before the transfer holds no such item.
-                None if complete_through > 0 => {
-                    *bytes += encoded_bytes(key);
-                    part.removed.push(key.clone());
-                }
-                None => {}
-            }
-            if *bytes >= MAX_PART_BYTES {
+        position.newest = self.changed_at;
+        let mut bytes = 0;
+        let changed = self.entries.range((from, Bound::Unbounded));
+        for (key, entry) in changed.filter(|(_, entry)| entry.changed_at > complete_through) {
+            bytes += send(key, entry, complete_through == 0);
+            if bytes >= max_bytes {
                 let last = key.clone();
-                part.position.transfer = Some(TransferPosition { through, last });
-                return;
+                position.transfer = Some(TransferPosition { through, last });
+                return bytes;
             }
         }
-        part.position.complete_through = through;
+        position.complete_through = through;
+        bytes
+    }
+}
+
+/// Returns the digests of a tenant and of its callers; `item` is `None` if it was removed.
+fn changed_tenant(name: &str, position: u32, item: Option<&ConfigurationItem>) -> ChangedTenant {
+    let callers = match item {
+        Some(ConfigurationItem::Tenant { tenant, quota, .. }) => {
+            let tenant = TenantConfig {
+                quota: *quota,
+                ..tenant.clone()
+            };
+            let keys = tenant.api_keys.iter();
+            keys.map(|key| KeyDigest::of_caller(&tenant, key)).collect()
+        }
+        _ => Vec::new(),
+    };
+    ChangedTenant {
+        tenant: KeyDigest::of_tenant(name, position),
+        callers,
     }
 }
--- a/crates/control/src/serving_state/updates.rs
+++ b/crates/control/src/serving_state/updates.rs
@@ -2,10 +2,13 @@
 //! bounded size.
 
 use railtack_consensus::LogIndex;
-use railtack_rpc::serving::{ConfigurationPart, ServingUpdate, WatchPosition, WatchRequest};
+use railtack_rpc::serving::{
+    ConfigurationPart, ConfigurationPosition, InvalidationPart, ServingUpdate, TransferRequest,
+    WatchPosition, WatchRequest,
+};
 use railtack_serving::{Incarnation, ModelWeights, ReplicaRecord};
 
-use super::ServingState;
+use super::{ServingState, configuration_changes::MAX_PART_BYTES};
 
 /// Records in one update, about 70 kB. A router's link of 10 Mbit/s carries them in 60 ms; a larger
 /// message may miss its deadline and is then lost completely. All records in one message, 140 bytes each, missed it
@@ -44,6 +47,8 @@
     pub update: Option<ServingUpdate>,
     /// Next part of the configuration.
     pub configuration: Option<ConfigurationPart>,
+    /// Next part of the invalidations.
+    pub invalidations: Option<InvalidationPart>,
 }
 
 impl ServingState {
@@ -59,6 +64,7 @@
             return Changes {
                 update: self.update_with_configuration(request),
                 configuration: None,
+                invalidations: None,
             };
         };
         let position = request.position;
@@ -67,7 +73,8 @@
             ..UpdateLimits::of_partial_updates(request.wants_records)
         };
         let mut update = self.build_update(position, limits);
-        let configuration = self.configuration_changes.part_after(known);
+        let (configuration, invalidations) =
+            self.next_configuration_part(known, request.transfer.as_ref());
         let position_after = configuration.as_ref().map_or(known, |part| &part.position);
         let is_incomplete = self.configuration_changes.has_part_after(position_after)
             || position_after.is_under_way();
@@ -83,9 +90,31 @@
         Changes {
             update,
             configuration,
+            invalidations,
         }
     }
 
+    /// Returns the next part of the configuration, and the invalidations if the part is not the last one. A reply with
+    /// invalidations holds nothing else of the configuration, so that they arrive first.
+    fn next_configuration_part(
+        &self,
+        known: &ConfigurationPosition,
+        transfer: Option<&TransferRequest>,
+    ) -> (Option<ConfigurationPart>, Option<InvalidationPart>) {
+        let changes = &self.configuration_changes;
+        let max_bytes = transfer.map_or(MAX_PART_BYTES, |transfer| {
+            (transfer.max_part_bytes as usize).clamp(1, MAX_PART_BYTES)
+        });
+        let part = changes.part_after(known, max_bytes);
+        let position_after = part.as_ref().map_or(known, |part| &part.position);
+        let Some(transfer) = transfer.filter(|_| position_after.is_under_way()) else {
+            return (part, None);
+        };
+        let invalidations = changes.invalidations_after(&transfer.invalidations, max_bytes);
+        let has_invalidations = invalidations.as_ref().is_some_and(|part| !part.is_empty());
+        (part.filter(|_| !has_invalidations), invalidations)
+    }
+
     /// Returns the changes for a router that receives the configuration whole.
     fn update_with_configuration(&self, request: &WatchRequest) -> Option<ServingUpdate> {
         if !request.accepts_partial {
--- a/crates/control/tests/configuration_parts.rs
+++ b/crates/control/tests/configuration_parts.rs
@@ -2,7 +2,8 @@
 
 use railtack_control::serving_state::ServingState;
 use railtack_rpc::serving::{
-    ConfigurationDocument, ConfigurationPosition, ServingCommand, WatchPosition, WatchRequest,
+    ConfigurationDocument, ConfigurationPosition, ServingCommand, TransferRequest, WatchPosition,
+    WatchRequest,
 };
 use railtack_serving::{
     CallerLimits, RequestKind, Route, ServiceConfig, ServingConfiguration, WeightedService,
@@ -67,6 +68,7 @@
         paces: Vec::new(),
         relay_address: None,
         configuration,
+        transfer: None,
     }
 }
 
@@ -90,6 +92,61 @@
     assert_eq!(position, ConfigurationPosition::at(3));
 }
 
+fn request_with_transfer(held: u64, through: u64, max_part_bytes: u32) -> WatchRequest {
+    WatchRequest {
+        transfer: Some(TransferRequest {
+            invalidations: ConfigurationPosition::at(through),
+            max_part_bytes,
+        }),
+        ..request(held, Some(ConfigurationPosition::at(held)))
+    }
+}
+
+/// Guards against routers that learn of what was dropped only behind everything that was added.
+#[test]
+fn what_changed_is_named_before_it_is_sent() {
+    let mut state = ServingState::default();
+    put(&mut state, 3, configuration(1, 1_000));
+    put(&mut state, 4, configuration(2, 2_400));
+    let first = state.changes_for(&request_with_transfer(3, 3, 32 * 1024));
+    assert_eq!(first.configuration, None);
+    let named = first.invalidations.expect("invalidations");
+    assert_eq!(named.routes.len(), 1_400);
+    assert_eq!(named.position, ConfigurationPosition::at(4));
+    let bytes = named.write_to_vec().expect("encoded").len();
+    assert!(bytes < 12 * 1024, "{bytes} bytes");
+    let second = state.changes_for(&request_with_transfer(3, 4, 32 * 1024));
+    assert!(second.invalidations.is_some_and(|part| part.is_empty()));
+    assert!(second.configuration.is_some());
+}
+
+/// Guards against a message more for each small change.
+#[test]
+fn a_change_that_fits_into_one_part_is_not_named_before() {
+    let mut state = ServingState::default();
+    put(&mut state, 3, configuration(1, 1_000));
+    put(&mut state, 4, configuration(2, 1_001));
+    let changes = state.changes_for(&request_with_transfer(3, 3, 32 * 1024));
+    assert_eq!(changes.invalidations, None);
+    assert!(changes.configuration.is_some());
+}
+
+/// Guards against parts that a router's link does not carry in time.
+#[test]
+fn parts_are_no_larger_than_the_router_asks() {
+    let mut state = ServingState::default();
+    put(&mut state, 3, configuration(1, 1_000));
+    put(&mut state, 4, configuration(2, 2_400));
+    let changes = state.changes_for(&request_with_transfer(3, 3, 2_048));
+    let named = changes.invalidations.expect("invalidations");
+    assert_eq!(named.routes.len(), 256);
+    assert!(named.position.is_under_way());
+    let part = state.changes_for(&request_with_transfer(3, 4, 2_048));
+    let part = part.configuration.expect("a part");
+    let bytes = part.write_to_vec().expect("encoded").len();
+    assert!(bytes < 2_500, "{bytes} bytes");
+}
+
 /// Guards against one changed route that costs a transfer of the whole table.
 #[test]
 fn only_changed_items_are_sent() {
--- a/crates/control/tests/software_versions.rs
+++ b/crates/control/tests/software_versions.rs
@@ -73,6 +73,7 @@
         group_level: FeatureLevel::SOFTWARE_VERSIONS,
         relays: Vec::new(),
         configuration: None,
+        invalidations: None,
     };
     let bytes = reply.write_to_vec().expect("encoded");
     assert_eq!(
--- a/crates/control/tests/watch.rs
+++ b/crates/control/tests/watch.rs
@@ -20,6 +20,7 @@
         paces: Vec::new(),
         relay_address: None,
         configuration: None,
+        transfer: None,
     }
 }
 
--- a/crates/proxy/src/configuration_transfer.rs
+++ b/crates/proxy/src/configuration_transfer.rs
@@ -2,20 +2,74 @@
 //!
 //! Parts are collected beside the configuration in use, which is replaced once they are complete.
 
-use railtack_rpc::serving::{ConfigurationPart, ConfigurationPosition};
+use railtack_rpc::serving::{
+    ConfigurationPart, ConfigurationPosition, InvalidationPart, TransferRequest,
+};
 use railtack_serving::{ConfigurationItems, ServingConfiguration};
 
+use crate::invalidations::Invalidations;
+
+/// Largest size of a part, bytes.
+const MAX_PART_BYTES: u32 = 32 * 1024;
+/// Size below which a part is not reduced, bytes.
+const MIN_PART_BYTES: u32 = 2 * 1024;
+
 /// Items received, and how far they reach.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ConfigurationTransfer {
     items: ConfigurationItems,
     position: ConfigurationPosition,
+    /// What changed since the configuration in use.
+    invalidations: Invalidations,
+    /// Size of a part that the link to the control replicas carries in time.
+    part_bytes: u32,
     parts: u32,
     /// Whether the configuration was received whole, from a control replica that sends no parts.
     is_whole: bool,
 }
 
+impl Default for ConfigurationTransfer {
+    fn default() -> Self {
+        Self {
+            items: ConfigurationItems::default(),
+            position: ConfigurationPosition::default(),
+            invalidations: Invalidations::default(),
+            part_bytes: MAX_PART_BYTES,
+            parts: 0,
+            is_whole: false,
+        }
+    }
+}
+
 impl ConfigurationTransfer {
+    /// What changed since the configuration in use.
+    pub fn invalidations(&self) -> &Invalidations {
+        &self.invalidations
+    }
+
+    /// What the next request needs beside the position.
+    pub fn request(&self) -> TransferRequest {
+        TransferRequest {
+            invalidations: self.invalidations.position(),
+            max_part_bytes: self.part_bytes,
+        }
+    }
+
+    /// Adapts the size of parts to whether a reply arrived in time.
+    pub fn record_reply(&mut self, has_arrived: bool) {
+        let part_bytes = if has_arrived {
+            self.part_bytes.saturating_mul(2)
+        } else {
+            self.part_bytes / 2
+        };
+        self.part_bytes = part_bytes.clamp(MIN_PART_BYTES, MAX_PART_BYTES);
+    }
+
+    /// Applies invalidations. Returns whether all changes that the control replica has are known now.
+    pub fn invalidate(&mut self, part: InvalidationPart) -> bool {
+        self.invalidations.apply(part)
+    }
+
     /// Position for the next request.
     pub fn position(&self) -> ConfigurationPosition {
         self.position.clone()
@@ -54,6 +108,12 @@
             .then(|| ServingConfiguration::from_items(part.revision, items))
     }
 
+    /// Records that the configuration received last is in use.
+    pub fn record_in_use(&mut self) {
+        self.invalidations
+            .remove_through(self.position.complete_through);
+    }
+
     /// Records that the configuration was received whole, so that a transfer would start from nothing.
     pub fn record_whole(&mut self) {
         *self = Self {
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -15,8 +15,8 @@
 use railtack_rpc::{
     ControlConnection, call_context,
     serving::{
-        ConfigurationPart, MAX_CONFIRMATION_AGE_MS, ReplicaPace, ServingUpdate, WatchReply,
-        WatchRequest,
+        ConfigurationPart, InvalidationPart, MAX_CONFIRMATION_AGE_MS, ReplicaPace, ServingUpdate,
+        WatchReply, WatchRequest,
     },
 };
 use railtack_serving::RouteTable;
@@ -25,6 +25,7 @@
 use crate::{
     crash_checks,
     fleet_view::MIN_ROUTERS_FOR_SHARED_LOAD,
+    lease::Knowledge,
     limits,
     load::pace::ReportTimer,
     state::{ProxyState, lock},
@@ -185,6 +186,10 @@
     // Replies are only held if there is nothing to send; missing records arrive immediately.
     let hold_time = max_hold_time(state.routers.load(Ordering::Relaxed));
     let relay_address = relay_offer(state);
+    let (configuration, transfer) = {
+        let transfer = lock(&state.configuration_transfer);
+        (transfer.position(), transfer.request())
+    };
     let request = WatchRequest {
         router: state.options.node.clone(),
         position,
@@ -195,7 +200,8 @@
         observations: lock(&state.replicas).observations(Instant::now()),
         paces,
         relay_address,
-        configuration: Some(lock(&state.configuration_transfer).position()),
+        configuration: Some(configuration),
+        transfer: Some(transfer),
     };
     let sent_at = Instant::now();
     let reply = connection
@@ -206,6 +212,7 @@
         })
         .await;
     state.metrics.record_watch_reply(reply.is_ok());
+    lock(&state.configuration_transfer).record_reply(reply.is_ok());
     reply
         .inspect_err(|report| {
             spdlog::info!("control reply missed", kv: {
@@ -232,6 +239,8 @@
         }
         limits::resend_unknown_limits(state);
     }
+    let invalidations = reply.invalidations.take();
+    let knows_changes = invalidations.is_some_and(|part| apply_invalidations(state, part));
     if let Some(part) = reply.configuration.take() {
         apply_configuration_part(state, part);
     }
@@ -241,8 +250,13 @@
     // The lease covers what the router knows, so all updates are applied before the confirmation.
     // Not all replicas have to be known: in a large fleet their records take seconds to arrive.
     let has_configuration = lock(&state.configuration_transfer).is_complete();
-    if has_configuration && state.view.load().position.can_serve() {
-        state.apply_confirmation(&reply, requested_at);
+    let knowledge = if has_configuration {
+        Some(Knowledge::Configuration)
+    } else {
+        knows_changes.then_some(Knowledge::Invalidations)
+    };
+    if let Some(knowledge) = knowledge.filter(|_| state.view.load().position.can_serve()) {
+        state.apply_confirmation(&reply, requested_at, knowledge);
     }
     if !was_confirmed && state.is_confirmed() {
         let position = state.view.load().position;
@@ -273,6 +287,24 @@
     state.set_view(next);
 }
 
+/// Returns whether all changes that the control replica has are known now.
+fn apply_invalidations(state: &ProxyState, part: InvalidationPart) -> bool {
+    let (changed, through) = (!part.is_empty(), part.position.newest);
+    let (knows_changes, size) = {
+        let mut transfer = lock(&state.configuration_transfer);
+        let knows_changes = transfer.invalidate(part);
+        (knows_changes, transfer.invalidations().size())
+    };
+    if changed {
+        spdlog::info!("configuration invalidated in part", kv: {
+            items = size,
+            through,
+            is_known_whole = knows_changes,
+        });
+    }
+    knows_changes
+}
+
 fn apply_configuration_part(state: &ProxyState, part: ConfigurationPart) {
     let (received, parts) = {
         let mut transfer = lock(&state.configuration_transfer);
@@ -288,6 +320,7 @@
     });
     let table = RouteTable::new(configuration);
     state.set_view(state.view.load().with_table(table));
+    lock(&state.configuration_transfer).record_in_use();
 }
 
 /// Control replicas that can be contacted.
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -6,15 +6,16 @@
 //! for it, up to a part of their time. A router that *lost* its lease refuses immediately, because
 //! it is probably partitioned and the others are not.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
+use railtack_serving::RouteTable;
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
     admission::{self, Admitted},
     refusal::RefusalReason,
     request::ProxiedRequest,
-    state::ProxyState,
+    state::{ProxyState, lock},
 };
 
 /// Divisor of the client's timeout that gives the longest wait for the first lease. The rest must
@@ -63,7 +64,7 @@
 /// Returns the retry delay after a refusal on admission.
 pub fn retry_after(reason: RefusalReason) -> Option<Duration> {
     match reason {
-        RefusalReason::Unconfirmed => Some(UNCONFIRMED_RETRY_AFTER),
+        RefusalReason::Unconfirmed | RefusalReason::Outdated => Some(UNCONFIRMED_RETRY_AFTER),
         RefusalReason::Stopping => Some(STOPPING_RETRY_AFTER),
         _ => None,
     }
@@ -79,7 +80,8 @@
     if !state.is_confirmed() {
         return Err(RefusalReason::Unconfirmed);
     }
-    let admitted = admission::admit(table, request).map_err(|reason| confirmed(state, reason))?;
+    let admitted = admission::admit(table, request);
+    let admitted = confirmed(state, table, request, admitted)?;
     let stop = state.shutdown_plan();
     if stop.is_some_and(|plan| !plan.accepts(admitted.deadline, Instant::now())) {
         return Err(RefusalReason::Stopping);
@@ -87,12 +89,54 @@
     Ok(admitted)
 }
 
-/// Replaces a denial that may rest on an outdated configuration.
-fn confirmed(state: &ProxyState, reason: RefusalReason) -> RefusalReason {
-    match reason {
-        RefusalReason::UnknownRoute | RefusalReason::UnknownKey if !state.may_deny() => {
-            RefusalReason::Unconfirmed
-        }
-        _ => reason,
+/// Replaces a decision that may rest on an outdated configuration.
+fn confirmed(
+    state: &ProxyState,
+    table: &Arc<RouteTable>,
+    request: &ProxiedRequest,
+    admitted: Result<Admitted, RefusalReason>,
+) -> Result<Admitted, RefusalReason> {
+    let is_denied = matches!(
+        admitted,
+        Err(RefusalReason::UnknownRoute | RefusalReason::UnknownKey)
+    );
+    if !is_denied && state.has_configuration_in_force() {
+        return admitted;
+    }
+    let is_outdated = is_outdated(state, table, request, &admitted);
+    let view = state.view.load();
+    if !view
+        .table
+        .as_ref()
+        .is_some_and(|current| Arc::ptr_eq(current, table))
+    {
+        // What changed since the former configuration was forgotten when this one came into use.
+        return admit_now(state, request);
+    }
+    if is_outdated {
+        return Err(RefusalReason::Outdated);
+    }
+    if is_denied && !state.may_deny() {
+        return Err(RefusalReason::Unconfirmed);
+    }
+    admitted
+}
+
+/// Whether the decision may differ by a newer configuration, of which this router knows only what changed.
+fn is_outdated(
+    state: &ProxyState,
+    table: &RouteTable,
+    request: &ProxiedRequest,
+    admitted: &Result<Admitted, RefusalReason>,
+) -> bool {
+    let transfer = lock(&state.configuration_transfer);
+    let changed = transfer.invalidations();
+    if changed.affect_route(table, &request.host, request.path()) {
+        return true;
     }
+    let is_anonymous = admitted
+        .as_ref()
+        .is_ok_and(|admitted| request.key.is_none() && admitted.route.allows_anonymous);
+    let is_unknown_route = matches!(admitted, Err(RefusalReason::UnknownRoute));
+    !is_anonymous && !is_unknown_route && changed.affect_caller(table, request.key.as_deref())
 }
--- a/crates/proxy/src/lease.rs
+++ b/crates/proxy/src/lease.rs
@@ -14,13 +14,25 @@
 /// Divisor of the bound that is reserved for applying a change.
 const MARGIN_DIVISOR: u32 = 10;
 
+/// What a router knows after a reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Knowledge {
+    /// Which items of the configuration in use changed.
+    Invalidations,
+    /// The configuration itself.
+    Configuration,
+}
+
 /// Tracks confirmations of the configuration.
 #[derive(Clone, Copy, Debug)]
 pub struct Lease {
     duration: Option<Duration>,
-    /// Age of the confirmation up to which the configuration tells what does not exist.
-    denial_age: Duration,
+    /// Age of a confirmation up to which everything that has to be in force is known.
+    apply_age: Duration,
+    /// Time at which everything that had changed was known here.
     confirmed_at: Option<BootInstant>,
+    /// Time at which everything that had changed was in the configuration in use.
+    configuration_at: Option<BootInstant>,
 }
 
 impl Lease {
@@ -29,13 +41,20 @@
     pub fn new(revoke: Duration, fail_closed: bool, apply: Duration) -> Self {
         Self {
             duration: fail_closed.then_some(revoke - revoke / MARGIN_DIVISOR),
-            denial_age: apply - apply / MARGIN_DIVISOR,
+            apply_age: apply - apply / MARGIN_DIVISOR,
             confirmed_at: None,
+            configuration_at: None,
         }
     }
 
-    /// Applies a reply to a request sent at `requested_at`.
-    pub fn apply_reply(&mut self, reply: &WatchReply, requested_at: BootInstant) {
+    /// Applies a reply to a request sent at `requested_at`, after which the router knows what changed, or has even the
+    /// newest configuration in use.
+    pub fn apply_reply(
+        &mut self,
+        reply: &WatchReply,
+        requested_at: BootInstant,
+        knowledge: Knowledge,
+    ) {
         let Some(age_ms) = reply.confirmed_age_ms else {
             return;
         };
@@ -43,6 +62,9 @@
         let made_at = requested_at + Duration::from_millis(reply.delayed_ms);
         let confirmed_at = made_at.checked_sub(Duration::from_millis(age_ms));
         self.confirmed_at = self.confirmed_at.max(confirmed_at);
+        if knowledge == Knowledge::Configuration {
+            self.configuration_at = self.configuration_at.max(confirmed_at);
+        }
     }
 
     /// Returns the time since the configuration was known to be current; `None` if it never was.
@@ -69,8 +91,14 @@
     }
 
     /// Whether a route or key that the configuration lacks may be denied: any that was added long enough ago to be in
-    /// force would be there. The expiry of the lease is too late for that, because it bounds the use of what exists.
+    /// force would be known. The expiry of the lease is too late for that, because it bounds the use of what exists.
     pub fn may_deny(&self, now: BootInstant) -> bool {
-        self.age(now).is_some_and(|age| age < self.denial_age)
+        self.age(now).is_some_and(|age| age < self.apply_age)
+    }
+
+    /// Whether the configuration in use includes every change that has to be in force.
+    pub fn has_configuration_in_force(&self, now: BootInstant) -> bool {
+        let at = self.configuration_at;
+        at.is_some_and(|at| now.saturating_duration_since(at) < self.apply_age)
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,6 +7,7 @@
 //! | step | modules | pure |
 //! |---|---|---|
 //! | receive the configuration in parts | [`configuration_transfer`], updated by [`control_watch`] | yes |
+//! | serve what a newer configuration left unchanged | [`invalidations`] | yes |
 //! | confirm that the configuration is current | [`lease`], updated by [`control_watch`] | yes |
 //! | resolve route, tenant and deadline | [`admission`] | yes |
 //! | admit the request, wait for the first lease, or refuse | [`entry`] | |
@@ -52,6 +53,7 @@
 pub mod health;
 pub mod homes;
 pub mod idle_limit;
+pub mod invalidations;
 pub mod lease;
 pub mod limits;
 pub mod load;
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -30,6 +30,9 @@
     /// The configuration is not confirmed to be current.
     #[error("unconfirmed")]
     Unconfirmed,
+    /// The route or the caller changed, and the change has not arrived.
+    #[error("outdated")]
+    Outdated,
     /// The router is shutting down and cannot finish the request in time.
     #[error("stopping")]
     Stopping,
@@ -97,6 +100,7 @@
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::QuotaUsed => StatusCode::TOO_MANY_REQUESTS,
             Self::Unconfirmed
+            | Self::Outdated
             | Self::QuotaUnknown
             | Self::Stopping
             | Self::Quarantined
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -27,7 +27,7 @@
     crash_checks::CrashChecks,
     estimates::{Estimates, FirstEventEstimate},
     fleet_view::FleetView,
-    lease::Lease,
+    lease::{Knowledge, Lease},
     metrics::ProxyMetrics,
     overload::OverloadTable,
     prefill_latency::{PrefillBacklog, PrefillLatency},
@@ -280,10 +280,20 @@
         lock(&self.lease).age(BootInstant::now()).is_some()
     }
 
+    /// Whether the configuration in use includes every change that has to be in force.
+    pub fn has_configuration_in_force(&self) -> bool {
+        lock(&self.lease).has_configuration_in_force(BootInstant::now())
+    }
+
     /// Applies a confirmation; returns true if the router may serve from now on.
-    pub fn apply_confirmation(&self, reply: &WatchReply, requested_at: BootInstant) -> bool {
+    pub fn apply_confirmation(
+        &self,
+        reply: &WatchReply,
+        requested_at: BootInstant,
+        knowledge: Knowledge,
+    ) -> bool {
         let was_confirmed = self.is_confirmed();
-        lock(&self.lease).apply_reply(reply, requested_at);
+        lock(&self.lease).apply_reply(reply, requested_at, knowledge);
         let gained = !was_confirmed && self.is_confirmed();
         if gained {
             // Requests that wait for the first lease are woken like those that wait for a view.
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -9,7 +9,7 @@
     events::EventBuffer,
     fleet_view::FleetView,
     health::{ExchangeOutcome, Health},
-    lease::Lease,
+    lease::{Knowledge, Lease},
     retry_decision::{ExchangeFacts, ExchangeProof, NextStep, next_step, without_retry},
     scoring::{Candidate, RequestSize, SharedLoad, choose},
     weight_versions::WeightVersions,
@@ -39,6 +39,7 @@
         group_level: FeatureLevel::SUPPORTED,
         relays: Vec::new(),
         configuration: None,
+        invalidations: None,
     }
 }
 
@@ -49,7 +50,7 @@
     for fail_closed in [true, false] {
         let mut lease = Lease::new(milliseconds(5_000), fail_closed, milliseconds(2_000));
         assert!(!lease.may_deny(start));
-        lease.apply_reply(&reply(Some(300), 400), start);
+        lease.apply_reply(&reply(Some(300), 400), start, Knowledge::Configuration);
         assert!(lease.may_deny(start + milliseconds(1_850)));
         assert!(!lease.may_deny(start + milliseconds(1_950)));
         assert!(lease.is_valid(start + milliseconds(1_950)));
@@ -61,14 +62,18 @@
     let start = BootInstant::now();
     let mut lease = Lease::new(milliseconds(5_000), true, milliseconds(2_000));
     assert!(!lease.is_valid(start));
-    lease.apply_reply(&reply(None, 0), start);
+    lease.apply_reply(&reply(None, 0), start, Knowledge::Configuration);
     assert!(!lease.is_valid(start));
     // Sent now, held for 400 ms, confirmed 300 ms before the reply: confirmed 100 ms from now.
-    lease.apply_reply(&reply(Some(300), 400), start);
+    lease.apply_reply(&reply(Some(300), 400), start, Knowledge::Configuration);
     assert!(lease.is_valid(start + milliseconds(4_500)));
     assert!(!lease.is_valid(start + milliseconds(4_700)));
     // A late reply with an older confirmation changes nothing.
-    lease.apply_reply(&reply(Some(5_000), 0), start + milliseconds(200));
+    lease.apply_reply(
+        &reply(Some(5_000), 0),
+        start + milliseconds(200),
+        Knowledge::Configuration,
+    );
     assert!(lease.is_valid(start + milliseconds(4_500)));
 }
 
@@ -76,7 +81,11 @@
 fn a_lease_expires_while_the_machine_is_suspended() {
     let steady = Instant::now();
     let mut lease = Lease::new(milliseconds(5_000), true, milliseconds(2_000));
-    lease.apply_reply(&reply(Some(0), 0), BootInstant::at(steady, milliseconds(0)));
+    lease.apply_reply(
+        &reply(Some(0), 0),
+        BootInstant::at(steady, milliseconds(0)),
+        Knowledge::Configuration,
+    );
     let soon = steady + milliseconds(100);
     assert!(lease.is_valid(BootInstant::at(soon, milliseconds(0))));
     assert!(!lease.is_valid(BootInstant::at(soon, milliseconds(6_000))));
@@ -87,7 +96,7 @@
     let start = BootInstant::now();
     let mut lease = Lease::new(milliseconds(5_000), false, milliseconds(2_000));
     assert!(!lease.is_valid(start));
-    lease.apply_reply(&reply(Some(0), 0), start);
+    lease.apply_reply(&reply(Some(0), 0), start, Knowledge::Configuration);
     assert!(lease.is_valid(start + milliseconds(60_000)));
 }
 
--- a/crates/proxy/tests/support/control.rs
+++ b/crates/proxy/tests/support/control.rs
@@ -99,6 +99,7 @@
             group_level: FeatureLevel::SUPPORTED,
             relays: Vec::new(),
             configuration: None,
+            invalidations: None,
         }
     }
 
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -10,6 +10,7 @@
 use railtack_clock::BootInstant;
 use railtack_proxy::{
     BackendProtocol, Dispatch, ProxiedRequest, ProxyOptions, ProxyState, ResponseClass,
+    lease::Knowledge,
 };
 use railtack_rpc::{FeatureLevel, serving::WatchReply};
 use railtack_serving::{BackendSignals, Bounds, Policy, QuotaBounds};
@@ -85,6 +86,7 @@
         group_level: FeatureLevel::SUPPORTED,
         relays: Vec::new(),
         configuration: None,
+        invalidations: None,
     };
-    assert!(state.apply_confirmation(&reply, BootInstant::now()));
+    assert!(state.apply_confirmation(&reply, BootInstant::now(), Knowledge::Configuration));
 }
--- a/crates/rpc/src/layout/watch.rs
+++ b/crates/rpc/src/layout/watch.rs
@@ -13,9 +13,9 @@
     permits::LimitedReplica,
     relay::RelayOffer,
     serving::{
-        ConfigurationPart, ConfigurationPosition, FleetDigest, QuarantineUpdate, ReplicaCondition,
-        ReplicaObservation, ReplicaPace, ReplicaSpeed, ServingUpdate, WatchPosition, WatchReply,
-        WatchRequest,
+        ConfigurationPart, ConfigurationPosition, FleetDigest, InvalidationPart, QuarantineUpdate,
+        ReplicaCondition, ReplicaObservation, ReplicaPace, ReplicaSpeed, ServingUpdate,
+        TransferRequest, WatchPosition, WatchReply, WatchRequest,
     },
 };
 
@@ -35,6 +35,9 @@
     /// At most one.
     #[speedy(default_on_eof)]
     configuration: Vec<ConfigurationPosition>,
+    /// At most one.
+    #[speedy(default_on_eof)]
+    transfer: Vec<TransferRequest>,
 }
 
 #[derive(Readable, Writable)]
@@ -44,9 +47,16 @@
     has_lease: bool,
 }
 
-/// Paces, the relay address and the position in the configuration.
-type RequestAdditions<'a> =
-    TrailingThen<'a, ReplicaPace, TrailingThen<'a, String, Trailing<'a, ConfigurationPosition>>>;
+/// Paces, the relay address, the position in the configuration and what else its transfer needs.
+type RequestAdditions<'a> = TrailingThen<
+    'a,
+    ReplicaPace,
+    TrailingThen<
+        'a,
+        String,
+        TrailingThen<'a, ConfigurationPosition, Trailing<'a, TransferRequest>>,
+    >,
+>;
 
 #[derive(Writable)]
 struct WrittenRequest<'a> {
@@ -74,7 +84,10 @@
                 &request.paces,
                 TrailingThen(
                     request.relay_address.as_slice(),
-                    Trailing(request.configuration.as_slice()),
+                    TrailingThen(
+                        request.configuration.as_slice(),
+                        Trailing(request.transfer.as_slice()),
+                    ),
                 ),
             ),
         }
@@ -100,6 +113,7 @@
             paces: wire.paces,
             relay_address: wire.relay_addresses.into_iter().next(),
             configuration: wire.configuration.into_iter().next(),
+            transfer: wire.transfer.into_iter().next(),
         }
     }
 }
@@ -125,6 +139,9 @@
     /// At most one.
     #[speedy(default_on_eof)]
     configuration: Vec<ConfigurationPart>,
+    /// At most one.
+    #[speedy(default_on_eof)]
+    invalidations: Vec<InvalidationPart>,
 }
 
 #[derive(Readable)]
@@ -157,11 +174,19 @@
     quotas: Vec<(String, TenantQuota)>,
 }
 
-/// Speeds, relays, software versions and a part of the configuration.
+/// Speeds, relays, software versions, a part of the configuration and invalidations.
 type ReplyAdditions<'a> = TrailingThen<
     'a,
     ReplicaSpeed,
-    TrailingThen<'a, RelayOffer, TrailingThen<'a, SoftwareGroup, Trailing<'a, ConfigurationPart>>>,
+    TrailingThen<
+        'a,
+        RelayOffer,
+        TrailingThen<
+            'a,
+            SoftwareGroup,
+            TrailingThen<'a, ConfigurationPart, Trailing<'a, InvalidationPart>>,
+        >,
+    >,
 >;
 
 #[derive(Writable)]
@@ -231,7 +256,13 @@
                 fleet.map_or(&[], |fleet| &fleet.speeds),
                 TrailingThen(
                     &reply.relays,
-                    TrailingThen(software, Trailing(reply.configuration.as_slice())),
+                    TrailingThen(
+                        software,
+                        TrailingThen(
+                            reply.configuration.as_slice(),
+                            Trailing(reply.invalidations.as_slice()),
+                        ),
+                    ),
                 ),
             ),
         }
@@ -288,6 +319,7 @@
             group_level: group_level.unwrap_or_default(),
             relays: wire.relays,
             configuration: wire.configuration.into_iter().next(),
+            invalidations: wire.invalidations.into_iter().next(),
         }
     }
 }
--- a/crates/rpc/src/serving.rs
+++ b/crates/rpc/src/serving.rs
@@ -14,7 +14,10 @@
 mod configuration;
 
 pub use commands::{ConfigurationDocument, Registration, ServingCommand, ServingOutcome};
-pub use configuration::{ConfigurationPart, ConfigurationPosition, TransferPosition};
+pub use configuration::{
+    ChangedTenant, ConfigurationPart, ConfigurationPosition, InvalidationPart, TransferPosition,
+    TransferRequest,
+};
 
 /// Log positions up to which a router has received the serving state; 0 for nothing.
 ///
@@ -86,6 +89,8 @@
     pub relay_address: Option<String>,
     /// How much of the configuration the router has; `None` for builds that receive it whole.
     pub configuration: Option<ConfigurationPosition>,
+    /// What else the transfer of the configuration needs; `None` for builds that know no invalidations.
+    pub transfer: Option<TransferRequest>,
 }
 
 /// Age from which a confirmation no longer renews a lease, milliseconds. The router then switches to another
@@ -116,6 +121,9 @@
     pub relays: Vec<RelayOffer>,
     /// Next part of the configuration, for a router that states its position; `None` if it lacks nothing.
     pub configuration: Option<ConfigurationPart>,
+    /// Next part of the invalidations, which may be empty, for a router that lacks more of the configuration than this
+    /// reply holds; `None` if the control replica does not know all of them.
+    pub invalidations: Option<InvalidationPart>,
 }
 
 /// Recent observations of one back-end replica, by one router or by all routers connected to one control
--- a/crates/rpc/src/serving/configuration.rs
+++ b/crates/rpc/src/serving/configuration.rs
@@ -4,9 +4,12 @@
 //! which the router has everything. Changes during a transfer are left to the next one, which begins at the position
 //! at which the former began, so that no change makes a transfer start over. The router uses the configuration once a
 //! transfer ends at the position at which it began.
+//!
+//! A transfer of many items is preceded by the digests of their keys, which are transferred in the same manner. A router
+//! that has the digests knows which items of its configuration are current, before it has those that are not.
 
 use railtack_consensus::LogIndex;
-use railtack_serving::{ConfigurationItem, ItemKey};
+use railtack_serving::{ConfigurationItem, ItemKey, KeyDigest};
 use speedy::{Readable, Writable};
 
 /// How much of the configuration a router has received; log positions, 0 for nothing.
@@ -60,3 +63,39 @@
     /// Position of the router after it has applied the part.
     pub position: ConfigurationPosition,
 }
+
+/// What a router needs beside the next part of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct TransferRequest {
+    /// How far the router has the digests of what changed since the configuration in use.
+    pub invalidations: ConfigurationPosition,
+    /// Size of a part, bytes, which its last item may exceed.
+    pub max_part_bytes: u32,
+}
+
+/// A tenant that changed or was removed.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct ChangedTenant {
+    /// Digest of its key.
+    pub tenant: KeyDigest,
+    /// Digests of its callers as they are now. Callers with the same digest before are not affected by the change.
+    pub callers: Vec<KeyDigest>,
+}
+
+/// Digests of items that changed or were removed.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct InvalidationPart {
+    /// Routes.
+    pub routes: Vec<KeyDigest>,
+    /// Tenants.
+    pub tenants: Vec<ChangedTenant>,
+    /// Position of the router after it has applied the part.
+    pub position: ConfigurationPosition,
+}
+
+impl InvalidationPart {
+    /// Whether the part holds no digests.
+    pub fn is_empty(&self) -> bool {
+        self.routes.is_empty() && self.tenants.is_empty()
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -28,7 +28,7 @@
     CallerLimits, EngineConfig, LEAST_URGENT_PRIORITY, RequestKind, Route, ServiceConfig,
     ServingConfiguration, StoreConfig, TenantConfig, WeightedService,
 };
-pub use configuration_items::{ConfigurationItem, ConfigurationItems, ItemKey};
+pub use configuration_items::{ConfigurationItem, ConfigurationItems, ItemKey, KeyDigest};
 pub use content::{ContentKey, RequestContent};
 pub use errors::ConfigurationError;
 pub use incarnation::Incarnation;
--- a/crates/serving/src/lookup.rs
+++ b/crates/serving/src/lookup.rs
@@ -58,10 +58,15 @@
         &self.configuration
     }
 
+    /// Returns `host` without its port.
+    pub fn host_name(host: &str) -> &str {
+        host.rsplit_once(':').map_or(host, |(name, _)| name)
+    }
+
     /// Returns the route of `host`, with or without a port, whose prefix is the longest one that
     /// matches `path`. The path has no query string.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let name = Self::host_name(host);
         let positions = self.by_host.get(&name.to_ascii_lowercase())?;
         positions
             .iter()
@@ -69,6 +74,13 @@
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// Returns the position of a tenant among those of the same name.
+    pub fn position(&self, tenant: &TenantConfig) -> u32 {
+        let before = self.configuration.tenants.iter();
+        let before = before.take_while(|other| !std::ptr::eq(*other, tenant));
+        before.filter(|other| other.name == tenant.name).count() as u32
+    }
+
     /// Looks up the tenant of `key`.
     pub fn key_owner(&self, key: Option<&str>) -> KeyOwner<'_> {
         if self.configuration.tenants.is_empty() {
