Lease the slots of replicas that withstand few rejections

Callers were not served while replicas crashed again and again: 24 routers and three replicas of 6 slots, five bursts of 3 requests at each router, ended 9 replicas, where 2 are allowed, with up to 15 rejections in a second where 3 are withstood.

Cause: a bound on a sum over all routers was kept by each router alone. Each had one request at least at each replica, however many routers there were, and knew what a replica withstands only from its own answers of the last 5 s and of one incarnation, so that everyone rushed at one that had come back.

Now one response tells of the whole service, and the leader tells all routers. The leader leases slots: a request to such a service needs one of its replica, which the router holds or asks for, and leases never exceed the slots. They are kept while plenty are free and given back when others need them; a prompt takes as many as it needs of the memory; what doesn't fit is refused at once with the time after which room is expected, more urgent requests first. A new leader leases no more than routers report to hold. Without one each router keeps to a part, which is nothing for most where there are more routers than slots. Nothing changes where no replica says so.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -56,6 +56,10 @@
     pub permit_requests: Counter,
     /// Permit requests that were denied.
     pub permits_denied: Counter,
+    /// Slots of sensitive replicas that were asked for.
+    pub slots_requested: Counter,
+    /// Slots of sensitive replicas that were denied.
+    pub slots_denied: Counter,
     /// Records of where streams began that routers sent.
     pub streams_recorded: Counter,
     /// Streams of which this replica remembers where they began.
@@ -124,6 +128,8 @@
             quota_promises_lapsed: Counter::default(),
             permit_requests: Counter::default(),
             permits_denied: Counter::default(),
+            slots_requested: Counter::default(),
+            slots_denied: Counter::default(),
             streams_recorded: Counter::default(),
             streams_remembered: Gauge::default(),
             streams_found: Counter::default(),
@@ -223,6 +229,16 @@
             "Permits for back ends with a limit withheld",
             self.permits_denied.clone(),
         );
+        registry.register(
+            "control_slots_asked",
+            "Slots of replicas that withstand few rejections asked for",
+            self.slots_requested.clone(),
+        );
+        registry.register(
+            "control_slots_denied",
+            "Slots of replicas that withstand few rejections denied",
+            self.slots_denied.clone(),
+        );
         registry.register(
             "control_streams_recorded",
             "Records of where streams began",
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -26,6 +26,7 @@
         JoinReply, JoinRequest, LivenessReply, LivenessReport, QuotaReply, QuotaRequest,
         ReadIndexReply, SuspectStatus, WatchReply, WatchRequest,
     },
+    slots::{SlotReply, SlotRequest},
     streams::{OnlyVersionRequest, StreamRecord},
 };
 use railtack_serving::{SoftwareVersion, StreamKey, StreamOrigin};
@@ -47,7 +48,7 @@
     replica::{Replica, ReplicaOptions},
     serving::{
         leader::LeaderClient, liveness::Liveness, permits::PermitServer, quarantine,
-        quota::QuotaServer, streams::StreamMemory, watch::WatchServer,
+        quota::QuotaServer, slots::server::SlotServer, streams::StreamMemory, watch::WatchServer,
     },
 };
 
@@ -205,6 +206,7 @@
     pub(crate) liveness: Arc<Liveness>,
     pub(crate) quotas: Arc<QuotaServer>,
     pub(crate) streams: Arc<StreamMemory>,
+    pub(crate) slots: Arc<SlotServer>,
 }
 
 impl ControlService {
@@ -345,6 +347,13 @@
         self.permits.handle(&request)
     }
 
+    async fn lease_slots(self, _: Context, request: SlotRequest) -> SlotReply {
+        let group = self.group.as_ref();
+        group.map_or(SlotReply::NotLeader { leader: None }, |group| {
+            group.slots.handle(&request)
+        })
+    }
+
     async fn record_streams(self, _: Context, records: Vec<StreamRecord>) -> bool {
         let Some(group) = &self.group else {
             return false;
--- a/crates/control/src/serving/daemon.rs
+++ b/crates/control/src/serving/daemon.rs
@@ -28,6 +28,7 @@
         quota::{self, QuotaServer},
         registrar::{self, Registrar},
         rollout_driver,
+        slots::server::SlotServer,
         streams::{self, StreamMemory},
         watch::{self, WatchServer},
     },
@@ -123,12 +124,14 @@
     ));
     let streams = StreamMemory::new(Arc::clone(&leader_client), started, metrics.clone());
     let permits = Arc::new(PermitServer::new(node.clone(), started, metrics.clone()));
+    let slots = Arc::new(SlotServer::new(node.clone(), started, metrics.clone()));
     let service = ControlService::new(node, Arc::clone(&permits)).with_group(GroupServices {
         leader_client: Arc::clone(&leader_client),
         watch: Arc::clone(&watch),
         liveness: Arc::clone(&liveness),
         quotas: Arc::clone(&quotas),
         streams: Arc::clone(&streams),
+        slots: Arc::clone(&slots),
     });
     tokio::spawn(streams::run_observer(streams));
     tokio::spawn(quota::run_ledgers(quotas));
@@ -148,6 +151,7 @@
         Arc::clone(&leader_client),
         Arc::clone(&liveness),
         permits,
+        slots,
     ));
     tokio::spawn(registrar::run(Arc::clone(&registrar)));
     tokio::spawn(rollout_driver::run(
--- a/crates/control/src/serving/fleet.rs
+++ b/crates/control/src/serving/fleet.rs
@@ -16,6 +16,7 @@
 
 use railtack_rpc::permits::LimitedReplica;
 use railtack_rpc::serving::{FleetDigest, ReplicaCondition, ReplicaObservation, ReplicaSpeed};
+use railtack_rpc::slots::SensitiveService;
 use railtack_serving::ReplicaKey;
 use tokio::time::Instant;
 
@@ -53,6 +54,7 @@
     unresponsive_since: BTreeMap<ReplicaKey, Instant>,
     /// Replicas that advertise a limit, for the next digest.
     limited_replicas: Vec<LimitedReplica>,
+    sensitive: Vec<SensitiveService>,
     /// Replicas whose speed is not the usual one, for the next digest.
     speeds: Vec<ReplicaSpeed>,
     /// The digest that was last built or received, and when.
@@ -119,6 +121,11 @@
         self.limited_replicas = limited_replicas;
     }
 
+    /// On the leader: sets the services whose replicas withstand few rejections.
+    pub fn set_sensitive(&mut self, sensitive: Vec<SensitiveService>) {
+        self.sensitive = sensitive;
+    }
+
     /// On the leader: sets the replicas whose speed is not the usual one.
     pub fn set_speeds(&mut self, speeds: Vec<ReplicaSpeed>) {
         self.speeds = speeds;
@@ -159,6 +166,7 @@
             replicas: conditions.collect(),
             limited: self.limited_replicas.clone(),
             speeds: self.speeds.clone(),
+            sensitive: self.sensitive.clone(),
         };
         self.digest = Some((digest, now));
         changes
--- a/crates/control/src/serving/liveness/digest.rs
+++ b/crates/control/src/serving/liveness/digest.rs
@@ -3,6 +3,7 @@
 use railtack_rpc::{
     permits::LimitedReplica,
     serving::{FleetDigest, ReplicaObservation},
+    slots::SensitiveService,
 };
 use railtack_serving::ReplicaKey;
 use tokio::time::Instant;
@@ -23,7 +24,12 @@
     }
 
     /// On the leader: builds the digest for all routers.
-    pub(super) fn build_digest(&self, view: &NodeView, limited: Vec<LimitedReplica>) {
+    pub(super) fn build_digest(
+        &self,
+        view: &NodeView,
+        limited: Vec<LimitedReplica>,
+        sensitive: Vec<SensitiveService>,
+    ) {
         let now = Instant::now();
         let heartbeat_interval = self.heartbeat_interval;
         let records = view.serving.replicas().values();
@@ -48,6 +54,7 @@
         let changes = {
             let mut fleet = self.fleet();
             fleet.set_limited(limited);
+            fleet.set_sensitive(sensitive);
             fleet.set_speeds(speeds);
             fleet.build_digest(&known, heartbeat_interval, now)
         };
--- a/crates/control/src/serving/liveness/reports.rs
+++ b/crates/control/src/serving/liveness/reports.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::{Liveness, REMOVAL_TIMEOUT};
-use crate::serving::{leader::LeaderClient, permits::PermitServer};
+use crate::serving::{leader::LeaderClient, permits::PermitServer, slots::server::SlotServer};
 
 /// Interval of the reports to the leader and of the leader's digests. It adds to the age of the
 /// observations that routers act on.
@@ -142,6 +142,7 @@
     leader_client: Arc<LeaderClient>,
     liveness: Arc<Liveness>,
     permits: Arc<PermitServer>,
+    slots: Arc<SlotServer>,
 ) {
     let mut scanned_at = Instant::now();
     loop {
@@ -154,7 +155,8 @@
         }
         if view.is_leader {
             liveness.mark_leading();
-            liveness.build_digest(&view, permits.limited());
+            let sensitive = slots.update(&view, liveness.router_count());
+            liveness.build_digest(&view, permits.limited(), sensitive);
             if scan_due {
                 let known = view.serving.replicas().keys();
                 let silent = liveness.silent_replicas(
--- a/crates/control/src/serving/mod.rs
+++ b/crates/control/src/serving/mod.rs
@@ -18,6 +18,7 @@
 //! | [`order_channel`] | transport of orders to back ends |
 //! | [`rollout_plan`] | plans the next steps of a rollout (pure) |
 //! | [`registration_queue`], [`registrar`] | record back-end replicas in batches (the former is pure) |
+//! | [`slots`] | leases of slots at back ends that withstand few rejections (its ledger is pure) |
 //! | [`software`] | tells the only version of software that a service ran (pure) |
 //! | [`streams`] | remembers where streams began, for routers |
 //! | [`watch`] | replies to watch requests of routers |
@@ -42,6 +43,7 @@
 pub mod replica_speeds;
 pub mod rollout_driver;
 pub mod rollout_plan;
+pub mod slots;
 pub mod software;
 pub mod streams;
 pub mod watch;
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hyper::{Response, body::Incoming, http::response};
+use hyper::{Response, StatusCode, body::Incoming, http::response};
 use railtack_http::{ReceiveError, read_body};
 use railtack_serving::{
     BackendSignals, LimitHeader, ReplicaKey, ReplicaRecord, RequestLimit, SignalChanges,
@@ -21,6 +21,7 @@
     relay::{self, client::Destination},
     replicas::ReplicaHandle,
     retry_decision::ExchangeProof,
+    slots::SlotLease,
     state::{ProxyState, lock},
 };
 
@@ -50,6 +51,17 @@
     pub save_to: Option<String>,
     /// Permit to send the request, if the replica has a rate limit.
     pub permit: Option<Permit>,
+    /// Slots for the request, if the replica withstands few rejections.
+    pub slots: Option<Arc<SlotLease>>,
+}
+
+impl Target {
+    /// Records that the replica is done with the request.
+    pub fn finish(&self) {
+        if let Some(slots) = &self.slots {
+            slots.finish();
+        }
+    }
 }
 
 /// A response whose head was received.
@@ -116,6 +128,20 @@
         }
     }
 
+    /// Records how the request ended that held slots. Unless the replica is done with it, it may go on there.
+    pub fn end_slots(&self, target: &Target) {
+        let Some(slots) = &target.slots else {
+            return;
+        };
+        let has_ended = self.proof != ExchangeProof::MayHaveRun
+            || self.outcome == Some(ExchangeOutcome::ConnectionBroke);
+        if self.status == Some(StatusCode::SERVICE_UNAVAILABLE.as_u16()) {
+            slots.reject();
+        } else if has_ended {
+            slots.finish();
+        }
+    }
+
     /// The exchange failed after the request may have been received.
     pub fn may_have_run(cause: &'static str) -> Self {
         Self {
@@ -167,6 +193,16 @@
         if permits::lacks_valid_permit(&**state, &target.record.id, target.permit) {
             return Err(FailedExchange::not_sent("no permit"));
         }
+        match &target.slots {
+            Some(slots) if !slots.is_fresh() => {
+                return Err(FailedExchange::not_sent("slot lease expired"));
+            }
+            Some(slots) => slots.begin(),
+            None if state.needs_slots(&target.record.service) => {
+                return Err(FailedExchange::not_sent("no slot"));
+            }
+            None => {}
+        }
         let sent = connection
             .sender
             .try_send_request(state.backend.encode(dispatch));
@@ -263,6 +299,7 @@
     }
     let changes = apply_signals(state, target, signals);
     if is_from_target {
+        record_sensitivity(state, target, signals.withstood_rejections);
         let incarnation_id = &target.record.id;
         permits::handle_response(
             state,
@@ -290,6 +327,19 @@
     Err(failed.with_response(open_response.head.status.as_u16(), signals))
 }
 
+/// Records whether a response said that the replicas of its service withstand few rejections.
+fn record_sensitivity(state: &ProxyState, target: &Target, withstood_rejections: Option<u32>) {
+    let service = &target.record.service;
+    if state.slots.record_response(service, withstood_rejections) {
+        spdlog::info!("replicas of a service withstand few rejections", kv: {
+            service = service.clone(),
+            replica = target.record.id.clone(),
+            is_stated = withstood_rejections.is_some(),
+            per_s = withstood_rejections.unwrap_or_default(),
+        });
+    }
+}
+
 /// Applies the signals of a response head. Most have none and skip the lock on all replicas.
 fn apply_signals(state: &ProxyState, target: &Target, signals: BackendSignals) -> SignalChanges {
     if signals == BackendSignals::default() {
@@ -309,12 +359,6 @@
     if changes.is_leaving {
         spdlog::info!("replica announced its shutdown", kv: { replica = replica.clone() });
     }
-    if changes.is_sensitive {
-        spdlog::info!("replica withstands few rejections", kv: {
-            replica = replica.clone(),
-            per_s = signals.withstood_rejections.unwrap_or_default(),
-        });
-    }
     record_limit(state, replica, signals.limit, changes.limit);
     changes
 }
--- a/crates/proxy/src/control_peers.rs
+++ b/crates/proxy/src/control_peers.rs
@@ -61,6 +61,11 @@
         self.level.get() >= FeatureLevel::PROMPT_SEGMENTS
     }
 
+    /// Whether the leader leases slots of replicas that withstand few rejections.
+    pub fn supports_slot_leases(&self) -> bool {
+        self.level.get() >= FeatureLevel::SLOT_LEASES
+    }
+
     /// Sets the member that this router watches.
     pub fn set_nearest(&self, address: SocketAddr) {
         self.lock().nearest = Some(address);
--- a/crates/proxy/src/fleet_view.rs
+++ b/crates/proxy/src/fleet_view.rs
@@ -21,7 +21,7 @@
 /// part of the traffic, and its own figures are more recent.
 pub const MIN_ROUTERS_FOR_SHARED_LOAD: u32 = 20;
 
-/// Time for which a limit is used after digests no longer contain it. A new leader knows a limit
+/// Time for which a limit or a sensitive service is used after digests no longer contain it. A new leader knows a limit
 /// only once a router reports it; until then, routers that know it from digests alone would exceed
 /// it. If the limit was removed, the replies to their permit requests say so.
 const LIMIT_MAX_AGE: Duration = Duration::from_millis(3_000);
@@ -37,6 +37,8 @@
     conditions: HashMap<ReplicaKey, ReplicaCondition>,
     /// Rate-limited replicas, with the time at which a digest last contained each.
     limited: HashMap<ReplicaKey, (DigestLimit, Instant)>,
+    /// Services whose replicas withstand few rejections, with the time at which a digest last contained each.
+    sensitive: HashMap<String, Instant>,
     /// Replicas whose speed is not the usual one. Speeds change slowly and are kept without a current digest.
     speeds: HashMap<ReplicaKey, RelativeSpeed>,
     unresponsive: usize,
@@ -84,6 +86,11 @@
         self.limited
             .retain(|_, (_, received_at)| now < *received_at + LIMIT_MAX_AGE);
         self.limited.extend(limited);
+        self.sensitive
+            .retain(|_, received_at| now < *received_at + LIMIT_MAX_AGE);
+        let sensitive = digest.sensitive.into_iter();
+        self.sensitive
+            .extend(sensitive.map(|entry| (entry.service, now)));
         let open = self
             .conditions
             .values()
@@ -163,6 +170,18 @@
         (now < received_at + LIMIT_MAX_AGE).then_some(entry)
     }
 
+    /// Whether a recent digest named a service as sensitive to rejections.
+    pub fn is_sensitive(&self, service: &str, now: Instant) -> bool {
+        let received_at = self.sensitive.get(service);
+        received_at.is_some_and(|received_at| now < *received_at + LIMIT_MAX_AGE)
+    }
+
+    /// Whether a recent digest named any service as sensitive to rejections.
+    pub fn any_sensitive(&self, now: Instant) -> bool {
+        let mut received = self.sensitive.values();
+        received.any(|received_at| now < *received_at + LIMIT_MAX_AGE)
+    }
+
     /// Whether any replica is unresponsive.
     pub fn any_unresponsive(&self) -> bool {
         self.unresponsive > 0
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -19,6 +19,7 @@
 //! | combine the load seen by all routers | [`fleet_view`] | yes |
 //! | refuse prompts whose first event would be late | [`prefill_latency`] | yes |
 //! | acquire a permit for a rate-limited replica | [`permits`], [`limits`] | |
+//! | lease a slot of a replica that withstands few rejections | [`slots`] | |
 //! | decide whether to save the prompt to the store | [`store_budget`] | yes |
 //! | keep within the room of replicas that withstand few rejections | [`room`] | yes |
 //! | space out the retries of rate-limited callers | [`retry_pacing`] | yes |
@@ -77,6 +78,7 @@
 pub mod router_count;
 pub mod scoring;
 pub mod selection;
+pub mod slots;
 pub mod state;
 pub mod store_budget;
 pub mod stream;
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -276,6 +276,7 @@
         let read = response.read_complete(&target.handle, deadline).await;
         drop(open);
         let (head, content) = read.map_err(|failed| self.record_failure(&target, failed))?;
+        target.finish();
         let failed = head.status.is_server_error();
         let outcome = if failed {
             ExchangeOutcome::Failed
@@ -432,6 +433,7 @@
         if let Some(outcome) = failed.outcome {
             self.record_outcome(target, outcome);
         }
+        failed.end_slots(target);
         if failed.outcome == Some(ExchangeOutcome::ConnectionBroke) {
             self.broken_connections += 1;
             let subjects = match progress {
--- a/crates/proxy/src/pipeline/final_response.rs
+++ b/crates/proxy/src/pipeline/final_response.rs
@@ -36,6 +36,7 @@
                 let pause = self.state.limit_retry_after(&self.service, exhausted);
                 Some((RefusalReason::AtLimit, pause))
             }
+            NoTarget::NoSlot { retry_after } => Some((RefusalReason::NoSlot, retry_after)),
             NoTarget::NoneAvailable => None,
             NoTarget::OriginGone => Some((RefusalReason::OriginGone, RESUME_RETRY_AFTER)),
         };
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -57,6 +57,9 @@
     /// Every candidate has reached its advertised rate limit.
     #[error("at_limit")]
     AtLimit,
+    /// No candidate has a free slot, and candidates withstand few rejections.
+    #[error("no_slot")]
+    NoSlot,
     /// No replica accepts work.
     #[error("no_replica")]
     NoReplica,
@@ -108,6 +111,7 @@
             | Self::Overloaded
             | Self::BackingOff
             | Self::AtLimit
+            | Self::NoSlot
             | Self::NoReplica
             | Self::OriginGone
             | Self::OriginUnknown
--- a/crates/proxy/src/selection.rs
+++ b/crates/proxy/src/selection.rs
@@ -1,14 +1,15 @@
 //! Selects the replica for a request and the sources it fetches cached prefixes from.
 //!
 //! Replicas are ranked by [`homes`](crate::homes), compared by [`choice`], and reserved by
-//! [`permits`] if they advertise a rate limit.
+//! [`permits`] if they advertise a rate limit, and by [`slots`](crate::slots) if they withstand few rejections.
 
 use std::{
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
-use railtack_serving::{Availability, MonotonicTime, ReplicaRecord, RequestLimit};
+use railtack_rpc::slots::{SlotCandidate, WantedSlots};
+use railtack_serving::{Availability, MonotonicTime, ReplicaKey, ReplicaRecord, RequestLimit};
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
@@ -55,6 +56,11 @@
     },
     /// Every candidate has reached its advertised rate limit.
     AtLimit(ExhaustedLimits),
+    /// No candidate has a free slot, and candidates withstand few rejections.
+    NoSlot {
+        /// Time after which the caller should retry.
+        retry_after: Duration,
+    },
     /// The service is overloaded: the first event would exceed the objective.
     TooLate {
         /// Time after which the caller should retry.
@@ -62,6 +68,13 @@
     },
 }
 
+/// A selected replica.
+struct Selected {
+    target: Target,
+    /// Replicas at which slots may be leased for the request, the selected one first; none if it needs no lease.
+    candidates: Vec<SlotCandidate>,
+}
+
 impl RequestRun {
     /// Selects a replica; waits for one to become available, up to a part of the objective.
     pub async fn wait_for_target(&mut self) -> Result<Target, NoTarget> {
@@ -70,7 +83,7 @@
         let until = (self.request.received + wait).min(self.admitted.deadline);
         let mut changes = self.state.view_changes();
         loop {
-            let cause = match self.select() {
+            let cause = match self.select_with_slots(until).await {
                 Ok(target) => match self.acquire_permit(target).await {
                     Some(target) => return Ok(target),
                     // The limit is now recorded as exhausted, so the next selection skips this
@@ -87,7 +100,7 @@
                     available_in <= until.saturating_duration_since(now)
                 }
                 // Waiting requests would all compete for the next permit.
-                NoTarget::AtLimit(_) | NoTarget::TooLate { .. } => false,
+                NoTarget::AtLimit(_) | NoTarget::TooLate { .. } | NoTarget::NoSlot { .. } => false,
                 NoTarget::OriginGone => false,
             };
             if timed_out || !may_change {
@@ -116,7 +129,37 @@
         }
     }
 
-    fn select(&mut self) -> Result<Target, NoTarget> {
+    /// Selects a replica and leases slots there, or at another candidate, if the service's replicas withstand few
+    /// rejections.
+    async fn select_with_slots(&mut self, until: Instant) -> Result<Target, NoTarget> {
+        let slots = Arc::clone(&self.state.slots);
+        let mut selected = self.select(None)?;
+        loop {
+            if selected.candidates.is_empty() {
+                return Ok(selected.target);
+            }
+            let wanted = WantedSlots {
+                service: self.service.clone(),
+                candidates: selected.candidates,
+                is_ranked: self.has_prompt(),
+                priority: self.admitted.priority,
+            };
+            let mut target = selected.target;
+            let Ok(lease) = slots.lease(wanted, until).await else {
+                // Replicas without slots are left out now.
+                selected = self.select(None)?;
+                continue;
+            };
+            if lease.replica() != ReplicaKey::of(&target.record.id) {
+                target = self.select(Some(lease.replica()))?.target;
+            }
+            target.slots = Some(Arc::new(lease));
+            return Ok(target);
+        }
+    }
+
+    /// Selects a replica, or takes `only` one if it is still a candidate.
+    fn select(&mut self, only: Option<ReplicaKey>) -> Result<Selected, NoTarget> {
         if self.tried.is_empty() {
             self.late = None;
         }
@@ -127,17 +170,15 @@
         let homes = self.home_replicas(&view, configuration, &replicas.availability);
         let ranked = &homes.ranked;
         let mut eligible = self.eligible_replicas(ranked, &mut replicas, configuration);
+        eligible.retain(|entry| only.is_none_or(|only| entry.is_replica(only)));
         let candidates: Vec<Candidate> = eligible.iter().map(|entry| entry.candidate).collect();
         let Some(choice) = self.choose(&candidates, rand::random()) else {
             if self.is_origin_gone(&view) {
                 return Err(NoTarget::OriginGone);
             }
-            return Err(no_eligible_cause(
-                ranked,
-                &replicas.availability,
-                self.state.uptime(),
-            ));
+            return Err(self.no_eligible_cause(ranked, &replicas.availability));
         };
+        let slot_candidates = self.slot_candidates(&eligible, choice.position, configuration);
         let EligibleReplica {
             candidate,
             mut target,
@@ -159,7 +200,31 @@
         drop(replicas);
         self.set_prefix_sources(&mut target, peer, configuration);
         self.log.record_selection(&target);
-        Ok(target)
+        Ok(Selected {
+            target,
+            candidates: slot_candidates,
+        })
+    }
+
+    /// Returns the reason why none of the ranked replicas is eligible.
+    fn no_eligible_cause(
+        &self,
+        ranked: &[&Arc<ReplicaRecord>],
+        availability: &Availability,
+    ) -> NoTarget {
+        let cause = no_eligible_cause(ranked, availability, self.state.uptime());
+        if cause != NoTarget::NoneAvailable || !self.state.needs_slots(&self.service) {
+            return cause;
+        }
+        let slots = &self.state.slots;
+        let replicas = ranked.iter().map(|record| ReplicaKey::of(&record.id));
+        if replicas.clone().any(|replica| slots.is_available(replica)) {
+            return cause;
+        }
+        let delays = replicas.map(|replica| slots.expected_in(replica));
+        delays
+            .min()
+            .map_or(cause, |retry_after| NoTarget::NoSlot { retry_after })
     }
 
     fn choose(&self, candidates: &[Candidate], seed: u64) -> Option<Choice> {
--- a/crates/proxy/src/selection/candidates.rs
+++ b/crates/proxy/src/selection/candidates.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use railtack_rpc::slots::SlotCandidate;
 use railtack_serving::{Availability, ReplicaKey, ReplicaRecord, ServingConfiguration};
 use tokio::time::Instant;
 
@@ -27,12 +28,32 @@
 /// Connections one router may open to a replica if the configuration sets no limit.
 const DEFAULT_CONNECTIONS: u32 = 32;
 
+/// Replicas named in one request for slots.
+const MAX_SLOT_CANDIDATES: usize = 4;
+
+/// What bounds the open requests of this router at the replicas of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RoomRule {
+    /// Nothing.
+    Unbounded,
+    /// Leases of slots, since the replicas withstand few rejections.
+    LeasedSlots,
+    /// The part of one router, while no leader leases slots.
+    OwnPart,
+}
+
 /// A replica that may be sent the request, and the inputs to its cost.
 pub(super) struct EligibleReplica {
     pub(super) candidate: Candidate,
     pub(super) target: Target,
 }
 
+impl EligibleReplica {
+    pub(super) fn is_replica(&self, replica: ReplicaKey) -> bool {
+        ReplicaKey::of(&self.target.record.id) == replica
+    }
+}
+
 impl RequestRun {
     /// Returns the replicas that can run the request and were not tried yet, in order of
     /// preference. Replicas that are unresponsive to all routers are left out, so that every router
@@ -157,6 +178,7 @@
         table: &mut ReplicaTable,
         configuration: &ServingConfiguration,
     ) -> Vec<EligibleReplica> {
+        let room = self.room_rule();
         let now = Instant::now();
         let uptime = self.state.uptime();
         let policy = self.state.options.policy;
@@ -177,8 +199,12 @@
             if !accepts || is_paused || !handle.pool.has_capacity(connection_limit) {
                 continue;
             }
-            let is_sensitive = table.availability.is_sensitive(&record.id, uptime);
-            if is_sensitive && !self.has_room(record, &handle, capacity_tokens) {
+            let has_room = match room {
+                RoomRule::Unbounded => true,
+                RoomRule::LeasedSlots => self.may_have_slot(record),
+                RoomRule::OwnPart => self.has_room(record, &handle, capacity_tokens),
+            };
+            if !has_room {
                 continue;
             }
             let cached_tokens = table.sent().cached_tokens(&record.id, &self.path);
@@ -206,6 +232,7 @@
                     fetch_from: None,
                     save_to: None,
                     permit: None,
+                    slots: None,
                 },
             });
         }
@@ -216,6 +243,50 @@
         eligible
     }
 
+    /// Returns what bounds the open requests at the replicas of the service.
+    fn room_rule(&self) -> RoomRule {
+        if !self.state.is_sensitive(&self.service) {
+            RoomRule::Unbounded
+        } else if self.state.needs_slots(&self.service) {
+            RoomRule::LeasedSlots
+        } else {
+            RoomRule::OwnPart
+        }
+    }
+
+    fn may_have_slot(&self, record: &ReplicaRecord) -> bool {
+        let replica = ReplicaKey::of(&record.id);
+        self.state.slots.is_available(replica)
+    }
+
+    /// Returns some of the replicas at which slots may be leased for the request, the chosen one first; none if the
+    /// service needs no leases.
+    pub(super) fn slot_candidates(
+        &self,
+        eligible: &[EligibleReplica],
+        chosen: usize,
+        configuration: &ServingConfiguration,
+    ) -> Vec<SlotCandidate> {
+        if !self.state.needs_slots(&self.service) {
+            return Vec::new();
+        }
+        let capacity_tokens = self.capacity_tokens(configuration);
+        let others = eligible.iter().enumerate();
+        let others = others.filter(|(position, _)| *position != chosen);
+        let others = others.map(|(_, entry)| entry);
+        let ordered = eligible.get(chosen).into_iter().chain(others);
+        let candidates = ordered.take(MAX_SLOT_CANDIDATES).map(|entry| {
+            let record = &entry.target.record;
+            let tokens = self.path.unshared_tokens();
+            SlotCandidate {
+                replica: ReplicaKey::of(&record.id),
+                slots: u16::try_from(record.slots).unwrap_or(u16::MAX),
+                needed: slots_needed(record.slots, tokens, capacity_tokens),
+            }
+        });
+        candidates.collect()
+    }
+
     /// Whether this router may send the request to a replica that withstands few rejections.
     fn has_room(
         &self,
@@ -228,7 +299,9 @@
             requests: open.open_requests,
             tokens: open.unshared_tokens,
         };
-        let part = Room::of_one_router(record.slots, capacity_tokens, self.routers());
+        let node = ReplicaKey::of(&self.state.options.node);
+        let draw = node.0 ^ ReplicaKey::of(&record.id).0;
+        let part = Room::of_one_router(record.slots, capacity_tokens, self.routers(), draw);
         part.fits(open, self.path.unshared_tokens())
     }
 
@@ -276,6 +349,15 @@
     }
 }
 
+/// Returns the slots that a prompt takes at an engine: each has an equal part of the memory.
+fn slots_needed(slots: u32, tokens: u64, capacity_tokens: u64) -> u16 {
+    if capacity_tokens == 0 {
+        return 1;
+    }
+    let needed = (tokens * u64::from(slots)).div_ceil(capacity_tokens);
+    u16::try_from(needed.clamp(1, u64::from(slots.max(1)))).unwrap_or(u16::MAX)
+}
+
 /// Returns the load of ready replicas of a service, those that load weights included.
 fn service_load<'a>(
     replicas: impl Iterator<Item = &'a Arc<ReplicaRecord>>,
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -37,6 +37,7 @@
     retry_pacing::RetryPacer,
     router_count::RouterCount,
     selection::ExhaustedLimits,
+    slots::SlotClient,
     store_budget::{SaveBudget, StoreCapacity},
     streams::recorder::RecordQueue,
     view::ServingView,
@@ -94,6 +95,8 @@
     pub relay_peers: Mutex<RelayPeers>,
     /// Address at which this router does so for others, if it does.
     pub relay_address: OnceLock<SocketAddr>,
+    /// Slots of replicas that withstand few rejections.
+    pub slots: Arc<SlotClient>,
     /// Crash checks of replicas, and the quarantine.
     pub crash_checks: Arc<CrashChecks>,
     /// Metrics of the data plane.
@@ -180,6 +183,7 @@
             stream_records: RecordQueue::default(),
             relay_peers: Mutex::default(),
             relay_address: OnceLock::new(),
+            slots: Arc::default(),
             crash_checks: Arc::default(),
             metrics: ProxyMetrics::default(),
             routers: AtomicU32::new(0),
@@ -309,6 +313,17 @@
         (self.options.policy.shared_view && fleet.is_current(now)).then_some(fleet)
     }
 
+    /// Whether the replicas of a service withstand few rejections, as this router or another one heard.
+    pub fn is_sensitive(&self, service: &str) -> bool {
+        self.slots.is_sensitive(service) || lock(&self.fleet).is_sensitive(service, Instant::now())
+    }
+
+    /// Whether slots at the replicas of a service must be leased.
+    pub fn needs_slots(&self, service: &str) -> bool {
+        let can_lease = self.control_peers.supports_slot_leases() && self.slots.has_leader();
+        can_lease && self.is_sensitive(service)
+    }
+
     /// Whether the router accepts traffic.
     pub fn is_ready(&self) -> bool {
         self.is_confirmed() && self.shutdown_plan().is_none()
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -236,6 +236,7 @@
     /// Ends the response normally.
     fn finish(&mut self) -> Option<Result<Bytes, io::Error>> {
         if let Some(active) = self.active.take() {
+            active.target.finish();
             self.run
                 .record_outcome(&active.target, ExchangeOutcome::Good);
             self.run.record_longest_gap(self.longest_gap);
--- a/crates/proxy/tests/decisions.rs
+++ b/crates/proxy/tests/decisions.rs
@@ -544,6 +544,7 @@
         speeds: Vec::new(),
         age_ms: 1_000,
         replicas: vec![condition("a", false), condition("b", true)],
+        sensitive: Vec::new(),
     };
     let mut fleet = FleetView::default();
     assert!(!fleet.is_current(start));
--- a/crates/proxy/tests/homes.rs
+++ b/crates/proxy/tests/homes.rs
@@ -281,6 +281,7 @@
             silent_ms: 0,
             is_unresponsive: false,
         }],
+        sensitive: Vec::new(),
     };
     let mut fleet = FleetView::default();
     assert_eq!(fleet.peak_open_requests(start), 0);
--- a/crates/proxy/tests/support/control.rs
+++ b/crates/proxy/tests/support/control.rs
@@ -26,6 +26,7 @@
         JoinReply, JoinRequest, LivenessReply, LivenessReport, QuotaReply, QuotaRequest,
         ReadIndexReply, ServingUpdate, SuspectStatus, WatchReply, WatchRequest,
     },
+    slots::{SlotReply, SlotRequest},
     streams::{OnlyVersionRequest, StreamRecord},
 };
 use railtack_serving::{SoftwareVersion, StreamKey, StreamOrigin};
@@ -182,6 +183,10 @@
         pending().await
     }
 
+    async fn lease_slots(self, _: Context, _: SlotRequest) -> SlotReply {
+        pending().await
+    }
+
     async fn take_permit(self, _: Context, _: PermitRequest) -> PermitReply {
         pending().await
     }
--- a/crates/rpc/src/layout/load.rs
+++ b/crates/rpc/src/layout/load.rs
@@ -2,7 +2,7 @@
 
 use speedy::{Context, Readable, Reader, Writable, Writer};
 
-use super::trailing::{Trailing, TrailingThen};
+use super::trailing::{Trailing, TrailingLists, TrailingThen};
 use crate::{
     permits::LimitedReplica,
     relay::RelayOffer,
@@ -10,6 +10,7 @@
         FleetDigest, LivenessReply, LivenessReport, QuotaRequest, QuotaSubject, QuotaUrgency,
         ReplicaCondition, ReplicaHeartbeat, ReplicaObservation, ReplicaPace, ReplicaSpeed,
     },
+    slots::SensitiveService,
 };
 
 #[derive(Readable)]
@@ -96,6 +97,7 @@
             replicas: wire.replicas,
             limited: wire.limited,
             speeds: wire.speeds,
+            sensitive: Vec::new(),
         }
     }
 }
@@ -159,6 +161,8 @@
     fleet: Option<WireDigest>,
     #[speedy(default_on_eof)]
     relays: Vec<RelayOffer>,
+    #[speedy(default_on_eof)]
+    sensitive: Vec<SensitiveService>,
 }
 
 /// A digest with its speeds, which are present even if there are none because something follows.
@@ -173,7 +177,12 @@
 impl<C: Context> Writable<C> for LivenessReply {
     fn write_to<T: ?Sized + Writer<C>>(&self, writer: &mut T) -> Result<(), C::Error> {
         self.routers.write_to(writer)?;
-        if self.relays.is_empty() {
+        let sensitive = self
+            .fleet
+            .as_ref()
+            .map_or(&[][..], |fleet| &fleet.sensitive);
+        let followers = TrailingThen(&self.relays, Trailing(sensitive));
+        if followers.is_empty() {
             return self.fleet.write_to(writer);
         }
         let fleet = self.fleet.as_ref().map(|fleet| FollowedDigest {
@@ -183,7 +192,7 @@
             speeds: &fleet.speeds,
         });
         fleet.write_to(writer)?;
-        self.relays.write_to(writer)
+        followers.write_to(writer)
     }
 }
 
@@ -192,7 +201,10 @@
         let wire = WireReply::read_from(reader)?;
         Ok(Self {
             routers: wire.routers,
-            fleet: wire.fleet.map(FleetDigest::from),
+            fleet: wire.fleet.map(|fleet| FleetDigest {
+                sensitive: wire.sensitive,
+                ..FleetDigest::from(fleet)
+            }),
             relays: wire.relays,
         })
     }
--- a/crates/rpc/src/layout/watch.rs
+++ b/crates/rpc/src/layout/watch.rs
@@ -17,6 +17,7 @@
         ReplicaCondition, ReplicaObservation, ReplicaPace, ReplicaSpeed, ServingUpdate,
         TransferRequest, WatchPosition, WatchReply, WatchRequest,
     },
+    slots::SensitiveService,
 };
 
 #[derive(Readable)]
@@ -142,6 +143,8 @@
     /// At most one.
     #[speedy(default_on_eof)]
     invalidations: Vec<InvalidationPart>,
+    #[speedy(default_on_eof)]
+    sensitive: Vec<SensitiveService>,
 }
 
 #[derive(Readable)]
@@ -174,7 +177,7 @@
     quotas: Vec<(String, TenantQuota)>,
 }
 
-/// Speeds, relays, software versions, a part of the configuration and invalidations.
+/// Speeds, relays, software versions, a part of the configuration, invalidations and sensitive services.
 type ReplyAdditions<'a> = TrailingThen<
     'a,
     ReplicaSpeed,
@@ -184,7 +187,11 @@
         TrailingThen<
             'a,
             SoftwareGroup,
-            TrailingThen<'a, ConfigurationPart, Trailing<'a, InvalidationPart>>,
+            TrailingThen<
+                'a,
+                ConfigurationPart,
+                TrailingThen<'a, InvalidationPart, Trailing<'a, SensitiveService>>,
+            >,
         >,
     >,
 >;
@@ -260,7 +267,10 @@
                         software,
                         TrailingThen(
                             reply.configuration.as_slice(),
-                            Trailing(reply.invalidations.as_slice()),
+                            TrailingThen(
+                                reply.invalidations.as_slice(),
+                                Trailing(fleet.map_or(&[], |fleet| &fleet.sensitive)),
+                            ),
                         ),
                     ),
                 ),
@@ -315,6 +325,7 @@
                 replicas: fleet.replicas,
                 limited,
                 speeds: wire.speeds,
+                sensitive: wire.sensitive,
             }),
             group_level: group_level.unwrap_or_default(),
             relays: wire.relays,
--- a/crates/rpc/src/level.rs
+++ b/crates/rpc/src/level.rs
@@ -28,8 +28,10 @@
     /// Prompt segments under which replicas crash are recorded beside whole requests. Lower levels would judge them
     /// like whole requests.
     pub const PROMPT_SEGMENTS: Self = Self(4);
+    /// The leader leases slots of replicas that withstand few rejections.
+    pub const SLOT_LEASES: Self = Self(5);
     /// Highest level that this build supports.
-    pub const SUPPORTED: Self = Self::PROMPT_SEGMENTS;
+    pub const SUPPORTED: Self = Self::SLOT_LEASES;
 }
 
 /// Highest feature level of the group that a router has received.
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod relay;
 pub mod service;
 pub mod serving;
+pub mod slots;
 pub mod streams;
 
 pub use connection::{ConnectionError, ControlConnection, call_context};
--- a/crates/rpc/src/service.rs
+++ b/crates/rpc/src/service.rs
@@ -14,6 +14,7 @@
     JoinReply, JoinRequest, LivenessReply, LivenessReport, QuotaReply, QuotaRequest,
     ReadIndexReply, SuspectStatus, WatchReply, WatchRequest,
 };
+use crate::slots::{SlotReply, SlotRequest};
 use crate::streams::{OnlyVersionRequest, StreamRecord};
 
 /// Calls between routers, operators and control replicas.
@@ -64,4 +65,8 @@
     /// Returns the version of software that all replicas of a service ran, up to the time of the call. Returns `None`
     /// if there were several or if this replica cannot tell. Sent under the same condition.
     async fn only_version(request: OnlyVersionRequest) -> Option<SoftwareVersion>;
+    /// Renews and requests slots of sensitive replicas at the leader. Only sent from [`FeatureLevel::SLOT_LEASES`] on.
+    ///
+    /// [`FeatureLevel::SLOT_LEASES`]: crate::FeatureLevel::SLOT_LEASES
+    async fn lease_slots(request: SlotRequest) -> SlotReply;
 }
--- a/crates/rpc/src/serving.rs
+++ b/crates/rpc/src/serving.rs
@@ -8,7 +8,9 @@
 };
 use speedy::{Readable, Writable};
 
-use crate::{level::FeatureLevel, permits::LimitedReplica, relay::RelayOffer};
+use crate::{
+    level::FeatureLevel, permits::LimitedReplica, relay::RelayOffer, slots::SensitiveService,
+};
 
 mod commands;
 mod configuration;
@@ -182,6 +184,8 @@
     pub limited: Vec<LimitedReplica>,
     /// Replicas whose speed is not the usual one; empty below [`FeatureLevel::LOAD_REPORTS`].
     pub speeds: Vec<ReplicaSpeed>,
+    /// Services whose replicas withstand few rejections.
+    pub sensitive: Vec<SensitiveService>,
 }
 
 /// Combined observations of one replica by all routers.
--- a/crates/serving/src/availability.rs
+++ b/crates/serving/src/availability.rs
@@ -19,8 +19,6 @@
 /// Time for which a leaving state or a limit is kept after it was last received. A leaving back end serves
 /// for many seconds and then exits.
 const RETENTION: Duration = Duration::from_secs(300);
-/// Time for which a back end counts as sensitive to rejections after it last said so, in all its responses.
-const SENSITIVITY_TTL: Duration = Duration::from_secs(5);
 
 /// What the head of one response says about the back end itself, independent of the outcome of the request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -42,8 +40,6 @@
     pub is_leaving: bool,
     /// The new limit, if it differs from the former one.
     pub limit: Option<RequestLimit>,
-    /// Whether the back end began to be sensitive to rejections.
-    pub is_sensitive: bool,
 }
 
 /// A limit that a back end advertised to this process.
@@ -67,8 +63,6 @@
     limited_until: MonotonicTime,
     /// The limit that `limited_until` follows from.
     exhausted_limit: Option<RequestLimit>,
-    /// Time until which it is sensitive to rejections.
-    sensitive_until: MonotonicTime,
 }
 
 impl AdvertisedState {
@@ -78,10 +72,6 @@
             let until = now.saturating_add(time);
             self.back_off_until = until.max(self.back_off_until);
         }
-        let was_sensitive = self.is_sensitive(now);
-        if signals.withstood_rejections.is_some() {
-            self.sensitive_until = now.saturating_add(SENSITIVITY_TTL);
-        }
         let is_leaving = signals.is_leaving && self.leaving_at.is_none();
         if signals.is_leaving {
             self.leaving_at = Some(now);
@@ -89,7 +79,6 @@
         let mut changes = SignalChanges {
             is_leaving,
             limit: None,
-            is_sensitive: !was_sensitive && self.is_sensitive(now),
         };
         if let LimitHeader::Present(limit) = signals.limit {
             let known = self.limit.map(|known| known.limit);
@@ -119,11 +108,6 @@
         self.available_in(now) == Some(Duration::ZERO)
     }
 
-    /// Whether the back end withstands few rejections.
-    pub fn is_sensitive(&self, now: MonotonicTime) -> bool {
-        now < self.sensitive_until
-    }
-
     /// The advertised limit.
     pub fn limit(&self) -> Option<AdvertisedLimit> {
         self.limit
@@ -149,7 +133,7 @@
             .limit
             .is_some_and(|known| is_recent(known.advertised_at));
         let is_unavailable = now < self.back_off_until.max(self.limited_until);
-        is_leaving || has_limit || is_unavailable || self.is_sensitive(now)
+        is_leaving || has_limit || is_unavailable
     }
 }
 
@@ -169,7 +153,6 @@
     ) -> SignalChanges {
         let is_empty = signals.back_off.is_none()
             && !signals.is_leaving
-            && signals.withstood_rejections.is_none()
             && !matches!(signals.limit, LimitHeader::Present(_));
         if is_empty {
             return SignalChanges::default();
@@ -196,13 +179,6 @@
         backend.map_or(Some(Duration::ZERO), |backend| backend.available_in(now))
     }
 
-    /// Whether a back end withstands few rejections.
-    pub fn is_sensitive(&self, incarnation_id: &str, now: MonotonicTime) -> bool {
-        self.backends
-            .get(incarnation_id)
-            .is_some_and(|backend| backend.is_sensitive(now))
-    }
-
     /// The limit that a back end advertises.
     pub fn limit(&self, incarnation_id: &str) -> Option<AdvertisedLimit> {
         self.backends.get(incarnation_id)?.limit
