Bound the wait for slots, and split what grew beside it

A request whose decision on slots came late asked again at once, without a pause, as long as no denial was recorded; and one that is retried or resumed after its first fifth of the objective waited not at all. It now waits for a quarter of the objective from each selection on, and an undecided one is refused.

The tests of sensitive_fleet, sensitive_replicas and slot_lease_model pass.

--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -12,12 +12,12 @@
     affinity::PrefixPath,
     attempt::{self, FailedExchange, HeadDeadline, OpenResponse, Target},
     backend::Dispatch,
-    crash_checks::{CrashSubjects, SendDecision, SuspectRun},
+    crash_checks::{CrashSubjects, SuspectRun},
     crash_detection, entry,
     health::ExchangeOutcome,
     load::{admission::LATE_PRIORITY, late_requests::LateRequest},
     quota,
-    refusal::{Refusal, RefusalReason},
+    refusal::RefusalReason,
     replicas::{OpenPrompt, OpenRequest, Suspicion},
     request::ProxiedRequest,
     request_log::RequestLog,
@@ -30,16 +30,16 @@
 mod final_response;
 mod origin;
 mod retry;
+mod suspects;
 
 use final_response::RESUME_RETRY_AFTER;
+use suspects::check_crashes;
 
 /// Number of objectives after which a response is abandoned if another replica can be tried.
 const RESPONSE_TIMEOUT_OBJECTIVES: u64 = 2;
 /// Number of objectives after which the first event of a stream is abandoned although the replica
 /// responds to other requests.
 const BUSY_TIMEOUT_OBJECTIVES: u32 = 4;
-/// Retry delay of a request under which a replica crashed, while it is not settled whether it may be sent again.
-const UNSETTLED_RETRY: Duration = Duration::from_secs(1);
 
 /// Serves one request. Dropping the future or the response body cancels it.
 pub async fn handle(state: Arc<ProxyState>, request: ProxiedRequest) -> Response<Body> {
@@ -91,55 +91,6 @@
     drawn.unwrap_or_default().to_owned()
 }
 
-/// Waits for pending crash checks. Refuses the request if it is quarantined, or a segment of its prompt is at all services
-/// of its route, or if a replica crashed under it and that is not settled in time.
-async fn check_crashes(
-    state: &ProxyState,
-    request: &ProxiedRequest,
-    admitted: &Admitted,
-    content: ContentKey,
-) -> Result<Option<SuspectRun>, Refusal> {
-    let objective = Duration::from_millis(admitted.route.objective_ms);
-    let decision = state.crash_checks.wait(content, objective).await;
-    let refusal = |reason, retry_after| Refusal {
-        reason,
-        retry_after: Some(retry_after),
-    };
-    if let Some(pause) = quarantine_retry_after(state, request, admitted, content) {
-        return Err(refusal(RefusalReason::Quarantined, pause));
-    }
-    match decision {
-        SendDecision::Allowed(run) => Ok(run),
-        SendDecision::Unsettled => Err(refusal(RefusalReason::CrashUnsettled, UNSETTLED_RETRY)),
-    }
-}
-
-/// Returns the retry delay of a request that no service of its route may run.
-fn quarantine_retry_after(
-    state: &ProxyState,
-    request: &ProxiedRequest,
-    admitted: &Admitted,
-    content: ContentKey,
-) -> Option<Duration> {
-    if !state.crash_checks.has_quarantined() {
-        return None;
-    }
-    let mut longest = None;
-    let targets = admitted.route.targets.iter();
-    for target in targets.filter(|target| target.weight_milli > 0) {
-        let prompt = request.prompt.as_ref();
-        let subjects = crash_detection::crash_subjects(content, &target.service, prompt);
-        let (subject, retry_after) = state.crash_checks.quarantined_subject(&subjects)?;
-        longest = longest.max(Some((retry_after, subject)));
-    }
-    let (retry_after, subject) = longest?;
-    spdlog::info!("request refused as quarantined", kv: {
-        request = request.id.clone(),
-        subject = subject.to_string(),
-    });
-    Some(retry_after)
-}
-
 /// A request in progress, with the state of its attempts.
 pub struct RequestRun {
     /// Shared state of the router.
--- a/crates/proxy/src/selection.rs
+++ b/crates/proxy/src/selection.rs
@@ -18,6 +18,7 @@
     permits::{self, PermitDecision},
     pipeline::RequestRun,
     scoring::{Candidate, RequestSize},
+    slots::{NoSlots, UNDECIDED_RETRY_AFTER},
     state::lock,
 };
 
@@ -33,6 +34,9 @@
 /// Divisor of the route's objective that gives the longest wait for an available replica.
 const MAX_WAIT_DIVISOR: u64 = 5;
 
+/// Divisor of the route's objective that gives the longest wait for a decision on slots.
+const SLOT_WAIT_DIVISOR: u32 = 4;
+
 /// Rate limits that exclude every replica able to run a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ExhaustedLimits {
@@ -83,7 +87,7 @@
         let until = (self.request.received + wait).min(self.admitted.deadline);
         let mut changes = self.state.view_changes();
         loop {
-            let cause = match self.select_with_slots(until).await {
+            let cause = match self.select_with_slots().await {
                 Ok(target) => match self.acquire_permit(target).await {
                     Some(target) => return Ok(target),
                     // The limit is now recorded as exhausted, so the next selection skips this
@@ -131,7 +135,12 @@
 
     /// Selects a replica and leases slots there, or at another candidate, if the service's replicas withstand few
     /// rejections.
-    async fn select_with_slots(&mut self, until: Instant) -> Result<Target, NoTarget> {
+    async fn select_with_slots(&mut self) -> Result<Target, NoTarget> {
+        let objective = Duration::from_millis(self.admitted.route.objective_ms);
+        let until = self
+            .admitted
+            .deadline
+            .min(Instant::now() + objective / SLOT_WAIT_DIVISOR);
         let slots = Arc::clone(&self.state.slots);
         let mut selected = self.select(None)?;
         loop {
@@ -145,10 +154,17 @@
                 priority: self.admitted.priority,
             };
             let mut target = selected.target;
-            let Ok(lease) = slots.lease(wanted, until).await else {
-                // Replicas without slots are left out now.
-                selected = self.select(None)?;
-                continue;
+            let lease = match slots.lease(wanted, until).await {
+                Ok(lease) => lease,
+                Err(NoSlots::Denied) => {
+                    // Replicas without slots are left out now.
+                    selected = self.select(None)?;
+                    continue;
+                }
+                Err(NoSlots::Undecided) => {
+                    let retry_after = UNDECIDED_RETRY_AFTER;
+                    return Err(NoTarget::NoSlot { retry_after });
+                }
             };
             if lease.replica() != ReplicaKey::of(&target.record.id) {
                 target = self.select(Some(lease.replica()))?.target;
--- a/crates/proxy/src/slots/client.rs
+++ b/crates/proxy/src/slots/client.rs
@@ -2,10 +2,7 @@
 //! next one.
 
 use std::{
-    sync::{
-        Arc, Mutex, MutexGuard,
-        atomic::{AtomicU8, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, atomic::Ordering},
     time::Duration,
 };
 
@@ -20,7 +17,7 @@
     time::{Instant, sleep, timeout, timeout_at},
 };
 
-use super::table::SlotTable;
+use super::{lease::SlotLease, table::SlotTable};
 use crate::state::{ProxyState, lock};
 
 /// Interval at which leases are renewed.
@@ -36,13 +33,9 @@
 /// Requests that may wait for slots; further ones are denied.
 const MAX_WAITING: usize = 256;
 /// Retry delay of a request that got no decision.
-const UNDECIDED_RETRY_AFTER: Duration = Duration::from_millis(100);
+pub const UNDECIDED_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Time for which no slots are requested of replicas that had none.
 const DENIAL_HOLD_TIME: Duration = Duration::from_millis(25);
-/// Time for which a replica may go on with a request whose connection was closed.
-const ABANDONED_TIME: Duration = Duration::from_millis(500);
-/// Time for which a slot is not used again after its request was rejected: something else has taken the room.
-const REJECTION_PAUSE: Duration = Duration::from_secs(2);
 
 /// Slots of this router, and what it heard of sensitive services.
 #[derive(Debug)]
@@ -68,70 +61,16 @@
 #[derive(Debug)]
 struct Waiting {
     wanted: WantedSlots,
-    decided: oneshot::Sender<Result<SlotLease, Duration>>,
+    decided: oneshot::Sender<Result<SlotLease, NoSlots>>,
 }
 
-/// How a request ended that held slots.
-#[repr(u8)]
-enum LeaseEnd {
-    /// It may go on at the replica.
-    Abandoned,
-    /// The replica is done with it.
-    Finished,
-    /// The replica had no room for it.
-    Rejected,
-}
-
-/// Slots in use by one request, released on drop.
-#[derive(Debug)]
-pub struct SlotLease {
-    client: Arc<SlotClient>,
-    replica: ReplicaKey,
-    slots: u16,
-    leased_at: BootInstant,
-    end: AtomicU8,
-}
-
-impl SlotLease {
-    /// Key of the replica.
-    pub fn replica(&self) -> ReplicaKey {
-        self.replica
-    }
-
-    /// Whether the slots may still be used. The process may have been suspended since they were leased.
-    pub fn is_fresh(&self) -> bool {
-        self.leased_at.elapsed() < SLOT_LEASE_TTL
-    }
-
-    /// Records that the request is about to be sent.
-    pub fn begin(&self) {
-        self.end.store(LeaseEnd::Abandoned as u8, Ordering::Relaxed);
-    }
-
-    /// Records that the replica is done with the request.
-    pub fn finish(&self) {
-        self.end.store(LeaseEnd::Finished as u8, Ordering::Relaxed);
-    }
-
-    /// Records that the replica had no room.
-    pub fn reject(&self) {
-        self.end.store(LeaseEnd::Rejected as u8, Ordering::Relaxed);
-        self.client.lock().rejections.push(self.replica);
-    }
-}
-
-impl Drop for SlotLease {
-    fn drop(&mut self) {
-        let end = self.end.load(Ordering::Relaxed);
-        let busy_time = if end == LeaseEnd::Finished as u8 {
-            None
-        } else if end == LeaseEnd::Rejected as u8 {
-            Some(REJECTION_PAUSE)
-        } else {
-            Some(ABANDONED_TIME)
-        };
-        self.client.release(self.replica, self.slots, busy_time);
-    }
+/// Why a request got no slots.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoSlots {
+    /// The leader has none at the candidates, which are not available for a moment.
+    Denied,
+    /// The leader did not decide in time.
+    Undecided,
 }
 
 impl Default for SlotClient {
@@ -187,13 +126,12 @@
         self.lock().table.expected_in(replica, now)
     }
 
-    /// Leases slots for one request until `until`; returns the time after which the caller should return if there are
-    /// none.
+    /// Leases slots for one request, which waits for them until `until`.
     pub async fn lease(
         self: &Arc<Self>,
         wanted: WantedSlots,
         until: Instant,
-    ) -> Result<SlotLease, Duration> {
+    ) -> Result<SlotLease, NoSlots> {
         let decision = {
             let now = self.uptime();
             let mut state = self.lock();
@@ -201,7 +139,7 @@
                 return Ok(self.lease_of(replica, slots));
             }
             if state.waiting.len() >= MAX_WAITING {
-                return Err(UNDECIDED_RETRY_AFTER);
+                return Err(NoSlots::Undecided);
             }
             let (decided, decision) = oneshot::channel();
             state.waiting.push(Waiting { wanted, decided });
@@ -210,21 +148,21 @@
         self.wake.notify_one();
         match timeout_at(until, decision).await {
             Ok(Ok(decision)) => decision,
-            _ => Err(UNDECIDED_RETRY_AFTER),
+            _ => Err(NoSlots::Undecided),
         }
     }
 
     fn lease_of(self: &Arc<Self>, replica: ReplicaKey, slots: u16) -> SlotLease {
-        SlotLease {
-            client: Arc::clone(self),
-            replica,
-            slots,
-            leased_at: BootInstant::now(),
-            end: AtomicU8::new(LeaseEnd::Finished as u8),
-        }
+        SlotLease::new(Arc::clone(self), replica, slots)
+    }
+
+    /// Records that a replica rejected a request for want of room.
+    pub(super) fn record_rejection(&self, replica: ReplicaKey) {
+        self.lock().rejections.push(replica);
     }
 
-    fn release(&self, replica: ReplicaKey, slots: u16, busy_time: Option<Duration>) {
+    /// Releases slots, which count as in use for `busy_time`.
+    pub(super) fn release(&self, replica: ReplicaKey, slots: u16, busy_time: Option<Duration>) {
         let now = self.uptime();
         let mut state = self.lock();
         let busy_until = busy_time.map(|time| now + time);
@@ -316,7 +254,7 @@
                             .table
                             .deny(candidate.replica, until, now + retry_after);
                     }
-                    Err(retry_after)
+                    Err(NoSlots::Denied)
                 }
             };
             // Slots of a request that waits no more are released with the lease.
@@ -328,7 +266,7 @@
         let now = self.uptime();
         self.lock().failing_since.get_or_insert(now);
         for waiting in waiting {
-            let _ = waiting.decided.send(Err(UNDECIDED_RETRY_AFTER));
+            let _ = waiting.decided.send(Err(NoSlots::Undecided));
         }
     }
 
--- a/crates/proxy/src/slots/mod.rs
+++ b/crates/proxy/src/slots/mod.rs
@@ -4,6 +4,8 @@
 //! have no more requests open there than it runs at once, which no router can see. The leader leases them the slots.
 
 pub mod client;
+pub mod lease;
 pub mod table;
 
-pub use client::{SlotClient, SlotLease, run_leases};
+pub use client::{NoSlots, SlotClient, UNDECIDED_RETRY_AFTER, run_leases};
+pub use lease::SlotLease;
