Say which control replicas a /v1 router tries again, and print their logs if it is not ready

Now it logs each control replica of its settings that it tries again, and a process that is not ready in time brings the last lines of the control replicas.

--- a/crates/lab/src/fleet/running.rs
+++ b/crates/lab/src/fleet/running.rs
@@ -173,7 +173,11 @@
             name: name.to_owned(),
             limit_ms: READY_TIMEOUT.as_millis() as u64,
         };
-        Err(Report::new(not_ready).attach(self.log_tail(name)))
+        let mut report = Report::new(not_ready).attach(self.log_tail(name));
+        for endpoint in &self.endpoints.control {
+            report = report.attach(self.log_tail(&format!("control-{}", endpoint.replica)));
+        }
+        Err(report)
     }
 
     /// Returns the last lines of the log of a process.
--- a/crates/router/src/control_link.rs
+++ b/crates/router/src/control_link.rs
@@ -1,7 +1,7 @@
 //! RPC client of the control replicas: polls for configuration, proposals and permit requests.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, btree_map::Entry},
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -69,11 +69,15 @@
     fn add_configured(&self) {
         let mut connections = lock(&self.connections);
         for replica in &self.configured {
-            connections
-                .entry(ReplicaId(replica.replica_id))
-                .or_insert_with(|| {
-                    Arc::new(ControlConnection::new(replica.address, CONNECT_TIMEOUT))
-                });
+            let Entry::Vacant(entry) = connections.entry(ReplicaId(replica.replica_id)) else {
+                continue;
+            };
+            let connection = ControlConnection::new(replica.address, CONNECT_TIMEOUT);
+            entry.insert(Arc::new(connection));
+            spdlog::info!("control replica of the settings tried again", kv: {
+                replica = replica.replica_id,
+                address = replica.address.to_string(),
+            });
         }
     }
 
