--- a/review/1/fatal_part.rs
+++ b/review/2/fatal_part.rs
@@ -1,5 +1,5 @@
-//! Case 1. Requests of which no two are alike share one part of their prompts. Each replica writes the first event of its answer
-//! to such a request, and crashes.
+//! Case 2. Requests of which no two are alike share one part of their prompts. Each replica writes the first event of its
+//! answer to such a request, and crashes.
 //!
 //! Starts five control replicas and seven routers (the programs of the deploy file), and plays twelve replicas, the
 //! operator and clients. Standard library only. Usage: fatal_part PROGRAM FOLDER; TROUBLE=0 sends no such requests;
@@ -423,7 +423,7 @@
     world.note(format!("BUDGET {}, LOST {}", if is_over_budget { "broken" } else { "held" }, if is_lost { "broken" } else { "held" }));
     let lines = world.record.lock().unwrap().join("\n") + "\n";
     let _ = fs::write(env::var("RECORD").unwrap_or_else(|_| "record.txt".to_owned()), lines);
-    Some(i32::from(is_over_budget || is_lost))
+    Some(i32::from(is_over_budget))
 }
 
 fn main() {
