Review case 4: bodies within the limits fill a router's memory

Cause: nothing bounds what a router holds of request bodies, and a router over its memory is ended by the platform. Change: a script with stand-ins; nothing is fixed.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Builds the stand-ins and drivers of the cases of the second review into target/review-2. Standard library only.
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+mkdir -p target/review-2
+for source in review/[456]/case.rs; do
+  [[ -e $source ]] || continue
+  number=$(basename "$(dirname "$source")")
+  rustc --edition 2024 -O -o "target/review-2/case-$number" "$source"
+done
