--- a/review/5/case.rs
+++ b/review/5/src/case.rs
@@ -4,7 +4,7 @@
 //! disturbed run the leader is killed once an order has gone unanswered, and the one that takes over is killed and
 //! started again as soon as it has the order lock.
 
-#[path = "../stand-ins-2/common.rs"]
+#[path = "../../stand-ins-2/src/common.rs"]
 mod common;
 
 use common::{Answer, Deployment, Message, Record, Replica, answer, json_field, pause};
@@ -15,7 +15,7 @@
     time::{Duration, Instant},
 };
 
-const BOUNDS: &str = include_str!("../stand-ins-2/bounds.txt");
+const BOUNDS: &str = include_str!("../../stand-ins-2/bounds.txt");
 const CORE: u8 = 5;
 const ENGINES: u8 = 9;
 const LEASE: Duration = Duration::from_millis(3_000);
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,8 +3,9 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 mkdir -p target/review-2
-for source in review/[456]/case.rs; do
+for source in review/[456]/src/case.rs; do
   [[ -e $source ]] || continue
-  number=$(basename "$(dirname "$source")")
+  folder=${source%/src/case.rs}
+  number=${folder#review/}
   rustc --edition 2024 -O -o "target/review-2/case-$number" "$source"
 done
--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/src/common.rs
@@ -456,6 +456,9 @@
     /// The `models` of its heartbeats, as JSON, if it is an engine.
     models: Arc<Mutex<Option<String>>>,
     slots: u32,
+    /// Version of its software, and the time of its start, if it tells that.
+    version: String,
+    born: Option<u64>,
     sequence: AtomicU64,
     state: Mutex<&'static str>,
     ended: Arc<AtomicBool>,
@@ -473,7 +476,23 @@
         models: Option<String>,
         handler: Arc<Handler>,
     ) -> Arc<Self> {
-        let listener = TcpListener::bind((ip, 0)).expect("a free port");
+        let address = (ip, 0).into();
+        Self::start_life(id, service, address, slots, models, "v1", None, handler)
+    }
+
+    /// Starts one life of a replica, which runs this version of its software and tells when it started.
+    #[allow(clippy::too_many_arguments)]
+    pub fn start_life(
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        slots: u32,
+        models: Option<String>,
+        version: &str,
+        born: Option<u64>,
+        handler: Arc<Handler>,
+    ) -> Arc<Self> {
+        let listener = TcpListener::bind(address).expect("a free port");
         let address = listener.local_addr().expect("an address");
         let replica = Arc::new(Self {
             id: id.to_owned(),
@@ -481,6 +500,8 @@
             service: service.to_owned(),
             models: Arc::new(Mutex::new(models)),
             slots,
+            version: version.to_owned(),
+            born,
             sequence: AtomicU64::new(0),
             state: Mutex::new("ready"),
             ended: Arc::default(),
@@ -526,11 +547,15 @@
         let models = models.map_or(String::new(), |models| {
             format!("\"stage\":\"colocated\",\"models\":{models},")
         });
+        let born = self
+            .born
+            .map_or(String::new(), |born| format!("\"born\":{born},"));
         format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":{},\"state\":\"{}\",\
-             \"cold_remaining_ms\":0,{models}\"sequence\":{sequence}}}",
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"z\",\"version\":\"{}\",\"slots\":{},\"state\":\"{}\",\
+             \"cold_remaining_ms\":0,{models}{born}\"sequence\":{sequence}}}",
             self.service,
             self.address,
+            self.version,
             self.slots,
             *self.state.lock().expect("no panic"),
         )
@@ -573,8 +598,14 @@
 
     /// Sends heartbeats until the replica ends.
     pub fn keep_reporting(self: &Arc<Self>, controls: Vec<SocketAddr>) {
+        self.keep_reporting_after(Duration::ZERO, controls);
+    }
+
+    /// Sends heartbeats until the replica ends, the first one after a while.
+    pub fn keep_reporting_after(self: &Arc<Self>, delay: Duration, controls: Vec<SocketAddr>) {
         let replica = Arc::clone(self);
         thread::spawn(move || {
+            thread::sleep(delay);
             while !replica.ended.load(Ordering::SeqCst) {
                 replica.report(&controls);
                 thread::sleep(HEARTBEAT);
