--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -4,8 +4,9 @@
 //! changes. Switches to another control replica if one does not reply or its state is no longer
 //! confirmed, and prefers one in the router's own zone.
 
+mod targets;
+
 use std::{
-    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::Duration,
@@ -30,9 +31,8 @@
     load::pace::ReportTimer,
     state::{ProxyState, lock},
 };
+use targets::ControlTargets;
 
-/// Timeout for connecting to a control replica.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest time for which a reply may be held.
 const MAX_HOLD_TIME: Duration = Duration::from_millis(500);
 /// Shortest hold time where shared load is used: requests and replies carry the observations and
@@ -324,119 +324,3 @@
     state.set_view(state.view.load().with_table(table));
     lock(&state.configuration_transfer).record_in_use();
 }
-
-/// Control replicas that can be contacted.
-struct ControlTargets {
-    connections: BTreeMap<SocketAddr, Arc<ControlConnection>>,
-    zones: BTreeMap<SocketAddr, String>,
-    /// Control replicas that failed to reply last time.
-    unresponsive: BTreeSet<SocketAddr>,
-    current: Option<SocketAddr>,
-}
-
-impl ControlTargets {
-    fn new(seeds: Vec<SocketAddr>) -> Self {
-        let mut targets = Self {
-            connections: BTreeMap::new(),
-            zones: BTreeMap::new(),
-            unresponsive: BTreeSet::new(),
-            current: None,
-        };
-        targets.add(seeds);
-        targets
-    }
-
-    fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
-        self.connections.keys().copied()
-    }
-
-    fn len(&self) -> usize {
-        self.connections.len()
-    }
-
-    fn add(&mut self, addresses: Vec<SocketAddr>) {
-        for address in addresses {
-            self.connection(address);
-        }
-    }
-
-    fn current(&mut self) -> Option<SocketAddr> {
-        if self.current.is_none() {
-            // Spreads routers that start together over the control replicas.
-            let position = rand::random_range(0..self.connections.len().max(1));
-            self.current = self.connections.keys().nth(position).copied();
-        }
-        self.current
-    }
-
-    fn connection(&mut self, address: SocketAddr) -> Arc<ControlConnection> {
-        let connection = self
-            .connections
-            .entry(address)
-            .or_insert_with(|| Arc::new(ControlConnection::new(address, CONNECT_TIMEOUT)));
-        Arc::clone(connection)
-    }
-
-    /// Switches to the next control replica.
-    fn advance_from(&mut self, address: SocketAddr) {
-        let later = self.connections.range((
-            std::ops::Bound::Excluded(address),
-            std::ops::Bound::Unbounded,
-        ));
-        let next = later.map(|(address, _)| *address).next();
-        self.current = next.or_else(|| self.connections.keys().next().copied());
-    }
-
-    fn mark_unresponsive(&mut self, address: SocketAddr) {
-        self.unresponsive.insert(address);
-    }
-
-    fn update_members(&mut self, address: SocketAddr, reply: &WatchReply) {
-        self.unresponsive.remove(&address);
-        self.zones.insert(address, reply.zone.clone());
-        let members: Vec<SocketAddr> = reply
-            .members
-            .iter()
-            .filter_map(|member| member.parse().ok())
-            .collect();
-        if members.is_empty() {
-            return;
-        }
-        self.connections
-            .retain(|known, _| members.contains(known) || *known == address);
-        self.zones.retain(|known, _| members.contains(known));
-        self.unresponsive.retain(|known| members.contains(known));
-        self.add(members);
-    }
-
-    /// Whether no better control replica is known. Records are only requested from a settled
-    /// control replica; each one contacted on the way would send the first records of the fleet. That made up more
-    /// than a third of the bytes between zones when 985 routers that know 10,000 replicas restarted once.
-    fn is_settled(&self, zone: &str, address: SocketAddr) -> bool {
-        self.zones.contains_key(&address) && self.preferred(zone, address).is_none()
-    }
-
-    /// Returns a responsive control replica in the router's zone, or in one that is not known yet.
-    fn preferred(&self, zone: &str, address: SocketAddr) -> Option<SocketAddr> {
-        self.candidates(zone, address)
-            .find(|candidate| !self.unresponsive.contains(candidate))
-    }
-
-    fn candidates(&self, zone: &str, address: SocketAddr) -> impl Iterator<Item = SocketAddr> {
-        let in_zone = self.zones.get(&address).is_some_and(|known| known == zone);
-        let others = self.connections.keys().copied();
-        others.filter(move |candidate| {
-            let known = self.zones.get(candidate);
-            !in_zone && *candidate != address && known.is_none_or(|known| known == zone)
-        })
-    }
-
-    /// Switches to a control replica in the router's zone or in an unknown one. Unresponsive ones
-    /// are the last choice.
-    fn prefer_zone(&mut self, zone: &str, address: SocketAddr) {
-        let any = self.candidates(zone, address).next();
-        if let Some(preferred) = self.preferred(zone, address).or(any) {
-            self.current = Some(preferred);
-        }
-    }
-}
