Tell a control replica without a group from one that serves, in logs and metrics

Change: outcomes of a router's watch requests are confirmed, unconfirmed, no_group and missed, with a line when that of an address changes; a control replica tells when it is outside of a group for 3 s, a leader when the group lacks voters for 10 s, with gauges; heartbeats that arrive outside of a group are counted.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -103,6 +103,12 @@
     pub claims: Gauge<u64, AtomicU64>,
     /// Number of voters in this replica's latest membership.
     pub voters: Gauge<u64, AtomicU64>,
+    /// Voters that the group lacks for the failures that it has to tolerate; 0 unless this replica leads.
+    pub missing_voters: Gauge<u64, AtomicU64>,
+    /// 1 while this replica is a member of a group with a leader, otherwise 0.
+    pub in_group: Gauge,
+    /// Heartbeats of back-end replicas that arrived while this replica was no member of a group.
+    pub heartbeats_outside_group: Counter,
     /// Implausible paces of back-end replicas that were dropped.
     pub dropped_paces: Counter,
     /// On the leader: back-end replicas by speed, in steps of a factor of 1.4 from the usual one; without those of
@@ -151,6 +157,9 @@
             revision: Gauge::default(),
             claims: Gauge::default(),
             voters: Gauge::default(),
+            missing_voters: Gauge::default(),
+            in_group: Gauge::default(),
+            heartbeats_outside_group: Counter::default(),
             dropped_paces: Counter::default(),
             replica_speeds: Family::default(),
             sync_seconds: Histogram::new(exponential_buckets(0.000_5, 2.0, 14)),
@@ -313,6 +322,21 @@
         );
         registry.register("control_claims", "Claims kept", self.claims.clone());
         registry.register("control_voters", "Voters of the group", self.voters.clone());
+        registry.register(
+            "control_missing_voters",
+            "Voters that the group lacks, as its leader sees it",
+            self.missing_voters.clone(),
+        );
+        registry.register(
+            "control_in_group",
+            "Whether this control replica is a member of a group with a leader",
+            self.in_group.clone(),
+        );
+        registry.register(
+            "control_heartbeats_outside_group",
+            "Heartbeats that arrived while this control replica was no member of a group",
+            self.heartbeats_outside_group.clone(),
+        );
         registry.register(
             "control_dropped_paces",
             "Implausible paces of back-end replicas dropped",
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -6,6 +6,7 @@
 mod group;
 mod leadership;
 pub mod level;
+mod membership_log;
 
 use std::{
     collections::BTreeMap,
@@ -29,7 +30,11 @@
 use crate::{
     errors::ControlError,
     metrics::ControlMetrics,
-    node::{leadership::LeadershipLog, level::MemberLevels},
+    node::{
+        leadership::LeadershipLog,
+        level::MemberLevels,
+        membership_log::{MembershipLog, missing_voters},
+    },
     peers::Peers,
     pending::PendingProposals,
     replica::{Advance, MembershipError, Replica},
@@ -176,6 +181,7 @@
         started,
         pending: PendingProposals::default(),
         leadership: LeadershipLog::default(),
+        membership_log: MembershipLog::default(),
         routers: RouterTracker::default(),
         options,
         view: view_sender,
@@ -198,6 +204,7 @@
     started: BootInstant,
     pending: PendingProposals<oneshot::Sender<ProposeReply>>,
     leadership: LeadershipLog,
+    membership_log: MembershipLog,
     routers: RouterTracker,
     options: NodeOptions,
     view: watch::Sender<NodeView>,
@@ -292,7 +299,7 @@
         self.complete_reads();
         self.reconcile_members(now);
         self.raise_level(now);
-        self.update_metrics();
+        self.update_metrics(now);
         self.publish_view();
         Ok(())
     }
@@ -436,7 +443,7 @@
         Some(leader.address.clone())
     }
 
-    fn update_metrics(&mut self) {
+    fn update_metrics(&mut self, now: Millis) {
         let raft = self.replica.raft();
         let is_leader = raft.role() == Role::Leader;
         self.metrics.is_leader.set(i64::from(is_leader));
@@ -448,6 +455,14 @@
         self.metrics.revision.set(state.configuration().revision.0);
         self.metrics.claims.set(state.claims().len() as u64);
         self.leadership.record(raft, &self.metrics);
+        let is_in_group = self.replica.is_member() && raft.leader().is_some();
+        let missing = self.options.voter_replacement_timeout.map_or(0, |limit| {
+            missing_voters(raft, self.options.tolerance, limit, now)
+        });
+        self.membership_log
+            .record_group(is_in_group, now, &self.metrics);
+        self.membership_log
+            .record_missing_voters(missing, now, &self.metrics);
     }
 
     fn now(&self) -> u64 {
--- a/crates/control/src/node/group.rs
+++ b/crates/control/src/node/group.rs
@@ -118,9 +118,7 @@
     pub(super) fn publish_view(&self) {
         let raft = self.replica.raft();
         let serving = self.replica.state().serving();
-        let local_member = raft.membership().member(raft.replica());
-        let is_member =
-            local_member.is_some_and(|member| member.disk == self.replica.identity().disk);
+        let is_member = self.replica.is_member();
         let leader = self.leader_address();
         let is_leader = self.replica.is_ready_leader();
         let confirmed_at = raft.leadership_confirmed_at();
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -201,6 +201,11 @@
         self.raft.role() == Role::Leader && applied_term == Some(self.raft.term())
     }
 
+    /// Whether this replica is a member of a group with its present data folder.
+    pub fn is_member(&self) -> bool {
+        self.local_member().is_some()
+    }
+
     /// Identity of this replica.
     pub fn identity(&self) -> &Identity {
         &self.identity
@@ -342,8 +347,13 @@
     }
 
     fn is_voter(&self) -> bool {
+        self.local_member().is_some_and(|member| member.voter)
+    }
+
+    /// The member that this replica is with its present data folder.
+    fn local_member(&self) -> Option<&Member> {
         let member = self.raft.membership().member(self.identity.replica);
-        member.is_some_and(|member| member.voter && member.disk == self.identity.disk)
+        member.filter(|member| member.disk == self.identity.disk)
     }
 
     /// Index of the last configuration entry in the log. Includes unapplied entries, since any of them
--- a/crates/control/src/serving/handle.rs
+++ b/crates/control/src/serving/handle.rs
@@ -118,6 +118,9 @@
         sequence: u64,
     ) -> Result<HeartbeatTarget, Unavailable> {
         let view = self.leader_client.view();
+        if !view.is_member {
+            self.metrics.heartbeats_outside_group.inc();
+        }
         if !is_service_configured(&view, &record) {
             self.metrics.registrations_unknown_service.inc();
             spdlog::info!("heartbeat for an unknown service", kv: {
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -4,6 +4,7 @@
 //! changes. Switches to another control replica if one does not reply or its state is no longer
 //! confirmed, and prefers one in the router's own zone.
 
+pub mod outcome;
 mod targets;
 
 use std::{
@@ -16,8 +17,7 @@
 use railtack_rpc::{
     ControlConnection, call_context,
     serving::{
-        ConfigurationPart, InvalidationPart, MAX_CONFIRMATION_AGE_MS, ReplicaPace, ServingUpdate,
-        WatchReply, WatchRequest,
+        ConfigurationPart, InvalidationPart, ReplicaPace, ServingUpdate, WatchReply, WatchRequest,
     },
 };
 use railtack_serving::RouteTable;
@@ -31,6 +31,7 @@
     load::pace::ReportTimer,
     state::{ProxyState, lock},
 };
+use outcome::WatchOutcome;
 use targets::ControlTargets;
 
 /// Longest time for which a reply may be held.
@@ -66,6 +67,11 @@
         let wants_records = targets.is_settled(&state.options.zone, address);
         let paces = due_paces(&state, &mut pace_timer);
         let reply = watch(&state, targets.connection(address), wants_records, paces).await;
+        let outcome = reply
+            .as_ref()
+            .map_or(WatchOutcome::Missed, WatchOutcome::of);
+        state.metrics.record_watch_reply(outcome);
+        targets.record_outcome(address, outcome);
         let Some(reply) = reply else {
             if failures_in_a_row == 0 {
                 spdlog::warn!("control lost", kv: { address = address.to_string() });
@@ -86,9 +92,7 @@
             });
         }
         failures_in_a_row = 0;
-        let is_current = reply
-            .confirmed_age_ms
-            .is_some_and(|age| age < MAX_CONFIRMATION_AGE_MS);
+        let is_current = outcome == WatchOutcome::Confirmed;
         let has_update = reply.update.is_some() || reply.configuration.is_some();
         let delay = Duration::from_millis(reply.delayed_ms);
         targets.update_members(address, &reply);
@@ -211,7 +215,6 @@
                 .await
         })
         .await;
-    state.metrics.record_watch_reply(reply.is_ok());
     lock(&state.configuration_transfer).record_reply(reply.is_ok());
     reply
         .inspect_err(|report| {
--- a/crates/proxy/src/control_watch/targets.rs
+++ b/crates/proxy/src/control_watch/targets.rs
@@ -10,6 +10,8 @@
 
 use railtack_rpc::{ControlConnection, serving::WatchReply};
 
+use super::outcome::WatchOutcome;
+
 /// Timeout for connecting to a control replica.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -19,6 +21,8 @@
     zones: BTreeMap<SocketAddr, String>,
     /// Control replicas that failed to reply last time.
     unresponsive: BTreeSet<SocketAddr>,
+    /// What the last request to each control replica brought.
+    outcomes: BTreeMap<SocketAddr, WatchOutcome>,
     current: Option<SocketAddr>,
 }
 
@@ -28,6 +32,7 @@
             connections: BTreeMap::new(),
             zones: BTreeMap::new(),
             unresponsive: BTreeSet::new(),
+            outcomes: BTreeMap::new(),
             current: None,
         };
         targets.add(seeds);
@@ -74,6 +79,18 @@
         self.current = next.or_else(|| self.connections.keys().next().copied());
     }
 
+    /// Records what a request brought, and logs it if it differs from what the last one brought.
+    pub(super) fn record_outcome(&mut self, address: SocketAddr, outcome: WatchOutcome) {
+        let previous = self.outcomes.insert(address, outcome);
+        if previous != Some(outcome) {
+            spdlog::info!("control reply changed", kv: {
+                address = address.to_string(),
+                outcome = outcome.name(),
+                previous = previous.map_or("none", WatchOutcome::name),
+            });
+        }
+    }
+
     pub(super) fn mark_unresponsive(&mut self, address: SocketAddr) {
         self.unresponsive.insert(address);
     }
@@ -93,6 +110,8 @@
             .retain(|known, _| members.contains(known) || *known == address);
         self.zones.retain(|known, _| members.contains(known));
         self.unresponsive.retain(|known| members.contains(known));
+        self.outcomes
+            .retain(|known, _| members.contains(known) || *known == address);
         self.add(members);
     }
 
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -14,7 +14,7 @@
 };
 use railtack_serving::{LEAST_URGENT_PRIORITY, ReplicaRecord, ReplicaState, RequestKind};
 
-use crate::load::admission::Answer;
+use crate::{control_watch::outcome::WatchOutcome, load::admission::Answer};
 
 /// Labels of a counter by outcome.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -329,11 +329,8 @@
     }
 
     /// Counts a watch request.
-    pub fn record_watch_reply(&self, arrived: bool) {
-        count(
-            &self.watch_replies,
-            if arrived { "reply" } else { "missed" },
-        );
+    pub fn record_watch_reply(&self, outcome: WatchOutcome) {
+        count(&self.watch_replies, outcome.name());
     }
 
     /// Counts a finished exchange.
