Don't take a control replica without a group for one that serves

Cause: a reply without a group reset the count of failures after which the seeds are read again, so a router with one dead and two empty targets never asked another one. It also took the number of routers from such a reply, on which budgets of retries rest, and was held for half a second by it. Why the fix works: such a reply counts like none, so the seeds are read after each round and the next target is asked, and nothing of it is applied. A control replica without a group replies after 50 ms.

--- a/crates/control/src/serving/watch.rs
+++ b/crates/control/src/serving/watch.rs
@@ -26,6 +26,9 @@
 const CONFIRM_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest interval between two records of the targets of weights.
 const TARGET_AGE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which a reply is held while this replica is no member of a group. The router goes on to another one, and
+/// should not come back at once.
+const OUTSIDE_GROUP_WAIT: Duration = Duration::from_millis(50);
 /// Longest time for which a reply is held, milliseconds.
 const MAX_WAIT_MS: u64 = 5_000;
 /// Shortest interval between two updates to a router that has a complete copy.
@@ -98,6 +101,7 @@
         self.update_times(|times| times.last_request_at = Some(received_at));
         let deadline = received_at + Duration::from_millis(request.wait_ms.min(MAX_WAIT_MS));
         let mut receiver = self.leader_client.node().view();
+        let is_member = receiver.borrow().is_member;
         // If the router is ahead of this replica, wait until the replica has caught up.
         let position = request.position;
         let through = if request.wants_records {
@@ -114,6 +118,7 @@
             tokio::select! {
                 _ = changed => {}
                 () = self.confirmation(), if !request.has_lease => {}
+                () = sleep(OUTSIDE_GROUP_WAIT), if !is_member => {}
             }
         };
         // The reply holds the current view, also after a timeout.
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -1,7 +1,7 @@
 //! Watches the control group for changes.
 //!
 //! Sends one long-polling request at a time to one control replica, which replies when something
-//! changes. Switches to another control replica if one does not reply or its state is no longer
+//! changes. Switches to another control replica if one does not reply, knows no group, or its state is no longer
 //! confirmed, and prefers one in the router's own zone.
 
 pub mod outcome;
@@ -52,7 +52,7 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Watches the control group until the process exits. Calls `seeds` for addresses when no known
-/// control replica replies.
+/// control replica serves.
 pub async fn run_watch(state: Arc<ProxyState>, seeds: impl Fn() -> Vec<SocketAddr> + Send) {
     let mut targets = ControlTargets::new(seeds());
     let mut failures_in_a_row = 0;
@@ -72,9 +72,12 @@
             .map_or(WatchOutcome::Missed, WatchOutcome::of);
         state.metrics.record_watch_reply(outcome);
         targets.record_outcome(address, outcome);
-        let Some(reply) = reply else {
+        let Some(reply) = reply.filter(|_| outcome != WatchOutcome::NoGroup) else {
             if failures_in_a_row == 0 {
-                spdlog::warn!("control lost", kv: { address = address.to_string() });
+                spdlog::warn!("control lost", kv: {
+                    address = address.to_string(),
+                    outcome = outcome.name(),
+                });
             }
             failures_in_a_row += 1;
             targets.mark_unresponsive(address);
--- a/crates/proxy/tests/control_watch.rs
+++ b/crates/proxy/tests/control_watch.rs
@@ -4,7 +4,7 @@
 
 use std::{
     sync::{Arc, atomic::Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use railtack_proxy::control_watch::run_watch;
@@ -32,18 +32,22 @@
     assert!(requests <= 25, "{requests} requests in one second");
 }
 
-/// Whether a router that receives `position` gains a lease within 500 ms.
-async fn gains_lease(position: WatchPosition) -> bool {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = listener.local_addr().expect("its address");
-    let update = ServingUpdate {
+/// The first configuration, at `position`.
+fn first_update(position: WatchPosition) -> ServingUpdate {
+    ServingUpdate {
         position,
         complete: true,
         configuration: Some(ServingConfiguration::default()),
         ..ServingUpdate::default()
-    };
+    }
+}
+
+/// Whether a router that receives `position` gains a lease within 500 ms.
+async fn gains_lease(position: WatchPosition) -> bool {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("its address");
     let control = ControlStub {
-        update: Some(update),
+        update: Some(first_update(position)),
         ..ControlStub::default()
     };
     tokio::spawn(serve(listener, control));
@@ -149,3 +153,71 @@
     following.abort();
     assert!(counts.for_records.load(Ordering::Relaxed) > 0);
 }
+
+/// Whether a router gains a lease within three seconds whose only seed is `first`, until the settings name a control
+/// replica that serves as well. `describe_first` gets the address of the first one and one at which nobody listens.
+async fn gains_lease_by_changed_seeds(
+    describe_first: impl FnOnce(String, String) -> ControlStub,
+) -> bool {
+    let closed = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let first = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let serving = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addresses =
+        [&closed, &first, &serving].map(|listener| listener.local_addr().expect("its address"));
+    let [unresponsive, first_address, serving_address] = addresses;
+    drop(closed);
+    let stub = describe_first(first_address.to_string(), unresponsive.to_string());
+    tokio::spawn(serve(first, stub));
+    let known = WatchPosition {
+        state: 980,
+        changes: 980,
+        records: 980,
+    };
+    let control = ControlStub {
+        members: vec![serving_address.to_string()],
+        update: Some(first_update(known)),
+        ..ControlStub::default()
+    };
+    tokio::spawn(serve(serving, control));
+    let state = router(vec![first_address]);
+    let started = Instant::now();
+    let seeds = move || {
+        if started.elapsed() < Duration::from_millis(300) {
+            vec![first_address]
+        } else {
+            vec![first_address, serving_address]
+        }
+    };
+    let following = tokio::spawn(run_watch(Arc::clone(&state), seeds));
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    following.abort();
+    state.is_confirmed()
+}
+
+/// Guards against a router that takes a control replica with an empty disk for one that serves, and never asks another.
+#[tokio::test]
+async fn a_router_reads_its_seeds_anew_while_it_reaches_only_control_replicas_without_a_group() {
+    let without_group = |_, _| ControlStub {
+        confirmed_age_ms: None,
+        ..ControlStub::default()
+    };
+    assert!(gains_lease_by_changed_seeds(without_group).await);
+}
+
+/// Guards against a router that takes the number of routers from a control replica that knows no group.
+#[tokio::test]
+async fn a_router_takes_nothing_from_a_control_replica_without_a_group() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("its address");
+    let control = ControlStub {
+        confirmed_age_ms: None,
+        ..ControlStub::default()
+    };
+    tokio::spawn(serve(listener, control));
+    let state = router(vec![address]);
+    let before = state.routers.load(Ordering::Relaxed);
+    let following = tokio::spawn(run_watch(Arc::clone(&state), move || vec![address]));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    following.abort();
+    assert_eq!(state.routers.load(Ordering::Relaxed), before);
+}
--- a/crates/proxy/tests/support/control.rs
+++ b/crates/proxy/tests/support/control.rs
@@ -44,12 +44,14 @@
     pub for_records: Arc<AtomicU32>,
 }
 
-/// A control replica with a confirmed state that replies immediately with the same update.
+/// A control replica, by default with a confirmed state, that replies immediately with the same update.
 #[derive(Clone)]
 pub struct ControlStub {
     pub counts: RequestCounts,
     pub zone: &'static str,
     pub members: Vec<String>,
+    /// Age of the confirmation of its state.
+    pub confirmed_age_ms: Option<u64>,
     /// The update it sends; `None` before the first configuration.
     pub update: Option<ServingUpdate>,
     /// Where streams began, as recorded.
@@ -75,6 +77,7 @@
             counts: RequestCounts::default(),
             zone: "a",
             members: Vec::new(),
+            confirmed_age_ms: Some(0),
             update: None,
             origins: Arc::default(),
             only_version: None,
@@ -90,7 +93,7 @@
             self.counts.for_records.fetch_add(1, Ordering::Relaxed);
         }
         WatchReply {
-            confirmed_age_ms: Some(0),
+            confirmed_age_ms: self.confirmed_age_ms,
             delayed_ms: 0,
             zone: self.zone.to_owned(),
             members: self.members,
