Read the seeds again while no member that a router reaches has a leader

Callers saw: requests refused as unconfirmed for as long as a router reaches only former members of the group, or members without a leader, though the settings name control replicas that serve. Cause: the seeds were read again only after as many missed replies in a row as there are targets, and a reply without a recent confirmation reset that count. Such a reply also made the router drop every target that it does not name, so a former member could take the seeds away as soon as they were read. Evidence: the new test of proxy/control_watch failed before: no lease within 3 s beside a control replica that serves. Why the fix works: seeds are read after each round of targets without a confirmed reply, whatever the others said, and only a confirmed reply drops targets. Measured: the tests of the crate pass.

--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -52,10 +52,11 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Watches the control group until the process exits. Calls `seeds` for addresses when no known
-/// control replica serves.
+/// control replica has a confirmed state.
 pub async fn run_watch(state: Arc<ProxyState>, seeds: impl Fn() -> Vec<SocketAddr> + Send) {
     let mut targets = ControlTargets::new(seeds());
     let mut failures_in_a_row = 0;
+    let mut unconfirmed_in_a_row = 0;
     let mut pace_timer = ReportTimer::default();
     loop {
         let Some(address) = targets.current() else {
@@ -72,6 +73,14 @@
             .map_or(WatchOutcome::Missed, WatchOutcome::of);
         state.metrics.record_watch_reply(outcome);
         targets.record_outcome(address, outcome);
+        if outcome == WatchOutcome::Confirmed {
+            unconfirmed_in_a_row = 0;
+        } else {
+            unconfirmed_in_a_row += 1;
+            if unconfirmed_in_a_row % targets.len().max(1) == 0 {
+                targets.add(seeds());
+            }
+        }
         let Some(reply) = reply.filter(|_| outcome != WatchOutcome::NoGroup) else {
             if failures_in_a_row == 0 {
                 spdlog::warn!("control lost", kv: {
@@ -81,9 +90,6 @@
             }
             failures_in_a_row += 1;
             targets.mark_unresponsive(address);
-            if failures_in_a_row % targets.len().max(1) == 0 {
-                targets.add(seeds());
-            }
             targets.advance_from(address);
             sleep(failure_pause(failures_in_a_row)).await;
             continue;
@@ -98,7 +104,7 @@
         let is_current = outcome == WatchOutcome::Confirmed;
         let has_update = reply.update.is_some() || reply.configuration.is_some();
         let delay = Duration::from_millis(reply.delayed_ms);
-        targets.update_members(address, &reply);
+        targets.update_members(address, &reply, is_current);
         state.control_peers.set_members(targets.addresses());
         state.control_peers.set_nearest(address);
         state.control_peers.update_level(reply.group_level);
--- a/crates/proxy/src/control_watch/targets.rs
+++ b/crates/proxy/src/control_watch/targets.rs
@@ -95,7 +95,14 @@
         self.unresponsive.insert(address);
     }
 
-    pub(super) fn update_members(&mut self, address: SocketAddr, reply: &WatchReply) {
+    /// Adds the members that a reply names. Drops the others if the reply is confirmed: an unconfirmed one may name
+    /// former members.
+    pub(super) fn update_members(
+        &mut self,
+        address: SocketAddr,
+        reply: &WatchReply,
+        is_confirmed: bool,
+    ) {
         self.unresponsive.remove(&address);
         self.zones.insert(address, reply.zone.clone());
         let members: Vec<SocketAddr> = reply
@@ -103,16 +110,20 @@
             .iter()
             .filter_map(|member| member.parse().ok())
             .collect();
-        if members.is_empty() {
-            return;
+        if is_confirmed && !members.is_empty() {
+            self.retain(&members, address);
         }
+        self.add(members);
+    }
+
+    /// Drops all control replicas but `members` and `watched`.
+    fn retain(&mut self, members: &[SocketAddr], watched: SocketAddr) {
         self.connections
-            .retain(|known, _| members.contains(known) || *known == address);
+            .retain(|known, _| members.contains(known) || *known == watched);
         self.zones.retain(|known, _| members.contains(known));
         self.unresponsive.retain(|known| members.contains(known));
         self.outcomes
-            .retain(|known, _| members.contains(known) || *known == address);
-        self.add(members);
+            .retain(|known, _| members.contains(known) || *known == watched);
     }
 
     /// Whether no better control replica is known. Records are only requested from a settled
--- a/crates/proxy/tests/control_watch.rs
+++ b/crates/proxy/tests/control_watch.rs
@@ -204,6 +204,17 @@
     assert!(gains_lease_by_changed_seeds(without_group).await);
 }
 
+/// Guards against a router that goes by the members that a control replica without a leader names, and asks no others.
+#[tokio::test]
+async fn a_router_reads_its_seeds_anew_while_no_member_that_it_reaches_has_a_leader() {
+    let without_leader = |address, unresponsive| ControlStub {
+        members: vec![address, unresponsive],
+        confirmed_age_ms: Some(60_000),
+        ..ControlStub::default()
+    };
+    assert!(gains_lease_by_changed_seeds(without_leader).await);
+}
+
 /// Guards against a router that takes the number of routers from a control replica that knows no group.
 #[tokio::test]
 async fn a_router_takes_nothing_from_a_control_replica_without_a_group() {
