Read the seeds of a control replica anew while it looks for its group

Callers saw: nothing at once. Cause: the seeds were taken from the settings once, at the start of the process; the file may change later, also without a signal, and the comment at the handler of SIGHUP said that it is read again. Why the fix works: the join loop reads the file at each round, like a router.

--- a/crates/control/src/serving/daemon.rs
+++ b/crates/control/src/serving/daemon.rs
@@ -51,8 +51,11 @@
 /// Delay before a data folder that could not be opened is tried again.
 const OPEN_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Returns the internal addresses of some control replicas.
+pub type SeedReader = Arc<dyn Fn() -> Vec<SocketAddr> + Send + Sync>;
+
 /// Options of a control replica and its group.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct GroupOptions {
     /// Name of the machine, for logs and orders.
     pub node: String,
@@ -64,8 +67,10 @@
     pub data: PathBuf,
     /// Whether the deployment starts for the first time.
     pub bootstrap: bool,
-    /// Internal addresses of some control replicas.
-    pub seeds: Vec<SocketAddr>,
+    /// Internal addresses of some control replicas at the start of the process.
+    pub initial_seeds: Vec<SocketAddr>,
+    /// Returns the internal addresses of some control replicas now; called while this replica looks for its group.
+    pub read_seeds: SeedReader,
     /// Failures that the group has to tolerate.
     pub tolerance: FaultTolerance,
     /// Bounds of the deployment.
@@ -146,7 +151,7 @@
         Arc::clone(&leader_client),
         identity.replica,
         identity.disk,
-        options.seeds.clone(),
+        options.read_seeds,
     ));
     tokio::spawn(liveness::run_reports(
         Arc::clone(&leader_client),
@@ -196,7 +201,7 @@
     let folder = FileMedia::open(&options.data).change_context(ControlError::Storage)?;
     let replica_options = replica_options();
     let is_bootstrap_node =
-        formation::should_bootstrap(options.bootstrap, options.listen, &options.seeds);
+        formation::should_bootstrap(options.bootstrap, options.listen, &options.initial_seeds);
     if is_bootstrap_node {
         let address = options.listen.to_string();
         let initialized = Replica::initialize(&folder, &replica_options, &address);
--- a/crates/control/src/serving/formation.rs
+++ b/crates/control/src/serving/formation.rs
@@ -2,7 +2,7 @@
 //!
 //! All replicas start with the same seeds. At the first start the seed with the lowest address
 //! bootstraps the group as its only member. Every other replica, and any replica that later finds
-//! itself outside the group, sends join requests to the seeds and the members it knows. A second
+//! itself outside the group, sends join requests to the seeds of that time and the members it knows. A second
 //! group cannot form, because only one replica ever bootstraps, and only at the first start on an
 //! empty data folder.
 
@@ -15,7 +15,7 @@
 };
 use tokio::time::{Instant, sleep};
 
-use crate::serving::leader::LeaderClient;
+use crate::serving::{daemon::SeedReader, leader::LeaderClient};
 
 /// Interval of the membership check.
 const CHECK_INTERVAL: Duration = Duration::from_millis(400);
@@ -36,7 +36,7 @@
     leader_client: Arc<LeaderClient>,
     replica: ReplicaId,
     disk: DiskId,
-    seeds: Vec<SocketAddr>,
+    read_seeds: SeedReader,
 ) {
     let mut leader_seen_at = Instant::now();
     loop {
@@ -53,7 +53,7 @@
                 address: leader_client.local_address().to_owned(),
                 level: FeatureLevel::SUPPORTED,
             };
-            send_join_requests(&leader_client, &request, &view.voters, &seeds).await;
+            send_join_requests(&leader_client, &request, &view.voters, &read_seeds()).await;
         }
     }
 }
