Let a control replica that lost its data find its group by the members that know its address

Cause: only seeds led to the group. The members that kept their data send to the address of the empty replica all the time, but it drops what names its former disk, rightly, and learnt nothing from it. Why the fix works: the sender of a message to a former data folder is asked for its members. If these include the local address and another seed, it gets a join request; nothing else of the message is used. At the first start such messages are ignored. An address that belonged to another deployment leads nowhere: none of the seeds is in that group.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -3,6 +3,7 @@
 //! File syncs block, so the replica runs on a dedicated thread. Each round handles all queued
 //! inputs before it syncs, so that many proposals share one sync.
 
+pub mod contacts;
 mod group;
 mod leadership;
 pub mod level;
@@ -31,6 +32,7 @@
     errors::ControlError,
     metrics::ControlMetrics,
     node::{
+        contacts::GroupContacts,
         leadership::LeadershipLog,
         level::MemberLevels,
         membership_log::{MembershipLog, missing_voters},
@@ -189,6 +191,7 @@
         join_requests: BTreeMap::new(),
         leaving: BTreeMap::new(),
         levels: MemberLevels::default(),
+        contacts: GroupContacts::default(),
     };
     thread::spawn(move || {
         let outcome = node.run_with_reopen(&receiver);
@@ -213,6 +216,8 @@
     /// Members that are shutting down, and the times of their notices.
     leaving: BTreeMap<ReplicaId, Millis>,
     levels: MemberLevels,
+    /// Where a replica that lost its data may find its group.
+    contacts: GroupContacts,
 }
 
 /// A read index request that waits for a majority to confirm that this replica is still the leader.
@@ -300,7 +305,7 @@
         self.reconcile_members(now);
         self.raise_level(now);
         self.update_metrics(now);
-        self.publish_view();
+        self.publish_view(now);
         Ok(())
     }
 
@@ -322,6 +327,11 @@
         match input {
             NodeInput::Deliver(message, sender) => {
                 self.levels.record(message.from, sender.level, now);
+                if !self.replica.is_member() {
+                    let identity = self.replica.identity();
+                    let local = (identity.replica, identity.disk);
+                    self.contacts.record(&message, &sender.address, local, now);
+                }
                 if self.check_level(message.from, sender.level) {
                     self.peers.record_address(message.from, sender.address);
                     self.replica.receive(message, now);
--- a/crates/control/src/node/group.rs
+++ b/crates/control/src/node/group.rs
@@ -115,10 +115,15 @@
         }
     }
 
-    pub(super) fn publish_view(&self) {
+    pub(super) fn publish_view(&mut self, now: Millis) {
         let raft = self.replica.raft();
         let serving = self.replica.state().serving();
         let is_member = self.replica.is_member();
+        let contacts = if is_member {
+            Vec::new()
+        } else {
+            self.contacts.recent(now)
+        };
         let leader = self.leader_address();
         let is_leader = self.replica.is_ready_leader();
         let confirmed_at = raft.leadership_confirmed_at();
@@ -129,6 +134,7 @@
             let same_role = view.leader == leader
                 && view.is_leader == is_leader
                 && view.is_member == is_member
+                && view.contacts == contacts
                 && view.leadership_confirmed_at == confirmed_at;
             if same_state && same_role {
                 return false;
@@ -142,6 +148,7 @@
             view.is_leader = is_leader;
             view.leadership_confirmed_at = confirmed_at;
             view.is_member = is_member;
+            view.contacts = contacts;
             view.voters = raft
                 .membership()
                 .voters()
--- a/crates/control/src/serving/daemon.rs
+++ b/crates/control/src/serving/daemon.rs
@@ -18,7 +18,7 @@
     replica::{Replica, ReplicaOptions},
     server::{self, ControlService, GroupServices},
     serving::{
-        formation,
+        formation::{self, Joiner},
         handle::GroupHandle,
         leader::LeaderClient,
         liveness::{self, Liveness},
@@ -147,12 +147,14 @@
     tokio::spawn(server::accept(listener, service));
     tokio::spawn(watch::run_confirmations(Arc::clone(&watch)));
     tokio::spawn(watch::run_target_ages(Arc::clone(&watch)));
-    tokio::spawn(formation::run_join_loop(
-        Arc::clone(&leader_client),
-        identity.replica,
-        identity.disk,
-        options.read_seeds,
-    ));
+    let joiner = Joiner {
+        leader_client: Arc::clone(&leader_client),
+        replica: identity.replica,
+        disk: identity.disk,
+        read_seeds: options.read_seeds,
+        is_first_start: options.bootstrap,
+    };
+    tokio::spawn(joiner.run());
     tokio::spawn(liveness::run_reports(
         Arc::clone(&leader_client),
         Arc::clone(&liveness),
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -25,6 +25,8 @@
     pub leadership_confirmed_at: Option<Millis>,
     /// Whether this replica is a member with its present data folder.
     pub is_member: bool,
+    /// While this replica is no member: internal addresses of replicas that take it for one with a former data folder.
+    pub contacts: Vec<String>,
     /// Internal addresses of the voters.
     pub voters: Vec<String>,
 }
