Acknowledge nothing at a control replica outside of the group

Cause: without a configuration every service is accepted, and the record went into a queue that had no leader. Why the fix works: outside of a group the call is refused with 503 at once, so the back-end replica reports to the next control replica.

--- a/crates/control/src/serving/errors.rs
+++ b/crates/control/src/serving/errors.rs
@@ -8,7 +8,8 @@
     /// No leader is known, or it did not reply in time. The change may still be applied.
     #[error("no leader has answered")]
     NoLeader,
-    /// The group does not yet have the members that its guarantees require.
+    /// The group does not yet have the members that its guarantees require, or this control replica
+    /// has not joined it.
     #[error("the group is still forming")]
     Forming,
     /// Another live replica is registered at the address, or only the leader knows whether it is
--- a/crates/control/src/serving/handle.rs
+++ b/crates/control/src/serving/handle.rs
@@ -92,6 +92,7 @@
 
     /// The newest document, byte for byte.
     pub async fn document(&self) -> Result<Vec<u8>, Unavailable> {
+        require_member(&self.leader_client.view())?;
         self.leader_client.catch_up(REPLY_TIMEOUT).await?;
         let view = self.leader_client.view();
         let content = view.serving.content().ok_or(Unavailable::NoConfiguration)?;
@@ -111,15 +112,17 @@
     /// replica is leaving, the group records this before the method returns, since the reply is
     /// binding for all routers. Other changes are recorded asynchronously: a replica that gets no
     /// reply in time repeats its heartbeat at other control replicas, which multiplies the load
-    /// when thousands of them register.
+    /// when thousands of them register. Outside of a group nothing can be recorded, and the replica
+    /// has to report elsewhere.
     pub async fn heartbeat(
         &self,
         mut record: ReplicaRecord,
         sequence: u64,
     ) -> Result<HeartbeatTarget, Unavailable> {
         let view = self.leader_client.view();
-        if !view.is_member {
+        if let Err(unavailable) = require_member(&view) {
             self.metrics.heartbeats_outside_group.inc();
+            return Err(unavailable);
         }
         if !is_service_configured(&view, &record) {
             self.metrics.registrations_unknown_service.inc();
@@ -165,6 +168,7 @@
     /// Removes a replica that leaves for good.
     pub async fn deregister(&self, replica: String) -> Result<(), Unavailable> {
         let view = self.leader_client.view();
+        require_member(&view)?;
         let replica = id_at_level(&view, replica);
         if view
             .serving
@@ -215,6 +219,16 @@
     }
 }
 
+/// Fails while this control replica is no member of a group: it can neither record nor read anything, and has no way
+/// to a leader.
+fn require_member(view: &NodeView) -> Result<(), Unavailable> {
+    if view.is_member {
+        Ok(())
+    } else {
+        Err(Unavailable::Forming)
+    }
+}
+
 /// Returns the id under which a group at this level records a replica. At the first level it has no
 /// start time.
 fn id_at_level(view: &NodeView, name: String) -> String {
