Let the wait for a silent voter grow with the time of syncs

Cause: the wait of 1.2 s stood beside election timeouts that allow for slow syncs, so that a group of slow disks would have taken the votes of live members, and given them back, again and again while a spare replica is there. Whether the leader changes members by itself is a setting of its own in place of the time.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -139,9 +139,9 @@
 pub struct NodeOptions {
     /// Longest time between two rounds. Default: 10 ms.
     pub tick: Duration,
-    /// Time without contact after which the leader may replace a voter, milliseconds. `None` disables
-    /// automatic membership changes.
-    pub voter_replacement_timeout: Option<Millis>,
+    /// Whether the leader changes the members by itself: adds replicas that ask for it, and takes the votes of silent
+    /// members.
+    pub changes_members: bool,
     /// Failures that the group must tolerate.
     pub tolerance: FaultTolerance,
     /// Reopens the replica after a storage failure; if `None`, the thread stops with the error.
@@ -154,7 +154,7 @@
     fn default() -> Self {
         Self {
             tick: Duration::from_millis(10),
-            voter_replacement_timeout: None,
+            changes_members: false,
             tolerance: FaultTolerance { machines: 0 },
             reopen: None,
             parse_document: |_| None,
@@ -466,9 +466,8 @@
         self.metrics.claims.set(state.claims().len() as u64);
         self.leadership.record(raft, &self.metrics);
         let is_in_group = self.replica.is_member() && raft.leader().is_some();
-        let missing = self.options.voter_replacement_timeout.map_or(0, |limit| {
-            missing_voters(raft, self.options.tolerance, limit, now)
-        });
+        let silence_limit = group::silence_limit(raft);
+        let missing = missing_voters(raft, self.options.tolerance, silence_limit, now);
         self.membership_log
             .record_group(is_in_group, now, &self.metrics);
         self.membership_log
--- a/crates/control/src/node/group.rs
+++ b/crates/control/src/node/group.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use railtack_consensus::{Membership, Millis, ReplicaId};
+use railtack_consensus::{Membership, Millis, Raft, ReplicaId};
 use railtack_rpc::serving::{JoinReply, JoinRequest, ReadIndexReply};
 use tokio::sync::oneshot;
 
@@ -11,6 +11,9 @@
 
 /// Time for which a join request is valid, milliseconds; replicas repeat it.
 const JOIN_REQUEST_TTL_MS: Millis = 3_000;
+/// Election timeouts without a reply after which a voter loses its vote to a spare replica. Each new leader counts them
+/// anew, and a successor has to be in place within seconds.
+const SILENT_ELECTION_TIMEOUTS: Millis = 3;
 /// Time for which a leave notice is valid, milliseconds; afterwards the silence limit applies.
 const LEAVE_NOTICE_TTL_MS: Millis = 3_000;
 
@@ -78,9 +81,9 @@
 
     /// As leader, proposes the next membership change, if one is needed.
     pub(super) fn reconcile_members(&mut self, now: Millis) {
-        let Some(silence_limit) = self.options.voter_replacement_timeout else {
+        if !self.options.changes_members {
             return;
-        };
+        }
         self.join_requests
             .retain(|_, (_, requested_at)| now < *requested_at + JOIN_REQUEST_TTL_MS);
         self.leaving
@@ -89,6 +92,7 @@
             return;
         }
         let raft = self.replica.raft();
+        let silence_limit = silence_limit(raft);
         let join_requests = self
             .join_requests
             .iter()
@@ -159,6 +163,11 @@
     }
 }
 
+/// Time without a reply after which a voter may be replaced, milliseconds.
+pub(super) fn silence_limit(raft: &Raft) -> Millis {
+    SILENT_ELECTION_TIMEOUTS * raft.election_timeout()
+}
+
 fn describe(membership: &Membership) -> String {
     let members = membership.members.iter().map(|member| {
         let role = if member.voter { "voter" } else { "learner" };
--- a/crates/control/src/serving/daemon.rs
+++ b/crates/control/src/serving/daemon.rs
@@ -40,9 +40,6 @@
 const HEARTBEAT_INTERVAL_MS: Millis = 100;
 /// Shortest election timeout, milliseconds.
 const ELECTION_TIMEOUT_MS: Millis = 400;
-/// Time without a reply after which a voter loses its vote to a spare replica, milliseconds. Each new leader counts it
-/// anew, and a successor has to be in place within seconds.
-const VOTER_REPLACEMENT_TIMEOUT_MS: Millis = 3 * ELECTION_TIMEOUT_MS;
 /// Longest time between two rounds of the replica's thread.
 const TICK: Duration = Duration::from_millis(25);
 /// Log entries after which a snapshot replaces the log.
@@ -104,7 +101,7 @@
     let reopen_options = options.clone();
     let node_options = NodeOptions {
         tick: TICK,
-        voter_replacement_timeout: Some(VOTER_REPLACEMENT_TIMEOUT_MS),
+        changes_members: true,
         tolerance: options.tolerance,
         reopen: Some(Box::new(move |now| open(&reopen_options, now))),
         parse_document: options.parse_document,
