Don't add a lost member again by the request with which it joined

Cause: a join request is kept for three seconds. A member that was lost within that time and removed for its silence, now after 1.2 s, was added again as a learner, dead, and stayed there. Change: a request is forgotten once its replica is a member; a replica that is none repeats it. The line about contacts is written once a round.

--- a/crates/control/src/node/group.rs
+++ b/crates/control/src/node/group.rs
@@ -64,7 +64,11 @@
             return JoinReply::NotLeader { leader: None };
         }
         self.leaving.remove(&request.replica);
-        self.join_requests.insert(request.replica, (request, now));
+        let member = self.replica.raft().membership().member(request.replica);
+        let is_member = member.is_some_and(|member| member.disk == request.disk);
+        if !is_member {
+            self.join_requests.insert(request.replica, (request, now));
+        }
         JoinReply::Accepted
     }
 
@@ -115,10 +119,19 @@
         // Rejected while an earlier change is uncommitted or a learner has not caught up; retried in
         // the next round.
         if self.replica.propose_membership(next).is_ok() {
+            self.forget_fulfilled_join_requests();
             spdlog::info!("membership change proposed", kv: { members = description });
         }
     }
 
+    /// A request that stayed would add the member again right after it was removed for its silence. If the change is
+    /// lost, the replica repeats its request.
+    fn forget_fulfilled_join_requests(&mut self) {
+        let membership = self.replica.raft().membership();
+        self.join_requests
+            .retain(|replica, _| membership.member(*replica).is_none());
+    }
+
     pub(super) fn publish_view(&mut self, now: Millis) {
         let raft = self.replica.raft();
         let serving = self.replica.state().serving();
--- a/crates/control/src/serving/formation.rs
+++ b/crates/control/src/serving/formation.rs
@@ -119,22 +119,21 @@
         seeds: &[SocketAddr],
     ) -> Vec<String> {
         let mut trusted = Vec::new();
-        if self.is_first_start {
+        if self.is_first_start || contacts.is_empty() {
             return trusted;
         }
         for contact in contacts {
             let Some(members) = self.members_known_to(contact).await else {
                 continue;
             };
-            let is_trusted = is_own_group(self.leader_client.local_address(), seeds, &members);
-            spdlog::info!("group found by a message to a former data folder", kv: {
-                address = contact.clone(),
-                is_own = is_trusted,
-            });
-            if is_trusted {
+            if is_own_group(self.leader_client.local_address(), seeds, &members) {
                 trusted.push(contact.clone());
             }
         }
+        spdlog::info!("contacts asked for their group", kv: {
+            contacts = contacts.join(","),
+            trusted = trusted.join(","),
+        });
         trusted
     }
 
