Report a change of members once it is committed

A leader that was killed before it sent it on took it along, and the others were one voter and one learner of a group of two. Evidence: a_change_of_members_that_is_not_committed_is_not_reported failed before: a removal was reported with two of three control replicas frozen. Why the fix works: after the change a barrier is committed, and the change is sent again unless the newest members show it.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use error_stack::Report;
+use railtack_consensus::Member;
 use railtack_core::OperationId;
 use railtack_rpc::{
     ConnectionError, ControlConnection, call_context,
@@ -137,13 +138,41 @@
         identity.map_err(|report| report.change_context(CtlError::Unavailable))
     }
 
-    /// Changes the group's members. Retries while an earlier change is pending or the learner is
-    /// behind.
+    /// Returns the members known to the replica with the highest term and commit position.
+    pub async fn newest_members(&self) -> Result<Vec<Member>, Report<CtlError>> {
+        let statuses = self.statuses().await;
+        let newest = statuses
+            .into_iter()
+            .filter_map(|(_, status)| status)
+            .max_by_key(|status| (status.term, status.commit))
+            .ok_or_else(|| Report::new(CtlError::Unavailable))?;
+        Ok(newest.members)
+    }
+
+    /// Changes the group's members; returns once the change is committed. Retries while an earlier
+    /// change is pending or the learner is behind.
     pub async fn change_membership(
         &self,
         change: &MembershipChange,
     ) -> Result<(), Report<CtlError>> {
         let deadline = Instant::now() + CHANGE_TIMEOUT;
+        loop {
+            self.append_membership_change(change, deadline).await?;
+            // A leader that is lost takes an uncommitted change with it, and its successor commits
+            // the barrier without the change.
+            self.propose(Command::Barrier, "").await?;
+            if is_in_force(change, &self.newest_members().await?) {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Has a leader append a change of the members.
+    async fn append_membership_change(
+        &self,
+        change: &MembershipChange,
+        deadline: Instant,
+    ) -> Result<(), Report<CtlError>> {
         let mut reason = "no leader";
         while Instant::now() < deadline {
             for connection in &self.connections {
@@ -212,3 +241,15 @@
         Err(Report::new(error))
     }
 }
+
+/// Whether the members are as the change makes them.
+fn is_in_force(change: &MembershipChange, members: &[Member]) -> bool {
+    let find = |replica| members.iter().find(|member| member.replica == replica);
+    match change {
+        MembershipChange::AddLearner(added) => {
+            find(added.replica).is_some_and(|member| member.disk == added.disk)
+        }
+        MembershipChange::Promote(replica) => find(*replica).is_some_and(|member| member.voter),
+        MembershipChange::Remove(replica) => find(*replica).is_none(),
+    }
+}
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -87,7 +87,7 @@
                 .unwrap_or_default();
             let change = MembershipChange::Remove(ReplicaId(replica));
             client.change_membership(&change).await?;
-            println!("replica {replica} is being removed");
+            println!("replica {replica} is removed");
             Ok(())
         }
         _ => list_members(client, format).await,
@@ -104,7 +104,7 @@
         return Ok(());
     };
     let identity = ControlClient::identify(address).await?;
-    let members = newest_members(client).await?;
+    let members = client.newest_members().await?;
     let existing = members
         .iter()
         .find(|member| member.replica == identity.replica && member.disk == identity.disk);
@@ -127,23 +127,12 @@
     Ok(())
 }
 
-/// Returns the members known to the replica with the highest term and commit position.
-async fn newest_members(client: &ControlClient) -> Result<Vec<Member>, Report<CtlError>> {
-    let statuses = client.statuses().await;
-    let newest = statuses
-        .into_iter()
-        .filter_map(|(_, status)| status)
-        .max_by_key(|status| (status.term, status.commit))
-        .ok_or_else(|| Report::new(CtlError::Unavailable))?;
-    Ok(newest.members)
-}
-
 async fn list_members(
     client: &ControlClient,
     format: OutputFormat,
 ) -> Result<(), Report<CtlError>> {
     let mut table = Table::new(["replica", "address", "role", "disk"]);
-    for member in newest_members(client).await? {
+    for member in client.newest_members().await? {
         let role = if member.voter { "voter" } else { "learner" };
         table.add_row([
             member.replica.to_string(),
--- a/crates/lab/tests/changed_members.rs
+++ b/crates/lab/tests/changed_members.rs
@@ -48,3 +48,24 @@
     tokio::time::sleep(LEASE_TIME).await;
     fleet.wait_for_routers().await.expect("a ready router");
 }
+
+/// Guards against `railtackctl members`, which reported a change that no majority had: if its leader was killed, the change
+/// was lost and the group, counted on, elected no leader.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_of_members_that_is_not_committed_is_not_reported() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut prepared = start_fleet(folder.path(), 31, |shape| {
+        shape.routers = 1;
+        shape.engines = 1;
+    })
+    .await;
+    let fleet = &mut prepared.fleet;
+    for position in [1, 2] {
+        fleet.control[position]
+            .inject(Fault::Freeze)
+            .await
+            .expect("a signal");
+    }
+    let removed = fleet.run_ctl(&["members", "remove", "3"]).await;
+    assert!(removed.is_err(), "no majority has the change");
+}
