Don't take a configuration for current of which only the changes are known

What callers saw: in one run of large_configurations, beside other tests, a router behind a weak link used a moved and a dropped route and a dropped key for up to 3.04 s after the change was acknowledged; 2 s are allowed. Cause: a reply with what changed holds no part of the new configuration. Until its first part arrived, the router took its former configuration for complete, and a former configuration that was confirmed 1.8 s ago at most is in force: what changed was not even looked at. A series of changes repeats such replies. Evidence: in that run's log the router applied the changes 0.45 and 1.31 s after the acknowledgement, the second time confirmed 1.27 s after it, and used what they name until 1.8 s after that confirmation. The model of the transfer, which now asks whether a router that takes its configuration for current has what the control replica had, failed before ('revision 2 taken for 4'). Why it works: a configuration counts as current only if no newer one is known of; then the known changes are looked at.

--- a/crates/proxy/src/configuration_transfer.rs
+++ b/crates/proxy/src/configuration_transfer.rs
@@ -75,8 +75,13 @@
         self.position.clone()
     }
 
-    /// Whether the configuration in use is what the control replica had at its last reply, as far as the replica
-    /// was not behind.
+    /// Whether the configuration in use is the newest one that this router knows of. What changed is known before any
+    /// part of the next configuration arrives.
+    pub fn is_current(&self) -> bool {
+        self.is_complete() && self.invalidations.position().newest <= self.position.complete_through
+    }
+
+    /// Whether no configuration is being received.
     pub fn is_complete(&self) -> bool {
         let has_received = self.is_whole || self.position.complete_through > 0;
         has_received && !self.position.is_under_way()
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -263,8 +263,8 @@
     state.merge_target_ages(std::mem::take(&mut reply.target_ages), made_at);
     // The lease covers what the router knows, so all updates are applied before the confirmation.
     // Not all replicas have to be known: in a large fleet their records take seconds to arrive.
-    let has_configuration = lock(&state.configuration_transfer).is_complete();
-    let knowledge = if has_configuration {
+    let is_current = lock(&state.configuration_transfer).is_current();
+    let knowledge = if is_current {
         Some(Knowledge::Configuration)
     } else {
         knows_changes.then_some(Knowledge::Invalidations)
