Remember over terms and restarts that another control replica may still send orders

Cause: who takes the order lock over waits a lease for the former holder. Whether there was another one was told by the name in the replicated lock alone, and the wait was kept with the term. A control replica that was restarted, that lost the lead and was elected again, or that got no reply to its acquisition in time found its own name there and sent at once. Change: each process counts from the last time at which another one may have held the lock, over its terms (OtherHolders): the start of the process, a takeover, an acquisition without a reply. A log line says how long it waits. Weighed: an ended wait in the replicated lock spares the wait after a restart of a holder that had none left, but needs a command at a new feature level, and counts the whole wait anew after a restart all the same, as clocks are not shared. Why it works: every order of another holder belongs to a term before the election in which this one first took the lock over, and each of the three moments is later than that election.

--- a/crates/control/src/serving/mod.rs
+++ b/crates/control/src/serving/mod.rs
@@ -16,6 +16,7 @@
 //! | [`replica_speeds`] | derives relative speeds of back-end replicas (pure) |
 //! | [`rollout_driver`], [`order_dispatcher`] | execute the rollout of weights |
 //! | [`order_channel`] | transport of orders to back ends |
+//! | [`order_lock`] | when the order lock may be used (pure) |
 //! | [`rollout_plan`] | plans the next steps of a rollout (pure) |
 //! | [`registration_queue`], [`registrar`] | record back-end replicas in batches (the former is pure) |
 //! | [`slots`] | leases of slots at back ends that withstand few rejections (its ledger is pure) |
@@ -35,6 +36,7 @@
 pub mod liveness;
 pub mod order_channel;
 pub mod order_dispatcher;
+pub mod order_lock;
 pub mod permits;
 pub mod quarantine;
 pub mod quota;
--- a/crates/control/src/serving/order_dispatcher.rs
+++ b/crates/control/src/serving/order_dispatcher.rs
@@ -21,6 +21,7 @@
         leader::LeaderClient,
         lock,
         order_channel::{OrderChannel, OrderReply, OrderRequest, ReportError, WeightsReport},
+        order_lock::HeldOrderLock,
         rollout_plan::RolloutStep,
         watch::WatchServer,
     },
@@ -41,25 +42,6 @@
 /// Time for an update about an order to reach a router once it is due.
 const NOTIFICATION_DELAY: Duration = Duration::from_millis(50);
 
-/// The order lock, as acquired by this replica.
-#[derive(Clone, Debug)]
-pub struct HeldOrderLock {
-    /// Term in which it was acquired.
-    pub term: u64,
-    /// Fencing token.
-    pub token: u64,
-    /// When the previous holder can no longer send orders.
-    pub usable_from: Instant,
-}
-
-impl HeldOrderLock {
-    /// Whether the leader of `term` still holds the lock, if tokens up to `refused_token` were
-    /// refused.
-    pub fn is_held(&self, term: u64, refused_token: u64) -> bool {
-        self.term == term && self.token > refused_token
-    }
-}
-
 /// Sends orders to back ends; at most one task per back end at a time.
 pub struct OrderDispatcher {
     leader_client: Arc<LeaderClient>,
--- a/crates/control/src/serving/rollout_driver.rs
+++ b/crates/control/src/serving/rollout_driver.rs
@@ -2,7 +2,7 @@
 //!
 //! A new holder of the order lock waits until the previous one can no longer send orders: a holder
 //! sends none unless it was confirmed as leader within a third of the lease, and the new holder
-//! waits for the whole lease. Each order carries the number of orders that the back end had
+//! waits for the whole lease, however often it acquires the lock meanwhile. Each order carries the number of orders that the back end had
 //! accepted, so a late one has no effect.
 
 use std::{
@@ -20,7 +20,8 @@
     serving::{
         leader::LeaderClient,
         order_channel::OrderChannel,
-        order_dispatcher::{HeldOrderLock, OrderDispatcher},
+        order_dispatcher::OrderDispatcher,
+        order_lock::{HeldOrderLock, OtherHolders},
         rollout_plan::{RolloutInputs, TargetVersion, plan_rollout},
         watch::WatchServer,
     },
@@ -60,6 +61,7 @@
         bounds,
         dispatcher: Arc::new(dispatcher),
         order_lock: None,
+        other_holders: OtherHolders::new(Instant::now()),
         targets: BTreeMap::new(),
         loading: BTreeSet::new(),
         last_load_finished_at: None,
@@ -77,6 +79,7 @@
     bounds: Bounds,
     dispatcher: Arc<OrderDispatcher>,
     order_lock: Option<HeldOrderLock>,
+    other_holders: OtherHolders,
     /// Target versions of each model, and when they were first seen.
     targets: BTreeMap<String, Vec<(u64, Instant)>>,
     /// Replicas with a pending order.
@@ -194,20 +197,29 @@
         (Instant::now() >= order_lock.usable_from).then_some(order_lock)
     }
 
-    async fn acquire(&self, term: u64) -> Option<HeldOrderLock> {
+    async fn acquire(&mut self, term: u64) -> Option<HeldOrderLock> {
         let command = ServingCommand::AcquireOrderLock {
             holder: self.node.clone(),
         };
-        let outcome = self.leader_client.propose_if_leader(command).await?;
-        let ServingOutcome::OrderLockAcquired { token, taken_over } = outcome else {
+        let outcome = self.leader_client.propose_if_leader(command).await;
+        let now = Instant::now();
+        let Some(ServingOutcome::OrderLockAcquired { token, taken_over }) = outcome else {
+            self.other_holders.record_unanswered(now);
+            spdlog::info!("order lock not acquired", kv: { term, outcome = format!("{outcome:?}") });
             return None;
         };
-        let wait_ms = if taken_over { self.bounds.lease_ms } else { 0 };
-        spdlog::info!("order lock acquired", kv: { token, taken_over });
+        self.other_holders.record_acquired(taken_over, now);
+        let lease = Duration::from_millis(self.bounds.lease_ms);
+        let usable_from = self.other_holders.gone_at(lease);
+        spdlog::info!("order lock acquired", kv: {
+            token,
+            taken_over,
+            wait_ms = usable_from.saturating_duration_since(now).as_millis() as u64,
+        });
         Some(HeldOrderLock {
             term,
             token,
-            usable_from: Instant::now() + Duration::from_millis(wait_ms),
+            usable_from,
         })
     }
 }
--- a/crates/control/tests/rollout_plan.rs
+++ b/crates/control/tests/rollout_plan.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use railtack_control::{
-    serving::order_dispatcher::HeldOrderLock,
+    serving::order_lock::HeldOrderLock,
     serving::rollout_plan::{RolloutInputs, RolloutStep, TargetVersion, plan_rollout},
     serving_state::ServingState,
 };
