Hold the order lock by the address of a control replica, not by its machine's name

Cause: the replicated lock tells holders apart by the machines' names, which operators give. A machine that takes the place of another one under its name finds its own name in the lock and does not wait. Change: the holder is the internal address, by which the group reaches a control replica. Orders still name the machine. The layout is the same; among builds that give names, and at the first acquisition after an upgrade, a holder counts as another one, which waits. Evidence: a_control_replica_waits_for_a_former_holder_of_the_same_name failed before (487 ms) and passes; the two others of order_lock pass. Why it works: two processes of a deployment cannot listen at one address at once; one that starts at the address of a former one waits from its start.

--- a/crates/control/src/serving/rollout_driver.rs
+++ b/crates/control/src/serving/rollout_driver.rs
@@ -51,13 +51,12 @@
         Arc::clone(&leader_client),
         watch,
         channel,
-        node.clone(),
+        node,
         lease,
         started,
     );
     let mut rollout = Rollout {
         leader_client,
-        node,
         bounds,
         lease,
         dispatcher: Arc::new(dispatcher),
@@ -76,7 +75,6 @@
 
 struct Rollout {
     leader_client: Arc<LeaderClient>,
-    node: String,
     bounds: Bounds,
     lease: OrderLease,
     dispatcher: Arc<OrderDispatcher>,
@@ -201,7 +199,8 @@
 
     async fn acquire(&mut self, term: u64) -> Option<HeldOrderLock> {
         let command = ServingCommand::AcquireOrderLock {
-            holder: self.node.clone(),
+            // Two machines may bear the same name.
+            holder: self.leader_client.local_address().to_owned(),
         };
         let outcome = self.leader_client.propose_if_leader(command).await;
         let now = Instant::now();
--- a/crates/rpc/src/serving/commands.rs
+++ b/crates/rpc/src/serving/commands.rs
@@ -42,7 +42,7 @@
     SetTargetWeights(ModelWeights),
     /// Acquires the order lock, whose holder alone gives orders to back ends.
     AcquireOrderLock {
-        /// Name of the control replica's machine.
+        /// Internal address of the control replica; former builds give the name of its machine.
         holder: String,
     },
     /// Records that a replica may be executing an order.
