Infer the origin of a stream only from what a service ran for as long as any stream is remembered

A stream of version v1, whose record was lost and whose replicas had left, went on at v2 in one answer of 200, 7.5 s later. Cause: without a record, a router infers the origin if the service ran only one version since two timeouts of the route and a lease ago. The timeout is that of the route's present configuration: once it was shortened, or where callers wait for more than two timeouts, streams are older than that. Change: the time is that for which any stream is remembered, ten minutes at most, and the lease. It no longer depends on the route. While one version serves all the time nothing changes; after a version has left, a stream without a record is refused for ten minutes instead of some seconds. Evidence: a_shorter_timeout_of_a_route_does_not_hide_a_version_that_has_left failed before (200 in place of 503) and passes, as do the ten others of software_versions. Why it works: no caller is waited for longer than the origins of streams are kept.

--- a/crates/proxy/src/streams/lookup.rs
+++ b/crates/proxy/src/streams/lookup.rs
@@ -7,7 +7,7 @@
 use error_stack::Report;
 use railtack_rpc::{
     ConnectionError, ControlClient, ControlConnection, RpcError, call_context,
-    streams::OnlyVersionRequest,
+    streams::{MAX_KEEP_MS, OnlyVersionRequest},
 };
 use railtack_serving::{StreamKey, StreamOrigin};
 use tokio::time::{Instant, sleep, timeout_at};
@@ -29,8 +29,6 @@
 const ROUNDS: u32 = 2;
 /// Pause before the second round: the caller may be back before the record has arrived.
 const ROUND_PAUSE: Duration = Duration::from_millis(30);
-/// Multiple of the route's timeout in which a caller takes its stream up for the last time.
-const WINDOW_TIMEOUTS: u64 = 2;
 
 /// How the origin of a stream was found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -166,9 +164,13 @@
     let [target] = admitted.route.targets.as_slice() else {
         return None;
     };
-    let tries_ms = admitted.route.timeout_ms.saturating_mul(WINDOW_TIMEOUTS);
-    // A router may have used a replica for as long as its lease lasted after that had left.
-    let window_ms = tries_ms.saturating_add(state.options.bounds.revoke_ms);
+    // A router may have used a replica for as long as its lease lasted after that had left. The route's timeout may have
+    // been another one when the stream began.
+    let window_ms = state
+        .options
+        .bounds
+        .revoke_ms
+        .saturating_add(u64::from(MAX_KEEP_MS));
     let question = OnlyVersionRequest {
         service: target.service.clone(),
         window_ms: u32::try_from(window_ms).unwrap_or(u32::MAX),
