Infer no origin of a stream at a service to which a route was moved

A stream that began at v1 of one service, whose record was lost, went on at v9 of the service to which its route had been moved, with 200. Cause: the router infers the origin from the only service of the route's present configuration, whichever it was when the stream began. Change: a control replica remembers when it saw routes be moved to a service (changed, split before, added under or removed from under another route), and names no only version of that service for as long as streams are remembered. Why it works: the answer is given by a replica that has confirmed its state, so it has seen the move if it ran before. Open: moves before its start, and those that are taken back within a second, are not seen; the replicated state would have to hold former routes, at a feature level of its own.

--- a/crates/control/src/serving_state.rs
+++ b/crates/control/src/serving_state.rs
@@ -113,6 +113,11 @@
         &self.configuration
     }
 
+    /// The configuration, which clones of the state share while it does not change.
+    pub fn shared_configuration(&self) -> &Arc<ServingConfiguration> {
+        &self.configuration
+    }
+
     /// When each part of the configuration changed.
     pub fn configuration_changes(&self) -> &ConfigurationChanges {
         &self.configuration_changes
--- /dev/null
+++ b/crates/control/tests/route_moves.rs
@@ -0,0 +1,81 @@
+//! When routes were moved to a service, as a control replica sees it.
+
+use std::{sync::Arc, time::Duration};
+
+use railtack_control::serving::route_moves::RouteMoves;
+use railtack_serving::{RequestKind, Route, ServingConfiguration, WeightedService};
+
+const SECOND: Duration = Duration::from_secs(1);
+const WINDOW: Duration = Duration::from_secs(10);
+const SERVICE: &str = "current";
+
+/// Returns a configuration with routes of the given prefixes and services.
+fn configuration(routes: &[(&str, &[&str])]) -> Arc<ServingConfiguration> {
+    let routes = routes.iter().map(|(path_prefix, services)| Route {
+        name: (*path_prefix).to_owned(),
+        host: "a.example".to_owned(),
+        path_prefix: (*path_prefix).to_owned(),
+        kind: RequestKind::Idempotent,
+        timeout_ms: 1_000,
+        objective_ms: 1_000,
+        gap_objective_ms: 0,
+        priority: 1,
+        targets: services
+            .iter()
+            .map(|service| WeightedService {
+                service: (*service).to_owned(),
+                weight_milli: 1_000,
+            })
+            .collect(),
+        max_attempts: 2,
+        allows_anonymous: true,
+        sticky: false,
+    });
+    Arc::new(ServingConfiguration {
+        routes: routes.collect(),
+        ..ServingConfiguration::default()
+    })
+}
+
+/// Returns whether the second configuration moves a route to the service.
+fn is_moved(before: &[(&str, &[&str])], after: &[(&str, &[&str])]) -> bool {
+    let mut moves = RouteMoves::default();
+    moves.observe(&configuration(before), SECOND);
+    moves.observe(&configuration(after), SECOND * 2);
+    moves.has_moved_within(SERVICE, WINDOW, SECOND * 3)
+}
+
+/// Guards against a stream going on at the service to which its route, or the paths of another route, were moved.
+#[test]
+fn every_way_to_move_a_route_is_seen() {
+    let current: &[&str] = &[SERVICE];
+    assert!(is_moved(&[("/a/", &["former"])], &[("/a/", current)]));
+    let split: &[&str] = &[SERVICE, "former"];
+    assert!(is_moved(&[("/a/", split)], &[("/a/", current)]));
+    let shorter = ("/a/", &["former"][..]);
+    let longer = ("/a/b/", current);
+    assert!(is_moved(&[shorter], &[shorter, longer]));
+    let longer_before = ("/a/b/", &["former"][..]);
+    let rest = ("/a/", current);
+    assert!(is_moved(&[rest, longer_before], &[rest]));
+}
+
+#[test]
+fn other_changes_move_nothing() {
+    let current = ("/a/", &[SERVICE][..]);
+    assert!(!is_moved(&[current], &[current]));
+    assert!(!is_moved(&[], &[current]));
+    let other = ("/b/", &["former"][..]);
+    assert!(!is_moved(&[other], &[other, current]));
+    assert!(!is_moved(&[current, other], &[current]));
+}
+
+#[test]
+fn a_move_counts_for_the_window_only() {
+    let mut moves = RouteMoves::default();
+    moves.observe(&configuration(&[("/a/", &["former"])]), SECOND);
+    moves.observe(&configuration(&[("/a/", &[SERVICE])]), SECOND * 2);
+    assert!(moves.has_moved_within(SERVICE, WINDOW, SECOND * 11));
+    assert!(!moves.has_moved_within(SERVICE, WINDOW, SECOND * 12));
+    assert!(!moves.has_moved_within("former", WINDOW, SECOND * 3));
+}
