Begin the silence of replicas anew with each term of a leader

A leader that loses its majority and is elected again later, with no other leader in between, could take live replicas for silent: it would expire them, or give their address to another one for good. Cause: the moment from which silence counts was reset only when a report to another leader was built. In the time without a majority no heartbeat reaches it from other members, and the next term of the same leader looked like the same one. Change: the moment is kept with the term (LeadingTerm). Evidence: a_later_term_of_the_same_leader_begins_anew failed with the former rule (any term is the same) and passes. No run with processes shows it: the scan has to come before the first reports of the members, within 250 ms. Why it works: members report within 250 ms to the leader of a term; silence counts from its beginning.

--- a/crates/control/src/serving/liveness.rs
+++ b/crates/control/src/serving/liveness.rs
@@ -17,10 +17,12 @@
 };
 
 mod digest;
+mod leading_term;
 pub mod relay_offers;
 mod reports;
 mod speeds;
 
+pub use leading_term::LeadingTerm;
 use relay_offers::RelayOffers;
 pub use reports::run_reports;
 use speeds::SpeedState;
@@ -71,7 +73,7 @@
     remote_routers: HashMap<String, Instant>,
     /// Number of routers, as last reported by the leader.
     leader_router_count: u32,
-    leading_since: Option<Instant>,
+    leading: LeadingTerm,
 }
 
 impl Liveness {
@@ -152,7 +154,7 @@
     fn is_silent(&self, replica: &str, limit: Duration) -> bool {
         let state = self.lock();
         let last_seen = state.last_seen.get(&ReplicaKey::of(replica));
-        let last_seen = last_seen.copied().max(state.leading_since);
+        let last_seen = last_seen.copied().max(state.leading.since());
         last_seen.is_some_and(|last_seen| last_seen.elapsed() > limit)
     }
 
@@ -180,13 +182,12 @@
         self.heartbeat_interval * ADDRESS_TAKEOVER_TENTHS / 10 + REPORT_DELAY
     }
 
-    /// Records that this control replica is the leader.
-    fn mark_leading(&self) {
+    /// Records that this control replica leads `term`.
+    fn mark_leading(&self, term: u64) {
         let mut state = self.lock();
-        if state.leading_since.is_none() {
+        if state.leading.mark_leading(term, Instant::now()) {
             self.relay_offers().begin_term();
         }
-        state.leading_since.get_or_insert_with(Instant::now);
         state.leader_router_count = 0;
         state.last_report = None;
     }
@@ -199,7 +200,7 @@
     ) -> Vec<String> {
         let now = Instant::now();
         let mut state = self.lock();
-        let since = state.leading_since.unwrap_or(now);
+        let since = state.leading.since().unwrap_or(now);
         // Entries this old belong to replicas that are gone or are removed below.
         state
             .last_seen
--- a/crates/control/src/serving/liveness/reports.rs
+++ b/crates/control/src/serving/liveness/reports.rs
@@ -74,7 +74,7 @@
         let observations = self.fleet().local_observations(now);
         let paces = self.speeds().due_report(group_level, now);
         let mut state = self.lock();
-        state.leading_since = None;
+        state.leading.mark_following();
         let last_report = state
             .last_report
             .as_ref()
@@ -154,7 +154,7 @@
             liveness.remove_expired(|replica| view.serving.replicas().contains_key(replica));
         }
         if view.is_leader {
-            liveness.mark_leading();
+            liveness.mark_leading(view.term);
             let sensitive = slots.update(&view, liveness.router_count());
             liveness.build_digest(&view, permits.limited(), sensitive);
             if scan_due {
