Find the longest prefix of a host's routes without a scan of all of them

Cause: RouteTable looked through the routes of a host for each request. Found in reading the change once more; nothing was seen on a deployment. Change: routes of a host are sorted by prefix, each with the longest one that begins it; a lookup is a binary search and those parents. What is found is the same.

--- a/crates/serving/src/lookup.rs
+++ b/crates/serving/src/lookup.rs
@@ -19,27 +19,71 @@
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
     configuration: ServingConfiguration,
-    /// Indices into `routes` by lower-case host, longest path prefix first.
-    by_host: HashMap<String, Vec<usize>>,
+    /// Routes by lower-case host.
+    by_host: HashMap<String, HostRoutes>,
     /// Index into `tenants` by API key.
     by_key: HashMap<String, usize>,
 }
 
+/// The routes of one host, sorted by path prefix.
+#[derive(Clone, Debug)]
+struct HostRoutes(Vec<HostRoute>);
+
+#[derive(Clone, Copy, Debug)]
+struct HostRoute {
+    /// Index into `routes`.
+    position: usize,
+    /// Index into the routes of the host of that with the longest prefix that begins this one's.
+    parent: Option<usize>,
+}
+
+impl HostRoutes {
+    fn new(routes: &[Route], mut positions: Vec<usize>) -> Self {
+        let prefix = |position: usize| routes[position].path_prefix.as_str();
+        positions.sort_by_key(|position| prefix(*position));
+        positions.dedup_by_key(|position| prefix(*position));
+        let mut sorted: Vec<HostRoute> = Vec::with_capacity(positions.len());
+        for position in positions {
+            let mut parent = sorted.len().checked_sub(1);
+            while let Some(index) = parent
+                && !prefix(position).starts_with(prefix(sorted[index].position))
+            {
+                parent = sorted[index].parent;
+            }
+            sorted.push(HostRoute { position, parent });
+        }
+        Self(sorted)
+    }
+
+    /// Returns the route with the longest prefix that begins `path`: the last one in order up to `path`, or the first of its
+    /// parents that does.
+    fn find<'a>(&self, routes: &'a [Route], path: &str) -> Option<&'a Route> {
+        let up_to_path = |known: &HostRoute| routes[known.position].path_prefix.as_str() <= path;
+        let mut candidate = self.0.partition_point(up_to_path).checked_sub(1);
+        while let Some(index) = candidate {
+            let HostRoute { position, parent } = self.0[index];
+            let route = &routes[position];
+            if path.starts_with(&route.path_prefix) {
+                return Some(route);
+            }
+            candidate = parent;
+        }
+        None
+    }
+}
+
 impl RouteTable {
     /// Builds the indices of a valid configuration.
     pub fn new(configuration: ServingConfiguration) -> Self {
-        let mut by_host: HashMap<String, Vec<usize>> = HashMap::new();
+        let mut positions: HashMap<String, Vec<usize>> = HashMap::new();
         for (position, route) in configuration.routes.iter().enumerate() {
-            by_host
-                .entry(route.host.to_ascii_lowercase())
-                .or_default()
-                .push(position);
-        }
-        for positions in by_host.values_mut() {
-            positions.sort_by_key(|position| {
-                std::cmp::Reverse(configuration.routes[*position].path_prefix.len())
-            });
+            let host = route.host.to_ascii_lowercase();
+            positions.entry(host).or_default().push(position);
         }
+        let by_host = positions
+            .into_iter()
+            .map(|(host, positions)| (host, HostRoutes::new(&configuration.routes, positions)))
+            .collect();
         let mut by_key = HashMap::new();
         for (position, tenant) in configuration.tenants.iter().enumerate() {
             for key in &tenant.api_keys {
@@ -67,11 +111,8 @@
     /// matches `path`. The path has no query string.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let name = Self::host_name(host);
-        let positions = self.by_host.get(&name.to_ascii_lowercase())?;
-        positions
-            .iter()
-            .map(|position| &self.configuration.routes[*position])
-            .find(|route| path.starts_with(&route.path_prefix))
+        let routes = self.by_host.get(&name.to_ascii_lowercase())?;
+        routes.find(&self.configuration.routes, path)
     }
 
     /// Returns the position of a tenant among those of the same name.
--- a/crates/serving/tests/configuration.rs
+++ b/crates/serving/tests/configuration.rs
@@ -1,5 +1,6 @@
 //! Tests of validation and of lookups by route and key.
 
+use quickcheck::{Gen, QuickCheck};
 use railtack_serving::{
     ConfigurationError, KeyOwner, RequestKind, Route, RouteTable, ServiceConfig,
     ServingConfiguration, TenantConfig, WeightedService,
@@ -126,3 +127,36 @@
         assert!(expected(&error), "case {position}: {error}");
     }
 }
+
+/// Guards against a lookup that misses the longest prefix among prefixes that begin each other, as a scan of all routes
+/// finds it.
+#[test]
+fn the_route_with_the_longest_prefix_is_found_whatever_the_routes() {
+    fn is_found(prefixes: Vec<Vec<bool>>, path: Vec<bool>) -> bool {
+        let text = |steps: &[bool]| -> String {
+            let steps = steps.iter().take(6);
+            steps.map(|step| if *step { "a/" } else { "b" }).collect()
+        };
+        let prefixes = prefixes.iter().map(|steps| text(steps));
+        let routes: Vec<Route> = prefixes
+            .enumerate()
+            .map(|(number, prefix)| route(&number.to_string(), "h.example", &prefix))
+            .collect();
+        let path = text(&path);
+        let matching = routes
+            .iter()
+            .filter(|route| path.starts_with(&route.path_prefix));
+        // Of routes that share a prefix, the first.
+        let longest = matching.rev().max_by_key(|route| route.path_prefix.len());
+        let longest = longest.cloned();
+        let table = RouteTable::new(ServingConfiguration {
+            routes,
+            ..ServingConfiguration::default()
+        });
+        table.route("h.example", &path) == longest.as_ref()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(30, 7))
+        .tests(5_000)
+        .quickcheck(is_found as fn(Vec<Vec<bool>>, Vec<bool>) -> bool);
+}
