Keep former versions and moves of routes in one kind of list

Cause: both are log positions by key, of which the earliest is forgotten beyond 256, and each had its own code for it. Change: LastPositions holds them; moves are recorded in place, and a document with the same routes is not compared.

--- a/crates/control/src/serving/software.rs
+++ b/crates/control/src/serving/software.rs
@@ -20,10 +20,9 @@
 impl ChangeTimes {
     /// Records what has changed since the last call.
     pub fn observe(&mut self, state: &ServingState, now: MonotonicTime) {
-        let departures = state.former_versions().iter();
-        let departures = departures.map(|(_, left_at)| left_at);
-        let changes = departures.chain(state.route_moves().positions());
-        let seen = changes.map(|changed_at| {
+        let departures = state.former_versions().iter().map(|(_, left_at)| left_at);
+        let moves = state.route_moves().iter().map(|(_, moved_at)| moved_at);
+        let seen = departures.chain(moves).map(|changed_at| {
             let seen_at = self.0.get(&changed_at).copied().unwrap_or(now);
             (changed_at, seen_at)
         });
@@ -60,6 +59,7 @@
             .all(|version| version == first)
             .then(|| first.clone())
     }
+
     /// Whether a change was seen within `window`.
     fn is_recent(&self, changed_at: LogIndex, window: Duration, now: MonotonicTime) -> bool {
         let seen_at = self.0.get(&changed_at).copied().unwrap_or(now);
--- a/crates/control/src/serving_state.rs
+++ b/crates/control/src/serving_state.rs
@@ -38,6 +38,7 @@
 pub mod configuration_changes;
 mod crash_reports;
 mod first_level;
+mod last_positions;
 pub mod quarantine;
 pub mod registry;
 pub mod route_moves;
@@ -252,9 +253,8 @@
         }
         self.content = Arc::new(document.content);
         let former = std::mem::replace(&mut self.configuration, Arc::new(document.configuration));
-        self.route_moves = self
-            .route_moves
-            .updated(&former, &self.configuration, index);
+        self.route_moves
+            .record_change(index, &former, &self.configuration);
         self.record_configuration_change(index);
         ServingOutcome::Done
     }
--- a/crates/control/src/serving_state/route_moves.rs
+++ b/crates/control/src/serving_state/route_moves.rs
@@ -3,17 +3,14 @@
 //! A stream that began before its route was moved began at the former service. Each control replica derives this from the
 //! documents that it applies; one that begins with a snapshot knows of no move before it.
 
-use std::{collections::BTreeMap, sync::Arc};
-
 use railtack_consensus::LogIndex;
 use railtack_serving::{Route, RouteTable, ServingConfiguration};
 
-/// Services that are kept. The one to which routes were moved first is forgotten first.
-const MAX_SERVICES: usize = 256;
+use super::last_positions::LastPositions;
 
-/// Log positions at which routes were last moved to services. Clones share the list.
+/// Services to which routes were moved, with the log position at which one last was.
 #[derive(Clone, Debug, Default)]
-pub struct RouteMoves(Arc<BTreeMap<String, LogIndex>>);
+pub struct RouteMoves(LastPositions<String>);
 
 /// What replicas know of former configurations depends on their snapshots and is no part of the replicated state.
 impl PartialEq for RouteMoves {
@@ -25,35 +22,33 @@
 impl Eq for RouteMoves {}
 
 impl RouteMoves {
-    /// Returns the moves after `current` has replaced `former`.
-    pub fn updated(
-        &self,
+    /// Records that `current` has replaced `former`.
+    pub fn record_change(
+        &mut self,
+        index: LogIndex,
         former: &ServingConfiguration,
         current: &ServingConfiguration,
-        changed_at: LogIndex,
-    ) -> Self {
+    ) {
+        if former.routes == current.routes {
+            return;
+        }
         let former = RouteTable::new(former.clone());
         let current = RouteTable::new(current.clone());
-        let mut moves = (*self.0).clone();
         for service in services_moved_to(&former, &current) {
-            moves.insert(service.to_owned(), changed_at);
-        }
-        while moves.len() > MAX_SERVICES {
-            let first = moves.iter().min_by_key(|(_, moved_at)| **moved_at);
-            let first = first.map(|(service, _)| service.clone());
-            moves.remove(&first.unwrap_or_default());
+            self.0.record(index, service.to_owned());
         }
-        Self(Arc::new(moves))
     }
 
     /// Returns the log position at which a route was last moved to the service.
     pub fn moved_at(&self, service: &str) -> Option<LogIndex> {
-        self.0.get(service).copied()
+        let mut moves = self.iter();
+        let found = moves.find(|(moved_to, _)| *moved_to == service);
+        found.map(|(_, moved_at)| moved_at)
     }
 
-    /// The log positions of all moves.
-    pub fn positions(&self) -> impl Iterator<Item = LogIndex> {
-        self.0.values().copied()
+    /// The services, with the log position at which a route was last moved to each.
+    pub fn iter(&self) -> impl Iterator<Item = (&String, LogIndex)> {
+        self.0.iter()
     }
 }
 
--- a/crates/control/tests/route_moves.rs
+++ b/crates/control/tests/route_moves.rs
@@ -35,7 +35,8 @@
 
 /// Returns whether the second configuration moves a route to the service.
 fn is_moved(before: &[(&str, &[&str])], after: &[(&str, &[&str])]) -> bool {
-    let moves = RouteMoves::default().updated(&configuration(before), &configuration(after), 7);
+    let mut moves = RouteMoves::default();
+    moves.record_change(7, &configuration(before), &configuration(after));
     let moved_at = moves.moved_at(SERVICE);
     assert!(moved_at.is_none_or(|moved_at| moved_at == 7));
     moved_at.is_some()
@@ -71,10 +72,11 @@
 fn a_move_forth_and_back_is_seen() {
     let current = configuration(&[("/a/", &[SERVICE])]);
     let other = configuration(&[("/a/", &["former"])]);
-    let moves = RouteMoves::default().updated(&current, &other, 7);
-    let moves = moves.updated(&other, &current, 8);
+    let mut moves = RouteMoves::default();
+    moves.record_change(7, &current, &other);
+    moves.record_change(8, &other, &current);
     assert_eq!(moves.moved_at("former"), Some(7));
     assert_eq!(moves.moved_at(SERVICE), Some(8));
-    let unchanged = moves.updated(&current, &current, 9);
-    assert_eq!(unchanged.moved_at(SERVICE), Some(8));
+    moves.record_change(9, &current, &current);
+    assert_eq!(moves.moved_at(SERVICE), Some(8));
 }
