Keep the requests to join and leave the group apart from the thread of the replica

Cause: what the leader proposes for its members was decided among sockets and threads, so that no test in virtual time could run it. Change: MemberChanges is pure and takes the time; nothing decides otherwise.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cli;
 pub mod configuration;
 pub mod errors;
+pub mod member_changes;
 pub mod members;
 pub mod metrics;
 pub mod node;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -30,6 +30,7 @@
 
 use crate::{
     errors::ControlError,
+    member_changes::{MemberChanges, silence_limit},
     metrics::ControlMetrics,
     node::{
         contacts::GroupContacts,
@@ -188,8 +189,7 @@
         options,
         view: view_sender,
         pending_reads: Vec::new(),
-        join_requests: BTreeMap::new(),
-        leaving: BTreeMap::new(),
+        member_changes: MemberChanges::default(),
         levels: MemberLevels::default(),
         contacts: GroupContacts::default(),
     };
@@ -212,9 +212,7 @@
     options: NodeOptions,
     view: watch::Sender<NodeView>,
     pending_reads: Vec<PendingRead>,
-    join_requests: BTreeMap<ReplicaId, (JoinRequest, Millis)>,
-    /// Members that are shutting down, and the times of their notices.
-    leaving: BTreeMap<ReplicaId, Millis>,
+    member_changes: MemberChanges,
     levels: MemberLevels,
     /// Where a replica that lost its data may find its group.
     contacts: GroupContacts,
@@ -466,7 +464,7 @@
         self.metrics.claims.set(state.claims().len() as u64);
         self.leadership.record(raft, &self.metrics);
         let is_in_group = self.replica.is_member() && raft.leader().is_some();
-        let silence_limit = group::silence_limit(raft);
+        let silence_limit = silence_limit(raft);
         let missing = missing_voters(raft, self.options.tolerance, silence_limit, now);
         self.membership_log
             .record_group(is_in_group, now, &self.metrics);
--- a/crates/control/src/node/group.rs
+++ b/crates/control/src/node/group.rs
@@ -2,20 +2,11 @@
 
 use std::sync::Arc;
 
-use railtack_consensus::{Membership, Millis, Raft, ReplicaId};
+use railtack_consensus::{Membership, Millis, ReplicaId};
 use railtack_rpc::serving::{JoinReply, JoinRequest, ReadIndexReply};
 use tokio::sync::oneshot;
 
 use super::{Node, PendingRead};
-use crate::members::{MembershipContext, next_membership};
-
-/// Time for which a join request is valid, milliseconds; replicas repeat it.
-const JOIN_REQUEST_TTL_MS: Millis = 3_000;
-/// Election timeouts without a reply after which a voter loses its vote to a spare replica. Each new leader counts them
-/// anew, and a successor has to be in place within seconds.
-const SILENT_ELECTION_TIMEOUTS: Millis = 3;
-/// Time for which a leave notice is valid, milliseconds; afterwards the silence limit applies.
-const LEAVE_NOTICE_TTL_MS: Millis = 3_000;
 
 impl Node {
     pub(super) fn start_read(&mut self, reply: oneshot::Sender<ReadIndexReply>, now: Millis) {
@@ -63,12 +54,8 @@
         if !self.check_level(request.replica, request.level) {
             return JoinReply::NotLeader { leader: None };
         }
-        self.leaving.remove(&request.replica);
-        let member = self.replica.raft().membership().member(request.replica);
-        let is_member = member.is_some_and(|member| member.disk == request.disk);
-        if !is_member {
-            self.join_requests.insert(request.replica, (request, now));
-        }
+        let membership = self.replica.raft().membership();
+        self.member_changes.record_join(request, membership, now);
         JoinReply::Accepted
     }
 
@@ -78,8 +65,7 @@
                 leader: self.leader_address(),
             };
         }
-        self.join_requests.remove(&replica);
-        self.leaving.insert(replica, now);
+        self.member_changes.record_leave(replica, now);
         JoinReply::Accepted
     }
 
@@ -88,50 +74,25 @@
         if !self.options.changes_members {
             return;
         }
-        self.join_requests
-            .retain(|_, (_, requested_at)| now < *requested_at + JOIN_REQUEST_TTL_MS);
-        self.leaving
-            .retain(|_, notified_at| now < *notified_at + LEAVE_NOTICE_TTL_MS);
+        self.member_changes.remove_expired(now);
         if !self.replica.is_ready_leader() {
             return;
         }
         let raft = self.replica.raft();
-        let silence_limit = silence_limit(raft);
-        let join_requests = self
-            .join_requests
-            .iter()
-            .map(|(replica, (request, _))| (*replica, request.clone()))
-            .collect();
-        let leaving = self.leaving.keys().copied().collect();
-        let context = MembershipContext {
-            leader: raft.replica(),
-            join_requests: &join_requests,
-            silence: &raft.silence_by_member(now),
-            silence_limit,
-            recent_contact_limit: JOIN_REQUEST_TTL_MS.min(silence_limit),
-            leaving: &leaving,
-            tolerance: self.options.tolerance,
-        };
-        let Some(next) = next_membership(raft.membership(), context) else {
+        let next = self.member_changes.next(raft, self.options.tolerance, now);
+        let Some(next) = next else {
             return;
         };
         let description = describe(&next);
         // Rejected while an earlier change is uncommitted or a learner has not caught up; retried in
         // the next round.
         if self.replica.propose_membership(next).is_ok() {
-            self.forget_fulfilled_join_requests();
+            let membership = self.replica.raft().membership();
+            self.member_changes.forget_fulfilled(membership);
             spdlog::info!("membership change proposed", kv: { members = description });
         }
     }
 
-    /// A request that stayed would add the member again right after it was removed for its silence. If the change is
-    /// lost, the replica repeats its request.
-    fn forget_fulfilled_join_requests(&mut self) {
-        let membership = self.replica.raft().membership();
-        self.join_requests
-            .retain(|replica, _| membership.member(*replica).is_none());
-    }
-
     pub(super) fn publish_view(&mut self, now: Millis) {
         let raft = self.replica.raft();
         let serving = self.replica.state().serving();
@@ -176,11 +137,6 @@
     }
 }
 
-/// Time without a reply after which a voter may be replaced, milliseconds.
-pub(super) fn silence_limit(raft: &Raft) -> Millis {
-    SILENT_ELECTION_TIMEOUTS * raft.election_timeout()
-}
-
 fn describe(membership: &Membership) -> String {
     let members = membership.members.iter().map(|member| {
         let role = if member.voter { "voter" } else { "learner" };
