Log how many losses the group tolerates, at each change

Change: the leader logs 'redundancy changed' with the losses that it tolerates, its voters, those that are silent, and the learners. One line a change of belief.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -36,7 +36,7 @@
         contacts::GroupContacts,
         leadership::LeadershipLog,
         level::MemberLevels,
-        membership_log::{MembershipLog, missing_voters},
+        membership_log::{MembershipLog, Redundancy},
     },
     peers::Peers,
     pending::PendingProposals,
@@ -464,8 +464,12 @@
         self.metrics.claims.set(state.claims().len() as u64);
         self.leadership.record(raft, &self.metrics);
         let is_in_group = self.replica.is_member() && raft.leader().is_some();
-        let silence_limit = silence_limit(raft);
-        let missing = missing_voters(raft, self.options.tolerance, silence_limit, now);
+        let redundancy = Redundancy::of(raft, silence_limit(raft), now);
+        let tolerance = self.options.tolerance;
+        let missing = redundancy
+            .as_ref()
+            .map_or(0, |redundancy| redundancy.missing_voters(tolerance));
+        self.membership_log.record_redundancy(redundancy);
         self.membership_log
             .record_group(is_in_group, now, &self.metrics);
         self.membership_log
--- a/crates/control/src/node/membership_log.rs
+++ b/crates/control/src/node/membership_log.rs
@@ -1,7 +1,9 @@
 //! Log lines and metrics on whether this replica is part of a group, and whether the group has the live voters
 //! that its guarantees require.
 
-use railtack_consensus::{Millis, Raft, Role};
+use std::collections::BTreeSet;
+
+use railtack_consensus::{Millis, Raft, ReplicaId, Role};
 use railtack_serving::FaultTolerance;
 
 use crate::metrics::ControlMetrics;
@@ -16,6 +18,7 @@
 pub struct MembershipLog {
     outside: LastingCondition,
     missing_voters: LastingCondition,
+    redundancy: Option<Redundancy>,
 }
 
 impl MembershipLog {
@@ -29,6 +32,17 @@
         }
     }
 
+    /// Logs the redundancy of the group if it has changed; `None` unless this replica leads.
+    pub fn record_redundancy(&mut self, redundancy: Option<Redundancy>) {
+        if redundancy == self.redundancy {
+            return;
+        }
+        if let Some(redundancy) = &redundancy {
+            redundancy.log();
+        }
+        self.redundancy = redundancy;
+    }
+
     /// Records the number of voters that a leader lacks; 0 unless this replica leads.
     pub fn record_missing_voters(&mut self, missing: usize, now: Millis, metrics: &ControlMetrics) {
         metrics.missing_voters.set(missing as u64);
@@ -45,27 +59,69 @@
     }
 }
 
-/// Number of voters that replied within `silence_limit`, as the leader sees it, below the number that the tolerance
-/// requires; 0 unless this replica leads.
-pub fn missing_voters(
-    raft: &Raft,
-    tolerance: FaultTolerance,
-    silence_limit: Millis,
-    now: Millis,
-) -> usize {
-    if raft.role() != Role::Leader {
-        return 0;
+/// The voters of a group, as its leader sees them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Redundancy {
+    voters: BTreeSet<ReplicaId>,
+    learners: BTreeSet<ReplicaId>,
+    /// Voters that have not replied for a time.
+    silent: BTreeSet<ReplicaId>,
+    quorum: usize,
+}
+
+impl Redundancy {
+    /// Returns the redundancy, with voters that have not replied within `silence_limit` as silent; `None` unless this
+    /// replica leads.
+    pub fn of(raft: &Raft, silence_limit: Millis, now: Millis) -> Option<Self> {
+        if raft.role() != Role::Leader {
+            return None;
+        }
+        let silence = raft.silence_by_member(now);
+        let is_live = |replica: &ReplicaId| {
+            *replica == raft.replica()
+                || silence
+                    .get(replica)
+                    .is_some_and(|silence| *silence <= silence_limit)
+        };
+        let membership = raft.membership();
+        let members = membership.members.iter();
+        let learners = members.filter(|member| !member.voter);
+        let voters: BTreeSet<_> = membership.voters().map(|member| member.replica).collect();
+        Some(Self {
+            learners: learners.map(|member| member.replica).collect(),
+            silent: voters.iter().copied().filter(|one| !is_live(one)).collect(),
+            voters,
+            quorum: membership.quorum(),
+        })
     }
-    let silence = raft.silence_by_member(now);
-    let is_live = |replica| {
-        replica == raft.replica()
-            || silence
-                .get(&replica)
-                .is_some_and(|silence| *silence <= silence_limit)
-    };
-    let voters = raft.membership().voters();
-    let live_voters = voters.filter(|member| is_live(member.replica)).count();
-    tolerance.voters_needed().saturating_sub(live_voters)
+
+    fn live(&self) -> usize {
+        self.voters.len() - self.silent.len()
+    }
+
+    /// Number of live voters below the number that the tolerance requires.
+    pub fn missing_voters(&self, tolerance: FaultTolerance) -> usize {
+        tolerance.voters_needed().saturating_sub(self.live())
+    }
+
+    /// Number of live voters that may be lost before the others are no majority.
+    fn tolerated_losses(&self) -> usize {
+        self.live().saturating_sub(self.quorum)
+    }
+
+    fn log(&self) {
+        spdlog::info!("redundancy changed", kv: {
+            tolerated_losses = self.tolerated_losses(),
+            voters = join(&self.voters),
+            silent = join(&self.silent),
+            learners = join(&self.learners),
+        });
+    }
+}
+
+fn join(replicas: &BTreeSet<ReplicaId>) -> String {
+    let replicas = replicas.iter().map(ToString::to_string);
+    replicas.collect::<Vec<_>>().join(",")
 }
 
 /// A condition that is reported once it has lasted for a time, and once when it has ended.
