Take a dead voter's vote after a time that does not grow with that of syncs

What callers saw: nothing was served after a last loss of power, although no more was lost than has to be tolerated. Cause: a dead voter kept its vote for three election timeouts, and these grow with the time of a sync, up to 6 s. Its successor has 4 to 6 s in all, and two changes of the members follow. Change: 1.2 s, as with fast disks, or an election timeout if that is longer: less says nothing about a member. A member counts as responsive as before. Why it works: a spare replica is there when a vote is taken, and a live one whose vote was taken returns as a spare.

--- a/crates/control/src/member_changes.rs
+++ b/crates/control/src/member_changes.rs
@@ -10,9 +10,13 @@
 
 /// Time for which a join request is valid, milliseconds; replicas repeat it.
 const JOIN_REQUEST_TTL_MS: Millis = 3_000;
-/// Election timeouts without a reply after which a voter loses its vote to a spare replica. Each new leader counts them
-/// anew, and a successor has to be in place within seconds.
-const SILENT_ELECTION_TIMEOUTS: Millis = 3;
+/// Time without a message after which a voter loses its vote to a spare replica, milliseconds. A successor has to be in
+/// place within seconds, however long syncs take.
+const SILENCE_LIMIT_MS: Millis = 1_200;
+/// Election timeouts for which a member counts as responsive after its last message.
+const RESPONSIVE_ELECTION_TIMEOUTS: Millis = 3;
+/// Longest time for which a member counts as responsive after its last message, milliseconds.
+const MAX_RESPONSIVE_MS: Millis = 3_000;
 /// Time for which a leave notice is valid, milliseconds; afterwards the silence limit applies.
 const LEAVE_NOTICE_TTL_MS: Millis = 3_000;
 
@@ -51,7 +55,6 @@
 
     /// Returns the membership that a ready leader has to propose next; `None` if no change is needed.
     pub fn next(&self, raft: &Raft, tolerance: FaultTolerance, now: Millis) -> Option<Membership> {
-        let silence_limit = silence_limit(raft);
         let join_requests = self
             .join_requests
             .iter()
@@ -62,8 +65,8 @@
             leader: raft.replica(),
             join_requests: &join_requests,
             silence: &raft.silence_by_member(now),
-            silence_limit,
-            recent_contact_limit: JOIN_REQUEST_TTL_MS.min(silence_limit),
+            silence_limit: silence_limit(raft),
+            recent_contact_limit: responsive_limit(raft),
             leaving: &leaving,
             tolerance,
         };
@@ -78,7 +81,12 @@
     }
 }
 
-/// Time without a reply after which a voter may be replaced, milliseconds.
-pub fn silence_limit(raft: &Raft) -> Millis {
-    SILENT_ELECTION_TIMEOUTS * raft.election_timeout()
+/// Time without a message after which a voter may be replaced, milliseconds.
+fn silence_limit(raft: &Raft) -> Millis {
+    SILENCE_LIMIT_MS.max(raft.election_timeout())
+}
+
+/// Time without a message up to which a member counts as responsive, milliseconds.
+pub fn responsive_limit(raft: &Raft) -> Millis {
+    MAX_RESPONSIVE_MS.min(RESPONSIVE_ELECTION_TIMEOUTS * raft.election_timeout())
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -30,7 +30,7 @@
 
 use crate::{
     errors::ControlError,
-    member_changes::{MemberChanges, silence_limit},
+    member_changes::{MemberChanges, responsive_limit},
     metrics::ControlMetrics,
     node::{
         contacts::GroupContacts,
@@ -464,7 +464,7 @@
         self.metrics.claims.set(state.claims().len() as u64);
         self.leadership.record(raft, &self.metrics);
         let is_in_group = self.replica.is_member() && raft.leader().is_some();
-        let redundancy = Redundancy::of(raft, silence_limit(raft), now);
+        let redundancy = Redundancy::of(raft, responsive_limit(raft), now);
         let tolerance = self.options.tolerance;
         let missing = redundancy
             .as_ref()
