Count the silence of a voter from the election of a new leader, not from its start

Cause: each new leader took all members for live and counted 1.2 s anew, although the dead one had not answered its votes. Change: a voter that has sent nothing since the pre-vote that won is silent since that pre-vote. Check-quorum and probes count as before, from the start of the term; learners are not asked for votes, so they count from there too. Why it works: a live voter answers one of pre-vote, vote and first append before the leader may propose anything, and any message ends its silence.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -3,6 +3,7 @@
 use crate::{
     LogIndex, Millis, Term,
     log::Payload,
+    membership::ReplicaId,
     message::{Body, Message},
     progress::Progress,
     raft::{HardState, Raft, Role},
@@ -16,6 +17,8 @@
         }
         self.role = Role::PreCandidate;
         self.leader = None;
+        self.heard_at.clear();
+        self.pre_votes_asked_at = now;
         self.votes.clear();
         self.votes.insert(self.options.replica);
         if self.has_vote_quorum() {
@@ -123,12 +126,25 @@
         self.progress = self
             .peers()
             .into_iter()
-            .map(|(replica, _)| (replica, Progress::new(next_index, now)))
+            .map(|(replica, _)| {
+                let mut progress = Progress::new(next_index, now);
+                progress.silent_since = self.unanswered_since(replica, now);
+                (replica, progress)
+            })
             .collect();
         self.next_heartbeat = now;
         self.append_as_leader(Payload::Noop);
     }
 
+    /// Time since which a member has answered nothing. Learners are not asked for votes.
+    fn unanswered_since(&self, replica: ReplicaId, now: Millis) -> Millis {
+        if !self.membership.is_voter(replica) {
+            return now;
+        }
+        let heard_at = self.heard_at.get(&replica).copied();
+        heard_at.unwrap_or(self.pre_votes_asked_at)
+    }
+
     fn send_to_voters(&mut self, term: Term, body: &Body) {
         for (replica, disk) in self.peers() {
             if self.membership.is_voter(replica) {
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -21,8 +21,10 @@
     /// Append or snapshot that is not acknowledged yet. Meanwhile heartbeats carry no entries, so that
     /// a slow member is not sent its backlog repeatedly.
     pub inflight: Option<InflightAppend>,
-    /// Time of the member's last reply.
+    /// Time of the member's last reply. Syncs of the leader are added to it, since they delay what it receives.
     pub last_reply_at: Millis,
+    /// Time of the member's last message, or of the first one that it left unanswered.
+    pub silent_since: Millis,
     /// Latest `sent_at` that the member has echoed in this term.
     pub acked_sent_at: Option<Millis>,
     /// Time at which a snapshot was last sent; limits how often it is resent.
@@ -37,6 +39,7 @@
             match_index: 0,
             inflight: None,
             last_reply_at: now,
+            silent_since: now,
             acked_sent_at: None,
             snapshot_sent_at: None,
         }
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -125,6 +125,9 @@
     pub(crate) progress: BTreeMap<ReplicaId, Progress>,
     pub(crate) election_deadline: Millis,
     pub(crate) last_leader_contact: Option<Millis>,
+    /// Times of the last messages from members since this replica last asked for pre-votes.
+    pub(crate) heard_at: BTreeMap<ReplicaId, Millis>,
+    pub(crate) pre_votes_asked_at: Millis,
     pub(crate) next_heartbeat: Millis,
     pub(crate) sync_times: SyncTimes,
     /// Time at which this replica last sent heartbeats as leader.
@@ -158,6 +161,8 @@
             progress: BTreeMap::new(),
             election_deadline: now,
             last_leader_contact: None,
+            heard_at: BTreeMap::new(),
+            pre_votes_asked_at: now,
             next_heartbeat: now,
             sync_times: SyncTimes::default(),
             last_heartbeat: 0,
@@ -235,11 +240,12 @@
             .flatten()
     }
 
-    /// Time since the last reply of each other member, milliseconds; empty unless this replica leads.
+    /// Time since the last message of each other member, milliseconds; empty unless this replica leads. A member that
+    /// has not answered a new leader is silent since that asked for pre-votes.
     pub fn silence_by_member(&self, now: Millis) -> BTreeMap<ReplicaId, Millis> {
         self.progress
             .iter()
-            .map(|(replica, progress)| (*replica, now.saturating_sub(progress.last_reply_at)))
+            .map(|(replica, progress)| (*replica, now.saturating_sub(progress.silent_since)))
             .collect()
     }
 
@@ -252,6 +258,14 @@
         self.next_heartbeat = self.next_heartbeat.min(now.max(earliest));
     }
 
+    fn record_message_from(&mut self, replica: ReplicaId, now: Millis) {
+        if let Some(progress) = self.progress.get_mut(&replica) {
+            progress.silent_since = now;
+        } else if self.membership.member(replica).is_some() {
+            self.heard_at.insert(replica, now);
+        }
+    }
+
     fn member_acked_sent_at(&self, replica: ReplicaId) -> Option<Millis> {
         if replica == self.options.replica {
             return Some(self.now);
@@ -276,6 +290,7 @@
         if !self.has_known_identity(&message) {
             return;
         }
+        self.record_message_from(message.from, now);
         if message.term > self.hard_state.term && self.must_adopt_term(&message) {
             self.become_follower(message.term, None, now);
         }
--- a/crates/control/tests/member_changes.rs
+++ b/crates/control/tests/member_changes.rs
@@ -18,6 +18,11 @@
 /// member.
 const SILENCE_BOUND_MS: Millis = CATCH_UP_MS - 2 * 2 * SYNC_MS;
 
+/// Silence that costs a voter its vote if syncs are fast, milliseconds.
+const SILENCE_LIMIT_MS: Millis = 1_200;
+/// Time that an exchange of votes takes, milliseconds.
+const EXCHANGE_MS: Millis = 350;
+
 /// A replica of a group of five voters and a spare replica.
 fn replica() -> Raft {
     let members = (1..=SPARE).map(|number| Member {
@@ -117,3 +122,34 @@
     let time = time_to_removal(&mut raft, now);
     assert!(time <= SILENCE_BOUND_MS, "{time} ms");
 }
+
+/// Guards against a new leader that takes a dead voter for a live one until it has been silent once more: the dead one has
+/// not answered the votes of the election either.
+#[test]
+fn a_new_leader_counts_the_silence_of_a_voter_from_its_election() {
+    let mut raft = replica();
+    let mut asked_at = None;
+    let mut now = 0;
+    // Each exchange takes a third of the silence that costs a voter its vote.
+    while raft.role() != Role::Leader {
+        now += 1;
+        raft.tick(now);
+        if raft.role() == Role::PreCandidate {
+            asked_at.get_or_insert(now);
+            now += EXCHANGE_MS;
+        }
+        exchange(&mut raft, now);
+        if raft.role() == Role::Candidate {
+            now += EXCHANGE_MS;
+            exchange(&mut raft, now);
+        }
+    }
+    let elected_at = now;
+    let asked_at = asked_at.expect("an election");
+    assert!(elected_at >= asked_at + 2 * EXCHANGE_MS);
+    let time = time_to_removal(&mut raft, elected_at);
+    assert!(
+        time <= SILENCE_LIMIT_MS - 2 * EXCHANGE_MS + 1,
+        "{time} ms after the election"
+    );
+}
