Remove a voter and add learners in one change of the members

Cause: a successor waited for three changes in a row, each with a sync of the leader and one of a majority: it is added, the dead voter goes, it gets the vote. A machine that lost its data waited for three as well. Change: learners count towards no majority, so they are added in the change that removes a voter, and several at once. A promotion stays a change of its own: the log rejects it while the learner lags. New: one change for a removal and its learners; a lagging learner holds up no other change.

--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -6,6 +6,7 @@
 //!   since the member's data folder must be lost.
 //! - A voter that is silent or leaving is removed if a learner can replace it, or if the group
 //!   tolerates the required failures only without it.
+//! - Learners count towards no majority, so any number is added in the change that removes a voter.
 //!
 //! The remaining voters always include a live majority, and a majority always exceeds the number of
 //! disks that may be lost at once.
@@ -36,11 +37,22 @@
 }
 
 /// Returns the membership to propose next; `None` if no change is needed.
+///
+/// A successor has to vote within seconds, and each change waits for syncs. So one change removes a voter and adds
+/// learners, which count towards no majority. A promotion is proposed by itself, since the log rejects it while the
+/// learner lags.
 pub fn next_membership(current: &Membership, context: MembershipContext<'_>) -> Option<Membership> {
-    without_replaced_member(current, context)
-        .or_else(|| with_joining_learner(current, context))
-        .or_else(|| without_silent_voter(current, context))
-        .or_else(|| with_promotion(current, context))
+    let mut next = without_replaced_member(current, context).unwrap_or_else(|| current.clone());
+    add_joining_learners(&mut next, context);
+    if current.voter_difference(&next) == 0
+        && let Some(remaining) = without_silent_voter(&next, context)
+    {
+        next = remaining;
+    }
+    if next == *current {
+        return with_promotion(current, context);
+    }
+    Some(next)
 }
 
 /// Removes a member whose address now belongs to a replica with another id or data folder.
@@ -57,23 +69,23 @@
     (replaced.replica != context.leader).then(|| without_member(current, replaced.replica))
 }
 
-fn with_joining_learner(
-    current: &Membership,
-    context: MembershipContext<'_>,
-) -> Option<Membership> {
-    let joining = context
-        .join_requests
-        .values()
-        .filter(|join| !context.leaving.contains(&join.replica))
-        .find(|join| current.member(join.replica).is_none())?;
-    let mut next = current.clone();
-    next.members.push(Member {
-        replica: joining.replica,
-        disk: joining.disk,
-        address: joining.address.clone(),
-        voter: false,
-    });
-    Some(next)
+/// Adds the replicas that ask for it, except for those whose address still belongs to another member.
+fn add_joining_learners(next: &mut Membership, context: MembershipContext<'_>) {
+    for joining in context.join_requests.values() {
+        let is_known = next
+            .members
+            .iter()
+            .any(|member| member.replica == joining.replica || member.address == joining.address);
+        if is_known || context.leaving.contains(&joining.replica) {
+            continue;
+        }
+        next.members.push(Member {
+            replica: joining.replica,
+            disk: joining.disk,
+            address: joining.address.clone(),
+            voter: false,
+        });
+    }
 }
 
 /// Removes the voter that has been silent longest, if a learner can replace it or if it is surplus,
@@ -143,11 +155,13 @@
     if context.leaving.contains(&replica) {
         return Millis::MAX;
     }
-    context
-        .silence
-        .get(&replica)
-        .copied()
-        .unwrap_or(Millis::MAX)
+    let unheard = if context.join_requests.contains_key(&replica) {
+        // It is not a member yet, and its request is valid.
+        0
+    } else {
+        Millis::MAX
+    };
+    context.silence.get(&replica).copied().unwrap_or(unheard)
 }
 
 fn without_member(current: &Membership, replica: ReplicaId) -> Membership {
