Let no order that is never executed keep other replicas on weights that may not be used

Cause: an order that is recorded takes one of the places for loads until it is executed, and there are as few as one. Change: once requests may no longer start on the weights that a replica holds, its order takes no place. Nothing is lost by it: neither it nor those that wait can serve then. Until then, and so where weights come slowly, all is as before.

--- a/crates/control/src/serving/rollout_plan.rs
+++ b/crates/control/src/serving/rollout_plan.rs
@@ -86,14 +86,23 @@
 
     /// Time until a replica that holds version `held` should have newer weights, milliseconds.
     fn time_left_ms(&self, model: &str, held: u64) -> u64 {
+        let planned = (self.version_ms as f64 * PLANNED_SHARE) as u64;
+        planned.saturating_sub(self.outdated_for_ms(model, held))
+    }
+
+    /// Whether requests may no longer start on version `held`.
+    fn is_expired(&self, model: &str, held: u64) -> bool {
+        self.outdated_for_ms(model, held) > self.version_ms
+    }
+
+    /// Time for which a version newer than `held` has been known, milliseconds.
+    fn outdated_for_ms(&self, model: &str, held: u64) -> u64 {
         let newer = self.targets.get(model).into_iter().flatten();
-        let oldest_age = newer
+        newer
             .filter(|target| target.version > held)
             .map(|target| target.age_ms)
             .max()
-            .unwrap_or(0);
-        let planned = (self.version_ms as f64 * PLANNED_SHARE) as u64;
-        planned.saturating_sub(oldest_age)
+            .unwrap_or(0)
     }
 }
 
@@ -124,7 +133,8 @@
         let held = record.version_of(model).unwrap_or(0);
         match &record.order {
             Some(order) if order.model == model => {
-                loading += 1;
+                // A replica that has not executed its order by then must not keep the others from loading.
+                loading += usize::from(!inputs.is_expired(model, held));
                 steps.push(RolloutStep::Check {
                     replica: record.id.clone(),
                     order: order.clone(),
--- a/crates/control/tests/rollout_plan.rs
+++ b/crates/control/tests/rollout_plan.rs
@@ -100,6 +100,28 @@
     }
 }
 
+/// Guards against replicas that never execute their orders and keep all others on weights that may no longer be used:
+/// requests were refused for as long as one of two did not.
+#[test]
+fn orders_that_are_never_executed_do_not_hold_up_the_others() {
+    let mut state = state(&[1; 8], 2);
+    let order = PendingOrder {
+        model: "m".to_owned(),
+        version: 2,
+    };
+    for (index, replica) in ["r00", "r01", "r02", "r03"].into_iter().enumerate() {
+        let begin = ServingCommand::BeginOrder {
+            token: 101,
+            replica: replica.to_owned(),
+            order: order.clone(),
+        };
+        state.apply(110 + index as u64, begin);
+    }
+    assert!(begun_loads(&state, &[(2, VERSION_MS)], 200).is_empty());
+    let begun = begun_loads(&state, &[(2, VERSION_MS + 1)], 200);
+    assert_eq!(begun, ["r04", "r05", "r06", "r07"]);
+}
+
 #[test]
 fn pending_orders_count_toward_the_limit() {
     let mut state = state(&[1; 4], 2);
