--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -17,7 +17,7 @@
         }
         self.role = Role::PreCandidate;
         self.leader = None;
-        self.heard_at.clear();
+        self.replied_at.clear();
         self.pre_votes_asked_at = now;
         self.votes.clear();
         self.votes.insert(self.options.replica);
@@ -128,7 +128,7 @@
             .into_iter()
             .map(|(replica, _)| {
                 let mut progress = Progress::new(next_index, now);
-                progress.silent_since = self.unanswered_since(replica, now);
+                progress.silent_since = self.silent_since(replica, now);
                 (replica, progress)
             })
             .collect();
@@ -136,13 +136,13 @@
         self.append_as_leader(Payload::Noop);
     }
 
-    /// Time since which a member has answered nothing. Learners are not asked for votes.
-    fn unanswered_since(&self, replica: ReplicaId, now: Millis) -> Millis {
+    /// Time since which a member has not replied. Learners are not asked for votes.
+    fn silent_since(&self, replica: ReplicaId, now: Millis) -> Millis {
         if !self.membership.is_voter(replica) {
             return now;
         }
-        let heard_at = self.heard_at.get(&replica).copied();
-        heard_at.unwrap_or(self.pre_votes_asked_at)
+        let replied_at = self.replied_at.get(&replica).copied();
+        replied_at.unwrap_or(self.pre_votes_asked_at)
     }
 
     fn send_to_voters(&mut self, term: Term, body: &Body) {
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -82,3 +82,13 @@
         sent_at: Millis,
     },
 }
+
+impl Body {
+    /// Whether this replies to a message of the receiver.
+    pub(crate) fn is_reply(&self) -> bool {
+        matches!(
+            self,
+            Self::PreVoteReply { .. } | Self::VoteReply { .. } | Self::AppendReply { .. }
+        )
+    }
+}
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -23,7 +23,7 @@
     pub inflight: Option<InflightAppend>,
     /// Time of the member's last reply. Syncs of the leader are added to it, since they delay what it receives.
     pub last_reply_at: Millis,
-    /// Time of the member's last message, or of the first one that it left unanswered.
+    /// Time of the member's last reply, or of the pre-vote that it left unanswered, whatever the leader's syncs took.
     pub silent_since: Millis,
     /// Latest `sent_at` that the member has echoed in this term.
     pub acked_sent_at: Option<Millis>,
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -125,8 +125,8 @@
     pub(crate) progress: BTreeMap<ReplicaId, Progress>,
     pub(crate) election_deadline: Millis,
     pub(crate) last_leader_contact: Option<Millis>,
-    /// Times of the last messages from members since this replica last asked for pre-votes.
-    pub(crate) heard_at: BTreeMap<ReplicaId, Millis>,
+    /// Times of the last replies of members since this replica last asked for pre-votes.
+    pub(crate) replied_at: BTreeMap<ReplicaId, Millis>,
     pub(crate) pre_votes_asked_at: Millis,
     pub(crate) next_heartbeat: Millis,
     pub(crate) sync_times: SyncTimes,
@@ -161,7 +161,7 @@
             progress: BTreeMap::new(),
             election_deadline: now,
             last_leader_contact: None,
-            heard_at: BTreeMap::new(),
+            replied_at: BTreeMap::new(),
             pre_votes_asked_at: now,
             next_heartbeat: now,
             sync_times: SyncTimes::default(),
@@ -240,8 +240,8 @@
             .flatten()
     }
 
-    /// Time since the last message of each other member, milliseconds; empty unless this replica leads. A member that
-    /// has not answered a new leader is silent since that asked for pre-votes.
+    /// Time since the last reply of each other member, milliseconds; empty unless this replica leads. A voter that has
+    /// not replied to a new leader is silent since that asked for pre-votes.
     pub fn silence_by_member(&self, now: Millis) -> BTreeMap<ReplicaId, Millis> {
         self.progress
             .iter()
@@ -258,11 +258,12 @@
         self.next_heartbeat = self.next_heartbeat.min(now.max(earliest));
     }
 
-    fn record_message_from(&mut self, replica: ReplicaId, now: Millis) {
+    /// Other messages than replies don't show that a member receives anything.
+    fn record_reply_from(&mut self, replica: ReplicaId, now: Millis) {
         if let Some(progress) = self.progress.get_mut(&replica) {
             progress.silent_since = now;
         } else if self.membership.member(replica).is_some() {
-            self.heard_at.insert(replica, now);
+            self.replied_at.insert(replica, now);
         }
     }
 
@@ -290,7 +291,9 @@
         if !self.has_known_identity(&message) {
             return;
         }
-        self.record_message_from(message.from, now);
+        if message.body.is_reply() {
+            self.record_reply_from(message.from, now);
+        }
         if message.term > self.hard_state.term && self.must_adopt_term(&message) {
             self.become_follower(message.term, None, now);
         }
--- a/crates/control/src/member_changes.rs
+++ b/crates/control/src/member_changes.rs
@@ -10,12 +10,12 @@
 
 /// Time for which a join request is valid, milliseconds; replicas repeat it.
 const JOIN_REQUEST_TTL_MS: Millis = 3_000;
-/// Time without a message after which a voter loses its vote to a spare replica, milliseconds. A successor has to be in
+/// Time without a reply after which a voter loses its vote to a spare replica, milliseconds. A successor has to be in
 /// place within seconds, however long syncs take.
 const SILENCE_LIMIT_MS: Millis = 1_200;
-/// Election timeouts for which a member counts as responsive after its last message.
+/// Election timeouts for which a member counts as responsive after its last reply.
 const RESPONSIVE_ELECTION_TIMEOUTS: Millis = 3;
-/// Longest time for which a member counts as responsive after its last message, milliseconds.
+/// Longest time for which a member counts as responsive after its last reply, milliseconds.
 const MAX_RESPONSIVE_MS: Millis = 3_000;
 /// Time for which a leave notice is valid, milliseconds; afterwards the silence limit applies.
 const LEAVE_NOTICE_TTL_MS: Millis = 3_000;
@@ -81,12 +81,12 @@
     }
 }
 
-/// Time without a message after which a voter may be replaced, milliseconds.
+/// Time without a reply after which a voter may be replaced, milliseconds.
 fn silence_limit(raft: &Raft) -> Millis {
     SILENCE_LIMIT_MS.max(raft.election_timeout())
 }
 
-/// Time without a message up to which a member counts as responsive, milliseconds.
+/// Time without a reply up to which a member counts as responsive, milliseconds.
 pub fn responsive_limit(raft: &Raft) -> Millis {
     MAX_RESPONSIVE_MS.min(RESPONSIVE_ELECTION_TIMEOUTS * raft.election_timeout())
 }
--- a/crates/control/tests/member_changes.rs
+++ b/crates/control/tests/member_changes.rs
@@ -91,10 +91,20 @@
 
 /// Runs until the leader proposes to remove the dead voter, and returns the time since `from`.
 fn time_to_removal(raft: &mut Raft, from: Millis) -> Millis {
+    time_to_removal_with(raft, from, |_, _| {})
+}
+
+/// Like [`time_to_removal`], with something else that happens each millisecond.
+fn time_to_removal_with(
+    raft: &mut Raft,
+    from: Millis,
+    mut disturb: impl FnMut(&mut Raft, Millis),
+) -> Millis {
     let changes = MemberChanges::default();
     for now in from..from + 20_000 {
         raft.tick(now);
         exchange(raft, now);
+        disturb(raft, now);
         let next = (raft.role() == Role::Leader)
             .then(|| changes.next(raft, TOLERANCE, now))
             .flatten();
@@ -153,3 +163,31 @@
         "{time} ms after the election"
     );
 }
+
+/// Guards against a voter that receives nothing, but asks for votes, and so never counts as silent.
+#[test]
+fn a_voter_that_answers_nothing_is_silent_although_it_sends() {
+    let mut raft = replica();
+    let mut now = 0;
+    while raft.role() != Role::Leader {
+        now += 1;
+        raft.tick(now);
+        exchange(&mut raft, now);
+    }
+    let ask_for_votes = |raft: &mut Raft, now: Millis| {
+        let request = Message {
+            from: ReplicaId(DEAD),
+            from_disk: DiskId(u64::from(DEAD)),
+            to: ReplicaId(LEADER),
+            to_disk: DiskId(u64::from(LEADER)),
+            term: raft.term() + 1,
+            body: Body::PreVote {
+                last_index: 0,
+                last_term: 0,
+            },
+        };
+        raft.receive(request, now);
+    };
+    let time = time_to_removal_with(&mut raft, now, ask_for_votes);
+    assert!(time <= SILENCE_LIMIT_MS + 1, "{time} ms");
+}
