Let the bodies of all requests share a budget that follows from the machine

Callers: a crowd of large bodies ended a router, whole ones that wait for slow replicas as well as ones that stop short of their end, in pieces, in large or very small chunks, or far over the limit.

Cause: the limit of a body was one connection's, and nothing bounded the sum. A client also chose how long its memory was held.

Who finds no room is told 503 with Retry-After: nothing ran.

machine.memory_mb and machine.max_descriptors come from the platform's limits; unknown ones count as 1024 MB and 4096.

--- a/crates/http/src/errors.rs
+++ b/crates/http/src/errors.rs
@@ -22,6 +22,22 @@
     /// There is no memory for the body.
     #[error("there is no room for the body")]
     NoRoom,
+    /// The body stalled, and its memory was needed for another one.
+    #[error("the body stalled and gave way to another one")]
+    Displaced,
+}
+
+impl ReceiveError {
+    /// Returns the name of the error for logs and metrics.
+    pub fn cause(self) -> &'static str {
+        match self {
+            Self::TooLarge { .. } => "too_large",
+            Self::Timeout => "timeout",
+            Self::ConnectionLost => "connection_lost",
+            Self::NoRoom => "no_room",
+            Self::Displaced => "displaced",
+        }
+    }
 }
 
 /// Error of sending a request.
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -27,6 +27,12 @@
     /// The body did not arrive in time.
     #[error("too_slow")]
     TooSlow,
+    /// The bodies of other requests take all memory for bodies.
+    #[error("no_room")]
+    NoRoom,
+    /// The body stalled, and its memory was needed for another one.
+    #[error("displaced")]
+    Displaced,
     /// The configuration is not confirmed to be current.
     #[error("unconfirmed")]
     Unconfirmed,
@@ -105,7 +111,9 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::QuotaUsed => StatusCode::TOO_MANY_REQUESTS,
-            Self::Unconfirmed
+            Self::NoRoom
+            | Self::Displaced
+            | Self::Unconfirmed
             | Self::Outdated
             | Self::QuotaUnknown
             | Self::Stopping
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -205,7 +205,7 @@
             ReceiveError::TooLarge { .. } => RefusalCode::OversizedRequest,
             ReceiveError::Timeout => RefusalCode::SlowRequest,
             ReceiveError::ConnectionLost => RefusalCode::MalformedRequest,
-            ReceiveError::NoRoom => RefusalCode::Overloaded,
+            ReceiveError::NoRoom | ReceiveError::Displaced => RefusalCode::Overloaded,
         };
         Refusal::not_run(code, error.to_string())
     })
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -46,11 +46,56 @@
     pub tolerated_machines: u32,
     /// Service-level bounds of the deployment.
     pub bounds: BoundsSettings,
+    /// What the machine gives to the process.
+    #[serde(default)]
+    pub machine: MachineSettings,
     /// Mechanisms to disable for measurements.
     #[serde(default)]
     pub policy: Policy,
 }
 
+/// What a machine gives to a process. The limits on what all clients together may hold follow from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct MachineSettings {
+    /// Memory, megabytes; 0 stands for the default.
+    pub memory_mb: usize,
+    /// Open descriptors; 0 stands for the default.
+    pub max_descriptors: usize,
+}
+
+/// Memory of a machine that is not known, megabytes.
+const DEFAULT_MEMORY_MB: usize = 1024;
+/// Descriptors of a machine that is not known.
+const DEFAULT_MAX_DESCRIPTORS: usize = 4096;
+
+impl Default for MachineSettings {
+    fn default() -> Self {
+        Self {
+            memory_mb: DEFAULT_MEMORY_MB,
+            max_descriptors: DEFAULT_MAX_DESCRIPTORS,
+        }
+    }
+}
+
+impl MachineSettings {
+    /// Returns the memory in megabytes, with the default for 0.
+    pub fn known_memory_mb(self) -> usize {
+        match self.memory_mb {
+            0 => DEFAULT_MEMORY_MB,
+            known => known,
+        }
+    }
+
+    /// Returns the number of descriptors, with the default for 0.
+    pub fn known_max_descriptors(self) -> usize {
+        match self.max_descriptors {
+            0 => DEFAULT_MAX_DESCRIPTORS,
+            known => known,
+        }
+    }
+}
+
 /// Service-level bounds of a deployment. `_ms` keys are in milliseconds, `_s` keys in seconds.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 pub struct BoundsSettings {
@@ -156,6 +201,12 @@
             10..=600_000,
         )?;
         require_range("tolerated_machines", self.tolerated_machines, 0..=8)?;
+        require_range("machine.memory_mb", self.machine.memory_mb, 0..=16_777_216)?;
+        require_range(
+            "machine.max_descriptors",
+            self.machine.max_descriptors,
+            0..=16_777_216,
+        )?;
         let bounds = &self.bounds;
         require_range("bounds.revoke_ms", bounds.revoke_ms, 100..=3_600_000)?;
         require_range("bounds.grace_s", bounds.grace_s, 0.1..=3_600.0)?;
