Refuse a body over the limit by its announced size, and let refusals arrive

Callers: 10 GB announced got 408 after ten seconds, or a reset once 4 MB were sent; a sender that waits for an interim response was told to go on. Of a crowd of sound clients with large bodies, most saw a reset in place of the refusal.

Cause: the size was compared with bytes that had arrived only, and after a refusal the rest of the body was left unread, so that the close reset the connection and took the response with it.

A body that was refused is read and dropped for two seconds and the length of one body at most. It takes no memory beyond the connection's buffer. A sender that waits for an interim response has sent nothing, and gets none.

--- a/crates/http/src/bodies.rs
+++ b/crates/http/src/bodies.rs
@@ -7,13 +7,18 @@
 };
 
 use bytes::Bytes;
-use hyper::body::{Body as HttpBody, Incoming};
+use http_body_util::BodyExt;
+use hyper::{
+    HeaderMap,
+    body::{Body as HttpBody, Incoming},
+    header::EXPECT,
+};
 use prometheus_client::{
     encoding::EncodeLabelSet,
     metrics::{counter::Counter, family::Family, gauge::Gauge},
     registry::Registry,
 };
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -22,6 +27,8 @@
     errors::ReceiveError,
 };
 
+/// Time for which the rest of a body is read that was refused, so that its sender sees the response.
+const DISCARD_TIME: Duration = Duration::from_secs(2);
 /// Time after which a sender should come back for whose body there was no room.
 pub const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -38,6 +45,49 @@
     refused: Family<CauseLabels, Counter>,
 }
 
+/// The body of a request, not received yet.
+#[derive(Debug)]
+pub struct RequestBody {
+    incoming: Incoming,
+    /// Whether its sender waits for an interim response before it sends any of it.
+    awaits_continue: bool,
+}
+
+impl RequestBody {
+    /// Takes the body of a request with these headers.
+    pub fn new(incoming: Incoming, headers: &HeaderMap) -> Self {
+        Self {
+            incoming,
+            awaits_continue: headers.contains_key(EXPECT),
+        }
+    }
+
+    /// Whether nothing is to be received.
+    pub fn is_empty(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    /// Reads and drops up to `max_bytes` for a bounded time, as the response is sent without them. A connection that is
+    /// closed with unread bytes is reset, and its peer may lose the response.
+    pub fn discard(self, max_bytes: usize) {
+        if self.awaits_continue || self.is_empty() {
+            return;
+        }
+        let mut body = self.incoming;
+        let deadline = Instant::now() + DISCARD_TIME;
+        tokio::spawn(async move {
+            let mut left = max_bytes;
+            while let Ok(Some(Ok(frame))) = timeout_at(deadline, body.frame()).await {
+                let bytes = frame.data_ref().map_or(0, Bytes::len);
+                match left.checked_sub(bytes) {
+                    Some(rest) => left = rest,
+                    None => return,
+                }
+            }
+        });
+    }
+}
+
 /// The bodies of all requests of a process.
 #[derive(Clone, Debug)]
 pub struct Bodies {
@@ -92,16 +142,22 @@
         );
     }
 
-    /// Receives a complete body of at most `max_bytes` until `deadline`.
+    /// Receives a complete body of at most `max_bytes` until `deadline`. What is left of a body that is refused is
+    /// discarded for a while.
     pub async fn receive(
         &self,
-        mut body: Incoming,
+        mut body: RequestBody,
         max_bytes: usize,
         deadline: Instant,
     ) -> Result<Bytes, ReceiveError> {
-        let received = self.receive_within(&mut body, max_bytes, deadline).await;
+        let received = self
+            .receive_within(&mut body.incoming, max_bytes, deadline)
+            .await;
         if let Err(error) = received {
             self.record_refusal(error);
+            if !matches!(error, ReceiveError::Timeout | ReceiveError::ConnectionLost) {
+                body.discard(max_bytes);
+            }
         }
         received
     }
@@ -114,6 +170,9 @@
     ) -> Result<Bytes, ReceiveError> {
         let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
         let limit = max_bytes.min(self.lock().budget.largest());
+        if announced > limit {
+            return Err(ReceiveError::TooLarge { limit });
+        }
         if body.is_end_stream() {
             return Ok(Bytes::new());
         }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod server;
 pub mod signals;
 
-pub use bodies::{Bodies, NO_ROOM_RETRY_AFTER};
+pub use bodies::{Bodies, NO_ROOM_RETRY_AFTER, RequestBody};
 pub use body::{Body, BodySender, empty, full, json, lines, read_body, streaming};
 pub use client::{HttpClient, send_on_new_connection};
 pub use errors::{HttpError, ReceiveError, SendError};
