Read no body whose request is refused by its head, nor beyond its route's time

Callers: a request for a path without a route, with a body that comes slowly, was answered 408 after ten seconds and never 404. A client that named 10^9 ms as its own time let a router wait for its body, and hold it, for 11 days.

Cause: the body was received before the route, the key and the time of the request were known, for as long as the client said.

The request is admitted by its head, and refused at once where it would be refused anyway. Its body is awaited until the deadline that the request has: the shorter of the client's and the route's time. A refusal before the body has its line 'request' in the log now.

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -8,13 +8,16 @@
 
 use std::{sync::Arc, time::Duration};
 
+use hyper::Response;
+use railtack_http::Body;
 use railtack_serving::RouteTable;
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
     admission::{self, Admitted},
-    refusal::RefusalReason,
+    refusal::{Refusal, RefusalReason},
     request::ProxiedRequest,
+    request_log::RequestLog,
     state::{ProxyState, lock},
 };
 
@@ -53,6 +56,28 @@
     admitted
 }
 
+/// Returns until when the body of a request is awaited, or why the request is refused by its head.
+pub fn body_deadline(
+    state: &ProxyState,
+    request: &ProxiedRequest,
+) -> Result<Instant, RefusalReason> {
+    let admitted = admit_now(state, request);
+    if should_wait_for_lease(state, &admitted) {
+        return Ok(request.received + first_lease_wait(request));
+    }
+    admitted.map(|admitted| admitted.deadline)
+}
+
+/// Refuses a request whose body was not received.
+pub fn refuse_without_body(
+    state: &Arc<ProxyState>,
+    request: &ProxiedRequest,
+    refusal: Refusal,
+) -> Response<Body> {
+    RequestLog::begin(state, request).record_outcome(refusal.reason.to_string());
+    refusal.reason.response(refusal.retry_after)
+}
+
 /// Whether the request can be admitted once the router gets its first lease.
 fn should_wait_for_lease(state: &ProxyState, admitted: &Result<Admitted, RefusalReason>) -> bool {
     admitted.as_ref().err() == Some(&RefusalReason::Unconfirmed)
