--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -11,12 +11,19 @@
 };
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
+    server::graceful::{GracefulShutdown, Watcher},
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
 };
-use tokio::{net::TcpListener, sync::Semaphore, time::timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::body::Body;
+use crate::{
+    body::Body,
+    caller_stream::CallerStream,
+    connections::{Connections, OpenConnection, ResponseBody},
+};
 
 /// Delay after a failed accept, which avoids a busy loop if file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -30,7 +37,9 @@
 /// Limits of one connection, fixed when it is accepted.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionLimits {
-    /// Timeout for receiving a request head, which also limits how long a connection may be idle.
+    /// Maximum time that a connection may be idle, or that its peer may read nothing of a response.
+    pub idle_timeout: Duration,
+    /// Maximum time from the first byte of a request head to its last.
     pub head_timeout: Duration,
     /// Maximum size of a request head, bytes.
     pub head_bytes: usize,
@@ -39,6 +48,7 @@
 impl Default for ConnectionLimits {
     fn default() -> Self {
         Self {
+            idle_timeout: Duration::from_secs(10),
             head_timeout: Duration::from_secs(10),
             head_bytes: 64 * 1024,
         }
@@ -48,7 +58,9 @@
 /// Limits of a listener.
 #[derive(Clone, Copy, Debug)]
 pub struct ServeOptions {
-    /// Maximum open connections; further ones are closed immediately.
+    /// Name of the listener in logs and metrics.
+    pub name: &'static str,
+    /// Maximum open connections. For a further one the connection is closed that has rested for longest.
     pub connections: usize,
     /// Limits of each connection; [`serve_limited`] does not use them.
     pub limits: ConnectionLimits,
@@ -63,6 +75,7 @@
 impl Default for ServeOptions {
     fn default() -> Self {
         Self {
+            name: "http",
             connections: 10_000,
             limits: ConnectionLimits::default(),
             linger: LINGER,
@@ -99,7 +112,8 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let graceful = GracefulShutdown::new();
-    let connection_permits = Arc::new(Semaphore::new(options.connections));
+    let connections = Connections::new(options.name, options.connections);
+    let closing = CancellationToken::new();
     let linger_elapsed = linger(&shutdown, options.linger);
     tokio::pin!(linger_elapsed);
     loop {
@@ -107,37 +121,110 @@
             accepted = listener.accept() => accepted,
             () = &mut linger_elapsed => break,
         };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                spdlog::warn!("connection not accepted", kv: {
+                    listener = options.name,
+                    cause = error.to_string(),
+                });
+                connections.displace();
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
         };
-        let Ok(permit) = Arc::clone(&connection_permits).try_acquire_owned() else {
+        let Some(connection) = connections.admit() else {
             continue;
         };
+        let caller = Caller {
+            stream,
+            connection: Arc::new(connection),
+            limits: limits(),
+            closing: closing.clone(),
+            shutdown: shutdown.clone(),
+        };
+        tokio::spawn(caller.serve(graceful.watcher(), handler.clone()));
+        if connections.is_full() {
+            // Requests that have arrived are read before the next connection displaces one.
+            tokio::task::yield_now().await;
+        }
+    }
+    drop(listener);
+    closing.cancel();
+    timeout(options.drain, graceful.shutdown()).await.is_ok()
+}
+
+/// An accepted connection.
+struct Caller {
+    stream: TcpStream,
+    connection: Arc<OpenConnection>,
+    limits: ConnectionLimits,
+    /// Cancelled when connections without a request are closed.
+    closing: CancellationToken,
+    shutdown: CancellationToken,
+}
+
+impl Caller {
+    /// Serves the requests of the connection, until it is closed or gives way to another.
+    async fn serve<H, F>(self, watcher: Watcher, handler: H)
+    where
+        H: Fn(Request<Incoming>) -> F + Send + 'static,
+        F: Future<Output = Response<Body>> + Send + 'static,
+    {
+        let connection = Arc::clone(&self.connection);
+        tokio::select! {
+            () = connection.displaced() => {}
+            () = self.serve_requests(watcher, handler) => {}
+        }
+    }
+
+    async fn serve_requests<H, F>(self, watcher: Watcher, handler: H)
+    where
+        H: Fn(Request<Incoming>) -> F + Send + 'static,
+        F: Future<Output = Response<Body>> + Send + 'static,
+    {
+        if !self.awaits_first_bytes().await {
+            return;
+        }
         // Ignored: without the option, only latency increases.
-        let _ = stream.set_nodelay(true);
-        let handler = handler.clone();
-        let shutdown = shutdown.clone();
+        let _ = self.stream.set_nodelay(true);
+        let Self {
+            stream,
+            connection,
+            limits,
+            shutdown,
+            ..
+        } = self;
+        let requests = Arc::clone(&connection);
         let service = service_fn(move |request| {
+            let busy = requests.begin_request();
             let response = handler(request);
             let shutdown = shutdown.clone();
-            async move { Ok::<_, Infallible>(with_close_on_shutdown(&shutdown, response.await)) }
+            async move {
+                let response = with_close_on_shutdown(&shutdown, response.await);
+                Ok::<_, Infallible>(response.map(|body| ResponseBody::new(body, busy)))
+            }
         });
-        let limits = limits();
-        let connection = http1::Builder::new()
+        let (head_timeout, idle_timeout) = (limits.head_timeout, limits.idle_timeout);
+        let stream = CallerStream::new(stream, connection, head_timeout, idle_timeout);
+        let served = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(limits.head_timeout)
+            .header_read_timeout(idle_timeout)
             .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
-        let watched = graceful.watch(connection);
-        tokio::spawn(async move {
-            // Connection errors are ignored: the peer may disconnect at any time.
-            let _ = watched.await;
-            drop(permit);
-        });
+        // Connection errors are ignored: the peer may disconnect at any time.
+        let _ = watcher.watch(served).await;
+    }
+
+    /// Waits for the first bytes of a connection, which needs no buffers before. Returns whether they came.
+    async fn awaits_first_bytes(&self) -> bool {
+        let readable = timeout(self.limits.idle_timeout, self.stream.readable());
+        tokio::select! {
+            biased;
+            readable = readable => matches!(readable, Ok(Ok(()))),
+            () = self.closing.cancelled() => false,
+        }
     }
-    drop(listener);
-    timeout(options.drain, graceful.shutdown()).await.is_ok()
 }
 
 async fn linger(shutdown: &CancellationToken, time: Duration) {
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -66,8 +66,10 @@
         let state = self.state;
         let limits = &state.settings.limits;
         let options = ServeOptions {
+            name: "callers",
             connections: limits.connections,
             limits: ConnectionLimits {
+                idle_timeout: Duration::from_millis(limits.receive_timeout_ms),
                 head_timeout: Duration::from_millis(limits.receive_timeout_ms),
                 ..ConnectionLimits::default()
             },
