Let complete responses keep their room until callers have taken them

Callers: 60 of them that ask for 1 MB each and read nothing took 80 MB of a router.

Cause: the room for complete responses was 64 MB on any machine, and it counted as free as soon as a response was complete, however long its caller took. Its buffer held up to twice the content, and the buffer for reading of a connection to a replica grew to 417 KB.

The room is a fifth of the memory, and a response gives its part back when its last byte is handed to the system. One that states its length waits for its part, in turn, until its deadline: before, a response that found no room failed although it was ready. Bodies of requests get a fifth as well now, so that all shares stay below the machine. The buffer for reading is 64 KB at most.

--- a/crates/http/src/machine.rs
+++ b/crates/http/src/machine.rs
@@ -6,9 +6,9 @@
 /// Bytes in a megabyte.
 const MEGABYTE: usize = 1024 * 1024;
 /// Part of the memory that bodies of requests may take: one in this many.
-const BODIES_DIVISOR: usize = 4;
+const BODIES_DIVISOR: usize = 5;
 /// Part of the memory that complete responses may take: one in this many.
-const RESPONSES_DIVISOR: usize = 8;
+const RESPONSES_DIVISOR: usize = 5;
 /// Part of the memory that connections may take: one in this many.
 const CONNECTIONS_DIVISOR: usize = 4;
 /// Memory of one connection with a request, bytes: the buffers for reading and writing, the head and the task.
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -4,7 +4,11 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::{Response, StatusCode, body::Incoming, http::response};
+use hyper::{
+    Response, StatusCode,
+    body::{Body as _, Incoming},
+    http::response,
+};
 use railtack_serving::{
     BackendSignals, LimitHeader, ReplicaKey, ReplicaRecord, RequestLimit, SignalChanges,
 };
@@ -347,6 +351,11 @@
 
 /// Receives the rest of a body.
 async fn receive(mut body: Incoming, mut buffer: ResponseBuffer) -> Result<Bytes, FailedExchange> {
+    if let Some(length) = body.size_hint().exact() {
+        let length = usize::try_from(length).unwrap_or(usize::MAX);
+        let reserved = buffer.reserve(length).await;
+        reserved.map_err(|_| FailedExchange::may_have_run("answer too large"))?;
+    }
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| FailedExchange::broken_connection("answer broke off"))?;
         if let Ok(data) = frame.into_data() {
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -33,6 +33,9 @@
     relay::client::ReplicaStream,
 };
 
+/// Maximum size of the buffer for reading of one connection, bytes. It also limits the head of a response.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Reason why no connection is available.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectError {
@@ -266,7 +269,9 @@
     let ReplicaStream { stream, is_relayed } = dialed.await?;
     let head_limit = HeadLimit::default();
     let stream = HeadLimitedStream::new(stream, head_limit.clone());
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|_| ConnectError::Unreachable)?;
     let task = tokio::spawn(async move {
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -64,6 +64,8 @@
     pub is_first_start: bool,
     /// Address from which connections to replicas are opened; chosen by the system if there is none.
     pub source_address: Option<IpAddr>,
+    /// Memory for all responses that are received completely before they are forwarded, bytes.
+    pub response_bytes: usize,
     /// Time bounds and budgets of the deployment.
     pub bounds: Bounds,
     /// Enabled mechanisms.
@@ -175,6 +177,7 @@
         let (view_changed, _) = watch::channel(0);
         let replicas = ReplicaTable::with_source(options.source_address);
         Arc::new(Self {
+            buffer_room: Arc::new(BufferRoom::new(options.response_bytes)),
             lease: Mutex::new(Lease::new(revoke, bounds.fail_closed, apply)),
             options,
             backend,
@@ -189,7 +192,6 @@
             relay_peers: Mutex::default(),
             relay_address: OnceLock::new(),
             slots: Arc::default(),
-            buffer_room: Arc::default(),
             crash_checks: Arc::default(),
             metrics: ProxyMetrics::default(),
             routers: AtomicU32::new(0),
--- a/crates/proxy/tests/response_buffer.rs
+++ b/crates/proxy/tests/response_buffer.rs
@@ -31,3 +31,38 @@
     }
     assert_eq!(next.push(b"x"), Err(ResponseTooLarge));
 }
+
+/// Guards against responses whose room counts as free while their callers read nothing.
+#[test]
+fn a_complete_response_keeps_its_room_until_it_is_taken() {
+    let room = Arc::new(BufferRoom::new(2 * MEGABYTE));
+    let megabyte = vec![0; MEGABYTE];
+    let mut first = ResponseBuffer::new(Arc::clone(&room));
+    for _ in 0..2 {
+        assert_eq!(first.push(&megabyte), Ok(()));
+    }
+    let complete = first.finish();
+    let mut second = ResponseBuffer::new(Arc::clone(&room));
+    assert_eq!(second.push(&megabyte), Err(ResponseTooLarge));
+    let part = complete.slice(..10);
+    drop(complete);
+    assert_eq!(second.push(&megabyte), Err(ResponseTooLarge));
+    drop(part);
+    assert_eq!(second.push(&megabyte), Ok(()));
+}
+
+/// Guards against responses that are ready and fail because another one has the room.
+#[tokio::test]
+async fn a_response_waits_for_its_room() {
+    let room = Arc::new(BufferRoom::new(2 * MEGABYTE));
+    let mut first = ResponseBuffer::new(Arc::clone(&room));
+    assert_eq!(first.reserve(2 * MEGABYTE).await, Ok(()));
+    let mut second = ResponseBuffer::new(Arc::clone(&room));
+    let waiting = tokio::spawn(async move { second.reserve(MEGABYTE).await });
+    tokio::task::yield_now().await;
+    assert!(!waiting.is_finished());
+    drop(first);
+    assert_eq!(waiting.await.expect("no panic"), Ok(()));
+    let mut too_large = ResponseBuffer::new(room);
+    assert_eq!(too_large.reserve(3 * MEGABYTE).await, Err(ResponseTooLarge));
+}
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -47,6 +47,7 @@
         control,
         is_first_start: true,
         source_address: None,
+        response_bytes: 64 * 1024 * 1024,
         bounds: Bounds {
             config_apply_ms: 2_000,
             revoke_ms: REVOKE_MS,
