Give the routers of /v1 the same bounds on what all callers hold

Callers: 80 bodies of 1 MB short of their end took 105 MB of a router, and 10 GB announced got 408 after the whole time for a request.

Bodies share the budget that follows from the new setting limits.memory_mb (2048), and so does the bound on connections, which does not meet the default of limits.connections (10,000). No room is 503 with Retry-After.

--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -56,6 +56,8 @@
 
 /// Size of the log after which a snapshot is written, bytes.
 const SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
+/// Connections to the metrics endpoint that may be open at a time.
+const MAX_METRICS_CONNECTIONS: usize = 64;
 
 /// Returns the replica options for the given settings.
 pub fn replica_options(settings: &ControlSettings, new_disk: DiskId) -> ReplicaOptions {
@@ -187,7 +189,12 @@
                 .unwrap_or_else(|| body::with_content_type(404, "text/plain", body::empty()))
         }
     };
-    railtack_http::serve(listener, ServeOptions::default(), shutdown, handler).await;
+    let options = ServeOptions {
+        name: "metrics",
+        connections: MAX_METRICS_CONNECTIONS,
+        ..ServeOptions::default()
+    };
+    railtack_http::serve(listener, options, shutdown, handler).await;
 }
 
 /// The internal interface of a replica.
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -11,10 +11,13 @@
 };
 use prometheus_client::registry::Registry;
 use railtack_core::{RefusalCode, TemplateName};
-use railtack_http::{Body, ConnectionLimits, ReceiveError, ServeOptions, read_body, serve};
-use railtack_settings::RouterSettings;
+use railtack_http::{
+    Body, ConnectionLimits, Machine, NO_ROOM_RETRY_AFTER, ReceiveError, RequestBody, ServeOptions,
+    connection_metrics, serve,
+};
+use railtack_settings::{RouterSettings, router::CallerLimits};
 use serde::de::DeserializeOwned;
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, time::Instant};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -67,7 +70,7 @@
         let limits = &state.settings.limits;
         let options = ServeOptions {
             name: "callers",
-            connections: limits.connections,
+            connections: limits.connections.min(machine(limits).connections()),
             limits: ConnectionLimits {
                 idle_timeout: Duration::from_millis(limits.receive_timeout_ms),
                 head_timeout: Duration::from_millis(limits.receive_timeout_ms),
@@ -85,6 +88,11 @@
     }
 }
 
+/// Returns what the machine of this process offers. Descriptors are bounded by the setting for connections.
+pub fn machine(limits: &CallerLimits) -> Machine {
+    Machine::new(limits.memory_mb, usize::MAX)
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, Report<RouterError>> {
     TcpListener::bind(address)
         .await
@@ -100,19 +108,20 @@
     let mut registry = Registry::default();
     railtack_telemetry::metrics().register(&mut registry);
     state.metrics.register(&mut registry);
+    state.bodies.register(&mut registry);
+    connection_metrics().register(&mut registry);
     let registry = Arc::new(registry);
+    let options = ServeOptions {
+        name: "admin",
+        connections: machine(&state.settings.limits).probe_connections(),
+        ..ServeOptions::default()
+    };
     let handler = move |request: Request<Incoming>| {
         let state = Arc::clone(&state);
         let registry = Arc::clone(&registry);
         async move { admin::handle(&state, &registry, &request) }
     };
-    serve(
-        listener,
-        ServeOptions::default(),
-        CancellationToken::new(),
-        handler,
-    )
-    .await;
+    serve(listener, options, CancellationToken::new(), handler).await;
 }
 
 async fn handle(state: Arc<RouterState>, request: Request<Incoming>) -> Response<Body> {
@@ -200,16 +209,22 @@
 
 async fn receive(state: &RouterState, request: Request<Incoming>) -> Result<Bytes, Refusal> {
     let limits = &state.settings.limits;
-    let time = Duration::from_millis(limits.receive_timeout_ms);
-    let received = read_body(request.into_body(), limits.body_bytes, time).await;
+    let deadline = Instant::now() + Duration::from_millis(limits.receive_timeout_ms);
+    let (head, body) = request.into_parts();
+    let body = RequestBody::new(body, &head.headers);
+    let received = state
+        .bodies
+        .receive(body, limits.body_bytes, deadline)
+        .await;
     received.map_err(|error| {
-        let code = match error {
-            ReceiveError::TooLarge { .. } => RefusalCode::OversizedRequest,
-            ReceiveError::Timeout => RefusalCode::SlowRequest,
-            ReceiveError::ConnectionLost => RefusalCode::MalformedRequest,
-            ReceiveError::NoRoom | ReceiveError::Displaced => RefusalCode::Overloaded,
-        };
-        Refusal::not_run(code, error.to_string())
+        let refusal = |code| Refusal::not_run(code, error.to_string());
+        match error {
+            ReceiveError::TooLarge { .. } => refusal(RefusalCode::OversizedRequest),
+            ReceiveError::Timeout => refusal(RefusalCode::SlowRequest),
+            ReceiveError::ConnectionLost => refusal(RefusalCode::MalformedRequest),
+            ReceiveError::NoRoom | ReceiveError::Displaced => refusal(RefusalCode::Overloaded)
+                .retry_after_ms(NO_ROOM_RETRY_AFTER.as_millis() as u64),
+        }
     })
 }
 
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -14,7 +14,7 @@
 use railtack_clock::BootInstant;
 use railtack_consensus::{Millis, ReplicaId};
 use railtack_core::{EngineId, RefusalCode, TenantName};
-use railtack_http::HttpClient;
+use railtack_http::{Bodies, HttpClient};
 use railtack_proxy::crash_checks::CrashChecks;
 use railtack_routing::{Admission, Micros, RetryBudget, Scheduler, SchedulerOptions};
 use railtack_serving::{Availability, MonotonicTime};
@@ -23,7 +23,7 @@
 use crate::{
     backend_incarnations::BackendIncarnations, control_link::ControlLink, decisions::DecisionLog,
     lease::Lease, metrics::RouterMetrics, quarantine::BackendIncarnation, refusal::Refusal,
-    resolved::ResolvedConfiguration,
+    resolved::ResolvedConfiguration, server::machine,
 };
 
 const ENGINE_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -41,6 +41,8 @@
 pub struct RouterState {
     /// Settings of this process.
     pub settings: RouterSettings,
+    /// Memory for the bodies of all requests.
+    pub bodies: Bodies,
     /// Last applied configuration.
     pub resolved: ArcSwap<ResolvedConfiguration>,
     /// Lease under which the configuration may be used.
@@ -96,7 +98,9 @@
             zone: settings.zone.clone(),
             ..SchedulerOptions::default()
         };
+        let machine = machine(&settings.limits);
         Self {
+            bodies: Bodies::new(machine.body_bytes()),
             lease: Mutex::new(Lease::new(settings.lease.duration_ms, voters)),
             resolved: ArcSwap::default(),
             scheduler: Mutex::new(Scheduler::new(options)),
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -52,8 +52,10 @@
     pub body_bytes: usize,
     /// Timeout for receiving a request.
     pub receive_timeout_ms: u64,
-    /// Maximum open connections; further ones are closed immediately.
+    /// Maximum open connections. For a further one the connection is closed that has rested for longest.
     pub connections: usize,
+    /// Memory that the process may use, megabytes. What all callers together may hold follows from it.
+    pub memory_mb: usize,
     /// Deadline of a request that sets none.
     pub default_deadline_ms: u64,
     /// Maximum deadline of a request; longer ones are reduced to it.
@@ -66,6 +68,7 @@
             body_bytes: 4 * 1024 * 1024,
             receive_timeout_ms: 10_000,
             connections: 10_000,
+            memory_mb: 2_048,
             default_deadline_ms: 120_000,
             longest_deadline_ms: 3_600_000,
         }
@@ -133,6 +136,7 @@
             10..=600_000,
         )?;
         require_range("limits.connections", limits.connections, 1..=1_000_000)?;
+        require_range("limits.memory_mb", limits.memory_mb, 16..=16_777_216)?;
         require_range(
             "limits.longest_deadline_ms",
             limits.longest_deadline_ms,
