Blame no replica for an answer that finds no room in the router

Such an exchange has no outcome for the replica's health. As the answer is ready, it waits until the deadline of the request, not only until the time at which a response is abandoned for another replica.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -164,6 +164,14 @@
             signals: BackendSignals::default(),
         }
     }
+
+    /// The replica responded, and this router could not receive it.
+    fn undelivered(cause: &'static str) -> Self {
+        Self {
+            outcome: None,
+            ..Self::may_have_run(cause)
+        }
+    }
 }
 
 /// Deadlines for the head of a response.
@@ -350,12 +358,7 @@
 }
 
 /// Receives the rest of a body.
-async fn receive(mut body: Incoming, mut buffer: ResponseBuffer) -> Result<Bytes, FailedExchange> {
-    if let Some(length) = body.size_hint().exact() {
-        let length = usize::try_from(length).unwrap_or(usize::MAX);
-        let reserved = buffer.reserve(length).await;
-        reserved.map_err(|_| FailedExchange::may_have_run("answer too large"))?;
-    }
+async fn receive(mut body: Incoming, buffer: &mut ResponseBuffer) -> Result<(), FailedExchange> {
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| FailedExchange::broken_connection("answer broke off"))?;
         if let Ok(data) = frame.into_data() {
@@ -364,7 +367,7 @@
                 .map_err(|_| FailedExchange::may_have_run("answer too large"))?;
         }
     }
-    Ok(buffer.finish())
+    Ok(())
 }
 
 /// Records whether a response said that the replicas of its service withstand few rejections.
@@ -432,20 +435,42 @@
 }
 
 impl OpenResponse {
-    /// Reads the complete body and returns the connection to the pool.
+    /// Reads the complete body and returns the connection to the pool. The response is abandoned at `abandon_at`, but if
+    /// it waits for room, it does so until `deadline`, as it is ready.
     pub async fn read_complete(
         self,
         handle: &ReplicaHandle,
         room: Arc<BufferRoom>,
+        abandon_at: Instant,
         deadline: Instant,
     ) -> Result<(response::Parts, Bytes), FailedExchange> {
-        let buffer = ResponseBuffer::new(room);
-        let read = timeout_at(deadline, receive(self.body, buffer)).await;
-        let content =
-            read.unwrap_or_else(|_| Err(FailedExchange::may_have_run("answer not read")))?;
+        let mut buffer = ResponseBuffer::new(room);
+        let has_waited = reserve(&self.body, &mut buffer, deadline).await?;
+        let read_until = if has_waited { deadline } else { abandon_at };
+        timeout_at(read_until, receive(self.body, &mut buffer))
+            .await
+            .unwrap_or_else(|_| Err(FailedExchange::may_have_run("answer not read")))?;
         if self.reusable {
             handle.pool.release(self.connection);
         }
-        Ok((self.head, content))
+        Ok((self.head, buffer.finish()))
+    }
+}
+
+/// Reserves room for a body that states its length. Returns whether it had to wait. The replica is not to blame if
+/// there is no room in time.
+async fn reserve(
+    body: &Incoming,
+    buffer: &mut ResponseBuffer,
+    deadline: Instant,
+) -> Result<bool, FailedExchange> {
+    let Some(length) = body.size_hint().exact() else {
+        return Ok(false);
+    };
+    let length = usize::try_from(length).unwrap_or(usize::MAX);
+    match timeout_at(deadline, buffer.reserve(length)).await {
+        Ok(Ok(has_waited)) => Ok(has_waited),
+        Ok(Err(_)) => Err(FailedExchange::may_have_run("answer too large")),
+        Err(_) => Err(FailedExchange::undelivered("no room for the answer")),
     }
 }
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -220,9 +220,11 @@
             target,
             open,
         } = active;
-        let deadline = self.response_deadline();
+        let (abandon_at, deadline) = (self.response_deadline(), self.admitted.deadline);
         let room = Arc::clone(&self.state.buffer_room);
-        let read = response.read_complete(&target.handle, room, deadline).await;
+        let read = response
+            .read_complete(&target.handle, room, abandon_at, deadline)
+            .await;
         drop(open);
         let (head, content) = read.map_err(|failed| self.record_failure(&target, failed))?;
         target.finish();
--- a/crates/proxy/src/response_buffer.rs
+++ b/crates/proxy/src/response_buffer.rs
@@ -80,28 +80,34 @@
         }
     }
 
-    /// Waits until there is room for a response of `bytes`.
-    pub async fn reserve(&mut self, bytes: usize) -> Result<(), ResponseTooLarge> {
+    /// Waits until there is room for a response of `bytes`. Returns whether it had to wait.
+    pub async fn reserve(&mut self, bytes: usize) -> Result<bool, ResponseTooLarge> {
         let units = self.missing_units(bytes)?;
-        if units > 0 {
-            let room = Arc::clone(&self.room.units);
-            let taken = room.acquire_many_owned(units).await;
-            self.add(taken.map_err(|_| ResponseTooLarge)?);
+        if self.take(units).is_ok() {
+            return Ok(false);
         }
-        Ok(())
+        let room = Arc::clone(&self.room.units);
+        let taken = room.acquire_many_owned(units).await;
+        self.add(taken.map_err(|_| ResponseTooLarge)?);
+        Ok(true)
     }
 
     /// Adds bytes of the response.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), ResponseTooLarge> {
         let units = self.missing_units(self.content.len() + bytes.len())?;
+        self.take(units)?;
+        self.content
+            .extend(bytes)
+            .map_err(|AllocationFailed| ResponseTooLarge)
+    }
+
+    fn take(&mut self, units: u32) -> Result<(), ResponseTooLarge> {
         if units > 0 {
             let room = Arc::clone(&self.room.units);
             let taken = room.try_acquire_many_owned(units);
             self.add(taken.map_err(|_| ResponseTooLarge)?);
         }
-        self.content
-            .extend(bytes)
-            .map_err(|AllocationFailed| ResponseTooLarge)
+        Ok(())
     }
 
     /// Returns the complete response, which keeps its room until it is dropped.
