Begin no request on a connection that gives way, and leave control replicas more of them

The request does not begin then, and the connection is closed unread. Displacement is looked at before the connection is.

After a failure to accept, a connection gives way only if descriptors ran out.

Control replicas need few sockets besides those of back ends and operators, so these get four fifths, and half of the memory: 5,461 connections at 512 MB, for deployments with some 10,000 back ends before ten control machines.

--- a/crates/http/src/connection_table.rs
+++ b/crates/http/src/connection_table.rs
@@ -94,9 +94,9 @@
         Some(longest)
     }
 
-    /// Records that a connection has a request.
-    pub fn set_busy(&mut self, id: ConnectionId) {
-        self.set(id, Activity::Busy);
+    /// Records that a connection has a request. Returns false if it gave way before.
+    pub fn set_busy(&mut self, id: ConnectionId) -> bool {
+        self.set(id, Activity::Busy)
     }
 
     /// Records that a connection rests from now on.
@@ -110,9 +110,11 @@
     }
 
     /// A connection that gave way is no longer in the table.
-    fn set(&mut self, id: ConnectionId, activity: Activity) {
-        if let Some(current) = self.open.get_mut(&id) {
-            *current = activity;
-        }
+    fn set(&mut self, id: ConnectionId, activity: Activity) -> bool {
+        let Some(current) = self.open.get_mut(&id) else {
+            return false;
+        };
+        *current = activity;
+        true
     }
 }
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -193,12 +193,14 @@
         self.displaced.cancelled().await;
     }
 
-    /// Records that a request begins.
-    pub fn begin_request(self: &Arc<Self>) -> BusyConnection {
+    /// Records that a request begins; `None` if the connection has to give way, so that the request does not run.
+    pub fn begin_request(self: &Arc<Self>) -> Option<BusyConnection> {
+        if !self.connections.lock().table.set_busy(self.id) {
+            return None;
+        }
         self.is_busy.store(true, Ordering::Relaxed);
         self.has_begun_head.store(false, Ordering::Relaxed);
-        self.connections.lock().table.set_busy(self.id);
-        BusyConnection(Arc::clone(self))
+        Some(BusyConnection(Arc::clone(self)))
     }
 
     /// Records that bytes arrived: of a head, unless there is a request.
--- a/crates/http/src/machine.rs
+++ b/crates/http/src/machine.rs
@@ -17,6 +17,10 @@
 const RESERVED_DESCRIPTORS: usize = 200;
 /// Sockets for callers, of this many. The others are for back ends, peers and probes.
 const CALLERS_SHARE: (usize, usize) = (2, 5);
+/// Sockets of a control replica for back ends and operators, of this many.
+const CONTROL_SHARE: (usize, usize) = (4, 5);
+/// Part of the memory of a control replica that these connections may take: one in this many.
+const CONTROL_CONNECTIONS_DIVISOR: usize = 2;
 /// Sockets for probes: one in this many.
 const PROBES_DIVISOR: usize = 32;
 /// Fewest connections that a listener accepts.
@@ -52,11 +56,19 @@
         self.memory_bytes / RESPONSES_DIVISOR
     }
 
-    /// Connections of callers.
+    /// Connections of callers at a router, which needs as many to back ends.
     pub fn connections(self) -> usize {
-        let (part, whole) = CALLERS_SHARE;
+        self.share(CALLERS_SHARE, CONNECTIONS_DIVISOR)
+    }
+
+    /// Connections of back ends and operators at a control replica.
+    pub fn control_connections(self) -> usize {
+        self.share(CONTROL_SHARE, CONTROL_CONNECTIONS_DIVISOR)
+    }
+
+    fn share(self, (part, whole): (usize, usize), memory_divisor: usize) -> usize {
         let by_descriptors = self.sockets() / whole * part;
-        let by_memory = self.memory_bytes / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
+        let by_memory = self.memory_bytes / memory_divisor / CONNECTION_BYTES;
         by_descriptors.min(by_memory).max(MIN_CONNECTIONS)
     }
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,6 +1,6 @@
 //! HTTP/1 server with connection limits and graceful shutdown.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 use hyper::{
     Request, Response,
@@ -13,6 +13,8 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::{GracefulShutdown, Watcher},
 };
+use rustix::io::Errno;
+use thiserror::Error;
 use tokio::{
     net::{TcpListener, TcpStream},
     time::timeout,
@@ -128,7 +130,9 @@
                     listener = options.name,
                     cause = error.to_string(),
                 });
-                connections.displace();
+                if is_out_of_descriptors(&error) {
+                    connections.displace();
+                }
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             }
@@ -154,6 +158,17 @@
     timeout(options.drain, graceful.shutdown()).await.is_ok()
 }
 
+/// Whether the process, or the system, has no descriptor left.
+fn is_out_of_descriptors(error: &io::Error) -> bool {
+    let code = Errno::from_io_error(error);
+    matches!(code, Some(Errno::MFILE | Errno::NFILE))
+}
+
+/// The connection gave way to another before its request began.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("the connection gave way to another")]
+struct ConnectionDisplaced;
+
 /// An accepted connection.
 struct Caller {
     stream: TcpStream,
@@ -173,6 +188,7 @@
     {
         let connection = Arc::clone(&self.connection);
         tokio::select! {
+            biased;
             () = connection.displaced() => {}
             () = self.serve_requests(watcher, handler) => {}
         }
@@ -197,12 +213,14 @@
         } = self;
         let requests = Arc::clone(&connection);
         let service = service_fn(move |request| {
-            let busy = requests.begin_request();
-            let response = handler(request);
+            let begun = requests
+                .begin_request()
+                .map(|busy| (busy, handler(request)));
             let shutdown = shutdown.clone();
             async move {
+                let (busy, response) = begun.ok_or(ConnectionDisplaced)?;
                 let response = with_close_on_shutdown(&shutdown, response.await);
-                Ok::<_, Infallible>(response.map(|body| ResponseBody::new(body, busy)))
+                Ok::<_, ConnectionDisplaced>(response.map(|body| ResponseBody::new(body, busy)))
             }
         });
         let (head_timeout, idle_timeout) = (limits.head_timeout, limits.idle_timeout);
--- a/crates/http/tests/connection_table.rs
+++ b/crates/http/tests/connection_table.rs
@@ -22,13 +22,13 @@
     let second = |number| start + Duration::from_secs(number);
     let mut table = ConnectionTable::new(LIMIT);
     let open: Vec<ConnectionId> = (0..4).map(|at| admit(&mut table, second(at)).0).collect();
-    table.set_busy(open[0]);
+    assert!(table.set_busy(open[0]));
     table.set_resting(open[1], second(9));
     let (newest, displaced) = admit(&mut table, second(10));
     assert_eq!(displaced, Some(open[2]));
     assert_eq!(admit(&mut table, second(10)).1, Some(open[3]));
     // What happens on a connection that gave way changes nothing.
-    table.set_busy(open[2]);
+    assert!(!table.set_busy(open[2]));
     table.set_resting(open[0], second(11));
     assert_eq!(admit(&mut table, second(12)).1, Some(open[1]));
     assert_eq!(admit(&mut table, second(12)).1, Some(newest));
@@ -42,7 +42,7 @@
     let mut table = ConnectionTable::new(LIMIT);
     let open: Vec<ConnectionId> = (0..LIMIT).map(|_| admit(&mut table, now).0).collect();
     for id in &open {
-        table.set_busy(*id);
+        assert!(table.set_busy(*id));
     }
     assert_eq!(table.admit(now), Admission::Full);
     table.remove(open[1]);
@@ -58,7 +58,7 @@
             now += Duration::from_millis(10);
             let chosen = open.get(usize::from(position) % LIMIT).copied();
             match (step % 4, chosen) {
-                (0, Some(id)) => table.set_busy(id),
+                (0, Some(id)) => assert!(table.set_busy(id)),
                 (1, Some(id)) => table.set_resting(id, now),
                 (2, Some(id)) => {
                     table.remove(id);
