Wait for a port that is in use at the start instead of ending for good

Callers: after a loss of power of all machines nothing was served again, and the operator could not read the configuration, although a majority of the control replicas had their data. Cause: each listener was bound once. Where a predecessor, or a starter between fork and exec, still has the port for some milliseconds, the process ended, and nobody starts it again.

--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -146,7 +146,7 @@
 
 /// Binds a TCP listener.
 pub(crate) async fn listen(address: SocketAddr) -> Result<TcpListener, Report<ControlError>> {
-    TcpListener::bind(address)
+    railtack_http::listen(address)
         .await
         .change_context(ControlError::Listen { address })
 }
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -94,7 +94,7 @@
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, Report<RouterError>> {
-    TcpListener::bind(address)
+    railtack_http::listen(address)
         .await
         .change_context(RouterError::Listen { address })
 }
