Wait for settings that are being replaced at the start of a process

Callers: a router whose settings file was missing, empty or half written at the moment of its start ended for good and served nobody. Cause: the file was read once.

--- a/crates/settings/src/daemon.rs
+++ b/crates/settings/src/daemon.rs
@@ -9,6 +9,7 @@
 use crate::{
     load::{SettingsError, Validate, load_settings},
     overrides,
+    wait::await_settings,
 };
 
 /// Returns the common command line of a daemon, which the caller may extend.
@@ -33,7 +34,8 @@
         )
 }
 
-/// Loads the settings file given on the command line, with the overrides applied.
+/// Loads the settings file given on the command line, with the overrides applied. Waits for a file that is being
+/// replaced, unless it is only to be checked.
 pub fn settings<T>(matches: &ArgMatches) -> Result<T, Report<SettingsError>>
 where
     T: DeserializeOwned + Validate,
@@ -42,7 +44,12 @@
         .get_one::<PathBuf>("settings")
         .cloned()
         .unwrap_or_default();
-    load_settings(&file, &overrides::from_matches(matches))
+    let overrides = overrides::from_matches(matches);
+    if is_check(matches) {
+        load_settings(&file, &overrides)
+    } else {
+        await_settings(&file, &overrides)
+    }
 }
 
 /// Whether `--check` was given: validate the settings and exit.
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -9,6 +9,9 @@
 
 use crate::overrides::Override;
 
+/// Beginning of the parser's message on a key that is missing.
+const MISSING_KEY: &str = "missing field";
+
 /// Error of loading settings.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum SettingsError {
@@ -18,7 +21,7 @@
         /// Path of the file.
         file: String,
     },
-    /// The text is not TOML, has an unknown key or a value of the wrong type.
+    /// The text is not TOML, has an unknown key or a value of the wrong type, or lacks a key.
     #[error("{file}:{line}: {reason}")]
     Malformed {
         /// Path of the file.
@@ -27,6 +30,8 @@
         line: usize,
         /// Message of the parser, which names the key.
         reason: String,
+        /// Whether the text may be the beginning of a valid one: it is not TOML, or lacks a key.
+        is_incomplete: bool,
     },
     /// A value is not allowed.
     #[error("{file}:{line}: {violation}")]
@@ -40,6 +45,17 @@
     },
 }
 
+impl SettingsError {
+    /// Whether the file may be about to be replaced, so that it may be valid a moment later.
+    pub fn may_be_incomplete(&self) -> bool {
+        match self {
+            Self::Unreadable { .. } => true,
+            Self::Malformed { is_incomplete, .. } => *is_incomplete,
+            Self::InvalidValue { .. } => false,
+        }
+    }
+}
+
 /// A value that is not allowed.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 #[error("{key} = {value} is not allowed; allowed: {allowed}")]
@@ -122,10 +138,13 @@
 fn malformed(name: &str, text: &str, error: &toml::de::Error) -> Report<SettingsError> {
     let offset = error.span().map_or(0, |span| span.start);
     let line = text[..offset.min(text.len())].matches('\n').count() + 1;
+    let reason = error.message().to_owned();
+    let is_incomplete = reason.starts_with(MISSING_KEY) || toml::from_str::<Table>(text).is_err();
     Report::new(SettingsError::Malformed {
         file: name.to_owned(),
         line,
-        reason: error.message().to_owned(),
+        reason,
+        is_incomplete,
     })
 }
 
