Let one process at a time write to a data folder

Operators: a control replica that was started while its predecessor had not ended yet, as a killed process that waits for a slow disk, wrote to the data folder beside it: it created a new segment of the log before it met the ports in use and ended. Cause: nothing locked the folder. Change: a control replica locks its folder before it opens it, waits while another process holds it, tells it each second, and takes over once that has ended. The system releases the lock with the process. Where the file system knows no locks, the folder is used as before.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod claims;
 pub mod cli;
 pub mod configuration;
+pub mod data_folder;
 pub mod errors;
 pub mod member_changes;
 pub mod members;
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -41,6 +41,7 @@
 
 use crate::{
     configuration::RevisionCheck,
+    data_folder,
     errors::ControlError,
     metrics::ControlMetrics,
     node::{self, NodeHandle, NodeInput, NodeOptions},
@@ -91,6 +92,7 @@
     shutdown: CancellationToken,
 ) -> Result<(), Report<ControlError>> {
     let started = BootInstant::now();
+    let _data_lock = data_folder::lock(&settings.data).await;
     let folder = FileMedia::open(&settings.data).change_context(ControlError::Storage)?;
     let options = replica_options(&settings, DiskId(rand::random()));
     let replica = Replica::open(&folder, options, 0)?;
--- a/crates/control/src/serving/daemon.rs
+++ b/crates/control/src/serving/daemon.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     configuration::RevisionCheck,
+    data_folder,
     errors::ControlError,
     metrics::ControlMetrics,
     node::{self, DocumentParser, NodeOptions},
@@ -88,6 +89,7 @@
     registry: &mut Registry,
 ) -> Result<GroupHandle, Report<ControlError>> {
     let started = BootInstant::now();
+    let data_lock = data_folder::lock(&options.data).await;
     let replica = open_with_retries(&options).await;
     let identity = replica.identity().clone();
     let metrics = ControlMetrics::default();
@@ -183,6 +185,7 @@
         identity.replica,
         options.tolerance,
         metrics,
+        data_lock,
     ))
 }
 
--- a/crates/control/src/serving/handle.rs
+++ b/crates/control/src/serving/handle.rs
@@ -11,6 +11,8 @@
     FaultTolerance, Incarnation, ModelWeights, ReplicaKey, ReplicaRecord, ReplicaState,
 };
 
+use railtack_storage::FolderLock;
+
 use crate::{
     metrics::ControlMetrics,
     serving::{
@@ -51,10 +53,12 @@
     replica: ReplicaId,
     tolerance: FaultTolerance,
     metrics: ControlMetrics,
+    /// Keeps other processes from the data folder for as long as this one may write there.
+    _data_lock: Option<Arc<FolderLock>>,
 }
 
 impl GroupHandle {
-    /// Creates a handle of `replica`, the one behind `leader_client`.
+    /// Creates a handle of `replica`, the one behind `leader_client`, whose data folder `data_lock` protects.
     pub fn new(
         leader_client: Arc<LeaderClient>,
         liveness: Arc<Liveness>,
@@ -62,6 +66,7 @@
         replica: ReplicaId,
         tolerance: FaultTolerance,
         metrics: ControlMetrics,
+        data_lock: Option<FolderLock>,
     ) -> Self {
         Self {
             leader_client,
@@ -70,6 +75,7 @@
             replica,
             tolerance,
             metrics,
+            _data_lock: data_lock.map(Arc::new),
         }
     }
 
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -5,6 +5,7 @@
 //! lose acknowledged ones.
 
 pub mod errors;
+pub mod lock;
 pub mod media;
 pub mod memory;
 pub mod snapshot;
@@ -13,6 +14,7 @@
 mod record;
 
 pub use errors::StorageError;
+pub use lock::FolderLock;
 pub use media::{FileMedia, Media, SegmentFile};
 pub use memory::MemoryMedia;
 pub use snapshot::SnapshotStore;
