End a wait at the start of a process when it is asked to stop

Operators: a control replica that waited for its data folder, or any process that would wait for a port, went on waiting after SIGTERM until it was killed. Cause: only the loops that serve watched the signal, and a hanging disk held up the only thread of the program.

--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -92,7 +92,10 @@
     shutdown: CancellationToken,
 ) -> Result<(), Report<ControlError>> {
     let started = BootInstant::now();
-    let _data_lock = data_folder::lock(&settings.data).await;
+    let locking = data_folder::lock(&settings.data);
+    let Some(_data_lock) = shutdown.run_until_cancelled(locking).await else {
+        return Ok(());
+    };
     let folder = FileMedia::open(&settings.data).change_context(ControlError::Storage)?;
     let options = replica_options(&settings, DiskId(rand::random()));
     let replica = Replica::open(&folder, options, 0)?;
@@ -101,8 +104,11 @@
     railtack_telemetry::metrics().register(&mut registry);
     metrics.register(&mut registry);
 
-    let listener = listen(settings.listen).await?;
-    let metrics_listener = listen(settings.metrics_listen).await?;
+    let opening = open_listeners(&settings);
+    let Some(opened) = shutdown.run_until_cancelled(opening).await else {
+        return Ok(());
+    };
+    let (listener, metrics_listener) = opened?;
     let peers = Peers::new(
         tokio::runtime::Handle::current(),
         metrics.clone(),
@@ -146,6 +152,14 @@
     }
 }
 
+/// Opens the listeners for members and for metrics.
+async fn open_listeners(
+    settings: &ControlSettings,
+) -> Result<(TcpListener, TcpListener), Report<ControlError>> {
+    let internal = listen(settings.listen).await?;
+    Ok((internal, listen(settings.metrics_listen).await?))
+}
+
 /// Binds a TCP listener.
 pub(crate) async fn listen(address: SocketAddr) -> Result<TcpListener, Report<ControlError>> {
     railtack_http::listen(address)
--- a/crates/control/src/serving/daemon.rs
+++ b/crates/control/src/serving/daemon.rs
@@ -8,6 +8,7 @@
 use railtack_consensus::{DiskId, Millis, ReplicaId};
 use railtack_serving::{Bounds, FaultTolerance};
 use railtack_storage::FileMedia;
+use tokio::task::spawn_blocking;
 
 use crate::{
     configuration::RevisionCheck,
@@ -189,16 +190,19 @@
     ))
 }
 
-/// Opens the data folder, and retries without end, since a full or broken disk may recover.
+/// Opens the data folder, and retries without end, since a full or broken disk may recover. A disk that hangs holds up a
+/// thread of its own.
 async fn open_with_retries(options: &GroupOptions) -> Replica {
     loop {
-        match open(options, 0) {
-            Ok(replica) => return replica,
-            Err(report) => {
-                spdlog::warn!("cannot open the data folder; retrying", kv: { cause = format!("{report:?}") });
-                tokio::time::sleep(OPEN_RETRY_INTERVAL).await;
-            }
-        }
+        let own_options = options.clone();
+        let opened = spawn_blocking(move || open(&own_options, 0)).await;
+        let cause = match opened {
+            Ok(Ok(replica)) => return replica,
+            Ok(Err(report)) => format!("{report:?}"),
+            Err(error) => error.to_string(),
+        };
+        spdlog::warn!("cannot open the data folder; retrying", kv: { cause });
+        tokio::time::sleep(OPEN_RETRY_INTERVAL).await;
     }
 }
 
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -45,11 +45,14 @@
     railtack_telemetry::set_node(&format!("router-{}", settings.router_id.0));
     let runtime = tokio::runtime::Runtime::new().change_context(RouterError::Runtime)?;
     runtime.block_on(async {
-        let router = Router::bind(settings).await?;
-        let listen = router.address().map(|address| address.to_string());
-        spdlog::info!("started", kv: { listen = listen.unwrap_or_default() });
         let shutdown = CancellationToken::new();
         tokio::spawn(cancel_on_terminate(shutdown.clone()));
+        let Some(bound) = shutdown.run_until_cancelled(Router::bind(settings)).await else {
+            return Ok(true);
+        };
+        let router = bound?;
+        let listen = router.address().map(|address| address.to_string());
+        spdlog::info!("started", kv: { listen = listen.unwrap_or_default() });
         Ok(router.run(shutdown).await)
     })
 }
