Continue a stream only on a connection whose replica has said which incarnation it is

Callers: streams held events of two software versions after replicas had started anew under their names and addresses with another version. A router that had stood still, or one that runs and has not heard of the new incarnation yet, took it for the old one. Cause: what a router believes of a replica is a heartbeat that a control replica passed on, and X-Target-Instance holds the name only. Change: before a continuation goes out, the replica is asked for its report on the same connection, once a connection, where its record has a start time. A connection leads to one process as long as it lasts, so no clock and no view can be late. What is not confirmed gets no continuation; first tokens are not delayed, since only continuations are checked. Not covered: a stream that begins at a replica in the moment before its new incarnation is known is recorded under the old version.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -18,6 +18,7 @@
     backend::{Dispatch, ResponseClass},
     crash_checks::CrashSubjects,
     health::ExchangeOutcome,
+    incarnation_check::{self, Confirmation},
     load::estimate::ReplicaLoad,
     permits::{self, Permit},
     pool::{ConnectError, Connection},
@@ -96,7 +97,8 @@
 }
 
 impl FailedExchange {
-    fn not_run(outcome: Option<ExchangeOutcome>, cause: &'static str) -> Self {
+    /// The replica does not run the request.
+    pub fn not_run(outcome: Option<ExchangeOutcome>, cause: &'static str) -> Self {
         Self {
             outcome,
             proof: ExchangeProof::NotRun,
@@ -196,6 +198,13 @@
 ) -> Result<OpenResponse, FailedExchange> {
     for _ in 0..MAX_STALE_CONNECTIONS {
         let mut connection = connect(state, target, dispatch, non_retryable).await?;
+        // Events of another software version would not fit those that the caller has.
+        if dispatch.last_event.is_some() {
+            let confirmed = incarnation_check::confirm(state, target, &mut connection).await?;
+            if confirmed == Confirmation::ConnectionClosed {
+                continue;
+            }
+        }
         // The process may have been suspended since selection, so the lease is checked here.
         if !state.is_confirmed() {
             return Err(FailedExchange::not_sent("lease lost"));
--- a/crates/proxy/src/backend.rs
+++ b/crates/proxy/src/backend.rs
@@ -71,6 +71,16 @@
     fn classify(&self, request: &ProxiedRequest, head: &response::Parts) -> ResponseClass;
     /// Returns the replica's signals in the head of a response.
     fn signals(&self, head: &response::Parts) -> BackendSignals;
+    /// Returns the request to which the replica responds with its incarnation; `None` if it cannot tell, or has a new name
+    /// each time it starts.
+    fn incarnation_request(&self, replica: &ReplicaRecord) -> Option<Request<Full<Bytes>>>;
+    /// Whether a response to such a request comes from this incarnation.
+    fn is_incarnation(
+        &self,
+        replica: &ReplicaRecord,
+        head: &response::Parts,
+        content: &[u8],
+    ) -> bool;
     /// Whether a response header is hop-by-hop and not forwarded.
     fn is_hop_by_hop(&self, name: &str) -> bool;
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod health;
 pub mod homes;
 pub mod idle_limit;
+pub mod incarnation_check;
 pub mod invalidations;
 pub mod lease;
 pub mod limits;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -87,6 +87,8 @@
     pub resumed: Counter,
     /// Streams that callers took up, by how their origin was found.
     pub stream_lookups: Family<OutcomeLabels, Counter>,
+    /// Checks whether a connection leads to the known incarnation of a replica, by answer.
+    pub incarnation_checks: Family<OutcomeLabels, Counter>,
     /// Records of where streams began, by outcome.
     pub stream_records: Family<OutcomeLabels, Counter>,
     /// Prompt tokens sent.
@@ -128,6 +130,7 @@
             quarantined: Gauge::default(),
             resumed: Counter::default(),
             stream_lookups: Family::default(),
+            incarnation_checks: Family::default(),
             stream_records: Family::default(),
             prompt_tokens: Counter::default(),
             presumed_cached_tokens: Counter::default(),
@@ -230,6 +233,11 @@
             "Streams taken up by their callers, by how it was found where they began",
             self.stream_lookups.clone(),
         );
+        registry.register(
+            "proxy_incarnation_checks",
+            "Checks whether a connection leads to the known incarnation of a replica, by answer",
+            self.incarnation_checks.clone(),
+        );
         registry.register(
             "proxy_stream_records",
             "Records of where streams began, by outcome",
@@ -323,6 +331,11 @@
         count(&self.stream_lookups, outcome);
     }
 
+    /// Counts a check of an incarnation.
+    pub fn record_incarnation_check(&self, answer: &str) {
+        count(&self.incarnation_checks, answer);
+    }
+
     /// Counts a record of where a stream began.
     pub fn record_stream_record(&self, outcome: &str) {
         count(&self.stream_records, outcome);
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -111,6 +111,8 @@
     open: Arc<AtomicU32>,
     idle_limit: IdleLimit,
     is_relayed: bool,
+    /// Whether the replica has said over it that it is the incarnation to which the pool belongs.
+    pub is_incarnation_confirmed: bool,
 }
 
 impl Drop for Connection {
@@ -285,6 +287,7 @@
         open: counted.into_counter(),
         idle_limit: IdleLimit::DEFAULT,
         is_relayed,
+        is_incarnation_confirmed: false,
     };
     Ok((connection, task))
 }
--- a/crates/proxy/tests/overloaded_router.rs
+++ b/crates/proxy/tests/overloaded_router.rs
@@ -47,6 +47,14 @@
         BackendSignals::default()
     }
 
+    fn incarnation_request(&self, _: &ReplicaRecord) -> Option<Request<Full<Bytes>>> {
+        None
+    }
+
+    fn is_incarnation(&self, _: &ReplicaRecord, _: &response::Parts, _: &[u8]) -> bool {
+        true
+    }
+
     fn is_hop_by_hop(&self, _: &str) -> bool {
         false
     }
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -13,7 +13,7 @@
     lease::Knowledge,
 };
 use railtack_rpc::{FeatureLevel, serving::WatchReply};
-use railtack_serving::{BackendSignals, Bounds, Policy, QuotaBounds};
+use railtack_serving::{BackendSignals, Bounds, Policy, QuotaBounds, ReplicaRecord};
 
 /// A replica protocol that is never used.
 struct UnusedProtocol;
@@ -31,6 +31,14 @@
         BackendSignals::default()
     }
 
+    fn incarnation_request(&self, _: &ReplicaRecord) -> Option<Request<Full<Bytes>>> {
+        None
+    }
+
+    fn is_incarnation(&self, _: &ReplicaRecord, _: &response::Parts, _: &[u8]) -> bool {
+        true
+    }
+
     fn is_hop_by_hop(&self, _: &str) -> bool {
         false
     }
