--- a/crates/control/src/serving/formation.rs
+++ b/crates/control/src/serving/formation.rs
@@ -25,6 +25,8 @@
 /// Time without a leader after which a member sends join requests again, since it may have been
 /// replaced while it was away.
 const MAX_LEADERLESS_TIME: Duration = Duration::from_secs(2);
+/// Interval of log lines while there is no leader.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout of one join request.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -45,6 +47,16 @@
     has_address(local) && other_seeds.any(|seed| has_address(&seed))
 }
 
+fn log_missing_leader(view: &NodeView, missing_for: Duration) {
+    spdlog::warn!("no leader", kv: {
+        missing_for_ms = missing_for.as_millis() as u64,
+        is_member = view.is_member,
+        term = view.term,
+        voters = view.voters.join(","),
+        contacts = view.contacts.join(","),
+    });
+}
+
 /// Sends join requests while the local replica is not a member of a group.
 pub struct Joiner {
     /// The local replica, and connections to others.
@@ -63,11 +75,15 @@
     /// Runs until the process exits.
     pub async fn run(self) {
         let mut leader_seen_at = Instant::now();
+        let mut logged_at = leader_seen_at;
         loop {
             sleep(CHECK_INTERVAL).await;
             let view = self.leader_client.view();
             if view.leader.is_some() {
                 leader_seen_at = Instant::now();
+            } else if logged_at.elapsed() >= LOG_INTERVAL {
+                logged_at = Instant::now();
+                log_missing_leader(&view, leader_seen_at.elapsed());
             }
             let is_joined = view.is_member && leader_seen_at.elapsed() < MAX_LEADERLESS_TIME;
             if !is_joined {
--- a/crates/proxy/src/control_watch.rs
+++ b/crates/proxy/src/control_watch.rs
@@ -139,6 +139,20 @@
             spdlog::warn!("lease lost", kv: { known, age_ms = age.as_millis() as u64 });
         }
         was_confirmed = is_confirmed;
+        log_missing_part(&state);
+    }
+}
+
+/// Logs what the router lacks to serve, if anything, at each call.
+fn log_missing_part(state: &ProxyState) {
+    let view = state.view.load();
+    let has_lease = lock(&state.lease).is_valid(BootInstant::now());
+    if let Some(missing) = view.missing_part(has_lease) {
+        spdlog::warn!("cannot serve", kv: {
+            missing = missing.name(),
+            known = view.position.state,
+            replicas = view.replicas.size(),
+        });
     }
 }
 
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -27,7 +27,42 @@
     ready: OnceLock<HashMap<String, Ring>>,
 }
 
+/// What a router lacks to serve.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MissingPart {
+    /// A configuration.
+    Configuration,
+    /// A confirmation that the configuration is current.
+    Lease,
+    /// Any replica.
+    Replicas,
+}
+
+impl MissingPart {
+    /// Returns the name of the part for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Lease => "lease",
+            Self::Replicas => "replicas",
+        }
+    }
+}
+
 impl ServingView {
+    /// Returns what is missing before any request can be served from the view.
+    pub fn missing_part(&self, has_lease: bool) -> Option<MissingPart> {
+        if self.table.is_none() {
+            Some(MissingPart::Configuration)
+        } else if !has_lease {
+            Some(MissingPart::Lease)
+        } else if self.replicas.is_empty() {
+            Some(MissingPart::Replicas)
+        } else {
+            None
+        }
+    }
+
     /// Returns the view after an update; `None` if the update is not newer.
     pub fn updated(&self, update: ServingUpdate) -> Option<Self> {
         let received = update.position;
