--- a/crates/control/tests/support/simulated_group.rs
+++ b/crates/control/tests/support/simulated_group.rs
@@ -21,6 +21,10 @@
 use rand_chacha::ChaCha8Rng;
 
 const NETWORK_DELAY_MS: Millis = 1;
+/// Most syncs of a round of a replica; a new segment and a snapshot take several.
+const MAX_SYNCS_OF_A_ROUND: u64 = 6;
+/// Most bytes that a disk keeps of what was not synced.
+const MAX_TORN_BYTES: usize = 400;
 /// Longest time between two rounds of a replica.
 const TICK_MS: Millis = 25;
 /// Interval in which a replica checks whether it has to ask for its group.
@@ -67,10 +71,15 @@
     tolerance: FaultTolerance,
     /// Mean time of a sync, milliseconds; each takes half to one and a half of it.
     sync_ms: Millis,
+    /// Log entries after which a snapshot replaces the log.
+    snapshot_entries: u64,
     next_id: u32,
 }
 
-fn options(id: u32, seed: u64) -> ReplicaOptions {
+/// Log entries after which a snapshot replaces the log, unless a test chooses another number.
+const SNAPSHOT_ENTRIES: u64 = 1_000;
+
+fn options(id: u32, seed: u64, snapshot_entries: u64) -> ReplicaOptions {
     ReplicaOptions {
         cluster: "test".to_owned(),
         replica: ReplicaId(id),
@@ -78,7 +87,7 @@
         new_disk: DiskId(u64::from(id)),
         election_timeout: 400,
         heartbeat_interval: 100,
-        snapshot_entries: 1_000,
+        snapshot_entries,
         snapshot_bytes: 1 << 20,
         claim_retention_ms: 60_000,
         seed,
@@ -94,12 +103,24 @@
 impl Group {
     /// Starts a group of `voters` machines.
     pub fn start(seed: u64, voters: usize, tolerance: FaultTolerance, sync_ms: Millis) -> Self {
+        Self::start_with_snapshots(seed, voters, tolerance, sync_ms, SNAPSHOT_ENTRIES)
+    }
+
+    /// Starts a group whose replicas write a snapshot after this number of entries.
+    pub fn start_with_snapshots(
+        seed: u64,
+        voters: usize,
+        tolerance: FaultTolerance,
+        sync_ms: Millis,
+        snapshot_entries: u64,
+    ) -> Self {
         let mut group = Self {
             now: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
             machines: Vec::new(),
             tolerance,
             sync_ms,
+            snapshot_entries,
             next_id: voters as u32 + 1,
         };
         let members: Vec<Member> = (0..voters)
@@ -112,7 +133,7 @@
             .collect();
         for position in 0..voters {
             let disk = MemoryMedia::default();
-            let options = options(position as u32 + 1, 0);
+            let options = options(position as u32 + 1, 0, snapshot_entries);
             Replica::initialize_with_members(&disk, &options, members.clone())
                 .expect("initialized");
             group.machines.push(Machine {
@@ -141,7 +162,8 @@
         self.next_id += 1;
         let seed = self.random.random();
         let disk = self.machines[position].disk.clone();
-        let replica = Replica::open(&disk, options(id, seed), self.now).expect("opened");
+        let replica = Replica::open(&disk, options(id, seed, self.snapshot_entries), self.now)
+            .expect("opened");
         self.machines[position].process = Some(Process {
             replica,
             changes: MemberChanges::default(),
@@ -158,6 +180,21 @@
         self.machines[position].process = None;
     }
 
+    /// Cuts the power of a machine in the middle of what its process does next: its disk keeps what was synced by then, and
+    /// up to some bytes of what was written after that.
+    pub fn cut_power(&mut self, position: Position) {
+        let syncs = self.random.random_range(0..=MAX_SYNCS_OF_A_ROUND);
+        let torn_bytes = self.random.random_range(0..=MAX_TORN_BYTES);
+        let machine = &mut self.machines[position];
+        machine.disk.lose_power_after_syncs(syncs);
+        // While a sync takes its time, the process does nothing else. Nobody receives what the last round would send.
+        if let Some(mut process) = machine.process.take_if(|process| process.sync.is_none()) {
+            let _ = process.step(self.now + TICK_MS, 1, self.tolerance);
+        }
+        machine.process = None;
+        machine.disk.crash(torn_bytes);
+    }
+
     /// Empties the disk of a machine whose process does not run.
     pub fn lose_data(&mut self, position: Position) {
         self.machines[position].disk = MemoryMedia::default();
--- a/crates/control/tests/tolerated_losses.rs
+++ b/crates/control/tests/tolerated_losses.rs
@@ -1,6 +1,7 @@
 //! Groups that lose machines up to what they have to tolerate, in virtual time, on slow disks. In the end all machines
 //! lose power and two of them their data.
 
+#[allow(dead_code)]
 #[path = "support/simulated_group.rs"]
 mod simulated_group;
 
--- a/crates/storage/src/memory.rs
+++ b/crates/storage/src/memory.rs
@@ -21,9 +21,31 @@
     durable_names: BTreeMap<String, String>,
     fail_syncs: bool,
     ignore_syncs: bool,
+    /// Syncs that still have an effect before the power is lost; `None` while no loss is due.
+    syncs_before_loss: Option<u64>,
+    /// The files at the moment at which the power was lost.
+    files_at_loss: Option<BTreeMap<String, MemoryFile>>,
     sync_count: u64,
 }
 
+impl FolderState {
+    /// Counts a sync. Returns whether it has an effect.
+    fn begin_sync(&mut self) -> bool {
+        match &mut self.syncs_before_loss {
+            Some(0) => {
+                let files = &self.files;
+                self.files_at_loss.get_or_insert_with(|| files.clone());
+                false
+            }
+            Some(left) => {
+                *left -= 1;
+                !self.ignore_syncs
+            }
+            None => !self.ignore_syncs,
+        }
+    }
+}
+
 /// An in-memory folder that loses unsynced data in a simulated crash. Clones share the files.
 #[derive(Clone, Debug, Default)]
 pub struct MemoryMedia {
@@ -36,7 +58,8 @@
     pub fn crash(&self, torn_bytes: usize) {
         let mut folder = self.lock();
         let surviving = std::mem::take(&mut folder.durable_names);
-        let mut files = std::mem::take(&mut folder.files);
+        let current = std::mem::take(&mut folder.files);
+        let mut files = folder.files_at_loss.take().unwrap_or(current);
         for name in surviving.keys() {
             let Some(mut file) = files.remove(name) else {
                 continue;
@@ -47,6 +70,7 @@
             folder.files.insert(name.clone(), file);
         }
         folder.durable_names = surviving;
+        folder.syncs_before_loss = None;
     }
 
     /// Removes all files, like a replaced disk.
@@ -66,6 +90,12 @@
         self.lock().ignore_syncs = ignore;
     }
 
+    /// Makes the power end after this number of further syncs. Until [`MemoryMedia::crash`] all operations succeed, but what
+    /// happens from the next sync on is lost.
+    pub fn lose_power_after_syncs(&self, syncs: u64) {
+        self.lock().syncs_before_loss = Some(syncs);
+    }
+
     /// Number of syncs of files.
     pub fn sync_count(&self) -> u64 {
         self.lock().sync_count
@@ -115,7 +145,7 @@
 
     fn sync_file(&self, name: &str) -> io::Result<()> {
         let mut folder = self.lock();
-        if folder.ignore_syncs {
+        if !folder.begin_sync() {
             return Ok(());
         }
         if let Some(file) = folder.files.get_mut(name) {
@@ -148,7 +178,7 @@
         if folder.fail_syncs {
             return Err(io::ErrorKind::StorageFull.into());
         }
-        if !folder.ignore_syncs {
+        if folder.begin_sync() {
             let names = folder.files.keys().map(|name| (name.clone(), name.clone()));
             folder.durable_names = names.collect();
         }
@@ -178,7 +208,7 @@
             return Err(io::ErrorKind::StorageFull.into());
         }
         folder.sync_count += 1;
-        if folder.ignore_syncs {
+        if !folder.begin_sync() {
             return Ok(());
         }
         if let Some(file) = folder.files.get_mut(&self.name) {
