Let a replica's request for rest count that comes with the answer about its incarnation

The check now comes after that of the rest and of leaving, and its answer's signals are applied as those of any other answer.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -200,6 +200,9 @@
         let mut connection = connect(state, target, dispatch, non_retryable).await?;
         // Events of another software version would not fit those that the caller has.
         if dispatch.last_event.is_some() {
+            if !accepts_requests(state, target) {
+                return Err(FailedExchange::not_sent("takes no requests"));
+            }
             let confirmed = incarnation_check::confirm(state, target, &mut connection).await?;
             if confirmed == Confirmation::ConnectionClosed {
                 continue;
@@ -393,7 +396,11 @@
 }
 
 /// Applies the signals of a response head. Most have none and skip the lock on all replicas.
-fn apply_signals(state: &ProxyState, target: &Target, signals: BackendSignals) -> SignalChanges {
+pub fn apply_signals(
+    state: &ProxyState,
+    target: &Target,
+    signals: BackendSignals,
+) -> SignalChanges {
     if signals == BackendSignals::default() {
         return SignalChanges::default();
     }
--- a/crates/proxy/src/incarnation_check.rs
+++ b/crates/proxy/src/incarnation_check.rs
@@ -9,10 +9,11 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
+use railtack_serving::{BackendSignals, LimitHeader};
 use tokio::time::timeout;
 
 use crate::{
-    attempt::{FailedExchange, Target},
+    attempt::{self, FailedExchange, Target},
     health::ExchangeOutcome,
     pool::Connection,
     state::ProxyState,
@@ -114,6 +115,12 @@
     };
     connection.head_limit.head_received();
     let (head, body) = response.into_parts();
+    let signals = BackendSignals {
+        // A limit is one of requests, and may be that of another incarnation.
+        limit: LimitHeader::Absent,
+        ..state.backend.signals(&head)
+    };
+    attempt::apply_signals(state, target, signals);
     let Ok(content) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
         return Answer::Missing;
     };
@@ -122,11 +129,10 @@
         return Answer::Missing;
     }
     let content = content.to_bytes();
-    match state
-        .backend
-        .is_incarnation(&target.record, &head, &content)
-    {
-        true => Answer::Confirmed,
-        false => Answer::Other,
+    let backend = &state.backend;
+    if backend.is_incarnation(&target.record, &head, &content) {
+        Answer::Confirmed
+    } else {
+        Answer::Other
     }
 }
